Start: design, build, and the base modules

Cause: an empty repository. Change: design page; CMake build; error, counter, json, log, clock, HTTP server over h2o and HTTP client over libcurl; frame of the stand-ins; interfaces of settings, store, backend, route, message and node as headers only. Ruled out: h2o's own HTTP client, which does not let one call choose a fresh connection. Conclusion: the modules can be written side by side.

--- /dev/null
+++ b/src/backend.h
@@ -0,0 +1,89 @@
+#ifndef PAPAYA_BACKEND_H
+#define PAPAYA_BACKEND_H
+
+#include "settings.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+typedef enum backend_state {
+	BACKEND_LIVE,
+	BACKEND_SUSPECT,  /* failed lately; tried again after a while */
+	BACKEND_DRAINING, /* its host leaves: no new request */
+	BACKEND_GONE,
+} backend_state_t;
+
+/*
+ * A backend server as one node sees it. Reference counted: a request in
+ * progress keeps the record after the backend server has left the settings.
+ */
+typedef struct backend {
+	unsigned refs;
+	LIST_ENTRY(backend) entries;
+	char *name;
+	char *address;
+	char *host;
+	char *zone;
+	char *class;
+	char *service;
+	char *version;
+	double price_per_hour;
+	bool reclaimable;
+	fencing_t fencing;
+	backend_state_t state;
+	int64_t leave_at_ms; /* DRAINING: when its host is gone; 0 unknown */
+	int64_t suspect_until_ms;
+	unsigned failures;	   /* in a row */
+	unsigned in_flight;	   /* requests of this node */
+	unsigned reported_running; /* by its load report, which lags */
+	unsigned reported_waiting;
+	int64_t reported_at_ms;
+	double latency_ms; /* moving average, 0 before the first */
+	uint64_t requests;
+	int64_t last_new_request_ms;
+} backend_t;
+
+/* Every backend server known to a node. */
+typedef struct backends backends_t;
+
+backends_t *backends_new(void);
+void backends_free(backends_t *backends);
+
+/* Takes over a tree's declarations: adds, updates, removes. */
+void backends_apply(backends_t *backends, const tree_t *tree);
+
+backend_t *backend_ref(backend_t *backend);
+void backend_unref(backend_t *backend);
+
+/* Backend server by TEAM/NAME, borrowed; NULL if unknown. */
+backend_t *backends_find(const backends_t *backends, const char *name);
+
+/* Appends the service's backend servers, borrowed, to out (backend_t *). */
+void backends_of_service(
+    const backends_t *backends, const char *service, GPtrArray *out);
+
+void backends_each(const backends_t *backends,
+    void (*visit)(backend_t *backend, void *data), void *data);
+
+/*
+ * Marks every backend server of a host as draining. The mark stays until the
+ * declaration names another host or address. Returns true on a change.
+ */
+bool backends_leave_host(
+    backends_t *backends, const char *host, int64_t leave_at_ms);
+
+/* True where a new request may go to it now. */
+bool backend_usable(const backend_t *backend, int64_t now_ms);
+
+/* Counts a request out to, and back from, a backend server. */
+void backend_begin(backend_t *backend, int64_t now_ms);
+void backend_end(
+    backend_t *backend, bool ok, double latency_ms, int64_t now_ms);
+
+/* Takes over a load report. */
+void backend_report(
+    backend_t *backend, unsigned running, unsigned waiting, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/clock.h
@@ -0,0 +1,15 @@
+#ifndef PAPAYA_CLOCK_H
+#define PAPAYA_CLOCK_H
+
+#include <stdint.h>
+
+/* Wall-clock time in milliseconds since the Unix epoch. */
+int64_t clock_wall_ms(void);
+
+/* Monotonic time in milliseconds, from an arbitrary origin. */
+int64_t clock_mono_ms(void);
+
+/* Monotonic time in microseconds, from an arbitrary origin. */
+int64_t clock_mono_us(void);
+
+#endif
--- /dev/null
+++ b/src/http_client.c
@@ -0,0 +1,383 @@
+#include "http_client.h"
+
+#include <curl/curl.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum {
+	DEFAULT_CONNECT_TIMEOUT_MS = 2000,
+	CONNECTION_CACHE_MAX = 512,
+};
+
+struct http_call {
+	TAILQ_ENTRY(http_call) entries;
+	http_client_t *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	GString *body;
+	http_call_options_t options;
+	char error[CURL_ERROR_SIZE];
+	bool added;
+	bool cancelled;
+};
+
+struct http_client {
+	uv_loop_t *loop;
+	uv_timer_t timer;
+	uv_idle_t starter; /* adds waiting calls outside libcurl's callbacks */
+	CURLM *multi;
+	TAILQ_HEAD(, http_call) waiting;
+	TAILQ_HEAD(, http_call) running;
+	unsigned open_handles;
+	bool freed;
+};
+
+typedef struct socket_watch {
+	uv_poll_t poll;
+	curl_socket_t socket;
+	http_client_t *client;
+} socket_watch_t;
+
+static void
+release_client(http_client_t *client)
+{
+	if (--client->open_handles == 0)
+		g_free(client);
+}
+
+static void
+on_client_handle_closed(uv_handle_t *handle)
+{
+	release_client(handle->data);
+}
+
+static void
+call_free(http_call_t *call)
+{
+	if (call->added) {
+		curl_multi_remove_handle(call->client->multi, call->easy);
+		TAILQ_REMOVE(&call->client->running, call, entries);
+	} else {
+		TAILQ_REMOVE(&call->client->waiting, call, entries);
+	}
+	curl_easy_cleanup(call->easy);
+	curl_slist_free_all(call->headers);
+	g_string_free(call->body, TRUE);
+	g_free(call);
+}
+
+static http_outcome_t
+outcome_of(http_call_t *call, CURLcode code)
+{
+	curl_off_t pretransfer_us = 0;
+
+	if (code == CURLE_OK)
+		return HTTP_OUTCOME_ANSWERED;
+	/* Set once the connection is ready, before the first request byte. */
+	curl_easy_getinfo(
+	    call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+	if (pretransfer_us == 0)
+		return HTTP_OUTCOME_NOT_SENT;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return HTTP_OUTCOME_TIMEOUT;
+	return HTTP_OUTCOME_FAILED;
+}
+
+static void
+finish_call(http_call_t *call, CURLcode code)
+{
+	http_result_t result = {
+	    .outcome = outcome_of(call, code),
+	    .status = http_call_status(call),
+	    .body = call->body->str,
+	    .length = call->body->len,
+	    .message = "",
+	};
+
+	if (code != CURLE_OK)
+		result.message = call->error[0] != '\0'
+				     ? call->error
+				     : curl_easy_strerror(code);
+	if (!call->cancelled && call->options.on_done != NULL)
+		call->options.on_done(call, &result, call->options.data);
+	call_free(call);
+}
+
+static void
+collect_finished(http_client_t *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while (!client->freed &&
+	       (message = curl_multi_info_read(client->multi, &left)) != NULL) {
+		http_call_t *call;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(
+		    message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+		finish_call(call, message->data.result);
+	}
+}
+
+static void
+on_timer(uv_timer_t *timer)
+{
+	http_client_t *client = timer->data;
+	int running;
+
+	curl_multi_socket_action(
+	    client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	collect_finished(client);
+}
+
+static int
+on_timer_wanted(CURLM *multi, long timeout_ms, void *data)
+{
+	http_client_t *client = data;
+
+	if (client->freed)
+		return 0;
+	if (timeout_ms < 0)
+		uv_timer_stop(&client->timer);
+	else
+		uv_timer_start(
+		    &client->timer, on_timer, (uint64_t)timeout_ms, 0);
+	return 0;
+}
+
+static void
+on_socket_ready(uv_poll_t *poll, int status, int events)
+{
+	socket_watch_t *watch = poll->data;
+	http_client_t *client = watch->client;
+	int running, flags = 0;
+
+	if (status < 0)
+		flags |= CURL_CSELECT_ERR;
+	if (events & UV_READABLE)
+		flags |= CURL_CSELECT_IN;
+	if (events & UV_WRITABLE)
+		flags |= CURL_CSELECT_OUT;
+	curl_multi_socket_action(client->multi, watch->socket, flags, &running);
+	collect_finished(client);
+}
+
+static void
+on_watch_closed(uv_handle_t *handle)
+{
+	socket_watch_t *watch = handle->data;
+
+	release_client(watch->client);
+	g_free(watch);
+}
+
+static socket_watch_t *
+watch_new(http_client_t *client, curl_socket_t socket)
+{
+	socket_watch_t *watch = g_new0(socket_watch_t, 1);
+
+	watch->socket = socket;
+	watch->client = client;
+	uv_poll_init_socket(client->loop, &watch->poll, socket);
+	watch->poll.data = watch;
+	client->open_handles++;
+	curl_multi_assign(client->multi, socket, watch);
+	return watch;
+}
+
+static int
+on_socket_wanted(
+    CURL *easy, curl_socket_t socket, int what, void *data, void *socket_data)
+{
+	socket_watch_t *watch = socket_data;
+	http_client_t *client = data;
+	int events = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		if (watch != NULL) {
+			curl_multi_assign(client->multi, socket, NULL);
+			uv_poll_stop(&watch->poll);
+			uv_close((uv_handle_t *)&watch->poll, on_watch_closed);
+		}
+		return 0;
+	}
+	if (watch == NULL)
+		watch = watch_new(client, socket);
+	if (what & CURL_POLL_IN)
+		events |= UV_READABLE;
+	if (what & CURL_POLL_OUT)
+		events |= UV_WRITABLE;
+	uv_poll_start(&watch->poll, events, on_socket_ready);
+	return 0;
+}
+
+static void
+start_waiting(uv_idle_t *starter)
+{
+	http_client_t *client = starter->data;
+	http_call_t *call;
+
+	uv_idle_stop(starter);
+	while ((call = TAILQ_FIRST(&client->waiting)) != NULL) {
+		TAILQ_REMOVE(&client->waiting, call, entries);
+		TAILQ_INSERT_TAIL(&client->running, call, entries);
+		call->added = true;
+		curl_multi_add_handle(client->multi, call->easy);
+	}
+	collect_finished(client);
+}
+
+http_client_t *
+http_client_new(uv_loop_t *loop)
+{
+	http_client_t *client = g_new0(http_client_t, 1);
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	client->loop = loop;
+	client->multi = curl_multi_init();
+	TAILQ_INIT(&client->waiting);
+	TAILQ_INIT(&client->running);
+	uv_timer_init(loop, &client->timer);
+	uv_idle_init(loop, &client->starter);
+	client->timer.data = client;
+	client->starter.data = client;
+	client->open_handles = 2;
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_SOCKETFUNCTION, on_socket_wanted);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_TIMERFUNCTION, on_timer_wanted);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+	curl_multi_setopt(
+	    client->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTION_CACHE_MAX);
+	return client;
+}
+
+void
+http_client_free(http_client_t *client)
+{
+	http_call_t *call;
+
+	if (client == NULL)
+		return;
+	client->freed = true;
+	while ((call = TAILQ_FIRST(&client->waiting)) != NULL)
+		call_free(call);
+	while ((call = TAILQ_FIRST(&client->running)) != NULL)
+		call_free(call);
+	curl_multi_cleanup(client->multi);
+	uv_close((uv_handle_t *)&client->timer, on_client_handle_closed);
+	uv_close((uv_handle_t *)&client->starter, on_client_handle_closed);
+}
+
+static size_t
+on_body(char *bytes, size_t size, size_t count, void *data)
+{
+	http_call_t *call = data;
+	size_t length = size * count;
+	bool go_on = true;
+
+	if (call->cancelled)
+		return 0;
+	if (call->options.on_data == NULL)
+		g_string_append_len(call->body, bytes, (gssize)length);
+	else
+		go_on = call->options.on_data(
+		    call, bytes, length, call->options.data);
+	return go_on && !call->cancelled ? length : 0;
+}
+
+static void
+set_request(http_call_t *call, const http_call_options_t *options)
+{
+	CURL *easy = call->easy;
+
+	if (options->method != NULL)
+		curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, options->method);
+	if (options->body != NULL) {
+		curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+		    (curl_off_t)options->body_length);
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, options->body);
+	}
+	if (options->method != NULL && strcmp(options->method, "HEAD") == 0)
+		curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+	for (size_t i = 0;
+	     options->headers != NULL && options->headers[i] != NULL; i++)
+		call->headers =
+		    curl_slist_append(call->headers, options->headers[i]);
+	call->headers = curl_slist_append(call->headers, "Expect:");
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+http_call_t *
+http_call_start(http_client_t *client, const http_call_options_t *options)
+{
+	http_call_t *call = g_new0(http_call_t, 1);
+	CURL *easy = curl_easy_init();
+	long connect_ms = options->connect_timeout_ms > 0
+			      ? (long)options->connect_timeout_ms
+			      : DEFAULT_CONNECT_TIMEOUT_MS;
+
+	call->client = client;
+	call->easy = easy;
+	call->options = *options;
+	call->body = g_string_new(NULL);
+	curl_easy_setopt(easy, CURLOPT_URL, options->url);
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->error);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
+	if (options->fresh_connection) {
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	set_request(call, options);
+	TAILQ_INSERT_TAIL(&client->waiting, call, entries);
+	uv_idle_start(&client->starter, start_waiting);
+	return call;
+}
+
+static bool
+call_in_callback(const http_call_t *call)
+{
+	/* libcurl refuses a removal only while one of its callbacks runs. */
+	return call->added && curl_multi_remove_handle(call->client->multi,
+				  call->easy) == CURLM_RECURSIVE_API_CALL;
+}
+
+void
+http_call_cancel(http_call_t *call)
+{
+	call->cancelled = true;
+	if (call_in_callback(call))
+		return;
+	call_free(call);
+}
+
+const char *
+http_call_header(const http_call_t *call, const char *name)
+{
+	struct curl_header *header;
+
+	if (curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) !=
+	    CURLHE_OK)
+		return NULL;
+	return header->value;
+}
+
+long
+http_call_status(const http_call_t *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	return status;
+}
--- /dev/null
+++ b/src/json.c
@@ -0,0 +1,64 @@
+#include "json.h"
+
+#include "error.h"
+
+#include <stdlib.h>
+
+json_t *
+json_parse(const char *text, size_t length, const char *file, GError **error)
+{
+	json_error_t at;
+	json_t *value;
+
+	value = json_loadb(
+	    text, length, JSON_REJECT_DUPLICATES | JSON_DECODE_ANY, &at);
+	if (value == NULL)
+		papaya_error_set(error, PAPAYA_ERROR_BAD_REQUEST,
+		    "%s:%d:%d: not valid JSON: %s", file, at.line, at.column,
+		    at.text);
+	return value;
+}
+
+const char *
+json_get_string(const json_t *object, const char *name, const char *fallback)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_string(value) ? json_string_value(value) : fallback;
+}
+
+int64_t
+json_get_int(const json_t *object, const char *name, int64_t fallback)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_integer(value) ? json_integer_value(value) : fallback;
+}
+
+double
+json_get_double(const json_t *object, const char *name, double fallback)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_number(value) ? json_number_value(value) : fallback;
+}
+
+bool
+json_get_bool(const json_t *object, const char *name, bool fallback)
+{
+	const json_t *value = json_object_get(object, name);
+
+	return json_is_boolean(value) ? json_is_true(value) : fallback;
+}
+
+char *
+json_text(const json_t *value)
+{
+	char *dumped, *text;
+
+	dumped =
+	    json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+	text = g_strdup(dumped);
+	free(dumped);
+	return text;
+}
--- /dev/null
+++ b/src/message.h
@@ -0,0 +1,105 @@
+#ifndef PAPAYA_MESSAGE_H
+#define PAPAYA_MESSAGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Messages between nodes. A frame carries one msgpack array [TYPE, ...]. */
+typedef enum message_type {
+	MESSAGE_HELLO = 1,
+	MESSAGE_HEARTBEAT,
+	MESSAGE_SETTINGS,
+	MESSAGE_SETTINGS_WANT,
+	MESSAGE_LEAVING,
+	MESSAGE_MOVE_STOP,
+	MESSAGE_MOVE_STATE,
+	MESSAGE_OUTCOME_ASK,
+	MESSAGE_OUTCOME,
+	MESSAGE_ZONE_SUM,
+} message_type_t;
+
+enum { MESSAGE_FRAME_MAX = 2 * 1024 * 1024 };
+
+typedef struct message_revision {
+	char *team;
+	int64_t revision;
+} message_revision_t;
+
+/* A decoded message. Strings are owned by it. */
+typedef struct message {
+	message_type_t type;
+	union {
+		struct {
+			char *node;
+			char *zone;
+			char *http_address;  /* IP:PORT for clients */
+			char *peer_address;  /* IP:PORT for nodes */
+			int64_t incarnation; /* higher after a restart */
+		} hello;
+		struct {
+			char *node;
+			int64_t sequence;
+			bool draining;
+			unsigned in_flight;
+			GArray *revisions; /* message_revision_t */
+		} heartbeat;
+		struct {
+			char *team;
+			int64_t revision;
+			char *value; /* JSON text of the store's value */
+		} settings;
+		struct {
+			char *team;
+		} settings_want;
+		struct {
+			char *host;
+			int64_t leave_at_ms; /* wall clock */
+			char *source;
+		} leaving;
+		struct {
+			char *service;
+			char *move;
+			char *reason;
+		} move_stop;
+		struct {
+			char *service;
+			char *record; /* JSON text */
+		} move_state;
+		struct {
+			char *service;
+			char *key;
+			char *nonce;
+		} outcome_ask;
+		struct {
+			char *service;
+			char *key;
+			char *nonce;
+			bool known;
+			int status;
+			char *body;
+			size_t length;
+		} outcome;
+		struct {
+			char *zone;
+			unsigned nodes;
+			unsigned backends;
+			unsigned in_flight;
+			int64_t at_ms;
+			GArray *revisions;
+		} zone_sum;
+	};
+} message_t;
+
+/* Releases what the message owns; the struct itself is the caller's. */
+void message_clear(message_t *message);
+
+/* Appends one frame, length included. */
+void message_encode(const message_t *message, GByteArray *out);
+
+/* Decodes the payload of one frame. False and *error where malformed. */
+bool message_decode(
+    const void *payload, size_t length, message_t *message, GError **error);
+
+#endif
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,122 @@
+#ifndef PAPAYA_NODE_H
+#define PAPAYA_NODE_H
+
+#include "backend.h"
+#include "counter.h"
+#include "http_client.h"
+#include "http_server.h"
+#include "message.h"
+#include "settings.h"
+#include "store.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+/* The daemon's configuration file. */
+typedef struct node_config {
+	char *name;
+	char *zone;
+	char *address; /* IP number that clients and nodes use */
+	int http_port; /* 0: chosen by the kernel */
+	int peer_port; /* 0: chosen by the kernel */
+	char *store_url;
+	char *cloud_url; /* NULL: none */
+	char **teams;	 /* whose settings are served; NULL at the end */
+	char **peers;	 /* IP:PORT to ask when the store is out */
+	unsigned ledger_partitions;
+	uint64_t seed; /* of the random numbers; 0: from the system */
+	int64_t drain_timeout_ms;
+} node_config_t;
+
+node_config_t *node_config_load(const char *file, GError **error);
+void node_config_free(node_config_t *config);
+
+typedef struct node_calls node_calls_t;
+typedef struct node_books node_books_t;
+typedef struct node_settings node_settings_t;
+typedef struct node_peers node_peers_t;
+typedef struct node_moves node_moves_t;
+typedef struct node_backends node_backends_t;
+typedef struct node_admin node_admin_t;
+
+/* One papayad process. Owned by its main; every part borrows it. */
+typedef struct node {
+	uv_loop_t *loop;
+	node_config_t *config;
+	counters_t *counters;
+	http_client_t *http;
+	http_server_t *server;
+	store_t *store;
+	settings_t *settings;
+	backends_t *backends;
+	GRand *rand;
+	int64_t incarnation;
+	bool draining;
+	/* Parts, each owned by the file of its name. */
+	node_calls_t *calls;
+	node_books_t *books;
+	node_settings_t *settings_part;
+	node_peers_t *peers;
+	node_moves_t *moves;
+	node_backends_t *backends_part;
+	node_admin_t *admin;
+} node_t;
+
+node_t *node_start(uv_loop_t *loop, node_config_t *config, GError **error);
+
+/* Begins a graceful shutdown; done is called once nothing runs any more. */
+void node_drain(node_t *node, void (*done)(node_t *node));
+
+void node_free(node_t *node);
+
+uint64_t node_random(node_t *node);
+
+/*
+ * Parts. Each start function sets its pointer in the node; each handle
+ * function returns true where the request's path is its own.
+ */
+void node_calls_start(node_t *node);
+void node_calls_free(node_t *node);
+bool node_calls_handle(node_t *node, http_request_t *request);
+
+void node_books_start(node_t *node);
+void node_books_free(node_t *node);
+/* Serves a non-idempotent request to a plain service. */
+void node_books_serve(node_t *node, http_request_t *request,
+    const service_t *service, tree_t *tree, const char *path);
+void node_books_message(
+    node_t *node, const message_t *message, const char *from);
+
+void node_settings_start(node_t *node);
+void node_settings_free(node_t *node);
+bool node_settings_handle(node_t *node, http_request_t *request);
+void node_settings_message(
+    node_t *node, const message_t *message, const char *from);
+
+bool node_peers_start(node_t *node, GError **error);
+void node_peers_free(node_t *node);
+int node_peers_port(const node_t *node);
+bool node_peers_handle(node_t *node, http_request_t *request);
+/* Sends to every node in contact, or to one by name. */
+void node_peers_broadcast(node_t *node, const message_t *message);
+void node_peers_send(node_t *node, const char *to, const message_t *message);
+
+void node_moves_start(node_t *node);
+void node_moves_free(node_t *node);
+bool node_moves_handle(node_t *node, http_request_t *request);
+void node_moves_message(
+    node_t *node, const message_t *message, const char *from);
+/* Version for a new request; valid until the next settings change. */
+const char *node_moves_version(node_t *node, const service_t *service);
+/* Evidence of one finished attempt. first_ms: to the first token or answer. */
+void node_moves_observe(node_t *node, const service_t *service,
+    const char *version, const char *route, bool ok, double first_ms);
+
+void node_backends_start(node_t *node);
+void node_backends_free(node_t *node);
+void node_backends_message(
+    node_t *node, const message_t *message, const char *from);
+
+#endif
--- /dev/null
+++ b/standins/standin.h
@@ -0,0 +1,41 @@
+#ifndef PAPAYA_STANDIN_H
+#define PAPAYA_STANDIN_H
+
+#include "http_server.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+#include <uv.h>
+
+/* Frame of a stand-in: command line, faults, one HTTP server. */
+typedef struct standin {
+	const char *program;
+	uv_loop_t *loop;
+	http_server_t *server;
+	json_t *faults; /* object; merged by POST /faults */
+	GRand *rand;	/* seeded by the fault "seed" or --seed */
+	http_handler_t handler;
+	void *data;
+	/* Optional: called after the faults change. */
+	void (*faults_changed)(struct standin *standin);
+	char *name;    /* --name */
+	char *version; /* --model-version; NULL if not given */
+} standin_t;
+
+/*
+ * Runs a stand-in until SIGTERM or SIGINT. Serves /faults itself and hands
+ * every other request to the handler. Returns an exit code.
+ */
+int standin_run(standin_t *standin, int argc, char **argv);
+
+double standin_fault(const standin_t *standin, const char *name);
+
+/* True with the probability that the fault of this name gives. */
+bool standin_chance(standin_t *standin, const char *name);
+
+/* Calls run(data) once after delay_ms. */
+void standin_after(
+    standin_t *standin, int64_t delay_ms, void (*run)(void *data), void *data);
+
+#endif
