Add the daemon's frame with stubs for its parts

Cause: the parts of papayad are written side by side and need one frame. Ruled out: one large node file, which would conflict at every merge. Conclusion: each part can be replaced on its own.

--- a/src/node.h
+++ b/src/node.h
@@ -81,6 +81,9 @@
 void node_calls_free(node_t *node);
 bool node_calls_handle(node_t *node, http_request_t *request);
 
+/* Hands queued requests to a peer in another zone; the rest is finished. */
+void node_calls_drain(node_t *node);
+
 void node_books_start(node_t *node);
 void node_books_free(node_t *node);
 /* Serves a non-idempotent request to a plain service. */
@@ -99,6 +102,8 @@
 void node_peers_free(node_t *node);
 int node_peers_port(const node_t *node);
 bool node_peers_handle(node_t *node, http_request_t *request);
+/* Leaves the entry list and tells the peers. */
+void node_peers_drain(node_t *node);
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
 void node_peers_send(node_t *node, const char *to, const message_t *message);
@@ -114,6 +119,10 @@
 void node_moves_observe(node_t *node, const service_t *service,
     const char *version, const char *route, bool ok, double first_ms);
 
+void node_admin_start(node_t *node);
+void node_admin_free(node_t *node);
+bool node_admin_handle(node_t *node, http_request_t *request);
+
 void node_backends_start(node_t *node);
 void node_backends_free(node_t *node);
 void node_backends_message(
--- /dev/null
+++ b/src/node_backend.c
@@ -0,0 +1,16 @@
+#include "node.h"
+
+void
+node_backends_start(node_t *node)
+{
+}
+
+void
+node_backends_free(node_t *node)
+{
+}
+
+void
+node_backends_message(node_t *node, const message_t *message, const char *from)
+{
+}
--- /dev/null
+++ b/src/papayad_main.c
@@ -0,0 +1,106 @@
+#include "error.h"
+#include "log.h"
+#include "node.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static void
+on_drained(node_t *node)
+{
+	uv_stop(node->loop);
+}
+
+/* The first signal drains; the second ends at once. */
+static void
+on_signal(uv_signal_t *signal, int number)
+{
+	node_t *node = signal->data;
+
+	if (node->draining) {
+		log_event(LOG_LEVEL_WARN, "node.stopped", "signal=%d", number);
+		_Exit(EXIT_FAILURE);
+	}
+	node_drain(node, on_drained);
+}
+
+static int
+run(const char *file)
+{
+	uv_loop_t *loop = uv_default_loop();
+	uv_signal_t term, interrupt;
+	node_config_t *config;
+	GError *error = NULL;
+	node_t *node;
+
+	config = node_config_load(file, &error);
+	if (config == NULL) {
+		fprintf(stderr, "papayad: %s\n", error->message);
+		g_error_free(error);
+		return 2;
+	}
+	node = node_start(loop, config, &error);
+	if (node == NULL) {
+		fprintf(stderr, "papayad: %s\n", error->message);
+		g_error_free(error);
+		return 1;
+	}
+	uv_signal_init(loop, &term);
+	uv_signal_init(loop, &interrupt);
+	term.data = node;
+	interrupt.data = node;
+	uv_signal_start(&term, on_signal, SIGTERM);
+	uv_signal_start(&interrupt, on_signal, SIGINT);
+	printf("listening %s:%d\n", config->address, config->http_port);
+	fflush(stdout);
+	uv_run(loop, UV_RUN_DEFAULT);
+	node_free(node);
+	return 0;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0(NULL, "help", "show this help");
+	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
+	struct arg_file *config = arg_file0(
+	    NULL, "config", "FILE", "configuration of this node (JSON)");
+	struct arg_lit *check =
+	    arg_lit0(NULL, "check", "check the configuration and exit");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {help, version, config, check, end};
+	int errors = arg_parse(argc, argv, table);
+	int rc;
+
+	if (help->count > 0 || version->count > 0) {
+		printf("papayad %s\n", PAPAYA_VERSION);
+		if (help->count > 0)
+			arg_print_glossary(stdout, table, "  %-20s %s\n");
+		return 0;
+	}
+	if (errors > 0 || config->count == 0) {
+		arg_print_errors(stderr, end, "papayad");
+		fprintf(stderr, "papayad: give --config FILE; see --help\n");
+		return 2;
+	}
+	if (check->count > 0) {
+		GError *error = NULL;
+		node_config_t *parsed =
+		    node_config_load(config->filename[0], &error);
+
+		if (parsed == NULL)
+			fprintf(stderr, "papayad: %s\n", error->message);
+		g_clear_error(&error);
+		rc = parsed == NULL ? 2 : 0;
+		node_config_free(parsed);
+		return rc;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	log_start("papayad");
+	rc = run(config->filename[0]);
+	log_stop();
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return rc;
+}
