--- /dev/null
+++ b/standins/standin_store.c
@@ -0,0 +1,580 @@
+#include "clock.h"
+#include "counter.h"
+#include "error.h"
+#include "json.h"
+#include "standin.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+enum {
+	VALUE_MAX = 1024 * 1024,
+	EXPIRY_POLL_MS = 10, /* for watches; requests check by themselves */
+	WATCH_MAX_MS = 600000,
+	RATE_WINDOW_MS = 1000,
+};
+
+/*
+ * One key. A deleted key stays with revision 0, so that a stale read can
+ * return the value before the last write.
+ */
+typedef struct item {
+	int64_t revision; /* 0: absent */
+	GBytes *value;
+	int64_t old_revision;
+	GBytes *old_value;
+	char *lease; /* NULL: none */
+} item_t;
+
+typedef struct lease {
+	int64_t ttl_ms;
+	int64_t until_ms;
+} lease_t;
+
+/* A call as it arrived; it is carried out after the delay. */
+typedef struct call {
+	http_request_t *request;
+	char *method;
+	char *path;
+	char *match;	  /* If-Match */
+	char *none_match; /* If-None-Match */
+	char *lease;
+	GBytes *body;
+	char *prefix;
+	char *wait;
+	int64_t timeout_ms;
+} call_t;
+
+typedef struct watch {
+	TAILQ_ENTRY(watch) entries;
+	http_request_t *request;
+	char *key;
+	int64_t revision;
+	int64_t until_ms;
+} watch_t;
+
+/* Calls counted in the present window of RATE_WINDOW_MS. */
+typedef struct rate {
+	const char *fault;
+	int64_t window;
+	double used;
+} rate_t;
+
+static standin_t standin;
+static counters_t *counters;
+static GHashTable *items;  /* key: item_t */
+static GHashTable *leases; /* id: lease_t */
+static TAILQ_HEAD(, watch) watches = TAILQ_HEAD_INITIALIZER(watches);
+static int64_t last_revision;
+static int64_t last_lease;
+static rate_t write_rate = {.fault = "writes_per_s"};
+static rate_t read_rate = {.fault = "reads_per_s"};
+
+static void
+item_free(void *data)
+{
+	item_t *item = data;
+
+	g_bytes_unref(item->value);
+	g_bytes_unref(item->old_value);
+	g_free(item->lease);
+	g_free(item);
+}
+
+static item_t *
+item_of(const char *key)
+{
+	item_t *item = g_hash_table_lookup(items, key);
+
+	if (item == NULL) {
+		item = g_new0(item_t, 1);
+		g_hash_table_insert(items, g_strdup(key), item);
+	}
+	return item;
+}
+
+/* Closes the connection without a whole response. */
+static void
+cut(http_request_t *request)
+{
+	http_stream_begin(request, 500, NULL, 0);
+	http_stream_abort(request);
+}
+
+static void
+reply_status(http_request_t *request, int status, int64_t revision,
+    const void *body, size_t length)
+{
+	char etag[32];
+	http_header_t headers[] = {
+	    {"etag", etag}, {"content-type", "application/octet-stream"}};
+
+	g_snprintf(etag, sizeof(etag), "\"%" G_GINT64_FORMAT "\"", revision);
+	http_reply(request, status, headers, 2, body, length);
+}
+
+static void
+reply_value(http_request_t *request, int64_t revision, GBytes *value)
+{
+	gsize length = 0;
+	const void *bytes = NULL;
+
+	if (revision == 0) {
+		reply_status(request, 404, 0, "", 0);
+		return;
+	}
+	if (value != NULL)
+		bytes = g_bytes_get_data(value, &length);
+	reply_status(
+	    request, 200, revision, bytes != NULL ? bytes : "", length);
+}
+
+static void
+watch_free(watch_t *watch)
+{
+	TAILQ_REMOVE(&watches, watch, entries);
+	http_request_unref(watch->request);
+	g_free(watch->key);
+	g_free(watch);
+}
+
+static void
+wake_watches(const char *key, const item_t *item)
+{
+	watch_t *watch, *next;
+
+	for (watch = TAILQ_FIRST(&watches); watch != NULL; watch = next) {
+		next = TAILQ_NEXT(watch, entries);
+		if (strcmp(watch->key, key) != 0 ||
+		    watch->revision == item->revision)
+			continue;
+		reply_value(watch->request, item->revision, item->value);
+		watch_free(watch);
+	}
+}
+
+/* Writes, or deletes where value is NULL. Takes over value. */
+static void
+item_write(const char *key, item_t *item, GBytes *value, const char *lease)
+{
+	g_bytes_unref(item->old_value);
+	item->old_value = item->value;
+	item->old_revision = item->revision;
+	item->value = value;
+	item->revision = value != NULL ? ++last_revision : 0;
+	g_free(item->lease);
+	item->lease = g_strdup(lease);
+	wake_watches(key, item);
+}
+
+static void
+lease_drop(const char *id)
+{
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		item_t *item = value;
+
+		if (item->lease != NULL && strcmp(item->lease, id) == 0)
+			item_write(key, item, NULL, NULL);
+	}
+}
+
+static void
+expire_leases(void)
+{
+	int64_t now_ms = clock_mono_ms();
+	GHashTableIter iter;
+	gpointer id, value;
+
+	g_hash_table_iter_init(&iter, leases);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		const lease_t *lease = value;
+
+		if (now_ms < lease->until_ms)
+			continue;
+		lease_drop(id);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void
+expire_watches(void)
+{
+	int64_t now_ms = clock_mono_ms();
+	watch_t *watch, *next;
+
+	for (watch = TAILQ_FIRST(&watches); watch != NULL; watch = next) {
+		next = TAILQ_NEXT(watch, entries);
+		if (now_ms < watch->until_ms)
+			continue;
+		reply_status(watch->request, 304, watch->revision, "", 0);
+		watch_free(watch);
+	}
+}
+
+static void
+on_expiry(void *data)
+{
+	expire_leases();
+	expire_watches();
+	standin_after(&standin, EXPIRY_POLL_MS, on_expiry, NULL);
+}
+
+/* Counts a call against its rate; replies where it is over. */
+static bool
+rate_allows(rate_t *rate, http_request_t *request)
+{
+	double limit = standin_fault(&standin, rate->fault);
+	int64_t window = clock_mono_ms() / RATE_WINDOW_MS;
+
+	if (limit <= 0)
+		return true;
+	if (window != rate->window) {
+		rate->window = window;
+		rate->used = 0;
+	}
+	if (rate->used + 1 <= limit) {
+		rate->used++;
+		return true;
+	}
+	counter_add(counters, 1, "refused_total");
+	reply_status(request, 429, 0, "", 0);
+	return false;
+}
+
+/* True where the precondition holds; else replies 412 with the revision. */
+static bool
+matches(const call_t *call, const item_t *item)
+{
+	bool match = false;
+
+	if (call->none_match != NULL)
+		match = item->revision == 0;
+	else if (call->match != NULL && call->match[0] == '"')
+		match = strtoll(call->match + 1, NULL, 10) == item->revision;
+	if (match)
+		return true;
+	counter_add(counters, 1, "conflicts_total");
+	reply_status(call->request, 412, item->revision, "", 0);
+	return false;
+}
+
+static void
+reply_write(const call_t *call, int status, int64_t revision)
+{
+	if (standin_chance(&standin, "lose_answers"))
+		cut(call->request);
+	else
+		reply_status(call->request, status, revision, "", 0);
+}
+
+static void
+serve_put(const call_t *call, const char *key)
+{
+	item_t *item = item_of(key);
+
+	if (!rate_allows(&write_rate, call->request))
+		return;
+	if (g_bytes_get_size(call->body) > VALUE_MAX) {
+		reply_status(call->request, 413, 0, "", 0);
+		return;
+	}
+	if (call->lease != NULL &&
+	    !g_hash_table_contains(leases, call->lease)) {
+		reply_status(call->request, 404, 0, "", 0);
+		return;
+	}
+	if (!matches(call, item))
+		return;
+	item_write(key, item, g_bytes_ref(call->body), call->lease);
+	reply_write(call, 200, item->revision);
+}
+
+static void
+serve_delete(const call_t *call, const char *key)
+{
+	item_t *item = item_of(key);
+
+	if (!rate_allows(&write_rate, call->request) || !matches(call, item))
+		return;
+	if (item->revision != 0)
+		item_write(key, item, NULL, NULL);
+	reply_write(call, 204, 0);
+}
+
+static void
+start_watch(const call_t *call, const char *key, const item_t *item)
+{
+	int64_t revision = strtoll(call->wait, NULL, 10);
+	watch_t *watch;
+
+	if (item->revision != revision) {
+		reply_value(call->request, item->revision, item->value);
+		return;
+	}
+	watch = g_new0(watch_t, 1);
+	watch->request = http_request_ref(call->request);
+	watch->key = g_strdup(key);
+	watch->revision = revision;
+	watch->until_ms =
+	    clock_mono_ms() + CLAMP(call->timeout_ms, 0, WATCH_MAX_MS);
+	TAILQ_INSERT_TAIL(&watches, watch, entries);
+}
+
+static void
+serve_get(const call_t *call, const char *key)
+{
+	item_t *item = item_of(key);
+
+	counter_add(
+	    counters, 1, call->wait != NULL ? "watches_total" : "reads_total");
+	if (!rate_allows(&read_rate, call->request))
+		return;
+	if (call->wait != NULL)
+		start_watch(call, key, item);
+	else if (standin_chance(&standin, "stale_reads"))
+		reply_value(call->request, item->old_revision, item->old_value);
+	else
+		reply_value(call->request, item->revision, item->value);
+}
+
+static void
+serve_kv(const call_t *call, const char *key)
+{
+	if (strcmp(call->method, "GET") == 0) {
+		serve_get(call, key);
+		return;
+	}
+	counter_add(counters, 1, "writes_total");
+	if (strcmp(call->method, "PUT") == 0)
+		serve_put(call, key);
+	else if (strcmp(call->method, "DELETE") == 0)
+		serve_delete(call, key);
+	else
+		reply_status(call->request, 405, 0, "", 0);
+}
+
+static json_t *
+list_entry(const char *key, const item_t *item)
+{
+	json_t *entry = json_pack(
+	    "{s:s,s:I}", "key", key, "revision", (json_int_t)item->revision);
+	const char *text;
+	gsize length;
+
+	text = g_bytes_get_data(item->value, &length);
+	if (text == NULL)
+		text = "";
+	if (g_utf8_validate_len(text, length, NULL))
+		json_object_set_new(entry, "value", json_stringn(text, length));
+	return entry;
+}
+
+static void
+serve_list(const call_t *call)
+{
+	json_t *entries = json_array();
+	GHashTableIter iter;
+	gpointer key, value;
+
+	counter_add(counters, 1, "reads_total");
+	if (!rate_allows(&read_rate, call->request)) {
+		json_decref(entries);
+		return;
+	}
+	g_hash_table_iter_init(&iter, items);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const item_t *item = value;
+
+		if (item->revision != 0 && g_str_has_prefix(key, call->prefix))
+			json_array_append_new(entries, list_entry(key, item));
+	}
+	http_reply_json(
+	    call->request, 200, json_pack("{s:o}", "entries", entries));
+}
+
+static void
+serve_lease_new(const call_t *call)
+{
+	gsize length;
+	const char *body = g_bytes_get_data(call->body, &length);
+	json_t *json = json_parse(body, length, "lease", NULL);
+	int64_t ttl_ms = json_get_int(json, "ttl_ms", 0);
+	char *id = g_strdup_printf("%" G_GINT64_FORMAT, ++last_lease);
+	lease_t *lease = g_new0(lease_t, 1);
+
+	lease->ttl_ms = ttl_ms;
+	lease->until_ms = clock_mono_ms() + ttl_ms;
+	g_hash_table_insert(leases, g_strdup(id), lease);
+	if (standin_chance(&standin, "lose_answers"))
+		cut(call->request);
+	else
+		http_reply_json(
+		    call->request, 200, json_pack("{s:s}", "id", id));
+	json_decref(json);
+	g_free(id);
+}
+
+static void
+serve_lease(const call_t *call, const char *rest)
+{
+	char *id = g_strdup(rest);
+	lease_t *lease;
+
+	if (g_str_has_suffix(id, "/renew"))
+		id[strlen(id) - strlen("/renew")] = '\0';
+	lease = g_hash_table_lookup(leases, id);
+	if (lease == NULL) {
+		reply_status(call->request, 404, 0, "", 0);
+	} else if (strcmp(call->method, "DELETE") == 0) {
+		lease_drop(id);
+		g_hash_table_remove(leases, id);
+		reply_write(call, 204, 0);
+	} else {
+		lease->until_ms = clock_mono_ms() + lease->ttl_ms;
+		if (standin_chance(&standin, "lose_answers"))
+			cut(call->request);
+		else
+			http_reply_json(
+			    call->request, 200, json_pack("{s:s}", "id", id));
+	}
+	g_free(id);
+}
+
+static void
+serve(const call_t *call)
+{
+	expire_leases();
+	if (standin_fault(&standin, "down") != 0) {
+		cut(call->request);
+		return;
+	}
+	if (strcmp(call->path, "/v1/kv") == 0 && call->prefix != NULL) {
+		serve_list(call);
+	} else if (g_str_has_prefix(call->path, "/v1/kv/")) {
+		serve_kv(call, call->path + strlen("/v1/kv/"));
+	} else if (g_str_has_prefix(call->path, "/v1/leases")) {
+		counter_add(counters, 1, "writes_total");
+		if (!rate_allows(&write_rate, call->request))
+			return;
+		if (strcmp(call->path, "/v1/leases") == 0)
+			serve_lease_new(call);
+		else
+			serve_lease(call, call->path + strlen("/v1/leases/"));
+	} else {
+		reply_status(call->request, 404, 0, "", 0);
+	}
+}
+
+static void
+call_run(void *data)
+{
+	call_t *call = data;
+
+	serve(call);
+	http_request_unref(call->request);
+	g_bytes_unref(call->body);
+	g_free(call->method);
+	g_free(call->path);
+	g_free(call->match);
+	g_free(call->none_match);
+	g_free(call->lease);
+	g_free(call->prefix);
+	g_free(call->wait);
+	g_free(call);
+}
+
+static call_t *
+call_new(http_request_t *request)
+{
+	call_t *call = g_new0(call_t, 1);
+	char *timeout = http_request_param(request, "timeout_ms");
+	const char *body;
+	size_t length;
+
+	body = http_request_body(request, &length);
+	call->request = http_request_ref(request);
+	call->method = g_strdup(http_request_method(request));
+	call->path = g_uri_unescape_string(http_request_path(request), NULL);
+	if (call->path == NULL)
+		call->path = g_strdup("");
+	call->match = g_strdup(http_request_header(request, "if-match"));
+	call->none_match =
+	    g_strdup(http_request_header(request, "if-none-match"));
+	call->lease = g_strdup(http_request_header(request, "papaya-lease"));
+	call->body = g_bytes_new(body, length);
+	call->prefix = http_request_param(request, "prefix");
+	call->wait = http_request_param(request, "wait");
+	call->timeout_ms = timeout != NULL ? strtoll(timeout, NULL, 10) : 0;
+	g_free(timeout);
+	return call;
+}
+
+static void
+serve_metrics(http_request_t *request)
+{
+	static const http_header_t headers[] = {{"content-type", "text/plain"}};
+	GString *text = g_string_new(NULL);
+
+	counters_write(counters, text);
+	http_reply(request, 200, headers, 1, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+/*
+ * The call is carried out after the delay, also where its client has given
+ * up by then: a write can take effect after its writer's timeout.
+ */
+static void
+on_request(http_request_t *request, void *data)
+{
+	double delay_ms = standin_fault(&standin, "delay_ms");
+
+	if (strcmp(http_request_path(request), "/metrics") == 0)
+		serve_metrics(request);
+	else if (delay_ms > 0)
+		standin_after(
+		    &standin, (int64_t)delay_ms, call_run, call_new(request));
+	else
+		call_run(call_new(request));
+}
+
+static void
+on_faults_changed(standin_t *changed)
+{
+	watch_t *watch;
+
+	/* Runs first before the loop is used: starts the expiry there. */
+	if (changed->server == NULL) {
+		on_expiry(NULL);
+		return;
+	}
+	if (standin_fault(changed, "down") == 0)
+		return;
+	while ((watch = TAILQ_FIRST(&watches)) != NULL) {
+		cut(watch->request);
+		watch_free(watch);
+	}
+}
+
+int
+main(int argc, char **argv)
+{
+	static const char *const names[] = {"reads_total", "writes_total",
+	    "watches_total", "conflicts_total", "refused_total"};
+
+	counters = counters_new();
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		counter_get(counters, names[i]);
+	items =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, item_free);
+	leases = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	standin.program = "standin-store";
+	standin.handler = on_request;
+	standin.faults_changed = on_faults_changed;
+	return standin_run(&standin, argc, argv);
+}
