Close connections without a reply in the store stand-in

A reply that is aborted before its first byte still sent a status line, so a client took a lost answer for a status 500. http_request_cut() shuts the socket down first: curl now reports an empty reply (52) for lose_answers and down.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -6,6 +6,7 @@
 #include <h2o.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 enum {
 	DEFAULT_BODY_MAX = 2 * 1024 * 1024,
@@ -497,3 +498,17 @@
 	request->req->http1_is_persistent = 0;
 	send_pending(request);
 }
+
+void
+http_request_cut(http_request_t *request)
+{
+	h2o_socket_t *socket;
+
+	if (request->req == NULL || request->state != REPLY_NONE)
+		return;
+	socket = request->req->conn->callbacks->get_socket(request->req->conn);
+	shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+	/* h2o closes the connection when this cannot be written. */
+	http_stream_begin(request, 500, NULL, 0);
+	http_stream_abort(request);
+}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -94,4 +94,7 @@
 /* Closes the connection without the last chunk: the reply is incomplete. */
 void http_stream_abort(http_request_t *request);
 
+/* Closes the connection without any byte of a reply. For fault injection. */
+void http_request_cut(http_request_t *request);
+
 #endif
--- a/standins/standin_store.c
+++ b/standins/standin_store.c
@@ -94,14 +94,6 @@
 	return item;
 }
 
-/* Closes the connection without a whole response. */
-static void
-cut(http_request_t *request)
-{
-	http_stream_begin(request, 500, NULL, 0);
-	http_stream_abort(request);
-}
-
 static void
 reply_status(http_request_t *request, int status, int64_t revision,
     const void *body, size_t length)
@@ -267,7 +259,7 @@
 reply_write(const call_t *call, int status, int64_t revision)
 {
 	if (standin_chance(&standin, "lose_answers"))
-		cut(call->request);
+		http_request_cut(call->request);
 	else
 		reply_status(call->request, status, revision, "", 0);
 }
@@ -411,7 +403,7 @@
 	lease->until_ms = clock_mono_ms() + ttl_ms;
 	g_hash_table_insert(leases, g_strdup(id), lease);
 	if (standin_chance(&standin, "lose_answers"))
-		cut(call->request);
+		http_request_cut(call->request);
 	else
 		http_reply_json(
 		    call->request, 200, json_pack("{s:s}", "id", id));
@@ -437,7 +429,7 @@
 	} else {
 		lease->until_ms = clock_mono_ms() + lease->ttl_ms;
 		if (standin_chance(&standin, "lose_answers"))
-			cut(call->request);
+			http_request_cut(call->request);
 		else
 			http_reply_json(
 			    call->request, 200, json_pack("{s:s}", "id", id));
@@ -450,7 +442,7 @@
 {
 	expire_leases();
 	if (standin_fault(&standin, "down") != 0) {
-		cut(call->request);
+		http_request_cut(call->request);
 		return;
 	}
 	if (strcmp(call->path, "/v1/kv") == 0 && call->prefix != NULL) {
@@ -556,7 +548,7 @@
 	if (standin_fault(changed, "down") == 0)
 		return;
 	while ((watch = TAILQ_FIRST(&watches)) != NULL) {
-		cut(watch->request);
+		http_request_cut(watch->request);
 		watch_free(watch);
 	}
 }
