--- /dev/null
+++ b/src/ledger.c
@@ -0,0 +1,516 @@
+#include "ledger.h"
+
+#include "ledger_part.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+	/* A key further in the future would keep its record that much longer. */
+	KEY_AHEAD_MAX_MS = 5 * 60 * 1000,
+	ASKERS_MAX = 64,
+};
+
+ledger_t *
+ledger_new(const ledger_options_t *options)
+{
+	ledger_t *ledger = g_new0(ledger_t, 1);
+	counters_t *counters = options->counters;
+
+	ledger->options = *options;
+	ledger->node = g_strdup(options->node);
+	ledger->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	g_queue_init(&ledger->actions);
+	ledger->parts = g_new0(part_t, options->partitions);
+	for (unsigned i = 0; i < options->partitions; i++) {
+		ledger->parts[i].index = i;
+		ledger->parts[i].unsure_revision = -1;
+		TAILQ_INIT(&ledger->parts[i].entries);
+	}
+	ledger->reads = counter_get(counters, "ledger_reads_total");
+	ledger->swaps = counter_get(counters, "ledger_swaps_total");
+	ledger->changes = counter_get(counters, "ledger_changes_total");
+	ledger->conflicts = counter_get(counters, "ledger_conflicts_total");
+	ledger->lost = counter_get(counters, "ledger_lost_answers_total");
+	ledger->withdrawn = counter_get(counters, "ledger_withdrawn_total");
+	ledger->unreadable = counter_get(counters, "ledger_unreadable_total");
+	return ledger;
+}
+
+static void
+entry_free(entry_t *entry)
+{
+	g_free(entry->name);
+	g_free(entry->service);
+	g_free(entry->key);
+	ledger_record_unref(entry->answer);
+	ledger_record_unref(entry->outcome);
+	g_array_free(entry->waiters, TRUE);
+	g_ptr_array_free(entry->askers, TRUE);
+	g_free(entry);
+}
+
+void
+ledger_free(ledger_t *ledger)
+{
+	ledger_action_t *action;
+	entry_t *entry;
+
+	if (ledger == NULL)
+		return;
+	while ((action = g_queue_pop_head(&ledger->actions)) != NULL) {
+		ledger_action_clear(action);
+		g_free(action);
+	}
+	for (unsigned i = 0; i < ledger->options.partitions; i++) {
+		part_t *part = &ledger->parts[i];
+
+		while ((entry = TAILQ_FIRST(&part->entries)) != NULL) {
+			TAILQ_REMOVE(&part->entries, entry, entries);
+			entry_free(entry);
+		}
+		ledger_value_free(part->value);
+		ledger_value_free(part->next);
+	}
+	g_free(ledger->parts);
+	g_hash_table_destroy(ledger->by_name);
+	g_free(ledger->node);
+	g_free(ledger);
+}
+
+bool
+ledger_next(ledger_t *ledger, ledger_action_t *action)
+{
+	ledger_action_t *first = g_queue_pop_head(&ledger->actions);
+
+	if (first == NULL)
+		return false;
+	*action = *first;
+	g_free(first);
+	return true;
+}
+
+void
+ledger_action_clear(ledger_action_t *action)
+{
+	g_bytes_unref(action->value);
+	ledger_record_unref(action->record);
+	g_free(action->node);
+}
+
+ledger_action_t *
+ledger_act(ledger_t *ledger, ledger_action_kind_t kind)
+{
+	ledger_action_t *action = g_new0(ledger_action_t, 1);
+
+	action->kind = kind;
+	g_queue_push_tail(&ledger->actions, action);
+	return action;
+}
+
+void
+ledger_refuse_one(ledger_t *ledger, uint64_t id, papaya_error_t error,
+    const char *message, bool not_run)
+{
+	ledger_action_t *action = ledger_act(ledger, LEDGER_REFUSE);
+
+	action->id = id;
+	action->error = error;
+	action->message = message;
+	action->not_run = not_run;
+}
+
+void
+ledger_reply_one(ledger_t *ledger, uint64_t id, ledger_record_t *record)
+{
+	ledger_action_t *action;
+
+	if (record->state == LEDGER_UNKNOWN) {
+		ledger_refuse_one(ledger, id, PAPAYA_ERROR_OUTCOME_UNKNOWN,
+		    "the request was sent and no response came back", false);
+		return;
+	}
+	action = ledger_act(ledger, LEDGER_REPLY);
+	action->id = id;
+	action->record = ledger_record_ref(record);
+}
+
+void
+entry_refuse(ledger_t *ledger, entry_t *entry, papaya_error_t error,
+    const char *message, bool not_run)
+{
+	for (guint i = 0; i < entry->waiters->len; i++)
+		ledger_refuse_one(ledger,
+		    g_array_index(entry->waiters, waiter_t, i).id, error,
+		    message, not_run);
+	g_array_set_size(entry->waiters, 0);
+}
+
+void
+entry_reply(ledger_t *ledger, entry_t *entry, ledger_record_t *record)
+{
+	for (guint i = 0; i < entry->waiters->len; i++)
+		ledger_reply_one(ledger,
+		    g_array_index(entry->waiters, waiter_t, i).id, record);
+	g_array_set_size(entry->waiters, 0);
+	entry->replied = true;
+}
+
+static void
+tell(ledger_t *ledger, const char *to, const ledger_record_t *record,
+    bool known)
+{
+	ledger_action_t *action = ledger_act(ledger, LEDGER_TELL);
+
+	action->node = g_strdup(to);
+	action->record = ledger_record_new(record);
+	action->known = known;
+}
+
+void
+entry_end(ledger_t *ledger, part_t *part, entry_t *entry, bool known)
+{
+	ledger_record_t record = {
+	    .service = entry->service,
+	    .key = entry->key,
+	    .nonce = entry->nonce,
+	};
+
+	for (guint i = 0; i < entry->askers->len; i++)
+		tell(ledger, entry->askers->pdata[i], &record, known);
+	if (entry->state == ENTRY_FINISH)
+		ledger->unwritten--;
+	TAILQ_REMOVE(&part->entries, entry, entries);
+	g_hash_table_remove(ledger->by_name, entry->name);
+	entry_free(entry);
+}
+
+void
+entry_give_up(ledger_t *ledger, part_t *part, entry_t *entry,
+    papaya_error_t error, const char *message)
+{
+	entry_refuse(ledger, entry, error, message, true);
+	if (entry->exposed)
+		entry->state = ENTRY_WITHDRAW;
+	else
+		entry_end(ledger, part, entry, false);
+}
+
+static bool
+is_key_well_formed(const char *key)
+{
+	size_t length = strlen(key);
+
+	if (length == 0 || length > LEDGER_KEY_MAX)
+		return false;
+	for (size_t i = 0; i < length; i++)
+		if (key[i] <= ' ' || key[i] > '~')
+			return false;
+	return true;
+}
+
+bool
+ledger_check_key(const char *key, bool only_uuidv7, int64_t retention_ms,
+    int64_t now_ms, GError **error)
+{
+	int64_t key_ms;
+
+	if (key == NULL || key[0] == '\0') {
+		papaya_error_set(error, PAPAYA_ERROR_KEY_MISSING,
+		    "the service is not repeatable and the request has no "
+		    "Idempotency-Key");
+		return false;
+	}
+	key_ms = ledger_key_ms(key);
+	if (!is_key_well_formed(key) ||
+	    (only_uuidv7 && key_ms == LEDGER_NO_KEY_MS)) {
+		papaya_error_set(error, PAPAYA_ERROR_KEY_MALFORMED,
+		    "Idempotency-Key \"%.*s\" is not %s", LEDGER_KEY_MAX, key,
+		    only_uuidv7 ? "a UUIDv7" : "1 to 128 visible characters");
+		return false;
+	}
+	if (key_ms == LEDGER_NO_KEY_MS)
+		return true;
+	if (key_ms > now_ms + KEY_AHEAD_MAX_MS) {
+		papaya_error_set(error, PAPAYA_ERROR_KEY_MALFORMED,
+		    "Idempotency-Key %s is a UUIDv7 of the future", key);
+		return false;
+	}
+	if (key_ms + retention_ms <= now_ms) {
+		papaya_error_set(error, PAPAYA_ERROR_KEY_EXPIRED,
+		    "Idempotency-Key %s is older than the retention of "
+		    "%" G_GINT64_FORMAT " s",
+		    key, retention_ms / 1000);
+		return false;
+	}
+	return true;
+}
+
+static part_t *
+part_of(ledger_t *ledger, const char *name)
+{
+	uint64_t hash = XXH3_64bits(name, strlen(name));
+
+	return &ledger->parts[hash % ledger->options.partitions];
+}
+
+static void
+add_waiter(entry_t *entry, const ledger_request_t *request)
+{
+	waiter_t waiter = {.id = request->id, .until_ms = request->until_ms};
+
+	g_array_append_val(entry->waiters, waiter);
+}
+
+static int64_t
+start_until(
+    const ledger_t *ledger, const ledger_request_t *request, int64_t now_ms)
+{
+	return MIN(request->until_ms, now_ms + ledger->options.start_wait_ms);
+}
+
+/* A further request with a key in progress at this node. */
+static void
+join(ledger_t *ledger, entry_t *entry, const ledger_request_t *request,
+    int64_t now_ms)
+{
+	if (!ledger_id_equal(entry->hash, request->hash)) {
+		ledger_refuse_one(ledger, request->id, PAPAYA_ERROR_KEY_REUSED,
+		    "the idempotency key is in use for another request", true);
+		return;
+	}
+	if (entry->state == ENTRY_FINISH && entry->replied) {
+		ledger_reply_one(ledger, request->id, entry->answer);
+		return;
+	}
+	add_waiter(entry, request);
+	if (entry->state == ENTRY_WITHDRAW) {
+		/* Never sent, so its start record may serve this one. */
+		entry->state = ENTRY_START;
+		entry->start_until_ms = start_until(ledger, request, now_ms);
+	}
+}
+
+/* Replies from the last value seen: an outcome in it is final. */
+static bool
+reply_from_value(
+    ledger_t *ledger, const ledger_value_t *value, const char *name,
+    const ledger_request_t *request)
+{
+	ledger_record_t *record;
+
+	record = value != NULL ? ledger_value_find(value, name) : NULL;
+	if (record == NULL || record->state == LEDGER_STARTED ||
+	    !ledger_id_equal(record->hash, request->hash))
+		return false;
+	ledger_reply_one(ledger, request->id, record);
+	return true;
+}
+
+static entry_t *
+entry_new(ledger_t *ledger, part_t *part, const char *name,
+    const ledger_request_t *request, int64_t now_ms)
+{
+	entry_t *entry = g_new0(entry_t, 1);
+
+	entry->state = ENTRY_START;
+	entry->name = g_strdup(name);
+	entry->service = g_strdup(request->service);
+	entry->key = g_strdup(request->key);
+	entry->hash = request->hash;
+	entry->nonce = request->nonce;
+	entry->retention_ms = request->retention_ms;
+	entry->start_until_ms = start_until(ledger, request, now_ms);
+	entry->waiters = g_array_new(FALSE, FALSE, sizeof(waiter_t));
+	entry->askers = g_ptr_array_new_with_free_func(g_free);
+	TAILQ_INSERT_TAIL(&part->entries, entry, entries);
+	g_hash_table_insert(ledger->by_name, entry->name, entry);
+	return entry;
+}
+
+void
+ledger_request(
+    ledger_t *ledger, const ledger_request_t *request, int64_t now_ms)
+{
+	char *name = ledger_name(request->service, request->key);
+	part_t *part = part_of(ledger, name);
+	entry_t *entry = g_hash_table_lookup(ledger->by_name, name);
+
+	if (entry != NULL) {
+		join(ledger, entry, request, now_ms);
+	} else if (reply_from_value(ledger, part->value, name, request)) {
+		g_free(name);
+		return;
+	} else if (ledger_entries(ledger) >= ledger->options.entries_max) {
+		ledger_refuse_one(ledger, request->id, PAPAYA_ERROR_OVERLOADED,
+		    "too many non-idempotent requests in progress", true);
+	} else {
+		entry = entry_new(ledger, part, name, request, now_ms);
+		add_waiter(entry, request);
+	}
+	g_free(name);
+	part_step(ledger, part, now_ms);
+}
+
+static void
+set_outcome(ledger_t *ledger, entry_t *entry, const ledger_record_t *run,
+    const ledger_outcome_t *outcome)
+{
+	ledger_record_t record = *run;
+
+	record.state = outcome->end == LEDGER_END_ANSWERED ? LEDGER_ANSWERED
+							   : LEDGER_UNKNOWN;
+	record.type = (char *)"";
+	record.kept = LEDGER_KEPT_NOT;
+	if (record.state == LEDGER_ANSWERED) {
+		record.status = outcome->status;
+		record.type = (char *)(outcome->type ? outcome->type : "");
+		record.kept = LEDGER_KEPT_INLINE;
+		record.body = outcome->body;
+	}
+	entry->answer = ledger_record_new(&record);
+	if (record.state == LEDGER_ANSWERED)
+		record.kept = outcome->kept;
+	if (record.kept != LEDGER_KEPT_INLINE)
+		record.body = NULL;
+	entry->outcome = ledger_record_new(&record);
+	entry->state = ENTRY_FINISH;
+	ledger->unwritten++;
+}
+
+void
+ledger_finish(ledger_t *ledger, const ledger_record_t *run,
+    const ledger_outcome_t *outcome, int64_t now_ms)
+{
+	char *name = ledger_name(run->service, run->key);
+	part_t *part = part_of(ledger, name);
+	entry_t *entry = g_hash_table_lookup(ledger->by_name, name);
+
+	g_free(name);
+	if (entry == NULL || entry->state != ENTRY_RUNNING ||
+	    !ledger_id_equal(entry->nonce, run->nonce))
+		return;
+	if (outcome->end == LEDGER_END_NOT_SENT) {
+		entry_give_up(ledger, part, entry, PAPAYA_ERROR_NO_BACKEND,
+		    "no backend server of the service could be reached");
+	} else {
+		set_outcome(ledger, entry, run, outcome);
+		entry->reply_by_ms = now_ms + ledger->options.outcome_wait_ms;
+	}
+	part_step(ledger, part, now_ms);
+}
+
+void
+ledger_asked(ledger_t *ledger, const char *from, const char *service,
+    const char *key, ledger_id_t nonce, int64_t now_ms)
+{
+	char *name = ledger_name(service, key);
+	entry_t *entry = g_hash_table_lookup(ledger->by_name, name);
+	ledger_record_t record = {
+	    .service = (char *)service,
+	    .key = (char *)key,
+	    .nonce = nonce,
+	};
+
+	g_free(name);
+	if (entry == NULL || entry->state == ENTRY_WAIT ||
+	    !ledger_id_equal(entry->nonce, nonce))
+		tell(ledger, from, &record, false);
+	else if (entry->askers->len < ASKERS_MAX &&
+		 !g_ptr_array_find_with_equal_func(
+		     entry->askers, from, g_str_equal, NULL))
+		g_ptr_array_add(entry->askers, g_strdup(from));
+}
+
+void
+ledger_told(ledger_t *ledger, const char *service, const char *key,
+    ledger_id_t nonce, bool known, int64_t now_ms)
+{
+	char *name = ledger_name(service, key);
+	part_t *part = part_of(ledger, name);
+	entry_t *entry = g_hash_table_lookup(ledger->by_name, name);
+
+	g_free(name);
+	if (entry == NULL || entry->state != ENTRY_WAIT ||
+	    !ledger_id_equal(entry->other, nonce))
+		return;
+	/* Takes effect only if a read after this finds no outcome either. */
+	entry->lost = !known;
+	part->want_read = true;
+	part_step(ledger, part, now_ms);
+}
+
+static void
+drop_late_waiters(ledger_t *ledger, entry_t *entry, int64_t now_ms)
+{
+	guint i = 0;
+
+	while (i < entry->waiters->len) {
+		waiter_t waiter = g_array_index(entry->waiters, waiter_t, i);
+
+		if (now_ms < waiter.until_ms) {
+			i++;
+			continue;
+		}
+		ledger_refuse_one(ledger, waiter.id,
+		    PAPAYA_ERROR_OUTCOME_UNKNOWN,
+		    "the request was started and has not ended in time", false);
+		g_array_remove_index(entry->waiters, i);
+	}
+}
+
+static void
+entry_tick(ledger_t *ledger, part_t *part, entry_t *entry, int64_t now_ms)
+{
+	switch (entry->state) {
+	case ENTRY_START:
+		if (now_ms >= entry->start_until_ms)
+			entry_give_up(ledger, part, entry,
+			    PAPAYA_ERROR_STORE_UNAVAILABLE,
+			    "the start could not be committed in time");
+		return;
+	case ENTRY_RUNNING:
+		drop_late_waiters(ledger, entry, now_ms);
+		return;
+	case ENTRY_WAIT:
+		drop_late_waiters(ledger, entry, now_ms);
+		if (entry->waiters->len == 0)
+			entry_end(ledger, part, entry, false);
+		return;
+	case ENTRY_FINISH:
+		if (now_ms >= entry->reply_by_ms)
+			entry_reply(ledger, entry, entry->answer);
+		return;
+	case ENTRY_WITHDRAW:
+		return;
+	}
+}
+
+void
+ledger_tick(ledger_t *ledger, int64_t now_ms)
+{
+	entry_t *entry, *following;
+
+	for (unsigned i = 0; i < ledger->options.partitions; i++) {
+		part_t *part = &ledger->parts[i];
+
+		for (entry = TAILQ_FIRST(&part->entries); entry != NULL;
+		     entry = following) {
+			following = TAILQ_NEXT(entry, entries);
+			entry_tick(ledger, part, entry, now_ms);
+		}
+		part_step(ledger, part, now_ms);
+	}
+}
+
+unsigned
+ledger_entries(const ledger_t *ledger)
+{
+	return g_hash_table_size(ledger->by_name);
+}
+
+unsigned
+ledger_unwritten(const ledger_t *ledger)
+{
+	return ledger->unwritten;
+}
