Check the ledger by fuzzing, with three mutants

Found by fuzzing and fixed: - A start record that was withdrawn late, and used again by a retry at the same node, could run long after its start time, so the retention ended shortly after the run and another node ran the key again. A retry now waits for the withdrawal and starts under its own nonce. - A start record past its retention that nobody dropped kept retries waiting.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -1,3 +1,5 @@
+/* mutants of src/ledger_part.c: LEDGER_MUTANT=1 LEDGER_MUTANT=2 LEDGER_MUTANT=3
+ */
 /*
  * Stateful fuzzing of the ledger: three nodes, one store, and an oracle that
  * counts the runs of each key. Every input byte pair is one event.
@@ -19,12 +21,12 @@
 	DRAIN_STEP_MS = 50,
 };
 
-#define CHECK(condition)                                                       \
-	do {                                                                   \
-		if (!(condition)) {                                            \
-			fprintf(stderr, "violated: %s\n", #condition);         \
-			abort();                                               \
-		}                                                              \
+#define CHECK(condition)                                               \
+	do {                                                           \
+		if (!(condition)) {                                    \
+			fprintf(stderr, "violated: %s\n", #condition); \
+			abort();                                       \
+		}                                                      \
 	} while (0)
 
 typedef struct stored {
@@ -37,7 +39,7 @@
 	unsigned node; /* that waits for it; ignored once late */
 	unsigned life; /* of the node, at the time */
 	ledger_action_t action;
-	bool late; /* a swap whose writer has given up */
+	bool late;	   /* a swap whose writer has given up */
 	int64_t former_ms; /* a run: run_ms of the key before it */
 } flight_t;
 
@@ -49,8 +51,8 @@
 /* What the oracle knows of a key. */
 typedef struct key_state {
 	unsigned runs;
-	unsigned variant; /* of the newest run */
-	int64_t run_ms;	  /* start record of the newest run */
+	unsigned variant;	 /* of the newest run */
+	int64_t run_ms;		 /* start record of the newest run */
 	uint64_t refused[NODES]; /* newest request refused as not run */
 } key_state_t;
 
@@ -58,6 +60,7 @@
 	int64_t now_ms;
 	int64_t skew_ms[NODES];
 	bool skewed;
+	bool crashed;
 	ledger_t *nodes[NODES];
 	unsigned lives[NODES];
 	counters_t *counters;
@@ -75,7 +78,8 @@
 static uint64_t
 next_random(world_t *world)
 {
-	world->random = world->random * 6364136223846793005u + 1442695040888963407u;
+	world->random =
+	    world->random * 6364136223846793005u + 1442695040888963407u;
 	return world->random >> 16;
 }
 
@@ -105,7 +109,51 @@
 	world->lives[node]++;
 }
 
-/* The oracle: a run needs an open request, and is the only one of its key. */
+static const stored_t *
+newest(const world_t *world, unsigned partition)
+{
+	GArray *history = world->history[partition];
+
+	return &g_array_index(history, stored_t, history->len - 1);
+}
+
+/* Counts the store's start records without outcome, or those of a nonce. */
+static unsigned
+count_started(const world_t *world, const ledger_id_t *nonce)
+{
+	unsigned count = 0;
+
+	for (unsigned i = 0; i < PARTITIONS; i++) {
+		const stored_t *stored = newest(world, i);
+		ledger_value_t *value;
+		GHashTableIter iter;
+		gpointer data;
+		gsize length;
+		const void *bytes;
+
+		if (stored->revision == 0)
+			continue;
+		bytes = g_bytes_get_data(stored->value, &length);
+		value = ledger_value_decode(bytes, length, 1, NULL);
+		CHECK(value != NULL);
+		g_hash_table_iter_init(&iter, value->records);
+		while (g_hash_table_iter_next(&iter, NULL, &data)) {
+			const ledger_record_t *record = data;
+
+			if (record->state == LEDGER_STARTED &&
+			    (nonce == NULL ||
+				ledger_id_equal(record->nonce, *nonce)))
+				count++;
+		}
+		ledger_value_free(value);
+	}
+	return count;
+}
+
+/*
+ * The oracle: a run needs an open request and a committed start record,
+ * and is the only one of its key.
+ */
 static int64_t
 check_run(world_t *world, unsigned node, const ledger_action_t *action)
 {
@@ -114,12 +162,16 @@
 	key_state_t *key = &world->keys[request->key];
 	bool uuid = request->key < 2;
 	int64_t former_ms = key->run_ms;
-	bool dropped = !uuid && (world->skewed ||
-				 world->now_ms >= key->run_ms + RETENTION_MS);
+	bool dropped =
+	    !uuid &&
+	    (world->skewed || world->now_ms >= key->run_ms + RETENTION_MS);
 
 	CHECK(request->open && request->node == node);
 	CHECK(action->id > key->refused[node]);
 	CHECK(key->runs == 0 || dropped);
+	/* Another node may drop the record early if the clocks differ. */
+	CHECK(
+	    world->skewed || count_started(world, &action->record->nonce) == 1);
 	key->runs++;
 	key->variant = request->variant;
 	key->run_ms = action->record->start_ms;
@@ -178,14 +230,6 @@
 	}
 }
 
-static const stored_t *
-newest(const world_t *world, unsigned partition)
-{
-	GArray *history = world->history[partition];
-
-	return &g_array_index(history, stored_t, history->len - 1);
-}
-
 /* Lets a swap take effect. True where its precondition holds. */
 static bool
 land(world_t *world, const ledger_action_t *swap)
@@ -213,8 +257,8 @@
 	switch (how % 6) {
 	case 0:
 	case 1: /* answered */
-		status = land(world, &flight->action) ? STORE_OK
-						      : STORE_CONFLICT;
+		status =
+		    land(world, &flight->action) ? STORE_OK : STORE_CONFLICT;
 		revision = newest(world, partition)->revision;
 		break;
 	case 2: /* the answer is lost */
@@ -347,8 +391,8 @@
 	    .until_ms = node_ms(world, node) + REQUEST_MS,
 	};
 
-	if (!ledger_check_key(sent.key, key < 2, RETENTION_MS,
-		node_ms(world, node), NULL))
+	if (!ledger_check_key(
+		sent.key, key < 2, RETENTION_MS, node_ms(world, node), NULL))
 		return;
 	g_array_append_val(world->requests, request);
 	sent.id = world->requests->len;
@@ -367,6 +411,7 @@
 			request->open = false;
 	}
 	node_boot(world, node);
+	world->crashed = true;
 }
 
 static void
@@ -384,8 +429,8 @@
 	switch (what % 12) {
 	case 0:
 	case 1:
-		send_request(world, node, detail / 4 % KEYS,
-		    detail >= 240 ? 1 : 0);
+		send_request(
+		    world, node, detail / 4 % KEYS, detail >= 240 ? 1 : 0);
 		break;
 	case 2:
 	case 3:
@@ -445,6 +490,8 @@
 		CHECK(!g_array_index(world->requests, request_t, i).open);
 	for (unsigned node = 0; node < NODES; node++)
 		CHECK(ledger_entries(world->nodes[node]) == 0);
+	/* Every start was run and its outcome written, or was withdrawn. */
+	CHECK(world->crashed || count_started(world, NULL) == 0);
 }
 
 static void
@@ -463,9 +510,9 @@
 		ledger_free(world->nodes[node]);
 	for (unsigned i = 0; i < PARTITIONS; i++) {
 		for (guint j = 0; j < world->history[i]->len; j++)
-			g_bytes_unref(g_array_index(
-			    world->history[i], stored_t, j)
-					  .value);
+			g_bytes_unref(
+			    g_array_index(world->history[i], stored_t, j)
+				.value);
 		g_array_free(world->history[i], TRUE);
 	}
 	flights_free(world->flights);
@@ -482,7 +529,8 @@
 
 	for (unsigned key = 0; key < KEYS; key++)
 		g_snprintf(key_names[key], sizeof(key_names[key]),
-		    key < 2 ? "018bcfe5-6800-7000-8000-00000000000%u" : "key-%u",
+		    key < 2 ? "018bcfe5-6800-7000-8000-00000000000%u"
+			    : "key-%u",
 		    key);
 	world.counters = counters_new();
 	world.flights = g_array_new(FALSE, FALSE, sizeof(flight_t));
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -6,7 +6,8 @@
 #include <xxhash.h>
 
 enum {
-	/* A key further in the future would keep its record that much longer. */
+	/* A key further in the future would keep its record that much longer.
+	 */
 	KEY_AHEAD_MAX_MS = 5 * 60 * 1000,
 	ASKERS_MAX = 64,
 };
@@ -157,8 +158,8 @@
 }
 
 static void
-tell(ledger_t *ledger, const char *to, const ledger_record_t *record,
-    bool known)
+tell(
+    ledger_t *ledger, const char *to, const ledger_record_t *record, bool known)
 {
 	ledger_action_t *action = ledger_act(ledger, LEDGER_TELL);
 
@@ -168,7 +169,7 @@
 }
 
 void
-entry_end(ledger_t *ledger, part_t *part, entry_t *entry, bool known)
+entry_tell(ledger_t *ledger, entry_t *entry, bool known)
 {
 	ledger_record_t record = {
 	    .service = entry->service,
@@ -178,6 +179,13 @@
 
 	for (guint i = 0; i < entry->askers->len; i++)
 		tell(ledger, entry->askers->pdata[i], &record, known);
+	g_ptr_array_set_size(entry->askers, 0);
+}
+
+void
+entry_end(ledger_t *ledger, part_t *part, entry_t *entry, bool known)
+{
+	entry_tell(ledger, entry, known);
 	if (entry->state == ENTRY_FINISH)
 		ledger->unwritten--;
 	TAILQ_REMOVE(&part->entries, entry, entries);
@@ -285,17 +293,15 @@
 	}
 	add_waiter(entry, request);
 	if (entry->state == ENTRY_WITHDRAW) {
-		/* Never sent, so its start record may serve this one. */
-		entry->state = ENTRY_START;
+		entry->next_nonce = request->nonce;
 		entry->start_until_ms = start_until(ledger, request, now_ms);
 	}
 }
 
 /* Replies from the last value seen: an outcome in it is final. */
 static bool
-reply_from_value(
-    ledger_t *ledger, const ledger_value_t *value, const char *name,
-    const ledger_request_t *request)
+reply_from_value(ledger_t *ledger, const ledger_value_t *value,
+    const char *name, const ledger_request_t *request)
 {
 	ledger_record_t *record;
 
@@ -482,6 +488,11 @@
 			entry_reply(ledger, entry, entry->answer);
 		return;
 	case ENTRY_WITHDRAW:
+		if (now_ms >= entry->start_until_ms)
+			entry_refuse(ledger, entry,
+			    PAPAYA_ERROR_STORE_UNAVAILABLE,
+			    "an earlier start could not be withdrawn in time",
+			    true);
 		return;
 	}
 }
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -21,9 +21,9 @@
 typedef struct ledger_options {
 	const char *node;
 	unsigned partitions;
-	size_t value_max; /* bytes of a partition's value */
-	size_t start_max; /* bytes over which new starts are refused */
-	int64_t start_wait_ms; /* for the store before a start is refused */
+	size_t value_max;	 /* bytes of a partition's value */
+	size_t start_max;	 /* bytes over which new starts are refused */
+	int64_t start_wait_ms;	 /* for the store before a start is refused */
 	int64_t outcome_wait_ms; /* that a reply waits for its outcome record */
 	unsigned entries_max;	 /* requests in progress */
 	counters_t *counters;
--- a/src/ledger_part.c
+++ b/src/ledger_part.c
@@ -57,8 +57,8 @@
 }
 
 static void
-wait_for_other(part_t *part, entry_t *entry, const ledger_record_t *record,
-    int64_t now_ms)
+wait_for_other(
+    part_t *part, entry_t *entry, const ledger_record_t *record, int64_t now_ms)
 {
 	if (entry->state == ENTRY_WAIT &&
 	    ledger_id_equal(entry->other, record->nonce))
@@ -93,7 +93,8 @@
 	wait_for_other(part, entry, record, now_ms);
 	if (entry->lost) {
 		entry_refuse(ledger, entry, PAPAYA_ERROR_OUTCOME_UNKNOWN,
-		    "the request was started by a node that has stopped", false);
+		    "the request was started by a node that has stopped",
+		    false);
 		entry_end(ledger, part, entry, false);
 		return;
 	}
@@ -157,6 +158,22 @@
 	}
 }
 
+/* The start record is gone for good. True where the entry goes on. */
+static bool
+withdrawn(ledger_t *ledger, part_t *part, entry_t *entry)
+{
+	(*ledger->withdrawn)++;
+	if (entry->waiters->len == 0) {
+		entry_end(ledger, part, entry, false);
+		return false;
+	}
+	entry_tell(ledger, entry, false);
+	entry->state = ENTRY_START;
+	entry->nonce = entry->next_nonce;
+	entry->exposed = false;
+	return true;
+}
+
 static void
 resolve(ledger_t *ledger, part_t *part, entry_t *entry, int64_t now_ms)
 {
@@ -176,8 +193,8 @@
 	case ENTRY_WITHDRAW:
 		if (!part_settled(part) || is_own(entry, record))
 			return;
-		(*ledger->withdrawn)++;
-		entry_end(ledger, part, entry, false);
+		if (withdrawn(ledger, part, entry))
+			resolve_start(ledger, part, entry, now_ms);
 		return;
 	case ENTRY_RUNNING:
 		return;
--- a/src/ledger_part.h
+++ b/src/ledger_part.h
@@ -8,11 +8,16 @@
 /* Inside of the ledger: entries, and the partitions that hold them. */
 
 typedef enum entry_state {
-	ENTRY_START,	/* wants its start record committed */
-	ENTRY_RUNNING,	/* start record confirmed; the attempt is out */
-	ENTRY_FINISH,	/* the attempt has ended; wants its outcome written */
-	ENTRY_WITHDRAW, /* refused; its start record may be in the store */
-	ENTRY_WAIT,	/* another start record exists, without outcome */
+	ENTRY_START,   /* wants its start record committed */
+	ENTRY_RUNNING, /* start record confirmed; the attempt is out */
+	ENTRY_FINISH,  /* the attempt has ended; wants its outcome written */
+	/*
+	 * Refused; its start record may be in the store. Requests that come
+	 * meanwhile wait and then start under a nonce of their own, so that
+	 * the retention always begins shortly before a run.
+	 */
+	ENTRY_WITHDRAW,
+	ENTRY_WAIT, /* another start record exists, without outcome */
 } entry_state_t;
 
 typedef struct waiter {
@@ -30,7 +35,8 @@
 	ledger_id_t hash;
 	ledger_id_t nonce;
 	int64_t retention_ms;
-	int64_t start_until_ms; /* START */
+	ledger_id_t next_nonce; /* WITHDRAW: of the start after it */
+	int64_t start_until_ms; /* START, and WITHDRAW with waiters */
 	int64_t reply_by_ms;	/* FINISH */
 	/* A swap with its start record was sent and may have taken effect. */
 	bool exposed;
@@ -99,7 +105,10 @@
 void entry_give_up(ledger_t *ledger, part_t *part, entry_t *entry,
     papaya_error_t error, const char *message);
 
-/* Ends an entry; nodes that asked are told whether its outcome is written. */
+/* Tells the nodes that asked whether the nonce's outcome is written. */
+void entry_tell(ledger_t *ledger, entry_t *entry, bool known);
+
+/* Ends an entry, with entry_tell(). */
 void entry_end(ledger_t *ledger, part_t *part, entry_t *entry, bool known);
 
 /* Queues the partition's next store call, if it needs one. */
--- a/src/ledger_record.c
+++ b/src/ledger_record.c
@@ -198,8 +198,7 @@
 	if (floor_ms == NULL) {
 		floor_ms = g_new(int64_t, 1);
 		*floor_ms = key_ms;
-		g_hash_table_insert(
-		    value->floors, g_strdup(service), floor_ms);
+		g_hash_table_insert(value->floors, g_strdup(service), floor_ms);
 		value->size += FLOOR_FIXED_SIZE + strlen(service);
 	}
 	*floor_ms = MAX(*floor_ms, key_ms);
@@ -318,9 +317,8 @@
 read_text(const msgpack_object *object)
 {
 	if (object->type != MSGPACK_OBJECT_STR ||
-	    (object->via.str.size > 0 &&
-		memchr(object->via.str.ptr, '\0', object->via.str.size) !=
-		    NULL))
+	    (object->via.str.size > 0 && memchr(object->via.str.ptr, '\0',
+					     object->via.str.size) != NULL))
 		return NULL;
 	return g_strndup(object->via.str.ptr, object->via.str.size);
 }
