--- a/src/http_server.c
+++ b/src/http_server.c
@@ -6,6 +6,7 @@
 #include <h2o.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 enum {
 	DEFAULT_BODY_MAX = 2 * 1024 * 1024,
@@ -452,6 +453,20 @@
 	g_free(text);
 }
 
+void
+http_request_drop(http_request_t *request)
+{
+	h2o_conn_t *conn;
+
+	if (request->req == NULL || request->state != REPLY_NONE)
+		return;
+	conn = request->req->conn;
+	/* The reply then fails at its first write, which ends the request. */
+	shutdown(
+	    h2o_socket_get_fd(conn->callbacks->get_socket(conn)), SHUT_RDWR);
+	http_reply(request, 500, NULL, 0, "", 0);
+}
+
 void
 http_stream_begin(http_request_t *request, int status,
     const http_header_t *headers, size_t header_count)
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -82,6 +82,9 @@
 void http_reply_error(
     http_request_t *request, const GError *error, bool not_run);
 
+/* Closes the connection without any reply. */
+void http_request_drop(http_request_t *request);
+
 /* Starts a reply of unknown length. */
 void http_stream_begin(http_request_t *request, int status,
     const http_header_t *headers, size_t header_count);
--- a/src/route.c
+++ b/src/route.c
@@ -3,8 +3,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-enum { PREFIX_BYTES = 256 };
-
 struct route_cache {
 	GHashTable *holders;
 };
@@ -39,7 +37,7 @@
 uint64_t
 route_prefix(const char *prompt)
 {
-	return XXH3_64bits(prompt, strnlen(prompt, PREFIX_BYTES));
+	return XXH3_64bits(prompt, strnlen(prompt, ROUTE_PREFIX_BYTES));
 }
 
 static bool
--- a/src/route.h
+++ b/src/route.h
@@ -29,6 +29,9 @@
 void route_cache_evicted(
     route_cache_t *cache, const char *backend, uint64_t prefix);
 
+/* Bytes at the start of a prompt that make up its routing prefix. */
+enum { ROUTE_PREFIX_BYTES = 256 };
+
 /* Hash of a prompt's routing prefix. */
 uint64_t route_prefix(const char *prompt);
 
--- a/standins/standin.c
+++ b/standins/standin.c
@@ -24,6 +24,28 @@
 	return chance > 0 && g_rand_double(standin->rand) < chance;
 }
 
+bool
+standin_call_fails(standin_t *standin)
+{
+	double after = standin_fault(standin, "error_after_calls");
+
+	standin->calls++;
+	if (after > 0 && (double)standin->calls > after)
+		return true;
+	return standin_chance(standin, "error_rate");
+}
+
+int64_t
+standin_time_ms(const standin_t *standin, const char *name, unsigned running)
+{
+	double limit = standin_fault(standin, "slow_over_running");
+	double time_ms = standin_fault(standin, name);
+
+	if (limit > 0 && running > limit)
+		time_ms *= running - limit + 1;
+	return (int64_t)time_ms;
+}
+
 typedef struct delayed {
 	uv_timer_t timer;
 	void (*run)(void *data);
@@ -171,7 +193,8 @@
 	signal(SIGPIPE, SIG_IGN);
 	standin->loop = uv_default_loop();
 	standin->name = g_strdup(name->count > 0 ? name->sval[0] : "standin");
-	standin->version = model->count > 0 ? g_strdup(model->sval[0]) : NULL;
+	if (model->count > 0)
+		standin->version = g_strdup(model->sval[0]);
 	standin->rand = g_rand_new_with_seed(
 	    (guint32)(seed->count > 0 ? seed->ival[0] : 1));
 	standin->faults = faults->count > 0
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -20,7 +20,8 @@
 	/* Optional: called after the faults change. */
 	void (*faults_changed)(struct standin *standin);
 	char *name;    /* --name */
-	char *version; /* --model-version; NULL if not given */
+	const char *version; /* --model-version; default set by the program */
+	uint64_t calls; /* counted by standin_call_fails() */
 } standin_t;
 
 /*
@@ -34,6 +35,19 @@
 /* True with the probability that the fault of this name gives. */
 bool standin_chance(standin_t *standin, const char *name);
 
+/*
+ * Counts one request of a serving stand-in and says whether it fails by
+ * "error_rate" or "error_after_calls".
+ */
+bool standin_call_fails(standin_t *standin);
+
+/*
+ * A fault's time in milliseconds, multiplied by the requests in progress over
+ * "slow_over_running" where that is set and exceeded.
+ */
+int64_t standin_time_ms(
+    const standin_t *standin, const char *name, unsigned running);
+
 /* Calls run(data) once after delay_ms. */
 void standin_after(
     standin_t *standin, int64_t delay_ms, void (*run)(void *data), void *data);
--- /dev/null
+++ b/standins/standin_service.c
@@ -0,0 +1,184 @@
+#include "json.h"
+#include "standin.h"
+
+#include <string.h>
+
+/* A plain service: counts the executions of each idempotency key. */
+typedef struct service {
+	standin_t standin;
+	GHashTable *runs; /* key: count */
+	unsigned running;
+	char *last_attempt; /* id of the previous request, for "cross_rate" */
+} service_t;
+
+typedef struct job {
+	service_t *service;
+	http_request_t *request;
+	char *attempt;
+	bool fails;
+	bool faulty; /* the random faults apply to its path */
+} job_t;
+
+static unsigned
+count_run(service_t *service, const char *key)
+{
+	unsigned runs =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(service->runs, key)) + 1;
+
+	g_hash_table_replace(
+	    service->runs, g_strdup(key), GUINT_TO_POINTER(runs));
+	return runs;
+}
+
+static void
+serve_runs(service_t *service, http_request_t *request)
+{
+	json_t *runs = json_object();
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, service->runs);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		json_object_set_new(
+		    runs, key, json_integer(GPOINTER_TO_UINT(value)));
+	http_reply_json(request, 200,
+	    json_pack("{s:o,s:I}", "runs", runs, "calls",
+		(json_int_t)service->standin.calls));
+}
+
+static json_t *
+result_of(job_t *job, const char *key, unsigned runs)
+{
+	http_request_t *request = job->request;
+	size_t length;
+	const char *body = http_request_body(request, &length);
+	const char *query = http_request_query(request);
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:s%}", "service",
+	    job->service->standin.name, "version",
+	    job->service->standin.version, "method",
+	    http_request_method(request), "path", http_request_path(request),
+	    "query", query != NULL ? query : "", "key", key, "runs", (int)runs,
+	    "echo", body, length);
+}
+
+static void
+job_free(job_t *job)
+{
+	http_request_unref(job->request);
+	g_free(job->attempt);
+	g_free(job);
+}
+
+static void
+reply_result(job_t *job, json_t *result)
+{
+	service_t *service = job->service;
+	char *text = json_text(result);
+	size_t length = strlen(text);
+	const char *attempt = job->attempt;
+	http_header_t headers[2] = {{"content-type", "application/json"}};
+
+	if (job->faulty && service->last_attempt != NULL &&
+	    standin_chance(&service->standin, "cross_rate"))
+		attempt = service->last_attempt;
+	if (attempt != NULL)
+		headers[1] = (http_header_t){"papaya-attempt", attempt};
+	if (job->faulty && standin_chance(&service->standin, "cut_rate")) {
+		http_stream_begin(
+		    job->request, 200, headers, attempt != NULL ? 2 : 1);
+		http_stream_write(job->request, text, length / 2);
+		http_stream_abort(job->request);
+	} else {
+		http_reply(job->request, 200, headers, attempt != NULL ? 2 : 1,
+		    text, length);
+	}
+	g_free(text);
+}
+
+static void
+on_late(void *data)
+{
+	job_t *job = data;
+	service_t *service = job->service;
+	const char *key = http_request_header(job->request, "idempotency-key");
+	json_t *result;
+
+	service->running--;
+	result = result_of(job, key != NULL ? key : "",
+	    key != NULL ? GPOINTER_TO_UINT(
+			      g_hash_table_lookup(service->runs, key))
+			: 0);
+	if (result == NULL) /* a body that is not UTF-8 */
+		result = json_object();
+	reply_result(job, result);
+	json_decref(result);
+	g_free(service->last_attempt);
+	service->last_attempt = g_strdup(job->attempt);
+	job_free(job);
+}
+
+static void
+on_run(void *data)
+{
+	job_t *job = data;
+	service_t *service = job->service;
+	const char *key = http_request_header(job->request, "idempotency-key");
+
+	if (job->fails) {
+		service->running--;
+		http_reply_json(job->request, 500,
+		    json_pack(
+			"{s:{s:s}}", "error", "kind", "injected_fault"));
+		job_free(job);
+		return;
+	}
+	if (key != NULL)
+		count_run(service, key);
+	if (job->faulty &&
+	    standin_chance(&service->standin, "close_after_run_rate")) {
+		service->running--;
+		http_request_drop(job->request);
+		job_free(job);
+		return;
+	}
+	standin_after(&service->standin,
+	    (int64_t)standin_fault(&service->standin, "late_ms"), on_late, job);
+}
+
+static void
+serve(http_request_t *request, void *data)
+{
+	service_t *service = data;
+	standin_t *standin = &service->standin;
+	const char *only = json_get_string(standin->faults, "only_path", "");
+	job_t *job;
+
+	if (strcmp(http_request_path(request), "/runs") == 0) {
+		serve_runs(service, request);
+		return;
+	}
+	job = g_new0(job_t, 1);
+	job->service = service;
+	job->request = http_request_ref(request);
+	job->attempt = g_strdup(http_request_header(request, "papaya-attempt"));
+	job->faulty = g_str_has_prefix(http_request_path(request), only);
+	job->fails = standin_call_fails(standin) && job->faulty;
+	service->running++;
+	standin_after(standin,
+	    standin_time_ms(standin, "delay_ms", service->running), on_run,
+	    job);
+}
+
+int
+main(int argc, char **argv)
+{
+	static service_t service = {.standin = {.program = "standin-service"}};
+
+	service.standin.handler = serve;
+	service.standin.data = &service;
+	service.standin.version = "v1";
+	service.runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return standin_run(&service.standin, argc, argv);
+}
