Check and hold teams' settings

Each message names the source file, the path, the bad value and the remedy. settings.c holds the newest tree per team and never takes a lower revision.

A source that ends in '/' stands for a directory, so that papayactl can name DIR/services/NAME.json without a second check of its own.

--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,253 @@
+#include "settings.h"
+
+#include "error.h"
+#include "json.h"
+
+#include <string.h>
+
+struct settings {
+	GHashTable *trees; /* team: tree_t */
+};
+
+tree_t *
+tree_ref(tree_t *tree)
+{
+	tree->refs++;
+	return tree;
+}
+
+void
+tree_unref(tree_t *tree)
+{
+	if (tree == NULL || --tree->refs > 0)
+		return;
+	g_free(tree->team);
+	g_free(tree->author);
+	g_free(tree->message);
+	json_decref(tree->json);
+	g_hash_table_destroy(tree->services);
+	g_hash_table_destroy(tree->backends);
+	g_hash_table_destroy(tree->workspaces);
+	g_free(tree);
+}
+
+const service_t *
+tree_service(const tree_t *tree, const char *name)
+{
+	return g_hash_table_lookup(tree->services, name);
+}
+
+const workspace_t *
+tree_workspace(const tree_t *tree, const char *name)
+{
+	return g_hash_table_lookup(tree->workspaces, name);
+}
+
+json_t *
+tree_value(const tree_t *tree)
+{
+	return json_pack("{s:I, s:s, s:s, s:O}", "revision",
+	    (json_int_t)tree->revision, "author", tree->author, "message",
+	    tree->message, "tree", tree->json);
+}
+
+static bool
+check_value(const json_t *value, const char *source, GError **error)
+{
+	static const char *const names[] = {
+	    "revision", "author", "message", "tree", NULL};
+	const char *name;
+	json_t *member;
+
+	if (!json_is_object(value)) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
+		    "%s: not a JSON object; apply the team's settings again",
+		    source);
+		return false;
+	}
+	json_object_foreach ((json_t *)value, name, member) {
+		if (g_strv_contains(names, name))
+			continue;
+		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
+		    "%s: %s: unknown field; run a release that knows it, or "
+		    "apply the team's settings again",
+		    source, name);
+		return false;
+	}
+	if (json_get_int(value, "revision", 0) < 1 ||
+	    json_get_string(value, "author", NULL) == NULL ||
+	    json_get_string(value, "message", NULL) == NULL) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
+		    "%s: revision, author or message is missing or of a wrong "
+		    "type; apply the team's settings again",
+		    source);
+		return false;
+	}
+	return true;
+}
+
+tree_t *
+tree_from_value(
+    const char *team, const json_t *value, const char *source, GError **error)
+{
+	if (!check_value(value, source, error))
+		return NULL;
+	return tree_parse(team, json_get_int(value, "revision", 0),
+	    json_get_string(value, "author", ""),
+	    json_get_string(value, "message", ""),
+	    json_object_get(value, "tree"), source, error);
+}
+
+static gint
+compare_names(gconstpointer left, gconstpointer right)
+{
+	return strcmp(*(const char *const *)left, *(const char *const *)right);
+}
+
+static GPtrArray *
+member_names(const json_t *old_value, const json_t *new_value)
+{
+	GPtrArray *names = g_ptr_array_new();
+	const char *name;
+	json_t *member;
+
+	json_object_foreach ((json_t *)old_value, name, member)
+		g_ptr_array_add(names, (gpointer)name);
+	json_object_foreach ((json_t *)new_value, name, member)
+		if (json_object_get(old_value, name) == NULL)
+			g_ptr_array_add(names, (gpointer)name);
+	g_ptr_array_sort(names, compare_names);
+	return names;
+}
+
+static void
+diff_changed(const char *path, const json_t *old_value, const json_t *new_value,
+    GString *out)
+{
+	char *old_text = json_text(old_value);
+	char *new_text = json_text(new_value);
+
+	g_string_append_printf(
+	    out, "~ %s: %s -> %s\n", path, old_text, new_text);
+	g_free(old_text);
+	g_free(new_text);
+}
+
+/* Recursion is bounded by jansson's nesting limit for parsed text. */
+static void
+diff_values(const char *path, const json_t *old_value, const json_t *new_value,
+    GString *out)
+{
+	GPtrArray *names;
+
+	if (old_value == NULL || new_value == NULL) {
+		if (old_value != new_value)
+			g_string_append_printf(out, "%c %s\n",
+			    old_value == NULL ? '+' : '-', path);
+		return;
+	}
+	if (!json_is_object(old_value) || !json_is_object(new_value)) {
+		if (!json_equal(old_value, new_value))
+			diff_changed(path, old_value, new_value, out);
+		return;
+	}
+	names = member_names(old_value, new_value);
+	for (guint i = 0; i < names->len; i++) {
+		const char *name = names->pdata[i];
+		char *inner = path[0] == '\0'
+				  ? g_strdup(name)
+				  : g_strconcat(path, ".", name, NULL);
+
+		diff_values(inner, json_object_get(old_value, name),
+		    json_object_get(new_value, name), out);
+		g_free(inner);
+	}
+	g_ptr_array_free(names, TRUE);
+}
+
+void
+tree_diff(const json_t *old_tree, const json_t *new_tree, GString *out)
+{
+	json_t *empty = json_object();
+
+	diff_values("", old_tree != NULL ? old_tree : empty,
+	    new_tree != NULL ? new_tree : empty, out);
+	json_decref(empty);
+}
+
+settings_t *
+settings_new(void)
+{
+	settings_t *settings = g_new0(settings_t, 1);
+
+	settings->trees = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)tree_unref);
+	return settings;
+}
+
+void
+settings_free(settings_t *settings)
+{
+	if (settings == NULL)
+		return;
+	g_hash_table_destroy(settings->trees);
+	g_free(settings);
+}
+
+settings_accept_t
+settings_offer(settings_t *settings, tree_t *tree)
+{
+	int64_t held = settings_revision(settings, tree->team);
+
+	if (tree->revision < held)
+		return SETTINGS_OLDER;
+	if (tree->revision == held)
+		return SETTINGS_SAME;
+	g_hash_table_replace(settings->trees, tree->team, tree_ref(tree));
+	return SETTINGS_NEWER;
+}
+
+tree_t *
+settings_tree(const settings_t *settings, const char *team)
+{
+	return g_hash_table_lookup(settings->trees, team);
+}
+
+int64_t
+settings_revision(const settings_t *settings, const char *team)
+{
+	const tree_t *tree = settings_tree(settings, team);
+
+	return tree == NULL ? 0 : tree->revision;
+}
+
+const service_t *
+settings_service(const settings_t *settings, const char *name, tree_t **tree)
+{
+	const char *slash = strchr(name, '/');
+	tree_t *found;
+	char *team;
+
+	if (slash == NULL)
+		return NULL;
+	team = g_strndup(name, (gsize)(slash - name));
+	found = settings_tree(settings, team);
+	g_free(team);
+	if (found == NULL)
+		return NULL;
+	if (tree != NULL)
+		*tree = found;
+	return tree_service(found, name);
+}
+
+void
+settings_each(const settings_t *settings,
+    void (*visit)(tree_t *tree, void *data), void *data)
+{
+	GHashTableIter iter;
+	gpointer tree;
+
+	g_hash_table_iter_init(&iter, settings->trees);
+	while (g_hash_table_iter_next(&iter, NULL, &tree))
+		visit(tree, data);
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -88,7 +88,8 @@
 /*
  * Checks a team's tree. The error names file (source, such as a path or
  * "request"), path in the tree, the bad value and the remedy. Nothing of a bad
- * tree is kept.
+ * tree is kept. A source that ends in '/' is a directory: the error names the
+ * entry's file in it, such as DIR/services/chat.json.
  */
 tree_t *tree_parse(const char *team, int64_t revision, const char *author,
     const char *message, const json_t *json, const char *source,
