--- a/src/backend.c
+++ b/src/backend.c
@@ -249,4 +249,5 @@
 	backend->reported_running = running;
 	backend->reported_waiting = waiting;
 	backend->reported_at_ms = now_ms;
+	backend->in_flight_at_report = backend->in_flight;
 }
--- a/src/backend.h
+++ b/src/backend.h
@@ -40,6 +40,7 @@
 	unsigned reported_running; /* by its load report, which lags */
 	unsigned reported_waiting;
 	int64_t reported_at_ms;
+	unsigned in_flight_at_report;
 	double latency_ms; /* moving average, 0 before the first */
 	uint64_t requests;
 	int64_t last_new_request_ms;
