--- a/src/http_server.c
+++ b/src/http_server.c
@@ -453,20 +453,6 @@
 	g_free(text);
 }
 
-void
-http_request_drop(http_request_t *request)
-{
-	h2o_conn_t *conn;
-
-	if (request->req == NULL || request->state != REPLY_NONE)
-		return;
-	conn = request->req->conn;
-	/* The reply then fails at its first write, which ends the request. */
-	shutdown(
-	    h2o_socket_get_fd(conn->callbacks->get_socket(conn)), SHUT_RDWR);
-	http_reply(request, 500, NULL, 0, "", 0);
-}
-
 void
 http_stream_begin(http_request_t *request, int status,
     const http_header_t *headers, size_t header_count)
@@ -512,3 +498,20 @@
 	request->req->http1_is_persistent = 0;
 	send_pending(request);
 }
+
+void
+http_request_drop(http_request_t *request)
+{
+	h2o_conn_t *conn;
+
+	if (request->req == NULL)
+		return;
+	conn = request->req->conn;
+	/* The next or pending write then fails, which ends the request. */
+	shutdown(
+	    h2o_socket_get_fd(conn->callbacks->get_socket(conn)), SHUT_RDWR);
+	if (request->state == REPLY_NONE)
+		http_reply(request, 500, NULL, 0, "", 0);
+	else
+		http_stream_abort(request);
+}
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -82,7 +82,10 @@
 void http_reply_error(
     http_request_t *request, const GError *error, bool not_run);
 
-/* Closes the connection without any reply. */
+/*
+ * Closes the connection at once, whatever the client has not read yet: before
+ * any reply, or with an incomplete one.
+ */
 void http_request_drop(http_request_t *request);
 
 /* Starts a reply of unknown length. */
