Encode and decode messages between nodes

Field tables drive encoding, decoding and release, so a message type is one row.

msgpack-c allocates an array by the count that its header claims (100 GB for 5 bytes), so a scan checks structure, depth and counts first; setting a limit in msgpack-c is not possible in its C interface. Unknown types, missing or extra fields, empty names, NUL bytes and invalid UTF-8 are refused as bad_frame.

zone_sum gains a list of members, needed for the entry list and the node report across zones once zones exchange only summaries.

--- /dev/null
+++ b/src/message.c
@@ -0,0 +1,626 @@
+#include "message.h"
+
+#include "error.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+enum {
+	/* Longest service, team, node or host name, address or reason. */
+	NAME_MAX_BYTES = 1024,
+	/* A store value (1 MB) with room for the JSON around it. */
+	TEXT_MAX_BYTES = 1536 * 1024,
+	REVISIONS_MAX = 4096,
+	MEMBERS_MAX = 1024,
+	STATUS_MAX = 999,
+	/* The message, an array in it, and the entries of that array. */
+	DEPTH_MAX = 3,
+	FIELDS_MAX = 9,
+};
+
+typedef enum field_kind {
+	FIELD_NONE,
+	FIELD_NAME,   /* char *, not empty */
+	FIELD_STRING, /* char * */
+	FIELD_TEXT,   /* char *, up to TEXT_MAX_BYTES */
+	FIELD_BYTES,  /* char *, with its size_t in the next field */
+	FIELD_LENGTH, /* size_t, sent with the FIELD_BYTES before it */
+	FIELD_INT64,  /* int64_t, not negative */
+	FIELD_COUNT,  /* unsigned */
+	FIELD_STATUS, /* int, 0 to STATUS_MAX */
+	FIELD_BOOL,
+	FIELD_REVISIONS, /* GArray of message_revision_t */
+	FIELD_MEMBERS,	 /* GArray of message_member_t */
+} field_kind_t;
+
+typedef struct field {
+	field_kind_t kind;
+	size_t offset;
+} field_t;
+
+#define FIELD(kind, member)                               \
+	{                                                 \
+		FIELD_##kind, offsetof(message_t, member) \
+	}
+
+/* The fields of each message in wire order. */
+static const field_t layouts[][FIELDS_MAX + 1] = {
+    [MESSAGE_HELLO] = {FIELD(NAME, hello.node), FIELD(NAME, hello.zone),
+	FIELD(NAME, hello.http_address), FIELD(NAME, hello.peer_address),
+	FIELD(INT64, hello.incarnation)},
+    [MESSAGE_HEARTBEAT] = {FIELD(NAME, heartbeat.node),
+	FIELD(INT64, heartbeat.sequence), FIELD(BOOL, heartbeat.draining),
+	FIELD(COUNT, heartbeat.in_flight),
+	FIELD(REVISIONS, heartbeat.revisions)},
+    [MESSAGE_SETTINGS] = {FIELD(NAME, settings.team),
+	FIELD(INT64, settings.revision), FIELD(TEXT, settings.value)},
+    [MESSAGE_SETTINGS_WANT] = {FIELD(NAME, settings_want.team)},
+    [MESSAGE_LEAVING] = {FIELD(NAME, leaving.host),
+	FIELD(INT64, leaving.leave_at_ms), FIELD(STRING, leaving.source)},
+    [MESSAGE_MOVE_STOP] = {FIELD(NAME, move_stop.service),
+	FIELD(NAME, move_stop.move), FIELD(STRING, move_stop.reason)},
+    [MESSAGE_MOVE_STATE] = {FIELD(NAME, move_state.service),
+	FIELD(TEXT, move_state.record)},
+    [MESSAGE_OUTCOME_ASK] = {FIELD(NAME, outcome_ask.service),
+	FIELD(NAME, outcome_ask.key), FIELD(STRING, outcome_ask.nonce)},
+    [MESSAGE_OUTCOME] = {FIELD(NAME, outcome.service), FIELD(NAME, outcome.key),
+	FIELD(STRING, outcome.nonce), FIELD(BOOL, outcome.known),
+	FIELD(STATUS, outcome.status), FIELD(BYTES, outcome.body),
+	FIELD(LENGTH, outcome.length)},
+    [MESSAGE_ZONE_SUM] = {FIELD(NAME, zone_sum.zone),
+	FIELD(COUNT, zone_sum.nodes), FIELD(COUNT, zone_sum.backends),
+	FIELD(COUNT, zone_sum.in_flight), FIELD(INT64, zone_sum.at_ms),
+	FIELD(REVISIONS, zone_sum.revisions), FIELD(MEMBERS, zone_sum.members)},
+};
+
+static const field_t *
+layout_of(int64_t type)
+{
+	if (type < MESSAGE_HELLO || type > MESSAGE_ZONE_SUM)
+		return NULL;
+	return layouts[type];
+}
+
+static void
+free_revisions(GArray *revisions)
+{
+	if (revisions == NULL)
+		return;
+	for (guint i = 0; i < revisions->len; i++)
+		g_free(g_array_index(revisions, message_revision_t, i).team);
+	g_array_free(revisions, TRUE);
+}
+
+static void
+free_members(GArray *members)
+{
+	if (members == NULL)
+		return;
+	for (guint i = 0; i < members->len; i++) {
+		message_member_t *member =
+		    &g_array_index(members, message_member_t, i);
+
+		g_free(member->node);
+		g_free(member->http_address);
+		g_free(member->peer_address);
+	}
+	g_array_free(members, TRUE);
+}
+
+void
+message_clear(message_t *message)
+{
+	const field_t *field = layout_of(message->type);
+
+	for (; field != NULL && field->kind != FIELD_NONE; field++) {
+		void *at = (char *)message + field->offset;
+
+		switch (field->kind) {
+		case FIELD_NAME:
+		case FIELD_STRING:
+		case FIELD_TEXT:
+		case FIELD_BYTES:
+			g_free(*(char **)at);
+			break;
+		case FIELD_REVISIONS:
+			free_revisions(*(GArray **)at);
+			break;
+		case FIELD_MEMBERS:
+			free_members(*(GArray **)at);
+			break;
+		default:
+			break;
+		}
+	}
+	memset(message, 0, sizeof(*message));
+}
+
+static int
+append_packed(void *data, const char *bytes, size_t length)
+{
+	g_byte_array_append(data, (const guint8 *)bytes, (guint)length);
+	return 0;
+}
+
+static void
+pack_string(msgpack_packer *packer, const char *string)
+{
+	size_t length = string == NULL ? 0 : strlen(string);
+
+	msgpack_pack_str(packer, length);
+	if (length > 0)
+		msgpack_pack_str_body(packer, string, length);
+}
+
+static void
+pack_bool(msgpack_packer *packer, bool value)
+{
+	if (value)
+		msgpack_pack_true(packer);
+	else
+		msgpack_pack_false(packer);
+}
+
+static void
+pack_revisions(msgpack_packer *packer, const GArray *revisions)
+{
+	guint count = revisions == NULL ? 0 : revisions->len;
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++) {
+		const message_revision_t *revision =
+		    &g_array_index(revisions, message_revision_t, i);
+
+		msgpack_pack_array(packer, 2);
+		pack_string(packer, revision->team);
+		msgpack_pack_int64(packer, revision->revision);
+	}
+}
+
+static void
+pack_members(msgpack_packer *packer, const GArray *members)
+{
+	guint count = members == NULL ? 0 : members->len;
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++) {
+		const message_member_t *member =
+		    &g_array_index(members, message_member_t, i);
+
+		msgpack_pack_array(packer, 6);
+		pack_string(packer, member->node);
+		pack_string(packer, member->http_address);
+		pack_string(packer, member->peer_address);
+		msgpack_pack_int64(packer, member->incarnation);
+		pack_bool(packer, member->draining);
+		pack_bool(packer, member->suspect);
+	}
+}
+
+static void
+pack_field(
+    msgpack_packer *packer, const message_t *message, const field_t *field)
+{
+	const void *at = (const char *)message + field->offset;
+	size_t length;
+
+	switch (field->kind) {
+	case FIELD_NAME:
+	case FIELD_STRING:
+	case FIELD_TEXT:
+		pack_string(packer, *(char *const *)at);
+		break;
+	case FIELD_BYTES:
+		length =
+		    *(const size_t *)((const char *)message + field[1].offset);
+		msgpack_pack_bin(packer, length);
+		if (length > 0)
+			msgpack_pack_bin_body(
+			    packer, *(char *const *)at, length);
+		break;
+	case FIELD_INT64:
+		msgpack_pack_int64(packer, *(const int64_t *)at);
+		break;
+	case FIELD_COUNT:
+		msgpack_pack_uint32(packer, *(const unsigned *)at);
+		break;
+	case FIELD_STATUS:
+		msgpack_pack_int32(packer, *(const int *)at);
+		break;
+	case FIELD_BOOL:
+		pack_bool(packer, *(const bool *)at);
+		break;
+	case FIELD_REVISIONS:
+		pack_revisions(packer, *(GArray *const *)at);
+		break;
+	case FIELD_MEMBERS:
+		pack_members(packer, *(GArray *const *)at);
+		break;
+	case FIELD_LENGTH:
+	case FIELD_NONE:
+		break;
+	}
+}
+
+/* Number of array items that a layout's fields take on the wire. */
+static size_t
+layout_items(const field_t *field)
+{
+	size_t items = 0;
+
+	for (; field->kind != FIELD_NONE; field++)
+		if (field->kind != FIELD_LENGTH)
+			items++;
+	return items;
+}
+
+void
+message_encode(const message_t *message, GByteArray *out)
+{
+	static const guint8 no_length[4] = {0};
+	const field_t *field = layout_of(message->type);
+	guint start = out->len;
+	msgpack_packer packer;
+	guint32 length;
+
+	if (field == NULL)
+		return;
+	g_byte_array_append(out, no_length, sizeof(no_length));
+	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_pack_array(&packer, 1 + layout_items(field));
+	msgpack_pack_int(&packer, (int)message->type);
+	for (; field->kind != FIELD_NONE; field++)
+		pack_field(&packer, message, field);
+	if (out->len - start - sizeof(no_length) > MESSAGE_FRAME_MAX) {
+		g_byte_array_set_size(out, start);
+		return;
+	}
+	length = GUINT32_TO_BE(out->len - start - (guint)sizeof(no_length));
+	memcpy(out->data + start, &length, sizeof(length));
+}
+
+typedef struct scan {
+	const uint8_t *at;
+	const uint8_t *end;
+	size_t items; /* of the array whose header was read last */
+	bool array;
+} scan_t;
+
+/* Reads a big-endian number of width bytes; false where bytes are missing. */
+static bool
+scan_number(scan_t *scan, size_t width, size_t *number)
+{
+	*number = 0;
+	if ((size_t)(scan->end - scan->at) < width)
+		return false;
+	for (size_t i = 0; i < width; i++)
+		*number = *number << 8 | *scan->at++;
+	return true;
+}
+
+static bool
+scan_skip(scan_t *scan, size_t length)
+{
+	if ((size_t)(scan->end - scan->at) < length)
+		return false;
+	scan->at += length;
+	return true;
+}
+
+static bool
+scan_sized(scan_t *scan, size_t width)
+{
+	size_t length;
+
+	return scan_number(scan, width, &length) && scan_skip(scan, length);
+}
+
+/* Passes over one value, or the header of one array. */
+static bool
+scan_value(scan_t *scan)
+{
+	size_t byte;
+
+	scan->array = false;
+	if (!scan_number(scan, 1, &byte))
+		return false;
+	if (byte <= 0x7f || byte >= 0xe0)
+		return true;
+	if (byte >= 0xa0 && byte <= 0xbf)
+		return scan_skip(scan, byte & 0x1f);
+	if (byte >= 0x90 && byte <= 0x9f) {
+		scan->array = true;
+		scan->items = byte & 0x0f;
+		return true;
+	}
+	switch (byte) {
+	case 0xc2: /* false */
+	case 0xc3: /* true */
+		return true;
+	case 0xc4: /* bin 8 */
+	case 0xd9: /* str 8 */
+		return scan_sized(scan, 1);
+	case 0xc5:
+	case 0xda:
+		return scan_sized(scan, 2);
+	case 0xc6:
+	case 0xdb:
+		return scan_sized(scan, 4);
+	case 0xcc: /* uint 8 */
+	case 0xd0: /* int 8 */
+		return scan_skip(scan, 1);
+	case 0xcd:
+	case 0xd1:
+		return scan_skip(scan, 2);
+	case 0xce:
+	case 0xd2:
+		return scan_skip(scan, 4);
+	case 0xcf:
+	case 0xd3:
+		return scan_skip(scan, 8);
+	case 0xdc: /* array 16 */
+		scan->array = true;
+		return scan_number(scan, 2, &scan->items);
+	default: /* nil, float, map, ext and array 32 are not used */
+		return false;
+	}
+}
+
+/*
+ * Checks the structure before msgpack-c sees it: msgpack-c allocates an array
+ * by the count in its header, 100 GB for a header of 5 bytes.
+ */
+static bool
+scan_payload(const void *payload, size_t length)
+{
+	scan_t scan = {.at = payload, .end = (const uint8_t *)payload + length};
+	size_t left[DEPTH_MAX + 1] = {1};
+	size_t depth = 0;
+
+	for (;;) {
+		while (left[depth] == 0) {
+			if (depth == 0)
+				return scan.at == scan.end;
+			depth--;
+		}
+		left[depth]--;
+		if (!scan_value(&scan))
+			return false;
+		if (!scan.array)
+			continue;
+		if (depth == DEPTH_MAX ||
+		    scan.items > (size_t)(scan.end - scan.at))
+			return false;
+		left[++depth] = scan.items;
+	}
+}
+
+static bool
+take_string(const msgpack_object *object, size_t min, size_t max, char **out)
+{
+	const char *bytes = object->via.str.ptr;
+	size_t length = object->via.str.size;
+
+	if (object->type != MSGPACK_OBJECT_STR || length < min || length > max)
+		return false;
+	/* Refuses NUL bytes too. */
+	if (!g_utf8_validate(bytes, (gssize)length, NULL))
+		return false;
+	*out = g_strndup(bytes, length);
+	return true;
+}
+
+static bool
+take_int64(const msgpack_object *object, int64_t max, int64_t *out)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > (uint64_t)max)
+		return false;
+	*out = (int64_t)object->via.u64;
+	return true;
+}
+
+static bool
+take_bool(const msgpack_object *object, bool *out)
+{
+	if (object->type != MSGPACK_OBJECT_BOOLEAN)
+		return false;
+	*out = object->via.boolean;
+	return true;
+}
+
+static bool
+is_array(const msgpack_object *object, size_t min, size_t max)
+{
+	return object->type == MSGPACK_OBJECT_ARRAY &&
+	       object->via.array.size >= min && object->via.array.size <= max;
+}
+
+static bool
+take_revisions(const msgpack_object *object, GArray **out)
+{
+	if (!is_array(object, 0, REVISIONS_MAX))
+		return false;
+	*out = g_array_new(FALSE, TRUE, sizeof(message_revision_t));
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		const msgpack_object *pair = &object->via.array.ptr[i];
+		message_revision_t revision = {0};
+
+		if (!is_array(pair, 2, 2) ||
+		    !take_int64(&pair->via.array.ptr[1], G_MAXINT64,
+			&revision.revision) ||
+		    !take_string(&pair->via.array.ptr[0], 1, NAME_MAX_BYTES,
+			&revision.team))
+			return false;
+		g_array_append_val(*out, revision);
+	}
+	return true;
+}
+
+static bool
+take_member(const msgpack_object *object, message_member_t *member)
+{
+	const msgpack_object *items = object->via.array.ptr;
+
+	return is_array(object, 6, 6) &&
+	       take_string(&items[0], 1, NAME_MAX_BYTES, &member->node) &&
+	       take_string(
+		   &items[1], 1, NAME_MAX_BYTES, &member->http_address) &&
+	       take_string(
+		   &items[2], 1, NAME_MAX_BYTES, &member->peer_address) &&
+	       take_int64(&items[3], G_MAXINT64, &member->incarnation) &&
+	       take_bool(&items[4], &member->draining) &&
+	       take_bool(&items[5], &member->suspect);
+}
+
+static bool
+take_members(const msgpack_object *object, GArray **out)
+{
+	if (!is_array(object, 0, MEMBERS_MAX))
+		return false;
+	*out = g_array_new(FALSE, TRUE, sizeof(message_member_t));
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		message_member_t member = {0};
+		bool ok = take_member(&object->via.array.ptr[i], &member);
+
+		/* Appended even where half taken, so that it is released. */
+		g_array_append_val(*out, member);
+		if (!ok)
+			return false;
+	}
+	return true;
+}
+
+static bool
+take_bytes(
+    const msgpack_object *object, message_t *message, const field_t *field)
+{
+	char **bytes = (char **)(void *)((char *)message + field->offset);
+	size_t *length = (size_t *)(void *)((char *)message + field[1].offset);
+
+	if (object->type != MSGPACK_OBJECT_BIN ||
+	    object->via.bin.size > TEXT_MAX_BYTES)
+		return false;
+	*length = object->via.bin.size;
+	/* One more byte, so that a text body ends with NUL. */
+	*bytes = g_malloc0(*length + 1);
+	if (*length > 0)
+		memcpy(*bytes, object->via.bin.ptr, *length);
+	return true;
+}
+
+static bool
+take_field(
+    const msgpack_object *object, message_t *message, const field_t *field)
+{
+	void *at = (char *)message + field->offset;
+	int64_t number;
+
+	switch (field->kind) {
+	case FIELD_NAME:
+		return take_string(object, 1, NAME_MAX_BYTES, at);
+	case FIELD_STRING:
+		return take_string(object, 0, NAME_MAX_BYTES, at);
+	case FIELD_TEXT:
+		return take_string(object, 0, TEXT_MAX_BYTES, at);
+	case FIELD_BYTES:
+		return take_bytes(object, message, field);
+	case FIELD_INT64:
+		return take_int64(object, G_MAXINT64, at);
+	case FIELD_COUNT:
+		if (!take_int64(object, G_MAXUINT32, &number))
+			return false;
+		*(unsigned *)at = (unsigned)number;
+		return true;
+	case FIELD_STATUS:
+		if (!take_int64(object, STATUS_MAX, &number))
+			return false;
+		*(int *)at = (int)number;
+		return true;
+	case FIELD_BOOL:
+		return take_bool(object, at);
+	case FIELD_REVISIONS:
+		return take_revisions(object, at);
+	case FIELD_MEMBERS:
+		return take_members(object, at);
+	case FIELD_LENGTH:
+	case FIELD_NONE:
+		break;
+	}
+	return false;
+}
+
+static bool
+take_message(const msgpack_object *object, message_t *message, GError **error)
+{
+	const msgpack_object *items = object->via.array.ptr;
+	const field_t *field;
+	int64_t type;
+
+	if (!is_array(object, 1, FIELDS_MAX + 1) ||
+	    !take_int64(&items[0], G_MAXINT32, &type)) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
+		    "frame is not an array that starts with a message type");
+		return false;
+	}
+	field = layout_of(type);
+	if (field == NULL) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
+		    "unknown message type %" G_GINT64_FORMAT, type);
+		return false;
+	}
+	if (object->via.array.size != 1 + layout_items(field)) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
+		    "message of type %" G_GINT64_FORMAT
+		    " has %u fields instead of %zu",
+		    type, object->via.array.size - 1, layout_items(field));
+		return false;
+	}
+	message->type = (message_type_t)type;
+	for (size_t i = 1; field->kind != FIELD_NONE; field++) {
+		if (field->kind == FIELD_LENGTH)
+			continue;
+		if (!take_field(&items[i], message, field)) {
+			papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
+			    "message of type %" G_GINT64_FORMAT
+			    ": field %zu has a wrong type or size",
+			    type, i);
+			return false;
+		}
+		i++;
+	}
+	return true;
+}
+
+bool
+message_decode(
+    const void *payload, size_t length, message_t *message, GError **error)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+	bool ok;
+
+	memset(message, 0, sizeof(*message));
+	if (length > MESSAGE_FRAME_MAX) {
+		papaya_error_set(error, PAPAYA_ERROR_TOO_LARGE,
+		    "frame of %zu bytes exceeds %d", length, MESSAGE_FRAME_MAX);
+		return false;
+	}
+	if (!scan_payload(payload, length)) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
+		    "frame of %zu bytes is not well-formed", length);
+		return false;
+	}
+	msgpack_unpacked_init(&unpacked);
+	ok = msgpack_unpack_next(&unpacked, payload, length, &offset) ==
+	     MSGPACK_UNPACK_SUCCESS;
+	if (!ok)
+		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
+		    "frame of %zu bytes is not msgpack", length);
+	else
+		ok = take_message(&unpacked.data, message, error);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!ok)
+		message_clear(message);
+	return ok;
+}
--- a/src/message.h
+++ b/src/message.h
@@ -27,7 +27,17 @@
 	int64_t revision;
 } message_revision_t;
 
-/* A decoded message. Strings are owned by it. */
+/* One node of a zone summary. */
+typedef struct message_member {
+	char *node;
+	char *http_address;
+	char *peer_address;
+	int64_t incarnation;
+	bool draining;
+	bool suspect;
+} message_member_t;
+
+/* A decoded message. Strings and arrays are owned by it. */
 typedef struct message {
 	message_type_t type;
 	union {
@@ -87,7 +97,9 @@
 			unsigned backends;
 			unsigned in_flight;
 			int64_t at_ms;
-			GArray *revisions;
+			GArray *revisions; /* lowest in effect in the zone */
+			/* message_member_t; empty: as in the last summary */
+			GArray *members;
 		} zone_sum;
 	};
 } message_t;
@@ -95,7 +107,10 @@
 /* Releases what the message owns; the struct itself is the caller's. */
 void message_clear(message_t *message);
 
-/* Appends one frame, length included. */
+/*
+ * Appends one frame, length included; nothing where it would exceed
+ * MESSAGE_FRAME_MAX. A NULL string is sent as an empty one.
+ */
 void message_encode(const message_t *message, GByteArray *out);
 
 /* Decodes the payload of one frame. False and *error where malformed. */
--- /dev/null
+++ b/tests/test_message.c
@@ -0,0 +1,256 @@
+#include "error.h"
+#include "frame.h"
+#include "message.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static GByteArray *
+encode(const message_t *message)
+{
+	GByteArray *frame = g_byte_array_new();
+
+	message_encode(message, frame);
+	return frame;
+}
+
+static void
+fill_heartbeat(message_t *message, unsigned teams)
+{
+	GArray *revisions =
+	    g_array_new(FALSE, TRUE, sizeof(message_revision_t));
+
+	for (unsigned i = 0; i < teams; i++) {
+		message_revision_t revision = {
+		    .team = g_strdup_printf("team%u", i),
+		    .revision = INT64_C(1) << 40 | i,
+		};
+
+		g_array_append_val(revisions, revision);
+	}
+	*message = (message_t){
+	    .type = MESSAGE_HEARTBEAT,
+	    .heartbeat = {.node = g_strdup("n1"),
+		.sequence = 7,
+		.draining = true,
+		.in_flight = 70000,
+		.revisions = revisions},
+	};
+}
+
+static void
+fill_outcome(message_t *message, size_t length)
+{
+	*message = (message_t){
+	    .type = MESSAGE_OUTCOME,
+	    .outcome = {.service = g_strdup("team/pay"),
+		.key = g_strdup("k"),
+		.nonce = g_strdup(""),
+		.known = true,
+		.status = 201,
+		.body = g_malloc0(length + 1),
+		.length = length},
+	};
+}
+
+/* Guards against a field lost, mixed up or cut on the way. */
+START_TEST(fields_survive_the_way)
+{
+	message_t sent, got;
+	GByteArray *frame;
+
+	fill_heartbeat(&sent, 300);
+	frame = encode(&sent);
+	ck_assert(message_decode(frame->data + 4, frame->len - 4, &got, NULL));
+	ck_assert_str_eq(got.heartbeat.node, "n1");
+	ck_assert_int_eq(got.heartbeat.sequence, 7);
+	ck_assert(got.heartbeat.draining);
+	ck_assert_uint_eq(got.heartbeat.in_flight, 70000);
+	ck_assert_uint_eq(got.heartbeat.revisions->len, 300);
+	ck_assert_int_eq(
+	    g_array_index(got.heartbeat.revisions, message_revision_t, 299)
+		.revision,
+	    INT64_C(1) << 40 | 299);
+	message_clear(&sent);
+	message_clear(&got);
+	g_byte_array_unref(frame);
+}
+END_TEST
+
+/* Guards against binary bodies being cut at a NUL byte. */
+START_TEST(bodies_may_hold_any_byte)
+{
+	message_t sent, got;
+	GByteArray *frame;
+
+	fill_outcome(&sent, 3);
+	sent.outcome.body[2] = '\xff';
+	frame = encode(&sent);
+	ck_assert(message_decode(frame->data + 4, frame->len - 4, &got, NULL));
+	ck_assert_uint_eq(got.outcome.length, 3);
+	ck_assert_mem_eq(got.outcome.body, "\0\0\xff", 3);
+	message_clear(&sent);
+	message_clear(&got);
+	g_byte_array_unref(frame);
+}
+END_TEST
+
+static void
+expect_refused(const void *payload, size_t length)
+{
+	GError *error = NULL;
+	message_t message;
+
+	ck_assert(!message_decode(payload, length, &message, &error));
+	ck_assert_int_eq(papaya_error_kind(error), PAPAYA_ERROR_BAD_FRAME);
+	g_error_free(error);
+}
+
+/* Guards against allocating by a count or length that the frame only claims. */
+START_TEST(claimed_sizes_are_refused)
+{
+	static const char array32[] = "\xdd\xff\xff\xff\xff\x01";
+	static const char array16[] = "\x92\x01\xdc\xff\xff\x01";
+	static const char str32[] = "\x92\x04\xdb\xff\xff\xff\xff";
+	static const char map32[] = "\xdf\xff\xff\xff\xff\x01\x01";
+	static const char deep[] = "\x91\x91\x91\x91\x91\x91\x91\x91\x01";
+
+	expect_refused(array32, sizeof(array32) - 1);
+	expect_refused(array16, sizeof(array16) - 1);
+	expect_refused(str32, sizeof(str32) - 1);
+	expect_refused(map32, sizeof(map32) - 1);
+	expect_refused(deep, sizeof(deep) - 1);
+	expect_refused("", 0);
+}
+END_TEST
+
+/* Guards against accepting what no node sends. */
+START_TEST(malformed_messages_are_refused)
+{
+	/* settings_want: unknown type, field missing, empty, NUL, not UTF-8,
+	 * not a string, one field too many, one byte too many. */
+	static const char *const payloads[] = {"\x92\x7f\xa1x", "\x91\x04",
+	    "\x92\x04\xa0", "\x92\x04\xa1\xff", "\x92\x04\x05",
+	    "\x93\x04\xa1x\x05", "\x92\x04\xa1xy", "\x92\xff\xa1x", "\xa1x",
+	    "\x90", "\x93\x05\xa1h\xff"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(payloads); i++)
+		expect_refused(payloads[i], strlen(payloads[i]));
+	expect_refused("\x92\x04\xa2x\0", 5);
+}
+END_TEST
+
+/* Guards against reading past a cut frame: every cut must be refused. */
+START_TEST(every_cut_is_refused)
+{
+	message_t message;
+	GByteArray *frame;
+
+	fill_heartbeat(&message, 20);
+	frame = encode(&message);
+	for (size_t length = 0; length < frame->len - 4; length++) {
+		/* An own allocation, so that ASan sees a read past it. */
+		void *cut = g_memdup2(frame->data + 4, length);
+
+		expect_refused(cut, length);
+		g_free(cut);
+	}
+	message_clear(&message);
+	g_byte_array_unref(frame);
+}
+END_TEST
+
+/* Guards against sending a frame that every receiver disconnects for. */
+START_TEST(frames_over_the_limit_are_not_encoded)
+{
+	message_t message;
+	GByteArray *frame;
+
+	fill_outcome(&message, MESSAGE_FRAME_MAX);
+	frame = encode(&message);
+	ck_assert_uint_eq(frame->len, 0);
+	message_clear(&message);
+	g_byte_array_unref(frame);
+}
+END_TEST
+
+/* Guards against frames lost or joined where TCP cuts them elsewhere. */
+START_TEST(frames_are_found_at_any_cut)
+{
+	static const char stream[] = "\0\0\0\2ab\0\0\0\1c";
+	frame_decoder_t decoder;
+	const uint8_t *payload;
+	size_t length;
+
+	for (size_t cut = 0; cut < sizeof(stream); cut++) {
+		GString *seen = g_string_new(NULL);
+		size_t parts[] = {cut, sizeof(stream) - 1 - cut};
+		const char *at = stream;
+
+		if (cut == sizeof(stream) - 1)
+			parts[1] = 0;
+		frame_init(&decoder, 16);
+		for (int part = 0; part < 2; part++) {
+			frame_feed(&decoder, at, parts[part]);
+			at += parts[part];
+			while (frame_next(&decoder, &payload, &length, NULL) ==
+			       FRAME_READY)
+				g_string_append_printf(seen, "%.*s;",
+				    (int)length, (const char *)payload);
+		}
+		ck_assert_str_eq(seen->str, "ab;c;");
+		g_string_free(seen, TRUE);
+		frame_clear(&decoder);
+	}
+}
+END_TEST
+
+/* Guards against buffering for a length that is never accepted. */
+START_TEST(long_and_empty_frames_are_refused)
+{
+	frame_decoder_t decoder;
+	const uint8_t *payload;
+	GError *error = NULL;
+	size_t length;
+
+	frame_init(&decoder, 16);
+	frame_feed(&decoder, "\0\0\0\x11", 4);
+	ck_assert_int_eq(
+	    frame_next(&decoder, &payload, &length, &error), FRAME_BAD);
+	ck_assert_int_eq(papaya_error_kind(error), PAPAYA_ERROR_TOO_LARGE);
+	g_clear_error(&error);
+	frame_clear(&decoder);
+	frame_init(&decoder, 16);
+	frame_feed(&decoder, "\0\0\0\0", 4);
+	ck_assert_int_eq(
+	    frame_next(&decoder, &payload, &length, &error), FRAME_BAD);
+	ck_assert_int_eq(papaya_error_kind(error), PAPAYA_ERROR_BAD_FRAME);
+	g_clear_error(&error);
+	frame_clear(&decoder);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("message");
+	TCase *tests = tcase_create("message");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tests, fields_survive_the_way);
+	tcase_add_test(tests, bodies_may_hold_any_byte);
+	tcase_add_test(tests, claimed_sizes_are_refused);
+	tcase_add_test(tests, malformed_messages_are_refused);
+	tcase_add_test(tests, every_cut_is_refused);
+	tcase_add_test(tests, frames_over_the_limit_are_not_encoded);
+	tcase_add_test(tests, frames_are_found_at_any_cut);
+	tcase_add_test(tests, long_and_empty_frames_are_refused);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
