--- a/src/node.h
+++ b/src/node.h
@@ -107,6 +107,8 @@
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
 void node_peers_send(node_t *node, const char *to, const message_t *message);
+/* True where this node is one of its zone's nodes that watch the store. */
+bool node_peers_watches_store(node_t *node, const char *team);
 
 void node_moves_start(node_t *node);
 void node_moves_free(node_t *node);
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -37,3 +37,9 @@
 node_peers_send(node_t *node, const char *to, const message_t *message)
 {
 }
+
+bool
+node_peers_watches_store(node_t *node, const char *team)
+{
+	return true;
+}
--- a/src/settings.c
+++ b/src/settings.c
@@ -55,7 +55,7 @@
 check_value(const json_t *value, const char *source, GError **error)
 {
 	static const char *const names[] = {
-	    "revision", "author", "message", "tree", NULL};
+	    "revision", "author", "message", "nonce", "tree", NULL};
 	const char *name;
 	json_t *member;
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -100,7 +100,10 @@
 const service_t *tree_service(const tree_t *tree, const char *name);
 const workspace_t *tree_workspace(const tree_t *tree, const char *name);
 
-/* The store's value of a team: {"revision", "author", "message", "tree"}. */
+/*
+ * The store's value of a team: {"revision", "author", "message", "tree"}. The
+ * value read may also have the "nonce" of the apply that wrote it.
+ */
 json_t *tree_value(const tree_t *tree);
 tree_t *tree_from_value(
     const char *team, const json_t *value, const char *source, GError **error);
