--- /dev/null
+++ b/src/ctl_client.c
@@ -0,0 +1,175 @@
+#include "ctl_client.h"
+
+#include "json.h"
+
+#include <string.h>
+
+/* An apply may take 15 s to find out what the store did. */
+enum { CALL_TIMEOUT_MS = 20000 };
+
+struct ctl_client {
+	uv_loop_t loop;
+	http_client_t *http;
+	char **nodes;
+	unsigned count;
+	unsigned present; /* answered last */
+};
+
+ctl_client_t *
+ctl_client_new(const char *const *nodes, unsigned count)
+{
+	ctl_client_t *client = g_new0(ctl_client_t, 1);
+
+	uv_loop_init(&client->loop);
+	client->http = http_client_new(&client->loop);
+	client->nodes = g_new0(char *, count + 1);
+	client->count = count;
+	for (unsigned i = 0; i < count; i++)
+		client->nodes[i] = g_strdup(nodes[i]);
+	return client;
+}
+
+void
+ctl_client_free(ctl_client_t *client)
+{
+	if (client == NULL)
+		return;
+	http_client_free(client->http);
+	uv_run(&client->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&client->loop);
+	g_strfreev(client->nodes);
+	g_free(client);
+}
+
+/* A call and where its result goes. */
+typedef struct pending {
+	ctl_reply_t *reply;
+	bool done;
+} pending_t;
+
+static void
+on_done(http_call_t *call, const http_result_t *result, void *data)
+{
+	pending_t *pending = data;
+	ctl_reply_t *reply = pending->reply;
+
+	reply->outcome = result->outcome;
+	reply->status = result->status;
+	reply->text = g_strndup(result->body, result->length);
+	reply->json = json_parse(result->body, result->length, "reply", NULL);
+	reply->message = g_strdup(result->message);
+	pending->done = true;
+}
+
+ctl_reply_t *
+ctl_client_call_at(
+    ctl_client_t *client, const char *node, const ctl_request_t *request)
+{
+	pending_t pending = {.reply = g_new0(ctl_reply_t, 1)};
+	char *url = g_strconcat("http://", node, request->path, NULL);
+	char *body = request->body != NULL ? json_text(request->body) : NULL;
+	const char *const headers[] = {
+	    "Content-Type: application/json", request->header, NULL};
+	http_call_options_t options = {
+	    .method = request->method,
+	    .url = url,
+	    .headers = headers,
+	    .body = body,
+	    .body_length = body != NULL ? strlen(body) : 0,
+	    .timeout_ms = CALL_TIMEOUT_MS,
+	    .fresh_connection = !request->repeatable,
+	    .on_done = on_done,
+	    .data = &pending,
+	};
+
+	pending.reply->node = g_strdup(node);
+	http_call_start(client->http, &options);
+	while (!pending.done)
+		uv_run(&client->loop, UV_RUN_ONCE);
+	g_free(body);
+	g_free(url);
+	return pending.reply;
+}
+
+static bool
+try_next(const ctl_request_t *request, const ctl_reply_t *reply)
+{
+	const json_t *error = json_object_get(reply->json, "error");
+	const char *kind = json_get_string(error, "kind", "");
+
+	if (reply->outcome == HTTP_OUTCOME_NOT_SENT)
+		return true;
+	if (reply->outcome != HTTP_OUTCOME_ANSWERED)
+		return request->repeatable;
+	return strcmp(kind, "draining") == 0;
+}
+
+ctl_reply_t *
+ctl_client_call(ctl_client_t *client, const ctl_request_t *request)
+{
+	ctl_reply_t *reply = NULL;
+
+	for (unsigned i = 0; i < client->count; i++) {
+		ctl_reply_free(reply);
+		reply = ctl_client_call_at(
+		    client, client->nodes[client->present], request);
+		if (!try_next(request, reply))
+			break;
+		client->present = (client->present + 1) % client->count;
+	}
+	return reply;
+}
+
+static void
+on_pause(uv_timer_t *timer)
+{
+	bool *over = timer->data;
+
+	*over = true;
+}
+
+void
+ctl_client_pause(ctl_client_t *client, int64_t pause_ms)
+{
+	bool over = false;
+	uv_timer_t timer;
+
+	uv_timer_init(&client->loop, &timer);
+	timer.data = &over;
+	uv_timer_start(&timer, on_pause, (uint64_t)pause_ms, 0);
+	while (!over)
+		uv_run(&client->loop, UV_RUN_ONCE);
+	uv_close((uv_handle_t *)&timer, NULL);
+	/* The timer is on the stack: it must be closed before the return. */
+	uv_run(&client->loop, UV_RUN_NOWAIT);
+}
+
+bool
+ctl_reply_ok(const ctl_reply_t *reply)
+{
+	return reply->outcome == HTTP_OUTCOME_ANSWERED &&
+	       reply->status >= 200 && reply->status < 300;
+}
+
+bool
+ctl_reply_not_run(const ctl_reply_t *reply)
+{
+	const json_t *error = json_object_get(reply->json, "error");
+
+	if (reply->outcome == HTTP_OUTCOME_NOT_SENT)
+		return true;
+	return reply->outcome == HTTP_OUTCOME_ANSWERED &&
+	       json_get_bool(error, "not_run", false);
+}
+
+void
+ctl_reply_free(ctl_reply_t *reply)
+{
+	if (reply == NULL)
+		return;
+	g_free(reply->node);
+	g_free(reply->text);
+	g_free(reply->message);
+	json_decref(reply->json);
+	g_free(reply);
+}
--- /dev/null
+++ b/src/ctl_settings.c
@@ -0,0 +1,257 @@
+#include "clock.h"
+#include "ctl.h"
+#include "ctl_dir.h"
+#include "error.h"
+#include "json.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	POLL_MS = 200,
+	/* How long to find out what became of an apply. */
+	RESOLVE_MS = 40000,
+};
+
+/* Loads DIR; prints the error where it is bad. */
+static tree_t *
+load(const ctl_t *ctl, const char *team)
+{
+	GError *error = NULL;
+	tree_t *tree = ctl_dir_load(ctl->operand, team, &error);
+
+	if (tree == NULL) {
+		ctl_error("%s", error->message);
+		g_error_free(error);
+	}
+	return tree;
+}
+
+ctl_exit_t
+ctl_validate(ctl_t *ctl)
+{
+	tree_t *tree = load(ctl, ctl->team != NULL ? ctl->team : "team");
+
+	if (tree == NULL)
+		return CTL_USAGE;
+	if (ctl->json)
+		ctl_print_json(tree->json);
+	else
+		printf("valid: %u services, %u backend servers, %u "
+		       "workspaces\n",
+		    g_hash_table_size(tree->services),
+		    g_hash_table_size(tree->backends),
+		    g_hash_table_size(tree->workspaces));
+	tree_unref(tree);
+	return CTL_OK;
+}
+
+static char *
+settings_path(const ctl_t *ctl, const char *rest)
+{
+	char *team = g_uri_escape_string(ctl->team, NULL, FALSE);
+	char *path = g_strconcat("/v1/admin/settings/", team, rest, NULL);
+
+	g_free(team);
+	return path;
+}
+
+static ctl_reply_t *
+get(ctl_t *ctl, const char *rest)
+{
+	char *path = settings_path(ctl, rest);
+	ctl_request_t request = {.path = path, .repeatable = true};
+	ctl_reply_t *reply = ctl_client_call(ctl->client, &request);
+
+	g_free(path);
+	return reply;
+}
+
+ctl_exit_t
+ctl_get(ctl_t *ctl)
+{
+	ctl_reply_t *reply = get(ctl, "");
+	ctl_exit_t code = CTL_OK;
+
+	if (ctl_reply_ok(reply))
+		ctl_print_json(reply->json);
+	else
+		code = ctl_refused(reply);
+	ctl_reply_free(reply);
+	return code;
+}
+
+ctl_exit_t
+ctl_history(ctl_t *ctl)
+{
+	ctl_reply_t *reply = get(ctl, "/history");
+	ctl_exit_t code = CTL_OK;
+	const json_t *entry;
+	size_t i;
+
+	if (!ctl_reply_ok(reply))
+		code = ctl_refused(reply);
+	else if (ctl->json)
+		ctl_print_json(reply->json);
+	else
+		json_array_foreach (
+		    json_object_get(reply->json, "history"), i, entry)
+			printf("%" G_GINT64_FORMAT "\t%s\t%s\n",
+			    json_get_int(entry, "revision", 0),
+			    json_get_string(entry, "author", ""),
+			    json_get_string(entry, "message", ""));
+	ctl_reply_free(reply);
+	return code;
+}
+
+ctl_exit_t
+ctl_diff(ctl_t *ctl)
+{
+	tree_t *tree = load(ctl, ctl->team);
+	ctl_exit_t code = CTL_OK;
+	ctl_reply_t *reply;
+	GString *lines;
+
+	if (tree == NULL)
+		return CTL_USAGE;
+	reply = get(ctl, "");
+	if (ctl_reply_ok(reply)) {
+		lines = g_string_new(NULL);
+		tree_diff(
+		    json_object_get(reply->json, "tree"), tree->json, lines);
+		fputs(lines->str, stdout);
+		g_string_free(lines, TRUE);
+	} else {
+		code = ctl_refused(reply);
+	}
+	ctl_reply_free(reply);
+	tree_unref(tree);
+	return code;
+}
+
+static char *
+new_nonce(void)
+{
+	char *uuid = g_uuid_string_random();
+	char *nonce = g_strconcat("ctl-", uuid, NULL);
+
+	g_free(uuid);
+	return nonce;
+}
+
+/*
+ * Repeats the apply until its outcome is known. The nonce makes that safe: a
+ * node that finds it in the store replies that this apply took effect.
+ */
+static ctl_reply_t *
+put(ctl_t *ctl, const ctl_request_t *request)
+{
+	int64_t until_ms = clock_mono_ms() + RESOLVE_MS;
+	ctl_reply_t *reply;
+
+	for (;;) {
+		reply = ctl_client_call(ctl->client, request);
+		if (ctl_reply_ok(reply) || ctl_reply_not_run(reply) ||
+		    clock_mono_ms() >= until_ms)
+			return reply;
+		ctl_reply_free(reply);
+		ctl_client_pause(ctl->client, POLL_MS);
+	}
+}
+
+static ctl_reply_t *
+put_tree(ctl_t *ctl, const tree_t *tree, int64_t revision)
+{
+	char *path = settings_path(ctl, "");
+	char *nonce = new_nonce();
+	char *match =
+	    g_strdup_printf("If-Match: \"%" G_GINT64_FORMAT "\"", revision);
+	json_t *body = json_pack("{s:s,s:s,s:s,s:O}", "author", ctl->author,
+	    "message", ctl->message, "nonce", nonce, "tree", tree->json);
+	ctl_request_t request = {
+	    .method = "PUT",
+	    .path = path,
+	    .header = match,
+	    .body = body,
+	    .repeatable = true,
+	};
+	ctl_reply_t *reply = put(ctl, &request);
+
+	json_decref(body);
+	g_free(match);
+	g_free(nonce);
+	g_free(path);
+	return reply;
+}
+
+static ctl_exit_t
+applied(ctl_t *ctl, int64_t revision, bool changed)
+{
+	if (ctl->wait && !ctl_wait_in_effect(ctl, revision))
+		return CTL_FAILED;
+	if (ctl->json) {
+		json_t *json = json_pack("{s:s,s:I,s:b,s:b}", "team", ctl->team,
+		    "revision", (json_int_t)revision, "changed", (int)changed,
+		    "in_effect", (int)ctl->wait);
+
+		ctl_print_json(json);
+		json_decref(json);
+		return CTL_OK;
+	}
+	printf("%s: team %s at revision %" G_GINT64_FORMAT "%s\n",
+	    changed ? "applied" : "unchanged", ctl->team, revision,
+	    ctl->wait ? ", in effect at every node" : "");
+	return CTL_OK;
+}
+
+/* Reads the present settings: the base where none was given, and equality. */
+static bool
+read_base(ctl_t *ctl, const tree_t *tree, int64_t *base, bool *equal,
+    ctl_exit_t *code)
+{
+	ctl_reply_t *reply = get(ctl, "");
+	bool ok = ctl_reply_ok(reply);
+	int64_t present = json_get_int(reply->json, "revision", 0);
+
+	*equal = false;
+	if (ok) {
+		*base = ctl->revision >= 0 ? ctl->revision : present;
+		*equal = *base == present && present > 0 &&
+			 json_equal(
+			     json_object_get(reply->json, "tree"), tree->json);
+	} else {
+		*code = ctl_refused(reply);
+	}
+	ctl_reply_free(reply);
+	return ok;
+}
+
+ctl_exit_t
+ctl_apply(ctl_t *ctl)
+{
+	tree_t *tree = load(ctl, ctl->team);
+	ctl_exit_t code = CTL_FAILED;
+	ctl_reply_t *reply;
+	int64_t base;
+	bool equal;
+
+	if (tree == NULL)
+		return CTL_USAGE;
+	if (!read_base(ctl, tree, &base, &equal, &code)) {
+		tree_unref(tree);
+		return code;
+	}
+	if (equal) {
+		tree_unref(tree);
+		return applied(ctl, base, false);
+	}
+	reply = put_tree(ctl, tree, base);
+	tree_unref(tree);
+	if (ctl_reply_ok(reply))
+		code = applied(
+		    ctl, json_get_int(reply->json, "revision", 0), true);
+	else
+		code = ctl_refused(reply);
+	ctl_reply_free(reply);
+	return code;
+}
--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -13,16 +13,21 @@
 	uv_stop(node->loop);
 }
 
-/* The first signal drains; the second ends at once. */
+/*
+ * The first signal drains; the second ends at once. A drain that an operator
+ * asked for does not count: the platform may send its own SIGTERM as well.
+ */
 static void
 on_signal(uv_signal_t *signal, int number)
 {
+	static bool signalled;
 	node_t *node = signal->data;
 
-	if (node->draining) {
+	if (signalled) {
 		log_event(LOG_LEVEL_WARN, "node.stopped", "signal=%d", number);
 		_Exit(EXIT_FAILURE);
 	}
+	signalled = true;
 	node_drain(node, on_drained);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -97,6 +97,9 @@
 tree_t *tree_ref(tree_t *tree);
 void tree_unref(tree_t *tree);
 
+/* True for IP:PORT with an IP number, as "127.0.0.1:80" or "[::1]:80". */
+bool address_valid(const char *text);
+
 const service_t *tree_service(const tree_t *tree, const char *name);
 const workspace_t *tree_workspace(const tree_t *tree, const char *name);
 
