--- a/src/http_server.c
+++ b/src/http_server.c
@@ -500,18 +500,16 @@
 }
 
 void
-http_request_drop(http_request_t *request)
+http_request_cut(http_request_t *request)
 {
-	h2o_conn_t *conn;
+	h2o_socket_t *socket;
 
 	if (request->req == NULL)
 		return;
-	conn = request->req->conn;
+	socket = request->req->conn->callbacks->get_socket(request->req->conn);
 	/* The next or pending write then fails, which ends the request. */
-	shutdown(
-	    h2o_socket_get_fd(conn->callbacks->get_socket(conn)), SHUT_RDWR);
+	shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
 	if (request->state == REPLY_NONE)
-		http_reply(request, 500, NULL, 0, "", 0);
-	else
-		http_stream_abort(request);
+		http_stream_begin(request, 500, NULL, 0);
+	http_stream_abort(request);
 }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -82,12 +82,6 @@
 void http_reply_error(
     http_request_t *request, const GError *error, bool not_run);
 
-/*
- * Closes the connection at once, whatever the client has not read yet: before
- * any reply, or with an incomplete one.
- */
-void http_request_drop(http_request_t *request);
-
 /* Starts a reply of unknown length. */
 void http_stream_begin(http_request_t *request, int status,
     const http_header_t *headers, size_t header_count);
@@ -100,4 +94,10 @@
 /* Closes the connection without the last chunk: the reply is incomplete. */
 void http_stream_abort(http_request_t *request);
 
+/*
+ * Closes the connection at once, whatever the client has not read yet: without
+ * any byte of a reply, or with an incomplete one.
+ */
+void http_request_cut(http_request_t *request);
+
 #endif
--- a/src/node_model.c
+++ b/src/node_model.c
@@ -82,7 +82,7 @@
 	    http_stream_pending(listener->request) <= CLIENT_PENDING_MAX)
 		return;
 	counter_add(call->node->counters, 1, "slow_clients_total");
-	http_request_drop(listener->request);
+	http_request_cut(listener->request);
 	listener_leave(listener);
 }
 
