--- /dev/null
+++ b/tests/test_stream.c
@@ -0,0 +1,237 @@
+#include "reclaim.h"
+#include "stream.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { TOKENS = 4 };
+
+static stream_t *stream;
+
+static void
+setup(void)
+{
+	stream = stream_new(TOKENS, "v1");
+	stream_begin(stream, "a");
+}
+
+static void
+teardown(void)
+{
+	stream_free(stream);
+}
+
+static stream_status_t
+feed(const char *attempt, const char *text)
+{
+	return stream_data(stream, attempt, text, strlen(text));
+}
+
+/* One token as the engine sends it. */
+static stream_status_t
+token(const char *attempt, const char *id, int index)
+{
+	char *text = g_strdup_printf(
+	    "data: {\"id\":\"%s\",\"model\":\"v1\",\"index\":%d,\"choices\":"
+	    "[{\"text\":\"t%d \",\"finish_reason\":%s}]}\n\n",
+	    id, index, index, index == TOKENS - 1 ? "\"stop\"" : "null");
+	stream_status_t status = feed(attempt, text);
+
+	g_free(text);
+	return status;
+}
+
+static void
+tokens(const char *attempt, int from, int to)
+{
+	for (int i = from; i < to; i++)
+		ck_assert_int_eq(token(attempt, attempt, i), STREAM_OPEN);
+}
+
+static void
+check_whole(void)
+{
+	ck_assert(stream_complete(stream));
+	ck_assert_uint_eq(stream_count(stream), TOKENS);
+	for (unsigned i = 0; i < TOKENS; i++) {
+		char *text = g_strdup_printf("t%u ", i);
+
+		ck_assert_str_eq(stream_token(stream, i), text);
+		g_free(text);
+	}
+}
+
+/* Guards against a whole response that is not recognised, in any pieces. */
+START_TEST(whole_response_in_single_bytes)
+{
+	static const char text[] =
+	    "data: {\"id\":\"a\",\"index\":0,\"choices\":"
+	    "[{\"text\":\"t0 \",\"finish_reason\":null}]}\n\n";
+
+	for (size_t i = 0; i + 1 < sizeof(text); i++)
+		ck_assert_int_eq(
+		    stream_data(stream, "a", text + i, 1), STREAM_OPEN);
+	tokens("a", 1, TOKENS);
+	ck_assert(!stream_complete(stream));
+	ck_assert_int_eq(feed("a", "data: [DONE]\n\n"), STREAM_COMPLETE);
+	check_whole();
+	ck_assert_str_eq(stream_finish_reason(stream), "stop");
+}
+END_TEST
+
+/* Guards against a late token of an abandoned attempt in the response. */
+START_TEST(late_data_is_discarded)
+{
+	tokens("a", 0, 2);
+	stream_begin(stream, "b");
+	ck_assert_int_eq(token("a", "a", 2), STREAM_STALE);
+	ck_assert_int_eq(
+	    stream_header(stream, "a", 200, "a"), STREAM_STALE);
+	ck_assert_int_eq(stream_end(stream, "a"), STREAM_STALE);
+	ck_assert_uint_eq(stream_count(stream), 2);
+	tokens("b", 2, TOKENS);
+	ck_assert_int_eq(feed("b", "data: [DONE]\n\n"), STREAM_COMPLETE);
+	ck_assert_int_eq(token("b", "b", 4), STREAM_STALE);
+	check_whole();
+}
+END_TEST
+
+/* Guards against another request's tokens in the response. */
+START_TEST(misdelivered_data_is_discarded)
+{
+	ck_assert_int_eq(
+	    stream_header(stream, "a", 200, "x"), STREAM_MISDELIVERED);
+	stream_begin(stream, "b");
+	ck_assert_int_eq(
+	    stream_header(stream, "b", 200, NULL), STREAM_MISDELIVERED);
+	stream_begin(stream, "c");
+	tokens("c", 0, 1);
+	ck_assert_int_eq(token("c", "x", 1), STREAM_MISDELIVERED);
+	/* Nothing of that attempt counts any more. */
+	ck_assert_int_eq(token("c", "c", 1), STREAM_STALE);
+	ck_assert_uint_eq(stream_count(stream), 1);
+}
+END_TEST
+
+/* Guards against a response continued with tokens of another version. */
+START_TEST(other_version_is_discarded)
+{
+	ck_assert_int_eq(
+	    feed("a", "data: {\"id\":\"a\",\"model\":\"v2\",\"index\":0,"
+		      "\"choices\":[{\"text\":\"t\"}]}\n\n"),
+	    STREAM_MISDELIVERED);
+	ck_assert_uint_eq(stream_count(stream), 0);
+}
+END_TEST
+
+/* Guards against a truncated response shown as whole. */
+START_TEST(truncated_response_is_resumed)
+{
+	tokens("a", 0, 2);
+	ck_assert_int_eq(stream_end(stream, "a"), STREAM_TRUNCATED);
+	stream_begin(stream, "b");
+	tokens("b", 2, 3);
+	/* An end mark before the last token. */
+	ck_assert_int_eq(feed("b", "data: [DONE]\n\n"), STREAM_TRUNCATED);
+	ck_assert(!stream_complete(stream));
+	stream_begin(stream, "c");
+	tokens("c", 3, TOKENS);
+	/* The last token without its end mark does not count. */
+	ck_assert_int_eq(stream_end(stream, "c"), STREAM_TRUNCATED);
+	ck_assert_uint_eq(stream_count(stream), 3);
+	stream_begin(stream, "d");
+	tokens("d", 3, TOKENS);
+	ck_assert_int_eq(feed("d", "data: [DONE]\n\n"), STREAM_COMPLETE);
+	check_whole();
+}
+END_TEST
+
+/* Guards against gaps, repeats, excess and garbage in the response. */
+START_TEST(malformed_data_ends_the_attempt)
+{
+	static const char *const bad[] = {
+	    "data: {\"id\":\"a\",\"index\":1,\"choices\":[{\"text\":\"t\"}]}\n\n",
+	    "data: {\"id\":\"a\",\"index\":-1,\"choices\":[{\"text\":\"t\"}]}\n\n",
+	    "data: {\"id\":\"a\",\"index\":0,\"choices\":[]}\n\n",
+	    "data: {\"id\":\"a\",\"index\":0,\"choices\":[{\"text\":7}]}\n\n",
+	    "data: {\"id\":\"a\",\n\n", "data: 7\n\n", "data: \xff\n\n"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		stream_begin(stream, "a");
+		ck_assert_int_ne(feed("a", bad[i]), STREAM_OPEN);
+		ck_assert_uint_eq(stream_count(stream), 0);
+	}
+	stream_begin(stream, "b");
+	tokens("b", 0, TOKENS);
+	ck_assert_int_eq(token("b", "b", TOKENS), STREAM_MALFORMED);
+	ck_assert(!stream_complete(stream));
+}
+END_TEST
+
+/* Guards against a retry of a request that every engine would reject. */
+START_TEST(statuses_are_told_apart)
+{
+	static const struct {
+		long status;
+		stream_status_t result;
+	} cases[] = {{200, STREAM_OPEN}, {400, STREAM_REJECTED},
+	    {413, STREAM_REJECTED}, {429, STREAM_FAILED},
+	    {500, STREAM_FAILED}, {503, STREAM_FAILED}, {302, STREAM_FAILED}};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		stream_begin(stream, "a");
+		ck_assert_int_eq(
+		    stream_header(stream, "a", cases[i].status, "a"),
+		    cases[i].result);
+	}
+	stream_begin(stream, "a");
+	ck_assert_int_eq(
+	    feed("a", "data: {\"error\":{}}\n\n"), STREAM_FAILED);
+}
+END_TEST
+
+/* Guards against a stream that is still running when its host is gone. */
+START_TEST(reclaim_takes_what_fits)
+{
+	reclaim_stream_t input = {.left_ms = 2000,
+	    .tokens_left = 10,
+	    .token_ms = 50,
+	    .kv_bytes = 1000000,
+	    .kv_bytes_per_ms = 10000};
+
+	ck_assert_int_eq(reclaim_choose(&input), RECLAIM_FINISH);
+	input.tokens_left = 1000;
+	ck_assert_int_eq(reclaim_choose(&input), RECLAIM_EXPORT);
+	input.left_ms = 150;
+	ck_assert_int_eq(reclaim_choose(&input), RECLAIM_RECOMPUTE);
+	input.left_ms = -5;
+	input.tokens_left = 1;
+	ck_assert_int_eq(reclaim_choose(&input), RECLAIM_RECOMPUTE);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("stream");
+	TCase *tests = tcase_create("stream");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_add_test(tests, whole_response_in_single_bytes);
+	tcase_add_test(tests, late_data_is_discarded);
+	tcase_add_test(tests, misdelivered_data_is_discarded);
+	tcase_add_test(tests, other_version_is_discarded);
+	tcase_add_test(tests, truncated_response_is_resumed);
+	tcase_add_test(tests, malformed_data_ends_the_attempt);
+	tcase_add_test(tests, statuses_are_told_apart);
+	tcase_add_test(tests, reclaim_takes_what_fits);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
