Hold a slow client's rest in the stream and free its engine

A fast engine could put more than the bound into the connection buffer of a client that reads at a normal rate, which then was cut off. The node now writes at most 64 KiB ahead and continues when the connection has drained; the place of the call goes to the next one as soon as the engine is done.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -52,6 +52,8 @@
 	reply_state_t state;
 	bool in_flight;
 	bool aborting;
+	void (*drained)(void *data);
+	void *drained_data;
 	SLIST_HEAD(, gone_hook) hooks;
 };
 
@@ -127,6 +129,9 @@
 
 	request->in_flight = false;
 	send_pending(request);
+	if (!request->in_flight && request->state == REPLY_STREAMING &&
+	    request->drained != NULL)
+		request->drained(request->drained_data);
 }
 
 static void
@@ -479,6 +484,14 @@
 	return request->pending->len;
 }
 
+void
+http_stream_on_drained(
+    http_request_t *request, void (*drained)(void *data), void *data)
+{
+	request->drained = drained;
+	request->drained_data = data;
+}
+
 void
 http_stream_end(http_request_t *request)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -89,6 +89,9 @@
     http_request_t *request, const void *bytes, size_t length);
 /* Bytes written and not yet taken by the connection. */
 size_t http_stream_pending(const http_request_t *request);
+/* Calls drained(data) each time that nothing is left pending. */
+void http_stream_on_drained(
+    http_request_t *request, void (*drained)(void *data), void *data);
 /* Ends a complete reply. */
 void http_stream_end(http_request_t *request);
 /* Closes the connection without the last chunk: the reply is incomplete. */
--- a/src/node_call.c
+++ b/src/node_call.c
@@ -109,15 +109,21 @@
 }
 
 void
+call_detach_listener(listener_t *listener)
+{
+	TAILQ_REMOVE(&listener->call->listeners, listener, entries);
+	listener->call = NULL;
+	listener_unref(listener);
+}
+
+static void
 listener_leave(listener_t *listener)
 {
 	call_t *call = listener->call;
 
 	if (call == NULL)
 		return;
-	listener->call = NULL;
-	TAILQ_REMOVE(&call->listeners, listener, entries);
-	listener_unref(listener);
+	call_detach_listener(listener);
 	if (!TAILQ_EMPTY(&call->listeners) || call->state == CALL_DONE)
 		return;
 	if (call->kind == CALL_BOOK && call->state == CALL_RUNNING) {
@@ -180,11 +186,20 @@
 	call_unref(handle->data);
 }
 
+void
+call_release(call_t *call)
+{
+	if (!call->admission.running)
+		return;
+	admit_finish(call->admit, &call->admission, call->ok, call->first_ms,
+	    clock_mono_ms());
+	pump_later(call->node->calls);
+}
+
 void
 call_finish(call_t *call)
 {
 	node_calls_t *calls = call->node->calls;
-	int64_t now_ms = clock_mono_ms();
 	bool paced = call->state == CALL_PACED;
 	listener_t *listener;
 
@@ -200,15 +215,12 @@
 		g_hash_table_remove(calls->by_key, call->key);
 	if (paced)
 		admit_paced(call->admit);
-	if (call->admission.running)
-		admit_finish(call->admit, &call->admission, call->ok,
-		    call->first_ms, now_ms);
+	call_release(call);
 	admit_cancel(call->admit, &call->admission);
 	TAILQ_REMOVE(&calls->calls, call, entries);
 	uv_timer_stop(&call->timer);
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
 	call_unref(call);
-	pump_later(calls);
 }
 
 static void
@@ -222,6 +234,11 @@
 		http_reply_error(listener->request, error, not_run);
 		return;
 	}
+	if (http_stream_pending(listener->request) >= CLIENT_PENDING_MAX) {
+		/* It does not read: it would not read the error either. */
+		http_request_cut(listener->request);
+		return;
+	}
 	event = json_pack("{s:s,s:{s:s,s:s,s:s,s:b}}", "id", listener->id,
 	    "error", "kind", papaya_error_name(kind), "message", error->message,
 	    "remedy", papaya_error_remedy(kind), "not_run", 0);
@@ -427,101 +444,6 @@
 	uv_timer_start(&calls->pump, on_pump, 0, 0);
 }
 
-static backend_t *
-choose(call_t *call, const char *version, GPtrArray *excluded)
-{
-	node_t *node = call->node;
-	GPtrArray *candidates = g_ptr_array_new();
-	route_query_t query = {
-	    .policy = call->service->route_policy,
-	    .zone = node->config->zone,
-	    .version = version,
-	    .prefix_hash = call->prefix,
-	    .priority = call->priority,
-	    .now_ms = clock_mono_ms(),
-	    .random = node_random(node),
-	    .excluded = excluded,
-	};
-	backend_t *backend;
-
-	backends_of_service(node->backends, call->service->name, candidates);
-	backend = route_choose(&query, candidates, node->calls->cache);
-	g_ptr_array_free(candidates, TRUE);
-	return backend;
-}
-
-backend_t *
-call_choose(call_t *call)
-{
-	return choose(call, call->version, call->excluded);
-}
-
-bool
-call_has_other(call_t *call)
-{
-	call_exclude(call, call->attempt->backend);
-	return call_choose(call) != NULL;
-}
-
-void
-call_exclude(call_t *call, backend_t *backend)
-{
-	if (!g_ptr_array_find(call->excluded, backend, NULL))
-		g_ptr_array_add(call->excluded, backend_ref(backend));
-}
-
-/* Tokens of another version would not continue the response. */
-static bool
-version_is_bound(const call_t *call)
-{
-	return call->stream != NULL && stream_count(call->stream) > 0;
-}
-
-void
-call_fall_back(call_t *call)
-{
-	if (version_is_bound(call))
-		return;
-	g_free(call->version);
-	call->version = g_strdup(call->service->current);
-}
-
-void
-call_pick_version(call_t *call)
-{
-	if (version_is_bound(call))
-		return;
-	g_free(call->version);
-	call->version = g_strdup(node_moves_version(call->node, call->service));
-	if (choose(call, call->version, NULL) == NULL)
-		call_fall_back(call);
-}
-
-backend_t *
-call_choose_or_wait(call_t *call)
-{
-	backend_t *backend = call_choose(call);
-	int64_t now_ms = clock_mono_ms();
-
-	if (backend != NULL) {
-		call->without_backend_ms = 0;
-		return backend;
-	}
-	/* All usable ones were tried: after a pause each may be tried again. */
-	g_ptr_array_set_size(call->excluded, 0);
-	call_pick_version(call);
-	if (call->without_backend_ms == 0)
-		call->without_backend_ms = now_ms;
-	if (now_ms - call->without_backend_ms < NO_BACKEND_WAIT_MS) {
-		call_wake_after(call, RETRY_PAUSE_MS);
-		return NULL;
-	}
-	call_fail(call, PAPAYA_ERROR_NO_BACKEND,
-	    "service %s has no usable backend server of version %s",
-	    call->service->name, call->version);
-	return NULL;
-}
-
 static void
 on_reclaim(uv_timer_t *timer)
 {
--- a/src/node_call.h
+++ b/src/node_call.h
@@ -122,6 +122,8 @@
 enum {
 	/* Attempts of one call, so that a poisonous request ends. */
 	ATTEMPTS_MAX = 8,
+	/* Bytes in transit to one client; the rest waits in the stream. */
+	CLIENT_PENDING_MAX = 64 * 1024,
 	/* Pause before a backend server that failed this call is used again. */
 	RETRY_PAUSE_MS = 50,
 	/* How long a call waits for a usable backend server. */
@@ -158,12 +160,15 @@
 /* Takes the first listener off the call, or NULL; to be unreferenced. */
 listener_t *call_take_listener(call_t *call);
 void listener_unref(listener_t *listener);
-/* The client is gone or is given up. */
-void listener_leave(listener_t *listener);
+/* Takes a listener that is replied to off its call. */
+void call_detach_listener(listener_t *listener);
+/* Gives the call's place to the next one; it needs no backend server now. */
+void call_release(call_t *call);
 /* A backend server gave the first token or answer after this time. */
 void call_first(call_t *call, double first_ms);
 
-/* Usable backend server for the call's next attempt, borrowed; or NULL. */
+/* node_choose.c: usable backend server for the call's next attempt, borrowed;
+ * or NULL. */
 backend_t *call_choose(call_t *call);
 /*
  * Chooses for the next attempt, or arranges for a later wake-up, or fails the
--- a/src/node_model.c
+++ b/src/node_model.c
@@ -6,8 +6,6 @@
 #include <string.h>
 
 enum {
-	/* Bytes that a client may leave unread before it is cut off. */
-	CLIENT_PENDING_MAX = 1024 * 1024,
 	/* Multiples of the objectives that count as a stall. */
 	STALL_FIRST_OBJECTIVES = 4,
 	STALL_NEXT_OBJECTIVES = 16,
@@ -52,6 +50,41 @@
 	write_event(listener, event);
 }
 
+static void
+reply_whole(const call_t *call, const listener_t *listener)
+{
+	const http_header_t headers[] = {
+	    {"content-type", "application/json"},
+	    {"papaya-attempt", listener->id},
+	    {"papaya-version", call->version},
+	};
+	GString *text = g_string_new(NULL);
+	json_t *body;
+	char *reply;
+
+	for (unsigned i = 0; i < stream_count(call->stream); i++)
+		g_string_append(text, stream_token(call->stream, i));
+	body = json_pack("{s:s,s:s,s:[{s:i,s:s,s:s}],s:o}", "id", listener->id,
+	    "model", call->version, "choices", "index", 0, "text", text->str,
+	    "finish_reason", stream_finish_reason(call->stream), "usage",
+	    usage_json(call));
+	reply = json_text(body);
+	http_reply(listener->request, 200, headers, G_N_ELEMENTS(headers),
+	    reply, strlen(reply));
+	g_free(reply);
+	json_decref(body);
+	g_string_free(text, TRUE);
+}
+
+static void
+on_drained(void *data)
+{
+	listener_t *listener = data;
+
+	if (listener->call != NULL)
+		model_catch_up(listener->call, listener);
+}
+
 static void
 begin_listener(const call_t *call, listener_t *listener)
 {
@@ -63,35 +96,55 @@
 	};
 
 	listener->begun = true;
+	http_stream_on_drained(listener->request, on_drained, listener);
 	http_stream_begin(
 	    listener->request, 200, headers, G_N_ELEMENTS(headers));
 }
 
-/* Writes what is new. The client may be gone afterwards. */
+/* Writes what is new and fits. The client may be gone afterwards. */
 static void
-write_listener(call_t *call, listener_t *listener)
+write_new(call_t *call, listener_t *listener)
 {
 	if (!listener->stream || stream_count(call->stream) == 0)
 		return;
 	if (!listener->begun)
 		begin_listener(call, listener);
 	while (listener->call != NULL &&
-	       listener->written < stream_count(call->stream))
+	       listener->written < stream_count(call->stream) &&
+	       http_stream_pending(listener->request) < CLIENT_PENDING_MAX)
 		write_token(call, listener);
-	if (listener->call == NULL ||
-	    http_stream_pending(listener->request) <= CLIENT_PENDING_MAX)
+}
+
+/* Replies the end of a whole response to a listener that has the rest. */
+static void
+end_listener(call_t *call, listener_t *listener)
+{
+	static const char done[] = "data: [DONE]\n\n";
+
+	if (listener->call == NULL || !stream_complete(call->stream))
 		return;
-	counter_add(call->node->counters, 1, "slow_clients_total");
-	http_request_cut(listener->request);
-	listener_leave(listener);
+	if (!listener->stream) {
+		call_detach_listener(listener);
+		reply_whole(call, listener);
+	} else if (listener->written == stream_count(call->stream)) {
+		call_detach_listener(listener);
+		http_stream_write(listener->request, done, strlen(done));
+		http_stream_end(listener->request);
+	}
 }
 
 void
 model_catch_up(call_t *call, listener_t *listener)
 {
+	call_ref(call);
 	listener->refs++;
-	write_listener(call, listener);
+	write_new(call, listener);
+	end_listener(call, listener);
 	listener_unref(listener);
+	if (stream_complete(call->stream) && TAILQ_EMPTY(&call->listeners) &&
+	    call->abandoned_ms == 0)
+		call_finish(call);
+	call_unref(call);
 }
 
 static void
@@ -106,50 +159,13 @@
 	}
 }
 
-static void
-reply_whole(const call_t *call, listener_t *listener)
-{
-	const http_header_t headers[] = {
-	    {"content-type", "application/json"},
-	    {"papaya-attempt", listener->id},
-	    {"papaya-version", call->version},
-	};
-	GString *text = g_string_new(NULL);
-	json_t *body;
-	char *reply;
-
-	for (unsigned i = 0; i < stream_count(call->stream); i++)
-		g_string_append(text, stream_token(call->stream, i));
-	body = json_pack("{s:s,s:s,s:[{s:i,s:s,s:s}],s:o}", "id", listener->id,
-	    "model", call->version, "choices", "index", 0, "text", text->str,
-	    "finish_reason", stream_finish_reason(call->stream), "usage",
-	    usage_json(call));
-	reply = json_text(body);
-	http_reply(listener->request, 200, headers, G_N_ELEMENTS(headers),
-	    reply, strlen(reply));
-	g_free(reply);
-	json_decref(body);
-	g_string_free(text, TRUE);
-}
-
+/* Clients that read slowly get the rest while they hold no backend server. */
 static void
 complete(call_t *call)
 {
-	static const char done[] = "data: [DONE]\n\n";
-	listener_t *listener;
-
+	call_release(call);
 	write_all(call);
-	while ((listener = call_take_listener(call)) != NULL) {
-		if (listener->stream) {
-			http_stream_write(
-			    listener->request, done, strlen(done));
-			http_stream_end(listener->request);
-		} else {
-			reply_whole(call, listener);
-		}
-		listener_unref(listener);
-	}
-	call_finish(call);
+	call_wake_after(call, call_left_ms(call));
 }
 
 static int64_t
@@ -398,6 +414,8 @@
 	attempt_t *attempt = call->attempt;
 	int64_t stall;
 
+	if (stream_complete(call->stream)) /* its clients still read */
+		return;
 	if (attempt == NULL) {
 		model_attempt(call, NULL);
 		return;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -7,9 +7,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { TOKENS = 40 };
+enum { TOKENS = 40, MANY_TOKENS = 65536 };
 
 static program_t *store, *node, *one, *two;
+static int max_tokens = TOKENS;
 
 static json_t *
 backend(const program_t *program, const char *host, const char *service)
@@ -64,6 +65,13 @@
 	wait_until(is_applied, NULL);
 }
 
+static void
+end_all(void)
+{
+	programs_end();
+	max_tokens = TOKENS;
+}
+
 static answer_t *
 complete(bool stream, const char *prompt, const char *header,
     bool (*on_data)(answer_t *answer, void *data), void *data)
@@ -71,7 +79,7 @@
 	const char *const headers[] = {"Papaya-Workspace: depot",
 	    "Content-Type: application/json", header, NULL};
 	json_t *body = json_pack("{s:s,s:s,s:i,s:b}", "model", "t1/chat",
-	    "prompt", prompt, "max_tokens", TOKENS, "stream", (int)stream);
+	    "prompt", prompt, "max_tokens", max_tokens, "stream", (int)stream);
 	char *text = json_dumps(body, 0);
 	ask_t ask = {.to = node,
 	    .path = "/v1/completions",
@@ -124,7 +132,7 @@
 {
 	ck_assert_msg(answer->status == 200 && is_done(answer),
 	    "status %ld: %s", answer->status, answer->body->str);
-	ck_assert_int_eq(count_tokens(answer, prompt), TOKENS);
+	ck_assert_int_eq(count_tokens(answer, prompt), max_tokens);
 	answer_free(answer);
 }
 
@@ -318,6 +326,36 @@
 }
 END_TEST
 
+static bool
+is_generated(void *data)
+{
+	return calls_of(one, "tokens") + calls_of(two, "tokens") == max_tokens;
+}
+
+/* Reads on only once the engine is done. */
+static bool
+read_late(answer_t *answer, void *data)
+{
+	bool *waited = data;
+
+	if (!*waited)
+		wait_until(is_generated, NULL);
+	*waited = true;
+	return true;
+}
+
+/* Guards against a slow client that holds its engine or loses its response. */
+START_TEST(slow_client_gets_everything)
+{
+	bool waited = false;
+
+	start_all("standin-engine", "chat", 8);
+	max_tokens = MANY_TOKENS;
+	check_stream(
+	    complete(true, "hello", NULL, read_late, &waited), "hello");
+}
+END_TEST
+
 static gpointer
 complete_keyed(gpointer data)
 {
@@ -499,7 +537,7 @@
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_set_timeout(tests, 60);
-	tcase_add_checked_fixture(tests, NULL, programs_end);
+	tcase_add_checked_fixture(tests, NULL, end_all);
 	tcase_add_test(tests, responses_are_whole);
 	tcase_add_test(tests, killed_engine_costs_a_resume);
 	tcase_add_test(tests, stopped_engine_costs_a_resume);
@@ -510,6 +548,7 @@
 	tcase_add_test(tests, incomplete_response_says_so);
 	tcase_add_test(tests, deadline_is_kept);
 	tcase_add_test(tests, client_that_leaves_cancels);
+	tcase_add_test(tests, slow_client_gets_everything);
 	tcase_add_test(tests, duplicates_share_one_attempt);
 	tcase_add_test(tests, drain_finishes_what_was_accepted);
 	tcase_add_loop_test(
