--- a/src/http_server.c
+++ b/src/http_server.c
@@ -52,6 +52,8 @@
 	reply_state_t state;
 	bool in_flight;
 	bool aborting;
+	void (*drained)(void *data);
+	void *drained_data;
 	SLIST_HEAD(, gone_hook) hooks;
 };
 
@@ -127,6 +129,9 @@
 
 	request->in_flight = false;
 	send_pending(request);
+	if (!request->in_flight && request->state == REPLY_STREAMING &&
+	    request->drained != NULL)
+		request->drained(request->drained_data);
 }
 
 static void
@@ -479,6 +484,14 @@
 	return request->pending->len;
 }
 
+void
+http_stream_on_drained(
+    http_request_t *request, void (*drained)(void *data), void *data)
+{
+	request->drained = drained;
+	request->drained_data = data;
+}
+
 void
 http_stream_end(http_request_t *request)
 {
@@ -504,11 +517,12 @@
 {
 	h2o_socket_t *socket;
 
-	if (request->req == NULL || request->state != REPLY_NONE)
+	if (request->req == NULL)
 		return;
 	socket = request->req->conn->callbacks->get_socket(request->req->conn);
+	/* The next or pending write then fails, which ends the request. */
 	shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
-	/* h2o closes the connection when this cannot be written. */
-	http_stream_begin(request, 500, NULL, 0);
+	if (request->state == REPLY_NONE)
+		http_stream_begin(request, 500, NULL, 0);
 	http_stream_abort(request);
 }
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -28,6 +28,12 @@
 {
 }
 
+const char *
+node_peers_other_zone(node_t *node)
+{
+	return NULL;
+}
+
 void
 node_peers_broadcast(node_t *node, const message_t *message)
 {
@@ -37,3 +43,9 @@
 node_peers_send(node_t *node, const char *to, const message_t *message)
 {
 }
+
+bool
+node_peers_watches_store(node_t *node, const char *team)
+{
+	return true;
+}
