Serve non-idempotent requests through the ledger

node_book commits the start, runs it on a fresh connection and commits the outcome; node_book_run tries other backend servers only while no byte was sent. A drain waits for the keys in progress. Other nodes are told only that an outcome is written; the response is read from the store, since the message carries no content type.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -186,8 +186,6 @@
 entry_end(ledger_t *ledger, part_t *part, entry_t *entry, bool known)
 {
 	entry_tell(ledger, entry, known);
-	if (entry->state == ENTRY_FINISH)
-		ledger->unwritten--;
 	TAILQ_REMOVE(&part->entries, entry, entries);
 	g_hash_table_remove(ledger->by_name, entry->name);
 	entry_free(entry);
@@ -359,8 +357,8 @@
 }
 
 static void
-set_outcome(ledger_t *ledger, entry_t *entry, const ledger_record_t *run,
-    const ledger_outcome_t *outcome)
+set_outcome(
+    entry_t *entry, const ledger_record_t *run, const ledger_outcome_t *outcome)
 {
 	ledger_record_t record = *run;
 
@@ -381,7 +379,6 @@
 		record.body = NULL;
 	entry->outcome = ledger_record_new(&record);
 	entry->state = ENTRY_FINISH;
-	ledger->unwritten++;
 }
 
 void
@@ -400,7 +397,7 @@
 		entry_give_up(ledger, part, entry, PAPAYA_ERROR_NO_BACKEND,
 		    "no backend server of the service could be reached");
 	} else {
-		set_outcome(ledger, entry, run, outcome);
+		set_outcome(entry, run, outcome);
 		entry->reply_by_ms = now_ms + ledger->options.outcome_wait_ms;
 	}
 	part_step(ledger, part, now_ms);
@@ -519,9 +516,3 @@
 {
 	return g_hash_table_size(ledger->by_name);
 }
-
-unsigned
-ledger_unwritten(const ledger_t *ledger)
-{
-	return ledger->unwritten;
-}
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -123,7 +123,4 @@
 /* Requests, withdrawals and outcomes in progress. */
 unsigned ledger_entries(const ledger_t *ledger);
 
-/* Outcomes that are not written yet. */
-unsigned ledger_unwritten(const ledger_t *ledger);
-
 #endif
--- a/src/ledger_part.h
+++ b/src/ledger_part.h
@@ -78,7 +78,6 @@
 	part_t *parts;
 	GHashTable *by_name; /* borrowed name: entry_t */
 	GQueue actions;	     /* ledger_action_t */
-	unsigned unwritten;
 	uint64_t *reads;
 	uint64_t *swaps;
 	uint64_t *changes;
--- a/src/node.c
+++ b/src/node.c
@@ -273,7 +273,8 @@
 on_drain_poll(uv_timer_t *timer)
 {
 	drain_t *drain = timer->data;
-	unsigned active = http_server_active(drain->node->server);
+	unsigned active = http_server_active(drain->node->server) +
+			  node_books_active(drain->node);
 
 	if (active > 0 && clock_mono_ms() < drain->until_ms)
 		return;
--- a/src/node.h
+++ b/src/node.h
@@ -93,6 +93,8 @@
 /* Serves a non-idempotent request to a plain service. */
 void node_books_serve(node_t *node, http_request_t *request,
     const service_t *service, tree_t *tree, const char *path);
+/* Keys in progress, such as outcomes to be written; a drain waits for them. */
+unsigned node_books_active(const node_t *node);
 void node_books_message(
     node_t *node, const message_t *message, const char *from);
 
--- /dev/null
+++ b/src/node_book.h
@@ -0,0 +1,87 @@
+#ifndef PAPAYA_NODE_BOOK_H
+#define PAPAYA_NODE_BOOK_H
+
+#include "ledger.h"
+#include "node.h"
+
+#include <sys/queue.h>
+
+/* Shared by node_book (ledger, store, replies) and node_book_run (attempts). */
+
+/* One client's request. Reference counted: its run outlives its reply. */
+typedef struct booking {
+	unsigned refs;
+	uint64_t id;
+	http_request_t *request;
+	tree_t *tree; /* reference; owns service */
+	const service_t *service;
+	char *key;
+	char *method;
+	char *path;	    /* with its query */
+	GPtrArray *headers; /* "Name: value", NULL at the end */
+	GBytes *body;
+	int64_t until_ms;
+} booking_t;
+
+/* One committed start: attempts until a backend server got a byte. */
+typedef struct book_run {
+	TAILQ_ENTRY(book_run) entries;
+	node_books_t *books;
+	booking_t *booking; /* reference */
+	ledger_record_t *record;
+	char *version;
+	GPtrArray *excluded; /* backend_t, references */
+	unsigned attempts;
+	int64_t begun_ms;    /* of the run */
+	int64_t retry_at_ms; /* no usable backend server until then; 0: none */
+	/* The attempt in progress. */
+	backend_t *backend;
+	http_call_t *http;
+	char *id;
+	int64_t attempt_ms;
+	GString *response;
+	/* A response that is stored under a key of its own. */
+	GBytes *body; /* NULL: not yet */
+	int status;
+	char *type;
+	int64_t keep_until_ms;
+	bool keeping;
+} book_run_t;
+
+TAILQ_HEAD(book_run_list, book_run);
+
+struct node_books {
+	node_t *node;
+	ledger_t *ledger;
+	GHashTable *bookings; /* id: booking_t not replied yet */
+	struct book_run_list runs;
+	uv_timer_t timer;
+	struct book_part *parts;
+	int64_t origin_ms; /* wall clock less monotonic, at the start */
+	uint64_t next_id;
+	bool pumping;
+};
+
+/*
+ * Wall clock that never jumps: the ledger's timeouts and its retention use
+ * the same time.
+ */
+int64_t books_now(const node_books_t *books);
+
+/* Carries the ledger's actions out. */
+void books_pump(node_books_t *books);
+
+booking_t *booking_ref(booking_t *booking);
+void booking_unref(booking_t *booking);
+
+/* Key of a response that does not fit into its partition. */
+char *book_response_key(ledger_id_t nonce);
+
+/* Starts the run of a committed start. */
+void book_run_start(
+    node_books_t *books, booking_t *booking, ledger_record_t *record);
+void book_run_tick(book_run_t *run);
+/* Ends a run without telling the ledger. */
+void book_run_free(book_run_t *run);
+
+#endif
--- a/src/node_call.h
+++ b/src/node_call.h
@@ -230,4 +230,10 @@
 /* node_forward.c: hands a listener of a waiting call to a peer's address. */
 void forward_listener(call_t *call, listener_t *listener, const char *peer);
 
+/*
+ * Appends "Name: value" of the request's headers that reach a plain service,
+ * and NULL at the end.
+ */
+void request_passed_headers(const http_request_t *request, GPtrArray *headers);
+
 #endif
--- a/src/node_request.c
+++ b/src/node_request.c
@@ -260,8 +260,8 @@
 	return g_strndup(path, MIN(length + 1, ROUTE_LENGTH_MAX));
 }
 
-static void
-set_headers(call_t *call, const http_request_t *request)
+void
+request_passed_headers(const http_request_t *request, GPtrArray *headers)
 {
 	bool has_type = false;
 
@@ -272,13 +272,13 @@
 		if (value == NULL)
 			continue;
 		has_type |= i == 0;
-		g_ptr_array_add(call->headers,
+		g_ptr_array_add(headers,
 		    g_strdup_printf("%s: %s", passed_headers[i], value));
 	}
 	/* libcurl adds a type of its own to a body otherwise. */
 	if (!has_type)
-		g_ptr_array_add(call->headers, g_strdup("content-type:"));
-	g_ptr_array_add(call->headers, NULL);
+		g_ptr_array_add(headers, g_strdup("content-type:"));
+	g_ptr_array_add(headers, NULL);
 }
 
 static void
@@ -305,7 +305,7 @@
 				   : g_strdup(path);
 	call->route = route_of(path);
 	call->body = g_bytes_new(body, repeatable ? length : 0);
-	set_headers(call, request);
+	request_passed_headers(request, call->headers);
 	call_listen(call, request, false);
 	call_admit(call, target->workspace);
 }
