--- a/src/node_book_run.c
+++ b/src/node_book_run.c
@@ -279,7 +279,7 @@
 }
 
 static GPtrArray *
-attempt_headers(const book_run_t *run, int64_t left_ms)
+attempt_headers(const book_run_t *run, int64_t timeout_ms)
 {
 	const booking_t *booking = run->booking;
 	GPtrArray *headers = g_ptr_array_new_with_free_func(g_free);
@@ -288,14 +288,15 @@
 		g_ptr_array_add(headers, g_strdup(booking->headers->pdata[i]));
 	g_ptr_array_add(
 	    headers, g_strdup_printf("Papaya-Attempt: %s", run->id));
-	g_ptr_array_add(headers,
-	    g_strdup_printf("Papaya-Timeout-Ms: %" G_GINT64_FORMAT, left_ms));
+	g_ptr_array_add(
+	    headers, g_strdup_printf(
+			 "Papaya-Timeout-Ms: %" G_GINT64_FORMAT, timeout_ms));
 	g_ptr_array_add(headers, NULL);
 	return headers;
 }
 
 static void
-attempt_send(book_run_t *run, int64_t left_ms)
+attempt_send(book_run_t *run, int64_t timeout_ms)
 {
 	const booking_t *booking = run->booking;
 	char *nonce = ledger_id_text(run->record->nonce);
@@ -309,7 +310,7 @@
 	    .url = url,
 	    .body = length > 0 ? body : NULL,
 	    .body_length = length,
-	    .timeout_ms = left_ms,
+	    .timeout_ms = timeout_ms,
 	    .fresh_connection = true,
 	    .on_data = on_data,
 	    .on_done = on_done,
@@ -318,7 +319,7 @@
 
 	g_free(run->id);
 	run->id = g_strdup_printf("%s-%u", nonce, ++run->attempts);
-	headers = attempt_headers(run, left_ms);
+	headers = attempt_headers(run, timeout_ms);
 	options.headers = (const char *const *)headers->pdata;
 	if (run->response == NULL)
 		run->response = g_string_new(NULL);
@@ -335,11 +336,11 @@
 attempt(book_run_t *run)
 {
 	int64_t now_ms = books_now(run->books);
-	int64_t left_ms = run->booking->until_ms - now_ms;
+	int timeout_ms = run->booking->service->timeout_ms;
 	backend_t *backend;
 
 	run->retry_at_ms = 0;
-	if (left_ms <= 0) {
+	if (now_ms >= run->booking->until_ms) {
 		run_end_without(run, LEDGER_END_NOT_SENT);
 		return;
 	}
@@ -349,7 +350,11 @@
 		return;
 	}
 	run->backend = backend_ref(backend);
-	attempt_send(run, left_ms);
+	/*
+	 * The whole timeout of the service, however soon this client leaves:
+	 * its retries wait for the same run.
+	 */
+	attempt_send(run, timeout_ms);
 }
 
 void
