Add the membership aggregate

Nodes, incarnations, heartbeats, states by silence, entry lists, delegates and observers by rendezvous hashing, and zone summaries, without I/O.

Choices: up to 24 nodes all exchange heartbeats directly, since 23 peers fit the budget of 8 KB/s and no delegate can then delay anything; above that, two delegates per zone. Summaries count as a sign of life only in the two-level scheme and only from the zone itself or an own delegate; otherwise two nodes keep a dead third one alive. A late tick is taken as the own node's pause, so a resumed node does not drop all others. A lost connection makes a node suspect at once, and its next heartbeat clears it.

--- /dev/null
+++ b/src/member.h
@@ -0,0 +1,153 @@
+#ifndef PAPAYA_MEMBER_H
+#define PAPAYA_MEMBER_H
+
+#include "message.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+enum {
+	MEMBER_HEARTBEAT_MS = 1000,
+	/* Three heartbeats missed, by the design page. */
+	MEMBER_SUSPECT_MS = 3000,
+	MEMBER_GONE_MS = 10000,
+	/* Zone summaries of a zone without a change. */
+	MEMBER_SUMMARY_MS = 5000,
+	/* A node known by summaries only: three summaries missed. */
+	MEMBER_FAR_SUSPECT_MS = 3 * MEMBER_SUMMARY_MS,
+	MEMBER_FAR_GONE_MS = 6 * MEMBER_SUMMARY_MS,
+	/* A gone node stays in reports, and is dialled, for this long. */
+	MEMBER_FORGET_MS = 30 * 60 * 1000,
+	/*
+	 * Up to this many nodes, all exchange heartbeats directly: 23 peers
+	 * at about 150 bytes per second and direction, TCP/IP header
+	 * included, stay below the budget of 8 KB/s per node, and there is no
+	 * delegate whose failure delays anything.
+	 */
+	MEMBER_MESH_MAX = 24,
+	MEMBER_DELEGATES = 2,
+	MEMBER_OBSERVERS = 2,
+	MEMBER_ENTRY_SMALL = 3,
+	MEMBER_ENTRY_LARGE = 8,
+	MEMBER_ENTRY_LIFETIME_MS = 5000,
+};
+
+typedef enum member_state {
+	MEMBER_LIVE,
+	MEMBER_SUSPECT, /* silent, or not heard since it was learned */
+	MEMBER_GONE,
+} member_state_t;
+
+/* One node. Owned by its members. */
+typedef struct member {
+	LIST_ENTRY(member) entries;
+	char *node;
+	char *zone;
+	char *http_address; /* IP:PORT */
+	char *peer_address; /* IP:PORT */
+	int64_t incarnation;
+	int64_t sequence;  /* of the last heartbeat; 0: none yet */
+	int64_t heard_ms;  /* last sign of life, or when learned */
+	int64_t direct_ms; /* last heartbeat of its own; 0: none */
+	member_state_t state;
+	bool heard;	/* a sign of life since it was learned */
+	bool far;	/* heard through zone summaries */
+	bool suspected; /* by its zone's summary */
+	bool draining;
+	unsigned in_flight;
+	GHashTable *revisions; /* team: int64_t */
+} member_t;
+
+/*
+ * Nodes of the system as one node sees them. No I/O; times are monotonic
+ * milliseconds. The own node is a member that is always live.
+ */
+typedef struct members members_t;
+
+typedef struct member_hello {
+	const char *node;
+	const char *zone;
+	const char *http_address;
+	const char *peer_address;
+	int64_t incarnation;
+} member_hello_t;
+
+/* mesh_max 0: MEMBER_MESH_MAX. */
+members_t *members_new(
+    const member_hello_t *self, unsigned mesh_max, int64_t now_ms);
+void members_free(members_t *members);
+
+const member_t *members_self(const members_t *members);
+member_t *members_find(const members_t *members, const char *node);
+void members_each(const members_t *members,
+    void (*visit)(member_t *member, void *data), void *data);
+
+/*
+ * Learns a node from its hello, the store or a summary. A lower incarnation
+ * than the known one, or a bad address, is ignored and NULL returned. This is
+ * no sign of life.
+ */
+member_t *members_learn(
+    members_t *members, const member_hello_t *hello, int64_t now_ms);
+
+/* A heartbeat of a known node; false where it is late, repeated or unknown. */
+bool members_heartbeat(
+    members_t *members, const message_t *message, int64_t now_ms);
+
+/* A zone summary sent by a known node: its own zone's, or a relayed one. */
+void members_summary(members_t *members, const char *from,
+    const message_t *message, int64_t now_ms);
+
+/* The connection from a node ended: suspect until it is heard again. */
+void members_lost(members_t *members, const char *node, int64_t now_ms);
+
+/* Marks a node as leaving; true on a change. */
+bool members_drain(members_t *members, const char *node);
+
+/* Own settings revision in effect. */
+void members_revision(members_t *members, const char *team, int64_t revision);
+
+/*
+ * Moves states on and calls changed(member, data) for each new state. Must be
+ * called at least each second: a longer pause is taken as the own node's and
+ * not as silence of the others.
+ */
+void members_tick(members_t *members, int64_t now_ms,
+    void (*changed)(const member_t *member, void *data), void *data);
+
+/* True where all nodes exchange heartbeats directly. */
+bool members_mesh(const members_t *members);
+
+/* True where the own node keeps a connection to a member. */
+bool members_contact(const members_t *members, const member_t *member);
+
+/* True where a node is one of its zone's delegates. */
+bool members_delegate(const members_t *members, const member_t *member);
+
+/*
+ * True where the own node is one of the two that watch a key (a team, a
+ * backend server) for a zone. A zone without live node is watched from the
+ * live zone of the highest rendezvous rank.
+ */
+bool members_observes(
+    const members_t *members, const char *zone, const char *key);
+
+/* Fills a summary of a zone; message_clear() releases it. */
+void members_sum(const members_t *members, const char *zone, int64_t at_ms,
+    message_t *message);
+
+/*
+ * Appends the nodes (member_t, borrowed) that clients of a workspace should
+ * use: at least two zones where two have a usable node.
+ */
+void members_entry(const members_t *members, const char *workspace, bool large,
+    GPtrArray *out);
+
+/* A live node of another zone that does not drain; NULL if none. */
+const member_t *members_other_zone(const members_t *members, uint64_t random);
+
+const char *member_state_name(member_state_t state);
+
+#endif
--- /dev/null
+++ b/src/member_list.h
@@ -0,0 +1,23 @@
+#ifndef PAPAYA_MEMBER_LIST_H
+#define PAPAYA_MEMBER_LIST_H
+
+#include "member.h"
+
+#include <string.h>
+
+/* Shared by member.c and member_rank.c only. */
+struct members {
+	LIST_HEAD(, member) list;
+	GHashTable *by_node; /* borrowed node name: member_t */
+	member_t *self;
+	unsigned mesh_max;
+	int64_t tick_ms;
+};
+
+static inline bool
+same_zone(const member_t *a, const member_t *b)
+{
+	return strcmp(a->zone, b->zone) == 0;
+}
+
+#endif
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,419 @@
+#include "member.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const int64_t START_MS = 1000000;
+
+static member_hello_t
+hello_of(const char *node, const char *zone, int64_t incarnation)
+{
+	return (member_hello_t){
+	    .node = node,
+	    .zone = zone,
+	    .http_address = "127.0.0.1:8000",
+	    .peer_address = "127.0.0.1:9000",
+	    .incarnation = incarnation,
+	};
+}
+
+static bool
+beat(members_t *members, const char *node, int64_t sequence, bool draining,
+    int64_t now_ms)
+{
+	message_t message = {
+	    .type = MESSAGE_HEARTBEAT,
+	    .heartbeat = {.node = (char *)node,
+		.sequence = sequence,
+		.draining = draining},
+	};
+
+	return members_heartbeat(members, &message, now_ms);
+}
+
+/* Zones a, b, c in turn; node n0 in zone a is the own one. All are live. */
+static members_t *
+new_members(unsigned count, unsigned mesh_max)
+{
+	member_hello_t self = hello_of("n0", "a", 1);
+	members_t *members = members_new(&self, mesh_max, START_MS);
+
+	for (unsigned i = 1; i < count; i++) {
+		char node[16] = "", zone[2] = {(char)('a' + i % 3), '\0'};
+		member_hello_t hello = hello_of(node, zone, 1);
+
+		g_snprintf(node, sizeof(node), "n%u", i);
+		members_learn(members, &hello, START_MS);
+		beat(members, node, 1, false, START_MS);
+	}
+	members_tick(members, START_MS, NULL, NULL);
+	return members;
+}
+
+static member_state_t
+state_of(members_t *members, const char *node)
+{
+	return members_find(members, node)->state;
+}
+
+/* Ticks each second, as the daemon does, with heartbeats of one node. */
+static void
+run(members_t *members, const char *beating, int64_t from_ms, int64_t to_ms)
+{
+	for (int64_t now_ms = from_ms; now_ms <= to_ms; now_ms += 1000) {
+		if (beating != NULL)
+			beat(members, beating, now_ms, false, now_ms);
+		members_tick(members, now_ms, NULL, NULL);
+	}
+}
+
+/* Guards against a dead node staying in use, or a live one being dropped. */
+START_TEST(silence_makes_suspect_then_gone)
+{
+	members_t *members = new_members(3, 0);
+
+	run(members, "n2", START_MS + 1000, START_MS + 2000);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_LIVE);
+	run(members, "n2", START_MS + 3000, START_MS + 9000);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_SUSPECT);
+	run(members, "n2", START_MS + 10000, START_MS + 10000);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_GONE);
+	ck_assert_int_eq(state_of(members, "n2"), MEMBER_LIVE);
+	ck_assert(beat(members, "n1", 2, false, START_MS + 10000));
+	members_tick(members, START_MS + 10000, NULL, NULL);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_LIVE);
+	members_free(members);
+}
+END_TEST
+
+/* Guards against a node that was paused taking all others for dead. */
+START_TEST(own_pause_is_not_silence_of_others)
+{
+	members_t *members = new_members(3, 0);
+	int64_t resumed_ms = START_MS + 600000;
+
+	/* n2's heartbeat is read before the first tick after the pause. */
+	beat(members, "n2", 2, false, resumed_ms);
+	members_tick(members, resumed_ms, NULL, NULL);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_LIVE);
+	run(members, NULL, resumed_ms + 1000, resumed_ms + 3000);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_SUSPECT);
+	ck_assert_int_eq(state_of(members, "n2"), MEMBER_SUSPECT);
+	members_free(members);
+}
+END_TEST
+
+/* Guards against an old process, or a repeated frame, counting as life. */
+START_TEST(old_incarnations_and_sequences_are_ignored)
+{
+	members_t *members = new_members(2, 0);
+	member_hello_t again = hello_of("n1", "b", 5);
+	member_hello_t old = hello_of("n1", "b", 4);
+
+	ck_assert(!beat(members, "n1", 1, false, START_MS));
+	ck_assert(!beat(members, "unknown", 1, false, START_MS));
+	ck_assert(beat(members, "n1", 9, true, START_MS));
+	ck_assert_ptr_nonnull(members_learn(members, &again, START_MS));
+	ck_assert(!members_find(members, "n1")->draining);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_SUSPECT);
+	ck_assert(beat(members, "n1", 1, false, START_MS));
+	ck_assert_ptr_null(members_learn(members, &old, START_MS));
+	ck_assert_int_eq(members_find(members, "n1")->incarnation, 5);
+	members_free(members);
+}
+END_TEST
+
+/* Guards against connecting to what is no address. */
+START_TEST(bad_addresses_are_not_learned)
+{
+	static const char *const bad[] = {"", "127.0.0.1", "127.0.0.1:0",
+	    "127.0.0.1:65536", "host:80", "127.0.0.1:80x", ":80"};
+	members_t *members = new_members(1, 0);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		member_hello_t hello = hello_of("n1", "b", 1);
+
+		hello.peer_address = bad[i];
+		ck_assert_ptr_null(members_learn(members, &hello, START_MS));
+	}
+	members_free(members);
+}
+END_TEST
+
+/* Guards against a killed node staying listed until its heartbeats are due. */
+START_TEST(lost_connection_makes_suspect_at_once)
+{
+	members_t *members = new_members(3, 0);
+
+	members_lost(members, "n1", START_MS);
+	members_tick(members, START_MS, NULL, NULL);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_SUSPECT);
+	ck_assert(beat(members, "n1", 2, false, START_MS));
+	members_tick(members, START_MS, NULL, NULL);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_LIVE);
+	members_free(members);
+}
+END_TEST
+
+static unsigned
+zones_of(const GPtrArray *list)
+{
+	unsigned zones = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		const member_t *member = list->pdata[i];
+
+		zones |= 1u << (member->zone[0] - 'a');
+	}
+	return (unsigned)__builtin_popcount(zones);
+}
+
+/*
+ * Guards against entry lists of one zone, of draining or suspect nodes, with
+ * a node twice, or too short, for many workspaces.
+ */
+START_TEST(entries_cover_zones_and_leave_out_the_leaving)
+{
+	members_t *members = new_members(7, 0);
+
+	beat(members, "n2", 2, true, START_MS);
+	members_lost(members, "n4", START_MS);
+	members_tick(members, START_MS, NULL, NULL);
+	for (int i = 0; i < 1000; i++) {
+		GPtrArray *list = g_ptr_array_new();
+		char workspace[16];
+
+		g_snprintf(workspace, sizeof(workspace), "w%d", i);
+		members_entry(members, workspace, i % 2 == 0, list);
+		ck_assert_uint_eq(list->len, i % 2 == 0 ? 5 : 3);
+		ck_assert_uint_ge(zones_of(list), 2);
+		for (guint at = 0; at < list->len; at++) {
+			const member_t *member = list->pdata[at];
+
+			ck_assert_str_ne(member->node, "n2");
+			ck_assert_str_ne(member->node, "n4");
+			for (guint other = 0; other < at; other++)
+				ck_assert_ptr_ne(list->pdata[other], member);
+		}
+		g_ptr_array_free(list, TRUE);
+	}
+	members_free(members);
+}
+END_TEST
+
+/* Guards against moving most workspaces when one node leaves. */
+START_TEST(a_leaving_node_moves_only_its_workspaces)
+{
+	members_t *members = new_members(7, 0);
+	GPtrArray *before = g_ptr_array_new(), *after = g_ptr_array_new();
+
+	for (int i = 0; i < 200; i++) {
+		char workspace[16];
+
+		g_snprintf(workspace, sizeof(workspace), "w%d", i);
+		members_entry(members, workspace, false, before);
+	}
+	members_drain(members, "n3");
+	for (int i = 0; i < 200; i++) {
+		char workspace[16];
+		const member_t *first = before->pdata[3 * i];
+
+		g_snprintf(workspace, sizeof(workspace), "w%d", i);
+		g_ptr_array_set_size(after, 0);
+		members_entry(members, workspace, false, after);
+		if (strcmp(first->node, "n3") != 0)
+			ck_assert_ptr_eq(after->pdata[0], first);
+	}
+	g_ptr_array_free(before, TRUE);
+	g_ptr_array_free(after, TRUE);
+	members_free(members);
+}
+END_TEST
+
+/* Guards against answering clients with no address at all. */
+START_TEST(suspects_are_better_than_an_empty_list)
+{
+	members_t *members = new_members(2, 0);
+	GPtrArray *list = g_ptr_array_new();
+
+	members_drain(members, "n0");
+	members_lost(members, "n1", START_MS);
+	members_tick(members, START_MS, NULL, NULL);
+	members_entry(members, "w", false, list);
+	ck_assert_uint_eq(list->len, 1);
+	g_ptr_array_free(list, TRUE);
+	members_free(members);
+}
+END_TEST
+
+/* The same system as seen by node n<own>, with the same states. */
+static members_t *
+view_of(unsigned own, unsigned count, const char *dead_zone)
+{
+	char self_node[16] = "", self_zone[2] = {(char)('a' + own % 3), '\0'};
+	member_hello_t self = hello_of(self_node, self_zone, 1);
+	members_t *members;
+
+	g_snprintf(self_node, sizeof(self_node), "n%u", own);
+	members = members_new(&self, 0, START_MS);
+	for (unsigned i = 0; i < count; i++) {
+		char node[16] = "", zone[2] = {(char)('a' + i % 3), '\0'};
+		member_hello_t hello = hello_of(node, zone, 1);
+
+		g_snprintf(node, sizeof(node), "n%u", i);
+		members_learn(members, &hello, START_MS);
+		if (dead_zone == NULL || strcmp(zone, dead_zone) != 0)
+			beat(members, node, 1, false, START_MS);
+	}
+	members_tick(members, START_MS, NULL, NULL);
+	return members;
+}
+
+/* Guards against a key watched by nobody, or by more and more nodes. */
+START_TEST(each_key_has_two_observers_in_one_zone)
+{
+	static const char *const dead[] = {NULL, "b"};
+
+	for (size_t round = 0; round < G_N_ELEMENTS(dead); round++)
+		for (int key = 0; key < 20; key++) {
+			unsigned observers = 0;
+			char name[16];
+
+			g_snprintf(name, sizeof(name), "key%d", key);
+			for (unsigned own = 0; own < 12; own++) {
+				members_t *members;
+
+				if (dead[round] != NULL && own % 3 == 1)
+					continue;
+				members = view_of(own, 12, dead[round]);
+				observers +=
+				    members_observes(members, "b", name);
+				members_free(members);
+			}
+			ck_assert_uint_eq(observers, MEMBER_OBSERVERS);
+		}
+}
+END_TEST
+
+/* Guards against contacts growing with the number of nodes. */
+START_TEST(two_levels_bound_the_contacts)
+{
+	for (unsigned own = 0; own < 30; own++) {
+		members_t *members = view_of(own, 30, NULL);
+		bool delegate =
+		    members_delegate(members, members_self(members));
+		unsigned contacts = 0;
+
+		ck_assert(!members_mesh(members));
+		for (unsigned i = 0; i < 30; i++) {
+			char node[16];
+
+			g_snprintf(node, sizeof(node), "n%u", i);
+			contacts += members_contact(
+			    members, members_find(members, node));
+		}
+		ck_assert_uint_eq(contacts, delegate ? 9 + 4 : 9);
+		members_free(members);
+	}
+}
+END_TEST
+
+static void
+summary(members_t *members, const char *from, members_t *of, const char *zone,
+    bool full, int64_t now_ms)
+{
+	message_t message;
+
+	members_sum(of, zone, now_ms, &message);
+	if (!full) {
+		GArray *told = message.zone_sum.members;
+
+		for (guint i = 0; i < told->len; i++) {
+			message_member_t *entry =
+			    &g_array_index(told, message_member_t, i);
+
+			g_free(entry->node);
+			g_free(entry->http_address);
+			g_free(entry->peer_address);
+		}
+		g_array_set_size(told, 0);
+	}
+	members_summary(members, from, &message, now_ms);
+	message_clear(&message);
+}
+
+/* Guards against nodes of other zones expiring while summaries arrive. */
+START_TEST(summaries_keep_far_nodes_live)
+{
+	members_t *members = new_members(7, 1);
+	members_t *far = view_of(1, 7, NULL);
+	int64_t now_ms = START_MS;
+
+	for (; now_ms <= START_MS + 60000; now_ms += 1000) {
+		if ((now_ms - START_MS) % MEMBER_SUMMARY_MS == 0)
+			summary(members, "n1", far, "b", now_ms == START_MS,
+			    now_ms);
+		members_tick(members, now_ms, NULL, NULL);
+		ck_assert_int_eq(state_of(members, "n1"), MEMBER_LIVE);
+		ck_assert_int_eq(state_of(members, "n4"), MEMBER_LIVE);
+	}
+	ck_assert_int_eq(state_of(members, "n2"), MEMBER_GONE);
+	/* n4 is reported suspect, then nothing more is heard of zone b. */
+	members_lost(far, "n4", START_MS);
+	members_tick(far, START_MS, NULL, NULL);
+	summary(members, "n1", far, "b", true, now_ms);
+	members_tick(members, now_ms, NULL, NULL);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_LIVE);
+	ck_assert_int_eq(state_of(members, "n4"), MEMBER_SUSPECT);
+	run(members, NULL, now_ms + 1000, now_ms + MEMBER_FAR_GONE_MS);
+	ck_assert_int_eq(state_of(members, "n1"), MEMBER_GONE);
+	members_free(members);
+	members_free(far);
+}
+END_TEST
+
+/* Guards against two nodes keeping a dead third one alive by hearsay. */
+START_TEST(hearsay_is_no_sign_of_life)
+{
+	members_t *members = new_members(7, 0);
+	members_t *other = view_of(1, 7, NULL);
+
+	for (int64_t now_ms = START_MS; now_ms <= START_MS + 10000;
+	     now_ms += 1000) {
+		summary(members, "n1", other, "b", true, now_ms);
+		members_tick(members, now_ms, NULL, NULL);
+	}
+	ck_assert_int_eq(state_of(members, "n4"), MEMBER_GONE);
+	members_free(members);
+	members_free(other);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("member");
+	TCase *tests = tcase_create("member");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tests, silence_makes_suspect_then_gone);
+	tcase_add_test(tests, own_pause_is_not_silence_of_others);
+	tcase_add_test(tests, old_incarnations_and_sequences_are_ignored);
+	tcase_add_test(tests, bad_addresses_are_not_learned);
+	tcase_add_test(tests, lost_connection_makes_suspect_at_once);
+	tcase_add_test(tests, entries_cover_zones_and_leave_out_the_leaving);
+	tcase_add_test(tests, a_leaving_node_moves_only_its_workspaces);
+	tcase_add_test(tests, suspects_are_better_than_an_empty_list);
+	tcase_add_test(tests, each_key_has_two_observers_in_one_zone);
+	tcase_add_test(tests, two_levels_bound_the_contacts);
+	tcase_add_test(tests, summaries_keep_far_nodes_live);
+	tcase_add_test(tests, hearsay_is_no_sign_of_life);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
