Connect the nodes

Connections are one-way: each node opens one to every contact and reads the accepted ones, so that each direction reconnects by itself and no rule is needed for which of two crossing connections stays. Output queues are bounded by one largest frame, and a peer that takes no byte for 10 s is cut. A first frame must be a small hello.

Nodes learn of each other from the store, the configured peers, and the summaries that every new connection is greeted with. The store record only helps to find nodes; membership is by heartbeats. Two-level relay between zones starts above mesh_max nodes (24 by default, configurable so that it can be tested with few nodes).

--- a/src/member.c
+++ b/src/member.c
@@ -344,6 +344,13 @@
 	return true;
 }
 
+void
+members_set_incarnation(members_t *members, int64_t incarnation)
+{
+	members->self->incarnation =
+	    MAX(members->self->incarnation, incarnation);
+}
+
 void
 members_revision(members_t *members, const char *team, int64_t revision)
 {
--- a/src/member.h
+++ b/src/member.h
@@ -106,6 +106,9 @@
 /* Marks a node as leaving; true on a change. */
 bool members_drain(members_t *members, const char *node);
 
+/* Raises the own incarnation above that of an earlier process. */
+void members_set_incarnation(members_t *members, int64_t incarnation);
+
 /* Own settings revision in effect. */
 void members_revision(members_t *members, const char *team, int64_t revision);
 
--- a/src/node.c
+++ b/src/node.c
@@ -12,6 +12,7 @@
 	DEFAULT_DRAIN_TIMEOUT_MS = 60000,
 	DEFAULT_LEDGER_PARTITIONS = 64,
 	LEDGER_PARTITIONS_MAX = 4096,
+	MESH_MAX = 1000,
 	DRAIN_POLL_MS = 20,
 };
 
@@ -29,7 +30,7 @@
 }
 
 static const char *const config_names[] = {"name", "zone", "address",
-    "http_port", "peer_port", "store", "cloud", "teams", "peers",
+    "http_port", "peer_port", "store", "cloud", "teams", "peers", "mesh_max",
     "ledger_partitions", "seed", "drain_timeout_ms", NULL};
 
 static bool
@@ -104,6 +105,7 @@
 	       check_range(file, json, "peer_port", 0, 65535, error) &&
 	       check_range(file, json, "ledger_partitions", 1,
 		   LEDGER_PARTITIONS_MAX, error) &&
+	       check_range(file, json, "mesh_max", 0, MESH_MAX, error) &&
 	       check_range(file, json, "seed", 0, G_MAXINT64, error) &&
 	       check_range(
 		   file, json, "drain_timeout_ms", 0, G_MAXINT32, error);
@@ -123,6 +125,7 @@
 	config->cloud_url = g_strdup(json_get_string(json, "cloud", NULL));
 	config->teams = string_list(json_object_get(json, "teams"));
 	config->peers = string_list(json_object_get(json, "peers"));
+	config->mesh_max = (unsigned)json_get_int(json, "mesh_max", 0);
 	config->ledger_partitions = (unsigned)json_get_int(
 	    json, "ledger_partitions", DEFAULT_LEDGER_PARTITIONS);
 	config->seed = (uint64_t)json_get_int(json, "seed", 0);
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "message.h"
+#include "route.h"
 #include "settings.h"
 #include "store.h"
 
@@ -22,9 +23,10 @@
 	int http_port; /* 0: chosen by the kernel */
 	int peer_port; /* 0: chosen by the kernel */
 	char *store_url;
-	char *cloud_url; /* NULL: none */
-	char **teams;	 /* whose settings are served; NULL at the end */
-	char **peers;	 /* IP:PORT to ask when the store is out */
+	char *cloud_url;   /* NULL: none */
+	char **teams;	   /* whose settings are served; NULL at the end */
+	char **peers;	   /* IP:PORT to ask when the store is out */
+	unsigned mesh_max; /* nodes up to which all are connected; 0: default */
 	unsigned ledger_partitions;
 	uint64_t seed; /* of the random numbers; 0: from the system */
 	int64_t drain_timeout_ms;
@@ -109,6 +111,18 @@
 void node_peers_send(node_t *node, const char *to, const message_t *message);
 /* True where this node is one of its zone's nodes that watch the store. */
 bool node_peers_watches_store(node_t *node, const char *team);
+/*
+ * True where this node is one of the two that observe a key (a backend
+ * server's name, or "cloud") in a zone.
+ */
+bool node_peers_observes(node_t *node, const char *zone, const char *key);
+/*
+ * HTTP IP:PORT of a live node of another zone, valid until the event loop
+ * runs on; NULL if there is none.
+ */
+const char *node_peers_other_zone(node_t *node);
+/* Takes a node out of use whose host leaves. */
+void node_peers_leave(node_t *node, const char *host);
 
 void node_moves_start(node_t *node);
 void node_moves_free(node_t *node);
@@ -129,5 +143,9 @@
 void node_backends_free(node_t *node);
 void node_backends_message(
     node_t *node, const message_t *message, const char *from);
+/* Tells a node that has just been connected which hosts leave. */
+void node_backends_greet(node_t *node, const char *to);
+/* What engines report of their prefix caches. */
+const route_cache_t *node_backends_cache(const node_t *node);
 
 #endif
