Contact every node of a zone that nothing is heard of

With summaries only, no node of another zone was ever heard after the start, so no delegate was known and none was contacted.

--- a/src/member_rank.c
+++ b/src/member_rank.c
@@ -42,6 +42,21 @@
 	return chosen(members, member, member->zone, MEMBER_DELEGATES);
 }
 
+static bool
+zone_has_usable(const members_t *members, const char *zone)
+{
+	const member_t *member;
+
+	LIST_FOREACH (member, &members->list, entries)
+		if (usable(member) && strcmp(member->zone, zone) == 0)
+			return true;
+	return false;
+}
+
+/*
+ * A zone that nothing is heard of has no known delegate, so each of its nodes
+ * is tried: after the own start, and after a partition.
+ */
 bool
 members_contact(const members_t *members, const member_t *member)
 {
@@ -50,7 +65,8 @@
 	if (same_zone(member, members->self) || members_mesh(members))
 		return true;
 	return members_delegate(members, members->self) &&
-	       members_delegate(members, member);
+	       (members_delegate(members, member) ||
+		   !zone_has_usable(members, member->zone));
 }
 
 /* The zone that observes a zone: itself while it has a usable node. */
