Test planned stops, misdelivered responses and more faults of bookings

A client of the storm that cut every try after 50 ms did not take outcome_unknown as an answer and went on for 4000 tries; it ends now.

--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -171,7 +171,6 @@
 	int tries_max;
 	long timeout_ms; /* per try */
 	bool only_not_run;
-	bool any_answer;
 	verdict_t verdict;
 } client_t;
 
@@ -188,10 +187,8 @@
 			client->key, client->timeout_ms),
 		    client->key);
 		client->only_not_run &= client->verdict == VERDICT_NOT_RUN;
-		if (client->verdict == VERDICT_ANSWERED)
-			break;
-		if (client->verdict == VERDICT_UNKNOWN &&
-		    client->timeout_ms == 0)
+		if (client->verdict == VERDICT_ANSWERED ||
+		    client->verdict == VERDICT_UNKNOWN)
 			break;
 	}
 	return NULL;
@@ -301,7 +298,7 @@
 	    " \"stale_reads\": 0}");
 	faults_set(service,
 	    "{\"delay_ms\": 0, \"late_ms\": 0, \"close_after_run_rate\": 0,"
-	    " \"cut_rate\": 0}");
+	    " \"cut_rate\": 0, \"cross_rate\": 0}");
 }
 
 /* After the fault a patient client must get a final response. */
@@ -371,14 +368,19 @@
 }
 END_TEST
 
-/* Guards against a resend after the service ran and cut the connection. */
-START_TEST(response_that_is_cut_is_an_unknown_outcome)
+/*
+ * Guards against a resend after the service ran and its response was lost, and
+ * against the response of another request.
+ */
+START_TEST(lost_response_is_an_unknown_outcome)
 {
-	static const char *const faults[] = {
-	    "{\"close_after_run_rate\": 1}", "{\"cut_rate\": 1}"};
+	static const char *const faults[] = {"{\"close_after_run_rate\": 1}",
+	    "{\"cut_rate\": 1}", "{\"cross_rate\": 1}"};
 	client_t client = {.key = "lost", .tries_max = 1};
 
 	start();
+	ck_assert_int_eq(verdict_of(book_once(0, "other", "other", 0), "other"),
+	    VERDICT_ANSWERED);
 	faults_set(service, faults[_i]);
 	client_run(&client);
 	ck_assert_int_eq(client.verdict, VERDICT_UNKNOWN);
@@ -459,6 +461,25 @@
 }
 END_TEST
 
+/* Guards against a planned stop that interrupts a booking at any step. */
+START_TEST(planned_stop_finishes_bookings)
+{
+	client_t client = {.key = "stop", .tries_max = 1};
+	client_t retry = {.key = "stop", .first = 1, .tries_max = 1};
+
+	start();
+	reach((step_t)_i, &client);
+	ck_assert_int_eq(program_end(nodes[0], SIGTERM), 0);
+	g_thread_join(client.thread);
+	ck_assert_int_eq(client.verdict, VERDICT_ANSWERED);
+	heal();
+	client_run(&retry);
+	ck_assert_int_eq(retry.verdict, VERDICT_ANSWERED);
+	check_runs("stop", &retry);
+	programs_end();
+}
+END_TEST
+
 /* One client of the storm: its keys one after the other. */
 typedef struct storm {
 	GThread *thread;
@@ -496,7 +517,7 @@
 	static const char *const faults[] = {"{\"lose_answers\": 0.4}",
 	    "{\"down\": true}", "{\"delay_ms\": 30, \"stale_reads\": 0.4}",
 	    "{\"lose_answers\": 0.2, \"stale_reads\": 0.2}"};
-	int index = (int)(round % NODES);
+	int index = (int)(round / 3 % NODES);
 
 	faults_set(store, faults[round % G_N_ELEMENTS(faults)]);
 	if (round % 3 == 0)
@@ -558,8 +579,9 @@
 	    tests, paused_node_runs_nothing_twice, 0, STEP_COUNT);
 	tcase_add_loop_test(
 	    tests, client_that_cuts_and_retries_runs_once, 0, STEP_COUNT);
+	tcase_add_loop_test(tests, lost_response_is_an_unknown_outcome, 0, 3);
 	tcase_add_loop_test(
-	    tests, response_that_is_cut_is_an_unknown_outcome, 0, 2);
+	    tests, planned_stop_finishes_bookings, 0, STEP_COUNT);
 	tcase_add_test(tests, store_outage_refuses_and_recovers);
 	tcase_add_test(tests, large_response_is_the_same_at_each_retry);
 	tcase_add_test(tests, unsent_request_can_be_tried_again);
