Add the aggregate for version moves

A move is one record that any node advances by compare-and-swap. Starting a move is a state machine of its own: declaration, lease, state.

--- /dev/null
+++ b/src/move.c
@@ -0,0 +1,614 @@
+#include "move.h"
+
+#include "json.h"
+
+#include <string.h>
+
+enum {
+	RETRY_MS = 200, /* after a failed call, plus as much at random */
+	POLL_MS = 500,	/* of the state around the end of its lease */
+	JUDGE_MS = 200, /* between two looks at all nodes' evidence */
+	/* Attempts at the new version that let a stage end early. */
+	ENOUGH_ATTEMPTS = 60,
+	/* A finish needs this many attempts over the whole move. */
+	LEAST_ATTEMPTS = 5,
+	PEERS_MAX = 256,
+	/* Parts of the usable time, per thousand. */
+	DWELL_PART = 50, /* least time in a stage */
+	GIVE_UP_PART = 950,
+	/* Baseline policy: threshold and least attempts. */
+	FIXED_LEAST_ATTEMPTS = 20,
+	FIXED_ERRORS_PERCENT = 5,
+};
+
+/*
+ * Parts of a move's usable time, per thousand: no stage ends before its first
+ * bound, so that a delayed fault meets a small share; a stage without enough
+ * evidence ends at its last bound, so that tiny traffic also reaches an end.
+ */
+static const int stage_first[MOVE_STAGES] = {100, 200, 300, 400, 600};
+static const int stage_last[MOVE_STAGES] = {150, 300, 450, 600, 850};
+
+typedef enum pending { PENDING_NONE, PENDING_READ, PENDING_SWAP } pending_t;
+
+struct move {
+	move_record_t *record;
+	int64_t revision; /* of the state; 0: unknown or absent */
+	bool absent;	  /* the store had no state at the last read */
+	bool stale;	  /* read before the next write */
+	bool stopped;
+	bool told; /* peers know of the stop */
+	bool superseded;
+	bool comparing; /* last stage: half to each until it ends */
+	char *reason;	/* of the stop */
+	pending_t pending;
+	move_record_t *writing;
+	int64_t retry_ms;
+	int64_t poll_ms;
+	int64_t judge_ms;
+	unsigned attempts; /* at the new version, all stages and nodes */
+	evidence_t *own;
+	evidence_t *earlier; /* of the stage before */
+	GHashTable *peers;   /* node: json_t as by move_evidence() */
+	evidence_verdict_t combined;
+};
+
+static void
+free_json(void *json)
+{
+	json_decref(json);
+}
+
+move_t *
+move_new(const move_record_t *record)
+{
+	move_t *move = g_new0(move_t, 1);
+
+	move->record = move_record_copy(record);
+	move->stale = true;
+	move->own = evidence_new();
+	move->earlier = evidence_new();
+	move->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_json);
+	return move;
+}
+
+void
+move_free(move_t *move)
+{
+	if (move == NULL)
+		return;
+	move_record_free(move->record);
+	move_record_free(move->writing);
+	evidence_free(move->own);
+	evidence_free(move->earlier);
+	g_hash_table_destroy(move->peers);
+	g_free(move->reason);
+	g_free(move);
+}
+
+const move_record_t *
+move_record(const move_t *move)
+{
+	return move->record;
+}
+
+int64_t
+move_last_write_ms(const move_record_t *record)
+{
+	return record->deadline_ms - MOVE_MARGIN_MS;
+}
+
+static bool
+last_stage(const move_t *move)
+{
+	return move->record->stage == MOVE_STAGES - 1;
+}
+
+/*
+ * Evidence of every node in the present stage; for evidence_free(). Where
+ * comparable is true, only of nodes that send to both versions: the others'
+ * counts have nothing to be compared with.
+ */
+static evidence_t *
+evidence_sum(const move_t *move, bool comparable)
+{
+	evidence_t *sum = evidence_new();
+	bool all = !comparable || !last_stage(move) ||
+		   move->record->policy == MOVE_FIXED_STEPS;
+	GHashTableIter iter;
+	gpointer json;
+
+	if (all || move->comparing)
+		evidence_merge(sum, move->own);
+	g_hash_table_iter_init(&iter, move->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &json))
+		if (all || json_get_bool(json, "comparing", false))
+			evidence_merge_json(
+			    sum, json_object_get(json, "cells"));
+	return sum;
+}
+
+/* A new share: what was seen at the last one is kept only as a baseline. */
+static void
+begin_stage(move_t *move)
+{
+	evidence_t *sum = evidence_sum(move, false);
+
+	move->attempts += evidence_count(sum, EVIDENCE_NEW);
+	evidence_free(move->earlier);
+	move->earlier = sum;
+	evidence_reset(move->own);
+	g_hash_table_remove_all(move->peers);
+	move->comparing = false;
+	move->combined = EVIDENCE_CLEAR;
+	move->judge_ms = 0;
+}
+
+bool
+move_offer(move_t *move, const move_record_t *record, int64_t revision)
+{
+	unsigned stage = move->record->stage;
+	int order;
+
+	if (strcmp(record->id, move->record->id) != 0)
+		return false;
+	order = move_record_compare(record, move->record);
+	if (order >= 0 && revision > move->revision) {
+		move->revision = revision;
+		move->absent = false;
+	}
+	if (order <= 0)
+		return false;
+	move_record_free(move->record);
+	move->record = move_record_copy(record);
+	if (revision == 0)
+		move->stale = true;
+	if (record->state == MOVE_RUNNING && record->stage != stage)
+		begin_stage(move);
+	return true;
+}
+
+static void
+retry_later(move_t *move, int64_t now_ms, uint64_t random)
+{
+	move->retry_ms = now_ms + RETRY_MS + (int64_t)(random % RETRY_MS);
+}
+
+void
+move_read_done(move_t *move, const move_record_t *record, int64_t revision,
+    bool failed, int64_t now_ms, uint64_t random)
+{
+	move->pending = PENDING_NONE;
+	if (failed) {
+		retry_later(move, now_ms, random);
+		return;
+	}
+	move->stale = false;
+	if (record != NULL) {
+		move_offer(move, record, revision);
+		/* A stale answer: the next swap conflicts and reads again. */
+		move->absent = false;
+		return;
+	}
+	move->absent = true;
+	move->revision = 0;
+}
+
+void
+move_swap_done(move_t *move, move_write_t result, int64_t revision,
+    int64_t now_ms, uint64_t random)
+{
+	move_record_t *written = move->writing;
+
+	move->pending = PENDING_NONE;
+	move->writing = NULL;
+	switch (result) {
+	case MOVE_WRITE_DONE:
+		move->absent = false;
+		move_offer(move, written, revision);
+		break;
+	case MOVE_WRITE_NONE:
+		retry_later(move, now_ms, random);
+		break;
+	case MOVE_WRITE_CONFLICT:
+	case MOVE_WRITE_UNKNOWN:
+		/* The record read next tells whether this write took effect. */
+		move->stale = true;
+		retry_later(move, now_ms, random);
+		break;
+	}
+	move_record_free(written);
+}
+
+static bool
+past_deadline(const move_t *move, int64_t now_ms)
+{
+	return now_ms >= move->record->deadline_ms - MOVE_CLOCK_SKEW_MS;
+}
+
+move_state_t
+move_outcome(const move_t *move, int64_t now_ms)
+{
+	if (move->record->state == MOVE_RUNNING && past_deadline(move, now_ms))
+		return MOVE_TAKEN_BACK;
+	return move->record->state;
+}
+
+bool
+move_recorded(const move_t *move)
+{
+	return move->record->state != MOVE_RUNNING;
+}
+
+const char *
+move_reason(const move_t *move, int64_t now_ms)
+{
+	if (move_recorded(move))
+		return move->record->reason;
+	if (move->stopped)
+		return move->reason;
+	return past_deadline(move, now_ms)
+		   ? "no finish recorded by the deadline"
+		   : "";
+}
+
+double
+move_share(const move_t *move, int64_t now_ms)
+{
+	switch (move_outcome(move, now_ms)) {
+	case MOVE_FINISHED:
+		return 1;
+	case MOVE_TAKEN_BACK:
+		return 0;
+	case MOVE_RUNNING:
+		break;
+	}
+	if (move->stopped || move->superseded || move->absent)
+		return 0;
+	/* A declaration without a state sends nothing to the new version. */
+	if (move->record->lease[0] == '\0')
+		return 0;
+	return move->comparing ? 0.5 : move_stage_share[move->record->stage];
+}
+
+const char *
+move_pick(const move_t *move, int64_t now_ms, uint64_t random)
+{
+	/* 53 bits: the mantissa of a double. */
+	double draw = (double)(random >> 11) / (double)(UINT64_C(1) << 53);
+
+	return draw < move_share(move, now_ms) ? move->record->to
+					       : move->record->from;
+}
+
+void
+move_stop(move_t *move, const char *reason)
+{
+	if (move->stopped || move_recorded(move))
+		return;
+	move->stopped = true;
+	move->reason = g_strdup(reason);
+}
+
+void
+move_supersede(move_t *move)
+{
+	move->superseded = true;
+	move_stop(move, "the settings name another current version");
+}
+
+/* Baseline policy: a fixed threshold on the new version's errors alone. */
+static bool
+fixed_bad(const evidence_t *evidence)
+{
+	unsigned attempts = evidence_count(evidence, EVIDENCE_NEW);
+
+	return attempts >= FIXED_LEAST_ATTEMPTS &&
+	       evidence_errors(evidence, EVIDENCE_NEW) * 100 >
+		   attempts * FIXED_ERRORS_PERCENT;
+}
+
+static evidence_verdict_t
+judge(const move_t *move, const evidence_t *evidence, const char *route,
+    char **why)
+{
+	if (move->record->policy == MOVE_FIXED_STEPS) {
+		if (!fixed_bad(evidence))
+			return EVIDENCE_CLEAR;
+		*why = g_strdup_printf(
+		    "more than %d%% errors", FIXED_ERRORS_PERCENT);
+		return EVIDENCE_BAD;
+	}
+	if (route != NULL)
+		return evidence_judge_route(evidence, route, why);
+	return evidence_judge(evidence, why);
+}
+
+/* At the last stage nothing goes to the old version: share until sure. */
+static void
+compare_if_doubtful(move_t *move)
+{
+	if (move->record->policy != MOVE_EVIDENCE || move->comparing ||
+	    !last_stage(move) || !evidence_doubt(move->own, move->earlier))
+		return;
+	move->comparing = true;
+	move->attempts += evidence_count(move->own, EVIDENCE_NEW);
+	evidence_reset(move->own);
+}
+
+void
+move_observe(move_t *move, const char *version, const char *route, bool ok,
+    double first_ms, int64_t now_ms)
+{
+	bool is_new = strcmp(version, move->record->to) == 0;
+	char *why = NULL;
+
+	if (!is_new && strcmp(version, move->record->from) != 0)
+		return;
+	if (move_recorded(move) || move->stopped || past_deadline(move, now_ms))
+		return;
+	evidence_add(move->own, is_new ? EVIDENCE_NEW : EVIDENCE_OLD, route, ok,
+	    first_ms);
+	if (!is_new)
+		return;
+	if (judge(move, move->own, route, &why) == EVIDENCE_BAD)
+		move_stop(move, why);
+	else
+		compare_if_doubtful(move);
+	g_free(why);
+}
+
+json_t *
+move_evidence(const move_t *move)
+{
+	return json_pack("{s:i, s:b, s:o}", "stage", (int)move->record->stage,
+	    "comparing", move->comparing ? 1 : 0, "cells",
+	    evidence_json(move->own));
+}
+
+bool
+move_merge(move_t *move, const char *node, const json_t *evidence)
+{
+	const json_t *stage = json_object_get(evidence, "stage");
+	const json_t *cells = json_object_get(evidence, "cells");
+	evidence_t *check;
+	bool good;
+
+	if (!json_is_integer(stage) ||
+	    json_integer_value(stage) != move->record->stage)
+		return false;
+	check = evidence_new();
+	good = evidence_merge_json(check, cells);
+	evidence_free(check);
+	if (good && (g_hash_table_contains(move->peers, node) ||
+			g_hash_table_size(move->peers) < PEERS_MAX))
+		g_hash_table_replace(
+		    move->peers, g_strdup(node), json_deep_copy(evidence));
+	return good;
+}
+
+/* Looks at all nodes' evidence. */
+static void
+judge_all(move_t *move)
+{
+	evidence_t *sum = evidence_sum(move, true);
+	char *why = NULL;
+
+	move->combined = judge(move, sum, NULL, &why);
+	if (move->combined == EVIDENCE_BAD)
+		move_stop(move, why);
+	g_free(why);
+	evidence_free(sum);
+}
+
+static int64_t
+part_ms(const move_record_t *record, int per_thousand)
+{
+	int64_t usable = move_last_write_ms(record) - record->started_ms;
+
+	return usable * per_thousand / 1000;
+}
+
+static int64_t
+part_of_time(const move_record_t *record, int per_thousand)
+{
+	return record->started_ms + part_ms(record, per_thousand);
+}
+
+static bool
+stage_over(const move_t *move, const evidence_t *sum, int64_t now_ms)
+{
+	const move_record_t *record = move->record;
+	unsigned stage = record->stage;
+
+	if (record->policy == MOVE_FIXED_STEPS)
+		return now_ms >= part_of_time(record, stage_last[stage]);
+	if (now_ms < part_of_time(record, stage_first[stage]) ||
+	    now_ms < record->stage_ms + part_ms(record, DWELL_PART) ||
+	    move->combined != EVIDENCE_CLEAR)
+		return false;
+	return now_ms >= part_of_time(record, stage_last[stage]) ||
+	       evidence_enough(sum, ENOUGH_ATTEMPTS);
+}
+
+static move_action_t
+swap_to(move_t *move, move_record_t *next, uint64_t random)
+{
+	bool running = next->state == MOVE_RUNNING;
+
+	g_free(next->nonce);
+	next->nonce = g_strdup_printf("%016" G_GINT64_MODIFIER "x", random);
+	if (!running)
+		move_record_set(&next->lease, "");
+	move->pending = PENDING_SWAP;
+	move->writing = next;
+	return (move_action_t){
+	    .type = MOVE_ACTION_SWAP,
+	    .record = next,
+	    .expected = move->absent ? 0 : move->revision,
+	    .lease = running ? next->lease : NULL,
+	};
+}
+
+static move_action_t
+take_back(move_t *move, const char *reason, uint64_t random)
+{
+	move_record_t *next = move_record_copy(move->record);
+
+	next->state = MOVE_TAKEN_BACK;
+	move_record_set(&next->reason, reason);
+	return swap_to(move, next, random);
+}
+
+static move_action_t
+finish(move_t *move, uint64_t random)
+{
+	move_record_t *next = move_record_copy(move->record);
+
+	next->state = MOVE_FINISHED;
+	move_record_set(&next->reason, "every stage passed");
+	return swap_to(move, next, random);
+}
+
+static move_action_t
+next_stage(move_t *move, int64_t now_ms, uint64_t random)
+{
+	move_record_t *next = move_record_copy(move->record);
+
+	next->stage++;
+	next->stage_ms = MAX(now_ms, next->stage_ms);
+	return swap_to(move, next, random);
+}
+
+static move_action_t
+read_state(move_t *move)
+{
+	move->pending = PENDING_READ;
+	return (move_action_t){.type = MOVE_ACTION_READ};
+}
+
+/* An absent state has expired, or was not written in time. */
+static move_action_t
+step_absent(move_t *move, int64_t now_ms, uint64_t random)
+{
+	if (now_ms < move->record->started_ms + MOVE_START_GRACE_MS) {
+		move->stale = true;
+		retry_later(move, now_ms, random);
+		return (move_action_t){.type = MOVE_ACTION_NONE};
+	}
+	return take_back(move,
+	    move->stopped ? move->reason : "no finish recorded by the deadline",
+	    random);
+}
+
+typedef enum want { WANT_NOTHING, WANT_STAGE, WANT_FINISH, WANT_BACK } want_t;
+
+static want_t
+want_at_stage_end(move_t *move, const evidence_t *sum)
+{
+	if (!last_stage(move))
+		return WANT_STAGE;
+	if (move->record->policy == MOVE_FIXED_STEPS ||
+	    move->attempts + evidence_count(sum, EVIDENCE_NEW) >=
+		LEAST_ATTEMPTS)
+		return WANT_FINISH;
+	return WANT_NOTHING;
+}
+
+static want_t
+want_of(move_t *move, int64_t now_ms)
+{
+	evidence_t *sum;
+	want_t want = WANT_NOTHING;
+
+	if (move->stopped)
+		return WANT_BACK;
+	if (now_ms < move->judge_ms)
+		return WANT_NOTHING;
+	move->judge_ms = now_ms + JUDGE_MS;
+	judge_all(move);
+	if (move->stopped)
+		return WANT_BACK;
+	sum = evidence_sum(move, false);
+	if (stage_over(move, sum, now_ms))
+		want = want_at_stage_end(move, sum);
+	evidence_free(sum);
+	if (want == WANT_NOTHING &&
+	    now_ms >= part_of_time(move->record, GIVE_UP_PART)) {
+		move_stop(move, move->combined == EVIDENCE_CLEAR
+				    ? "too little evidence or time"
+				    : "evidence in doubt until the end");
+		want = WANT_BACK;
+	}
+	return want;
+}
+
+static move_action_t
+step_running(move_t *move, int64_t now_ms, uint64_t random)
+{
+	want_t want = want_of(move, now_ms);
+
+	if (want != WANT_NOTHING && (move->stale || move->revision == 0)) {
+		move->judge_ms = now_ms;
+		return read_state(move);
+	}
+	switch (want) {
+	case WANT_STAGE:
+		return next_stage(move, now_ms, random);
+	case WANT_FINISH:
+		return finish(move, random);
+	case WANT_BACK:
+		return take_back(move, move->reason, random);
+	case WANT_NOTHING:
+		break;
+	}
+	return (move_action_t){.type = MOVE_ACTION_NONE};
+}
+
+static move_action_t
+step_store(move_t *move, int64_t now_ms, uint64_t random)
+{
+	if (move->absent && !move->stale)
+		return step_absent(move, now_ms, random);
+	if (move->absent || move->record->lease[0] == '\0')
+		return read_state(move);
+	if (now_ms < move_last_write_ms(move->record))
+		return step_running(move, now_ms, random);
+	/* The lease has ended or ends now: see which outcome there is. */
+	if (now_ms < move->poll_ms)
+		return (move_action_t){.type = MOVE_ACTION_NONE};
+	move->poll_ms = now_ms + POLL_MS;
+	return read_state(move);
+}
+
+static move_action_t
+step_final(move_t *move, uint64_t random)
+{
+	move_record_t *next;
+
+	if (!move->superseded || move->record->superseded)
+		return (move_action_t){.type = MOVE_ACTION_NONE};
+	if (move->stale || move->revision == 0)
+		return read_state(move);
+	next = move_record_copy(move->record);
+	next->superseded = true;
+	return swap_to(move, next, random);
+}
+
+move_action_t
+move_step(move_t *move, int64_t now_ms, uint64_t random)
+{
+	if (move->stopped && !move->told) {
+		move->told = true;
+		return (move_action_t){
+		    .type = MOVE_ACTION_STOP,
+		    .record = move->record,
+		    .reason = move->reason,
+		};
+	}
+	if (move->pending != PENDING_NONE || now_ms < move->retry_ms)
+		return (move_action_t){.type = MOVE_ACTION_NONE};
+	return move_recorded(move) ? step_final(move, random)
+				   : step_store(move, now_ms, random);
+}
--- /dev/null
+++ b/src/move_start.c
@@ -0,0 +1,282 @@
+#include "move_start.h"
+
+#include "error.h"
+
+#include <string.h>
+
+struct move_start {
+	move_start_action_type_t next;
+	move_record_t *record;
+	char *other; /* id of the earlier move */
+	int64_t declaration_revision;
+	int64_t revision;
+	int64_t within_ms;
+	int64_t lease_asked_ms;
+	bool declared;
+	bool state_sent;
+	unsigned retries;
+	GError *error;
+};
+
+enum { RETRIES_MAX = 3 };
+
+move_start_t *
+move_start_new(const move_request_t *request)
+{
+	move_start_t *start = g_new0(move_start_t, 1);
+	move_record_t *record = g_new0(move_record_t, 1);
+
+	record->id =
+	    g_strdup_printf("%016" G_GINT64_MODIFIER "x", request->random);
+	record->service = g_strdup(request->service);
+	record->from = g_strdup(request->current);
+	record->to = g_strdup(request->to);
+	record->base = g_strdup(request->current);
+	record->reason = g_strdup("");
+	record->lease = g_strdup("");
+	record->nonce = g_strdup(record->id);
+	record->policy = request->policy;
+	record->state = MOVE_RUNNING;
+	start->record = record;
+	start->within_ms = request->within_ms;
+	start->next = MOVE_START_READ_DECLARATION;
+	return start;
+}
+
+void
+move_start_free(move_start_t *start)
+{
+	if (start == NULL)
+		return;
+	move_record_free(start->record);
+	g_free(start->other);
+	g_clear_error(&start->error);
+	g_free(start);
+}
+
+int64_t
+move_start_revision(const move_start_t *start)
+{
+	return start->revision;
+}
+
+G_GNUC_PRINTF(3, 4)
+static void
+fail(move_start_t *start, papaya_error_t kind, const char *format, ...)
+{
+	va_list args;
+	char *text;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	papaya_error_set(&start->error, kind, "%s", text);
+	g_free(text);
+	start->next = MOVE_START_FAILED;
+}
+
+static void
+fail_conflict(move_start_t *start, const char *id)
+{
+	fail(start, PAPAYA_ERROR_CONFLICT,
+	    "move %s of %s has not ended; wait for its end, then start again",
+	    id, start->record->service);
+}
+
+static void
+fail_store(move_start_t *start)
+{
+	fail(start, PAPAYA_ERROR_STORE_UNAVAILABLE,
+	    "the store did not confirm the start of move %s of %s; it ends as "
+	    "taken back unless GET shows it running",
+	    start->record->id, start->record->service);
+}
+
+/* Another try of the same action, or failure after a few. */
+static void
+retry(move_start_t *start)
+{
+	if (++start->retries > RETRIES_MAX)
+		fail_store(start);
+}
+
+/* Version that requests go to after an ended move. */
+static const char *
+version_after(const move_record_t *ended, const char *current)
+{
+	if (ended->superseded || strcmp(ended->base, current) != 0)
+		return current;
+	return ended->state == MOVE_FINISHED ? ended->to : ended->from;
+}
+
+static void
+declare(move_start_t *start, int64_t now_ms)
+{
+	move_record_t *record = start->record;
+
+	if (strcmp(record->from, record->to) == 0) {
+		fail(start, PAPAYA_ERROR_CONFLICT,
+		    "%s is at version %s already; name another one",
+		    record->service, record->to);
+		return;
+	}
+	if (record->started_ms == 0) {
+		record->started_ms = now_ms;
+		record->stage_ms = now_ms;
+		record->deadline_ms = now_ms + start->within_ms;
+	}
+	start->next = MOVE_START_SWAP_DECLARATION;
+}
+
+static void
+declaration_read(move_start_t *start, const move_record_t *record,
+    int64_t revision, int64_t now_ms)
+{
+	start->declaration_revision = revision;
+	if (record == NULL) {
+		declare(start, now_ms);
+		return;
+	}
+	if (start->declared && strcmp(record->id, start->record->id) == 0) {
+		start->next = MOVE_START_LEASE;
+		return;
+	}
+	/* Unchanged: an unanswered swap has not taken effect so far. */
+	if (start->declared && g_strcmp0(record->id, start->other) == 0) {
+		start->next = MOVE_START_SWAP_DECLARATION;
+		return;
+	}
+	if (start->declared) {
+		fail_conflict(start, record->id);
+		return;
+	}
+	g_free(start->other);
+	start->other = g_strdup(record->id);
+	start->next = MOVE_START_READ_STATE;
+}
+
+/* State of the earlier move, which must have ended. */
+static void
+other_read(move_start_t *start, const move_record_t *record, int64_t now_ms)
+{
+	if (record == NULL || record->state == MOVE_RUNNING) {
+		fail_conflict(start, start->other);
+		return;
+	}
+	move_record_set(
+	    &start->record->from, version_after(record, start->record->base));
+	/* Later than the earlier move, whatever this node's clock says. */
+	declare(start, MAX(now_ms, record->started_ms + 1));
+}
+
+static void
+own_state_read(
+    move_start_t *start, const move_record_t *record, int64_t revision)
+{
+	if (record == NULL) {
+		start->next = MOVE_START_SWAP_STATE;
+		return;
+	}
+	if (strcmp(record->nonce, start->record->nonce) != 0 &&
+	    record->state != MOVE_RUNNING) {
+		fail(start, PAPAYA_ERROR_DEADLINE_EXCEEDED,
+		    "move %s was taken back before it ran: %s", record->id,
+		    record->reason);
+		return;
+	}
+	start->revision = revision;
+	start->next = MOVE_START_DONE;
+}
+
+void
+move_start_read_done(move_start_t *start, const move_record_t *record,
+    int64_t revision, bool failed, int64_t now_ms)
+{
+	if (failed)
+		retry(start);
+	else if (start->next == MOVE_START_READ_DECLARATION)
+		declaration_read(start, record, revision, now_ms);
+	else if (start->state_sent)
+		own_state_read(start, record, revision);
+	else
+		other_read(start, record, now_ms);
+}
+
+static void
+read_own_state(move_start_t *start)
+{
+	g_free(start->other);
+	start->other = g_strdup(start->record->id);
+	start->next = MOVE_START_READ_STATE;
+}
+
+static void
+declaration_swapped(move_start_t *start, move_write_t result)
+{
+	if (result == MOVE_WRITE_DONE)
+		start->next = MOVE_START_LEASE;
+	else if (result == MOVE_WRITE_NONE)
+		retry(start);
+	else
+		start->next = MOVE_START_READ_DECLARATION;
+	start->declared = result != MOVE_WRITE_NONE;
+}
+
+void
+move_start_swap_done(
+    move_start_t *start, move_write_t result, int64_t revision, int64_t now_ms)
+{
+	if (start->next == MOVE_START_SWAP_DECLARATION) {
+		declaration_swapped(start, result);
+		if (result == MOVE_WRITE_UNKNOWN)
+			retry(start);
+		return;
+	}
+	start->state_sent = true;
+	start->revision = revision;
+	if (result == MOVE_WRITE_DONE)
+		start->next = MOVE_START_DONE;
+	else if (result != MOVE_WRITE_NONE)
+		read_own_state(start);
+	if (result != MOVE_WRITE_DONE)
+		retry(start);
+}
+
+/*
+ * The lease ends between asking and answer plus its time, so an answer within
+ * the store timeout keeps its end before the deadline less the clock skew.
+ */
+void
+move_start_lease_done(move_start_t *start, const char *lease, int64_t now_ms)
+{
+	if (lease == NULL ||
+	    now_ms - start->lease_asked_ms > MOVE_STORE_TIMEOUT_MS) {
+		retry(start);
+		return;
+	}
+	move_record_set(&start->record->lease, lease);
+	start->next = MOVE_START_SWAP_STATE;
+}
+
+move_start_action_t
+move_start_step(move_start_t *start, int64_t now_ms)
+{
+	int64_t ttl_ms = 0;
+
+	if (start->next == MOVE_START_LEASE) {
+		start->lease_asked_ms = now_ms;
+		ttl_ms = move_last_write_ms(start->record) - now_ms;
+		if (ttl_ms <= 0)
+			fail(start, PAPAYA_ERROR_DEADLINE_EXCEEDED,
+			    "move %s could not start before its deadline",
+			    start->record->id);
+	}
+	return (move_start_action_t){
+	    .type = start->next,
+	    .id = start->other,
+	    .record = start->record,
+	    .expected = start->declaration_revision,
+	    .ttl_ms = ttl_ms,
+	    .error = start->error,
+	};
+}
