--- a/src/evidence.c
+++ b/src/evidence.c
@@ -359,7 +359,7 @@
 evidence_verdict_t
 evidence_judge(const evidence_t *evidence, char **why)
 {
-	finding_t best = {0};
+	finding_t best = {.what = ""};
 
 	for (unsigned i = 0; i < evidence->cell_count; i++)
 		judge_cell(&best, evidence->cells[i], evidence->cell_count);
@@ -370,7 +370,7 @@
 evidence_judge_route(const evidence_t *evidence, const char *route, char **why)
 {
 	const cell_t *cell = cell_find(evidence, route);
-	finding_t best = {0};
+	finding_t best = {.what = ""};
 
 	judge_cell(&best, evidence->cells[0], evidence->cell_count);
 	if (cell != NULL)
@@ -381,7 +381,7 @@
 bool
 evidence_doubt(const evidence_t *evidence, const evidence_t *earlier)
 {
-	finding_t best = {0};
+	finding_t best = {.what = ""};
 
 	for (unsigned i = 0; i < evidence->cell_count; i++) {
 		const cell_t *cell = evidence->cells[i];
