Run version moves in the daemon

Starts, watches and steps moves by the aggregate's actions; evidence and stops travel between nodes in contact. A move's version is replaced by the other one while it has no usable backend server.

--- a/src/move.c
+++ b/src/move.c
@@ -7,7 +7,13 @@
 enum {
 	RETRY_MS = 200, /* after a failed call, plus as much at random */
 	POLL_MS = 500,	/* of the state around the end of its lease */
-	JUDGE_MS = 200, /* between two looks at all nodes' evidence */
+	/*
+	 * Between two looks at all nodes' evidence, plus as much at random, so
+	 * that one of several writers comes first.
+	 */
+	JUDGE_MS = 200,
+	/* After the deadline, before a node that is no writer reads. */
+	READER_WAIT_MS = 2000,
 	/* Attempts at the new version that let a stage end early. */
 	ENOUGH_ATTEMPTS = 60,
 	/* A finish needs this many attempts over the whole move. */
@@ -37,7 +43,8 @@
 	bool absent;	  /* the store had no state at the last read */
 	bool stale;	  /* read before the next write */
 	bool stopped;
-	bool told; /* peers know of the stop */
+	bool own_stop; /* by this node's evidence */
+	bool told;     /* peers know of the stop */
 	bool superseded;
 	bool comparing; /* last stage: half to each until it ends */
 	char *reason;	/* of the stop */
@@ -93,6 +100,12 @@
 	return move->record;
 }
 
+int64_t
+move_revision(const move_t *move)
+{
+	return move->revision;
+}
+
 int64_t
 move_last_write_ms(const move_record_t *record)
 {
@@ -352,10 +365,12 @@
 	    first_ms);
 	if (!is_new)
 		return;
-	if (judge(move, move->own, route, &why) == EVIDENCE_BAD)
+	if (judge(move, move->own, route, &why) == EVIDENCE_BAD) {
+		move->own_stop = true;
 		move_stop(move, why);
-	else
+	} else {
 		compare_if_doubtful(move);
+	}
 	g_free(why);
 }
 
@@ -517,7 +532,7 @@
 }
 
 static want_t
-want_of(move_t *move, int64_t now_ms)
+want_of(move_t *move, int64_t now_ms, uint64_t random)
 {
 	evidence_t *sum;
 	want_t want = WANT_NOTHING;
@@ -526,7 +541,7 @@
 		return WANT_BACK;
 	if (now_ms < move->judge_ms)
 		return WANT_NOTHING;
-	move->judge_ms = now_ms + JUDGE_MS;
+	move->judge_ms = now_ms + JUDGE_MS + (int64_t)(random % JUDGE_MS);
 	judge_all(move);
 	if (move->stopped)
 		return WANT_BACK;
@@ -547,7 +562,7 @@
 static move_action_t
 step_running(move_t *move, int64_t now_ms, uint64_t random)
 {
-	want_t want = want_of(move, now_ms);
+	want_t want = want_of(move, now_ms, random);
 
 	if (want != WANT_NOTHING && (move->stale || move->revision == 0)) {
 		move->judge_ms = now_ms;
@@ -597,7 +612,7 @@
 }
 
 move_action_t
-move_step(move_t *move, int64_t now_ms, uint64_t random)
+move_step(move_t *move, bool writer, int64_t now_ms, uint64_t random)
 {
 	if (move->stopped && !move->told) {
 		move->told = true;
@@ -609,6 +624,9 @@
 	}
 	if (move->pending != PENDING_NONE || now_ms < move->retry_ms)
 		return (move_action_t){.type = MOVE_ACTION_NONE};
+	if (!writer && !move->own_stop &&
+	    now_ms < move->record->deadline_ms + READER_WAIT_MS)
+		return (move_action_t){.type = MOVE_ACTION_NONE};
 	return move_recorded(move) ? step_final(move, random)
 				   : step_store(move, now_ms, random);
 }
--- a/src/move.h
+++ b/src/move.h
@@ -64,6 +64,9 @@
 
 const move_record_t *move_record(const move_t *move);
 
+/* Of the state, as known here; 0: unknown or absent. */
+int64_t move_revision(const move_t *move);
+
 /*
  * Offers a record of the same move, with the state's revision, or 0 where that
  * is unknown. Returns true where it changes what is known.
@@ -106,8 +109,13 @@
 /* The settings have come to name another version than at the start. */
 void move_supersede(move_t *move);
 
-/* Decides what to do at this time; call until it returns NONE. */
-move_action_t move_step(move_t *move, int64_t now_ms, uint64_t random);
+/*
+ * Decides what to do at this time; call until it returns NONE. A node that is
+ * no writer leaves stages to those that are, but records its own stop, and
+ * looks for the outcome after the deadline.
+ */
+move_action_t move_step(
+    move_t *move, bool writer, int64_t now_ms, uint64_t random);
 
 /* Time from which no stage is entered and no finish tried. */
 int64_t move_last_write_ms(const move_record_t *record);
--- a/src/move_record.c
+++ b/src/move_record.c
@@ -72,7 +72,7 @@
 move_record_json(const move_record_t *record)
 {
 	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, "
-			 "s:i, s:I, s:I, s:I, s:b}",
+			 "s:i, s:I, s:I, s:I, s:I, s:b}",
 	    "id", record->id, "service", record->service, "from", record->from,
 	    "to", record->to, "base", record->base, "reason", record->reason,
 	    "lease", record->lease, "nonce", record->nonce, "policy",
@@ -80,7 +80,8 @@
 	    "stage", (int)record->stage, "started_ms",
 	    (json_int_t)record->started_ms, "stage_ms",
 	    (json_int_t)record->stage_ms, "deadline_ms",
-	    (json_int_t)record->deadline_ms, "superseded",
+	    (json_int_t)record->deadline_ms, "base_revision",
+	    (json_int_t)record->base_revision, "superseded",
 	    record->superseded ? 1 : 0);
 }
 
@@ -130,6 +131,7 @@
 	record->started_ms = json_get_int(json, "started_ms", -1);
 	record->stage_ms = json_get_int(json, "stage_ms", -1);
 	record->deadline_ms = json_get_int(json, "deadline_ms", -1);
+	record->base_revision = json_get_int(json, "base_revision", 0);
 	record->superseded = json_get_bool(json, "superseded", false);
 	if (state < 0 || policy < 0 || stage < 0 || stage >= MOVE_STAGES)
 		return false;
@@ -155,6 +157,24 @@
 	return NULL;
 }
 
+bool
+move_record_outdated(
+    const move_record_t *record, const char *current, int64_t settings_revision)
+{
+	return record->superseded ||
+	       (settings_revision > record->base_revision &&
+		   strcmp(record->base, current) != 0);
+}
+
+const char *
+move_record_version(
+    const move_record_t *record, const char *current, int64_t settings_revision)
+{
+	if (move_record_outdated(record, current, settings_revision))
+		return current;
+	return record->state == MOVE_FINISHED ? record->to : record->from;
+}
+
 static int
 compare_int(int64_t a, int64_t b)
 {
@@ -173,7 +193,9 @@
 		    a->state != MOVE_RUNNING, b->state != MOVE_RUNNING);
 	if (order == 0 && a->state != MOVE_RUNNING)
 		order = compare_int(a->superseded, b->superseded);
-	else if (order == 0)
-		order = compare_int(a->stage, b->stage);
-	return order;
+	if (order != 0 || a->state != MOVE_RUNNING)
+		return order;
+	/* A declaration has no lease. */
+	order = compare_int(a->lease[0] != '\0', b->lease[0] != '\0');
+	return order != 0 ? order : compare_int(a->stage, b->stage);
 }
--- a/src/move_record.h
+++ b/src/move_record.h
@@ -29,6 +29,7 @@
 	char *from;
 	char *to;
 	char *base; /* current version in the settings at the start */
+	int64_t base_revision; /* of those settings */
 	char *reason;
 	char *lease; /* of the state while it runs; "" in a declaration */
 	char *nonce; /* of the last write */
@@ -53,6 +54,14 @@
 /* NULL and *error where a member is missing, mistyped or out of range. */
 move_record_t *move_record_parse(const json_t *json, GError **error);
 
+/* True where newer settings name another version than at the start. */
+bool move_record_outdated(const move_record_t *record, const char *current,
+    int64_t settings_revision);
+
+/* Version that requests go to once the move has ended as recorded. */
+const char *move_record_version(const move_record_t *record,
+    const char *current, int64_t settings_revision);
+
 /*
  * Order in which records of one service replace each other: a later move, a
  * final state over a running one, a higher stage. Less than, equal to, or
--- a/src/move_start.c
+++ b/src/move_start.c
@@ -18,7 +18,7 @@
 	GError *error;
 };
 
-enum { RETRIES_MAX = 3 };
+enum { RETRIES_MAX = 5 };
 
 move_start_t *
 move_start_new(const move_request_t *request)
@@ -32,6 +32,7 @@
 	record->from = g_strdup(request->current);
 	record->to = g_strdup(request->to);
 	record->base = g_strdup(request->current);
+	record->base_revision = request->settings_revision;
 	record->reason = g_strdup("");
 	record->lease = g_strdup("");
 	record->nonce = g_strdup(record->id);
@@ -100,15 +101,6 @@
 		fail_store(start);
 }
 
-/* Version that requests go to after an ended move. */
-static const char *
-version_after(const move_record_t *ended, const char *current)
-{
-	if (ended->superseded || strcmp(ended->base, current) != 0)
-		return current;
-	return ended->state == MOVE_FINISHED ? ended->to : ended->from;
-}
-
 static void
 declare(move_start_t *start, int64_t now_ms)
 {
@@ -163,8 +155,9 @@
 		fail_conflict(start, start->other);
 		return;
 	}
-	move_record_set(
-	    &start->record->from, version_after(record, start->record->base));
+	move_record_set(&start->record->from,
+	    move_record_version(
+		record, start->record->base, start->record->base_revision));
 	/* Later than the earlier move, whatever this node's clock says. */
 	declare(start, MAX(now_ms, record->started_ms + 1));
 }
--- a/src/move_start.h
+++ b/src/move_start.h
@@ -34,6 +34,7 @@
 	const char *service;
 	const char *to;
 	const char *current; /* version in the settings */
+	int64_t settings_revision;
 	move_policy_t policy;
 	int64_t within_ms;
 	uint64_t random; /* id of the move */
--- a/src/node_move.c
+++ b/src/node_move.c
@@ -1,34 +1,682 @@
-#include "node.h"
+#include "node_move.h"
+
+#include "clock.h"
+#include "json.h"
+#include "log.h"
+
+#include <string.h>
+
+enum {
+	TICK_MS = 100,
+	/* Between listings; pushes by peers come sooner. */
+	LIST_WATCHER_MS = 15000,
+	LIST_OTHER_MS = 60000,
+	LIST_RETRY_MS = 1000,
+	WANT_MS = 1000, /* between questions to peers, until the first list */
+	EVIDENCE_MS = 1000,
+	WATCH_MS = 20000,
+	STEPS_MAX = 8, /* per move and tick */
+};
+
+char *
+move_declaration_key(const char *service)
+{
+	return g_strconcat("move/", service, NULL);
+}
+
+char *
+move_state_key(const char *service, const char *id)
+{
+	return g_strconcat("move/", service, "/", id, NULL);
+}
+
+move_op_t *
+move_op_new(node_t *node, const char *service, const char *id)
+{
+	move_op_t *op = g_new0(move_op_t, 1);
+
+	op->node = node;
+	op->service = g_strdup(service);
+	op->id = g_strdup(id);
+	LIST_INSERT_HEAD(&node->moves->ops, op, entries);
+	return op;
+}
+
+void
+move_op_end(move_op_t *op)
+{
+	LIST_REMOVE(op, entries);
+	if (op->request != NULL)
+		http_request_unref(op->request);
+	move_start_free(op->start);
+	g_free(op->service);
+	g_free(op->id);
+	g_free(op);
+}
+
+static void
+service_move_free(void *data)
+{
+	service_move_t *entry = data;
+
+	move_free(entry->move);
+	g_free(entry);
+}
+
+service_move_t *
+node_move_find(node_t *node, const char *service)
+{
+	return g_hash_table_lookup(node->moves->services, service);
+}
+
+/* The entry of an operation, if its move is still the newest. */
+static service_move_t *
+op_entry(const move_op_t *op)
+{
+	service_move_t *entry = node_move_find(op->node, op->service);
+
+	if (entry == NULL || strcmp(move_record(entry->move)->id, op->id) != 0)
+		return NULL;
+	return entry;
+}
+
+static move_record_t *
+parse_record(node_t *node, const char *text, size_t length)
+{
+	json_t *json = json_parse(text, length, "move", NULL);
+	move_record_t *record = move_record_parse(json, NULL);
+
+	json_decref(json);
+	if (record == NULL)
+		counter_add(node->counters, 1, "moves_malformed_total");
+	return record;
+}
+
+move_record_t *
+move_result_record(node_t *node, const store_result_t *result)
+{
+	if (result->status != STORE_OK || result->value == NULL)
+		return NULL;
+	return parse_record(node, result->value, result->length);
+}
+
+bool
+move_result_failed(const store_result_t *result)
+{
+	return result->status != STORE_OK && result->status != STORE_ABSENT;
+}
+
+move_write_t
+move_result_write(const store_result_t *result)
+{
+	switch (result->status) {
+	case STORE_OK:
+		return MOVE_WRITE_DONE;
+	case STORE_ABSENT: /* the lease has ended */
+	case STORE_CONFLICT:
+	case STORE_UNCHANGED:
+		return MOVE_WRITE_CONFLICT;
+	case STORE_TOO_LARGE:
+	case STORE_BUSY:
+	case STORE_NOT_SENT:
+		return MOVE_WRITE_NONE;
+	case STORE_UNKNOWN:
+		break;
+	}
+	return MOVE_WRITE_UNKNOWN;
+}
+
+void
+node_move_write(node_t *node, const char *key, const move_record_t *record,
+    int64_t expected, const char *lease, store_done_t done, void *data)
+{
+	json_t *json = move_record_json(record);
+	char *text = json_text(json);
+
+	counter_add(node->counters, 1, "moves_store_writes_total");
+	store_swap(
+	    node->store, key, expected, text, strlen(text), lease, done, data);
+	g_free(text);
+	json_decref(json);
+}
+
+static void
+send_json(node_t *node, const char *to, const char *service, json_t *json)
+{
+	message_t message = {.type = MESSAGE_MOVE_STATE};
+
+	message.move_state.service = g_strdup(service);
+	message.move_state.record = json_text(json);
+	if (to != NULL)
+		node_peers_send(node, to, &message);
+	else
+		node_peers_broadcast(node, &message);
+	message_clear(&message);
+	json_decref(json);
+}
+
+static void
+send_record(node_t *node, const char *to, const move_t *move, int64_t revision)
+{
+	const move_record_t *record = move_record(move);
+
+	send_json(node, to, record->service,
+	    json_pack("{s:o, s:I}", "record", move_record_json(record),
+		"revision", (json_int_t)revision));
+}
+
+static void
+log_change(node_t *node, const move_record_t *record)
+{
+	log_event(LOG_LEVEL_INFO, "move.changed",
+	    "node=%s service=%s move=%s from=%s to=%s state=%s share=%.2f "
+	    "reason=\"%s\"",
+	    node->config->name, record->service, record->id, record->from,
+	    record->to, move_state_name(record->state),
+	    move_stage_share[record->stage], record->reason);
+	counter_add(node->counters, 1, "moves_changes_total{state=\"%s\"}",
+	    move_state_name(record->state));
+}
+
+static void
+take_new(node_t *node, const move_record_t *record, int64_t revision)
+{
+	service_move_t *entry = g_new0(service_move_t, 1);
+
+	entry->move = move_new(record);
+	move_offer(entry->move, record, revision);
+	g_hash_table_replace(
+	    node->moves->services, g_strdup(record->service), entry);
+}
+
+void
+node_move_take(node_t *node, const move_record_t *record, int64_t revision)
+{
+	service_move_t *entry = node_move_find(node, record->service);
+
+	if (entry != NULL &&
+	    strcmp(move_record(entry->move)->id, record->id) == 0) {
+		if (!move_offer(entry->move, record, revision))
+			return;
+	} else if (entry != NULL &&
+		   move_record_compare(record, move_record(entry->move)) < 0) {
+		return;
+	} else {
+		take_new(node, record, revision);
+		entry = node_move_find(node, record->service);
+	}
+	log_change(node, record);
+	send_record(node, NULL, entry->move, revision);
+}
+
+/* A state's key has one part more than a declaration's. */
+static bool
+is_state_key(const char *key)
+{
+	unsigned slashes = 0;
+
+	for (; *key != '\0'; key++)
+		slashes += *key == '/';
+	return slashes > 2;
+}
+
+void
+node_move_take_list(node_t *node, const store_result_t *result)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach (result->entries, i, item) {
+		const char *key = json_get_string(item, "key", "");
+		const char *value = json_get_string(item, "value", "");
+		move_record_t *record =
+		    parse_record(node, value, strlen(value));
+
+		if (record == NULL)
+			continue;
+		node_move_take(node, record,
+		    is_state_key(key) ? json_get_int(item, "revision", 0) : 0);
+		move_record_free(record);
+	}
+}
+
+static void
+on_listed(const store_result_t *result, void *data)
+{
+	move_op_t *op = data;
+	node_t *node = op->node;
+
+	if (result->status == STORE_OK) {
+		node->moves->teams_loaded++;
+		node_move_take_list(node, result);
+	} else {
+		node->moves->next_list_ms = MIN(
+		    node->moves->next_list_ms, clock_mono_ms() + LIST_RETRY_MS);
+	}
+	move_op_end(op);
+}
+
+/* Reads all moves of the node's teams; also those it has not heard of. */
+static void
+list_moves(node_t *node, int64_t now_ms)
+{
+	char **teams = node->config->teams;
+	int64_t pause_ms = LIST_OTHER_MS;
+
+	for (char **team = teams; *team != NULL; team++) {
+		char *prefix = g_strconcat("move/", *team, "/", NULL);
+
+		if (node_peers_watches_store(node, *team))
+			pause_ms = LIST_WATCHER_MS;
+		store_list(
+		    node->store, prefix, on_listed, move_op_new(node, "", ""));
+		g_free(prefix);
+	}
+	node->moves->next_list_ms =
+	    now_ms + pause_ms / 2 +
+	    (int64_t)(node_random(node) % (uint64_t)pause_ms);
+}
+
+static void
+on_read(const store_result_t *result, void *data)
+{
+	move_op_t *op = data;
+	node_t *node = op->node;
+	service_move_t *entry = op_entry(op);
+	move_record_t *record = move_result_record(node, result);
+
+	if (record != NULL)
+		node_move_take(node, record, result->revision);
+	if (entry != NULL)
+		move_read_done(entry->move, record, result->revision,
+		    move_result_failed(result) ||
+			(result->status == STORE_OK && record == NULL),
+		    clock_wall_ms(), node_random(node));
+	move_record_free(record);
+	move_op_end(op);
+}
+
+static void
+on_swapped(const store_result_t *result, void *data)
+{
+	move_op_t *op = data;
+	node_t *node = op->node;
+	service_move_t *entry = op_entry(op);
+	const move_record_t *record;
+	move_state_t before;
+	unsigned stage;
+
+	if (entry != NULL) {
+		record = move_record(entry->move);
+		before = record->state;
+		stage = record->stage;
+		move_swap_done(entry->move, move_result_write(result),
+		    result->revision, clock_wall_ms(), node_random(node));
+		record = move_record(entry->move);
+		if (record->state != before || record->stage != stage) {
+			log_change(node, record);
+			send_record(node, NULL, entry->move, result->revision);
+		}
+	}
+	move_op_end(op);
+}
+
+static void
+tell_stop(node_t *node, const move_action_t *action)
+{
+	message_t message = {.type = MESSAGE_MOVE_STOP};
+
+	message.move_stop.service = g_strdup(action->record->service);
+	message.move_stop.move = g_strdup(action->record->id);
+	message.move_stop.reason = g_strdup(action->reason);
+	node_peers_broadcast(node, &message);
+	message_clear(&message);
+	counter_add(node->counters, 1, "moves_stopped_total");
+	log_event(LOG_LEVEL_WARN, "move.stopped",
+	    "node=%s service=%s move=%s version=%s reason=\"%s\"",
+	    node->config->name, action->record->service, action->record->id,
+	    action->record->to, action->reason);
+}
+
+static void
+carry_out(node_t *node, const move_action_t *action)
+{
+	const move_record_t *record = action->record;
+	char *key;
+
+	switch (action->type) {
+	case MOVE_ACTION_STOP:
+		tell_stop(node, action);
+		return;
+	case MOVE_ACTION_SWAP:
+		key = move_state_key(record->service, record->id);
+		node_move_write(node, key, record, action->expected,
+		    action->lease, on_swapped,
+		    move_op_new(node, record->service, record->id));
+		g_free(key);
+		return;
+	case MOVE_ACTION_READ:
+	case MOVE_ACTION_NONE:
+		return;
+	}
+}
+
+static char *
+team_of(const char *service)
+{
+	const char *slash = strchr(service, '/');
+
+	return slash != NULL ? g_strndup(service, (gsize)(slash - service))
+			     : g_strdup(service);
+}
+
+static bool
+is_writer(node_t *node, const char *service)
+{
+	char *team = team_of(service);
+	bool writer = node_peers_watches_store(node, team);
+
+	g_free(team);
+	return writer;
+}
+
+static void
+read_state(node_t *node, const move_record_t *record)
+{
+	char *key = move_state_key(record->service, record->id);
+
+	counter_add(node->counters, 1, "moves_store_reads_total");
+	store_get(node->store, key, on_read,
+	    move_op_new(node, record->service, record->id));
+	g_free(key);
+}
+
+static void
+step_move(node_t *node, move_t *move, bool writer)
+{
+	for (int i = 0; i < STEPS_MAX; i++) {
+		move_action_t action =
+		    move_step(move, writer, clock_wall_ms(), node_random(node));
+
+		if (action.type == MOVE_ACTION_NONE)
+			return;
+		if (action.type == MOVE_ACTION_READ)
+			read_state(node, move_record(move));
+		else
+			carry_out(node, &action);
+	}
+}
+
+static void
+on_watched(const store_result_t *result, void *data)
+{
+	move_op_t *op = data;
+	service_move_t *entry = op_entry(op);
+	move_record_t *record = move_result_record(op->node, result);
+
+	if (entry != NULL)
+		entry->watching = false;
+	if (record != NULL)
+		node_move_take(op->node, record, result->revision);
+	else if (entry != NULL && result->status == STORE_ABSENT)
+		move_read_done(entry->move, NULL, 0, false, clock_wall_ms(),
+		    node_random(op->node));
+	move_record_free(record);
+	move_op_end(op);
+}
+
+static void
+watch_state(node_t *node, service_move_t *entry)
+{
+	const move_record_t *record = move_record(entry->move);
+	int64_t revision = move_revision(entry->move);
+	char *key;
+
+	if (entry->watching || move_recorded(entry->move) || revision == 0)
+		return;
+	key = move_state_key(record->service, record->id);
+	entry->watching = true;
+	store_watch(node->store, key, revision, WATCH_MS, on_watched,
+	    move_op_new(node, record->service, record->id));
+	g_free(key);
+}
+
+static void
+send_evidence(node_t *node, service_move_t *entry, int64_t now_ms)
+{
+	const move_record_t *record = move_record(entry->move);
+
+	if (record->state != MOVE_RUNNING || record->lease[0] == '\0' ||
+	    now_ms < entry->evidence_sent_ms + EVIDENCE_MS ||
+	    move_outcome(entry->move, clock_wall_ms()) != MOVE_RUNNING)
+		return;
+	entry->evidence_sent_ms = now_ms;
+	send_json(node, NULL, record->service,
+	    json_pack("{s:s, s:o}", "id", record->id, "evidence",
+		move_evidence(entry->move)));
+}
+
+static const service_t *
+service_settings(node_t *node, const char *name, int64_t *revision)
+{
+	tree_t *tree = NULL;
+	const service_t *service =
+	    settings_service(node->settings, name, &tree);
+
+	*revision = tree != NULL ? tree->revision : 0;
+	return service;
+}
+
+static void
+check_settings(node_t *node, move_t *move)
+{
+	const move_record_t *record = move_record(move);
+	int64_t revision;
+	const service_t *service =
+	    service_settings(node, record->service, &revision);
+
+	if (service != NULL &&
+	    move_record_outdated(record, service->current, revision))
+		move_supersede(move);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	node_t *node = timer->data;
+	node_moves_t *moves = node->moves;
+	int64_t now_ms = clock_mono_ms();
+	GHashTableIter iter;
+	gpointer name, value;
+
+	if (now_ms >= moves->next_list_ms)
+		list_moves(node, now_ms);
+	if (moves->teams_loaded == 0 && now_ms >= moves->next_want_ms) {
+		moves->next_want_ms = now_ms + WANT_MS;
+		send_json(node, NULL, "", json_pack("{s:b}", "want", 1));
+	}
+	g_hash_table_iter_init(&iter, moves->services);
+	while (g_hash_table_iter_next(&iter, &name, &value)) {
+		service_move_t *entry = value;
+		bool writer = is_writer(node, name);
+
+		check_settings(node, entry->move);
+		step_move(node, entry->move, writer);
+		send_evidence(node, entry, now_ms);
+		if (writer)
+			watch_state(node, entry);
+	}
+}
 
 void
 node_moves_start(node_t *node)
 {
+	node_moves_t *moves = g_new0(node_moves_t, 1);
+
+	moves->node = node;
+	moves->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, service_move_free);
+	LIST_INIT(&moves->ops);
+	node->moves = moves;
+	uv_timer_init(node->loop, &moves->timer);
+	moves->timer.data = node;
+	uv_timer_start(&moves->timer, on_tick, 0, TICK_MS);
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
 }
 
 void
 node_moves_free(node_t *node)
 {
+	node_moves_t *moves = node->moves;
+	move_op_t *op;
+
+	if (moves == NULL)
+		return;
+	while ((op = LIST_FIRST(&moves->ops)) != NULL)
+		move_op_end(op);
+	g_hash_table_destroy(moves->services);
+	moves->timer.data = moves;
+	uv_close((uv_handle_t *)&moves->timer, on_timer_closed);
+	node->moves = NULL;
 }
 
-bool
-node_moves_handle(node_t *node, http_request_t *request)
+/* A node that has just started wants every record. */
+static void
+send_all(node_t *node, const char *to)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->moves->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const service_move_t *entry = value;
+
+		send_record(node, to, entry->move, move_revision(entry->move));
+	}
+}
+
+static void
+take_state_message(
+    node_t *node, const json_t *json, const char *service, const char *from)
 {
-	return false;
+	const json_t *evidence = json_object_get(json, "evidence");
+	service_move_t *entry = node_move_find(node, service);
+	move_record_t *record;
+
+	if (json_get_bool(json, "want", false)) {
+		send_all(node, from);
+	} else if (evidence != NULL) {
+		if (entry != NULL && strcmp(json_get_string(json, "id", ""),
+					 move_record(entry->move)->id) == 0)
+			move_merge(entry->move, from, evidence);
+	} else {
+		record =
+		    move_record_parse(json_object_get(json, "record"), NULL);
+		if (record == NULL)
+			counter_add(node->counters, 1, "moves_malformed_total");
+		else
+			node_move_take(
+			    node, record, json_get_int(json, "revision", 0));
+		move_record_free(record);
+	}
 }
 
 void
 node_moves_message(node_t *node, const message_t *message, const char *from)
 {
+	service_move_t *entry;
+	json_t *json;
+
+	if (message->type == MESSAGE_MOVE_STOP) {
+		entry = node_move_find(node, message->move_stop.service);
+		if (entry != NULL && strcmp(message->move_stop.move,
+					 move_record(entry->move)->id) == 0)
+			move_stop(entry->move, message->move_stop.reason);
+		return;
+	}
+	if (message->type != MESSAGE_MOVE_STATE)
+		return;
+	json = json_parse(message->move_state.record,
+	    strlen(message->move_state.record), "message", NULL);
+	if (json == NULL)
+		counter_add(node->counters, 1, "moves_malformed_total");
+	else
+		take_state_message(
+		    node, json, message->move_state.service, from);
+	json_decref(json);
+}
+
+static bool
+has_backend(node_t *node, const char *service, const char *version)
+{
+	GPtrArray *found = g_ptr_array_new();
+	int64_t now_ms = clock_mono_ms();
+	bool usable = false;
+
+	backends_of_service(node->backends, service, found);
+	for (guint i = 0; i < found->len && !usable; i++) {
+		const backend_t *backend = found->pdata[i];
+
+		usable = strcmp(backend->version, version) == 0 &&
+			 backend_usable(backend, now_ms);
+	}
+	g_ptr_array_free(found, TRUE);
+	return usable;
+}
+
+/*
+ * A version without usable backend servers is replaced by the move's other
+ * one, but nothing falls back to a new version that was stopped.
+ */
+static const char *
+with_backend(node_t *node, const service_t *service, const move_t *move,
+    const char *version)
+{
+	const move_record_t *record = move_record(move);
+	const char *other = record->from;
+
+	if (has_backend(node, service->name, version))
+		return version;
+	if (strcmp(version, record->from) == 0)
+		other = move_share(move, clock_wall_ms()) > 0 ? record->to
+							      : version;
+	return has_backend(node, service->name, other) ? other : version;
 }
 
 const char *
 node_moves_version(node_t *node, const service_t *service)
 {
-	return service->current;
+	service_move_t *entry = node_move_find(node, service->name);
+	const char *version;
+	int64_t revision;
+
+	if (entry == NULL)
+		return service->current;
+	service_settings(node, service->name, &revision);
+	if (move_record_outdated(
+		move_record(entry->move), service->current, revision))
+		return service->current;
+	version = move_pick(entry->move, clock_wall_ms(), node_random(node));
+	version = with_backend(node, service, entry->move, version);
+	/* Outlives the record; there are few versions. */
+	return g_intern_string(version);
 }
 
 void
 node_moves_observe(node_t *node, const service_t *service, const char *version,
     const char *route, bool ok, double first_ms)
 {
+	service_move_t *entry = node_move_find(node, service->name);
+
+	if (entry == NULL)
+		return;
+	move_observe(
+	    entry->move, version, route, ok, first_ms, clock_wall_ms());
+	/* Peers hear of a stop at once, not at the next tick. */
+	step_move(node, entry->move, is_writer(node, service->name));
 }
