Compare versions by a betting martingale

Requests are assigned at random with a known share, so each failure can be tested against that share; the product stays valid over stages and sums over nodes.

--- a/src/evidence.c
+++ b/src/evidence.c
@@ -1,7 +1,5 @@
 #include "evidence.h"
 
-#include "json.h"
-
 #include <math.h>
 #include <string.h>
 
@@ -9,9 +7,10 @@
 	BUCKETS_PER_OCTAVE = 3,
 	/* Attempts at the new version per window of recent evidence. */
 	WINDOW_ATTEMPTS = 200,
-	/* A single failure is noise at any share. */
+	/* Two failures are noise at any share. */
 	ERRORS_LEAST = 3,
-	LATENCY_LEAST = 16,
+	DOUBT_ERRORS_LEAST = 2,
+	LATENCY_LEAST = 20,
 	/* A route with this part of all attempts needs so many of its own. */
 	ROUTE_PART = 50,
 	ROUTE_ATTEMPTS = 10,
@@ -22,17 +21,54 @@
 
 static const double LATENCY_FIRST_MS = 0.5;
 
+/* How the new version may differ: its odds of an event are so many times. */
+typedef struct bet {
+	const char *what;
+	double odds;
+	double slow_quantile; /* 0: a failed attempt is the event */
+} bet_t;
+
 /*
- * Logarithms of the Bayes factor from which a version is bad. Under equal
- * versions the factor is a martingale, so the chance that it ever passes
- * exp(x) is at most exp(-x), however often it is looked at.
+ * Small odds find small differences in much traffic, large ones find large
+ * differences after few events. A bet gains only where the true odds exceed
+ * (odds - 1) / ln(odds), so smaller differences never add up.
  */
-static const double ERRORS_BAD = 8.5;
-static const double LATENCY_BAD = 11.5;
-static const double SUSPECT_PART = 0.45; /* of the above */
+static const bet_t bets[] = {
+    {"errors", 3, 0},
+    {"errors", 10, 0},
+    {"errors", 50, 0},
+    {"latency", 3, 0.75},
+    {"latency", 6, 0.95},
+};
+
+enum { BETS = G_N_ELEMENTS(bets) };
+
+/* An attempt is slow from this multiple of the old version's quantile on. */
+static const double SLOW_RATIO = 1.25;
 
-/* A difference below these is not worth a rollback. */
+/*
+ * Logarithms of the gain from which a version is bad or suspect. Between equal
+ * versions a gain of exp(x) is at most as likely as exp(-x) per event. Latency
+ * needs more, because slow attempts come in bursts.
+ */
+static const double ERRORS_BAD = 7.5;
+static const double LATENCY_BAD = 11.5;
+static const double ERRORS_SUSPECT = 2;
+static const double LATENCY_SUSPECT = 5;
+/*
+ * Many events, as in a fault of both versions, are as many chances of a false
+ * alarm; a bar that grows with twice their logarithm bounds the sum.
+ */
+static const double EVENTS_FREE = 20;
+/* So many times the mean distance of failures without one ends a suspicion. */
+static const double STREAK_RATIO = 3;
+/* Of the Bayes factor against earlier counts. */
+static const double DOUBT = 2.0;
+static const double DOUBT_LATENCY = 4.0;
+
+/* A difference in failures below these is not worth a rollback. */
 static const double ERRORS_RATE_LEAST = 0.01;
+static const double ERRORS_RATIO_LEAST = 1.5;
 static const double LATENCY_RATIO_LEAST = 1.3;
 
 typedef struct counts {
@@ -46,6 +82,10 @@
 typedef struct cell {
 	char *route; /* NULL: the total */
 	counts_t counts[SPANS][EVIDENCE_SIDES];
+	double sum[BETS];  /* logarithm of the gain since the start */
+	double gain[BETS]; /* the same since its lowest point */
+	double events[BETS];
+	double streak; /* answers of the new version since its last failure */
 } cell_t;
 
 struct evidence {
@@ -72,13 +112,18 @@
 	return evidence;
 }
 
-static void
-cells_free(evidence_t *evidence)
+evidence_t *
+evidence_copy(const evidence_t *evidence)
 {
-	for (unsigned i = 0; i < evidence->cell_count; i++) {
-		g_free(evidence->cells[i]->route);
-		g_free(evidence->cells[i]);
+	evidence_t *copy = g_new0(evidence_t, 1);
+
+	copy->cell_count = evidence->cell_count;
+	for (unsigned i = 0; i < copy->cell_count; i++) {
+		copy->cells[i] = g_new(cell_t, 1);
+		*copy->cells[i] = *evidence->cells[i];
+		copy->cells[i]->route = g_strdup(evidence->cells[i]->route);
 	}
+	return copy;
 }
 
 void
@@ -86,18 +131,13 @@
 {
 	if (evidence == NULL)
 		return;
-	cells_free(evidence);
+	for (unsigned i = 0; i < evidence->cell_count; i++) {
+		g_free(evidence->cells[i]->route);
+		g_free(evidence->cells[i]);
+	}
 	g_free(evidence);
 }
 
-void
-evidence_reset(evidence_t *evidence)
-{
-	cells_free(evidence);
-	evidence->cells[0] = cell_new(NULL);
-	evidence->cell_count = 1;
-}
-
 static cell_t *
 cell_find(const evidence_t *evidence, const char *route)
 {
@@ -132,16 +172,6 @@
 					 : (unsigned)place;
 }
 
-static void
-counts_add(counts_t *counts, bool ok, double ms)
-{
-	counts->attempts++;
-	if (ok)
-		counts->latency[latency_bucket(ms)]++;
-	else
-		counts->errors++;
-}
-
 static void
 counts_merge(counts_t *into, const counts_t *from)
 {
@@ -152,10 +182,14 @@
 }
 
 static void
-cell_add(cell_t *cell, evidence_side_t side, bool ok, double ms)
-{
-	counts_add(&cell->counts[SPAN_ALL][side], ok, ms);
-	counts_add(&cell->counts[SPAN_CURRENT][side], ok, ms);
+cell_count(cell_t *cell, evidence_side_t side, const counts_t *counts)
+{
+	if (side == EVIDENCE_NEW && counts->errors > 0)
+		cell->streak = 0;
+	else if (side == EVIDENCE_NEW)
+		cell->streak += counts->attempts;
+	counts_merge(&cell->counts[SPAN_ALL][side], counts);
+	counts_merge(&cell->counts[SPAN_CURRENT][side], counts);
 	if (cell->counts[SPAN_CURRENT][EVIDENCE_NEW].attempts < WINDOW_ATTEMPTS)
 		return;
 	memcpy(cell->counts[SPAN_PREVIOUS], cell->counts[SPAN_CURRENT],
@@ -163,56 +197,13 @@
 	memset(cell->counts[SPAN_CURRENT], 0, sizeof(cell->counts[0]));
 }
 
-void
-evidence_add(evidence_t *evidence, evidence_side_t side, const char *route,
-    bool ok, double first_ms)
+static counts_t
+recent_counts(const cell_t *cell, evidence_side_t side)
 {
-	cell_t *cell = cell_obtain(evidence, route);
+	counts_t recent = cell->counts[SPAN_PREVIOUS][side];
 
-	cell_add(evidence->cells[0], side, ok, first_ms);
-	if (cell != NULL)
-		cell_add(cell, side, ok, first_ms);
-}
-
-static double
-log_beta(double a, double b)
-{
-	int sign;
-
-	return lgamma_r(a, &sign) + lgamma_r(b, &sign) - lgamma_r(a + b, &sign);
-}
-
-/* Log marginal likelihood of hits out of n under a Jeffreys prior. */
-static double
-log_marginal(double hits, double n)
-{
-	const double prior = 0.5;
-
-	return log_beta(hits + prior, n - hits + prior) -
-	       log_beta(prior, prior);
-}
-
-/* Log Bayes factor of "two rates" against "one rate". */
-static double
-log_factor(double hits_new, double n_new, double hits_old, double n_old)
-{
-	return log_marginal(hits_new, n_new) + log_marginal(hits_old, n_old) -
-	       log_marginal(hits_new + hits_old, n_new + n_old);
-}
-
-static double
-judge_errors(const counts_t *old, const counts_t *new)
-{
-	double rate_old, rate_new;
-
-	if (new->errors < ERRORS_LEAST || old->attempts == 0)
-		return 0;
-	rate_old = (double)old->errors / old->attempts;
-	rate_new = (double)new->errors / new->attempts;
-	if (rate_new < rate_old + ERRORS_RATE_LEAST)
-		return 0;
-	return log_factor(
-	    new->errors, new->attempts, old->errors, old->attempts);
+	counts_merge(&recent, &cell->counts[SPAN_CURRENT][side]);
+	return recent;
 }
 
 static uint32_t
@@ -251,171 +242,267 @@
 	return above;
 }
 
-/* Compares the shares above the pooled quantile, and the quantiles. */
-static double
-judge_latency(const counts_t *old, const counts_t *new, double quantile)
+/* True where the attempt is the event that the bet is about. */
+static bool
+bet_event(const bet_t *bet, const counts_t *old, const evidence_attempt_t *what)
 {
-	counts_t pooled = *old;
-	double old_ms, new_ms, above_old, above_new;
-	unsigned bucket;
-
-	if (answers(old) < LATENCY_LEAST || answers(new) < LATENCY_LEAST)
-		return 0;
-	old_ms = quantile_ms(old, quantile);
-	new_ms = quantile_ms(new, quantile);
-	if (new_ms < old_ms * LATENCY_RATIO_LEAST)
-		return 0;
-	counts_merge(&pooled, new);
-	bucket = latency_bucket(quantile_ms(&pooled, quantile));
-	above_old = count_above(old, bucket);
-	above_new = count_above(new, bucket);
-	if (above_new * answers(old) <= above_old * answers(new))
-		return 0;
-	return log_factor(above_new, answers(new), above_old, answers(old));
+	if (bet->slow_quantile <= 0)
+		return !what->ok;
+	return what->ok && answers(old) >= LATENCY_LEAST &&
+	       what->first_ms >
+		   SLOW_RATIO * quantile_ms(old, bet->slow_quantile);
 }
 
-typedef struct finding {
-	double strength; /* 1 and more: bad */
-	const char *what;
-	const char *route;
-	counts_t old, new;
-} finding_t;
+static void
+cell_gain(cell_t *cell, unsigned bet, double gain, double events)
+{
+	cell->events[bet] += events;
+	cell->sum[bet] += gain;
+	cell->gain[bet] = MAX(0, cell->gain[bet] + gain);
+}
 
+/* The old version's quantiles are those before this attempt. */
 static void
-keep_stronger(finding_t *best, double strength, const char *what,
-    const cell_t *cell, const counts_t *old, const counts_t *new)
+cell_bet(cell_t *cell, const evidence_attempt_t *attempt)
 {
-	if (strength <= best->strength)
+	const counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
+
+	if (attempt->share <= 0 || attempt->share >= 1)
 		return;
-	best->strength = strength;
-	best->what = what;
-	best->route = cell->route;
-	best->old = *old;
-	best->new = *new;
+	for (unsigned i = 0; i < BETS; i++) {
+		double odds = bets[i].odds;
+		double won = attempt->side == EVIDENCE_NEW ? log(odds) : 0;
+
+		if (bet_event(&bets[i], old, attempt))
+			cell_gain(cell, i,
+			    won - log(1 + (odds - 1) * attempt->share), 1);
+	}
 }
 
 static void
-judge_counts(finding_t *best, const cell_t *cell, const counts_t *old,
-    const counts_t *new, unsigned routes)
+cell_add(cell_t *cell, const evidence_attempt_t *attempt)
 {
-	/* Each route is one more chance of a false alarm. */
-	double extra = cell->route == NULL ? 0 : log(routes);
+	counts_t one = {.attempts = 1};
 
-	keep_stronger(best, judge_errors(old, new) / (ERRORS_BAD + extra),
-	    "errors", cell, old, new);
-	keep_stronger(best,
-	    judge_latency(old, new, 0.5) / (LATENCY_BAD + extra),
-	    "latency at the median", cell, old, new);
-	keep_stronger(best,
-	    judge_latency(old, new, 0.9) / (LATENCY_BAD + extra),
-	    "latency at the 90th percentile", cell, old, new);
+	if (attempt->ok)
+		one.latency[latency_bucket(attempt->first_ms)] = 1;
+	else
+		one.errors = 1;
+	cell_bet(cell, attempt);
+	cell_count(cell, attempt->side, &one);
+}
+
+void
+evidence_add(evidence_t *evidence, const evidence_attempt_t *attempt)
+{
+	cell_t *cell = cell_obtain(evidence, attempt->route);
+
+	cell_add(evidence->cells[0], attempt);
+	if (cell != NULL)
+		cell_add(cell, attempt);
+}
+
+static double
+error_rate(const counts_t *counts)
+{
+	return counts->attempts == 0
+		   ? 0
+		   : (double)counts->errors / counts->attempts;
+}
+
+/* True where the new version's failures differ enough to act on. */
+static bool
+errors_matter(const counts_t *old, const counts_t *new, unsigned least)
+{
+	double before = error_rate(old), now = error_rate(new);
+
+	return new->errors >= least &&now >= before + ERRORS_RATE_LEAST &&now >=
+	       before *ERRORS_RATIO_LEAST;
+}
+
+typedef struct finding {
+	double strength; /* 1 and more: bad */
+	bool suspect;
+	const bet_t *bet;
+	const cell_t *cell;
+} finding_t;
+
+/* A route's finding says more than the total's. */
+static bool
+more_telling(const finding_t *best, const cell_t *cell, double strength)
+{
+	if (best->cell != NULL && best->cell->route == NULL && strength >= 1)
+		return true;
+	return strength > best->strength;
 }
 
 static void
 judge_cell(finding_t *best, const cell_t *cell, unsigned routes)
 {
-	counts_t recent[EVIDENCE_SIDES];
+	counts_t old = recent_counts(cell, EVIDENCE_OLD);
+	counts_t new = recent_counts(cell, EVIDENCE_NEW);
+	bool errors = errors_matter(&old, &new, ERRORS_LEAST);
+	bool doubt = errors_matter(&old, &new, DOUBT_ERRORS_LEAST) &&
+		     cell->streak * error_rate(&new) < STREAK_RATIO;
+	/* Each route is one more chance of a false alarm. */
+	double extra = cell->route == NULL ? 0 : log(routes);
 
-	judge_counts(best, cell, &cell->counts[SPAN_ALL][EVIDENCE_OLD],
-	    &cell->counts[SPAN_ALL][EVIDENCE_NEW], routes);
-	if (cell->counts[SPAN_PREVIOUS][EVIDENCE_NEW].attempts == 0)
-		return;
-	for (int side = 0; side < EVIDENCE_SIDES; side++) {
-		recent[side] = cell->counts[SPAN_PREVIOUS][side];
-		counts_merge(&recent[side], &cell->counts[SPAN_CURRENT][side]);
+	for (unsigned i = 0; i < BETS; i++) {
+		bool slow = bets[i].slow_quantile > 0;
+		double bar = (slow ? LATENCY_BAD : ERRORS_BAD) + extra +
+			     2 * log(1 + cell->events[i] / EVENTS_FREE);
+		double low = slow ? LATENCY_SUSPECT : ERRORS_SUSPECT;
+		double strength = cell->gain[i] / bar;
+
+		if (!slow && !errors)
+			strength = MIN(strength, 0.99);
+		if ((slow || doubt) && cell->gain[i] > low + extra)
+			best->suspect = true;
+		if (!more_telling(best, cell, strength))
+			continue;
+		best->strength = strength;
+		best->bet = &bets[i];
+		best->cell = cell;
 	}
-	judge_counts(
-	    best, cell, &recent[EVIDENCE_OLD], &recent[EVIDENCE_NEW], routes);
 }
 
 static char *
 describe(const finding_t *finding)
 {
-	const counts_t *old = &finding->old, *new = &finding->new;
+	const cell_t *cell = finding->cell;
+	const char *route = cell->route != NULL ? cell->route : "all routes";
+	counts_t old = recent_counts(cell, EVIDENCE_OLD);
+	counts_t new = recent_counts(cell, EVIDENCE_NEW);
 
-	if (strcmp(finding->what, "errors") == 0)
+	if (finding->bet->slow_quantile <= 0)
 		return g_strdup_printf(
-		    "errors on %s: %u of %u, old version %u of %u",
-		    finding->route != NULL ? finding->route : "all routes",
-		    new->errors, new->attempts, old->errors, old->attempts);
-	return g_strdup_printf("%s on %s: median %.1f ms, p90 %.1f ms, old "
-			       "version %.1f ms, %.1f ms",
-	    finding->what,
-	    finding->route != NULL ? finding->route : "all routes",
-	    quantile_ms(new, 0.5), quantile_ms(new, 0.9), quantile_ms(old, 0.5),
-	    quantile_ms(old, 0.9));
+		    "errors on %s: %u of %u, old version %u of %u", route,
+		    new.errors, new.attempts, old.errors, old.attempts);
+	return g_strdup_printf("latency on %s: median %.0f ms, p90 %.0f ms, "
+			       "old version %.0f ms, %.0f ms",
+	    route, quantile_ms(&new, 0.5), quantile_ms(&new, 0.9),
+	    quantile_ms(&old, 0.5), quantile_ms(&old, 0.9));
 }
 
-static evidence_verdict_t
-verdict_of(const finding_t *finding, char **why)
+evidence_verdict_t
+evidence_judge(const evidence_t *evidence, const char *route, char **why)
 {
-	if (finding->strength < SUSPECT_PART)
+	finding_t best = {0};
+
+	for (unsigned i = 0; i < evidence->cell_count; i++)
+		if (i == 0 || route == NULL ||
+		    strcmp(evidence->cells[i]->route, route) == 0)
+			judge_cell(
+			    &best, evidence->cells[i], evidence->cell_count);
+	if (best.cell == NULL || (best.strength < 1 && !best.suspect))
 		return EVIDENCE_CLEAR;
 	if (why != NULL)
-		*why = describe(finding);
-	return finding->strength >= 1 ? EVIDENCE_BAD : EVIDENCE_SUSPECT;
+		*why = describe(&best);
+	return best.strength >= 1 ? EVIDENCE_BAD : EVIDENCE_SUSPECT;
 }
 
-evidence_verdict_t
-evidence_judge(const evidence_t *evidence, char **why)
+static double
+log_beta(double a, double b)
 {
-	finding_t best = {.what = ""};
+	int sign;
 
-	for (unsigned i = 0; i < evidence->cell_count; i++)
-		judge_cell(&best, evidence->cells[i], evidence->cell_count);
-	return verdict_of(&best, why);
+	return lgamma_r(a, &sign) + lgamma_r(b, &sign) - lgamma_r(a + b, &sign);
 }
 
-evidence_verdict_t
-evidence_judge_route(const evidence_t *evidence, const char *route, char **why)
+/* Log marginal likelihood of hits out of n under a Jeffreys prior. */
+static double
+log_marginal(double hits, double n)
 {
-	const cell_t *cell = cell_find(evidence, route);
-	finding_t best = {.what = ""};
+	const double prior = 0.5;
 
-	judge_cell(&best, evidence->cells[0], evidence->cell_count);
-	if (cell != NULL)
-		judge_cell(&best, cell, evidence->cell_count);
-	return verdict_of(&best, why);
+	return log_beta(hits + prior, n - hits + prior) -
+	       log_beta(prior, prior);
 }
 
-bool
-evidence_doubt(const evidence_t *evidence, const evidence_t *earlier)
+/* Log Bayes factor of "two rates" against "one rate". */
+static double
+log_factor(double hits_new, double n_new, double hits_old, double n_old)
+{
+	return log_marginal(hits_new, n_new) + log_marginal(hits_old, n_old) -
+	       log_marginal(hits_new + hits_old, n_new + n_old);
+}
+
+/* Whether the shares above the pooled median differ, and the medians. */
+static bool
+doubt_latency(const counts_t *old, const counts_t *new)
 {
-	finding_t best = {.what = ""};
+	counts_t pooled = *old;
+	double above_old, above_new;
+	unsigned bucket;
 
+	if (answers(old) < LATENCY_LEAST || answers(new) < LATENCY_LEAST ||
+	    quantile_ms(new, 0.5) < quantile_ms(old, 0.5) * LATENCY_RATIO_LEAST)
+		return false;
+	counts_merge(&pooled, new);
+	bucket = latency_bucket(quantile_ms(&pooled, 0.5));
+	above_old = count_above(old, bucket);
+	above_new = count_above(new, bucket);
+	return above_new * answers(old) > above_old * answers(new) &&
+	       log_factor(above_new, answers(new), above_old, answers(old)) >
+		   DOUBT_LATENCY;
+}
+
+bool
+evidence_doubt(const evidence_t *evidence)
+{
 	for (unsigned i = 0; i < evidence->cell_count; i++) {
 		const cell_t *cell = evidence->cells[i];
-		const cell_t *before = i == 0 ? earlier->cells[0]
-					      : cell_find(earlier, cell->route);
-		counts_t recent;
-
-		if (before == NULL)
-			continue;
-		recent = cell->counts[SPAN_PREVIOUS][EVIDENCE_NEW];
-		counts_merge(
-		    &recent, &cell->counts[SPAN_CURRENT][EVIDENCE_NEW]);
-		judge_counts(&best, cell,
-		    &before->counts[SPAN_ALL][EVIDENCE_OLD], &recent,
-		    evidence->cell_count);
+		const counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
+		counts_t new = recent_counts(cell, EVIDENCE_NEW);
+
+		if (errors_matter(old, &new, DOUBT_ERRORS_LEAST) &&
+		    log_factor(new.errors, new.attempts, old->errors,
+			old->attempts) > DOUBT)
+			return true;
+		if (doubt_latency(old, &new))
+			return true;
 	}
-	return best.strength >= SUSPECT_PART;
+	return false;
+}
+
+static unsigned
+attempts_of(const cell_t *cell, evidence_side_t side)
+{
+	return cell == NULL ? 0 : cell->counts[SPAN_ALL][side].attempts;
+}
+
+static unsigned
+attempts_since(const cell_t *cell, const cell_t *since, evidence_side_t side)
+{
+	return attempts_of(cell, side) - attempts_of(since, side);
+}
+
+unsigned
+evidence_since(
+    const evidence_t *evidence, const evidence_t *since, evidence_side_t side)
+{
+	return attempts_since(evidence->cells[0], since->cells[0], side);
 }
 
 bool
-evidence_enough(const evidence_t *evidence, unsigned attempts)
+evidence_enough(
+    const evidence_t *evidence, const evidence_t *since, unsigned attempts)
 {
-	unsigned total = evidence_count(evidence, EVIDENCE_OLD) +
-			 evidence_count(evidence, EVIDENCE_NEW);
+	const cell_t *total = evidence->cells[0], *before = since->cells[0];
+	unsigned new = attempts_since(total, before, EVIDENCE_NEW);
+	unsigned all = new + attempts_since(total, before, EVIDENCE_OLD);
 
-	if (evidence_count(evidence, EVIDENCE_NEW) < attempts)
+	if (new < attempts)
 		return false;
 	for (unsigned i = 1; i < evidence->cell_count; i++) {
-		const counts_t *all = evidence->cells[i]->counts[SPAN_ALL];
-		unsigned on_route =
-		    all[EVIDENCE_OLD].attempts + all[EVIDENCE_NEW].attempts;
+		const cell_t *cell = evidence->cells[i];
 
-		if (on_route * ROUTE_PART >= total &&
-		    all[EVIDENCE_NEW].attempts < ROUTE_ATTEMPTS)
+		before = cell_find(since, cell->route);
+		new = attempts_since(cell, before, EVIDENCE_NEW);
+		if ((new + attempts_since(cell, before, EVIDENCE_OLD)) *
+			    ROUTE_PART >=
+			all &&
+		    new < ROUTE_ATTEMPTS)
 			return false;
 	}
 	return true;
@@ -433,38 +520,11 @@
 	return evidence->cells[0]->counts[SPAN_ALL][side].errors;
 }
 
-void
-evidence_merge(evidence_t *into, const evidence_t *from)
-{
-	for (unsigned i = 0; i < from->cell_count; i++) {
-		const cell_t *cell = from->cells[i];
-		cell_t *target =
-		    i == 0 ? into->cells[0] : cell_obtain(into, cell->route);
-
-		for (int span = 0; target != NULL && span < SPANS; span++)
-			for (int side = 0; side < EVIDENCE_SIDES; side++)
-				counts_merge(&target->counts[span][side],
-				    &cell->counts[span][side]);
-	}
-}
-
-/* [attempts, errors, bucket, count, ...] */
-static json_t *
-counts_json(const counts_t *counts)
-{
-	json_t *array = json_array();
-
-	json_array_append_new(array, json_integer(counts->attempts));
-	json_array_append_new(array, json_integer(counts->errors));
-	for (unsigned i = 0; i < EVIDENCE_BUCKETS; i++) {
-		if (counts->latency[i] == 0)
-			continue;
-		json_array_append_new(array, json_integer(i));
-		json_array_append_new(array, json_integer(counts->latency[i]));
-	}
-	return array;
-}
+/* Plain members of a cell's JSON before its sums. */
+enum { JSON_ROUTE, JSON_COUNTS, JSON_SUMS = 1 + 2 * EVIDENCE_SIDES };
 
+/* [route, old attempts, old errors, new attempts, new errors, sums...,
+ * events...] */
 json_t *
 evidence_json(const evidence_t *evidence)
 {
@@ -476,87 +536,122 @@
 
 		json_array_append_new(
 		    item, json_string(cell->route == NULL ? "" : cell->route));
-		for (int span = 0; span < SPANS; span++)
-			for (int side = 0; side < EVIDENCE_SIDES; side++)
-				json_array_append_new(item,
-				    counts_json(&cell->counts[span][side]));
+		for (int side = 0; side < EVIDENCE_SIDES; side++) {
+			const counts_t *counts = &cell->counts[SPAN_ALL][side];
+
+			json_array_append_new(
+			    item, json_integer(counts->attempts));
+			json_array_append_new(
+			    item, json_integer(counts->errors));
+		}
+		for (unsigned bet = 0; bet < BETS; bet++)
+			json_array_append_new(item, json_real(cell->sum[bet]));
+		for (unsigned bet = 0; bet < BETS; bet++)
+			json_array_append_new(
+			    item, json_integer((json_int_t)cell->events[bet]));
 		json_array_append_new(cells, item);
 	}
 	return cells;
 }
 
-static bool
-read_count(const json_t *array, size_t index, int64_t most, uint32_t *out)
+static double
+number_at(const json_t *item, size_t index)
 {
-	const json_t *value = json_array_get(array, index);
-
-	if (!json_is_integer(value) || json_integer_value(value) < 0 ||
-	    json_integer_value(value) > most)
-		return false;
-	*out = (uint32_t)json_integer_value(value);
-	return true;
+	return json_number_value(json_array_get(item, index));
 }
 
 static bool
-counts_from_json(counts_t *counts, const json_t *array)
+cell_json_good(const json_t *item, bool first)
 {
-	uint64_t answered = 0;
-	uint32_t bucket;
+	const char *route = json_string_value(json_array_get(item, JSON_ROUTE));
+	json_int_t before = COUNT_MAX;
 
-	memset(counts, 0, sizeof(*counts));
-	if (!read_count(array, 0, COUNT_MAX, &counts->attempts) ||
-	    !read_count(array, 1, counts->attempts, &counts->errors))
+	if (route == NULL || (*route == '\0') != first ||
+	    strlen(route) > ROUTE_LENGTH_MAX ||
+	    json_array_size(item) != JSON_SUMS + 2 * BETS)
 		return false;
-	for (size_t i = 2; i < json_array_size(array); i += 2) {
-		if (!read_count(array, i, EVIDENCE_BUCKETS - 1, &bucket) ||
-		    !read_count(array, i + 1, counts->attempts,
-			&counts->latency[bucket]))
+	for (size_t i = JSON_COUNTS; i < JSON_SUMS; i++) {
+		const json_t *value = json_array_get(item, i);
+		json_int_t most = i % 2 == 1 ? COUNT_MAX : before;
+
+		before = json_integer_value(value);
+		if (!json_is_integer(value) || before < 0 || before > most)
 			return false;
 	}
-	for (unsigned i = 0; i < EVIDENCE_BUCKETS; i++)
-		answered += counts->latency[i];
-	return answered == answers(counts);
+	for (size_t i = JSON_SUMS; i < JSON_SUMS + BETS; i++)
+		if (!json_is_number(json_array_get(item, i)) ||
+		    number_at(item, i + BETS) < 0)
+			return false;
+	return true;
+}
+
+static const json_t *
+cell_json_find(const json_t *json, const char *route)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach (json, i, item)
+		if (g_strcmp0(
+			json_string_value(json_array_get(item, JSON_ROUTE)),
+			route) == 0)
+			return item;
+	return NULL;
 }
 
+/* Counts that went down are those of a node that has started again. */
 static bool
-merge_cell(cell_t *cell, const json_t *item)
+continues(const json_t *item, const json_t *last)
 {
-	for (int span = 0; span < SPANS; span++) {
-		for (int side = 0; side < EVIDENCE_SIDES; side++) {
-			counts_t counts;
-			size_t at = 1 + (size_t)span * EVIDENCE_SIDES + side;
+	for (size_t i = JSON_COUNTS; i < JSON_SUMS; i++)
+		if (number_at(item, i) < number_at(last, i))
+			return false;
+	return last != NULL;
+}
 
-			if (!counts_from_json(
-				&counts, json_array_get(item, at)))
-				return false;
-			counts_merge(&cell->counts[span][side], &counts);
-		}
+static void
+absorb_cell(cell_t *cell, const json_t *item, const json_t *last)
+{
+	const json_t *from = continues(item, last) ? last : NULL;
+
+	for (int side = 0; side < EVIDENCE_SIDES; side++) {
+		size_t at = JSON_COUNTS + 2 * (size_t)side;
+		counts_t more = {0};
+
+		more.attempts =
+		    (uint32_t)(number_at(item, at) - number_at(from, at));
+		more.errors = (uint32_t)(number_at(item, at + 1) -
+					 number_at(from, at + 1));
+		cell_count(cell, side, &more);
 	}
-	return true;
+	for (unsigned bet = 0; bet < BETS; bet++)
+		cell_gain(cell, bet,
+		    number_at(item, JSON_SUMS + bet) -
+			number_at(from, JSON_SUMS + bet),
+		    number_at(item, JSON_SUMS + BETS + bet) -
+			number_at(from, JSON_SUMS + BETS + bet));
 }
 
 bool
-evidence_merge_json(evidence_t *into, const json_t *json)
+evidence_absorb(evidence_t *evidence, const json_t *json, const json_t *last)
 {
-	evidence_t *parsed = evidence_new();
-	bool good = json_is_array(json) && json_array_size(json) <= CELLS;
 	const json_t *item;
 	size_t i;
 
+	if (!json_is_array(json) || json_array_size(json) == 0 ||
+	    json_array_size(json) > CELLS)
+		return false;
+	json_array_foreach (json, i, item)
+		if (!cell_json_good(item, i == 0))
+			return false;
 	json_array_foreach (json, i, item) {
-		const char *route = json_string_value(json_array_get(item, 0));
-		cell_t *cell;
+		const char *route =
+		    json_string_value(json_array_get(item, JSON_ROUTE));
+		cell_t *cell =
+		    i == 0 ? evidence->cells[0] : cell_obtain(evidence, route);
 
-		if (!good || route == NULL || (i == 0) != (*route == '\0') ||
-		    strlen(route) > ROUTE_LENGTH_MAX) {
-			good = false;
-			break;
-		}
-		cell = i == 0 ? parsed->cells[0] : cell_obtain(parsed, route);
-		good = cell != NULL && merge_cell(cell, item);
+		if (cell != NULL)
+			absorb_cell(cell, item, cell_json_find(last, route));
 	}
-	if (good)
-		evidence_merge(into, parsed);
-	evidence_free(parsed);
-	return good;
+	return true;
 }
--- a/src/evidence.h
+++ b/src/evidence.h
@@ -7,10 +7,13 @@
 #include <stdint.h>
 
 /*
- * Outcomes of attempts at two versions over the same time, in total and per
- * route, and the sequential test that compares them. Requests are assigned to
- * versions at random, so a fault that hits both raises both counts and is no
- * evidence. Bounded memory.
+ * Outcomes of attempts at two versions, in total and per route, and the
+ * sequential test that compares them. Requests are assigned to versions at
+ * random with a known share, so where both versions are equally good a failed
+ * attempt was at the new version with just that probability, whatever faults
+ * hit both. The test multiplies the likelihood ratios of that probability and
+ * of a higher one (a betting martingale); it stays valid over changes of the
+ * share and sums over nodes. Bounded memory.
  */
 typedef struct evidence evidence_t;
 
@@ -31,40 +34,55 @@
 	EVIDENCE_BAD,
 } evidence_verdict_t;
 
+typedef struct evidence_attempt {
+	evidence_side_t side;
+	double share; /* of the new version when it was chosen, 0..1 */
+	const char *route;
+	bool ok;
+	double first_ms; /* used where ok is true */
+} evidence_attempt_t;
+
 evidence_t *evidence_new(void);
+evidence_t *evidence_copy(const evidence_t *evidence);
 void evidence_free(evidence_t *evidence);
 
-/* Forgets everything; a change of share starts a new comparison. */
-void evidence_reset(evidence_t *evidence);
-
-/* Counts one finished attempt. first_ms is used only where ok is true. */
-void evidence_add(evidence_t *evidence, evidence_side_t side, const char *route,
-    bool ok, double first_ms);
+void evidence_add(evidence_t *evidence, const evidence_attempt_t *attempt);
 
 /*
- * Compares the versions. Where it returns BAD or SUSPECT, and why is not NULL,
- * *why is set to a newly allocated reason.
+ * Compares the versions; route NULL: on every route. Where it returns BAD or
+ * SUSPECT, and why is not NULL, *why is set to a newly allocated reason.
  */
-evidence_verdict_t evidence_judge(const evidence_t *evidence, char **why);
-
-/* As evidence_judge(), for the total and one route only. */
-evidence_verdict_t evidence_judge_route(
+evidence_verdict_t evidence_judge(
     const evidence_t *evidence, const char *route, char **why);
 
-/* Compares only the new version with counts of an earlier time. */
-bool evidence_doubt(const evidence_t *evidence, const evidence_t *earlier);
+/*
+ * Compares the new version's recent attempts with the old version's earlier
+ * ones. Its answer is only reason for a proper comparison, since a fault may
+ * have hit both versions in between.
+ */
+bool evidence_doubt(const evidence_t *evidence);
 
-/* At least so many attempts at the new version, and some on each route. */
-bool evidence_enough(const evidence_t *evidence, unsigned attempts);
+/*
+ * True with at least so many attempts at the new version since an earlier
+ * copy, and some on each route.
+ */
+bool evidence_enough(
+    const evidence_t *evidence, const evidence_t *since, unsigned attempts);
 
+/* Attempts since an earlier copy. */
+unsigned evidence_since(
+    const evidence_t *evidence, const evidence_t *since, evidence_side_t side);
 unsigned evidence_count(const evidence_t *evidence, evidence_side_t side);
 unsigned evidence_errors(const evidence_t *evidence, evidence_side_t side);
 
-/* Adds another node's counts, or a copy's. */
-void evidence_merge(evidence_t *into, const evidence_t *from);
-
-/* Sparse JSON for other nodes; false from merge where it is malformed. */
+/* Counts and scores as JSON for other nodes. */
 json_t *evidence_json(const evidence_t *evidence);
-bool evidence_merge_json(evidence_t *into, const json_t *json);
+
+/*
+ * Adds what another node's JSON has beyond its last one (NULL: none). False,
+ * and nothing added, where it is malformed.
+ */
+bool evidence_absorb(
+    evidence_t *evidence, const json_t *json, const json_t *last);
 
 #endif
--- a/src/move.c
+++ b/src/move.c
@@ -1,7 +1,5 @@
 #include "move.h"
 
-#include "json.h"
-
 #include <string.h>
 
 enum {
@@ -16,11 +14,14 @@
 	READER_WAIT_MS = 2000,
 	/* Attempts at the new version that let a stage end early. */
 	ENOUGH_ATTEMPTS = 60,
+	/* A stage that is to see fewer is left early. */
+	IDLE_ATTEMPTS = 2,
 	/* A finish needs this many attempts over the whole move. */
 	LEAST_ATTEMPTS = 5,
 	PEERS_MAX = 256,
 	/* Parts of the usable time, per thousand. */
 	DWELL_PART = 50, /* least time in a stage */
+	HOLD_PART = 100, /* of a stage in doubt after its last bound */
 	GIVE_UP_PART = 950,
 	/* Baseline policy: threshold and least attempts. */
 	FIXED_LEAST_ATTEMPTS = 20,
@@ -53,10 +54,11 @@
 	int64_t retry_ms;
 	int64_t poll_ms;
 	int64_t judge_ms;
-	unsigned attempts; /* at the new version, all stages and nodes */
+	int64_t comparing_ms; /* since when */
 	evidence_t *own;
-	evidence_t *earlier; /* of the stage before */
-	GHashTable *peers;   /* node: json_t as by move_evidence() */
+	evidence_t *all;   /* own and peers' */
+	evidence_t *since; /* all, as it was when the stage began */
+	GHashTable *peers; /* node: json_t of its evidence last taken */
 	evidence_verdict_t combined;
 };
 
@@ -74,7 +76,8 @@
 	move->record = move_record_copy(record);
 	move->stale = true;
 	move->own = evidence_new();
-	move->earlier = evidence_new();
+	move->all = evidence_new();
+	move->since = evidence_new();
 	move->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_json);
 	return move;
@@ -88,7 +91,8 @@
 	move_record_free(move->record);
 	move_record_free(move->writing);
 	evidence_free(move->own);
-	evidence_free(move->earlier);
+	evidence_free(move->all);
+	evidence_free(move->since);
 	g_hash_table_destroy(move->peers);
 	g_free(move->reason);
 	g_free(move);
@@ -119,42 +123,19 @@
 }
 
 /*
- * Evidence of every node in the present stage; for evidence_free(). Where
- * comparable is true, only of nodes that send to both versions: the others'
- * counts have nothing to be compared with.
+ * The last stage sends nothing to the old version, so it begins with half to
+ * each where the stage before has shown too little.
  */
-static evidence_t *
-evidence_sum(const move_t *move, bool comparable)
-{
-	evidence_t *sum = evidence_new();
-	bool all = !comparable || !last_stage(move) ||
-		   move->record->policy == MOVE_FIXED_STEPS;
-	GHashTableIter iter;
-	gpointer json;
-
-	if (all || move->comparing)
-		evidence_merge(sum, move->own);
-	g_hash_table_iter_init(&iter, move->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &json))
-		if (all || json_get_bool(json, "comparing", false))
-			evidence_merge_json(
-			    sum, json_object_get(json, "cells"));
-	return sum;
-}
-
-/* A new share: what was seen at the last one is kept only as a baseline. */
 static void
 begin_stage(move_t *move)
 {
-	evidence_t *sum = evidence_sum(move, false);
-
-	move->attempts += evidence_count(sum, EVIDENCE_NEW);
-	evidence_free(move->earlier);
-	move->earlier = sum;
-	evidence_reset(move->own);
-	g_hash_table_remove_all(move->peers);
-	move->comparing = false;
-	move->combined = EVIDENCE_CLEAR;
+	move->comparing =
+	    last_stage(move) && move->record->policy == MOVE_EVIDENCE &&
+	    (move->combined != EVIDENCE_CLEAR ||
+		!evidence_enough(move->all, move->since, ENOUGH_ATTEMPTS));
+	move->comparing_ms = 0;
+	evidence_free(move->since);
+	move->since = evidence_copy(move->all);
 	move->judge_ms = 0;
 }
 
@@ -326,50 +307,53 @@
 judge(const move_t *move, const evidence_t *evidence, const char *route,
     char **why)
 {
-	if (move->record->policy == MOVE_FIXED_STEPS) {
-		if (!fixed_bad(evidence))
-			return EVIDENCE_CLEAR;
-		*why = g_strdup_printf(
-		    "more than %d%% errors", FIXED_ERRORS_PERCENT);
-		return EVIDENCE_BAD;
-	}
-	if (route != NULL)
-		return evidence_judge_route(evidence, route, why);
-	return evidence_judge(evidence, why);
+	if (move->record->policy == MOVE_EVIDENCE)
+		return evidence_judge(evidence, route, why);
+	if (!fixed_bad(evidence))
+		return EVIDENCE_CLEAR;
+	*why = g_strdup_printf("more than %d%% errors", FIXED_ERRORS_PERCENT);
+	return EVIDENCE_BAD;
 }
 
 /* At the last stage nothing goes to the old version: share until sure. */
 static void
-compare_if_doubtful(move_t *move)
+compare_if_doubtful(move_t *move, int64_t now_ms)
 {
 	if (move->record->policy != MOVE_EVIDENCE || move->comparing ||
-	    !last_stage(move) || !evidence_doubt(move->own, move->earlier))
+	    !last_stage(move) || !evidence_doubt(move->own))
 		return;
 	move->comparing = true;
-	move->attempts += evidence_count(move->own, EVIDENCE_NEW);
-	evidence_reset(move->own);
+	move->comparing_ms = now_ms;
 }
 
 void
 move_observe(move_t *move, const char *version, const char *route, bool ok,
     double first_ms, int64_t now_ms)
 {
-	bool is_new = strcmp(version, move->record->to) == 0;
+	evidence_attempt_t attempt = {
+	    .side = strcmp(version, move->record->to) == 0 ? EVIDENCE_NEW
+							   : EVIDENCE_OLD,
+	    .share = move_share(move, now_ms),
+	    .route = route,
+	    .ok = ok,
+	    .first_ms = first_ms,
+	};
 	char *why = NULL;
 
-	if (!is_new && strcmp(version, move->record->from) != 0)
+	if (attempt.side == EVIDENCE_OLD &&
+	    strcmp(version, move->record->from) != 0)
 		return;
 	if (move_recorded(move) || move->stopped || past_deadline(move, now_ms))
 		return;
-	evidence_add(move->own, is_new ? EVIDENCE_NEW : EVIDENCE_OLD, route, ok,
-	    first_ms);
-	if (!is_new)
+	evidence_add(move->own, &attempt);
+	evidence_add(move->all, &attempt);
+	if (attempt.side == EVIDENCE_OLD)
 		return;
 	if (judge(move, move->own, route, &why) == EVIDENCE_BAD) {
 		move->own_stop = true;
 		move_stop(move, why);
 	} else {
-		compare_if_doubtful(move);
+		compare_if_doubtful(move, now_ms);
 	}
 	g_free(why);
 }
@@ -377,44 +361,32 @@
 json_t *
 move_evidence(const move_t *move)
 {
-	return json_pack("{s:i, s:b, s:o}", "stage", (int)move->record->stage,
-	    "comparing", move->comparing ? 1 : 0, "cells",
-	    evidence_json(move->own));
+	return evidence_json(move->own);
 }
 
 bool
 move_merge(move_t *move, const char *node, const json_t *evidence)
 {
-	const json_t *stage = json_object_get(evidence, "stage");
-	const json_t *cells = json_object_get(evidence, "cells");
-	evidence_t *check;
-	bool good;
+	const json_t *last = g_hash_table_lookup(move->peers, node);
 
-	if (!json_is_integer(stage) ||
-	    json_integer_value(stage) != move->record->stage)
+	if ((last == NULL && g_hash_table_size(move->peers) >= PEERS_MAX) ||
+	    !evidence_absorb(move->all, evidence, last))
 		return false;
-	check = evidence_new();
-	good = evidence_merge_json(check, cells);
-	evidence_free(check);
-	if (good && (g_hash_table_contains(move->peers, node) ||
-			g_hash_table_size(move->peers) < PEERS_MAX))
-		g_hash_table_replace(
-		    move->peers, g_strdup(node), json_deep_copy(evidence));
-	return good;
+	g_hash_table_replace(
+	    move->peers, g_strdup(node), json_deep_copy(evidence));
+	return true;
 }
 
 /* Looks at all nodes' evidence. */
 static void
 judge_all(move_t *move)
 {
-	evidence_t *sum = evidence_sum(move, true);
 	char *why = NULL;
 
-	move->combined = judge(move, sum, NULL, &why);
+	move->combined = judge(move, move->all, NULL, &why);
 	if (move->combined == EVIDENCE_BAD)
 		move_stop(move, why);
 	g_free(why);
-	evidence_free(sum);
 }
 
 static int64_t
@@ -431,8 +403,39 @@
 	return record->started_ms + part_ms(record, per_thousand);
 }
 
+/*
+ * True where the stage would reach its last bound with hardly an attempt at
+ * the new version: it protects no one and shows nothing.
+ */
+static bool
+stage_is_idle(const move_t *move, int64_t now_ms)
+{
+	const move_record_t *record = move->record;
+	double elapsed_ms = (double)(now_ms - record->stage_ms);
+	double length_ms =
+	    (double)(part_of_time(record, stage_last[record->stage]) -
+		     record->stage_ms);
+	double attempts = evidence_since(move->all, move->since, EVIDENCE_OLD) +
+			  evidence_since(move->all, move->since, EVIDENCE_NEW);
+
+	return !last_stage(move) && elapsed_ms > 0 &&
+	       attempts / elapsed_ms * length_ms *
+		       move_stage_share[record->stage] <
+		   IDLE_ATTEMPTS;
+}
+
+/* A suspicion that is not confirmed in time holds up the last stage only. */
+static bool
+in_doubt(const move_t *move, int64_t now_ms)
+{
+	return move->combined != EVIDENCE_CLEAR &&
+	       (last_stage(move) ||
+		   now_ms < part_of_time(move->record,
+				stage_last[move->record->stage] + HOLD_PART));
+}
+
 static bool
-stage_over(const move_t *move, const evidence_t *sum, int64_t now_ms)
+stage_over(const move_t *move, int64_t now_ms)
 {
 	const move_record_t *record = move->record;
 	unsigned stage = record->stage;
@@ -440,11 +443,13 @@
 	if (record->policy == MOVE_FIXED_STEPS)
 		return now_ms >= part_of_time(record, stage_last[stage]);
 	if (now_ms < part_of_time(record, stage_first[stage]) ||
-	    now_ms < record->stage_ms + part_ms(record, DWELL_PART) ||
-	    move->combined != EVIDENCE_CLEAR)
+	    now_ms < MAX(record->stage_ms, move->comparing_ms) +
+			 part_ms(record, DWELL_PART) ||
+	    in_doubt(move, now_ms))
 		return false;
 	return now_ms >= part_of_time(record, stage_last[stage]) ||
-	       evidence_enough(sum, ENOUGH_ATTEMPTS);
+	       stage_is_idle(move, now_ms) ||
+	       evidence_enough(move->all, move->since, ENOUGH_ATTEMPTS);
 }
 
 static move_action_t
@@ -520,13 +525,12 @@
 typedef enum want { WANT_NOTHING, WANT_STAGE, WANT_FINISH, WANT_BACK } want_t;
 
 static want_t
-want_at_stage_end(move_t *move, const evidence_t *sum)
+want_at_stage_end(const move_t *move)
 {
 	if (!last_stage(move))
 		return WANT_STAGE;
 	if (move->record->policy == MOVE_FIXED_STEPS ||
-	    move->attempts + evidence_count(sum, EVIDENCE_NEW) >=
-		LEAST_ATTEMPTS)
+	    evidence_count(move->all, EVIDENCE_NEW) >= LEAST_ATTEMPTS)
 		return WANT_FINISH;
 	return WANT_NOTHING;
 }
@@ -534,7 +538,6 @@
 static want_t
 want_of(move_t *move, int64_t now_ms, uint64_t random)
 {
-	evidence_t *sum;
 	want_t want = WANT_NOTHING;
 
 	if (move->stopped)
@@ -545,10 +548,8 @@
 	judge_all(move);
 	if (move->stopped)
 		return WANT_BACK;
-	sum = evidence_sum(move, false);
-	if (stage_over(move, sum, now_ms))
-		want = want_at_stage_end(move, sum);
-	evidence_free(sum);
+	if (stage_over(move, now_ms))
+		want = want_at_stage_end(move);
 	if (want == WANT_NOTHING &&
 	    now_ms >= part_of_time(move->record, GIVE_UP_PART)) {
 		move_stop(move, move->combined == EVIDENCE_CLEAR
--- a/src/move.h
+++ b/src/move.h
@@ -98,9 +98,9 @@
 void move_observe(move_t *move, const char *version, const char *route, bool ok,
     double first_ms, int64_t now_ms);
 
-/* This node's evidence of the present stage for its peers. */
+/* This node's evidence so far, for its peers. */
 json_t *move_evidence(const move_t *move);
-/* Replaces what is known of a peer. False where it is malformed or stale. */
+/* Takes over a peer's evidence. False where it is malformed. */
 bool move_merge(move_t *move, const char *node, const json_t *evidence);
 
 /* A peer's stop, or an operator's reason to take the move back. */
