--- a/src/http_server.h
+++ b/src/http_server.h
@@ -82,9 +82,6 @@
 void http_reply_error(
     http_request_t *request, const GError *error, bool not_run);
 
-/* Closes the connection without any reply. */
-void http_request_drop(http_request_t *request);
-
 /* Starts a reply of unknown length. */
 void http_stream_begin(http_request_t *request, int status,
     const http_header_t *headers, size_t header_count);
@@ -92,12 +89,18 @@
     http_request_t *request, const void *bytes, size_t length);
 /* Bytes written and not yet taken by the connection. */
 size_t http_stream_pending(const http_request_t *request);
+/* Calls drained(data) each time that nothing is left pending. */
+void http_stream_on_drained(
+    http_request_t *request, void (*drained)(void *data), void *data);
 /* Ends a complete reply. */
 void http_stream_end(http_request_t *request);
 /* Closes the connection without the last chunk: the reply is incomplete. */
 void http_stream_abort(http_request_t *request);
 
-/* Closes the connection without any byte of a reply. For fault injection. */
+/*
+ * Closes the connection at once, whatever the client has not read yet: without
+ * any byte of a reply, or with an incomplete one.
+ */
 void http_request_cut(http_request_t *request);
 
 #endif
--- a/src/node.h
+++ b/src/node.h
@@ -6,6 +6,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "message.h"
+#include "route.h"
 #include "settings.h"
 #include "store.h"
 
@@ -81,6 +82,9 @@
 void node_calls_free(node_t *node);
 bool node_calls_handle(node_t *node, http_request_t *request);
 
+/* Prefix-cache knowledge that routing uses; fed by node_backend. */
+route_cache_t *node_calls_cache(node_t *node);
+
 /* Hands queued requests to a peer in another zone; the rest is finished. */
 void node_calls_drain(node_t *node);
 
@@ -104,6 +108,8 @@
 bool node_peers_handle(node_t *node, http_request_t *request);
 /* Leaves the entry list and tells the peers. */
 void node_peers_drain(node_t *node);
+/* HTTP address (IP:PORT) of a node of another zone, borrowed; or NULL. */
+const char *node_peers_other_zone(node_t *node);
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
 void node_peers_send(node_t *node, const char *to, const message_t *message);
--- a/src/route.c
+++ b/src/route.c
@@ -4,7 +4,6 @@
 #include <xxhash.h>
 
 enum {
-	PREFIX_BYTES = 256,
 	/* Holders remembered per prefix; more would not fit the load bound. */
 	HOLDERS_MAX = 4,
 	PREFIXES_MAX = 65536,
--- a/standins/standin_engine.c
+++ b/standins/standin_engine.c
@@ -206,9 +206,9 @@
 static json_t *
 event_json(const job_t *job, const char *text, bool last)
 {
-	json_t *event = json_pack("{s:s,s:i,s:[{s:s,s:s?}]}", "id",
-	    job->attempt, "index", (int)job->next, "choices", "text", text,
-	    "finish_reason", last ? "stop" : NULL);
+	json_t *event = json_pack("{s:s,s:s,s:i,s:[{s:s,s:s?}]}", "id",
+	    job->attempt, "model", job->version, "index", (int)job->next,
+	    "choices", "text", text, "finish_reason", last ? "stop" : NULL);
 
 	if (last)
 		json_object_set_new(event, "usage",
@@ -247,9 +247,10 @@
 {
 	http_header_t headers[] = {{"content-type", "application/json"},
 	    {"papaya-attempt", job->attempt}};
-	json_t *body = json_pack("{s:s,s:[{s:s,s:s}],s:{s:i,s:i}}", "id",
-	    job->attempt, "choices", "text", job->text->str, "finish_reason",
-	    "stop", "usage", "completion_tokens", (int)(job->end - job->first),
+	json_t *body = json_pack("{s:s,s:s,s:[{s:s,s:s}],s:{s:i,s:i}}", "id",
+	    job->attempt, "model", job->version, "choices", "text",
+	    job->text->str, "finish_reason", "stop", "usage",
+	    "completion_tokens", (int)(job->end - job->first),
 	    "recomputed_tokens", (int)job->recomputed);
 	char *text = json_text(body);
 
