Test every rule of the settings check

85 checks: each rule with the file, path, value and remedy of its message, the defaults, the round trip of the store's value, revisions that never go down, and the lines of a diff.

--- a/src/node_apply.c
+++ b/src/node_apply.c
@@ -32,7 +32,7 @@
 		node_settings_take(node, tree, true);
 	http_reply_json(operation->request, 200,
 	    json_pack("{s:s,s:I}", "team", operation->team, "revision",
-		(json_int_t)operation->tree->revision));
+		(json_int_t)operation->base + 1));
 	operation_end(operation);
 }
 
--- a/standins/standin.h
+++ b/standins/standin.h
@@ -19,9 +19,9 @@
 	void *data;
 	/* Optional: called after the faults change. */
 	void (*faults_changed)(struct standin *standin);
-	char *name;    /* --name */
+	char *name;	     /* --name */
 	const char *version; /* --model-version; default set by the program */
-	uint64_t calls; /* counted by standin_call_fails() */
+	uint64_t calls;	     /* counted by standin_call_fails() */
 } standin_t;
 
 /*
--- a/standins/standin_engine.c
+++ b/standins/standin_engine.c
@@ -10,7 +10,7 @@
 #include <xxhash.h>
 
 enum {
-	DEFAULT_SLOTS = 64,	    /* requests batched at once; fault "slots" */
+	DEFAULT_SLOTS = 64, /* requests batched at once; fault "slots" */
 	DEFAULT_CACHE_PREFIXES = 64, /* fault "cache_prefixes" */
 	CACHE_EVENTS_MAX = 1024,     /* older events are lost */
 	KV_BYTES_PER_TOKEN = 1024,
@@ -174,8 +174,9 @@
 
 	engine->prompt_tokens += missing;
 	if (cache_use(engine, route_prefix(job->prompt)))
-		missing -= MIN(missing, count_words(job->prompt) -
-			count_words(job->prompt + cached_bytes));
+		missing -=
+		    MIN(missing, count_words(job->prompt) -
+				     count_words(job->prompt + cached_bytes));
 	if (held != NULL) {
 		missing -= MIN(missing, GPOINTER_TO_UINT(held));
 		g_hash_table_remove(engine->imported, &prompt);
@@ -284,8 +285,8 @@
 	int64_t token_ms = standin_time_ms(
 	    &engine->standin, "token_ms", engine->running_count);
 
-	while (job->running && job->next < job->end &&
-	       job->next < job->cut_at) {
+	while (
+	    job->running && job->next < job->end && job->next < job->cut_at) {
 		write_token(job);
 		if (token_ms > 0)
 			break;
@@ -440,8 +441,7 @@
 	}
 	if (fails && (double)strlen(prompt) > over) {
 		http_reply_json(request, 500,
-		    json_pack(
-			"{s:{s:s}}", "error", "kind", "injected_fault"));
+		    json_pack("{s:{s:s}}", "error", "kind", "injected_fault"));
 		return;
 	}
 	job = g_new0(job_t, 1);
@@ -495,13 +495,12 @@
 	TAILQ_FOREACH (event, &engine->events, entries) {
 		if (event->seq <= after || event->at_ms > visible_ms)
 			continue;
-		g_snprintf(
-		    hex, sizeof(hex), "%016" G_GINT64_MODIFIER "x", event->prefix);
-		json_array_append_new(
-		    list, json_pack("{s:I,s:s,s:s}", "seq",
-			      (json_int_t)event->seq, "type",
-			      event->stored ? "stored" : "evicted", "prefix",
-			      hex));
+		g_snprintf(hex, sizeof(hex), "%016" G_GINT64_MODIFIER "x",
+		    event->prefix);
+		json_array_append_new(list,
+		    json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)event->seq,
+			"type", event->stored ? "stored" : "evicted", "prefix",
+			hex));
 		after = event->seq;
 	}
 	g_free(after_text);
@@ -546,8 +545,7 @@
 			break;
 	if (job == NULL) {
 		http_reply_json(request, 404,
-		    json_pack(
-			"{s:{s:s}}", "error", "kind", "unknown_attempt"));
+		    json_pack("{s:{s:s}}", "error", "kind", "unknown_attempt"));
 		return;
 	}
 	tokens = count_words(job->prompt) + job->next;
--- a/standins/standin_service.c
+++ b/standins/standin_service.c
@@ -106,9 +106,9 @@
 
 	service->running--;
 	result = result_of(job, key != NULL ? key : "",
-	    key != NULL ? GPOINTER_TO_UINT(
-			      g_hash_table_lookup(service->runs, key))
-			: 0);
+	    key != NULL
+		? GPOINTER_TO_UINT(g_hash_table_lookup(service->runs, key))
+		: 0);
 	if (result == NULL) /* a body that is not UTF-8 */
 		result = json_object();
 	reply_result(job, result);
@@ -128,8 +128,7 @@
 	if (job->fails) {
 		service->running--;
 		http_reply_json(job->request, 500,
-		    json_pack(
-			"{s:{s:s}}", "error", "kind", "injected_fault"));
+		    json_pack("{s:{s:s}}", "error", "kind", "injected_fault"));
 		job_free(job);
 		return;
 	}
--- a/tests/support.c
+++ b/tests/support.c
@@ -110,9 +110,9 @@
 	program_t *program;
 	json_t *config;
 
-	config = json_pack("{s:s,s:s,s:s,s:s,s:[s],s:i}", "name", name, "zone",
-	    zone, "address", "127.0.0.1", "store", url, "teams", team, "seed",
-	    1);
+	config =
+	    json_pack("{s:s,s:s,s:s,s:s,s:[s],s:i}", "name", name, "zone", zone,
+		"address", "127.0.0.1", "store", url, "teams", team, "seed", 1);
 	json_object_update(config, extra);
 	json_decref(extra);
 	close(mkstemp(path));
@@ -141,8 +141,7 @@
 	while (waitpid(program->pid, &status, 0) < 0 && errno == EINTR)
 		;
 	program_free(program);
-	return WIFEXITED(status) ? WEXITSTATUS(status)
-				 : 128 + WTERMSIG(status);
+	return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
 int
@@ -170,8 +169,7 @@
 
 	if (colon != NULL) {
 		*colon = '\0';
-		g_hash_table_replace(answer->headers,
-		    g_ascii_strdown(line, -1),
+		g_hash_table_replace(answer->headers, g_ascii_strdown(line, -1),
 		    g_strdup(g_strstrip(colon + 1)));
 	}
 	g_free(line);
@@ -192,8 +190,8 @@
 
 	g_string_append_len(
 	    transfer->answer->body, bytes, (gssize)(size * count));
-	curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE,
-	    &transfer->answer->status);
+	curl_easy_getinfo(
+	    transfer->easy, CURLINFO_RESPONSE_CODE, &transfer->answer->status);
 	if (ask->on_data != NULL && !ask->on_data(transfer->answer, ask->data))
 		return 0;
 	return size * count;
@@ -287,8 +285,8 @@
 {
 	static const char *const headers[] = {"If-Match: \"0\"", NULL};
 	char *path = g_strdup_printf("/v1/admin/settings/%s", team);
-	json_t *body = json_pack("{s:s,s:s,s:o}", "author", "test", "message",
-	    "test", "tree", tree);
+	json_t *body = json_pack(
+	    "{s:s,s:s,s:o}", "author", "test", "message", "test", "tree", tree);
 	char *text = json_dumps(body, 0);
 	ask_t ask = {.to = node,
 	    .method = "PUT",
--- a/tests/support.h
+++ b/tests/support.h
@@ -37,9 +37,9 @@
 
 /* Response to one request. */
 typedef struct answer {
-	long status;   /* 0: no response */
-	bool whole;    /* false: cut, or none in time */
-	GString *body; /* so far, while it arrives */
+	long status;	     /* 0: no response */
+	bool whole;	     /* false: cut, or none in time */
+	GString *body;	     /* so far, while it arrives */
 	GHashTable *headers; /* lower-case name: value */
 	json_t *json;	     /* body as JSON; NULL if it is none */
 } answer_t;
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,433 @@
+#include "settings.h"
+
+#include "error.h"
+#include "json.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char good_tree[] =
+    "{\"services\": {"
+    "  \"chat\": {\"kind\": \"model\", \"current\": \"v1\","
+    "    \"versions\": [\"v1\", \"v2\"], \"timeout_ms\": 30000,"
+    "    \"slo\": {\"first_token_ms\": 690, \"between_tokens_ms\": 61,"
+    "      \"target\": 0.95},"
+    "    \"limit\": {\"in_flight\": 64, \"waiting\": 256},"
+    "    \"retry_budget\": 0.1, \"route_policy\": \"random\"},"
+    "  \"pickup\": {\"kind\": \"plain\", \"repeatable\": false,"
+    "    \"current\": \"v1\", \"versions\": [\"v1\"],"
+    "    \"slo\": {\"answer_ms\": 2000},"
+    "    \"ledger\": {\"retention_s\": 3600, \"key\": \"uuidv7\"}}},"
+    " \"backends\": {"
+    "  \"engine-1\": {\"address\": \"127.0.0.1:9001\", \"host\": \"host-1\","
+    "    \"zone\": \"zone-a\", \"class\": \"a\", \"service\": \"chat\","
+    "    \"version\": \"v1\", \"price_per_hour\": 1.2,"
+    "    \"reclaimable\": true, \"fencing\": \"checked\"},"
+    "  \"engine-2\": {\"address\": \"[::1]:9002\", \"host\": \"host-2\","
+    "    \"zone\": \"zone-b\", \"class\": \"a\", \"service\": \"chat\","
+    "    \"version\": \"v2\"}},"
+    " \"workspaces\": {\"depot\": {\"weight\": 3, \"priority\": 2,"
+    "    \"large\": true}}}";
+
+static json_t *
+good_json(void)
+{
+	return json_parse(good_tree, strlen(good_tree), "good_tree", NULL);
+}
+
+/* Sets the value at a dotted path, or removes it where text is NULL. */
+static void
+edit(json_t *tree, const char *path, const char *text)
+{
+	char **parts = g_strsplit(path, ".", -1);
+	json_t *object = tree;
+	guint last = g_strv_length(parts) - 1;
+
+	for (guint i = 0; i < last; i++)
+		object = json_object_get(object, parts[i]);
+	if (text == NULL)
+		ck_assert_int_eq(json_object_del(object, parts[last]), 0);
+	else
+		json_object_set_new(object, parts[last],
+		    json_loads(text, JSON_DECODE_ANY, NULL));
+	g_strfreev(parts);
+}
+
+/* One rule: an edit that breaks it, and what the message must say. */
+typedef struct rule {
+	const char *path;   /* edited */
+	const char *text;   /* JSON; NULL: removed */
+	const char *named;  /* path in the message; NULL: the edited one */
+	const char *value;  /* in the message; NULL: the text */
+	const char *remedy; /* in the message */
+} rule_t;
+
+static const rule_t rules[] = {
+    /* Shape. */
+    {"services", "[]", NULL, NULL, "write {"},
+    {"servcies", "{}", NULL, NULL,
+	"remove it or use one of: services, backends, workspaces"},
+    {"services.chat", "7", NULL, NULL, "write {...}"},
+    {"services.a b", "{}", NULL, NULL, "use 1 to 63 of letters"},
+    {"services.-a", "{}", NULL, NULL, "beginning with a letter or digit"},
+    {"backends.e/1", "{}", NULL, NULL, "use 1 to 63 of letters"},
+    {"workspaces.depot", "[1]", NULL, NULL, "write {...}"},
+    /* Services. */
+    {"services.chat.timeout", "5", NULL, NULL, "remove it or use one of"},
+    {"services.chat.kind", NULL, NULL, "missing value", "set \"kind\""},
+    {"services.chat.current", NULL, NULL, "missing value", "set \"current\""},
+    {"services.chat.versions", NULL, NULL, "missing value", "set \"versions\""},
+    {"services.chat.kind", "\"engine\"", NULL, NULL,
+	"use one of: model, plain"},
+    {"services.chat.kind", "1", NULL, NULL, "use one of: model, plain"},
+    {"services.chat.current", "\"v3\"", NULL, NULL,
+	"add it there or use one of them"},
+    {"services.chat.current", "\"\"", NULL, NULL, "use 1 to 63 of letters"},
+    {"services.chat.versions", "[]", NULL, NULL, "write at least one"},
+    {"services.chat.versions", "\"v1\"", NULL, NULL, "write at least one"},
+    {"services.chat.versions", "[\"v1\", 2]", NULL, "2",
+	"use 1 to 63 of letters"},
+    {"services.chat.versions", "[\"v1\", \"v1\"]", NULL, "\"v1\"",
+	"list each version once"},
+    {"services.chat.timeout_ms", "0", NULL, NULL, "set one in that range"},
+    {"services.chat.timeout_ms", "3600001", NULL, NULL, "1 to 3600000"},
+    {"services.chat.timeout_ms", "1.5", NULL, NULL, "set one in that range"},
+    {"services.chat.timeout_ms", "\"5\"", NULL, NULL, "set one in that range"},
+    {"services.chat.retry_budget", "-0.1", NULL, NULL, "from 0 to 1"},
+    {"services.chat.retry_budget", "null", NULL, NULL, "from 0 to 1"},
+    {"services.chat.route_policy", "\"nearest\"", NULL, NULL,
+	"use one of: affinity, least, random"},
+    {"services.chat.limit_policy", "\"none\"", NULL, NULL,
+	"use one of: adaptive, fixed"},
+    {"services.chat.move_policy", "\"none\"", NULL, NULL,
+	"use one of: evidence, fixed_steps"},
+    {"services.chat.slo", "[]", NULL, NULL, "write {...}"},
+    {"services.chat.slo.answer_ms", "5", NULL, NULL,
+	"remove it or use one of: first_token_ms"},
+    {"services.chat.slo.first_token_ms", "0", NULL, NULL,
+	"set one in that range"},
+    {"services.chat.slo.between_tokens_ms", "true", NULL, NULL,
+	"set one in that range"},
+    {"services.chat.slo.target", "1", NULL, NULL, "set a share such as 0.95"},
+    {"services.chat.slo.target", "0", NULL, NULL, "set a share such as 0.95"},
+    {"services.chat.slo.target", "95", NULL, NULL, "from 0 to 1"},
+    {"services.pickup.slo.first_token_ms", "5", NULL, NULL,
+	"remove it or use one of: answer_ms"},
+    {"services.pickup.slo.answer_ms", "-1", NULL, NULL,
+	"set one in that range"},
+    {"services.chat.limit.in_flight", "0", NULL, NULL, "1 to 100000"},
+    {"services.chat.limit.waiting", "-1", NULL, NULL, "0 to 100000"},
+    {"services.chat.limit.queue", "1", NULL, NULL,
+	"remove it or use one of: in_flight, waiting"},
+    {"services.chat.repeatable", "false", NULL, NULL, "remove it"},
+    {"services.pickup.repeatable", NULL, NULL, "missing value", "set false"},
+    {"services.pickup.repeatable", "\"no\"", NULL, NULL, "set true or false"},
+    {"services.pickup.repeatable", "true", "services.pickup.ledger",
+	"{\"key\":\"uuidv7\",\"retention_s\":3600}",
+	"set \"repeatable\": false"},
+    {"services.pickup.ledger.retention_s", "0", NULL, NULL,
+	"set one in that range"},
+    {"services.pickup.ledger.key", "\"uuid\"", NULL, NULL,
+	"use one of: any, uuidv7"},
+    {"services.pickup.ledger.partitions", "4", NULL, NULL,
+	"remove it or use one of: retention_s, key"},
+    /* Backend servers. */
+    {"backends.engine-1.port", "1", NULL, NULL, "remove it or use one of"},
+    {"backends.engine-1.address", NULL, NULL, "missing value",
+	"set \"address\""},
+    {"backends.engine-1.host", NULL, NULL, "missing value", "set \"host\""},
+    {"backends.engine-1.zone", NULL, NULL, "missing value", "set \"zone\""},
+    {"backends.engine-1.class", NULL, NULL, "missing value", "set \"class\""},
+    {"backends.engine-1.service", NULL, NULL, "missing value",
+	"set \"service\""},
+    {"backends.engine-1.version", NULL, NULL, "missing value",
+	"set \"version\""},
+    {"backends.engine-1.address", "\"engine:9001\"", NULL, NULL,
+	"write IP:PORT"},
+    {"backends.engine-1.address", "\"127.0.0.1\"", NULL, NULL, "write IP:PORT"},
+    {"backends.engine-1.address", "\"127.0.0.1:0\"", NULL, NULL,
+	"write IP:PORT"},
+    {"backends.engine-1.address", "\"127.0.0.1:65536\"", NULL, NULL,
+	"write IP:PORT"},
+    {"backends.engine-1.address", "\"127.0.0.1:+80\"", NULL, NULL,
+	"write IP:PORT"},
+    {"backends.engine-1.address", "\"127.0.0.1:80 \"", NULL, NULL,
+	"write IP:PORT"},
+    {"backends.engine-1.address", "\"::1:9001\"", NULL, NULL, "write IP:PORT"},
+    {"backends.engine-1.address", "9001", NULL, NULL, "write IP:PORT"},
+    {"backends.engine-1.host", "\"a host\"", NULL, NULL,
+	"use 1 to 63 of letters"},
+    {"backends.engine-1.zone", "7", NULL, NULL, "use 1 to 63 of letters"},
+    {"backends.engine-1.class", "null", NULL, NULL, "use 1 to 63 of letters"},
+    {"backends.engine-1.service", "\"chatt\"", NULL, NULL,
+	"add it to services or correct the name"},
+    {"backends.engine-1.service", "\"acme/chat\"", NULL, NULL,
+	"use 1 to 63 of letters"},
+    {"backends.engine-1.version", "\"v9\"", NULL, NULL,
+	"add it there or use one of them"},
+    {"backends.engine-1.price_per_hour", "-1", NULL, NULL,
+	"set one in that range"},
+    {"backends.engine-1.reclaimable", "1", NULL, NULL, "set true or false"},
+    {"backends.engine-1.fencing", "true", NULL, NULL,
+	"use one of: checked, ignored"},
+    {"backends.engine-2.address", "\"127.0.0.1:9001\"", NULL, NULL,
+	"declare each backend server once"},
+    {"backends.engine-2.host", "\"host-1\"", "backends.engine-2.zone",
+	"\"zone-b\"", "give a host one availability zone"},
+    {"services.chat", NULL, "backends.engine-1.service", "\"chat\"",
+	"add it to services or correct the name"},
+    /* Workspaces. */
+    {"workspaces.depot.size", "1", NULL, NULL,
+	"remove it or use one of: weight, priority, large"},
+    {"workspaces.depot.weight", "0", NULL, NULL, "1 to 1000"},
+    {"workspaces.depot.priority", "101", NULL, NULL, "0 to 100"},
+    {"workspaces.depot.large", "\"yes\"", NULL, NULL, "set true or false"},
+};
+
+/* Guards against a bad value that is accepted, or reported without help. */
+START_TEST(bad_value_is_refused_with_its_place_and_remedy)
+{
+	const rule_t *rule = &rules[_i];
+	const char *named = rule->named != NULL ? rule->named : rule->path;
+	json_t *json = good_json();
+	char *shown, *start;
+	GError *error = NULL;
+
+	edit(json, rule->path, rule->text);
+	if (rule->value != NULL) {
+		shown = g_strdup(rule->value);
+	} else {
+		json_t *value = json_loads(rule->text, JSON_DECODE_ANY, NULL);
+
+		shown = json_text(value);
+		json_decref(value);
+	}
+	start = g_strdup_printf("team.json: %s: %s ", named, shown);
+	ck_assert_ptr_null(
+	    tree_parse("acme", 1, "", "", json, "team.json", &error));
+	ck_assert_int_eq(papaya_error_kind(error), PAPAYA_ERROR_BAD_SETTING);
+	ck_assert_msg(g_str_has_prefix(error->message, start),
+	    "\"%s\" does not begin with \"%s\"", error->message, start);
+	ck_assert_msg(strstr(error->message, rule->remedy) != NULL,
+	    "\"%s\" does not contain \"%s\"", error->message, rule->remedy);
+	g_error_free(error);
+	g_free(start);
+	g_free(shown);
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against a source directory whose bad file is not named. */
+START_TEST(message_names_the_file_in_a_directory)
+{
+	json_t *json = good_json();
+	GError *error = NULL;
+
+	edit(json, "backends.engine-1.version", "\"v9\"");
+	ck_assert_ptr_null(tree_parse("acme", 1, "", "", json, "d/", &error));
+	ck_assert(g_str_has_prefix(error->message,
+	    "d/backends/engine-1.json: backends.engine-1.version: \"v9\" "));
+	g_error_free(error);
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against a long value that fills the log or splits a character. */
+START_TEST(message_shortens_a_long_value)
+{
+	json_t *json = good_json();
+	GError *error = NULL;
+	GString *text = g_string_new("\"");
+
+	for (int i = 0; i < 10000; i++)
+		g_string_append(text, "\xc3\xa9");
+	g_string_append_c(text, '"');
+	edit(json, "backends.engine-1.zone", text->str);
+	ck_assert_ptr_null(tree_parse("acme", 1, "", "", json, "f", &error));
+	ck_assert_uint_lt(strlen(error->message), 512);
+	ck_assert(g_utf8_validate(error->message, -1, NULL));
+	g_error_free(error);
+	g_string_free(text, TRUE);
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against names that break store keys and paths. */
+START_TEST(team_author_and_message_are_checked)
+{
+	json_t *json = good_json();
+	char *author = g_strnfill(129, 'a');
+	GError *error = NULL;
+
+	ck_assert_ptr_null(tree_parse("a/b", 1, "", "", json, "f", &error));
+	ck_assert_ptr_nonnull(strstr(error->message, "f: team: \"a/b\""));
+	g_clear_error(&error);
+	ck_assert_ptr_null(tree_parse("", 1, "", "", json, "f", &error));
+	g_clear_error(&error);
+	ck_assert_ptr_null(tree_parse("a", 1, author, "", json, "f", &error));
+	ck_assert_ptr_nonnull(strstr(error->message, "f: author: "));
+	g_clear_error(&error);
+	ck_assert_ptr_null(tree_parse("a", 1, "", "", NULL, "f", &error));
+	ck_assert_ptr_nonnull(strstr(error->message, "f: tree: missing"));
+	g_clear_error(&error);
+	g_free(author);
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against a field that is checked but not taken over. */
+START_TEST(good_tree_is_taken_over)
+{
+	json_t *json = good_json();
+	GError *error = NULL;
+	tree_t *tree =
+	    tree_parse("acme", 7, "ann", "why", json, "team.json", &error);
+	const service_t *chat, *pickup;
+	const backend_conf_t *engine;
+	const workspace_t *depot;
+
+	ck_assert_msg(tree != NULL, "%s", error != NULL ? error->message : "");
+	chat = tree_service(tree, "acme/chat");
+	ck_assert_int_eq(chat->kind, SERVICE_MODEL);
+	ck_assert(chat->repeatable);
+	ck_assert_str_eq(chat->current, "v1");
+	ck_assert_str_eq(chat->versions[1], "v2");
+	ck_assert_ptr_null(chat->versions[2]);
+	ck_assert_int_eq(chat->slo.first_token_ms, 690);
+	ck_assert_uint_eq(chat->waiting_max, 256);
+	ck_assert_int_eq(chat->route_policy, ROUTE_RANDOM);
+	pickup = tree_service(tree, "acme/pickup");
+	ck_assert_int_eq(pickup->kind, SERVICE_PLAIN);
+	ck_assert(!pickup->repeatable);
+	ck_assert(pickup->key_uuidv7);
+	ck_assert_int_eq(pickup->retention_s, 3600);
+	ck_assert_int_eq(pickup->timeout_ms, 30000);
+	ck_assert_int_eq(pickup->route_policy, ROUTE_LEAST);
+	engine = g_hash_table_lookup(tree->backends, "acme/engine-1");
+	ck_assert_str_eq(engine->service, "acme/chat");
+	ck_assert_int_eq(engine->fencing, FENCING_CHECKED);
+	engine = g_hash_table_lookup(tree->backends, "acme/engine-2");
+	ck_assert_int_eq(engine->fencing, FENCING_IGNORED);
+	depot = tree_workspace(tree, "depot");
+	ck_assert_uint_eq(depot->weight, 3);
+	ck_assert(depot->large);
+	ck_assert_ptr_null(tree_service(tree, "chat"));
+	tree_unref(tree);
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against a stored value that does not come back the same. */
+START_TEST(value_round_trip_and_strictness)
+{
+	json_t *json = good_json();
+	tree_t *tree = tree_parse("acme", 7, "ann", "why", json, "f", NULL);
+	json_t *value = tree_value(tree);
+	tree_t *back = tree_from_value("acme", value, "settings/acme", NULL);
+	GError *error = NULL;
+
+	ck_assert_int_eq(back->revision, 7);
+	ck_assert_str_eq(back->author, "ann");
+	ck_assert_str_eq(back->message, "why");
+	ck_assert(json_equal(back->json, json));
+	tree_unref(back);
+	json_object_set_new(value, "nonce", json_string("n"));
+	back = tree_from_value("acme", value, "settings/acme", NULL);
+	ck_assert_ptr_nonnull(back);
+	tree_unref(back);
+	json_object_set_new(value, "signature", json_string("n"));
+	ck_assert_ptr_null(tree_from_value("acme", value, "store", &error));
+	ck_assert_ptr_nonnull(strstr(error->message, "store: signature: "));
+	g_clear_error(&error);
+	json_object_del(value, "signature");
+	json_object_set_new(value, "revision", json_integer(0));
+	ck_assert_ptr_null(tree_from_value("acme", value, "store", &error));
+	ck_assert_ptr_nonnull(strstr(error->message, "store: revision"));
+	g_clear_error(&error);
+	json_decref(value);
+	json_decref(json);
+	tree_unref(tree);
+}
+END_TEST
+
+/* Guards against a stale read that takes settings back. */
+START_TEST(revision_never_goes_down)
+{
+	settings_t *settings = settings_new();
+	json_t *json = good_json();
+	tree_t *newer = tree_parse("acme", 7, "", "", json, "f", NULL);
+	tree_t *same = tree_parse("acme", 7, "", "", json, "f", NULL);
+	tree_t *older = tree_parse("acme", 6, "", "", json, "f", NULL);
+	tree_t *found = NULL;
+
+	ck_assert_int_eq(settings_revision(settings, "acme"), 0);
+	ck_assert_int_eq(settings_offer(settings, newer), SETTINGS_NEWER);
+	ck_assert_int_eq(settings_offer(settings, older), SETTINGS_OLDER);
+	ck_assert_int_eq(settings_offer(settings, same), SETTINGS_SAME);
+	ck_assert_ptr_eq(settings_tree(settings, "acme"), newer);
+	ck_assert_ptr_nonnull(settings_service(settings, "acme/chat", &found));
+	ck_assert_ptr_eq(found, newer);
+	ck_assert_ptr_null(settings_service(settings, "chat", NULL));
+	ck_assert_ptr_null(settings_service(settings, "other/chat", NULL));
+	settings_free(settings);
+	ck_assert_uint_eq(newer->refs, 1);
+	tree_unref(newer);
+	tree_unref(same);
+	tree_unref(older);
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against a difference that an operator is not shown. */
+START_TEST(diff_shows_each_change)
+{
+	json_t *old_tree = good_json(), *new_tree = good_json();
+	GString *lines = g_string_new(NULL);
+
+	edit(new_tree, "services.chat.timeout_ms", "5");
+	edit(new_tree, "services.chat.versions", "[\"v1\"]");
+	edit(new_tree, "workspaces.depot", NULL);
+	edit(new_tree, "workspaces.yard", "{}");
+	tree_diff(old_tree, new_tree, lines);
+	ck_assert_str_eq(lines->str,
+	    "~ services.chat.timeout_ms: 30000 -> 5\n"
+	    "~ services.chat.versions: [\"v1\",\"v2\"] -> [\"v1\"]\n"
+	    "- workspaces.depot\n"
+	    "+ workspaces.yard\n");
+	g_string_truncate(lines, 0);
+	tree_diff(old_tree, old_tree, lines);
+	ck_assert_str_eq(lines->str, "");
+	tree_diff(NULL, old_tree, lines);
+	ck_assert_str_eq(lines->str, "+ backends\n+ services\n+ workspaces\n");
+	g_string_free(lines, TRUE);
+	json_decref(old_tree);
+	json_decref(new_tree);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("settings");
+	TCase *tests = tcase_create("settings");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_loop_test(tests,
+	    bad_value_is_refused_with_its_place_and_remedy, 0,
+	    G_N_ELEMENTS(rules));
+	tcase_add_test(tests, message_names_the_file_in_a_directory);
+	tcase_add_test(tests, message_shortens_a_long_value);
+	tcase_add_test(tests, team_author_and_message_are_checked);
+	tcase_add_test(tests, good_tree_is_taken_over);
+	tcase_add_test(tests, value_round_trip_and_strictness);
+	tcase_add_test(tests, revision_never_goes_down);
+	tcase_add_test(tests, diff_shows_each_change);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
