--- a/src/node.h
+++ b/src/node.h
@@ -109,8 +109,6 @@
 bool node_peers_handle(node_t *node, http_request_t *request);
 /* Leaves the entry list and tells the peers. */
 void node_peers_drain(node_t *node);
-/* HTTP address (IP:PORT) of a node of another zone, borrowed; or NULL. */
-const char *node_peers_other_zone(node_t *node);
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
 void node_peers_send(node_t *node, const char *to, const message_t *message);
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -466,12 +466,6 @@
 	node_join_leave(peers);
 }
 
-const char *
-node_peers_other_zone(node_t *node)
-{
-	return NULL;
-}
-
 void
 node_peers_broadcast(node_t *node, const message_t *message)
 {
--- a/src/route.c
+++ b/src/route.c
@@ -119,7 +119,7 @@
 uint64_t
 route_prefix(const char *prompt)
 {
-	return XXH3_64bits(prompt, strnlen(prompt, PREFIX_BYTES));
+	return XXH3_64bits(prompt, strnlen(prompt, ROUTE_PREFIX_BYTES));
 }
 
 static bool
