--- a/src/node_move.c
+++ b/src/node_move.c
@@ -169,11 +169,11 @@
 log_change(node_t *node, const move_record_t *record)
 {
 	log_event(LOG_LEVEL_INFO, "move.changed",
-	    "node=%s service=%s move=%s from=%s to=%s state=%s share=%.2f "
+	    "node=%s service=%s move=%s from=%s to=%s state=%s stage=%u "
 	    "reason=\"%s\"",
 	    node->config->name, record->service, record->id, record->from,
-	    record->to, move_state_name(record->state),
-	    move_stage_share[record->stage], record->reason);
+	    record->to, move_state_name(record->state), record->stage,
+	    record->reason);
 	counter_add(node->counters, 1, "moves_changes_total{state=\"%s\"}",
 	    move_state_name(record->state));
 }
