Report the error budget's burn

Counts per service, version and zone over 5 minutes and 1 hour, as text, JSON and one page with inline plots; the node that is asked sums the others with scope=all. Evidence of moves is sent within a byte budget and no longer relayed between zones.

--- /dev/null
+++ b/src/burn.c
@@ -0,0 +1,422 @@
+#include "burn.h"
+
+#include "json.h"
+
+#include <string.h>
+
+enum { MINUTE_MS = 60000, NAME_MAX_LENGTH = 512 };
+
+static const double SLOW_RATE = 1;
+/* At this rate a budget of 30 days lasts 5 days. */
+static const double FAST_RATE = 6;
+
+/* Counts per slot of time; slot is its number since the epoch. */
+typedef struct ring {
+	int64_t slot_ms;
+	unsigned slots;
+	int64_t *slot;
+	burn_counts_t *counts;
+} ring_t;
+
+typedef struct series {
+	char *service;
+	char *version;
+	char *zone;
+	double target;
+	ring_t recent;
+	ring_t past;
+} series_t;
+
+struct burn {
+	GHashTable *series; /* joined key: series_t */
+	uint64_t dropped;
+};
+
+static void
+ring_init(ring_t *ring, int64_t window_ms, unsigned slots)
+{
+	ring->slot_ms = window_ms / slots;
+	ring->slots = slots;
+	ring->slot = g_new0(int64_t, slots);
+	ring->counts = g_new0(burn_counts_t, slots);
+}
+
+static void
+ring_clear(ring_t *ring)
+{
+	g_free(ring->slot);
+	g_free(ring->counts);
+}
+
+static void
+ring_add(ring_t *ring, burn_counts_t counts, int64_t now_ms)
+{
+	int64_t slot = now_ms / ring->slot_ms;
+	unsigned place = (unsigned)(slot % ring->slots);
+
+	/* Older than the window: the clock was set back. */
+	if (slot < ring->slot[place])
+		return;
+	if (slot > ring->slot[place]) {
+		ring->slot[place] = slot;
+		ring->counts[place] = (burn_counts_t){0};
+	}
+	ring->counts[place].good += counts.good;
+	ring->counts[place].bad += counts.bad;
+}
+
+static burn_counts_t
+ring_slot(const ring_t *ring, int64_t slot)
+{
+	unsigned place = (unsigned)(slot % ring->slots);
+
+	return ring->slot[place] == slot ? ring->counts[place]
+					 : (burn_counts_t){0};
+}
+
+static burn_counts_t
+ring_sum(const ring_t *ring, int64_t now_ms)
+{
+	int64_t last = now_ms / ring->slot_ms;
+	burn_counts_t sum = {0};
+
+	for (int64_t slot = last - ring->slots + 1; slot <= last; slot++) {
+		burn_counts_t counts = ring_slot(ring, slot);
+
+		sum.good += counts.good;
+		sum.bad += counts.bad;
+	}
+	return sum;
+}
+
+static void
+series_free(void *data)
+{
+	series_t *series = data;
+
+	g_free(series->service);
+	g_free(series->version);
+	g_free(series->zone);
+	ring_clear(&series->recent);
+	ring_clear(&series->past);
+	g_free(series);
+}
+
+burn_t *
+burn_new(void)
+{
+	burn_t *burn = g_new0(burn_t, 1);
+
+	burn->series =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, series_free);
+	return burn;
+}
+
+void
+burn_free(burn_t *burn)
+{
+	if (burn == NULL)
+		return;
+	g_hash_table_destroy(burn->series);
+	g_free(burn);
+}
+
+static char *
+join_key(const char *service, const char *version, const char *zone)
+{
+	return g_strjoin("\n", service, version, zone, NULL);
+}
+
+static bool
+is_idle(const series_t *series, int64_t now_ms)
+{
+	burn_counts_t sum = ring_sum(&series->past, now_ms);
+
+	return sum.good + sum.bad == 0;
+}
+
+/* Makes room by dropping series without a request in the long window. */
+static void
+drop_idle(burn_t *burn, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, burn->series);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (is_idle(value, now_ms))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static series_t *
+series_new(burn_t *burn, const burn_key_t *key, int64_t now_ms)
+{
+	series_t *series;
+
+	if (g_hash_table_size(burn->series) >= BURN_SERIES_MAX)
+		drop_idle(burn, now_ms);
+	if (g_hash_table_size(burn->series) >= BURN_SERIES_MAX)
+		return NULL;
+	series = g_new0(series_t, 1);
+	series->service = g_strdup(key->service);
+	series->version = g_strdup(key->version);
+	series->zone = g_strdup(key->zone);
+	ring_init(&series->recent, BURN_SHORT_MS, BURN_SHORT_SLOTS);
+	ring_init(&series->past, BURN_LONG_MS, BURN_LONG_SLOTS);
+	g_hash_table_insert(burn->series,
+	    join_key(key->service, key->version, key->zone), series);
+	return series;
+}
+
+void
+burn_add(burn_t *burn, const burn_key_t *key, double target,
+    burn_counts_t counts, int64_t now_ms)
+{
+	char *joined = join_key(key->service, key->version, key->zone);
+	series_t *series = g_hash_table_lookup(burn->series, joined);
+
+	g_free(joined);
+	if (series == NULL)
+		series = series_new(burn, key, now_ms);
+	if (series == NULL) {
+		burn->dropped += counts.good + counts.bad;
+		return;
+	}
+	series->target = target;
+	ring_add(&series->recent, counts, now_ms);
+	ring_add(&series->past, counts, now_ms);
+}
+
+static json_t *
+counts_json(burn_counts_t counts)
+{
+	return json_pack("{s:I, s:I}", "good", (json_int_t)counts.good, "bad",
+	    (json_int_t)counts.bad);
+}
+
+static json_t *
+minutes_json(const ring_t *ring, int64_t now_ms)
+{
+	json_t *minutes = json_array();
+	int64_t last = now_ms / ring->slot_ms;
+
+	for (int64_t slot = last - ring->slots + 1; slot <= last; slot++) {
+		burn_counts_t counts = ring_slot(ring, slot);
+
+		json_array_append_new(
+		    minutes, json_pack("[I, I]", (json_int_t)counts.good,
+				 (json_int_t)counts.bad));
+	}
+	return minutes;
+}
+
+json_t *
+burn_report(const burn_t *burn, int64_t now_ms)
+{
+	json_t *list = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, burn->series);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const series_t *series = value;
+
+		if (is_idle(series, now_ms))
+			continue;
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:s, s:f, s:o, s:o, s:o}", "service",
+			series->service, "version", series->version, "zone",
+			series->zone, "target", series->target, "short",
+			counts_json(ring_sum(&series->recent, now_ms)), "long",
+			counts_json(ring_sum(&series->past, now_ms)), "minutes",
+			minutes_json(&series->past, now_ms)));
+	}
+	return json_pack("{s:I, s:I, s:o}", "at_ms", (json_int_t)now_ms,
+	    "dropped", (json_int_t)burn->dropped, "series", list);
+}
+
+static bool
+counts_good(const json_t *counts)
+{
+	return json_get_int(counts, "good", -1) >= 0 &&
+	       json_get_int(counts, "bad", -1) >= 0;
+}
+
+static bool
+name_good(const json_t *series, const char *name)
+{
+	const char *value = json_get_string(series, name, NULL);
+
+	return value != NULL && strlen(value) <= NAME_MAX_LENGTH;
+}
+
+static bool
+minutes_good(const json_t *minutes)
+{
+	const json_t *minute;
+	size_t i;
+
+	json_array_foreach (minutes, i, minute) {
+		const json_t *good = json_array_get(minute, 0);
+		const json_t *bad = json_array_get(minute, 1);
+
+		if (!json_is_integer(good) || !json_is_integer(bad) ||
+		    json_integer_value(good) < 0 || json_integer_value(bad) < 0)
+			return false;
+	}
+	return json_array_size(minutes) == BURN_LONG_SLOTS;
+}
+
+static bool
+report_good(const json_t *report)
+{
+	const json_t *list = json_object_get(report, "series");
+	const json_t *series;
+	size_t i;
+
+	if (!json_is_array(list) || json_get_int(report, "at_ms", -1) < 0 ||
+	    json_array_size(list) > BURN_SERIES_MAX)
+		return false;
+	json_array_foreach (list, i, series) {
+		double target = json_get_double(series, "target", -1);
+
+		if (!name_good(series, "service") ||
+		    !name_good(series, "version") ||
+		    !name_good(series, "zone") || target < 0 || target > 1 ||
+		    !counts_good(json_object_get(series, "short")) ||
+		    !counts_good(json_object_get(series, "long")) ||
+		    !minutes_good(json_object_get(series, "minutes")))
+			return false;
+	}
+	return true;
+}
+
+static json_t *
+find_series(const json_t *report, const json_t *like)
+{
+	static const char *const names[] = {"service", "version", "zone"};
+	json_t *series;
+	size_t i;
+
+	json_array_foreach (json_object_get(report, "series"), i, series) {
+		bool same = true;
+
+		for (size_t n = 0; n < G_N_ELEMENTS(names) && same; n++)
+			same = strcmp(json_get_string(series, names[n], ""),
+				   json_get_string(like, names[n], "")) == 0;
+		if (same)
+			return series;
+	}
+	return NULL;
+}
+
+static void
+add_counts(json_t *series, const json_t *other, const char *window)
+{
+	json_t *into = json_object_get(series, window);
+	const json_t *from = json_object_get(other, window);
+	static const char *const names[] = {"good", "bad"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		json_object_set_new(into, names[i],
+		    json_integer(json_get_int(into, names[i], 0) +
+				 json_get_int(from, names[i], 0)));
+}
+
+/* later: minutes by which the other report's last minute is later. */
+static void
+add_minutes(json_t *into, const json_t *from, int64_t later)
+{
+	for (int64_t i = 0; i < BURN_LONG_SLOTS; i++) {
+		int64_t at = i - later;
+		const json_t *minute;
+		json_t *sum;
+
+		if (at < 0 || at >= BURN_LONG_SLOTS)
+			continue;
+		minute = json_array_get(from, (size_t)at);
+		sum = json_array_get(into, (size_t)i);
+		for (size_t n = 0; n < 2; n++)
+			json_array_set_new(sum, n,
+			    json_integer(
+				json_integer_value(json_array_get(sum, n)) +
+				json_integer_value(json_array_get(minute, n))));
+	}
+}
+
+static json_t *
+empty_series(const json_t *like)
+{
+	json_t *series = json_pack("{s:O, s:O, s:O, s:O, s:o, s:o, s:[]}",
+	    "service", json_object_get(like, "service"), "version",
+	    json_object_get(like, "version"), "zone",
+	    json_object_get(like, "zone"), "target",
+	    json_object_get(like, "target"), "short",
+	    counts_json((burn_counts_t){0}), "long",
+	    counts_json((burn_counts_t){0}), "minutes");
+	json_t *minutes = json_object_get(series, "minutes");
+
+	for (int i = 0; i < BURN_LONG_SLOTS; i++)
+		json_array_append_new(minutes, json_pack("[i, i]", 0, 0));
+	return series;
+}
+
+bool
+burn_report_add(json_t *report, const json_t *other)
+{
+	int64_t ahead = json_get_int(report, "at_ms", 0) / MINUTE_MS -
+			json_get_int(other, "at_ms", 0) / MINUTE_MS;
+	const json_t *from;
+	size_t i;
+
+	if (!report_good(other))
+		return false;
+	json_array_foreach (json_object_get(other, "series"), i, from) {
+		json_t *series = find_series(report, from);
+
+		if (series == NULL) {
+			series = empty_series(from);
+			json_array_append_new(
+			    json_object_get(report, "series"), series);
+		}
+		add_counts(series, from, "short");
+		add_counts(series, from, "long");
+		add_minutes(json_object_get(series, "minutes"),
+		    json_object_get(from, "minutes"), -ahead);
+	}
+	json_object_set_new(report, "dropped",
+	    json_integer(json_get_int(report, "dropped", 0) +
+			 json_get_int(other, "dropped", 0)));
+	return true;
+}
+
+double
+burn_rate(double good, double bad, double target)
+{
+	/* An objective of all requests has no budget: any miss is over it. */
+	double budget = MAX(1 - target, 1e-6);
+
+	return good + bad <= 0 ? 0 : bad / (good + bad) / budget;
+}
+
+static double
+window_rate(const json_t *series, const char *window)
+{
+	const json_t *counts = json_object_get(series, window);
+
+	return burn_rate((double)json_get_int(counts, "good", 0),
+	    (double)json_get_int(counts, "bad", 0),
+	    json_get_double(series, "target", 0));
+}
+
+burn_level_t
+burn_level(const json_t *series)
+{
+	double lower =
+	    MIN(window_rate(series, "short"), window_rate(series, "long"));
+
+	if (lower >= FAST_RATE)
+		return BURN_FAST;
+	return lower >= SLOW_RATE ? BURN_SLOW : BURN_OK;
+}
--- /dev/null
+++ b/src/burn.h
@@ -0,0 +1,73 @@
+#ifndef PAPAYA_BURN_H
+#define PAPAYA_BURN_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Error-budget burn by service, version and zone: the share of requests that
+ * missed their objective, over the share that the objective allows. 1 spends
+ * exactly the budget. Over a short and a long window, so that a report shows
+ * what goes on now and what lasts. Bounded memory.
+ */
+typedef struct burn burn_t;
+
+enum {
+	BURN_SHORT_MS = 5 * 60 * 1000,
+	BURN_LONG_MS = 60 * 60 * 1000,
+	BURN_SHORT_SLOTS = 30,
+	BURN_LONG_SLOTS = 60,
+	BURN_SERIES_MAX = 512, /* further ones are counted as dropped */
+};
+
+typedef struct burn_key {
+	const char *service; /* TEAM/NAME */
+	const char *version;
+	const char *zone;
+} burn_key_t;
+
+typedef struct burn_counts {
+	uint64_t good;
+	uint64_t bad;
+} burn_counts_t;
+
+burn_t *burn_new(void);
+void burn_free(burn_t *burn);
+
+/*
+ * Counts finished requests. target is the objective's share of good requests,
+ * 0..1; the latest one holds for the whole series. now_ms is wall-clock time,
+ * so that the minutes of several nodes match.
+ */
+void burn_add(burn_t *burn, const burn_key_t *key, double target,
+    burn_counts_t counts, int64_t now_ms);
+
+/*
+ * Report: {"at_ms", "dropped", "series": [{"service", "version", "zone",
+ * "target", "short": {"good", "bad"}, "long": {...}, "minutes": [[good, bad],
+ * ...]}]}, the last minute being that of at_ms.
+ */
+json_t *burn_report(const burn_t *burn, int64_t now_ms);
+
+/* Adds another node's report. False, and nothing added, where malformed. */
+bool burn_report_add(json_t *report, const json_t *other);
+
+/* Burn rate of counts; 0 without requests. */
+double burn_rate(double good, double bad, double target);
+
+typedef enum burn_level {
+	BURN_OK,
+	BURN_SLOW, /* over the budget in both windows */
+	BURN_FAST, /* several times over it in both windows */
+} burn_level_t;
+
+/* Level of one series of a report. */
+burn_level_t burn_level(const json_t *series);
+
+/* Renders a report; series with the highest burn come first. */
+void burn_text(const json_t *report, GString *out);
+void burn_html(const json_t *report, GString *out);
+
+#endif
--- a/src/move.c
+++ b/src/move.c
@@ -358,6 +358,13 @@
 	g_free(why);
 }
 
+unsigned
+move_attempts(const move_t *move)
+{
+	return evidence_count(move->own, EVIDENCE_OLD) +
+	       evidence_count(move->own, EVIDENCE_NEW);
+}
+
 json_t *
 move_evidence(const move_t *move)
 {
--- a/src/move.h
+++ b/src/move.h
@@ -98,6 +98,8 @@
 void move_observe(move_t *move, const char *version, const char *route, bool ok,
     double first_ms, int64_t now_ms);
 
+/* Attempts that this node has seen. */
+unsigned move_attempts(const move_t *move);
 /* This node's evidence so far, for its peers. */
 json_t *move_evidence(const move_t *move);
 /* Takes over a peer's evidence. False where it is malformed. */
--- a/src/node.c
+++ b/src/node.c
@@ -199,6 +199,7 @@
 	    node_settings_handle(node, request) ||
 	    node_peers_handle(node, request) ||
 	    node_moves_handle(node, request) ||
+	    node_report_handle(node, request) ||
 	    node_admin_handle(node, request))
 		return;
 	counter_add(node->counters, 1, "requests_unknown_path_total");
@@ -245,6 +246,7 @@
 		return NULL;
 	config->peer_port = node_peers_port(node);
 	node_backends_start(node);
+	node_reports_start(node);
 	node_moves_start(node);
 	node_calls_start(node);
 	node_books_start(node);
@@ -318,6 +320,7 @@
 	node_books_free(node);
 	node_calls_free(node);
 	node_moves_free(node);
+	node_reports_free(node);
 	node_backends_free(node);
 	node_peers_free(node);
 	store_free(node->store);
--- a/src/node.h
+++ b/src/node.h
@@ -40,6 +40,7 @@
 typedef struct node_settings node_settings_t;
 typedef struct node_peers node_peers_t;
 typedef struct node_moves node_moves_t;
+typedef struct node_reports node_reports_t;
 typedef struct node_backends node_backends_t;
 typedef struct node_admin node_admin_t;
 
@@ -62,6 +63,7 @@
 	node_settings_t *settings_part;
 	node_peers_t *peers;
 	node_moves_t *moves;
+	node_reports_t *reports;
 	node_backends_t *backends_part;
 	node_admin_t *admin;
 } node_t;
@@ -112,6 +114,10 @@
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
 void node_peers_send(node_t *node, const char *to, const message_t *message);
+/* Calls visit for every other node that is not gone. */
+void node_peers_each(node_t *node,
+    void (*visit)(const char *name, const char *http_address, void *data),
+    void *data);
 /* True where this node is one of its zone's nodes that watch the store. */
 bool node_peers_watches_store(node_t *node, const char *team);
 /*
@@ -132,12 +138,21 @@
 bool node_moves_handle(node_t *node, http_request_t *request);
 void node_moves_message(
     node_t *node, const message_t *message, const char *from);
+/* True where delegates pass a move message on to other zones. */
+bool node_moves_relays(const message_t *message);
 /* Version for a new request; valid until the next settings change. */
 const char *node_moves_version(node_t *node, const service_t *service);
 /* Evidence of one finished attempt. first_ms: to the first token or answer. */
 void node_moves_observe(node_t *node, const service_t *service,
     const char *version, const char *route, bool ok, double first_ms);
 
+void node_reports_start(node_t *node);
+void node_reports_free(node_t *node);
+bool node_report_handle(node_t *node, http_request_t *request);
+/* Counts one finished attempt against the service's objective. */
+void node_report_count(node_t *node, const service_t *service,
+    const char *version, bool ok, double first_ms);
+
 void node_admin_start(node_t *node);
 void node_admin_free(node_t *node);
 bool node_admin_handle(node_t *node, http_request_t *request);
--- a/src/node_move.c
+++ b/src/node_move.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "json.h"
 #include "log.h"
+#include "member.h"
 
 #include <string.h>
 
@@ -13,11 +14,15 @@
 	LIST_OTHER_MS = 60000,
 	LIST_RETRY_MS = 1000,
 	WANT_MS = 1000, /* between questions to peers, until the first list */
-	EVIDENCE_MS = 1000,
+	EVIDENCE_MS = 500,
+	EVIDENCE_PER_NODE_MS = 175,
 	WATCH_MS = 20000,
 	STEPS_MAX = 8, /* per move and tick */
 };
 
+/* Of a message with a record; names are sorted. */
+static const char record_prefix[] = "{\"record\":";
+
 char *
 move_declaration_key(const char *service)
 {
@@ -441,19 +446,46 @@
 	g_free(key);
 }
 
+static void
+count_node(const char *name, const char *http_address, void *data)
+{
+	++*(unsigned *)data;
+}
+
+/*
+ * One message, of about 700 bytes, goes to up to MEMBER_MESH_MAX nodes: the
+ * pause between two, of all moves, keeps a node below 4 KB/s.
+ */
+static int64_t
+evidence_pause_ms(node_t *node)
+{
+	unsigned nodes = 0;
+
+	node_peers_each(node, count_node, &nodes);
+	return EVIDENCE_MS + EVIDENCE_PER_NODE_MS * MIN(nodes, MEMBER_MESH_MAX);
+}
+
+static bool
+has_evidence(const service_move_t *entry)
+{
+	const move_record_t *record = move_record(entry->move);
+
+	return record->state == MOVE_RUNNING && record->lease[0] != '\0' &&
+	       move_attempts(entry->move) != entry->attempts_sent &&
+	       move_outcome(entry->move, clock_wall_ms()) == MOVE_RUNNING;
+}
+
 static void
 send_evidence(node_t *node, service_move_t *entry, int64_t now_ms)
 {
 	const move_record_t *record = move_record(entry->move);
 
-	if (record->state != MOVE_RUNNING || record->lease[0] == '\0' ||
-	    now_ms < entry->evidence_sent_ms + EVIDENCE_MS ||
-	    move_outcome(entry->move, clock_wall_ms()) != MOVE_RUNNING)
-		return;
+	entry->attempts_sent = move_attempts(entry->move);
 	entry->evidence_sent_ms = now_ms;
+	node->moves->evidence_ms = now_ms + evidence_pause_ms(node);
 	send_json(node, NULL, record->service,
-	    json_pack("{s:s, s:o}", "id", record->id, "evidence",
-		move_evidence(entry->move)));
+	    json_pack("{s:s, s:s, s:o}", "id", record->id, "node",
+		node->config->name, "evidence", move_evidence(entry->move)));
 }
 
 static const service_t *
@@ -485,6 +517,7 @@
 {
 	node_t *node = timer->data;
 	node_moves_t *moves = node->moves;
+	service_move_t *next = NULL; /* whose evidence waits longest */
 	int64_t now_ms = clock_mono_ms();
 	GHashTableIter iter;
 	gpointer name, value;
@@ -502,10 +535,15 @@
 
 		check_settings(node, entry->move);
 		step_move(node, entry->move, writer);
-		send_evidence(node, entry, now_ms);
+		if (has_evidence(entry) &&
+		    (next == NULL ||
+			entry->evidence_sent_ms < next->evidence_sent_ms))
+			next = entry;
 		if (writer)
 			watch_state(node, entry);
 	}
+	if (next != NULL && now_ms >= moves->evidence_ms)
+		send_evidence(node, next, now_ms);
 }
 
 void
@@ -573,7 +611,8 @@
 	} else if (evidence != NULL) {
 		if (entry != NULL && strcmp(json_get_string(json, "id", ""),
 					 move_record(entry->move)->id) == 0)
-			move_merge(entry->move, from, evidence);
+			move_merge(entry->move,
+			    json_get_string(json, "node", from), evidence);
 	} else {
 		record =
 		    move_record_parse(json_object_get(json, "record"), NULL);
@@ -611,6 +650,14 @@
 	json_decref(json);
 }
 
+/* Evidence and questions stay within the zone, for their bytes. */
+bool
+node_moves_relays(const message_t *message)
+{
+	return message->type == MESSAGE_MOVE_STOP ||
+	       g_str_has_prefix(message->move_state.record, record_prefix);
+}
+
 static bool
 has_backend(node_t *node, const char *service, const char *version)
 {
@@ -673,6 +720,7 @@
 {
 	service_move_t *entry = node_move_find(node, service->name);
 
+	node_report_count(node, service, version, ok, first_ms);
 	if (entry == NULL)
 		return;
 	move_observe(
--- a/src/node_move.h
+++ b/src/node_move.h
@@ -9,7 +9,8 @@
 /* The newest move of one service. Owned by the part. */
 typedef struct service_move {
 	move_t *move;
-	bool watching; /* a watch of its state is pending */
+	bool watching;		/* a watch of its state is pending */
+	unsigned attempts_sent; /* in the last evidence sent */
 	int64_t evidence_sent_ms;
 } service_move_t;
 
@@ -33,6 +34,7 @@
 	unsigned teams_loaded;
 	int64_t next_list_ms;
 	int64_t next_want_ms;
+	int64_t evidence_ms; /* not before */
 };
 
 move_op_t *move_op_new(node_t *node, const char *service, const char *id);
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -316,7 +316,8 @@
 		break;
 	case MESSAGE_MOVE_STOP:
 	case MESSAGE_MOVE_STATE:
-		node_relay_message(peers, from, message);
+		if (node_moves_relays(message))
+			node_relay_message(peers, from, message);
 		node_moves_message(node, message, from);
 		break;
 	case MESSAGE_OUTCOME_ASK:
--- /dev/null
+++ b/tests/test_burn.c
@@ -0,0 +1,184 @@
+#include "burn.h"
+#include "json.h"
+
+#include <check.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { MINUTE_MS = 60000 };
+
+static const int64_t START_MS = INT64_C(1700000000000);
+static const burn_key_t chat = {"t1/chat", "v1", "zone-a"};
+
+static const json_t *
+first(const json_t *report)
+{
+	return json_array_get(json_object_get(report, "series"), 0);
+}
+
+static int64_t
+count(const json_t *report, const char *window, const char *name)
+{
+	return json_get_int(json_object_get(first(report), window), name, -1);
+}
+
+/* Guards against counts that never leave a window, or leave too early. */
+START_TEST(windows_forget)
+{
+	burn_t *burn = burn_new();
+	json_t *report;
+
+	burn_add(burn, &chat, 0.95, (burn_counts_t){90, 10}, START_MS);
+	report = burn_report(burn, START_MS + 4 * MINUTE_MS);
+	ck_assert_int_eq(count(report, "short", "bad"), 10);
+	json_decref(report);
+	report = burn_report(burn, START_MS + 6 * MINUTE_MS);
+	ck_assert_int_eq(count(report, "short", "bad"), 0);
+	ck_assert_int_eq(count(report, "long", "bad"), 10);
+	json_decref(report);
+	report = burn_report(burn, START_MS + 61 * MINUTE_MS);
+	ck_assert_ptr_null(first(report));
+	json_decref(report);
+	/* The same place of the ring, one round later. */
+	burn_add(burn, &chat, 0.95, (burn_counts_t){1, 0},
+	    START_MS + 60 * MINUTE_MS);
+	report = burn_report(burn, START_MS + 60 * MINUTE_MS);
+	ck_assert_int_eq(count(report, "long", "good"), 1);
+	json_decref(report);
+	burn_free(burn);
+}
+END_TEST
+
+/* Guards against a level that one window alone raises. */
+START_TEST(level_needs_both_windows)
+{
+	burn_t *burn = burn_new();
+	json_t *report;
+
+	ck_assert_double_eq_tol(burn_rate(90, 10, 0.95), 2, 1e-9);
+	ck_assert_double_eq(burn_rate(0, 0, 0.95), 0);
+	ck_assert(isfinite(burn_rate(0, 1, 1)));
+	burn_add(burn, &chat, 0.95, (burn_counts_t){10000, 0}, START_MS);
+	burn_add(burn, &chat, 0.95, (burn_counts_t){0, 100},
+	    START_MS + 30 * MINUTE_MS);
+	report = burn_report(burn, START_MS + 30 * MINUTE_MS);
+	ck_assert_int_eq(burn_level(first(report)), BURN_OK);
+	json_decref(report);
+	burn_add(burn, &chat, 0.95, (burn_counts_t){0, 10000},
+	    START_MS + 30 * MINUTE_MS);
+	report = burn_report(burn, START_MS + 30 * MINUTE_MS);
+	ck_assert_int_eq(burn_level(first(report)), BURN_FAST);
+	json_decref(report);
+	burn_free(burn);
+}
+END_TEST
+
+/* Guards against unbounded memory and against a lost count of it. */
+START_TEST(series_are_bounded)
+{
+	static const burn_key_t fresh = {"t1/chat", "new", "zone-a"};
+	burn_t *burn = burn_new();
+	json_t *report;
+
+	for (int i = 0; i < BURN_SERIES_MAX + 3; i++) {
+		char version[16];
+		burn_key_t key = {"t1/chat", version, "zone-a"};
+
+		g_snprintf(version, sizeof(version), "v%d", i);
+		burn_add(burn, &key, 0.95, (burn_counts_t){1, 0}, START_MS);
+	}
+	report = burn_report(burn, START_MS);
+	ck_assert_uint_eq(json_array_size(json_object_get(report, "series")),
+	    BURN_SERIES_MAX);
+	ck_assert_int_eq(json_get_int(report, "dropped", 0), 3);
+	json_decref(report);
+	/* Idle series make room. */
+	burn_add(burn, &fresh, 0.95, (burn_counts_t){1, 0},
+	    START_MS + 120 * MINUTE_MS);
+	report = burn_report(burn, START_MS + 120 * MINUTE_MS);
+	ck_assert_uint_eq(
+	    json_array_size(json_object_get(report, "series")), 1);
+	json_decref(report);
+	burn_free(burn);
+}
+END_TEST
+
+static int64_t
+minute(const json_t *report, size_t index, size_t which)
+{
+	return json_integer_value(json_array_get(
+	    json_array_get(json_object_get(first(report), "minutes"), index),
+	    which));
+}
+
+/* Guards against sums that add different minutes, or malformed reports. */
+START_TEST(reports_of_nodes_are_added)
+{
+	burn_t *one = burn_new(), *two = burn_new();
+	json_t *sum, *other;
+
+	burn_add(one, &chat, 0.95, (burn_counts_t){5, 1}, START_MS);
+	burn_add(two, &chat, 0.95, (burn_counts_t){7, 2}, START_MS);
+	sum = burn_report(one, START_MS + MINUTE_MS);
+	other = burn_report(two, START_MS);
+	ck_assert(burn_report_add(sum, other));
+	ck_assert_int_eq(count(sum, "long", "good"), 12);
+	ck_assert_int_eq(count(sum, "short", "bad"), 3);
+	ck_assert_int_eq(minute(sum, BURN_LONG_SLOTS - 2, 0), 12);
+	ck_assert_int_eq(minute(sum, BURN_LONG_SLOTS - 2, 1), 3);
+	json_object_del((json_t *)first(other), "minutes");
+	ck_assert(!burn_report_add(sum, other));
+	ck_assert_int_eq(count(sum, "long", "good"), 12);
+	json_decref(sum);
+	json_decref(other);
+	burn_free(one);
+	burn_free(two);
+}
+END_TEST
+
+/* Guards against a page that names break, or that loads anything. */
+START_TEST(pages_escape_names_and_stand_alone)
+{
+	static const burn_key_t odd = {"t1/<b>&", "v\"1", "zone-a"};
+	burn_t *burn = burn_new();
+	GString *page = g_string_new(NULL), *text = g_string_new(NULL);
+	json_t *report;
+
+	burn_add(burn, &odd, 0.95, (burn_counts_t){10, 90}, START_MS);
+	report = burn_report(burn, START_MS);
+	burn_html(report, page);
+	burn_text(report, text);
+	ck_assert_ptr_nonnull(strstr(page->str, "t1/&lt;b&gt;&amp;"));
+	ck_assert_ptr_null(strstr(page->str, "<b>&"));
+	ck_assert_ptr_null(strstr(page->str, "http"));
+	ck_assert_ptr_nonnull(strstr(page->str, "<svg"));
+	ck_assert_ptr_nonnull(strstr(text->str, "fast burn"));
+	ck_assert_ptr_nonnull(strstr(text->str, "18.00"));
+	json_decref(report);
+	g_string_free(page, TRUE);
+	g_string_free(text, TRUE);
+	burn_free(burn);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("burn");
+	TCase *tests = tcase_create("burn");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tests, windows_forget);
+	tcase_add_test(tests, level_needs_both_windows);
+	tcase_add_test(tests, series_are_bounded);
+	tcase_add_test(tests, reports_of_nodes_are_added);
+	tcase_add_test(tests, pages_escape_names_and_stand_alone);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/test_move_process.c
+++ b/tests/test_move_process.c
@@ -386,6 +386,46 @@
 }
 END_TEST
 
+static int64_t
+reported(const answer_t *answer)
+{
+	const json_t *series =
+	    json_array_get(json_object_get(answer->json, "series"), 0);
+	const json_t *counts = json_object_get(series, "long");
+
+	return json_integer_value(json_object_get(counts, "good")) +
+	       json_integer_value(json_object_get(counts, "bad"));
+}
+
+/* Guards against a report that misses a node, or a format that fails. */
+START_TEST(report_sums_the_nodes)
+{
+	static const char path[] = "/v1/admin/report?format=json";
+	static const char all[] = "/v1/admin/report?format=json&scope=all";
+	answer_t *one, *two, *sum;
+
+	start_all();
+	for (int i = 0; i < 20; i++)
+		ask_version(nodes[i % NODES]);
+	one = ask_json(nodes[0], "GET", path, NULL, 200);
+	two = ask_json(nodes[1], "GET", path, NULL, 200);
+	sum = ask_json(nodes[1], "GET", all, NULL, 200);
+	ck_assert_int_ge(reported(one), 10);
+	ck_assert_int_eq(reported(sum), reported(one) + reported(two));
+	ck_assert_int_eq(
+	    json_integer_value(json_object_get(sum->json, "nodes")), NODES);
+	answer_free(one);
+	answer_free(two);
+	answer_free(sum);
+	one = ask_json(
+	    nodes[0], "GET", "/v1/admin/report?format=html", NULL, 200);
+	ck_assert_ptr_nonnull(strstr(one->body->str, "t1/pages"));
+	answer_free(one);
+	answer_free(ask_json(
+	    nodes[0], "GET", "/v1/admin/report?format=pdf", NULL, 400));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -405,6 +445,7 @@
 	tcase_add_test(tests, lost_responses_are_resolved);
 	tcase_add_loop_test(tests, starter_killed_at_each_step, 0, 3);
 	tcase_add_test(tests, settings_supersede_an_ended_move);
+	tcase_add_test(tests, report_sums_the_nodes);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
