--- /dev/null
+++ b/src/cloud.h
@@ -0,0 +1,66 @@
+#ifndef PAPAYA_CLOUD_H
+#define PAPAYA_CLOUD_H
+
+#include "http_client.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * Client of the cloud API: hosts and reclaim notices. The only place that
+ * knows its protocol.
+ */
+typedef struct cloud cloud_t;
+
+typedef enum cloud_status {
+	CLOUD_OK,
+	CLOUD_REFUSED, /* no capacity; nothing was created */
+	CLOUD_ABSENT,  /* no such host */
+	CLOUD_FAILED,  /* no usable response; a change may have taken effect */
+} cloud_status_t;
+
+typedef enum cloud_host_state {
+	CLOUD_HOST_LIVE,
+	CLOUD_HOST_LEAVING,
+	CLOUD_HOST_GONE,
+} cloud_host_state_t;
+
+typedef struct cloud_host {
+	const char *host;
+	const char *zone;
+	const char *class; /* "" in a notice */
+	bool reclaimable;  /* not set in a notice */
+	cloud_host_state_t state;
+	int64_t leave_at_ms; /* wall clock; 0: not leaving */
+} cloud_host_t;
+
+/* Valid during the callback only. */
+typedef struct cloud_result {
+	cloud_status_t status;
+	const cloud_host_t *hosts; /* listed, notified or created */
+	size_t count;
+	int64_t next; /* of notices: the next "after" */
+} cloud_result_t;
+
+typedef void (*cloud_done_t)(const cloud_result_t *result, void *data);
+
+/* timeout_ms bounds each call, long polls beyond their own time. */
+cloud_t *cloud_new(http_client_t *http, const char *url, int64_t timeout_ms);
+/* Cancels every call without done. */
+void cloud_free(cloud_t *cloud);
+
+/* Hosts as the cloud lists them, which lags. */
+void cloud_hosts(cloud_t *cloud, cloud_done_t done, void *data);
+
+/* Notices after a number; waits up to wait_ms for the first. */
+void cloud_notices(cloud_t *cloud, int64_t after, int64_t wait_ms,
+    cloud_done_t done, void *data);
+
+void cloud_create(cloud_t *cloud, const char *zone, const char *class,
+    bool reclaimable, cloud_done_t done, void *data);
+
+void cloud_delete(
+    cloud_t *cloud, const char *host, cloud_done_t done, void *data);
+
+#endif
--- a/src/member.c
+++ b/src/member.c
@@ -63,7 +63,7 @@
 	member->direct_ms = 0;
 	member->state = MEMBER_SUSPECT;
 	member->heard = false;
-	member->far = false;
+	member->named = false;
 	member->suspected = false;
 	member->draining = false;
 	member->in_flight = 0;
@@ -201,8 +201,10 @@
 	member->heard_ms = now_ms;
 	member->direct_ms = now_ms;
 	member->heard = true;
-	member->far = false;
 	member->suspected = false;
+	/* Summaries of an earlier time, when there were more nodes. */
+	if (members_mesh(members))
+		member->named = false;
 	member->draining |= message->heartbeat.draining;
 	member->in_flight = message->heartbeat.in_flight;
 	take_revisions(member, message->heartbeat.revisions);
@@ -257,13 +259,15 @@
 
 /* A node that a full summary of its zone does not name is suspect. */
 static void
-suspect_unnamed(members_t *members, const char *zone)
+suspect_unnamed(members_t *members, const char *zone, int64_t now_ms)
 {
 	member_t *member;
 
 	LIST_FOREACH (member, &members->list, entries)
-		if (member->far && strcmp(member->zone, zone) == 0)
-			member->suspected = true;
+		if (member->named && strcmp(member->zone, zone) == 0) {
+			member->named = false;
+			member->suspected = !heard_directly(member, now_ms);
+		}
 }
 
 static void
@@ -271,7 +275,7 @@
 {
 	const GArray *told = message->zone_sum.members;
 
-	suspect_unnamed(members, message->zone_sum.zone);
+	suspect_unnamed(members, message->zone_sum.zone, now_ms);
 	for (guint i = 0; i < told->len; i++) {
 		const message_member_t *entry =
 		    &g_array_index(told, message_member_t, i);
@@ -281,7 +285,7 @@
 		    member->incarnation != entry->incarnation)
 			continue;
 		member->heard = true;
-		member->far = true;
+		member->named = true;
 		member->heard_ms = now_ms;
 		member->suspected =
 		    entry->suspect && !heard_directly(member, now_ms);
@@ -296,7 +300,7 @@
 	member_t *member;
 
 	LIST_FOREACH (member, &members->list, entries) {
-		if (!member->far || member->suspected ||
+		if (!member->named || member->suspected ||
 		    strcmp(member->zone, message->zone_sum.zone) != 0)
 			continue;
 		member->heard_ms = now_ms;
@@ -366,7 +370,7 @@
 state_at(const member_t *member, int64_t now_ms)
 {
 	int64_t silence_ms = now_ms - member->heard_ms;
-	bool far = member->far;
+	bool far = member->named;
 
 	if (silence_ms >= (far ? MEMBER_FAR_GONE_MS : MEMBER_GONE_MS))
 		return MEMBER_GONE;
--- a/src/member.h
+++ b/src/member.h
@@ -13,8 +13,10 @@
 	/* Three heartbeats missed, by the design page. */
 	MEMBER_SUSPECT_MS = 3000,
 	MEMBER_GONE_MS = 10000,
-	/* Zone summaries of a zone without a change. */
+	/* Zone summaries of a zone without a change, and full ones among them.
+	 */
 	MEMBER_SUMMARY_MS = 5000,
+	MEMBER_FULL_SUMMARY_MS = 30000,
 	/* A node known by summaries only: three summaries missed. */
 	MEMBER_FAR_SUSPECT_MS = 3 * MEMBER_SUMMARY_MS,
 	MEMBER_FAR_GONE_MS = 6 * MEMBER_SUMMARY_MS,
@@ -53,8 +55,8 @@
 	int64_t direct_ms; /* last heartbeat of its own; 0: none */
 	member_state_t state;
 	bool heard;	/* a sign of life since it was learned */
-	bool far;	/* heard through zone summaries */
-	bool suspected; /* by its zone's summary */
+	bool named;	/* by the last full summary of its zone */
+	bool suspected; /* by that summary */
 	bool draining;
 	unsigned in_flight;
 	GHashTable *revisions; /* team: int64_t */
--- a/src/message.c
+++ b/src/message.c
@@ -1,6 +1,7 @@
 #include "message.h"
 
 #include "error.h"
+#include "message_scan.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -12,9 +13,9 @@
 	TEXT_MAX_BYTES = 1536 * 1024,
 	REVISIONS_MAX = 4096,
 	MEMBERS_MAX = 1024,
+	REPORTS_MAX = 1024,
+	PREFIXES_MAX = 1024,
 	STATUS_MAX = 999,
-	/* The message, an array in it, and the entries of that array. */
-	DEPTH_MAX = 3,
 	FIELDS_MAX = 9,
 };
 
@@ -31,6 +32,7 @@
 	FIELD_BOOL,
 	FIELD_REVISIONS, /* GArray of message_revision_t */
 	FIELD_MEMBERS,	 /* GArray of message_member_t */
+	FIELD_REPORTS,	 /* GArray of message_report_t */
 } field_kind_t;
 
 typedef struct field {
@@ -71,12 +73,13 @@
 	FIELD(COUNT, zone_sum.nodes), FIELD(COUNT, zone_sum.backends),
 	FIELD(COUNT, zone_sum.in_flight), FIELD(INT64, zone_sum.at_ms),
 	FIELD(REVISIONS, zone_sum.revisions), FIELD(MEMBERS, zone_sum.members)},
+    [MESSAGE_REPORTS] = {FIELD(REPORTS, reports.list)},
 };
 
 static const field_t *
 layout_of(int64_t type)
 {
-	if (type < MESSAGE_HELLO || type > MESSAGE_ZONE_SUM)
+	if (type < MESSAGE_HELLO || type > MESSAGE_REPORTS)
 		return NULL;
 	return layouts[type];
 }
@@ -107,6 +110,29 @@
 	g_array_free(members, TRUE);
 }
 
+static void
+free_prefixes(GArray *prefixes)
+{
+	if (prefixes != NULL)
+		g_array_free(prefixes, TRUE);
+}
+
+static void
+free_reports(GArray *reports)
+{
+	if (reports == NULL)
+		return;
+	for (guint i = 0; i < reports->len; i++) {
+		message_report_t *report =
+		    &g_array_index(reports, message_report_t, i);
+
+		g_free(report->backend);
+		free_prefixes(report->stored);
+		free_prefixes(report->evicted);
+	}
+	g_array_free(reports, TRUE);
+}
+
 void
 message_clear(message_t *message)
 {
@@ -128,6 +154,9 @@
 		case FIELD_MEMBERS:
 			free_members(*(GArray **)at);
 			break;
+		case FIELD_REPORTS:
+			free_reports(*(GArray **)at);
+			break;
 		default:
 			break;
 		}
@@ -197,6 +226,36 @@
 	}
 }
 
+static void
+pack_prefixes(msgpack_packer *packer, const GArray *prefixes)
+{
+	guint count = prefixes == NULL ? 0 : prefixes->len;
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++)
+		msgpack_pack_uint64(
+		    packer, g_array_index(prefixes, uint64_t, i));
+}
+
+static void
+pack_reports(msgpack_packer *packer, const GArray *reports)
+{
+	guint count = reports == NULL ? 0 : reports->len;
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++) {
+		const message_report_t *report =
+		    &g_array_index(reports, message_report_t, i);
+
+		msgpack_pack_array(packer, 5);
+		pack_string(packer, report->backend);
+		msgpack_pack_uint32(packer, report->running);
+		msgpack_pack_uint32(packer, report->waiting);
+		pack_prefixes(packer, report->stored);
+		pack_prefixes(packer, report->evicted);
+	}
+}
+
 static void
 pack_field(
     msgpack_packer *packer, const message_t *message, const field_t *field)
@@ -236,6 +295,9 @@
 	case FIELD_MEMBERS:
 		pack_members(packer, *(GArray *const *)at);
 		break;
+	case FIELD_REPORTS:
+		pack_reports(packer, *(GArray *const *)at);
+		break;
 	case FIELD_LENGTH:
 	case FIELD_NONE:
 		break;
@@ -279,122 +341,6 @@
 	memcpy(out->data + start, &length, sizeof(length));
 }
 
-typedef struct scan {
-	const uint8_t *at;
-	const uint8_t *end;
-	size_t items; /* of the array whose header was read last */
-	bool array;
-} scan_t;
-
-/* Reads a big-endian number of width bytes; false where bytes are missing. */
-static bool
-scan_number(scan_t *scan, size_t width, size_t *number)
-{
-	*number = 0;
-	if ((size_t)(scan->end - scan->at) < width)
-		return false;
-	for (size_t i = 0; i < width; i++)
-		*number = *number << 8 | *scan->at++;
-	return true;
-}
-
-static bool
-scan_skip(scan_t *scan, size_t length)
-{
-	if ((size_t)(scan->end - scan->at) < length)
-		return false;
-	scan->at += length;
-	return true;
-}
-
-static bool
-scan_sized(scan_t *scan, size_t width)
-{
-	size_t length;
-
-	return scan_number(scan, width, &length) && scan_skip(scan, length);
-}
-
-/* Passes over one value, or the header of one array. */
-static bool
-scan_value(scan_t *scan)
-{
-	size_t byte;
-
-	scan->array = false;
-	if (!scan_number(scan, 1, &byte))
-		return false;
-	if (byte <= 0x7f || byte >= 0xe0)
-		return true;
-	if (byte >= 0xa0 && byte <= 0xbf)
-		return scan_skip(scan, byte & 0x1f);
-	if (byte >= 0x90 && byte <= 0x9f) {
-		scan->array = true;
-		scan->items = byte & 0x0f;
-		return true;
-	}
-	switch (byte) {
-	case 0xc2: /* false */
-	case 0xc3: /* true */
-		return true;
-	case 0xc4: /* bin 8 */
-	case 0xd9: /* str 8 */
-		return scan_sized(scan, 1);
-	case 0xc5:
-	case 0xda:
-		return scan_sized(scan, 2);
-	case 0xc6:
-	case 0xdb:
-		return scan_sized(scan, 4);
-	case 0xcc: /* uint 8 */
-	case 0xd0: /* int 8 */
-		return scan_skip(scan, 1);
-	case 0xcd:
-	case 0xd1:
-		return scan_skip(scan, 2);
-	case 0xce:
-	case 0xd2:
-		return scan_skip(scan, 4);
-	case 0xcf:
-	case 0xd3:
-		return scan_skip(scan, 8);
-	case 0xdc: /* array 16 */
-		scan->array = true;
-		return scan_number(scan, 2, &scan->items);
-	default: /* nil, float, map, ext and array 32 are not used */
-		return false;
-	}
-}
-
-/*
- * Checks the structure before msgpack-c sees it: msgpack-c allocates an array
- * by the count in its header, 100 GB for a header of 5 bytes.
- */
-static bool
-scan_payload(const void *payload, size_t length)
-{
-	scan_t scan = {.at = payload, .end = (const uint8_t *)payload + length};
-	size_t left[DEPTH_MAX + 1] = {1};
-	size_t depth = 0;
-
-	for (;;) {
-		while (left[depth] == 0) {
-			if (depth == 0)
-				return scan.at == scan.end;
-			depth--;
-		}
-		left[depth]--;
-		if (!scan_value(&scan))
-			return false;
-		if (!scan.array)
-			continue;
-		if (depth == DEPTH_MAX ||
-		    scan.items > (size_t)(scan.end - scan.at))
-			return false;
-		left[++depth] = scan.items;
-	}
-}
-
 static bool
 take_string(const msgpack_object *object, size_t min, size_t max, char **out)
 {
@@ -491,6 +437,63 @@
 	return true;
 }
 
+static bool
+take_count(const msgpack_object *object, unsigned *out)
+{
+	int64_t number;
+
+	if (!take_int64(object, G_MAXUINT32, &number))
+		return false;
+	*out = (unsigned)number;
+	return true;
+}
+
+static bool
+take_prefixes(const msgpack_object *object, GArray **out)
+{
+	if (!is_array(object, 0, PREFIXES_MAX))
+		return false;
+	*out = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		const msgpack_object *item = &object->via.array.ptr[i];
+
+		if (item->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+			return false;
+		g_array_append_val(*out, item->via.u64);
+	}
+	return true;
+}
+
+static bool
+take_report(const msgpack_object *object, message_report_t *report)
+{
+	const msgpack_object *items = object->via.array.ptr;
+
+	return is_array(object, 5, 5) &&
+	       take_string(&items[0], 1, NAME_MAX_BYTES, &report->backend) &&
+	       take_count(&items[1], &report->running) &&
+	       take_count(&items[2], &report->waiting) &&
+	       take_prefixes(&items[3], &report->stored) &&
+	       take_prefixes(&items[4], &report->evicted);
+}
+
+static bool
+take_reports(const msgpack_object *object, GArray **out)
+{
+	if (!is_array(object, 0, REPORTS_MAX))
+		return false;
+	*out = g_array_new(FALSE, TRUE, sizeof(message_report_t));
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		message_report_t report = {0};
+		bool ok = take_report(&object->via.array.ptr[i], &report);
+
+		g_array_append_val(*out, report);
+		if (!ok)
+			return false;
+	}
+	return true;
+}
+
 static bool
 take_bytes(
     const msgpack_object *object, message_t *message, const field_t *field)
@@ -528,10 +531,7 @@
 	case FIELD_INT64:
 		return take_int64(object, G_MAXINT64, at);
 	case FIELD_COUNT:
-		if (!take_int64(object, G_MAXUINT32, &number))
-			return false;
-		*(unsigned *)at = (unsigned)number;
-		return true;
+		return take_count(object, at);
 	case FIELD_STATUS:
 		if (!take_int64(object, STATUS_MAX, &number))
 			return false;
@@ -543,6 +543,8 @@
 		return take_revisions(object, at);
 	case FIELD_MEMBERS:
 		return take_members(object, at);
+	case FIELD_REPORTS:
+		return take_reports(object, at);
 	case FIELD_LENGTH:
 	case FIELD_NONE:
 		break;
@@ -606,7 +608,7 @@
 		    "frame of %zu bytes exceeds %d", length, MESSAGE_FRAME_MAX);
 		return false;
 	}
-	if (!scan_payload(payload, length)) {
+	if (!message_scan(payload, length)) {
 		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
 		    "frame of %zu bytes is not well-formed", length);
 		return false;
--- a/src/message.h
+++ b/src/message.h
@@ -18,6 +18,7 @@
 	MESSAGE_OUTCOME_ASK,
 	MESSAGE_OUTCOME,
 	MESSAGE_ZONE_SUM,
+	MESSAGE_REPORTS,
 } message_type_t;
 
 enum { MESSAGE_FRAME_MAX = 2 * 1024 * 1024 };
@@ -37,6 +38,15 @@
 	bool suspect;
 } message_member_t;
 
+/* What an observer learned of one engine since its last report. */
+typedef struct message_report {
+	char *backend;
+	unsigned running;
+	unsigned waiting;
+	GArray *stored; /* uint64_t, prefixes now in its cache; may be NULL */
+	GArray *evicted;
+} message_report_t;
+
 /* A decoded message. Strings and arrays are owned by it. */
 typedef struct message {
 	message_type_t type;
@@ -101,6 +111,9 @@
 			/* message_member_t; empty: as in the last summary */
 			GArray *members;
 		} zone_sum;
+		struct {
+			GArray *list; /* message_report_t */
+		} reports;
 	};
 } message_t;
 
--- /dev/null
+++ b/src/message_scan.c
@@ -0,0 +1,120 @@
+#include "message_scan.h"
+
+#include <stdint.h>
+
+enum {
+	/* Message, list in it, entry of the list, and list in the entry. */
+	DEPTH_MAX = 4,
+};
+
+typedef struct scan {
+	const uint8_t *at;
+	const uint8_t *end;
+	size_t items; /* of the array whose header was read last */
+	bool array;
+} scan_t;
+
+/* Reads a big-endian number of width bytes; false where bytes are missing. */
+static bool
+scan_number(scan_t *scan, size_t width, size_t *number)
+{
+	*number = 0;
+	if ((size_t)(scan->end - scan->at) < width)
+		return false;
+	for (size_t i = 0; i < width; i++)
+		*number = *number << 8 | *scan->at++;
+	return true;
+}
+
+static bool
+scan_skip(scan_t *scan, size_t length)
+{
+	if ((size_t)(scan->end - scan->at) < length)
+		return false;
+	scan->at += length;
+	return true;
+}
+
+static bool
+scan_sized(scan_t *scan, size_t width)
+{
+	size_t length;
+
+	return scan_number(scan, width, &length) && scan_skip(scan, length);
+}
+
+/* Passes over one value, or the header of one array. */
+static bool
+scan_value(scan_t *scan)
+{
+	size_t byte;
+
+	scan->array = false;
+	if (!scan_number(scan, 1, &byte))
+		return false;
+	if (byte <= 0x7f || byte >= 0xe0)
+		return true;
+	if (byte >= 0xa0 && byte <= 0xbf)
+		return scan_skip(scan, byte & 0x1f);
+	if (byte >= 0x90 && byte <= 0x9f) {
+		scan->array = true;
+		scan->items = byte & 0x0f;
+		return true;
+	}
+	switch (byte) {
+	case 0xc2: /* false */
+	case 0xc3: /* true */
+		return true;
+	case 0xc4: /* bin 8 */
+	case 0xd9: /* str 8 */
+		return scan_sized(scan, 1);
+	case 0xc5:
+	case 0xda:
+		return scan_sized(scan, 2);
+	case 0xc6:
+	case 0xdb:
+		return scan_sized(scan, 4);
+	case 0xcc: /* uint 8 */
+	case 0xd0: /* int 8 */
+		return scan_skip(scan, 1);
+	case 0xcd:
+	case 0xd1:
+		return scan_skip(scan, 2);
+	case 0xce:
+	case 0xd2:
+		return scan_skip(scan, 4);
+	case 0xcf:
+	case 0xd3:
+		return scan_skip(scan, 8);
+	case 0xdc: /* array 16 */
+		scan->array = true;
+		return scan_number(scan, 2, &scan->items);
+	default: /* nil, float, map, ext and array 32 are not used */
+		return false;
+	}
+}
+
+bool
+message_scan(const void *payload, size_t length)
+{
+	scan_t scan = {.at = payload, .end = (const uint8_t *)payload + length};
+	size_t left[DEPTH_MAX + 1] = {1};
+	size_t depth = 0;
+
+	for (;;) {
+		while (left[depth] == 0) {
+			if (depth == 0)
+				return scan.at == scan.end;
+			depth--;
+		}
+		left[depth]--;
+		if (!scan_value(&scan))
+			return false;
+		if (!scan.array)
+			continue;
+		if (depth == DEPTH_MAX ||
+		    scan.items > (size_t)(scan.end - scan.at))
+			return false;
+		left[++depth] = scan.items;
+	}
+}
--- a/src/node.h
+++ b/src/node.h
@@ -109,7 +109,10 @@
 bool node_peers_handle(node_t *node, http_request_t *request);
 /* Leaves the entry list and tells the peers. */
 void node_peers_drain(node_t *node);
-/* HTTP address (IP:PORT) of a node of another zone, borrowed; or NULL. */
+/*
+ * HTTP IP:PORT of a live node of another zone, valid until the event loop
+ * runs on; NULL if there is none.
+ */
 const char *node_peers_other_zone(node_t *node);
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
@@ -121,11 +124,6 @@
  * server's name, or "cloud") in a zone.
  */
 bool node_peers_observes(node_t *node, const char *zone, const char *key);
-/*
- * HTTP IP:PORT of a live node of another zone, valid until the event loop
- * runs on; NULL if there is none.
- */
-const char *node_peers_other_zone(node_t *node);
 /* Takes a node out of use whose host leaves. */
 void node_peers_leave(node_t *node, const char *host);
 
@@ -150,7 +148,5 @@
     node_t *node, const message_t *message, const char *from);
 /* Tells a node that has just been connected which hosts leave. */
 void node_backends_greet(node_t *node, const char *to);
-/* What engines report of their prefix caches. */
-const route_cache_t *node_backends_cache(const node_t *node);
 
 #endif
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -314,6 +314,9 @@
 		node_relay_message(peers, from, message);
 		node_backends_message(node, message, from);
 		break;
+	case MESSAGE_REPORTS:
+		node_backends_message(node, message, from);
+		break;
 	case MESSAGE_MOVE_STOP:
 	case MESSAGE_MOVE_STATE:
 		node_relay_message(peers, from, message);
@@ -335,8 +338,12 @@
 	node_peers_t *peers = data;
 	const member_t *member = members_find(peers->members, from);
 
-	/* A node that is no regular contact may close its connection. */
-	if (member == NULL || !members_contact(peers->members, member))
+	/*
+	 * A node of another zone may close its connection because the
+	 * delegates have changed; its zone's summary tells its state.
+	 */
+	if (member == NULL || member->named ||
+	    !members_contact(peers->members, member))
 		return;
 	members_lost(peers->members, from, clock_mono_ms());
 	update_states(peers);
@@ -466,12 +473,6 @@
 	node_join_leave(peers);
 }
 
-const char *
-node_peers_other_zone(node_t *node)
-{
-	return NULL;
-}
-
 void
 node_peers_broadcast(node_t *node, const message_t *message)
 {
--- a/src/node_relay.c
+++ b/src/node_relay.c
@@ -19,6 +19,7 @@
 struct node_relay {
 	uint64_t last_sum; /* hash of the summary sent last */
 	int64_t sent_ms;
+	int64_t sent_full_ms;
 	GHashTable *seen; /* hash of a message: itself */
 	GQueue *seen_order;
 };
@@ -148,7 +149,7 @@
 	message_t message;
 	uint64_t hash;
 	GBytes *frame;
-	bool due;
+	bool due, full;
 
 	if (members_mesh(peers->members) ||
 	    !members_delegate(peers->members, self))
@@ -157,8 +158,12 @@
 	backends_each(peers->node->backends, count_backend, &message);
 	hash = sum_hash(peers, &message);
 	due = now_ms - relay->sent_ms >= MEMBER_SUMMARY_MS;
-	if (hash != relay->last_sum || due) {
-		if (hash == relay->last_sum)
+	full = hash != relay->last_sum ||
+	       now_ms - relay->sent_full_ms >= MEMBER_FULL_SUMMARY_MS;
+	if (full || due) {
+		if (full)
+			relay->sent_full_ms = now_ms;
+		else
 			clear_members(message.zone_sum.members);
 		relay->last_sum = hash;
 		relay->sent_ms = now_ms;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -22,8 +22,7 @@
 static bool
 is_applied(void *data)
 {
-	static const char *const headers[] = {
-	    "Papaya-Workspace: depot", NULL};
+	static const char *const headers[] = {"Papaya-Workspace: depot", NULL};
 	ask_t ask = {.to = node,
 	    .path = "/v1/services/t1/pages/ready",
 	    .headers = headers};
@@ -44,18 +43,18 @@
 	one = program_start(program, "--name", "one", NULL);
 	two = program_start(program, "--name", "two", NULL);
 	node = papayad_start("n1", "zone-a", store, "t1", NULL);
-	services = json_pack(
-	    "{s:{s:s,s:s,s:[s],s:i,s:{s:i,s:i,s:f},s:{s:i,s:i}},"
-	    "s:{s:s,s:b,s:s,s:[s],s:i,s:{s:i,s:f}}}",
-	    "chat", "kind", "model", "current", "v1", "versions", "v1",
-	    "timeout_ms", 20000, "slo", "first_token_ms", 200,
-	    "between_tokens_ms", 61, "target", 0.95, "limit", "in_flight",
-	    in_flight, "waiting", 8, "pages", "kind", "plain", "repeatable", 1,
-	    "current", "v1", "versions", "v1", "timeout_ms", 20000, "slo",
-	    "answer_ms", 200, "target", 0.95);
-	backends = json_pack("{s:o,s:o}", "one",
-	    backend(one, "host-1", service), "two",
-	    backend(two, "host-2", service));
+	services =
+	    json_pack("{s:{s:s,s:s,s:[s],s:i,s:{s:i,s:i,s:f},s:{s:i,s:i}},"
+		      "s:{s:s,s:b,s:s,s:[s],s:i,s:{s:i,s:f}}}",
+		"chat", "kind", "model", "current", "v1", "versions", "v1",
+		"timeout_ms", 20000, "slo", "first_token_ms", 200,
+		"between_tokens_ms", 61, "target", 0.95, "limit", "in_flight",
+		in_flight, "waiting", 8, "pages", "kind", "plain", "repeatable",
+		1, "current", "v1", "versions", "v1", "timeout_ms", 20000,
+		"slo", "answer_ms", 200, "target", 0.95);
+	backends =
+	    json_pack("{s:o,s:o}", "one", backend(one, "host-1", service),
+		"two", backend(two, "host-2", service));
 	settings_put(node, "t1",
 	    json_pack("{s:o,s:o,s:{s:{s:i,s:i,s:b}}}", "services", services,
 		"backends", backends, "workspaces", "depot", "weight", 1,
@@ -96,8 +95,8 @@
 		json_t *event = g_str_has_prefix(lines[i], "data: {")
 				    ? json_loads(lines[i] + 6, 0, NULL)
 				    : NULL;
-		json_t *choice = json_array_get(
-		    json_object_get(event, "choices"), 0);
+		json_t *choice =
+		    json_array_get(json_object_get(event, "choices"), 0);
 		const char *text =
 		    json_string_value(json_object_get(choice, "text"));
 		papaya_token_t token =
@@ -229,7 +228,8 @@
 		check_stream(complete(true, prompt, NULL, NULL, NULL), prompt);
 		g_free(prompt);
 	}
-	ck_assert_msg(counter_read(node, failed) > 0, "%s was not seen", reason);
+	ck_assert_msg(
+	    counter_read(node, failed) > 0, "%s was not seen", reason);
 	g_free(failed);
 }
 
@@ -285,8 +285,7 @@
 	faults_set(one, "{\"delay_ms\": 10000}");
 	faults_set(two, "{\"delay_ms\": 10000}");
 	start = g_get_monotonic_time();
-	answer =
-	    complete(true, "hello", "Papaya-Timeout-Ms: 300", NULL, NULL);
+	answer = complete(true, "hello", "Papaya-Timeout-Ms: 300", NULL, NULL);
 	ck_assert_int_eq(answer->status, 504);
 	ck_assert_str_eq(answer_header(answer, "papaya-not-run"), "false");
 	ck_assert_int_lt(g_get_monotonic_time() - start, 5000000);
@@ -320,8 +319,7 @@
 static gpointer
 complete_keyed(gpointer data)
 {
-	return complete(
-	    true, "same", "Idempotency-Key: key-1", NULL, NULL);
+	return complete(true, "same", "Idempotency-Key: key-1", NULL, NULL);
 }
 
 static bool
@@ -389,8 +387,7 @@
 static answer_t *
 get_page(const char *path)
 {
-	static const char *const headers[] = {
-	    "Papaya-Workspace: depot", NULL};
+	static const char *const headers[] = {"Papaya-Workspace: depot", NULL};
 	ask_t ask = {.to = node, .path = path, .headers = headers};
 
 	return ask_send(&ask);
@@ -446,8 +443,7 @@
 	    {"depot", "/v1/completions",
 		"{\"model\":\"t1/none\",\"prompt\":\"p\"}", "unknown_service"},
 	    {"depot", "/v1/completions",
-		"{\"model\":\"t1/pages\",\"prompt\":\"p\"}",
-		"unknown_service"},
+		"{\"model\":\"t1/pages\",\"prompt\":\"p\"}", "unknown_service"},
 	    {"x", "/v1/completions", "{\"model\":\"t1/chat\",\"prompt\":\"\"}",
 		"unknown_workspace"},
 	    {"depot", "/v1/services/t1/chat/a", "", "unknown_service"},
@@ -457,8 +453,8 @@
 
 	start_all("standin-engine", "chat", 8);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		char *workspace = g_strdup_printf(
-		    "Papaya-Workspace: %s", cases[i].workspace);
+		char *workspace =
+		    g_strdup_printf("Papaya-Workspace: %s", cases[i].workspace);
 		const char *const headers[] = {workspace, NULL};
 		ask_t ask = {.to = node,
 		    .path = cases[i].path,
@@ -467,9 +463,9 @@
 		answer_t *answer = ask_send(&ask);
 		json_t *error = json_object_get(answer->json, "error");
 
-		ck_assert_msg(strcmp(json_string_value(json_object_get(
-					 error, "kind")),
-				  cases[i].kind) == 0,
+		ck_assert_msg(
+		    strcmp(json_string_value(json_object_get(error, "kind")),
+			cases[i].kind) == 0,
 		    "case %zu: %s", i, answer->body->str);
 		ck_assert(json_is_true(json_object_get(error, "not_run")));
 		answer_free(answer);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -78,6 +78,33 @@
 }
 END_TEST
 
+/* Guards against nested lists, or numbers over 63 bits, being refused. */
+START_TEST(reports_survive_the_way)
+{
+	message_report_t report = {.backend = g_strdup("team/e1"),
+	    .running = 3,
+	    .stored = g_array_new(FALSE, FALSE, sizeof(uint64_t))};
+	message_t got, sent = {.type = MESSAGE_REPORTS,
+			   .reports = {.list = g_array_new(FALSE, FALSE,
+					   sizeof(message_report_t))}};
+	uint64_t prefix = UINT64_MAX;
+	GByteArray *frame;
+
+	g_array_append_val(report.stored, prefix);
+	g_array_append_val(sent.reports.list, report);
+	frame = encode(&sent);
+	ck_assert(message_decode(frame->data + 4, frame->len - 4, &got, NULL));
+	report = g_array_index(got.reports.list, message_report_t, 0);
+	ck_assert_str_eq(report.backend, "team/e1");
+	ck_assert_uint_eq(report.running, 3);
+	ck_assert_uint_eq(g_array_index(report.stored, uint64_t, 0), prefix);
+	ck_assert_uint_eq(report.evicted->len, 0);
+	message_clear(&sent);
+	message_clear(&got);
+	g_byte_array_unref(frame);
+}
+END_TEST
+
 /* Guards against binary bodies being cut at a NUL byte. */
 START_TEST(bodies_may_hold_any_byte)
 {
@@ -240,6 +267,7 @@
 	int failed;
 
 	tcase_add_test(tests, fields_survive_the_way);
+	tcase_add_test(tests, reports_survive_the_way);
 	tcase_add_test(tests, bodies_may_hold_any_byte);
 	tcase_add_test(tests, claimed_sizes_are_refused);
 	tcase_add_test(tests, malformed_messages_are_refused);
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -86,8 +86,7 @@
 	tokens("a", 0, 2);
 	stream_begin(stream, "b");
 	ck_assert_int_eq(token("a", "a", 2), STREAM_STALE);
-	ck_assert_int_eq(
-	    stream_header(stream, "a", 200, "a"), STREAM_STALE);
+	ck_assert_int_eq(stream_header(stream, "a", 200, "a"), STREAM_STALE);
 	ck_assert_int_eq(stream_end(stream, "a"), STREAM_STALE);
 	ck_assert_uint_eq(stream_count(stream), 2);
 	tokens("b", 2, TOKENS);
@@ -151,8 +150,10 @@
 START_TEST(malformed_data_ends_the_attempt)
 {
 	static const char *const bad[] = {
-	    "data: {\"id\":\"a\",\"index\":1,\"choices\":[{\"text\":\"t\"}]}\n\n",
-	    "data: {\"id\":\"a\",\"index\":-1,\"choices\":[{\"text\":\"t\"}]}\n\n",
+	    "data: "
+	    "{\"id\":\"a\",\"index\":1,\"choices\":[{\"text\":\"t\"}]}\n\n",
+	    "data: "
+	    "{\"id\":\"a\",\"index\":-1,\"choices\":[{\"text\":\"t\"}]}\n\n",
 	    "data: {\"id\":\"a\",\"index\":0,\"choices\":[]}\n\n",
 	    "data: {\"id\":\"a\",\"index\":0,\"choices\":[{\"text\":7}]}\n\n",
 	    "data: {\"id\":\"a\",\n\n", "data: 7\n\n", "data: \xff\n\n"};
@@ -176,8 +177,8 @@
 		long status;
 		stream_status_t result;
 	} cases[] = {{200, STREAM_OPEN}, {400, STREAM_REJECTED},
-	    {413, STREAM_REJECTED}, {429, STREAM_FAILED},
-	    {500, STREAM_FAILED}, {503, STREAM_FAILED}, {302, STREAM_FAILED}};
+	    {413, STREAM_REJECTED}, {429, STREAM_FAILED}, {500, STREAM_FAILED},
+	    {503, STREAM_FAILED}, {302, STREAM_FAILED}};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		stream_begin(stream, "a");
@@ -186,8 +187,7 @@
 		    cases[i].result);
 	}
 	stream_begin(stream, "a");
-	ck_assert_int_eq(
-	    feed("a", "data: {\"error\":{}}\n\n"), STREAM_FAILED);
+	ck_assert_int_eq(feed("a", "data: {\"error\":{}}\n\n"), STREAM_FAILED);
 }
 END_TEST
 
