--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -314,6 +314,9 @@
 		node_relay_message(peers, from, message);
 		node_backends_message(node, message, from);
 		break;
+	case MESSAGE_REPORTS:
+		node_backends_message(node, message, from);
+		break;
 	case MESSAGE_MOVE_STOP:
 	case MESSAGE_MOVE_STATE:
 		if (node_moves_relays(message))
@@ -336,8 +339,12 @@
 	node_peers_t *peers = data;
 	const member_t *member = members_find(peers->members, from);
 
-	/* A node that is no regular contact may close its connection. */
-	if (member == NULL || !members_contact(peers->members, member))
+	/*
+	 * A node of another zone may close its connection because the
+	 * delegates have changed; its zone's summary tells its state.
+	 */
+	if (member == NULL || member->named ||
+	    !members_contact(peers->members, member))
 		return;
 	members_lost(peers->members, from, clock_mono_ms());
 	update_states(peers);
