--- /dev/null
+++ b/src/evidence.c
@@ -0,0 +1,657 @@
+#include "evidence.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+	BUCKETS_PER_OCTAVE = 3,
+	/* Attempts at the new version per window of recent evidence. */
+	WINDOW_ATTEMPTS = 200,
+	/* Two failures are noise at any share. */
+	ERRORS_LEAST = 3,
+	DOUBT_ERRORS_LEAST = 2,
+	LATENCY_LEAST = 20,
+	/* A route with this part of all attempts needs so many of its own. */
+	ROUTE_PART = 50,
+	ROUTE_ATTEMPTS = 10,
+	CELLS = EVIDENCE_ROUTES_MAX + 1,
+	ROUTE_LENGTH_MAX = 128,
+	COUNT_MAX = 1 << 28,
+};
+
+static const double LATENCY_FIRST_MS = 0.5;
+
+/* How the new version may differ: its odds of an event are so many times. */
+typedef struct bet {
+	const char *what;
+	double odds;
+	double slow_quantile; /* 0: a failed attempt is the event */
+} bet_t;
+
+/*
+ * Small odds find small differences in much traffic, large ones find large
+ * differences after few events. A bet gains only where the true odds exceed
+ * (odds - 1) / ln(odds), so smaller differences never add up.
+ */
+static const bet_t bets[] = {
+    {"errors", 3, 0},
+    {"errors", 10, 0},
+    {"errors", 50, 0},
+    {"latency", 3, 0.75},
+    {"latency", 6, 0.95},
+};
+
+enum { BETS = G_N_ELEMENTS(bets) };
+
+/* An attempt is slow from this multiple of the old version's quantile on. */
+static const double SLOW_RATIO = 1.25;
+
+/*
+ * Logarithms of the gain from which a version is bad or suspect. Between equal
+ * versions a gain of exp(x) is at most as likely as exp(-x) per event. Latency
+ * needs more, because slow attempts come in bursts.
+ */
+static const double ERRORS_BAD = 7.5;
+static const double LATENCY_BAD = 11.5;
+static const double ERRORS_SUSPECT = 2;
+static const double LATENCY_SUSPECT = 5;
+/*
+ * Many events, as in a fault of both versions, are as many chances of a false
+ * alarm; a bar that grows with twice their logarithm bounds the sum.
+ */
+static const double EVENTS_FREE = 20;
+/* So many times the mean distance of failures without one ends a suspicion. */
+static const double STREAK_RATIO = 3;
+/* Of the Bayes factor against earlier counts. */
+static const double DOUBT = 2.0;
+static const double DOUBT_LATENCY = 4.0;
+
+/* A difference in failures below these is not worth a rollback. */
+static const double ERRORS_RATE_LEAST = 0.01;
+static const double ERRORS_RATIO_LEAST = 1.5;
+static const double LATENCY_RATIO_LEAST = 1.3;
+
+typedef struct counts {
+	uint32_t attempts;
+	uint32_t errors;
+	uint32_t latency[EVIDENCE_BUCKETS];
+} counts_t;
+
+typedef enum span { SPAN_ALL, SPAN_CURRENT, SPAN_PREVIOUS, SPANS } span_t;
+
+typedef struct cell {
+	char *route; /* NULL: the total */
+	counts_t counts[SPANS][EVIDENCE_SIDES];
+	double sum[BETS];  /* logarithm of the gain since the start */
+	double gain[BETS]; /* the same since its lowest point */
+	double events[BETS];
+	double streak; /* answers of the new version since its last failure */
+} cell_t;
+
+struct evidence {
+	cell_t *cells[CELLS]; /* the first is the total */
+	unsigned cell_count;
+};
+
+static cell_t *
+cell_new(const char *route)
+{
+	cell_t *cell = g_new0(cell_t, 1);
+
+	cell->route = g_strdup(route);
+	return cell;
+}
+
+evidence_t *
+evidence_new(void)
+{
+	evidence_t *evidence = g_new0(evidence_t, 1);
+
+	evidence->cells[0] = cell_new(NULL);
+	evidence->cell_count = 1;
+	return evidence;
+}
+
+evidence_t *
+evidence_copy(const evidence_t *evidence)
+{
+	evidence_t *copy = g_new0(evidence_t, 1);
+
+	copy->cell_count = evidence->cell_count;
+	for (unsigned i = 0; i < copy->cell_count; i++) {
+		copy->cells[i] = g_new(cell_t, 1);
+		*copy->cells[i] = *evidence->cells[i];
+		copy->cells[i]->route = g_strdup(evidence->cells[i]->route);
+	}
+	return copy;
+}
+
+void
+evidence_free(evidence_t *evidence)
+{
+	if (evidence == NULL)
+		return;
+	for (unsigned i = 0; i < evidence->cell_count; i++) {
+		g_free(evidence->cells[i]->route);
+		g_free(evidence->cells[i]);
+	}
+	g_free(evidence);
+}
+
+static cell_t *
+cell_find(const evidence_t *evidence, const char *route)
+{
+	for (unsigned i = 1; i < evidence->cell_count; i++)
+		if (strcmp(evidence->cells[i]->route, route) == 0)
+			return evidence->cells[i];
+	return NULL;
+}
+
+static cell_t *
+cell_obtain(evidence_t *evidence, const char *route)
+{
+	cell_t *cell = cell_find(evidence, route);
+
+	if (cell != NULL || evidence->cell_count == CELLS ||
+	    strlen(route) > ROUTE_LENGTH_MAX || *route == '\0')
+		return cell;
+	cell = cell_new(route);
+	evidence->cells[evidence->cell_count++] = cell;
+	return cell;
+}
+
+static unsigned
+latency_bucket(double ms)
+{
+	double place;
+
+	if (!(ms > LATENCY_FIRST_MS))
+		return 0;
+	place = 1 + floor(log2(ms / LATENCY_FIRST_MS) * BUCKETS_PER_OCTAVE);
+	return place >= EVIDENCE_BUCKETS ? EVIDENCE_BUCKETS - 1
+					 : (unsigned)place;
+}
+
+static void
+counts_merge(counts_t *into, const counts_t *from)
+{
+	into->attempts += from->attempts;
+	into->errors += from->errors;
+	for (unsigned i = 0; i < EVIDENCE_BUCKETS; i++)
+		into->latency[i] += from->latency[i];
+}
+
+static void
+cell_count(cell_t *cell, evidence_side_t side, const counts_t *counts)
+{
+	if (side == EVIDENCE_NEW && counts->errors > 0)
+		cell->streak = 0;
+	else if (side == EVIDENCE_NEW)
+		cell->streak += counts->attempts;
+	counts_merge(&cell->counts[SPAN_ALL][side], counts);
+	counts_merge(&cell->counts[SPAN_CURRENT][side], counts);
+	if (cell->counts[SPAN_CURRENT][EVIDENCE_NEW].attempts < WINDOW_ATTEMPTS)
+		return;
+	memcpy(cell->counts[SPAN_PREVIOUS], cell->counts[SPAN_CURRENT],
+	    sizeof(cell->counts[SPAN_CURRENT]));
+	memset(cell->counts[SPAN_CURRENT], 0, sizeof(cell->counts[0]));
+}
+
+static counts_t
+recent_counts(const cell_t *cell, evidence_side_t side)
+{
+	counts_t recent = cell->counts[SPAN_PREVIOUS][side];
+
+	counts_merge(&recent, &cell->counts[SPAN_CURRENT][side]);
+	return recent;
+}
+
+static uint32_t
+answers(const counts_t *counts)
+{
+	return counts->attempts - counts->errors;
+}
+
+/* Latency at a quantile, interpolated within its bucket. */
+static double
+quantile_ms(const counts_t *counts, double quantile)
+{
+	double rank = quantile * answers(counts), seen = 0;
+
+	for (unsigned i = 0; i < EVIDENCE_BUCKETS; i++) {
+		double in = counts->latency[i];
+
+		if (in > 0 && seen + in >= rank) {
+			double part = (rank - seen) / in;
+
+			return LATENCY_FIRST_MS *
+			       exp2((i - 1 + part) / BUCKETS_PER_OCTAVE);
+		}
+		seen += in;
+	}
+	return 0;
+}
+
+static uint32_t
+count_above(const counts_t *counts, unsigned bucket)
+{
+	uint32_t above = 0;
+
+	for (unsigned i = bucket + 1; i < EVIDENCE_BUCKETS; i++)
+		above += counts->latency[i];
+	return above;
+}
+
+/* True where the attempt is the event that the bet is about. */
+static bool
+bet_event(const bet_t *bet, const counts_t *old, const evidence_attempt_t *what)
+{
+	if (bet->slow_quantile <= 0)
+		return !what->ok;
+	return what->ok && answers(old) >= LATENCY_LEAST &&
+	       what->first_ms >
+		   SLOW_RATIO * quantile_ms(old, bet->slow_quantile);
+}
+
+static void
+cell_gain(cell_t *cell, unsigned bet, double gain, double events)
+{
+	cell->events[bet] += events;
+	cell->sum[bet] += gain;
+	cell->gain[bet] = MAX(0, cell->gain[bet] + gain);
+}
+
+/* The old version's quantiles are those before this attempt. */
+static void
+cell_bet(cell_t *cell, const evidence_attempt_t *attempt)
+{
+	const counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
+
+	if (attempt->share <= 0 || attempt->share >= 1)
+		return;
+	for (unsigned i = 0; i < BETS; i++) {
+		double odds = bets[i].odds;
+		double won = attempt->side == EVIDENCE_NEW ? log(odds) : 0;
+
+		if (bet_event(&bets[i], old, attempt))
+			cell_gain(cell, i,
+			    won - log(1 + (odds - 1) * attempt->share), 1);
+	}
+}
+
+static void
+cell_add(cell_t *cell, const evidence_attempt_t *attempt)
+{
+	counts_t one = {.attempts = 1};
+
+	if (attempt->ok)
+		one.latency[latency_bucket(attempt->first_ms)] = 1;
+	else
+		one.errors = 1;
+	cell_bet(cell, attempt);
+	cell_count(cell, attempt->side, &one);
+}
+
+void
+evidence_add(evidence_t *evidence, const evidence_attempt_t *attempt)
+{
+	cell_t *cell = cell_obtain(evidence, attempt->route);
+
+	cell_add(evidence->cells[0], attempt);
+	if (cell != NULL)
+		cell_add(cell, attempt);
+}
+
+static double
+error_rate(const counts_t *counts)
+{
+	return counts->attempts == 0
+		   ? 0
+		   : (double)counts->errors / counts->attempts;
+}
+
+/* True where the new version's failures differ enough to act on. */
+static bool
+errors_matter(const counts_t *old, const counts_t *new, unsigned least)
+{
+	double before = error_rate(old), now = error_rate(new);
+
+	return new->errors >= least &&now >= before + ERRORS_RATE_LEAST &&now >=
+	       before *ERRORS_RATIO_LEAST;
+}
+
+typedef struct finding {
+	double strength; /* 1 and more: bad */
+	bool suspect;
+	const bet_t *bet;
+	const cell_t *cell;
+} finding_t;
+
+/* A route's finding says more than the total's. */
+static bool
+more_telling(const finding_t *best, const cell_t *cell, double strength)
+{
+	if (best->cell != NULL && best->cell->route == NULL && strength >= 1)
+		return true;
+	return strength > best->strength;
+}
+
+static void
+judge_cell(finding_t *best, const cell_t *cell, unsigned routes)
+{
+	counts_t old = recent_counts(cell, EVIDENCE_OLD);
+	counts_t new = recent_counts(cell, EVIDENCE_NEW);
+	bool errors = errors_matter(&old, &new, ERRORS_LEAST);
+	bool doubt = errors_matter(&old, &new, DOUBT_ERRORS_LEAST) &&
+		     cell->streak * error_rate(&new) < STREAK_RATIO;
+	/* Each route is one more chance of a false alarm. */
+	double extra = cell->route == NULL ? 0 : log(routes);
+
+	for (unsigned i = 0; i < BETS; i++) {
+		bool slow = bets[i].slow_quantile > 0;
+		double bar = (slow ? LATENCY_BAD : ERRORS_BAD) + extra +
+			     2 * log(1 + cell->events[i] / EVENTS_FREE);
+		double low = slow ? LATENCY_SUSPECT : ERRORS_SUSPECT;
+		double strength = cell->gain[i] / bar;
+
+		if (!slow && !errors)
+			strength = MIN(strength, 0.99);
+		if ((slow || doubt) && cell->gain[i] > low + extra)
+			best->suspect = true;
+		if (!more_telling(best, cell, strength))
+			continue;
+		best->strength = strength;
+		best->bet = &bets[i];
+		best->cell = cell;
+	}
+}
+
+static char *
+describe(const finding_t *finding)
+{
+	const cell_t *cell = finding->cell;
+	const char *route = cell->route != NULL ? cell->route : "all routes";
+	counts_t old = recent_counts(cell, EVIDENCE_OLD);
+	counts_t new = recent_counts(cell, EVIDENCE_NEW);
+
+	if (finding->bet->slow_quantile <= 0)
+		return g_strdup_printf(
+		    "errors on %s: %u of %u, old version %u of %u", route,
+		    new.errors, new.attempts, old.errors, old.attempts);
+	return g_strdup_printf("latency on %s: median %.0f ms, p90 %.0f ms, "
+			       "old version %.0f ms, %.0f ms",
+	    route, quantile_ms(&new, 0.5), quantile_ms(&new, 0.9),
+	    quantile_ms(&old, 0.5), quantile_ms(&old, 0.9));
+}
+
+evidence_verdict_t
+evidence_judge(const evidence_t *evidence, const char *route, char **why)
+{
+	finding_t best = {0};
+
+	for (unsigned i = 0; i < evidence->cell_count; i++)
+		if (i == 0 || route == NULL ||
+		    strcmp(evidence->cells[i]->route, route) == 0)
+			judge_cell(
+			    &best, evidence->cells[i], evidence->cell_count);
+	if (best.cell == NULL || (best.strength < 1 && !best.suspect))
+		return EVIDENCE_CLEAR;
+	if (why != NULL)
+		*why = describe(&best);
+	return best.strength >= 1 ? EVIDENCE_BAD : EVIDENCE_SUSPECT;
+}
+
+static double
+log_beta(double a, double b)
+{
+	int sign;
+
+	return lgamma_r(a, &sign) + lgamma_r(b, &sign) - lgamma_r(a + b, &sign);
+}
+
+/* Log marginal likelihood of hits out of n under a Jeffreys prior. */
+static double
+log_marginal(double hits, double n)
+{
+	const double prior = 0.5;
+
+	return log_beta(hits + prior, n - hits + prior) -
+	       log_beta(prior, prior);
+}
+
+/* Log Bayes factor of "two rates" against "one rate". */
+static double
+log_factor(double hits_new, double n_new, double hits_old, double n_old)
+{
+	return log_marginal(hits_new, n_new) + log_marginal(hits_old, n_old) -
+	       log_marginal(hits_new + hits_old, n_new + n_old);
+}
+
+/* Whether the shares above the pooled median differ, and the medians. */
+static bool
+doubt_latency(const counts_t *old, const counts_t *new)
+{
+	counts_t pooled = *old;
+	double above_old, above_new;
+	unsigned bucket;
+
+	if (answers(old) < LATENCY_LEAST || answers(new) < LATENCY_LEAST ||
+	    quantile_ms(new, 0.5) < quantile_ms(old, 0.5) * LATENCY_RATIO_LEAST)
+		return false;
+	counts_merge(&pooled, new);
+	bucket = latency_bucket(quantile_ms(&pooled, 0.5));
+	above_old = count_above(old, bucket);
+	above_new = count_above(new, bucket);
+	return above_new * answers(old) > above_old * answers(new) &&
+	       log_factor(above_new, answers(new), above_old, answers(old)) >
+		   DOUBT_LATENCY;
+}
+
+bool
+evidence_doubt(const evidence_t *evidence)
+{
+	for (unsigned i = 0; i < evidence->cell_count; i++) {
+		const cell_t *cell = evidence->cells[i];
+		const counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
+		counts_t new = recent_counts(cell, EVIDENCE_NEW);
+
+		if (errors_matter(old, &new, DOUBT_ERRORS_LEAST) &&
+		    log_factor(new.errors, new.attempts, old->errors,
+			old->attempts) > DOUBT)
+			return true;
+		if (doubt_latency(old, &new))
+			return true;
+	}
+	return false;
+}
+
+static unsigned
+attempts_of(const cell_t *cell, evidence_side_t side)
+{
+	return cell == NULL ? 0 : cell->counts[SPAN_ALL][side].attempts;
+}
+
+static unsigned
+attempts_since(const cell_t *cell, const cell_t *since, evidence_side_t side)
+{
+	return attempts_of(cell, side) - attempts_of(since, side);
+}
+
+unsigned
+evidence_since(
+    const evidence_t *evidence, const evidence_t *since, evidence_side_t side)
+{
+	return attempts_since(evidence->cells[0], since->cells[0], side);
+}
+
+bool
+evidence_enough(
+    const evidence_t *evidence, const evidence_t *since, unsigned attempts)
+{
+	const cell_t *total = evidence->cells[0], *before = since->cells[0];
+	unsigned new = attempts_since(total, before, EVIDENCE_NEW);
+	unsigned all = new + attempts_since(total, before, EVIDENCE_OLD);
+
+	if (new < attempts)
+		return false;
+	for (unsigned i = 1; i < evidence->cell_count; i++) {
+		const cell_t *cell = evidence->cells[i];
+
+		before = cell_find(since, cell->route);
+		new = attempts_since(cell, before, EVIDENCE_NEW);
+		if ((new + attempts_since(cell, before, EVIDENCE_OLD)) *
+			    ROUTE_PART >=
+			all &&
+		    new < ROUTE_ATTEMPTS)
+			return false;
+	}
+	return true;
+}
+
+unsigned
+evidence_count(const evidence_t *evidence, evidence_side_t side)
+{
+	return evidence->cells[0]->counts[SPAN_ALL][side].attempts;
+}
+
+unsigned
+evidence_errors(const evidence_t *evidence, evidence_side_t side)
+{
+	return evidence->cells[0]->counts[SPAN_ALL][side].errors;
+}
+
+/* Plain members of a cell's JSON before its sums. */
+enum { JSON_ROUTE, JSON_COUNTS, JSON_SUMS = 1 + 2 * EVIDENCE_SIDES };
+
+/* [route, old attempts, old errors, new attempts, new errors, sums...,
+ * events...] */
+json_t *
+evidence_json(const evidence_t *evidence)
+{
+	json_t *cells = json_array();
+
+	for (unsigned i = 0; i < evidence->cell_count; i++) {
+		const cell_t *cell = evidence->cells[i];
+		json_t *item = json_array();
+
+		json_array_append_new(
+		    item, json_string(cell->route == NULL ? "" : cell->route));
+		for (int side = 0; side < EVIDENCE_SIDES; side++) {
+			const counts_t *counts = &cell->counts[SPAN_ALL][side];
+
+			json_array_append_new(
+			    item, json_integer(counts->attempts));
+			json_array_append_new(
+			    item, json_integer(counts->errors));
+		}
+		for (unsigned bet = 0; bet < BETS; bet++)
+			json_array_append_new(item, json_real(cell->sum[bet]));
+		for (unsigned bet = 0; bet < BETS; bet++)
+			json_array_append_new(
+			    item, json_integer((json_int_t)cell->events[bet]));
+		json_array_append_new(cells, item);
+	}
+	return cells;
+}
+
+static double
+number_at(const json_t *item, size_t index)
+{
+	return json_number_value(json_array_get(item, index));
+}
+
+static bool
+cell_json_good(const json_t *item, bool first)
+{
+	const char *route = json_string_value(json_array_get(item, JSON_ROUTE));
+	json_int_t before = COUNT_MAX;
+
+	if (route == NULL || (*route == '\0') != first ||
+	    strlen(route) > ROUTE_LENGTH_MAX ||
+	    json_array_size(item) != JSON_SUMS + 2 * BETS)
+		return false;
+	for (size_t i = JSON_COUNTS; i < JSON_SUMS; i++) {
+		const json_t *value = json_array_get(item, i);
+		json_int_t most = i % 2 == 1 ? COUNT_MAX : before;
+
+		before = json_integer_value(value);
+		if (!json_is_integer(value) || before < 0 || before > most)
+			return false;
+	}
+	for (size_t i = JSON_SUMS; i < JSON_SUMS + BETS; i++)
+		if (!json_is_number(json_array_get(item, i)) ||
+		    number_at(item, i + BETS) < 0)
+			return false;
+	return true;
+}
+
+static const json_t *
+cell_json_find(const json_t *json, const char *route)
+{
+	const json_t *item;
+	size_t i;
+
+	json_array_foreach (json, i, item)
+		if (g_strcmp0(
+			json_string_value(json_array_get(item, JSON_ROUTE)),
+			route) == 0)
+			return item;
+	return NULL;
+}
+
+/* Counts that went down are those of a node that has started again. */
+static bool
+continues(const json_t *item, const json_t *last)
+{
+	for (size_t i = JSON_COUNTS; i < JSON_SUMS; i++)
+		if (number_at(item, i) < number_at(last, i))
+			return false;
+	return last != NULL;
+}
+
+static void
+absorb_cell(cell_t *cell, const json_t *item, const json_t *last)
+{
+	const json_t *from = continues(item, last) ? last : NULL;
+
+	for (int side = 0; side < EVIDENCE_SIDES; side++) {
+		size_t at = JSON_COUNTS + 2 * (size_t)side;
+		counts_t more = {0};
+
+		more.attempts =
+		    (uint32_t)(number_at(item, at) - number_at(from, at));
+		more.errors = (uint32_t)(number_at(item, at + 1) -
+					 number_at(from, at + 1));
+		cell_count(cell, side, &more);
+	}
+	for (unsigned bet = 0; bet < BETS; bet++)
+		cell_gain(cell, bet,
+		    number_at(item, JSON_SUMS + bet) -
+			number_at(from, JSON_SUMS + bet),
+		    number_at(item, JSON_SUMS + BETS + bet) -
+			number_at(from, JSON_SUMS + BETS + bet));
+}
+
+bool
+evidence_absorb(evidence_t *evidence, const json_t *json, const json_t *last)
+{
+	const json_t *item;
+	size_t i;
+
+	if (!json_is_array(json) || json_array_size(json) == 0 ||
+	    json_array_size(json) > CELLS)
+		return false;
+	json_array_foreach (json, i, item)
+		if (!cell_json_good(item, i == 0))
+			return false;
+	json_array_foreach (json, i, item) {
+		const char *route =
+		    json_string_value(json_array_get(item, JSON_ROUTE));
+		cell_t *cell =
+		    i == 0 ? evidence->cells[0] : cell_obtain(evidence, route);
+
+		if (cell != NULL)
+			absorb_cell(cell, item, cell_json_find(last, route));
+	}
+	return true;
+}
