--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -133,6 +133,7 @@
     fail "the move did not start: $(cat "$work/move.out")"
 sleep 2
 kill -KILL "${entry_pids[0]}"
+wait "${entry_pids[0]}" 2>/dev/null || true
 
 move_code=0
 ctl move status chat --wait >"$work/status.out" || move_code=$?
@@ -148,7 +149,7 @@
 for i in 1 2 3 4 5; do
 	curl -sf "http://${entries[$i]}/metrics" >"$work/metrics-$i.txt" ||
 	    fail "entry-$i does not answer"
-	grep -q '^requests_total.* [1-9]' "$work/metrics-$i.txt" &&
+	grep -q '^attempts_total.* [1-9]' "$work/metrics-$i.txt" &&
 	    used=$((used + 1))
 done
 figures=$(tr -d '\n' <"$work/load.out" | sed 's/  */ /g' |
--- a/src/log.c
+++ b/src/log.c
@@ -23,6 +23,16 @@
 	return line;
 }
 
+/* log4c's own stderr appender puts its name before each line. */
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+}
+
+static const log4c_appender_type_t appender_type = {
+    .name = "papaya_stderr", .append = append_line};
+
 static const log4c_layout_type_t layout_type = {
     .name = "papaya", .format = format_line};
 
@@ -38,7 +48,9 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("papaya_layout");
 	log4c_layout_set_type(layout, &layout_type);
-	appender = log4c_appender_get("stderr");
+	log4c_appender_type_set(&appender_type);
+	appender = log4c_appender_get("papaya_appender");
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	log_category = log4c_category_get("papaya");
 	log4c_category_set_appender(log_category, appender);
