--- a/bench/bench_admit.c
+++ b/bench/bench_admit.c
@@ -335,8 +335,8 @@
 	    (double)bench->started_in_fault / (double)bench->asked_in_fault,
 	    (double)bench->attempts / (double)bench->asked, level,
 	    mean_goodput(bench, FAULT_FROM_MS + 2000, FAULT_UNTIL_MS),
-	    mean_goodput(bench, RUN_MS - 10000, RUN_MS),
-	    recovery_ms(bench), bench->lost);
+	    mean_goodput(bench, RUN_MS - 10000, RUN_MS), recovery_ms(bench),
+	    bench->lost);
 	admit_free(bench->admit);
 	g_rand_free(bench->rand);
 	g_free(bench);
