--- a/src/node_model.c
+++ b/src/node_model.c
@@ -163,6 +163,7 @@
 static void
 complete(call_t *call)
 {
+	counter_add(call->node->counters, 1, "streams_completed_total");
 	call_release(call);
 	write_all(call);
 	call_wake_after(call, call_left_ms(call));
--- a/tests/support.c
+++ b/tests/support.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -197,6 +198,16 @@
 	return size * count;
 }
 
+static int
+on_socket(void *data, curl_socket_t socket, curlsocktype purpose)
+{
+	const ask_t *ask = data;
+
+	setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &ask->receive_buffer,
+	    sizeof(ask->receive_buffer));
+	return CURL_SOCKOPT_OK;
+}
+
 static struct curl_slist *
 header_list(const char *const *headers)
 {
@@ -229,6 +240,10 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERDATA, answer);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+	if (ask->receive_buffer > 0) {
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, ask);
+	}
 	if (ask->body != NULL)
 		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, ask->body);
 	if (ask->method != NULL)
--- a/tests/support.h
+++ b/tests/support.h
@@ -50,7 +50,8 @@
 	const char *path;
 	const char *const *headers; /* "Name: value", NULL at the end */
 	const char *body;
-	long timeout_ms; /* 0: 30000 */
+	long timeout_ms;    /* 0: 30000 */
+	int receive_buffer; /* bytes that the socket takes unread; 0: default */
 	/* Optional: after each piece of the body; false stops reading. */
 	bool (*on_data)(answer_t *answer, void *data);
 	void *data;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -11,6 +11,7 @@
 
 static program_t *store, *node, *one, *two;
 static int max_tokens = TOKENS;
+static int receive_buffer;
 
 static json_t *
 backend(const program_t *program, const char *host, const char *service)
@@ -70,6 +71,7 @@
 {
 	programs_end();
 	max_tokens = TOKENS;
+	receive_buffer = 0;
 }
 
 static answer_t *
@@ -85,6 +87,7 @@
 	    .path = "/v1/completions",
 	    .headers = headers,
 	    .body = text,
+	    .receive_buffer = receive_buffer,
 	    .on_data = on_data,
 	    .data = data};
 	answer_t *answer = ask_send(&ask);
@@ -131,7 +134,7 @@
 check_stream(answer_t *answer, const char *prompt)
 {
 	ck_assert_msg(answer->status == 200 && is_done(answer),
-	    "status %ld: %s", answer->status, answer->body->str);
+	    "status %ld: %.1000s", answer->status, answer->body->str);
 	ck_assert_int_eq(count_tokens(answer, prompt), max_tokens);
 	answer_free(answer);
 }
@@ -347,12 +350,18 @@
 /* Guards against a slow client that holds its engine or loses its response. */
 START_TEST(slow_client_gets_everything)
 {
+	/* In every event, so that the sockets do not take all of them. */
+	char *id = g_strnfill(400, 'i');
+	char *header = g_strconcat("Papaya-Attempt: ", id, NULL);
 	bool waited = false;
 
 	start_all("standin-engine", "chat", 8);
 	max_tokens = MANY_TOKENS;
+	receive_buffer = 4096;
 	check_stream(
-	    complete(true, "hello", NULL, read_late, &waited), "hello");
+	    complete(true, "hello", header, read_late, &waited), "hello");
+	g_free(header);
+	g_free(id);
 }
 END_TEST
 
