--- a/src/member.c
+++ b/src/member.c
@@ -159,6 +159,8 @@
 	if (!is_address(hello->http_address) ||
 	    !is_address(hello->peer_address))
 		return NULL;
+	if (member == NULL && g_hash_table_size(members->by_node) >= MEMBER_MAX)
+		return NULL;
 	if (member == NULL)
 		return member_add(members, hello, now_ms);
 	if (member == members->self || hello->incarnation < member->incarnation)
--- a/src/member.h
+++ b/src/member.h
@@ -29,6 +29,8 @@
 	 * delegate whose failure delays anything.
 	 */
 	MEMBER_MESH_MAX = 24,
+	/* Nodes known at most, so that invented names take no memory. */
+	MEMBER_MAX = 4096,
 	MEMBER_DELEGATES = 2,
 	MEMBER_OBSERVERS = 2,
 	MEMBER_ENTRY_SMALL = 3,
@@ -88,8 +90,8 @@
 
 /*
  * Learns a node from its hello, the store or a summary. A lower incarnation
- * than the known one, or a bad address, is ignored and NULL returned. This is
- * no sign of life.
+ * than the known one, a bad address, and a node beyond MEMBER_MAX are ignored
+ * and NULL returned. This is no sign of life.
  */
 member_t *members_learn(
     members_t *members, const member_hello_t *hello, int64_t now_ms);
--- a/src/message.c
+++ b/src/message.c
@@ -608,7 +608,7 @@
 		    "frame of %zu bytes exceeds %d", length, MESSAGE_FRAME_MAX);
 		return false;
 	}
-	if (!message_scan(payload, length)) {
+	if (length == 0 || !message_scan(payload, length)) {
 		papaya_error_set(error, PAPAYA_ERROR_BAD_FRAME,
 		    "frame of %zu bytes is not well-formed", length);
 		return false;
--- a/src/node_backend.c
+++ b/src/node_backend.c
@@ -45,13 +45,17 @@
 	message_clear(&message);
 }
 
-/* Marks a host as leaving; false where it was marked already. */
+/* Marks a host as leaving; false where it is marked or left long ago. */
 static bool
 mark_host(node_backends_t *part, const char *host, int64_t leave_at_ms,
     const char *source)
 {
+	int64_t wall_ms = clock_wall_ms();
 	leaving_t *leaving;
 
+	/* The cloud may since have given the name to a new host. */
+	if (leave_at_ms > 0 && wall_ms - leave_at_ms >= FORGET_MS)
+		return false;
 	if (g_hash_table_contains(part->leaving, host))
 		return false;
 	if (g_hash_table_size(part->leaving) >= LEAVING_MAX) {
@@ -61,7 +65,8 @@
 	}
 	leaving = g_new0(leaving_t, 1);
 	leaving->leave_at_ms = leave_at_ms;
-	leaving->forget_at_ms = MAX(leave_at_ms, clock_wall_ms()) + FORGET_MS;
+	leaving->forget_at_ms =
+	    (leave_at_ms > 0 ? leave_at_ms : wall_ms) + FORGET_MS;
 	g_hash_table_insert(part->leaving, g_strdup(host), leaving);
 	counter_add(part->node->counters, 1,
 	    "leaving_hosts_total{source=\"%s\"}", source);
--- a/src/peer.c
+++ b/src/peer.c
@@ -26,6 +26,7 @@
 	peer_hub_t *hub;
 	frame_decoder_t decoder;
 	char *node; /* NULL before the hello */
+	int64_t incarnation;
 	/*
 	 * Sweeps since the last frame. Counted and not timed, so that a pause
 	 * of the own process does not look like silence of the peer.
@@ -132,6 +133,21 @@
 		hub->options.on_lost(accepted->node, hub->options.data);
 }
 
+/* Connections of an earlier process of a node must not speak for it. */
+static void
+close_older(const accepted_t *accepted)
+{
+	accepted_t *other, *next;
+
+	for (other = LIST_FIRST(&accepted->hub->accepted); other != NULL;
+	     other = next) {
+		next = LIST_NEXT(other, entries);
+		if (g_strcmp0(other->node, accepted->node) == 0 &&
+		    other->incarnation < accepted->incarnation)
+			accepted_close(other);
+	}
+}
+
 static bool
 take_hello(accepted_t *accepted, const message_t *message)
 {
@@ -144,7 +160,9 @@
 		return false;
 	if (accepted->node == NULL)
 		accepted->node = g_strdup(node);
+	accepted->incarnation = message->hello.incarnation;
 	accepted->decoder.max = MESSAGE_FRAME_MAX;
+	close_older(accepted);
 	return true;
 }
 
