--- a/src/node.c
+++ b/src/node.c
@@ -12,6 +12,7 @@
 	DEFAULT_DRAIN_TIMEOUT_MS = 60000,
 	DEFAULT_LEDGER_PARTITIONS = 64,
 	LEDGER_PARTITIONS_MAX = 4096,
+	MESH_MAX = 1000,
 	DRAIN_POLL_MS = 20,
 };
 
@@ -29,7 +30,7 @@
 }
 
 static const char *const config_names[] = {"name", "zone", "address",
-    "http_port", "peer_port", "store", "cloud", "teams", "peers",
+    "http_port", "peer_port", "store", "cloud", "teams", "peers", "mesh_max",
     "ledger_partitions", "seed", "drain_timeout_ms", NULL};
 
 static bool
@@ -104,6 +105,7 @@
 	       check_range(file, json, "peer_port", 0, 65535, error) &&
 	       check_range(file, json, "ledger_partitions", 1,
 		   LEDGER_PARTITIONS_MAX, error) &&
+	       check_range(file, json, "mesh_max", 0, MESH_MAX, error) &&
 	       check_range(file, json, "seed", 0, G_MAXINT64, error) &&
 	       check_range(
 		   file, json, "drain_timeout_ms", 0, G_MAXINT32, error);
@@ -123,6 +125,7 @@
 	config->cloud_url = g_strdup(json_get_string(json, "cloud", NULL));
 	config->teams = string_list(json_object_get(json, "teams"));
 	config->peers = string_list(json_object_get(json, "peers"));
+	config->mesh_max = (unsigned)json_get_int(json, "mesh_max", 0);
 	config->ledger_partitions = (unsigned)json_get_int(
 	    json, "ledger_partitions", DEFAULT_LEDGER_PARTITIONS);
 	config->seed = (uint64_t)json_get_int(json, "seed", 0);
@@ -196,6 +199,7 @@
 	    node_settings_handle(node, request) ||
 	    node_peers_handle(node, request) ||
 	    node_moves_handle(node, request) ||
+	    node_report_handle(node, request) ||
 	    node_admin_handle(node, request))
 		return;
 	counter_add(node->counters, 1, "requests_unknown_path_total");
@@ -242,6 +246,7 @@
 		return NULL;
 	config->peer_port = node_peers_port(node);
 	node_backends_start(node);
+	node_reports_start(node);
 	node_moves_start(node);
 	node_calls_start(node);
 	node_books_start(node);
@@ -273,7 +278,8 @@
 on_drain_poll(uv_timer_t *timer)
 {
 	drain_t *drain = timer->data;
-	unsigned active = http_server_active(drain->node->server);
+	unsigned active = http_server_active(drain->node->server) +
+			  node_books_active(drain->node);
 
 	if (active > 0 && clock_mono_ms() < drain->until_ms)
 		return;
@@ -315,6 +321,7 @@
 	node_books_free(node);
 	node_calls_free(node);
 	node_moves_free(node);
+	node_reports_free(node);
 	node_backends_free(node);
 	node_peers_free(node);
 	store_free(node->store);
--- a/src/node.h
+++ b/src/node.h
@@ -23,9 +23,10 @@
 	int http_port; /* 0: chosen by the kernel */
 	int peer_port; /* 0: chosen by the kernel */
 	char *store_url;
-	char *cloud_url; /* NULL: none */
-	char **teams;	 /* whose settings are served; NULL at the end */
-	char **peers;	 /* IP:PORT to ask when the store is out */
+	char *cloud_url;   /* NULL: none */
+	char **teams;	   /* whose settings are served; NULL at the end */
+	char **peers;	   /* IP:PORT to ask when the store is out */
+	unsigned mesh_max; /* nodes up to which all are connected; 0: default */
 	unsigned ledger_partitions;
 	uint64_t seed; /* of the random numbers; 0: from the system */
 	int64_t drain_timeout_ms;
@@ -39,6 +40,7 @@
 typedef struct node_settings node_settings_t;
 typedef struct node_peers node_peers_t;
 typedef struct node_moves node_moves_t;
+typedef struct node_reports node_reports_t;
 typedef struct node_backends node_backends_t;
 typedef struct node_admin node_admin_t;
 
@@ -61,6 +63,7 @@
 	node_settings_t *settings_part;
 	node_peers_t *peers;
 	node_moves_t *moves;
+	node_reports_t *reports;
 	node_backends_t *backends_part;
 	node_admin_t *admin;
 } node_t;
@@ -93,6 +96,8 @@
 /* Serves a non-idempotent request to a plain service. */
 void node_books_serve(node_t *node, http_request_t *request,
     const service_t *service, tree_t *tree, const char *path);
+/* Keys in progress, such as outcomes to be written; a drain waits for them. */
+unsigned node_books_active(const node_t *node);
 void node_books_message(
     node_t *node, const message_t *message, const char *from);
 
@@ -108,25 +113,48 @@
 bool node_peers_handle(node_t *node, http_request_t *request);
 /* Leaves the entry list and tells the peers. */
 void node_peers_drain(node_t *node);
-/* HTTP address (IP:PORT) of a node of another zone, borrowed; or NULL. */
+/*
+ * HTTP IP:PORT of a live node of another zone, valid until the event loop
+ * runs on; NULL if there is none.
+ */
 const char *node_peers_other_zone(node_t *node);
 /* Sends to every node in contact, or to one by name. */
 void node_peers_broadcast(node_t *node, const message_t *message);
 void node_peers_send(node_t *node, const char *to, const message_t *message);
+/* Calls visit for every other node that is not gone. */
+void node_peers_each(node_t *node,
+    void (*visit)(const char *name, const char *http_address, void *data),
+    void *data);
 /* True where this node is one of its zone's nodes that watch the store. */
 bool node_peers_watches_store(node_t *node, const char *team);
+/*
+ * True where this node is one of the two that observe a key (a backend
+ * server's name, or "cloud") in a zone.
+ */
+bool node_peers_observes(node_t *node, const char *zone, const char *key);
+/* Takes a node out of use whose host leaves. */
+void node_peers_leave(node_t *node, const char *host);
 
 void node_moves_start(node_t *node);
 void node_moves_free(node_t *node);
 bool node_moves_handle(node_t *node, http_request_t *request);
 void node_moves_message(
     node_t *node, const message_t *message, const char *from);
+/* True where delegates pass a move message on to other zones. */
+bool node_moves_relays(const message_t *message);
 /* Version for a new request; valid until the next settings change. */
 const char *node_moves_version(node_t *node, const service_t *service);
 /* Evidence of one finished attempt. first_ms: to the first token or answer. */
 void node_moves_observe(node_t *node, const service_t *service,
     const char *version, const char *route, bool ok, double first_ms);
 
+void node_reports_start(node_t *node);
+void node_reports_free(node_t *node);
+bool node_report_handle(node_t *node, http_request_t *request);
+/* Counts one finished attempt against the service's objective. */
+void node_report_count(node_t *node, const service_t *service,
+    const char *version, bool ok, double first_ms);
+
 void node_admin_start(node_t *node);
 void node_admin_free(node_t *node);
 bool node_admin_handle(node_t *node, http_request_t *request);
@@ -135,5 +163,7 @@
 void node_backends_free(node_t *node);
 void node_backends_message(
     node_t *node, const message_t *message, const char *from);
+/* Tells a node that has just been connected which hosts leave. */
+void node_backends_greet(node_t *node, const char *to);
 
 #endif
