Test the hand-over of streams and queues

Streams move with their KV cache before their host leaves, or stay if they end in time; queued requests of a node that leaves go to a peer of another zone.

--- /dev/null
+++ b/tests/support_chat.c
@@ -0,0 +1,151 @@
+#include "support_chat.h"
+
+#include "token.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+chat_t chat = {.max_tokens = CHAT_TOKENS};
+
+static json_t *
+backend(const program_t *program, const char *host, const char *service)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:s,s:s}", "address",
+	    program->address, "host", host, "zone", "zone-a", "class", "a",
+	    "service", service, "version", "v1");
+}
+
+/* The timeout is looked at only where the service is known. */
+static bool
+is_applied(void *data)
+{
+	static const char *const headers[] = {
+	    "Papaya-Workspace: depot", "Papaya-Timeout-Ms: none", NULL};
+	ask_t ask = {.to = data,
+	    .path = "/v1/services/t1/pages/ready",
+	    .headers = headers};
+	answer_t *answer = ask_send(&ask);
+	bool known = answer->status == 400;
+
+	answer_free(answer);
+	return known;
+}
+
+void
+chat_wait_applied(program_t *node)
+{
+	wait_until(is_applied, node);
+}
+
+void
+chat_start(
+    const char *program, const char *service, int in_flight, json_t *extra)
+{
+	json_t *services, *backends;
+
+	chat.store = program_start("standin-store", NULL);
+	chat.one = program_start(program, "--name", "one", NULL);
+	chat.two = program_start(program, "--name", "two", NULL);
+	chat.node = papayad_start("n1", "zone-a", chat.store, "t1", extra);
+	services =
+	    json_pack("{s:{s:s,s:s,s:[s],s:i,s:{s:i,s:i,s:f},s:{s:i,s:i}},"
+		      "s:{s:s,s:b,s:s,s:[s],s:i,s:{s:i,s:f}}}",
+		"chat", "kind", "model", "current", "v1", "versions", "v1",
+		"timeout_ms", 20000, "slo", "first_token_ms", 200,
+		"between_tokens_ms", 61, "target", 0.95, "limit", "in_flight",
+		in_flight, "waiting", 8, "pages", "kind", "plain", "repeatable",
+		1, "current", "v1", "versions", "v1", "timeout_ms", 20000,
+		"slo", "answer_ms", 200, "target", 0.95);
+	backends =
+	    json_pack("{s:o,s:o}", "one", backend(chat.one, "host-1", service),
+		"two", backend(chat.two, "host-2", service));
+	settings_put(chat.node, "t1",
+	    json_pack("{s:o,s:o,s:{s:{s:i,s:i,s:b}}}", "services", services,
+		"backends", backends, "workspaces", "depot", "weight", 1,
+		"priority", 1, "large", 0));
+	chat_wait_applied(chat.node);
+}
+
+void
+chat_end(void)
+{
+	programs_end();
+	chat = (chat_t){.max_tokens = CHAT_TOKENS};
+}
+
+answer_t *
+chat_complete(bool stream, const char *prompt, const char *header,
+    bool (*on_data)(answer_t *answer, void *data), void *data)
+{
+	const char *const headers[] = {"Papaya-Workspace: depot",
+	    "Content-Type: application/json", header, NULL};
+	json_t *body =
+	    json_pack("{s:s,s:s,s:i,s:b}", "model", "t1/chat", "prompt", prompt,
+		"max_tokens", chat.max_tokens, "stream", (int)stream);
+	char *text = json_dumps(body, 0);
+	ask_t ask = {.to = chat.node,
+	    .path = "/v1/completions",
+	    .headers = headers,
+	    .body = text,
+	    .receive_buffer = chat.receive_buffer,
+	    .on_data = on_data,
+	    .data = data};
+	answer_t *answer = ask_send(&ask);
+
+	free(text);
+	json_decref(body);
+	return answer;
+}
+
+int
+chat_tokens(const answer_t *answer, const char *prompt)
+{
+	char **lines = g_strsplit(answer->body->str, "\n", -1);
+	int count = 0;
+
+	for (size_t i = 0; lines[i] != NULL && count >= 0; i++) {
+		json_t *event = g_str_has_prefix(lines[i], "data: {")
+				    ? json_loads(lines[i] + 6, 0, NULL)
+				    : NULL;
+		json_t *choice =
+		    json_array_get(json_object_get(event, "choices"), 0);
+		const char *text =
+		    json_string_value(json_object_get(choice, "text"));
+		papaya_token_t token =
+		    papaya_token("v1", prompt, (unsigned)count);
+
+		if (text != NULL)
+			count = strcmp(text, token.text) == 0 ? count + 1 : -1;
+		json_decref(event);
+	}
+	g_strfreev(lines);
+	return count;
+}
+
+static bool
+is_done(const answer_t *answer)
+{
+	return answer->whole &&
+	       g_str_has_suffix(answer->body->str, "data: [DONE]\n\n");
+}
+
+void
+chat_check(answer_t *answer, const char *prompt)
+{
+	ck_assert_msg(answer->status == 200 && is_done(answer),
+	    "status %ld: %.1000s", answer->status, answer->body->str);
+	ck_assert_int_eq(chat_tokens(answer, prompt), chat.max_tokens);
+	answer_free(answer);
+}
+
+int
+chat_stat(const program_t *engine, const char *name)
+{
+	answer_t *answer = ask_json(engine, "GET", "/stats", NULL, 200);
+	int value =
+	    (int)json_integer_value(json_object_get(answer->json, name));
+
+	answer_free(answer);
+	return value;
+}
--- /dev/null
+++ b/tests/test_handover.c
@@ -0,0 +1,192 @@
+#include "support_chat.h"
+
+#include <check.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	NOTICE_MS = 2000,
+	/* More than a 2 s notice allows for at 20 ms each. */
+	LONG_RESPONSE = 200,
+};
+
+static program_t *cloud;
+
+/* A node that follows notices, and engines on two hosts of the cloud. */
+static void
+start_with_cloud(int token_ms)
+{
+	static const char *const hosts[] = {"host-1", "host-2"};
+	char *faults = g_strdup_printf("{\"token_ms\": %d}", token_ms);
+	char *url;
+
+	cloud = program_start("standin-cloud", NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++)
+		answer_free(ask_json(cloud, "POST", "/v1/hosts",
+		    json_pack("{s:s,s:s,s:s,s:b}", "host", hosts[i], "zone",
+			"zone-a", "class", "a", "reclaimable", 1),
+		    201));
+	url = g_strdup_printf("http://%s", cloud->address);
+	chat_start(
+	    "standin-engine", "chat", 8, json_pack("{s:s}", "cloud", url));
+	faults_set(chat.one, faults);
+	faults_set(chat.two, faults);
+	g_free(url);
+	g_free(faults);
+}
+
+typedef struct reclaim {
+	int notice_ms;
+	gint64 noticed_us; /* 0: not yet */
+	program_t *leaving, *other;
+} reclaim_t;
+
+/* Reclaims the stream's host after 30 tokens; kills its engine in time. */
+static bool
+reclaim_mid_stream(answer_t *answer, void *data)
+{
+	reclaim_t *reclaim = data;
+	gint64 gone_us = reclaim->noticed_us + reclaim->notice_ms * 1000LL;
+	bool first;
+	char *faults;
+
+	if (reclaim->noticed_us == 0 &&
+	    strstr(answer->body->str, "\"index\":30") != NULL) {
+		first = chat_stat(chat.one, "calls") > 0;
+		reclaim->leaving = first ? chat.one : chat.two;
+		reclaim->other = first ? chat.two : chat.one;
+		reclaim->noticed_us = g_get_monotonic_time();
+		faults = g_strdup_printf(
+		    "{\"notice_ms\": %d, \"reclaim_host\": \"%s\"}",
+		    reclaim->notice_ms, first ? "host-1" : "host-2");
+		faults_set(cloud, faults);
+		g_free(faults);
+	} else if (reclaim->noticed_us != 0 && reclaim->leaving != NULL &&
+		   g_get_monotonic_time() >= gone_us) {
+		program_end(reclaim->leaving, SIGKILL);
+		reclaim->leaving = NULL;
+	}
+	return true;
+}
+
+/* Guards against a long stream that is cut, or recomputed, at a reclaim. */
+START_TEST(long_stream_moves_with_its_cache)
+{
+	reclaim_t reclaim = {.notice_ms = NOTICE_MS};
+
+	start_with_cloud(20);
+	chat.max_tokens = LONG_RESPONSE;
+	chat_check(chat_complete(true, "a long story", NULL, reclaim_mid_stream,
+		       &reclaim),
+	    "a long story");
+	ck_assert_ptr_null(reclaim.leaving);
+	ck_assert_int_eq(counter_read(chat.node, "kv_transfers_total"), 1);
+	ck_assert_int_eq(
+	    counter_read(chat.node, "kv_transfers_failed_total"), 0);
+	ck_assert_int_eq(counter_read(chat.node, "stream_resumes_total"), 1);
+	ck_assert_int_eq(counter_read(chat.node,
+			     "attempts_failed_total{reason=\"truncated\"}"),
+	    0);
+	/* Only tokens that came between export and resume. */
+	ck_assert_int_lt(chat_stat(reclaim.other, "recomputed_tokens"), 15);
+}
+END_TEST
+
+/* Guards against a move of a stream that would have ended in time. */
+START_TEST(short_stream_stays)
+{
+	reclaim_t reclaim = {.notice_ms = 4 * NOTICE_MS};
+
+	start_with_cloud(10);
+	chat.max_tokens = 60;
+	chat_check(chat_complete(true, "a short story", NULL,
+		       reclaim_mid_stream, &reclaim),
+	    "a short story");
+	ck_assert(reclaim.noticed_us != 0);
+	ck_assert_int_eq(counter_read(chat.node, "attempts_total"), 1);
+}
+END_TEST
+
+static int
+entries_of(const program_t *node)
+{
+	ask_t ask = {.to = node, .path = "/v1/entry?workspace=depot"};
+	answer_t *answer = ask_send(&ask);
+	int count =
+	    (int)json_array_size(json_object_get(answer->json, "entries"));
+
+	answer_free(answer);
+	return count;
+}
+
+static bool
+knows_peer(void *data)
+{
+	return entries_of(data) >= 2;
+}
+
+static gpointer
+complete_in_thread(gpointer data)
+{
+	return chat_complete(true, data, NULL, NULL, NULL);
+}
+
+static bool
+has_begun(void *data)
+{
+	return chat_stat(chat.one, "calls") + chat_stat(chat.two, "calls") > 0;
+}
+
+static bool
+is_queued(void *data)
+{
+	return counter_read(chat.node, "requests_queued_total") >= 1;
+}
+
+/* Guards against a queue that a node loses, or sits on, when it leaves. */
+START_TEST(queue_goes_to_another_zone)
+{
+	GThread *first, *second;
+	program_t *peer;
+
+	chat_start("standin-engine", "chat", 1, NULL);
+	peer = papayad_start("n2", "zone-b", chat.store, "t1", NULL);
+	chat_wait_applied(peer);
+	wait_until(knows_peer, chat.node);
+	faults_set(chat.one, "{\"token_ms\": 30}");
+	faults_set(chat.two, "{\"token_ms\": 30}");
+	first = g_thread_new("first", complete_in_thread, "first");
+	wait_until(has_begun, NULL);
+	second = g_thread_new("second", complete_in_thread, "second");
+	wait_until(is_queued, NULL);
+	kill(chat.node->pid, SIGTERM);
+	chat_check(g_thread_join(first), "first");
+	chat_check(g_thread_join(second), "second");
+	ck_assert_int_eq(counter_read(peer, "attempts_total"), 1);
+	ck_assert_int_eq(program_wait(chat.node), 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("handover");
+	TCase *tests = tcase_create("handover");
+	SRunner *runner;
+	int failed;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	tcase_set_timeout(tests, 60);
+	tcase_add_checked_fixture(tests, NULL, chat_end);
+	tcase_add_test(tests, long_stream_moves_with_its_cache);
+	tcase_add_test(tests, short_stream_stays);
+	tcase_add_test(tests, queue_goes_to_another_zone);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
