--- /dev/null
+++ b/standins/engine_cache.c
@@ -0,0 +1,198 @@
+#include "engine_cache.h"
+
+#include "clock.h"
+#include "route.h"
+
+#include <string.h>
+#include <sys/queue.h>
+#include <xxhash.h>
+
+enum {
+	DEFAULT_PREFIXES = 64,
+	EVENTS_MAX = 1024, /* older events are lost */
+};
+
+typedef struct prefix {
+	TAILQ_ENTRY(prefix) entries; /* most recently used first */
+	uint64_t hash;
+} prefix_t;
+
+typedef struct cache_event {
+	TAILQ_ENTRY(cache_event) entries;
+	uint64_t seq;
+	uint64_t prefix;
+	bool stored;
+	int64_t at_ms;
+} cache_event_t;
+
+struct engine_cache {
+	standin_t *standin;
+	TAILQ_HEAD(tailq_prefix, prefix) prefixes;
+	unsigned prefix_count;
+	TAILQ_HEAD(, cache_event) events;
+	unsigned event_count;
+	uint64_t seq;
+	GHashTable *imported; /* hash of a prompt: tokens held */
+};
+
+engine_cache_t *
+engine_cache_new(standin_t *standin)
+{
+	engine_cache_t *cache = g_new0(engine_cache_t, 1);
+
+	cache->standin = standin;
+	TAILQ_INIT(&cache->prefixes);
+	TAILQ_INIT(&cache->events);
+	cache->imported =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	return cache;
+}
+
+unsigned
+engine_words(const char *text)
+{
+	unsigned words = 0;
+
+	for (const char *at = text; *at != '\0'; at++)
+		if (*at != ' ' && (at[1] == ' ' || at[1] == '\0'))
+			words++;
+	return words;
+}
+
+static void
+add_event(engine_cache_t *cache, uint64_t prefix, bool stored)
+{
+	cache_event_t *event;
+
+	cache->seq++;
+	if (standin_chance(cache->standin, "event_loss"))
+		return;
+	event = g_new0(cache_event_t, 1);
+	event->seq = cache->seq;
+	event->prefix = prefix;
+	event->stored = stored;
+	event->at_ms = clock_mono_ms();
+	TAILQ_INSERT_TAIL(&cache->events, event, entries);
+	if (++cache->event_count <= EVENTS_MAX)
+		return;
+	event = TAILQ_FIRST(&cache->events);
+	TAILQ_REMOVE(&cache->events, event, entries);
+	cache->event_count--;
+	g_free(event);
+}
+
+static unsigned
+cache_limit(const engine_cache_t *cache)
+{
+	double limit = standin_fault(cache->standin, "cache_prefixes");
+
+	return limit > 0 ? (unsigned)limit : DEFAULT_PREFIXES;
+}
+
+/* Looks a prefix up and makes it the most recently used. */
+static bool
+cache_use(engine_cache_t *cache, uint64_t hash)
+{
+	prefix_t *prefix;
+	bool found;
+
+	TAILQ_FOREACH (prefix, &cache->prefixes, entries)
+		if (prefix->hash == hash)
+			break;
+	found = prefix != NULL;
+	if (found) {
+		TAILQ_REMOVE(&cache->prefixes, prefix, entries);
+	} else {
+		prefix = g_new0(prefix_t, 1);
+		prefix->hash = hash;
+		cache->prefix_count++;
+		add_event(cache, hash, true);
+	}
+	TAILQ_INSERT_HEAD(&cache->prefixes, prefix, entries);
+	while (cache->prefix_count > cache_limit(cache)) {
+		prefix = TAILQ_LAST(&cache->prefixes, tailq_prefix);
+		TAILQ_REMOVE(&cache->prefixes, prefix, entries);
+		cache->prefix_count--;
+		add_event(cache, prefix->hash, false);
+		g_free(prefix);
+	}
+	return found;
+}
+
+static uint64_t
+prompt_hash(const char *prompt)
+{
+	return XXH3_64bits(prompt, strlen(prompt));
+}
+
+unsigned
+engine_cache_prefill(
+    engine_cache_t *cache, const char *prompt, unsigned resumed)
+{
+	size_t cached_bytes = MIN(strlen(prompt), ROUTE_PREFIX_BYTES);
+	unsigned missing = engine_words(prompt) + resumed;
+	uint64_t hash = prompt_hash(prompt);
+	gpointer held = g_hash_table_lookup(cache->imported, &hash);
+
+	if (cache_use(cache, route_prefix(prompt)))
+		missing -= MIN(missing,
+		    engine_words(prompt) - engine_words(prompt + cached_bytes));
+	if (held != NULL) {
+		missing -= MIN(missing, GPOINTER_TO_UINT(held));
+		g_hash_table_remove(cache->imported, &hash);
+	}
+	return missing;
+}
+
+double
+engine_cache_free_share(const engine_cache_t *cache)
+{
+	return 1 - (double)cache->prefix_count / cache_limit(cache);
+}
+
+json_t *
+engine_cache_events(engine_cache_t *cache, uint64_t after)
+{
+	double lag_ms = standin_fault(cache->standin, "event_lag_ms");
+	int64_t visible_ms = clock_mono_ms() - (int64_t)lag_ms;
+	json_t *list = json_array();
+	cache_event_t *event;
+	char hex[20];
+
+	TAILQ_FOREACH (event, &cache->events, entries) {
+		if (event->seq <= after || event->at_ms > visible_ms)
+			continue;
+		g_snprintf(hex, sizeof(hex), "%016" G_GINT64_MODIFIER "x",
+		    event->prefix);
+		json_array_append_new(list,
+		    json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)event->seq,
+			"type", event->stored ? "stored" : "evicted", "prefix",
+			hex));
+		after = event->seq;
+	}
+	return json_pack(
+	    "{s:o,s:I}", "events", list, "next", (json_int_t)after);
+}
+
+/* A handle is PROMPT-HASH/TOKENS. */
+char *
+engine_cache_export(const char *prompt, unsigned tokens)
+{
+	return g_strdup_printf(
+	    "%016" G_GINT64_MODIFIER "x/%u", prompt_hash(prompt), tokens);
+}
+
+bool
+engine_cache_import(engine_cache_t *cache, const char *handle, unsigned *tokens)
+{
+	uint64_t hash;
+	char *rest;
+
+	hash = g_ascii_strtoull(handle, &rest, 16);
+	if (*rest != '/')
+		return false;
+	*tokens = (unsigned)g_ascii_strtoull(rest + 1, NULL, 10);
+	g_hash_table_replace(cache->imported, g_memdup2(&hash, sizeof(hash)),
+	    GUINT_TO_POINTER(*tokens));
+	return true;
+}
--- a/standins/standin_engine.c
+++ b/standins/standin_engine.c
@@ -1,36 +1,20 @@
 #include "clock.h"
+#include "engine_cache.h"
 #include "error.h"
 #include "json.h"
-#include "route.h"
 #include "standin.h"
 #include "token.h"
 
 #include <string.h>
 #include <sys/queue.h>
-#include <xxhash.h>
 
 enum {
 	DEFAULT_SLOTS = 64, /* requests batched at once; fault "slots" */
-	DEFAULT_CACHE_PREFIXES = 64, /* fault "cache_prefixes" */
-	CACHE_EVENTS_MAX = 1024,     /* older events are lost */
 	KV_BYTES_PER_TOKEN = 1024,
 	MAX_TOKENS = 65536,
 	NEVER = G_MAXUINT,
 };
 
-typedef struct prefix {
-	TAILQ_ENTRY(prefix) entries; /* most recently used first */
-	uint64_t hash;
-} prefix_t;
-
-typedef struct cache_event {
-	TAILQ_ENTRY(cache_event) entries;
-	uint64_t seq;
-	uint64_t prefix;
-	bool stored;
-	int64_t at_ms;
-} cache_event_t;
-
 /* A model engine with continuous batching and a prefix cache. */
 typedef struct engine {
 	standin_t standin;
@@ -38,12 +22,7 @@
 	TAILQ_HEAD(, job) running;
 	unsigned waiting_count, running_count;
 	char *last_attempt, *last_prompt; /* for "cross_rate" */
-	TAILQ_HEAD(tailq_prefix, prefix) prefixes;
-	unsigned prefix_count;
-	TAILQ_HEAD(, cache_event) events;
-	unsigned event_count;
-	uint64_t event_seq;
-	GHashTable *imported; /* hash of a prompt: tokens held */
+	engine_cache_t *cache;
 	int64_t fence;
 	json_t *load; /* as last reported */
 	int64_t load_at_ms;
@@ -92,95 +71,14 @@
 	g_free(job);
 }
 
-static unsigned
-count_words(const char *text)
-{
-	unsigned words = 0;
-
-	for (const char *at = text; *at != '\0'; at++)
-		if (*at != ' ' && (at[1] == ' ' || at[1] == '\0'))
-			words++;
-	return words;
-}
-
-static void
-add_event(engine_t *engine, uint64_t prefix, bool stored)
-{
-	cache_event_t *event;
-
-	engine->event_seq++;
-	if (standin_chance(&engine->standin, "event_loss"))
-		return;
-	event = g_new0(cache_event_t, 1);
-	event->seq = engine->event_seq;
-	event->prefix = prefix;
-	event->stored = stored;
-	event->at_ms = clock_mono_ms();
-	TAILQ_INSERT_TAIL(&engine->events, event, entries);
-	if (++engine->event_count <= CACHE_EVENTS_MAX)
-		return;
-	event = TAILQ_FIRST(&engine->events);
-	TAILQ_REMOVE(&engine->events, event, entries);
-	engine->event_count--;
-	g_free(event);
-}
-
-static unsigned
-cache_limit(const engine_t *engine)
-{
-	double limit = standin_fault(&engine->standin, "cache_prefixes");
-
-	return limit > 0 ? (unsigned)limit : DEFAULT_CACHE_PREFIXES;
-}
-
-/* Looks a prefix up and makes it the most recently used. */
-static bool
-cache_use(engine_t *engine, uint64_t hash)
-{
-	prefix_t *prefix;
-	bool found;
-
-	TAILQ_FOREACH (prefix, &engine->prefixes, entries)
-		if (prefix->hash == hash)
-			break;
-	found = prefix != NULL;
-	if (found) {
-		TAILQ_REMOVE(&engine->prefixes, prefix, entries);
-	} else {
-		prefix = g_new0(prefix_t, 1);
-		prefix->hash = hash;
-		engine->prefix_count++;
-		add_event(engine, hash, true);
-	}
-	TAILQ_INSERT_HEAD(&engine->prefixes, prefix, entries);
-	while (engine->prefix_count > cache_limit(engine)) {
-		prefix = TAILQ_LAST(&engine->prefixes, tailq_prefix);
-		TAILQ_REMOVE(&engine->prefixes, prefix, entries);
-		engine->prefix_count--;
-		add_event(engine, prefix->hash, false);
-		g_free(prefix);
-	}
-	return found;
-}
-
-/* Tokens of prompt and resumed response that no cache holds. */
 static unsigned
 prefill(engine_t *engine, const job_t *job)
 {
-	size_t cached_bytes = MIN(strlen(job->prompt), ROUTE_PREFIX_BYTES);
-	unsigned missing = count_words(job->prompt) + job->first;
-	uint64_t prompt = XXH3_64bits(job->prompt, strlen(job->prompt));
-	gpointer held = g_hash_table_lookup(engine->imported, &prompt);
-
-	engine->prompt_tokens += missing;
-	if (cache_use(engine, route_prefix(job->prompt)))
-		missing -=
-		    MIN(missing, count_words(job->prompt) -
-				     count_words(job->prompt + cached_bytes));
-	if (held != NULL) {
-		missing -= MIN(missing, GPOINTER_TO_UINT(held));
-		g_hash_table_remove(engine->imported, &prompt);
-	}
+	unsigned all = engine_words(job->prompt) + job->first;
+	unsigned missing =
+	    engine_cache_prefill(engine->cache, job->prompt, job->first);
+
+	engine->prompt_tokens += all;
 	engine->recomputed += missing;
 	return missing;
 }
@@ -466,7 +364,6 @@
 serve_load(engine_t *engine, http_request_t *request)
 {
 	double lag_ms = standin_fault(&engine->standin, "load_lag_ms");
-	double used = engine->prefix_count;
 
 	if (engine->load == NULL ||
 	    clock_mono_ms() >= engine->load_at_ms + (int64_t)lag_ms) {
@@ -474,7 +371,7 @@
 		engine->load = json_pack("{s:i,s:i,s:f,s:s}", "running",
 		    (int)engine->running_count, "waiting",
 		    (int)engine->waiting_count, "kv_free",
-		    1 - used / cache_limit(engine), "version",
+		    engine_cache_free_share(engine->cache), "version",
 		    engine->standin.version);
 		engine->load_at_ms = clock_mono_ms();
 	}
@@ -484,29 +381,12 @@
 static void
 serve_cache_events(engine_t *engine, http_request_t *request)
 {
-	double lag_ms = standin_fault(&engine->standin, "event_lag_ms");
-	char *after_text = http_request_param(request, "after");
-	uint64_t after =
-	    after_text != NULL ? g_ascii_strtoull(after_text, NULL, 10) : 0;
-	int64_t visible_ms = clock_mono_ms() - (int64_t)lag_ms;
-	json_t *list = json_array();
-	cache_event_t *event;
-	char hex[20];
-
-	TAILQ_FOREACH (event, &engine->events, entries) {
-		if (event->seq <= after || event->at_ms > visible_ms)
-			continue;
-		g_snprintf(hex, sizeof(hex), "%016" G_GINT64_MODIFIER "x",
-		    event->prefix);
-		json_array_append_new(list,
-		    json_pack("{s:I,s:s,s:s}", "seq", (json_int_t)event->seq,
-			"type", event->stored ? "stored" : "evicted", "prefix",
-			hex));
-		after = event->seq;
-	}
-	g_free(after_text);
+	char *after = http_request_param(request, "after");
+
 	http_reply_json(request, 200,
-	    json_pack("{s:o,s:I}", "events", list, "next", (json_int_t)after));
+	    engine_cache_events(engine->cache,
+		after != NULL ? g_ascii_strtoull(after, NULL, 10) : 0));
+	g_free(after);
 }
 
 static void
@@ -532,7 +412,6 @@
 		standin->version));
 }
 
-/* A handle carries what an import needs: PROMPT-HASH/TOKENS. */
 static void
 serve_export(engine_t *engine, http_request_t *request, const json_t *body)
 {
@@ -549,9 +428,8 @@
 		    json_pack("{s:{s:s}}", "error", "kind", "unknown_attempt"));
 		return;
 	}
-	tokens = count_words(job->prompt) + job->next;
-	handle = g_strdup_printf("%016" G_GINT64_MODIFIER "x/%u",
-	    XXH3_64bits(job->prompt, strlen(job->prompt)), tokens);
+	tokens = engine_words(job->prompt) + job->next;
+	handle = engine_cache_export(job->prompt, tokens);
 	http_reply_json(request, 200,
 	    json_pack("{s:s,s:I}", "handle", handle, "bytes",
 		(json_int_t)tokens * KV_BYTES_PER_TOKEN));
@@ -562,19 +440,12 @@
 serve_import(engine_t *engine, http_request_t *request, const json_t *body)
 {
 	const char *handle = json_get_string(body, "handle", "");
-	uint64_t *prompt = g_new0(uint64_t, 1);
-	char *rest;
 	unsigned tokens;
 
-	*prompt = g_ascii_strtoull(handle, &rest, 16);
-	if (*rest != '/') {
-		g_free(prompt);
+	if (!engine_cache_import(engine->cache, handle, &tokens)) {
 		reply_bad(request, "handle");
 		return;
 	}
-	tokens = (unsigned)g_ascii_strtoull(rest + 1, NULL, 10);
-	g_hash_table_replace(
-	    engine->imported, prompt, GUINT_TO_POINTER(tokens));
 	http_reply_json(
 	    request, 200, json_pack("{s:i}", "tokens", (int)tokens));
 }
@@ -638,10 +509,7 @@
 
 	TAILQ_INIT(&engine.waiting);
 	TAILQ_INIT(&engine.running);
-	TAILQ_INIT(&engine.prefixes);
-	TAILQ_INIT(&engine.events);
-	engine.imported =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	engine.cache = engine_cache_new(&engine.standin);
 	engine.standin.handler = serve;
 	engine.standin.data = &engine;
 	engine.standin.version = "v1";
