--- a/src/node_apply.c
+++ b/src/node_apply.c
@@ -140,6 +140,7 @@
 {
 	char *key = settings_key(operation->team);
 
+	counter_add(operation->node->counters, 1, "settings_apply_swaps_total");
 	store_swap(operation->node->store, key, operation->key_revision,
 	    operation->value, strlen(operation->value), NULL, on_swapped,
 	    operation);
@@ -168,6 +169,8 @@
 		swap_value(operation);
 		return;
 	}
+	counter_add(
+	    operation->node->counters, 1, "settings_apply_archives_total");
 	text = json_text(operation->other);
 	key = settings_history_key(
 	    operation->team, json_get_int(operation->other, "revision", 0));
@@ -303,6 +306,7 @@
 {
 	char *key = settings_key(operation->team);
 
+	counter_add(operation->node->counters, 1, "settings_apply_reads_total");
 	store_get(operation->node->store, key, on_present_read, operation);
 	g_free(key);
 }
@@ -366,16 +370,16 @@
 	return true;
 }
 
+/*
+ * Not from node_random(): nodes with the same seed would give the same nonce,
+ * and both of two concurrent applies would take the one write for theirs.
+ */
 static char *
-nonce_of(node_t *node, const json_t *body)
+nonce_of(const json_t *body)
 {
 	const char *given = json_get_string(body, "nonce", "");
 
-	if (given[0] != '\0')
-		return g_strdup(given);
-	return g_strdup_printf("%016" G_GINT64_MODIFIER
-			       "x%016" G_GINT64_MODIFIER "x",
-	    node_random(node), node_random(node));
+	return given[0] != '\0' ? g_strdup(given) : g_uuid_string_random();
 }
 
 static char *
@@ -428,7 +432,7 @@
 	operation = operation_new(node, request, team);
 	operation->base = tree->revision - 1;
 	operation->tree = tree;
-	operation->nonce = nonce_of(node, body);
+	operation->nonce = nonce_of(body);
 	operation->nonce_given = json_object_get(body, "nonce") != NULL;
 	operation->value = value_of(tree, operation->nonce);
 	json_decref(body);
