--- a/tests/test_apply.c
+++ b/tests/test_apply.c
@@ -46,7 +46,7 @@
 	const char *headers[] = {match, NULL};
 	json_t *body = json_pack("{s:s,s:s,s:{s:{s:{s:I}}}}", "author",
 	    apply->author, "message", "change", "tree", "workspaces", "w",
-	    "weight", (json_int_t)(apply->base + 1));
+	    "weight", (json_int_t)apply->base + 1);
 	ask_t ask = {.method = "PUT",
 	    .to = apply->node,
 	    .path = "/v1/admin/settings/t1",
