--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -27,11 +27,14 @@
 }
 
 check_mutants() { # TARGET
-	local source macro program scratch
-	source=$(sed -n 's|^/\* mutants of \([^:]*\):.*|\1|p;q' "fuzz/$1.c")
-	[ -n "$source" ] || return 0
-	for macro in $(sed -n 's|^/\* mutants of [^:]*: \(.*\) \*/|\1|p;q' \
-	    "fuzz/$1.c"); do
+	local header source macro program scratch
+	# The first comment, which the formatter may have wrapped.
+	header=$(sed '/\*\//q' "fuzz/$1.c" | tr -s '\n\t ' ' ')
+	[[ $header == "/* mutants of "* ]] || return 0
+	header=${header#"/* mutants of "}
+	header=${header%\*/*}
+	source=${header%%:*}
+	for macro in $(tr -d '*' <<<"${header#*:}"); do
 		program=build-fuzz/$1-$macro
 		scratch=$(mktemp -d)
 		build_mutant "$source" "$macro" "$1" "$program"
--- a/src/move.c
+++ b/src/move.c
@@ -2,6 +2,18 @@
 
 #include <string.h>
 
+/*
+ * MOVE_MUTANT compiles a fault in, for the checks of the checks:
+ * 1: a stage is written without the lease;
+ * 2: the deadline does not stop requests while the store is out;
+ * 3: a swap without an answer is taken as written;
+ * 4: an absent state is settled as finished;
+ * 5: a stop does not stop requests.
+ */
+#ifndef MOVE_MUTANT
+#define MOVE_MUTANT 0
+#endif
+
 enum {
 	RETRY_MS = 200, /* after a failed call, plus as much at random */
 	POLL_MS = 500,	/* of the state around the end of its lease */
@@ -197,6 +209,8 @@
 
 	move->pending = PENDING_NONE;
 	move->writing = NULL;
+	if (MOVE_MUTANT == 3 && result == MOVE_WRITE_UNKNOWN)
+		result = MOVE_WRITE_DONE;
 	switch (result) {
 	case MOVE_WRITE_DONE:
 		move->absent = false;
@@ -218,7 +232,8 @@
 static bool
 past_deadline(const move_t *move, int64_t now_ms)
 {
-	return now_ms >= move->record->deadline_ms - MOVE_CLOCK_SKEW_MS;
+	return MOVE_MUTANT != 2 &&
+	       now_ms >= move->record->deadline_ms - MOVE_CLOCK_SKEW_MS;
 }
 
 move_state_t
@@ -258,7 +273,9 @@
 	case MOVE_RUNNING:
 		break;
 	}
-	if (move->stopped || move->superseded || move->absent)
+	if (move->stopped && MOVE_MUTANT != 5)
+		return 0;
+	if (move->superseded || move->absent)
 		return 0;
 	/* A declaration without a state sends nothing to the new version. */
 	if (move->record->lease[0] == '\0')
@@ -474,7 +491,7 @@
 	    .type = MOVE_ACTION_SWAP,
 	    .record = next,
 	    .expected = move->absent ? 0 : move->revision,
-	    .lease = running ? next->lease : NULL,
+	    .lease = running && MOVE_MUTANT != 1 ? next->lease : NULL,
 	};
 }
 
@@ -524,6 +541,8 @@
 		retry_later(move, now_ms, random);
 		return (move_action_t){.type = MOVE_ACTION_NONE};
 	}
+	if (MOVE_MUTANT == 4)
+		return finish(move, random);
 	return take_back(move,
 	    move->stopped ? move->reason : "no finish recorded by the deadline",
 	    random);
