Draw move ids and nonces from the system

The ids and nonces of moves came from node_random(), which repeats at nodes of the same seed and after a restart, so one node took the other's record for its own. It passed before only because an apply at one node had advanced that node's numbers.

node_unique() draws from the system and is used for nonces and ids of moves and of applies; node_random() stays for jitter and choices.

--- a/src/node.c
+++ b/src/node.c
@@ -6,6 +6,7 @@
 #include "log.h"
 
 #include <string.h>
+#include <sys/random.h>
 
 enum {
 	STORE_TIMEOUT_MS = 2000,
@@ -215,6 +216,17 @@
 	return (uint64_t)g_rand_int(node->rand) << 32 | g_rand_int(node->rand);
 }
 
+uint64_t
+node_unique(node_t *node)
+{
+	uint64_t number;
+
+	if (getrandom(&number, sizeof(number), 0) == (ssize_t)sizeof(number))
+		return number;
+	return node_random(node) ^ (uint64_t)node->incarnation << 16 ^
+	       (uint64_t)g_str_hash(node->config->name);
+}
+
 node_t *
 node_start(uv_loop_t *loop, node_config_t *config, GError **error)
 {
--- a/src/node.h
+++ b/src/node.h
@@ -75,7 +75,10 @@
 
 void node_free(node_t *node);
 
+/* From the configured seed: repeats at nodes of the same seed. */
 uint64_t node_random(node_t *node);
+/* For nonces and ids: from the system, whatever the seed. */
+uint64_t node_unique(node_t *node);
 
 /*
  * Parts. Each start function sets its pointer in the node; each handle
--- a/src/node_apply.c
+++ b/src/node_apply.c
@@ -370,16 +370,16 @@
 	return true;
 }
 
-/*
- * Not from node_random(): nodes with the same seed would give the same nonce,
- * and both of two concurrent applies would take the one write for theirs.
- */
 static char *
-nonce_of(const json_t *body)
+nonce_of(node_t *node, const json_t *body)
 {
 	const char *given = json_get_string(body, "nonce", "");
 
-	return given[0] != '\0' ? g_strdup(given) : g_uuid_string_random();
+	if (given[0] != '\0')
+		return g_strdup(given);
+	return g_strdup_printf("%016" G_GINT64_MODIFIER
+			       "x%016" G_GINT64_MODIFIER "x",
+	    node_unique(node), node_unique(node));
 }
 
 static char *
@@ -432,7 +432,7 @@
 	operation = operation_new(node, request, team);
 	operation->base = tree->revision - 1;
 	operation->tree = tree;
-	operation->nonce = nonce_of(body);
+	operation->nonce = nonce_of(node, body);
 	operation->nonce_given = json_object_get(body, "nonce") != NULL;
 	operation->value = value_of(tree, operation->nonce);
 	json_decref(body);
--- a/src/node_move.c
+++ b/src/node_move.c
@@ -296,7 +296,7 @@
 		move_read_done(entry->move, record, result->revision,
 		    move_result_failed(result) ||
 			(result->status == STORE_OK && record == NULL),
-		    clock_wall_ms(), node_random(node));
+		    clock_wall_ms(), node_unique(node));
 	move_record_free(record);
 	move_op_end(op);
 }
@@ -316,7 +316,7 @@
 		before = record->state;
 		stage = record->stage;
 		move_swap_done(entry->move, move_result_write(result),
-		    result->revision, clock_wall_ms(), node_random(node));
+		    result->revision, clock_wall_ms(), node_unique(node));
 		record = move_record(entry->move);
 		if (record->state != before || record->stage != stage) {
 			log_change(node, record);
@@ -401,7 +401,7 @@
 {
 	for (int i = 0; i < STEPS_MAX; i++) {
 		move_action_t action =
-		    move_step(move, writer, clock_wall_ms(), node_random(node));
+		    move_step(move, writer, clock_wall_ms(), node_unique(node));
 
 		if (action.type == MOVE_ACTION_NONE)
 			return;
@@ -425,7 +425,7 @@
 		node_move_take(op->node, record, result->revision);
 	else if (entry != NULL && result->status == STORE_ABSENT)
 		move_read_done(entry->move, NULL, 0, false, clock_wall_ms(),
-		    node_random(op->node));
+		    node_unique(op->node));
 	move_record_free(record);
 	move_op_end(op);
 }
--- a/src/node_move_api.c
+++ b/src/node_move_api.c
@@ -194,7 +194,7 @@
 	    .settings_revision = tree->revision,
 	    .policy = service->move_policy,
 	    .within_ms = within_ms,
-	    .random = node_random(node),
+	    .random = node_unique(node),
 	});
 	start_step(op);
 	g_free(name);
