--- a/src/node.c
+++ b/src/node.c
@@ -6,7 +6,7 @@
 #include "log.h"
 
 #include <string.h>
-#include <xxhash.h>
+#include <sys/random.h>
 
 enum {
 	STORE_TIMEOUT_MS = 2000,
@@ -210,28 +210,21 @@
 	g_error_free(error);
 }
 
-/*
- * With a fixed seed, the node's name and incarnation still enter: two nodes, or
- * one before and after a restart, must not draw the same ids and nonces.
- */
-static GRand *
-random_source(const node_t *node)
+uint64_t
+node_random(node_t *node)
 {
-	const node_config_t *config = node->config;
-	uint64_t name = XXH3_64bits(config->name, strlen(config->name));
-	guint32 seeds[] = {(guint32)config->seed,
-	    (guint32)(config->seed >> 32), (guint32)name,
-	    (guint32)(name >> 32), (guint32)node->incarnation};
-
-	if (config->seed == 0)
-		return g_rand_new();
-	return g_rand_new_with_seed_array(seeds, G_N_ELEMENTS(seeds));
+	return (uint64_t)g_rand_int(node->rand) << 32 | g_rand_int(node->rand);
 }
 
 uint64_t
-node_random(node_t *node)
+node_unique(node_t *node)
 {
-	return (uint64_t)g_rand_int(node->rand) << 32 | g_rand_int(node->rand);
+	uint64_t number;
+
+	if (getrandom(&number, sizeof(number), 0) == (ssize_t)sizeof(number))
+		return number;
+	return node_random(node) ^ (uint64_t)node->incarnation << 16 ^
+	       (uint64_t)g_str_hash(node->config->name);
 }
 
 node_t *
@@ -248,7 +241,9 @@
 	node->loop = loop;
 	node->config = config;
 	node->incarnation = clock_wall_ms();
-	node->rand = random_source(node);
+	node->rand = config->seed != 0
+			 ? g_rand_new_with_seed((guint32)config->seed)
+			 : g_rand_new();
 	node->counters = counters_new();
 	node->http = http_client_new(loop);
 	node->store =
