Fuzz the membership against an oracle

The oracle keeps the time of each node's last sign of life on a clock that stands still while the own node is paused, and checks states, incarnations and entry lists (no node twice, none draining, two zones where two have a usable node).

--- /dev/null
+++ b/fuzz/fuzz_member.c
@@ -0,0 +1,287 @@
+/* mutants of src/member.c: MEMBER_MUTANT=1 MEMBER_MUTANT=2 MEMBER_MUTANT=3 */
+/*
+ * Stateful fuzzing of the membership in a full mesh. The oracle keeps, per
+ * node, the time of its last sign of life on a clock that stands still while
+ * the own node is paused. Every input byte pair is one event.
+ */
+#include "member.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	NODES = 8, /* node 0 is the own one */
+	ZONES = 3,
+	START_MS = 1000000,
+	PAUSE_MIN_MS = 2101,
+	TICK_MS = 1000,
+	EVENTS_MAX = 48,
+};
+
+#define CHECK(condition)                                               \
+	do {                                                           \
+		if (!(condition)) {                                    \
+			fprintf(stderr, "violated: %s\n", #condition); \
+			abort();                                       \
+		}                                                      \
+	} while (0)
+
+typedef struct expected {
+	bool known;
+	bool heard;
+	bool draining;
+	int64_t incarnation;
+	int64_t sequence;
+	int64_t life_ms; /* awake time */
+} expected_t;
+
+typedef struct world {
+	members_t *members;
+	int64_t now_ms;
+	int64_t awake_ms;
+	expected_t nodes[NODES];
+} world_t;
+
+static const char *const names[NODES] = {
+    "n0", "n1", "n2", "n3", "n4", "n5", "n6", "n7"};
+static const char *const zones[ZONES] = {"a", "b", "c"};
+
+static member_hello_t
+hello_of(unsigned node, int64_t incarnation)
+{
+	return (member_hello_t){
+	    .node = names[node],
+	    .zone = zones[node % ZONES],
+	    .http_address = "127.0.0.1:1",
+	    .peer_address = "127.0.0.1:2",
+	    .incarnation = incarnation,
+	};
+}
+
+static void
+expect_learned(world_t *world, unsigned node, int64_t incarnation)
+{
+	expected_t *expected = &world->nodes[node];
+
+	if (node == 0 ||
+	    (expected->known && incarnation <= expected->incarnation))
+		return;
+	*expected = (expected_t){.known = true,
+	    .incarnation = incarnation,
+	    .life_ms = world->awake_ms};
+}
+
+static void
+learn(world_t *world, unsigned node, int64_t incarnation)
+{
+	member_hello_t hello = hello_of(node, incarnation);
+
+	members_learn(world->members, &hello, world->now_ms);
+	expect_learned(world, node, incarnation);
+}
+
+static void
+beat(world_t *world, unsigned node, int64_t sequence, bool draining)
+{
+	expected_t *expected = &world->nodes[node];
+	message_t message = {
+	    .type = MESSAGE_HEARTBEAT,
+	    .heartbeat = {.node = (char *)names[node],
+		.sequence = sequence,
+		.draining = draining},
+	};
+	bool accepted =
+	    members_heartbeat(world->members, &message, world->now_ms);
+
+	CHECK(accepted ==
+	      (node != 0 && expected->known && sequence > expected->sequence));
+	if (!accepted)
+		return;
+	expected->heard = true;
+	expected->draining |= draining;
+	expected->sequence = sequence;
+	expected->life_ms = world->awake_ms;
+}
+
+/* In a mesh a summary makes a node known and is no sign of life. */
+static void
+summarize(world_t *world, unsigned from, unsigned node, int64_t incarnation)
+{
+	message_member_t told = {
+	    .node = (char *)names[node],
+	    .http_address = "127.0.0.1:1",
+	    .peer_address = "127.0.0.1:2",
+	    .incarnation = incarnation,
+	};
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(told));
+	message_t message = {
+	    .type = MESSAGE_ZONE_SUM,
+	    .zone_sum = {.zone = (char *)zones[node % ZONES],
+		.members = members},
+	};
+
+	g_array_append_val(members, told);
+	members_summary(world->members, names[from], &message, world->now_ms);
+	if (from == 0 || world->nodes[from].known)
+		expect_learned(world, node, incarnation);
+	g_array_free(members, TRUE);
+}
+
+static void
+lose(world_t *world, unsigned node)
+{
+	expected_t *expected = &world->nodes[node];
+
+	members_lost(world->members, names[node], world->now_ms);
+	expected->life_ms =
+	    MIN(expected->life_ms, world->awake_ms - MEMBER_SUSPECT_MS);
+}
+
+static member_state_t
+expected_state(const world_t *world, unsigned node)
+{
+	const expected_t *expected = &world->nodes[node];
+	int64_t silence_ms = world->awake_ms - expected->life_ms;
+
+	if (node == 0)
+		return MEMBER_LIVE;
+	if (silence_ms >= MEMBER_GONE_MS)
+		return MEMBER_GONE;
+	if (!expected->heard || silence_ms >= MEMBER_SUSPECT_MS)
+		return MEMBER_SUSPECT;
+	return MEMBER_LIVE;
+}
+
+static void
+check_states(world_t *world)
+{
+	for (unsigned node = 0; node < NODES; node++) {
+		expected_t *expected = &world->nodes[node];
+		const member_t *member =
+		    members_find(world->members, names[node]);
+
+		if (node > 0 && expected->known &&
+		    world->awake_ms - expected->life_ms >= MEMBER_FORGET_MS)
+			expected->known = false;
+		CHECK((member != NULL) == expected->known);
+		if (member == NULL)
+			continue;
+		CHECK(member->state == expected_state(world, node));
+		CHECK(member->draining == expected->draining);
+		CHECK(
+		    node == 0 || member->incarnation == expected->incarnation);
+	}
+}
+
+static unsigned
+bits_of(unsigned bits)
+{
+	return (unsigned)__builtin_popcount(bits);
+}
+
+static void
+check_entry(world_t *world, const char *workspace, bool large)
+{
+	unsigned wanted = large ? MEMBER_ENTRY_LARGE : MEMBER_ENTRY_SMALL;
+	unsigned usable = 0, usable_zones = 0, listed = 0, listed_zones = 0;
+	GPtrArray *list = g_ptr_array_new();
+
+	for (unsigned node = 0; node < NODES; node++)
+		if (world->nodes[node].known && !world->nodes[node].draining &&
+		    expected_state(world, node) == MEMBER_LIVE) {
+			usable |= 1u << node;
+			usable_zones |= 1u << node % ZONES;
+		}
+	members_entry(world->members, workspace, large, list);
+	for (guint i = 0; i < list->len; i++) {
+		const member_t *member = list->pdata[i];
+		unsigned node = (unsigned)(member->node[1] - '0');
+
+		CHECK(!(listed & 1u << node));
+		CHECK(!member->draining);
+		listed |= 1u << node;
+		listed_zones |= 1u << node % ZONES;
+	}
+	if (usable != 0) {
+		CHECK((listed & ~usable) == 0);
+		CHECK(bits_of(listed) == MIN(wanted, bits_of(usable)));
+		CHECK(bits_of(listed_zones) >= MIN(2, bits_of(usable_zones)));
+	}
+	g_ptr_array_free(list, TRUE);
+}
+
+static void
+check(world_t *world)
+{
+	check_states(world);
+	check_entry(world, "workspace", world->now_ms % 2 == 0);
+}
+
+static void
+advance(world_t *world, int64_t ms)
+{
+	while (ms > 0) {
+		int64_t step_ms = MIN(ms, TICK_MS);
+
+		world->now_ms += step_ms;
+		world->awake_ms += step_ms;
+		ms -= step_ms;
+		members_tick(world->members, world->now_ms, NULL, NULL);
+	}
+}
+
+static void
+step(world_t *world, uint8_t op, uint8_t arg)
+{
+	unsigned node = arg % NODES;
+	int64_t number = arg / NODES;
+
+	switch (op % 8) {
+	case 0:
+		advance(world, arg * 10);
+		break;
+	case 1:
+		learn(world, node, 1 + number % 4);
+		break;
+	case 2:
+		beat(world, node, world->nodes[node].sequence + number % 4,
+		    arg & 0x80);
+		break;
+	case 3:
+		lose(world, node);
+		break;
+	case 4:
+		members_drain(world->members, names[node]);
+		world->nodes[node].draining |= world->nodes[node].known;
+		break;
+	case 5:
+		/* What is read before the first tick after a pause counts. */
+		world->now_ms += PAUSE_MIN_MS + arg * 1000;
+		beat(world, node, world->nodes[node].sequence + 1, false);
+		break;
+	case 6:
+		summarize(world, node, (unsigned)number % NODES, 1 + arg % 4);
+		break;
+	default:
+		advance(world, arg == 255 ? MEMBER_FORGET_MS
+					  : (int64_t)(arg % 16) * TICK_MS);
+		break;
+	}
+	members_tick(world->members, world->now_ms, NULL, NULL);
+	check(world);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	member_hello_t self = hello_of(0, 1);
+	world_t world = {.now_ms = START_MS, .awake_ms = START_MS};
+
+	world.nodes[0] = (expected_t){.known = true, .heard = true};
+	world.members = members_new(&self, 0, world.now_ms);
+	for (size_t at = 0; at + 1 < MIN(size, 2 * EVENTS_MAX); at += 2)
+		step(&world, data[at], data[at + 1]);
+	members_free(world.members);
+	return 0;
+}
--- a/src/member.c
+++ b/src/member.c
@@ -3,6 +3,11 @@
 #include <arpa/inet.h>
 #include <string.h>
 
+/* Broken variants that fuzz/fuzz_member.c must catch. */
+#ifndef MEMBER_MUTANT
+#define MEMBER_MUTANT 0
+#endif
+
 enum {
 	/* A tick this late means that the own node was paused. */
 	PAUSE_MS = 2000,
@@ -207,7 +212,11 @@
 	/* Summaries of an earlier time, when there were more nodes. */
 	if (members_mesh(members))
 		member->named = false;
+#if MEMBER_MUTANT != 3 /* forgets that a node leaves */
 	member->draining |= message->heartbeat.draining;
+#else
+	member->draining = message->heartbeat.draining;
+#endif
 	member->in_flight = message->heartbeat.in_flight;
 	take_revisions(member, message->heartbeat.revisions);
 	return true;
@@ -232,6 +241,9 @@
 {
 	const char *own = members->self->zone;
 
+#if MEMBER_MUTANT == 2 /* hearsay counts */
+	return true;
+#endif
 	if (members_mesh(members) || strcmp(zone, own) == 0)
 		return false;
 	return strcmp(from->zone, zone) == 0 || strcmp(from->zone, own) == 0;
@@ -404,8 +416,10 @@
 	member_t *member, *next;
 	member_state_t state;
 
+#if MEMBER_MUTANT != 1 /* takes an own pause as silence of the others */
 	if (since_ms > PAUSE_MS)
 		forgive_pause(members, since_ms, now_ms);
+#endif
 	members->tick_ms = now_ms;
 	for (member = LIST_FIRST(&members->list); member != NULL;
 	     member = next) {
