--- a/tests/support_chat.c
+++ b/tests/support_chat.c
@@ -98,28 +98,39 @@
 	return answer;
 }
 
+/* Text of a line's token, with its event; NULL where it has none. */
+static const char *
+token_of(const char *line, size_t length, json_t **event)
+{
+	const size_t field = strlen("data: ");
+	json_t *choice;
+
+	*event = length > field
+		     ? json_loadb(line + field, length - field, 0, NULL)
+		     : NULL;
+	choice = json_array_get(json_object_get(*event, "choices"), 0);
+	return json_string_value(json_object_get(choice, "text"));
+}
+
 int
 chat_tokens(const answer_t *answer, const char *prompt)
 {
-	char **lines = g_strsplit(answer->body->str, "\n", -1);
+	const char *line = answer->body->str;
+	const char *end;
 	int count = 0;
 
-	for (size_t i = 0; lines[i] != NULL && count >= 0; i++) {
-		json_t *event = g_str_has_prefix(lines[i], "data: {")
-				    ? json_loads(lines[i] + 6, 0, NULL)
-				    : NULL;
-		json_t *choice =
-		    json_array_get(json_object_get(event, "choices"), 0);
-		const char *text =
-		    json_string_value(json_object_get(choice, "text"));
+	/* Not by g_strsplit(), which is quadratic under AddressSanitizer. */
+	while (count >= 0 && (end = strchr(line, '\n')) != NULL) {
 		papaya_token_t token =
 		    papaya_token("v1", prompt, (unsigned)count);
+		json_t *event;
+		const char *text = token_of(line, (size_t)(end - line), &event);
 
 		if (text != NULL)
 			count = strcmp(text, token.text) == 0 ? count + 1 : -1;
 		json_decref(event);
+		line = end + 1;
 	}
-	g_strfreev(lines);
 	return count;
 }
 
