--- a/src/stream.c
+++ b/src/stream.c
@@ -5,6 +5,19 @@
 
 #include <string.h>
 
+/*
+ * STREAM_MUTANT compiles a fault in, for the checks of the checks:
+ * 1: the header's id is not checked;
+ * 2: the events' ids and versions are not checked;
+ * 3: the events' indexes are not checked;
+ * 4: a connection that ends after the last token makes the response whole;
+ * 5: data of earlier attempts counts;
+ * 6: an end mark is taken at any token.
+ */
+#ifndef STREAM_MUTANT
+#define STREAM_MUTANT 0
+#endif
+
 struct stream {
 	unsigned max_tokens;
 	char *version;
@@ -77,7 +90,8 @@
 static bool
 is_current(const stream_t *stream, const char *id)
 {
-	return stream->current != NULL && strcmp(stream->current, id) == 0;
+	return stream->current != NULL &&
+	       (STREAM_MUTANT == 5 || strcmp(stream->current, id) == 0);
 }
 
 static stream_status_t
@@ -104,7 +118,7 @@
 		return end_attempt(stream, STREAM_REJECTED);
 	if (status != 200)
 		return end_attempt(stream, STREAM_FAILED);
-	if (echoed == NULL || strcmp(echoed, id) != 0)
+	if (STREAM_MUTANT != 1 && (echoed == NULL || strcmp(echoed, id) != 0))
 		return end_attempt(stream, STREAM_MISDELIVERED);
 	return STREAM_OPEN;
 }
@@ -115,6 +129,12 @@
 	return stream->text_length + strlen(text) > STREAM_TEXT_MAX;
 }
 
+static bool
+is_next(const stream_t *stream, int64_t index)
+{
+	return STREAM_MUTANT == 3 || index == (int64_t)stream->tokens->len;
+}
+
 static stream_status_t
 take_token(stream_t *stream, const json_t *event)
 {
@@ -124,7 +144,7 @@
 	const char *finish = json_get_string(choice, "finish_reason", NULL);
 
 	if (stream->held != NULL || text == NULL ||
-	    json_get_int(event, "index", -1) != (int64_t)stream->tokens->len ||
+	    !is_next(stream, json_get_int(event, "index", -1)) ||
 	    stream->tokens->len >= stream->max_tokens ||
 	    reached_text_max(stream, text))
 		return STREAM_MALFORMED;
@@ -142,6 +162,14 @@
 	return STREAM_OPEN;
 }
 
+static bool
+is_own(const stream_t *stream, const char *id, const char *version)
+{
+	return STREAM_MUTANT == 2 || STREAM_MUTANT == 5 ||
+	       (strcmp(id, stream->current) == 0 &&
+		   strcmp(version, stream->version) == 0);
+}
+
 static stream_status_t
 take_event(stream_t *stream, const char *text, size_t length)
 {
@@ -154,8 +182,7 @@
 		status = STREAM_MALFORMED;
 	else if (json_object_get(event, "error") != NULL)
 		status = STREAM_FAILED;
-	else if (strcmp(id, stream->current) != 0 ||
-		 strcmp(version, stream->version) != 0)
+	else if (!is_own(stream, id, version))
 		status = STREAM_MISDELIVERED;
 	else
 		status = take_token(stream, event);
@@ -166,9 +193,10 @@
 static stream_status_t
 take_done(stream_t *stream)
 {
-	if (stream->held == NULL)
+	if (stream->held == NULL && STREAM_MUTANT != 6)
 		return STREAM_TRUNCATED;
-	g_ptr_array_add(stream->tokens, g_steal_pointer(&stream->held));
+	if (stream->held != NULL)
+		g_ptr_array_add(stream->tokens, g_steal_pointer(&stream->held));
 	stream->complete = true;
 	return STREAM_COMPLETE;
 }
@@ -197,6 +225,8 @@
 {
 	if (!is_current(stream, id))
 		return STREAM_STALE;
+	if (STREAM_MUTANT == 4 && stream->tokens->len + 1 >= stream->max_tokens)
+		return end_attempt(stream, take_done(stream));
 	return end_attempt(stream, STREAM_TRUNCATED);
 }
 
