--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -301,6 +301,37 @@
 }
 END_TEST
 
+static bool
+are_queued(void *data)
+{
+	return counter_read(chat.node, "requests_queued_total") >= 8;
+}
+
+/* Guards against a queue without bound, and against fast refusals. */
+START_TEST(overload_is_refused_slowly_as_not_run)
+{
+	GThread *threads[9];
+	answer_t *answer;
+	gint64 start;
+
+	chat_start("standin-engine", "chat", 1, NULL);
+	faults_set(chat.one, "{\"token_ms\": 5}");
+	faults_set(chat.two, "{\"token_ms\": 5}");
+	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
+		threads[i] = g_thread_new("queued", complete_plainly, "queued");
+	wait_until(are_queued, NULL);
+	start = g_get_monotonic_time();
+	answer = chat_complete(true, "refused", NULL, NULL, NULL);
+	ck_assert_int_eq(answer->status, 429);
+	ck_assert_str_eq(answer_header(answer, "papaya-not-run"), "true");
+	ck_assert_ptr_nonnull(answer_header(answer, "retry-after"));
+	ck_assert_int_ge(g_get_monotonic_time() - start, 100000);
+	answer_free(answer);
+	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
+		chat_check(g_thread_join(threads[i]), "queued");
+}
+END_TEST
+
 static answer_t *
 get_page(const char *path)
 {
@@ -425,6 +456,7 @@
 	tcase_add_test(tests, slow_client_gets_everything);
 	tcase_add_test(tests, duplicates_share_one_attempt);
 	tcase_add_test(tests, drain_finishes_what_was_accepted);
+	tcase_add_test(tests, overload_is_refused_slowly_as_not_run);
 	tcase_add_loop_test(
 	    tests, plain_requests_are_retried, 0, G_N_ELEMENTS(plain_cases));
 	tcase_add_test(tests, bad_requests_get_typed_errors);
