--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -1,5 +1,4 @@
-/* mutants of src/ledger_part.c: LEDGER_MUTANT=1 LEDGER_MUTANT=2 LEDGER_MUTANT=3
- */
+/* mutants of src/ledger_part.c: LEDGER_MUTANT=1,2,3 */
 /*
  * Stateful fuzzing of the ledger: three nodes, one store, and an oracle that
  * counts the runs of each key. Every input byte pair is one event.
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 seconds=${1:-}
 runs=15000
-mutant_seconds=60
+mutant_runs=60000
 limits=(-seed=1 -max_len=1024 -len_control=0 -timeout=20 -rss_limit_mb=2048)
 scripts/build.sh build-fuzz -DCMAKE_C_COMPILER=clang -DPAPAYA_FUZZ=ON \
     -DPAPAYA_SANITIZE=ON >build-fuzz.log 2>&1 || {
@@ -26,16 +26,25 @@
 	    build-fuzz/libpapaya.a $libraries -lm -o "$4"
 }
 
+# The first line of a target may be: /* mutants of SOURCE: MACRO=1,2,3 */; it
+# then prints "violated: CONDITION" where its oracle finds a fault.
 check_mutants() { # TARGET
-	local source macro program scratch
-	source=$(sed -n 's|^/\* mutants of \([^:]*\):.*|\1|p;q' "fuzz/$1.c")
-	[ -n "$source" ] || return 0
-	for macro in $(sed -n 's|^/\* mutants of [^:]*: \(.*\) \*/|\1|p;q' \
-	    "fuzz/$1.c"); do
+	local line source name values macro program scratch
+	line=$(head -1 "fuzz/$1.c")
+	[[ $line == *"mutants of"* ]] || return 0
+	[[ $line =~ ^/\*\ mutants\ of\ ([^:]+):\ ([A-Z_]+)=([0-9,]+)\ \*/$ ]] || {
+		echo "fuzz: $1: cannot read its first line: $line"
+		exit 1
+	}
+	source=${BASH_REMATCH[1]}
+	name=${BASH_REMATCH[2]}
+	values=${BASH_REMATCH[3]}
+	for macro in ${values//,/ }; do
+		macro=$name=$macro
 		program=build-fuzz/$1-$macro
 		scratch=$(mktemp -d)
 		build_mutant "$source" "$macro" "$1" "$program"
-		if "$program" "${limits[@]}" -max_total_time=$mutant_seconds \
+		if "$program" "${limits[@]}" -runs=$mutant_runs \
 		    -artifact_prefix="$scratch/" "$scratch" "fuzz/corpus/$1" \
 		    >"$scratch.log" 2>&1; then
 			echo "fuzz: $1 does not catch the mutant $macro"
