--- a/src/node_book.h
+++ b/src/node_book.h
@@ -60,8 +60,19 @@
 	int64_t origin_ms; /* wall clock less monotonic, at the start */
 	uint64_t next_id;
 	bool pumping;
+	bool checking;	 /* book_check_start() is in progress */
+	bool checked;	 /* this node's number of partitions is the store's */
+	bool complained; /* logged that it is not */
 };
 
+/*
+ * Compares the number of partitions with the one at the store's key
+ * "ledger/partitions", which the first node creates. A node with another
+ * number would look for a key's record in another partition and run it again,
+ * so it makes no ledger call.
+ */
+void book_check_start(node_books_t *books);
+
 /*
  * Wall clock that never jumps: the ledger's timeouts and its retention use
  * the same time.
