Refuse to send what receivers refuse, and remove the record on a stop

A node that stopped without requests in progress ended before its record was removed from the store; the drain now waits for that.

--- a/src/message.c
+++ b/src/message.c
@@ -61,7 +61,7 @@
 	FIELD(INT64, leaving.leave_at_ms), FIELD(STRING, leaving.source)},
     [MESSAGE_MOVE_STOP] = {FIELD(NAME, move_stop.service),
 	FIELD(NAME, move_stop.move), FIELD(STRING, move_stop.reason)},
-    [MESSAGE_MOVE_STATE] = {FIELD(NAME, move_state.service),
+    [MESSAGE_MOVE_STATE] = {FIELD(STRING, move_state.service),
 	FIELD(TEXT, move_state.record)},
     [MESSAGE_OUTCOME_ASK] = {FIELD(NAME, outcome_ask.service),
 	FIELD(NAME, outcome_ask.key), FIELD(STRING, outcome_ask.nonce)},
@@ -316,6 +316,28 @@
 	return items;
 }
 
+/* True where receivers accept the names; an oversized text is found later. */
+static bool
+names_fit(const message_t *message, const field_t *field)
+{
+	for (; field->kind != FIELD_NONE; field++) {
+		const char *name;
+
+		if (field->kind != FIELD_NAME && field->kind != FIELD_STRING)
+			continue;
+		name = *(char *const *)(const void *)((const char *)message +
+						      field->offset);
+		if (name == NULL || name[0] == '\0') {
+			if (field->kind == FIELD_NAME)
+				return false;
+			continue;
+		}
+		if (strnlen(name, NAME_MAX_BYTES + 1) > NAME_MAX_BYTES)
+			return false;
+	}
+	return true;
+}
+
 void
 message_encode(const message_t *message, GByteArray *out)
 {
@@ -325,7 +347,7 @@
 	msgpack_packer packer;
 	guint32 length;
 
-	if (field == NULL)
+	if (field == NULL || !names_fit(message, field))
 		return;
 	g_byte_array_append(out, no_length, sizeof(no_length));
 	msgpack_packer_init(&packer, out, append_packed);
--- a/src/message.h
+++ b/src/message.h
@@ -84,8 +84,8 @@
 			char *reason;
 		} move_stop;
 		struct {
-			char *service;
-			char *record; /* JSON text */
+			char *service; /* "": of no single one */
+			char *record;  /* JSON text */
 		} move_state;
 		struct {
 			char *service;
@@ -121,8 +121,9 @@
 void message_clear(message_t *message);
 
 /*
- * Appends one frame, length included; nothing where it would exceed
- * MESSAGE_FRAME_MAX. A NULL string is sent as an empty one.
+ * Appends one frame, length included. Appends nothing where receivers would
+ * refuse it and close the connection: over MESSAGE_FRAME_MAX, or a name that
+ * is empty or too long. A NULL string is sent as an empty one.
  */
 void message_encode(const message_t *message, GByteArray *out);
 
--- a/src/node.c
+++ b/src/node.c
@@ -281,7 +281,8 @@
 	unsigned active = http_server_active(drain->node->server) +
 			  node_books_active(drain->node);
 
-	if (active > 0 && clock_mono_ms() < drain->until_ms)
+	if ((active > 0 || !node_peers_left(drain->node)) &&
+	    clock_mono_ms() < drain->until_ms)
 		return;
 	log_event(active > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "node.drained",
 	    "node=%s interrupted=%u", drain->node->config->name, active);
--- a/src/node.h
+++ b/src/node.h
@@ -113,6 +113,8 @@
 bool node_peers_handle(node_t *node, http_request_t *request);
 /* Leaves the entry list and tells the peers. */
 void node_peers_drain(node_t *node);
+/* True once the record in the store is removed, or that has failed. */
+bool node_peers_left(const node_t *node);
 /*
  * HTTP IP:PORT of a live node of another zone, valid until the event loop
  * runs on; NULL if there is none.
--- a/src/node_join.c
+++ b/src/node_join.c
@@ -33,7 +33,8 @@
 	bool registered;  /* at least once */
 	bool pending;	  /* a call is in progress */
 	bool listing;
-	bool stopped; /* leaving, or replaced by a newer process */
+	bool deleting; /* the record, as the node leaves */
+	bool stopped;  /* leaving, or replaced by a newer process */
 };
 
 static void step(node_join_t *join);
@@ -324,6 +325,10 @@
 static void
 on_deleted(const store_result_t *result, void *data)
 {
+	node_join_t *join = data;
+
+	/* Where this failed, the record ends with its lease. */
+	join->deleting = false;
 }
 
 void
@@ -331,8 +336,16 @@
 {
 	node_join_t *join = peers->join;
 
-	if (join->written && !join->stopped)
+	if (join->written && !join->stopped) {
+		join->deleting = true;
 		store_delete(peers->node->store, join->key, join->revision,
-		    on_deleted, NULL);
+		    on_deleted, join);
+	}
 	join->stopped = true;
 }
+
+bool
+node_join_left(const node_peers_t *peers)
+{
+	return !peers->join->deleting;
+}
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -28,7 +28,7 @@
 	message_encode(message, frame);
 	if (frame->len == 0)
 		counter_add(
-		    peers->node->counters, 1, "peer_oversized_messages_total");
+		    peers->node->counters, 1, "peer_unsendable_messages_total");
 	return g_byte_array_free_to_bytes(frame);
 }
 
@@ -474,6 +474,12 @@
 	node_join_leave(peers);
 }
 
+bool
+node_peers_left(const node_t *node)
+{
+	return node_join_left(node->peers);
+}
+
 void
 node_peers_broadcast(node_t *node, const message_t *message)
 {
--- a/src/node_peer.h
+++ b/src/node_peer.h
@@ -47,6 +47,7 @@
 void node_join_start(node_peers_t *peers);
 void node_join_free(node_peers_t *peers);
 void node_join_leave(node_peers_t *peers);
+bool node_join_left(const node_peers_t *peers);
 
 /* Between zones, where not all nodes are connected to each other. */
 void node_relay_start(node_peers_t *peers);
--- a/src/peer.c
+++ b/src/peer.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "error.h"
 #include "frame.h"
+#include "log.h"
 
 #include <string.h>
 #include <sys/queue.h>
@@ -186,12 +187,18 @@
 static bool
 take_frame(accepted_t *accepted, const uint8_t *payload, size_t length)
 {
+	GError *error = NULL;
 	message_t message;
 	bool ok;
 
 	accepted->idle_sweeps = 0;
-	if (!message_decode(payload, length, &message, NULL)) {
+	if (!message_decode(payload, length, &message, &error)) {
 		count(accepted->hub, "peer_bad_frames_total");
+		/* From a node it is a fault, from others to be expected. */
+		if (accepted->node != NULL)
+			log_event(LOG_LEVEL_ERROR, "peer.bad_frame",
+			    "from=%s error=%s", accepted->node, error->message);
+		g_error_free(error);
 		return false;
 	}
 	ok = take_message(accepted, &message);
--- /dev/null
+++ b/tests/test_link.c
@@ -0,0 +1,204 @@
+#include "peer.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum {
+	FRAME_BYTES = 64 * 1024,
+	/* Far more than the sockets' buffers and the queue together. */
+	FRAMES_MAX = 4096,
+	LOOP_MS = 20000,
+};
+
+static uv_loop_t *loop;
+static counters_t *counters;
+static GRand *rand_source;
+static unsigned ups, messages;
+
+static void
+on_up(peer_link_t *link, void *data)
+{
+	ups++;
+}
+
+static bool
+on_hello(const message_t *message, void *data)
+{
+	return true;
+}
+
+static void
+on_message(const char *from, const message_t *message, void *data)
+{
+	messages++;
+}
+
+static void
+on_lost(const char *from, void *data)
+{
+}
+
+static peer_hub_t *
+hub_new(void)
+{
+	peer_hub_options_t options = {
+	    .loop = loop,
+	    .address = "127.0.0.1",
+	    .counters = counters,
+	    .rand = rand_source,
+	    .on_up = on_up,
+	    .on_hello = on_hello,
+	    .on_message = on_message,
+	    .on_lost = on_lost,
+	};
+	peer_hub_t *hub = peer_hub_new(&options, NULL);
+
+	ck_assert_ptr_nonnull(hub);
+	return hub;
+}
+
+static void
+set_up(void)
+{
+	loop = uv_default_loop();
+	counters = counters_new();
+	rand_source = g_rand_new_with_seed(1);
+	ups = 0;
+	messages = 0;
+}
+
+static void
+tear_down(void)
+{
+	uv_run(loop, UV_RUN_DEFAULT);
+	counters_free(counters);
+	g_rand_free(rand_source);
+}
+
+/* Runs the loop until a count reaches a value. */
+static void
+run_until(const unsigned *count, unsigned value)
+{
+	gint64 end = g_get_monotonic_time() + LOOP_MS * 1000LL;
+
+	while (*count < value) {
+		ck_assert(g_get_monotonic_time() < end);
+		uv_run(loop, UV_RUN_ONCE);
+	}
+}
+
+/* A socket that listens and never reads. */
+static int
+listen_silently(char *address, size_t size)
+{
+	struct sockaddr_in bound = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(bound);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&bound, sizeof(bound)), 0);
+	ck_assert_int_eq(listen(fd, 8), 0);
+	getsockname(fd, (struct sockaddr *)&bound, &length);
+	g_snprintf(address, size, "127.0.0.1:%d", ntohs(bound.sin_port));
+	return fd;
+}
+
+/* Guards against buffering without end for a peer that does not read. */
+START_TEST(a_peer_that_does_not_read_is_disconnected)
+{
+	void *zeros = g_malloc0(FRAME_BYTES);
+	GBytes *frame = g_bytes_new_take(zeros, FRAME_BYTES);
+	peer_hub_t *hub = hub_new();
+	char address[32];
+	int fd = listen_silently(address, sizeof(address));
+	peer_link_t *link = peer_link_open(hub, address);
+	unsigned sent = 0;
+
+	run_until(&ups, 1);
+	while (sent < FRAMES_MAX && peer_link_send(link, frame)) {
+		sent++;
+		uv_run(loop, UV_RUN_NOWAIT);
+	}
+	ck_assert_uint_lt(sent, FRAMES_MAX);
+	ck_assert(!peer_link_up(link));
+	ck_assert_uint_eq(
+	    *counter_get(counters, "peer_slow_disconnected_total"), 1);
+	ck_assert(!peer_link_send(link, frame));
+	/* It is tried again, as the peer may have recovered. */
+	run_until(&ups, 2);
+	ck_assert(peer_link_up(link));
+	peer_hub_free(hub);
+	g_bytes_unref(frame);
+	close(fd);
+}
+END_TEST
+
+static GBytes *
+frame_of(const message_t *message)
+{
+	GByteArray *frame = g_byte_array_new();
+
+	message_encode(message, frame);
+	return g_byte_array_free_to_bytes(frame);
+}
+
+/*
+ * Guards against a message that is lost while the link connects, and against
+ * one taken from a connection that has not introduced itself.
+ */
+START_TEST(early_messages_follow_the_hello)
+{
+	message_t hello = {.type = MESSAGE_HELLO,
+	    .hello = {.node = "n1",
+		.zone = "a",
+		.http_address = "127.0.0.1:1",
+		.peer_address = "127.0.0.1:2"}};
+	message_t want = {
+	    .type = MESSAGE_SETTINGS_WANT, .settings_want = {.team = "t"}};
+	GBytes *hello_frame = frame_of(&hello), *want_frame = frame_of(&want);
+	peer_hub_t *hub = hub_new();
+	peer_link_t *good, *bad;
+	char address[32];
+
+	g_snprintf(
+	    address, sizeof(address), "127.0.0.1:%d", peer_hub_port(hub));
+	good = peer_link_open(hub, address);
+	bad = peer_link_open(hub, address);
+	ck_assert(peer_link_send(good, hello_frame));
+	ck_assert(peer_link_send(good, want_frame));
+	ck_assert(peer_link_send(bad, want_frame));
+	run_until(&messages, 1);
+	/* The bad one is closed by the hub and connects again. */
+	run_until(&ups, 3);
+	ck_assert_uint_eq(messages, 1);
+	ck_assert_uint_eq(
+	    *counter_get(counters, "peer_unexpected_messages_total"), 1);
+	ck_assert(peer_link_up(good));
+	peer_hub_free(hub);
+	g_bytes_unref(hello_frame);
+	g_bytes_unref(want_frame);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("link");
+	TCase *tests = tcase_create("link");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, set_up, tear_down);
+	tcase_set_timeout(tests, 60);
+	tcase_add_test(tests, a_peer_that_does_not_read_is_disconnected);
+	tcase_add_test(tests, early_messages_follow_the_hello);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
