Decode an empty string as one

msgpack-c gives a NULL pointer for an empty string, and so did the decoded message, which crashed the first reader of an empty service name. The message test checks it now.

--- a/src/message.c
+++ b/src/message.c
@@ -374,7 +374,8 @@
 	/* Refuses NUL bytes too. */
 	if (!g_utf8_validate(bytes, (gssize)length, NULL))
 		return false;
-	*out = g_strndup(bytes, length);
+	/* msgpack-c gives NULL for an empty string. */
+	*out = g_strndup(length > 0 ? bytes : "", length);
 	return true;
 }
 
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -116,6 +116,8 @@
 	frame = encode(&sent);
 	ck_assert(message_decode(frame->data + 4, frame->len - 4, &got, NULL));
 	ck_assert_uint_eq(got.outcome.length, 3);
+	/* An empty string must not become NULL. */
+	ck_assert_str_eq(got.outcome.nonce, "");
 	ck_assert_mem_eq(got.outcome.body, "\0\0\xff", 3);
 	message_clear(&sent);
 	message_clear(&got);
