--- a/src/node_book.c
+++ b/src/node_book.c
@@ -98,11 +98,21 @@
 static void
 call_store(node_books_t *books, const ledger_action_t *action)
 {
+	static const store_result_t not_sent = {.status = STORE_NOT_SENT};
 	book_part_t *part = &books->parts[action->partition];
-	char *key = g_strdup_printf("ledger/%04u", action->partition);
 	const void *bytes;
 	gsize length;
+	char *key;
 
+	if (!books->checked) {
+		book_check_start(books);
+		if (action->kind == LEDGER_READ)
+			on_read(&not_sent, part);
+		else
+			on_swapped(&not_sent, part);
+		return;
+	}
+	key = g_strdup_printf("ledger/%04u", action->partition);
 	if (action->kind == LEDGER_READ) {
 		store_get(books->node->store, key, on_read, part);
 	} else {
@@ -331,6 +341,7 @@
 	TAILQ_INIT(&books->runs);
 	uv_timer_init(node->loop, &books->timer);
 	books->timer.data = books;
+	book_check_start(books);
 }
 
 static void
