--- a/src/message.c
+++ b/src/message.c
@@ -372,7 +372,7 @@
 	if (object->type != MSGPACK_OBJECT_STR || length < min || length > max)
 		return false;
 	/* Refuses NUL bytes too. */
-	if (!g_utf8_validate(bytes, (gssize)length, NULL))
+	if (length > 0 && !g_utf8_validate(bytes, (gssize)length, NULL))
 		return false;
 	/* msgpack-c gives NULL for an empty string. */
 	*out = g_strndup(length > 0 ? bytes : "", length);
