Blame no backend server for a client's own short timeout

Three requests with a tiny Papaya-Timeout-Ms made a backend server suspect for everyone. The end of a call's time counts as a failure only where the backend server had its patience. A slow pace between tokens is evidence for moves.

--- a/src/node.h
+++ b/src/node.h
@@ -144,7 +144,10 @@
 bool node_moves_relays(const message_t *message);
 /* Version for a new request; valid until the next settings change. */
 const char *node_moves_version(node_t *node, const service_t *service);
-/* Evidence of one finished attempt. first_ms: to the first token or answer. */
+/*
+ * Evidence of one finished attempt. first_ms: to the first token or answer, or
+ * more where the pace between tokens is worse by its objective.
+ */
 void node_moves_observe(node_t *node, const service_t *service,
     const char *version, const char *route, bool ok, double first_ms);
 
--- a/src/node_attempt.c
+++ b/src/node_attempt.c
@@ -1,6 +1,13 @@
 #include "clock.h"
 #include "node_call.h"
 
+enum {
+	/* Multiples of the objective after which a response is overdue. */
+	PATIENCE_OBJECTIVES = 4,
+	/* Without an objective: this part of the service's timeout. */
+	PATIENCE_TIMEOUT_PARTS = 4,
+};
+
 static void
 list_remove(attempt_t *attempt)
 {
@@ -89,6 +96,51 @@
 	       attempt->backend->state == BACKEND_SUSPECT;
 }
 
+/*
+ * Time to the first token or answer. A pace between tokens that is worse by
+ * its objective counts as a first token worse by as much, since a version may
+ * be slow in either.
+ */
+static double
+evidence_ms(const attempt_t *attempt, double first_ms)
+{
+	const slo_t *slo = &attempt->call->service->slo;
+	double gap_ms;
+
+	if (attempt->tokens < 2 || slo->first_token_ms == 0 ||
+	    slo->between_tokens_ms == 0)
+		return first_ms;
+	gap_ms = (double)(attempt->last_ms - attempt->first_ms) /
+		 (attempt->tokens - 1);
+	return MAX(
+	    first_ms, gap_ms * slo->first_token_ms / slo->between_tokens_ms);
+}
+
+int64_t
+call_patience_ms(const call_t *call)
+{
+	const service_t *service = call->service;
+	int objective_ms = call->kind == CALL_MODEL
+			       ? service->slo.first_token_ms
+			       : service->slo.answer_ms;
+
+	if (objective_ms == 0)
+		return MAX(
+		    STALL_MIN_MS, service->timeout_ms / PATIENCE_TIMEOUT_PARTS);
+	return MAX(STALL_MIN_MS, (int64_t)objective_ms * PATIENCE_OBJECTIVES);
+}
+
+attempt_result_t
+attempt_expired(const attempt_t *attempt)
+{
+	int64_t waited_ms = clock_mono_ms() - attempt->begun_ms;
+
+	return attempt->first_ms == 0 &&
+		       waited_ms >= call_patience_ms(attempt->call)
+		   ? ATTEMPT_FAILED
+		   : ATTEMPT_GIVEN_UP;
+}
+
 void
 attempt_report(attempt_t *attempt, attempt_result_t result)
 {
@@ -105,7 +157,8 @@
 	backend_end(backend, result != ATTEMPT_FAILED, latency_ms, now_ms);
 	if (call != NULL && is_evidence(attempt, result))
 		node_moves_observe(call->node, call->service, backend->version,
-		    call->route, result == ATTEMPT_OK, latency_ms);
+		    call->route, result == ATTEMPT_OK,
+		    evidence_ms(attempt, latency_ms));
 }
 
 void
--- a/src/node_call.c
+++ b/src/node_call.c
@@ -298,9 +298,8 @@
 
 	if (call->kind == CALL_BOOK && call->state == CALL_RUNNING)
 		return; /* node_book knows what may be said */
-	/* A backend server that gave nothing until now has failed. */
-	if (attempt != NULL && attempt->first_ms == 0)
-		attempt_report(attempt, ATTEMPT_FAILED);
+	if (attempt != NULL)
+		attempt_report(attempt, attempt_expired(attempt));
 	call_fail(call, PAPAYA_ERROR_DEADLINE_EXCEEDED,
 	    "service %s: no whole response within %" G_GINT64_FORMAT " ms",
 	    call->service->name, call->deadline_ms - call->started_ms);
--- a/src/node_call.h
+++ b/src/node_call.h
@@ -201,6 +201,13 @@
     call_t *call, backend_t *backend, const attempt_request_t *request);
 /* Reports the result once, to the backend's record and to the moves. */
 void attempt_report(attempt_t *attempt, attempt_result_t result);
+/*
+ * What the end of the call's time says of its attempt: a failure only where
+ * the backend server had its time, which a client's own timeout may cut short.
+ */
+attempt_result_t attempt_expired(const attempt_t *attempt);
+/* Time for the first token or answer after which it is overdue. */
+int64_t call_patience_ms(const call_t *call);
 /* Lets the connection end by itself; the call has what it needs. */
 void attempt_detach(attempt_t *attempt);
 /* Closes the connection and frees the attempt. */
--- a/src/node_choose.c
+++ b/src/node_choose.c
@@ -81,6 +81,7 @@
 		call->without_backend_ms = 0;
 		return backend;
 	}
+	counter_add(call->node->counters, 1, "backend_waits_total");
 	/* All usable ones were tried: after a pause each may be tried again. */
 	g_ptr_array_set_size(call->excluded, 0);
 	call_pick_version(call);
--- a/src/node_model.c
+++ b/src/node_model.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 enum {
-	/* Multiples of the objectives that count as a stall. */
-	STALL_FIRST_OBJECTIVES = 4,
-	STALL_NEXT_OBJECTIVES = 16,
+	/* Multiples of the objective between tokens that count as a stall. */
+	STALL_OBJECTIVES = 16,
+	STALL_DEFAULT_MS = 5000, /* without an objective */
 	STALL_CHECK_MS = 250,
 };
 
@@ -172,12 +172,13 @@
 static int64_t
 stall_ms(const call_t *call, const attempt_t *attempt)
 {
-	const slo_t *slo = &call->service->slo;
-	int64_t stall = attempt->first_ms == 0
-			    ? slo->first_token_ms * STALL_FIRST_OBJECTIVES
-			    : slo->between_tokens_ms * STALL_NEXT_OBJECTIVES;
+	int64_t between_ms = call->service->slo.between_tokens_ms;
 
-	return MAX(stall, STALL_MIN_MS);
+	if (attempt->first_ms == 0)
+		return call_patience_ms(call);
+	if (between_ms == 0)
+		return STALL_DEFAULT_MS;
+	return MAX(between_ms * STALL_OBJECTIVES, STALL_MIN_MS);
 }
 
 static bool
@@ -322,7 +323,9 @@
 	} else {
 		bool sent = result->outcome != HTTP_OUTCOME_NOT_SENT;
 
-		attempt_report(attempt, ATTEMPT_FAILED);
+		attempt_report(attempt, result->outcome == HTTP_OUTCOME_TIMEOUT
+					    ? attempt_expired(attempt)
+					    : ATTEMPT_FAILED);
 		next_attempt(call, attempt->backend, sent,
 		    sent ? stream_status_name(status) : "unreachable");
 	}
--- a/src/node_plain.c
+++ b/src/node_plain.c
@@ -7,7 +7,6 @@
 enum {
 	/* Responses of plain services are held in memory until complete. */
 	BODY_MAX = 8 * 1024 * 1024,
-	STALL_OBJECTIVES = 4, /* multiples of the objective's answer time */
 };
 
 /* Response headers that reach the client, besides the body. */
@@ -16,16 +15,6 @@
 
 static void plain_attempt(call_t *call);
 
-static int64_t
-stall_ms(const call_t *call)
-{
-	int objective_ms = call->service->slo.answer_ms;
-
-	if (objective_ms == 0)
-		objective_ms = call->service->timeout_ms / 8;
-	return MAX(STALL_MIN_MS, (int64_t)objective_ms * STALL_OBJECTIVES);
-}
-
 static bool
 on_data(http_call_t *http, const char *bytes, size_t length, void *data)
 {
@@ -103,7 +92,9 @@
 	    "attempts_failed_total{reason=\"%s\"}", failure);
 	call->sent |= result->outcome != HTTP_OUTCOME_NOT_SENT;
 	call_exclude(call, attempt->backend);
-	attempt_report(attempt, ATTEMPT_FAILED);
+	attempt_report(attempt, result->outcome == HTTP_OUTCOME_TIMEOUT
+				    ? attempt_expired(attempt)
+				    : ATTEMPT_FAILED);
 	if (may_retry(call, result)) {
 		counter_add(call->node->counters, 1, "retries_total");
 		call_fall_back(call);
@@ -164,7 +155,7 @@
 		return;
 	request.body = g_bytes_get_data(call->body, &request.length);
 	attempt_start(call, backend, &request)->body = g_string_new(NULL);
-	call_wake_after(call, stall_ms(call));
+	call_wake_after(call, call_patience_ms(call));
 }
 
 void
@@ -182,7 +173,7 @@
 		plain_attempt(call);
 		return;
 	}
-	if (clock_mono_ms() - attempt->begun_ms < stall_ms(call) ||
+	if (clock_mono_ms() - attempt->begun_ms < call_patience_ms(call) ||
 	    call->attempts >= ATTEMPTS_MAX || !call_has_other(call) ||
 	    !admit_retry(call->admit, call->workspace, false)) {
 		call_wake_after(call, STALL_MIN_MS);
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -167,6 +167,24 @@
 }
 END_TEST
 
+/* Guards against a client that takes the engines from everyone else. */
+START_TEST(short_deadlines_blame_no_engine)
+{
+	chat_start("standin-engine", "chat", 8, NULL);
+	faults_set(chat.one, "{\"delay_ms\": 200}");
+	faults_set(chat.two, "{\"delay_ms\": 200}");
+	for (int i = 0; i < 10; i++) {
+		answer_t *answer = chat_complete(
+		    true, "short", "Papaya-Timeout-Ms: 20", NULL, NULL);
+
+		ck_assert_int_eq(answer->status, 504);
+		answer_free(answer);
+	}
+	chat_check(chat_complete(true, "other", NULL, NULL, NULL), "other");
+	ck_assert_int_eq(counter_read(chat.node, "backend_waits_total"), 0);
+}
+END_TEST
+
 static bool
 leave(answer_t *answer, void *data)
 {
@@ -452,6 +470,7 @@
 	tcase_add_test(tests, failed_response_is_replaced);
 	tcase_add_test(tests, incomplete_response_says_so);
 	tcase_add_test(tests, deadline_is_kept);
+	tcase_add_test(tests, short_deadlines_blame_no_engine);
 	tcase_add_test(tests, client_that_leaves_cancels);
 	tcase_add_test(tests, slow_client_gets_everything);
 	tcase_add_test(tests, duplicates_share_one_attempt);
