--- a/src/node_apply.c
+++ b/src/node_apply.c
@@ -140,6 +140,7 @@
 {
 	char *key = settings_key(operation->team);
 
+	counter_add(operation->node->counters, 1, "settings_apply_swaps_total");
 	store_swap(operation->node->store, key, operation->key_revision,
 	    operation->value, strlen(operation->value), NULL, on_swapped,
 	    operation);
@@ -168,6 +169,8 @@
 		swap_value(operation);
 		return;
 	}
+	counter_add(
+	    operation->node->counters, 1, "settings_apply_archives_total");
 	text = json_text(operation->other);
 	key = settings_history_key(
 	    operation->team, json_get_int(operation->other, "revision", 0));
@@ -303,6 +306,7 @@
 {
 	char *key = settings_key(operation->team);
 
+	counter_add(operation->node->counters, 1, "settings_apply_reads_total");
 	store_get(operation->node->store, key, on_present_read, operation);
 	g_free(key);
 }
@@ -375,7 +379,7 @@
 		return g_strdup(given);
 	return g_strdup_printf("%016" G_GINT64_MODIFIER
 			       "x%016" G_GINT64_MODIFIER "x",
-	    node_random(node), node_random(node));
+	    node_unique(node), node_unique(node));
 }
 
 static char *
--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -41,13 +41,14 @@
 }
 
 static void
-node_begin(int index)
+node_begin(int index, int partitions)
 {
 	char name[8];
 
 	g_snprintf(name, sizeof(name), "n%d", index);
 	nodes[index] = papayad_start(name, "zone-a", store, "t1",
-	    json_pack("{s:i,s:i}", "ledger_partitions", 1, "seed", index + 1));
+	    json_pack("{s:i,s:i}", "ledger_partitions", partitions, "seed",
+		index + 1));
 	g_mutex_lock(&address_lock);
 	g_strlcpy(
 	    addresses[index], nodes[index]->address, sizeof(addresses[index]));
@@ -58,7 +59,7 @@
 node_restart(int index)
 {
 	program_end(nodes[index], SIGKILL);
-	node_begin(index);
+	node_begin(index, 1);
 }
 
 static json_t *
@@ -84,7 +85,7 @@
 	store = program_start("standin-store", NULL);
 	service = program_start("standin-service", NULL);
 	for (int i = 0; i < NODES; i++)
-		node_begin(i);
+		node_begin(i, 1);
 	settings_put(nodes[0], "t1", team_tree());
 	for (int i = 0; i < NODES; i++)
 		wait_until(is_applied, nodes[i]);
@@ -171,7 +172,6 @@
 	int tries_max;
 	long timeout_ms; /* per try */
 	bool only_not_run;
-	bool any_answer;
 	verdict_t verdict;
 } client_t;
 
@@ -188,10 +188,8 @@
 			client->key, client->timeout_ms),
 		    client->key);
 		client->only_not_run &= client->verdict == VERDICT_NOT_RUN;
-		if (client->verdict == VERDICT_ANSWERED)
-			break;
-		if (client->verdict == VERDICT_UNKNOWN &&
-		    client->timeout_ms == 0)
+		if (client->verdict == VERDICT_ANSWERED ||
+		    client->verdict == VERDICT_UNKNOWN)
 			break;
 	}
 	return NULL;
@@ -301,7 +299,7 @@
 	    " \"stale_reads\": 0}");
 	faults_set(service,
 	    "{\"delay_ms\": 0, \"late_ms\": 0, \"close_after_run_rate\": 0,"
-	    " \"cut_rate\": 0}");
+	    " \"cut_rate\": 0, \"cross_rate\": 0}");
 }
 
 /* After the fault a patient client must get a final response. */
@@ -371,14 +369,19 @@
 }
 END_TEST
 
-/* Guards against a resend after the service ran and cut the connection. */
-START_TEST(response_that_is_cut_is_an_unknown_outcome)
+/*
+ * Guards against a resend after the service ran and its response was lost, and
+ * against the response of another request.
+ */
+START_TEST(lost_response_is_an_unknown_outcome)
 {
-	static const char *const faults[] = {
-	    "{\"close_after_run_rate\": 1}", "{\"cut_rate\": 1}"};
+	static const char *const faults[] = {"{\"close_after_run_rate\": 1}",
+	    "{\"cut_rate\": 1}", "{\"cross_rate\": 1}"};
 	client_t client = {.key = "lost", .tries_max = 1};
 
 	start();
+	ck_assert_int_eq(verdict_of(book_once(0, "other", "other", 0), "other"),
+	    VERDICT_ANSWERED);
 	faults_set(service, faults[_i]);
 	client_run(&client);
 	ck_assert_int_eq(client.verdict, VERDICT_UNKNOWN);
@@ -459,6 +462,43 @@
 }
 END_TEST
 
+/* Guards against a planned stop that interrupts a booking at any step. */
+START_TEST(planned_stop_finishes_bookings)
+{
+	client_t client = {.key = "stop", .tries_max = 1};
+	client_t retry = {.key = "stop", .first = 1, .tries_max = 1};
+
+	start();
+	reach((step_t)_i, &client);
+	ck_assert_int_eq(program_end(nodes[0], SIGTERM), 0);
+	g_thread_join(client.thread);
+	ck_assert_int_eq(client.verdict, VERDICT_ANSWERED);
+	heal();
+	client_run(&retry);
+	ck_assert_int_eq(retry.verdict, VERDICT_ANSWERED);
+	check_runs("stop", &retry);
+	programs_end();
+}
+END_TEST
+
+/* Guards against a node that looks for a key's record in another partition. */
+START_TEST(node_with_other_partitions_runs_nothing)
+{
+	client_t client = {.key = "other", .tries_max = 1};
+
+	start();
+	ck_assert_int_eq(verdict_of(book_once(0, "first", "first", 0), "first"),
+	    VERDICT_ANSWERED);
+	program_end(nodes[0], SIGKILL);
+	node_begin(0, 2);
+	wait_until(is_applied, nodes[0]);
+	client_run(&client);
+	ck_assert_int_eq(client.verdict, VERDICT_NOT_RUN);
+	check_runs("other", &client);
+	programs_end();
+}
+END_TEST
+
 /* One client of the storm: its keys one after the other. */
 typedef struct storm {
 	GThread *thread;
@@ -496,7 +536,7 @@
 	static const char *const faults[] = {"{\"lose_answers\": 0.4}",
 	    "{\"down\": true}", "{\"delay_ms\": 30, \"stale_reads\": 0.4}",
 	    "{\"lose_answers\": 0.2, \"stale_reads\": 0.2}"};
-	int index = (int)(round % NODES);
+	int index = (int)(round / 3 % NODES);
 
 	faults_set(store, faults[round % G_N_ELEMENTS(faults)]);
 	if (round % 3 == 0)
@@ -558,11 +598,13 @@
 	    tests, paused_node_runs_nothing_twice, 0, STEP_COUNT);
 	tcase_add_loop_test(
 	    tests, client_that_cuts_and_retries_runs_once, 0, STEP_COUNT);
+	tcase_add_loop_test(tests, lost_response_is_an_unknown_outcome, 0, 3);
 	tcase_add_loop_test(
-	    tests, response_that_is_cut_is_an_unknown_outcome, 0, 2);
+	    tests, planned_stop_finishes_bookings, 0, STEP_COUNT);
 	tcase_add_test(tests, store_outage_refuses_and_recovers);
 	tcase_add_test(tests, large_response_is_the_same_at_each_retry);
 	tcase_add_test(tests, unsent_request_can_be_tried_again);
+	tcase_add_test(tests, node_with_other_partitions_runs_nothing);
 	tcase_add_test(tests, storm_runs_nothing_twice);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
