--- a/src/node_apply.c
+++ b/src/node_apply.c
@@ -195,10 +195,7 @@
 	json_t *value;
 	bool ours;
 
-	if (result->status == STORE_ABSENT) {
-		apply_conflict_other(operation);
-		return;
-	}
+	/* A replaced revision is in the history: absent is a stale read. */
 	if (result->status != STORE_OK) {
 		apply_again(operation);
 		return;
@@ -215,8 +212,13 @@
 static void
 read_replaced(operation_t *operation)
 {
-	char *key = settings_history_key(operation->team, operation->base + 1);
+	char *key;
 
+	if (!operation->maybe_written && !operation->nonce_given) {
+		apply_conflict_other(operation);
+		return;
+	}
+	key = settings_history_key(operation->team, operation->base + 1);
 	store_get(operation->node->store, key, on_replaced_read, operation);
 	g_free(key);
 }
--- a/tests/test_apply.c
+++ b/tests/test_apply.c
@@ -342,6 +342,35 @@
 }
 END_TEST
 
+/*
+ * Guards against an apply that is repeated after a later one has replaced it,
+ * and is then refused although it took effect, or accepted although not.
+ */
+START_TEST(repeated_apply_is_found_in_the_history)
+{
+	apply_t other = {.base = 0, .author = "bob", .nonce = "other"};
+
+	start_pair();
+	for (int64_t base = 0; base < 3; base++) {
+		char *nonce = g_strdup_printf("n%d", (int)base);
+
+		apply_ok(nodes[0], base, nonce);
+		g_free(nonce);
+	}
+	faults_set(store, "{\"stale_reads\": 0.6}");
+	other.node = nodes[0];
+	for (int i = 0; i < ROUNDS; i++) {
+		apply_ok(nodes[i % 2], 0, "n0");
+		apply_run(&other);
+		ck_assert_int_eq(other.status, 409);
+		ck_assert_ptr_nonnull(strstr(other.body, "revision"));
+		g_free(other.body);
+	}
+	faults_set(store, "{\"stale_reads\": 0}");
+	check_history(nodes[0], 3);
+}
+END_TEST
+
 static char *
 peer_address(const char *name)
 {
@@ -431,6 +460,7 @@
 	    tests, apply_survives_kill_of_its_node, 0, G_N_ELEMENTS(steps));
 	tcase_add_test(tests, apply_while_the_store_is_down_or_slow);
 	tcase_add_test(tests, bad_request_changes_nothing);
+	tcase_add_test(tests, repeated_apply_is_found_in_the_history);
 	tcase_add_test(tests, restarted_node_takes_the_newest_from_a_peer);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
