--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 seconds=${1:-}
 runs=15000
-mutant_seconds=60
+mutant_runs=60000
 limits=(-seed=1 -max_len=1024 -len_control=0 -timeout=20 -rss_limit_mb=2048)
 scripts/build.sh build-fuzz -DCMAKE_C_COMPILER=clang -DPAPAYA_FUZZ=ON \
     -DPAPAYA_SANITIZE=ON >build-fuzz.log 2>&1 || {
@@ -26,6 +26,8 @@
 	    build-fuzz/libpapaya.a $libraries -lm -o "$4"
 }
 
+# The first comment of a target may be: /* mutants of SOURCE: MACRO=VALUE ... */;
+# it then prints "violated: CONDITION" where its oracle finds a fault.
 check_mutants() { # TARGET
 	local header source macro program scratch
 	# The first comment, which the formatter may have wrapped.
@@ -38,7 +40,7 @@
 		program=build-fuzz/$1-$macro
 		scratch=$(mktemp -d)
 		build_mutant "$source" "$macro" "$1" "$program"
-		if "$program" "${limits[@]}" -max_total_time=$mutant_seconds \
+		if "$program" "${limits[@]}" -runs=$mutant_runs \
 		    -artifact_prefix="$scratch/" "$scratch" "fuzz/corpus/$1" \
 		    >"$scratch.log" 2>&1; then
 			echo "fuzz: $1 does not catch the mutant $macro"
--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -41,13 +41,14 @@
 }
 
 static void
-node_begin(int index)
+node_begin(int index, int partitions)
 {
 	char name[8];
 
 	g_snprintf(name, sizeof(name), "n%d", index);
 	nodes[index] = papayad_start(name, "zone-a", store, "t1",
-	    json_pack("{s:i,s:i}", "ledger_partitions", 1, "seed", index + 1));
+	    json_pack("{s:i,s:i}", "ledger_partitions", partitions, "seed",
+		index + 1));
 	g_mutex_lock(&address_lock);
 	g_strlcpy(
 	    addresses[index], nodes[index]->address, sizeof(addresses[index]));
@@ -58,7 +59,7 @@
 node_restart(int index)
 {
 	program_end(nodes[index], SIGKILL);
-	node_begin(index);
+	node_begin(index, 1);
 }
 
 static json_t *
@@ -84,7 +85,7 @@
 	store = program_start("standin-store", NULL);
 	service = program_start("standin-service", NULL);
 	for (int i = 0; i < NODES; i++)
-		node_begin(i);
+		node_begin(i, 1);
 	settings_put(nodes[0], "t1", team_tree());
 	for (int i = 0; i < NODES; i++)
 		wait_until(is_applied, nodes[i]);
@@ -480,6 +481,24 @@
 }
 END_TEST
 
+/* Guards against a node that looks for a key's record in another partition. */
+START_TEST(node_with_other_partitions_runs_nothing)
+{
+	client_t client = {.key = "other", .tries_max = 1};
+
+	start();
+	ck_assert_int_eq(verdict_of(book_once(0, "first", "first", 0), "first"),
+	    VERDICT_ANSWERED);
+	program_end(nodes[0], SIGKILL);
+	node_begin(0, 2);
+	wait_until(is_applied, nodes[0]);
+	client_run(&client);
+	ck_assert_int_eq(client.verdict, VERDICT_NOT_RUN);
+	check_runs("other", &client);
+	programs_end();
+}
+END_TEST
+
 /* One client of the storm: its keys one after the other. */
 typedef struct storm {
 	GThread *thread;
@@ -585,6 +604,7 @@
 	tcase_add_test(tests, store_outage_refuses_and_recovers);
 	tcase_add_test(tests, large_response_is_the_same_at_each_retry);
 	tcase_add_test(tests, unsent_request_can_be_tried_again);
+	tcase_add_test(tests, node_with_other_partitions_runs_nothing);
 	tcase_add_test(tests, storm_runs_nothing_twice);
 	suite_add_tcase(suite, tests);
 	runner = srunner_create(suite);
