--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -39,6 +39,7 @@
 start() {
 	local name=$1
 	shift
+	: >"$work/$name.out"
 	"$@" >"$work/$name.out" 2>"$work/$name.err" &
 	pid=$!
 	pids+=("$pid")
--- a/src/load.c
+++ b/src/load.c
@@ -135,7 +135,8 @@
 {
 	const load_options_t *options = &call->load->options;
 
-	return !options->retry || call->attempts >= ATTEMPTS_MAX ||
+	return (!options->retry && call->attempts > 0) ||
+	       call->attempts >= ATTEMPTS_MAX ||
 	       clock_mono_us() - call->started_us >=
 		   options->patience_ms * 1000;
 }
--- a/src/papaya_load_main.c
+++ b/src/papaya_load_main.c
@@ -60,7 +60,7 @@
 	run.load = load_start(loop, options, on_done, &run);
 	uv_run(loop, UV_RUN_DEFAULT);
 	rc = load_report_ok(run.report) ? EXIT_SUCCESS : EXIT_FAILURE;
-	json_dumpf(run.report, stdout, JSON_INDENT(1));
+	json_dumpf(run.report, stdout, JSON_INDENT(1) | JSON_REAL_PRECISION(6));
 	printf("\n");
 	json_decref(run.report);
 	load_free(run.load);
