--- a/src/move.c
+++ b/src/move.c
@@ -250,6 +250,19 @@
 	return move->record->state != MOVE_RUNNING;
 }
 
+bool
+move_settled(const move_t *move)
+{
+	return move_recorded(move) &&
+	       (move->record->superseded || !move->superseded);
+}
+
+bool
+move_stopping(const move_t *move)
+{
+	return move->stopped && !move->told;
+}
+
 const char *
 move_reason(const move_t *move, int64_t now_ms)
 {
@@ -641,7 +654,7 @@
 move_action_t
 move_step(move_t *move, bool writer, int64_t now_ms, uint64_t random)
 {
-	if (move->stopped && !move->told) {
+	if (move_stopping(move)) {
 		move->told = true;
 		return (move_action_t){
 		    .type = MOVE_ACTION_STOP,
--- a/src/move.h
+++ b/src/move.h
@@ -92,6 +92,10 @@
 move_state_t move_outcome(const move_t *move, int64_t now_ms);
 /* True where the store holds that outcome. */
 bool move_recorded(const move_t *move);
+/* True where the store holds all that this node has to write. */
+bool move_settled(const move_t *move);
+/* True where the peers are to hear of a stop now. */
+bool move_stopping(const move_t *move);
 const char *move_reason(const move_t *move, int64_t now_ms);
 
 /* Evidence of one finished attempt at a version. */
--- a/src/node_move.c
+++ b/src/node_move.c
@@ -20,9 +20,6 @@
 	STEPS_MAX = 8, /* per move and tick */
 };
 
-/* Of a message with a record; names are sorted. */
-static const char record_prefix[] = "{\"record\":";
-
 char *
 move_declaration_key(const char *service)
 {
@@ -145,8 +142,8 @@
 	json_decref(json);
 }
 
-static void
-send_json(node_t *node, const char *to, const char *service, json_t *json)
+void
+node_move_send(node_t *node, const char *to, const char *service, json_t *json)
 {
 	message_t message = {.type = MESSAGE_MOVE_STATE};
 
@@ -160,12 +157,13 @@
 	json_decref(json);
 }
 
-static void
-send_record(node_t *node, const char *to, const move_t *move, int64_t revision)
+void
+node_move_send_record(
+    node_t *node, const char *to, const move_t *move, int64_t revision)
 {
 	const move_record_t *record = move_record(move);
 
-	send_json(node, to, record->service,
+	node_move_send(node, to, record->service,
 	    json_pack("{s:o, s:I}", "record", move_record_json(record),
 		"revision", (json_int_t)revision));
 }
@@ -211,7 +209,7 @@
 		entry = node_move_find(node, record->service);
 	}
 	log_change(node, record);
-	send_record(node, NULL, entry->move, revision);
+	node_move_send_record(node, NULL, entry->move, revision);
 }
 
 /* A state's key has one part more than a declaration's. */
@@ -320,7 +318,8 @@
 		record = move_record(entry->move);
 		if (record->state != before || record->stage != stage) {
 			log_change(node, record);
-			send_record(node, NULL, entry->move, result->revision);
+			node_move_send_record(
+			    node, NULL, entry->move, result->revision);
 		}
 	}
 	move_op_end(op);
@@ -396,12 +395,14 @@
 	g_free(key);
 }
 
-static void
-step_move(node_t *node, move_t *move, bool writer)
+void
+node_move_step(node_t *node, service_move_t *entry)
 {
+	move_t *move = entry->move;
+
 	for (int i = 0; i < STEPS_MAX; i++) {
-		move_action_t action =
-		    move_step(move, writer, clock_wall_ms(), node_unique(node));
+		move_action_t action = move_step(
+		    move, entry->writer, clock_wall_ms(), node_unique(node));
 
 		if (action.type == MOVE_ACTION_NONE)
 			return;
@@ -483,13 +484,13 @@
 	entry->attempts_sent = move_attempts(entry->move);
 	entry->evidence_sent_ms = now_ms;
 	node->moves->evidence_ms = now_ms + evidence_pause_ms(node);
-	send_json(node, NULL, record->service,
+	node_move_send(node, NULL, record->service,
 	    json_pack("{s:s, s:s, s:o}", "id", record->id, "node",
 		node->config->name, "evidence", move_evidence(entry->move)));
 }
 
-static const service_t *
-service_settings(node_t *node, const char *name, int64_t *revision)
+const service_t *
+node_move_settings(node_t *node, const char *name, int64_t *revision)
 {
 	tree_t *tree = NULL;
 	const service_t *service =
@@ -505,7 +506,7 @@
 	const move_record_t *record = move_record(move);
 	int64_t revision;
 	const service_t *service =
-	    service_settings(node, record->service, &revision);
+	    node_move_settings(node, record->service, &revision);
 
 	if (service != NULL &&
 	    move_record_outdated(record, service->current, revision))
@@ -526,20 +527,22 @@
 		list_moves(node, now_ms);
 	if (moves->teams_loaded == 0 && now_ms >= moves->next_want_ms) {
 		moves->next_want_ms = now_ms + WANT_MS;
-		send_json(node, NULL, "", json_pack("{s:b}", "want", 1));
+		node_move_send(node, NULL, "", json_pack("{s:b}", "want", 1));
 	}
 	g_hash_table_iter_init(&iter, moves->services);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
 		service_move_t *entry = value;
-		bool writer = is_writer(node, name);
 
 		check_settings(node, entry->move);
-		step_move(node, entry->move, writer);
+		if (move_settled(entry->move))
+			continue;
+		entry->writer = is_writer(node, name);
+		node_move_step(node, entry);
 		if (has_evidence(entry) &&
 		    (next == NULL ||
 			entry->evidence_sent_ms < next->evidence_sent_ms))
 			next = entry;
-		if (writer)
+		if (entry->writer)
 			watch_state(node, entry);
 	}
 	if (next != NULL && now_ms >= moves->evidence_ms)
@@ -582,149 +585,3 @@
 	uv_close((uv_handle_t *)&moves->timer, on_timer_closed);
 	node->moves = NULL;
 }
-
-/* A node that has just started wants every record. */
-static void
-send_all(node_t *node, const char *to)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, node->moves->services);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const service_move_t *entry = value;
-
-		send_record(node, to, entry->move, move_revision(entry->move));
-	}
-}
-
-static void
-take_state_message(
-    node_t *node, const json_t *json, const char *service, const char *from)
-{
-	const json_t *evidence = json_object_get(json, "evidence");
-	service_move_t *entry = node_move_find(node, service);
-	move_record_t *record;
-
-	if (json_get_bool(json, "want", false)) {
-		send_all(node, from);
-	} else if (evidence != NULL) {
-		if (entry != NULL && strcmp(json_get_string(json, "id", ""),
-					 move_record(entry->move)->id) == 0)
-			move_merge(entry->move,
-			    json_get_string(json, "node", from), evidence);
-	} else {
-		record =
-		    move_record_parse(json_object_get(json, "record"), NULL);
-		if (record == NULL)
-			counter_add(node->counters, 1, "moves_malformed_total");
-		else
-			node_move_take(
-			    node, record, json_get_int(json, "revision", 0));
-		move_record_free(record);
-	}
-}
-
-void
-node_moves_message(node_t *node, const message_t *message, const char *from)
-{
-	service_move_t *entry;
-	json_t *json;
-
-	if (message->type == MESSAGE_MOVE_STOP) {
-		entry = node_move_find(node, message->move_stop.service);
-		if (entry != NULL && strcmp(message->move_stop.move,
-					 move_record(entry->move)->id) == 0)
-			move_stop(entry->move, message->move_stop.reason);
-		return;
-	}
-	if (message->type != MESSAGE_MOVE_STATE)
-		return;
-	json = json_parse(message->move_state.record,
-	    strlen(message->move_state.record), "message", NULL);
-	if (json == NULL)
-		counter_add(node->counters, 1, "moves_malformed_total");
-	else
-		take_state_message(
-		    node, json, message->move_state.service, from);
-	json_decref(json);
-}
-
-/* Evidence and questions stay within the zone, for their bytes. */
-bool
-node_moves_relays(const message_t *message)
-{
-	return message->type == MESSAGE_MOVE_STOP ||
-	       g_str_has_prefix(message->move_state.record, record_prefix);
-}
-
-static bool
-has_backend(node_t *node, const char *service, const char *version)
-{
-	GPtrArray *found = g_ptr_array_new();
-	int64_t now_ms = clock_mono_ms();
-	bool usable = false;
-
-	backends_of_service(node->backends, service, found);
-	for (guint i = 0; i < found->len && !usable; i++) {
-		const backend_t *backend = found->pdata[i];
-
-		usable = strcmp(backend->version, version) == 0 &&
-			 backend_usable(backend, now_ms);
-	}
-	g_ptr_array_free(found, TRUE);
-	return usable;
-}
-
-/*
- * A version without usable backend servers is replaced by the move's other
- * one, but nothing falls back to a new version that was stopped.
- */
-static const char *
-with_backend(node_t *node, const service_t *service, const move_t *move,
-    const char *version)
-{
-	const move_record_t *record = move_record(move);
-	const char *other = record->from;
-
-	if (has_backend(node, service->name, version))
-		return version;
-	if (strcmp(version, record->from) == 0)
-		other = move_share(move, clock_wall_ms()) > 0 ? record->to
-							      : version;
-	return has_backend(node, service->name, other) ? other : version;
-}
-
-const char *
-node_moves_version(node_t *node, const service_t *service)
-{
-	service_move_t *entry = node_move_find(node, service->name);
-	const char *version;
-	int64_t revision;
-
-	if (entry == NULL)
-		return service->current;
-	service_settings(node, service->name, &revision);
-	if (move_record_outdated(
-		move_record(entry->move), service->current, revision))
-		return service->current;
-	version = move_pick(entry->move, clock_wall_ms(), node_random(node));
-	version = with_backend(node, service, entry->move, version);
-	/* Outlives the record; there are few versions. */
-	return g_intern_string(version);
-}
-
-void
-node_moves_observe(node_t *node, const service_t *service, const char *version,
-    const char *route, bool ok, double first_ms)
-{
-	service_move_t *entry = node_move_find(node, service->name);
-
-	node_report_count(node, service, version, ok, first_ms);
-	if (entry == NULL)
-		return;
-	move_observe(
-	    entry->move, version, route, ok, first_ms, clock_wall_ms());
-	/* Peers hear of a stop at once, not at the next tick. */
-	step_move(node, entry->move, is_writer(node, service->name));
-}
--- a/src/node_move.h
+++ b/src/node_move.h
@@ -9,6 +9,7 @@
 /* The newest move of one service. Owned by the part. */
 typedef struct service_move {
 	move_t *move;
+	bool writer;		/* this node writes its stages */
 	bool watching;		/* a watch of its state is pending */
 	unsigned attempts_sent; /* in the last evidence sent */
 	int64_t evidence_sent_ms;
@@ -55,6 +56,19 @@
 void node_move_take(
     node_t *node, const move_record_t *record, int64_t revision);
 
+/* Service in the settings and their revision; NULL and 0 if unknown. */
+const service_t *node_move_settings(
+    node_t *node, const char *name, int64_t *revision);
+
+/* Carries out what the move wants now. */
+void node_move_step(node_t *node, service_move_t *entry);
+
+/* Sends a MOVE_STATE (the reference to json is taken over) to a peer or all. */
+void node_move_send(
+    node_t *node, const char *to, const char *service, json_t *json);
+void node_move_send_record(
+    node_t *node, const char *to, const move_t *move, int64_t revision);
+
 /* Takes over every entry of a listing of "move/...". */
 void node_move_take_list(node_t *node, const store_result_t *result);
 
--- /dev/null
+++ b/src/node_move_pick.c
@@ -0,0 +1,76 @@
+#include "clock.h"
+#include "node_move.h"
+
+#include <string.h>
+
+static bool
+has_backend(node_t *node, const char *service, const char *version)
+{
+	GPtrArray *found = g_ptr_array_new();
+	int64_t now_ms = clock_mono_ms();
+	bool usable = false;
+
+	backends_of_service(node->backends, service, found);
+	for (guint i = 0; i < found->len && !usable; i++) {
+		const backend_t *backend = found->pdata[i];
+
+		usable = strcmp(backend->version, version) == 0 &&
+			 backend_usable(backend, now_ms);
+	}
+	g_ptr_array_free(found, TRUE);
+	return usable;
+}
+
+/*
+ * A version without usable backend servers is replaced by the move's other
+ * one, but nothing falls back to a new version that was stopped.
+ */
+static const char *
+with_backend(node_t *node, const service_t *service, const move_t *move,
+    const char *version)
+{
+	const move_record_t *record = move_record(move);
+	const char *other = record->from;
+
+	if (has_backend(node, service->name, version))
+		return version;
+	if (strcmp(version, record->from) == 0)
+		other = move_share(move, clock_wall_ms()) > 0 ? record->to
+							      : version;
+	return has_backend(node, service->name, other) ? other : version;
+}
+
+const char *
+node_moves_version(node_t *node, const service_t *service)
+{
+	service_move_t *entry = node_move_find(node, service->name);
+	const char *version;
+	int64_t revision;
+
+	if (entry == NULL)
+		return service->current;
+	node_move_settings(node, service->name, &revision);
+	if (move_record_outdated(
+		move_record(entry->move), service->current, revision))
+		return service->current;
+	version = move_pick(entry->move, clock_wall_ms(), node_random(node));
+	version = with_backend(node, service, entry->move, version);
+	/* Outlives the record; there are few versions. */
+	return g_intern_string(version);
+}
+
+void
+node_moves_observe(node_t *node, const service_t *service, const char *version,
+    const char *route, bool ok, double first_ms)
+{
+	service_move_t *entry = node_move_find(node, service->name);
+
+	node_report_count(node, service, version, ok, first_ms);
+	if (entry == NULL)
+		return;
+	move_observe(
+	    entry->move, version, route, ok, first_ms, clock_wall_ms());
+	/* Peers hear of a stop at once, not at the next tick. */
+	if (move_stopping(entry->move))
+		node_move_step(node, entry);
+}
