Serve the test's fake node from a child process

Under LeakSanitizer test_ctl failed on memory that h2o keeps per thread: the fake node ran in a thread that ended.

--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -7,7 +7,9 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 enum { NODES = 3, ARGUMENTS_MAX = 24 };
 
@@ -345,24 +347,19 @@
 }
 END_TEST
 
-/* A node that replies to move requests with fixed states. */
-typedef struct fake {
-	uv_loop_t loop;
-	uv_async_t stop;
-	http_server_t *server;
-	unsigned asked;
-} fake_t;
+/* How often the move that finishes later was looked at. */
+static unsigned later_looks;
 
+/* A node that replies to move requests with fixed states. */
 static void
 fake_reply(http_request_t *request, void *data)
 {
-	fake_t *fake = data;
 	const char *path = http_request_path(request);
 	const char *state = "running";
 
-	fake->asked++;
-	if (g_str_has_suffix(path, "/good") ||
-	    (g_str_has_suffix(path, "/later") && fake->asked > 3))
+	if (g_str_has_suffix(path, "/good"))
+		state = "finished";
+	else if (g_str_has_suffix(path, "/later") && ++later_looks > 3)
 		state = "finished";
 	else if (g_str_has_suffix(path, "/bad"))
 		state = "taken_back";
@@ -372,35 +369,34 @@
 		(json_int_t)0, "reason", "why"));
 }
 
-static void
-fake_stop(uv_async_t *stop)
-{
-	uv_stop(stop->loop);
-}
-
-static gpointer
-fake_run(gpointer data)
+/* Serves from a child process, as h2o keeps memory of the thread it ran in. */
+static pid_t
+fake_start(int *port)
 {
-	fake_t *fake = data;
-
-	uv_run(&fake->loop, UV_RUN_DEFAULT);
-	return NULL;
+	http_server_options_t options = {
+	    .address = "127.0.0.1", .handler = fake_reply};
+	uv_loop_t *loop = uv_default_loop();
+	http_server_t *server = http_server_start(loop, &options, NULL);
+	pid_t pid;
+
+	ck_assert_ptr_nonnull(server);
+	*port = http_server_port(server);
+	pid = fork();
+	ck_assert_int_ge(pid, 0);
+	if (pid > 0)
+		return pid;
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	uv_loop_fork(loop);
+	uv_run(loop, UV_RUN_DEFAULT);
+	_exit(EXIT_SUCCESS);
 }
 
 /* Guards against exit codes that tell a script the wrong outcome. */
 START_TEST(move_exit_codes)
 {
-	static fake_t fake;
-	http_server_options_t options = {
-	    .address = "127.0.0.1", .handler = fake_reply, .data = &fake};
-	GThread *thread;
 	int port;
+	pid_t pid = fake_start(&port);
 
-	uv_loop_init(&fake.loop);
-	uv_async_init(&fake.loop, &fake.stop, fake_stop);
-	fake.server = http_server_start(&fake.loop, &options, NULL);
-	port = http_server_port(fake.server);
-	thread = g_thread_new(NULL, fake_run, &fake);
 	expect(ctl("move start t1/chat --to v2 --within 9 --node "
 		   "127.0.0.1:%d",
 		   port),
@@ -412,7 +408,6 @@
 	    3, "taken_back", NULL);
 	expect(ctl("move status t1/chat --node 127.0.0.1:%d", port), 4,
 	    "running", NULL);
-	fake.asked = 0;
 	expect(ctl("move status t1/later --wait --node 127.0.0.1:%d", port), 0,
 	    "finished", NULL);
 	expect(ctl("move status t1/chat --wait --timeout 1 --node "
@@ -422,8 +417,8 @@
 	expect(ctl("move status t1/chat --wait --timeout 1 --node "
 		   "127.0.0.1:1"),
 	    4, NULL, "no answer from 127.0.0.1:1");
-	uv_async_send(&fake.stop);
-	g_thread_join(thread);
+	kill(pid, SIGKILL);
+	ck_assert_int_eq(waitpid(pid, NULL, 0), pid);
 }
 END_TEST
 
