--- a/src/node_call.c
+++ b/src/node_call.c
@@ -318,6 +318,9 @@
 		call_finish(call);
 	} else if (now_ms >= call->deadline_ms) {
 		expire(call);
+	} else if (call->state == CALL_WAITING) {
+		/* A duplicate that joined has extended the deadline. */
+		call_wake_after(call, call_left_ms(call));
 	} else if (call->state == CALL_RUNNING) {
 		switch (call->kind) {
 		case CALL_MODEL:
--- a/src/node_model.c
+++ b/src/node_model.c
@@ -418,8 +418,10 @@
 	attempt_t *attempt = call->attempt;
 	int64_t stall;
 
-	if (stream_complete(call->stream)) /* its clients still read */
+	if (stream_complete(call->stream)) { /* its clients still read */
+		call_wake_after(call, call_left_ms(call));
 		return;
+	}
 	if (attempt == NULL) {
 		model_attempt(call, NULL);
 		return;
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -9,6 +9,13 @@
 
 enum { MANY_TOKENS = 65536 };
 
+static void
+set_both(const char *faults)
+{
+	faults_set(chat.one, faults);
+	faults_set(chat.two, faults);
+}
+
 /* Guards against a response that differs with or without streaming. */
 START_TEST(responses_are_whole)
 {
@@ -58,8 +65,7 @@
 	    g_strdup_printf("attempts_failed_total{reason=\"%s\"}", reason);
 
 	chat_start("standin-engine", "chat", 8, NULL);
-	faults_set(chat.one, "{\"token_ms\": 10}");
-	faults_set(chat.two, "{\"token_ms\": 10}");
+	set_both("{\"token_ms\": 20}");
 	chat_check(chat_complete(true, "struck", NULL, strike_engine, &strike),
 	    "struck");
 	ck_assert(strike.done);
@@ -136,8 +142,7 @@
 	answer_t *answer;
 
 	chat_start("standin-engine", "chat", 8, NULL);
-	faults_set(chat.one, "{\"cut_rate\": 1}");
-	faults_set(chat.two, "{\"cut_rate\": 1}");
+	set_both("{\"cut_rate\": 1}");
 	answer = chat_complete(true, "hello", NULL, NULL, NULL);
 	ck_assert_int_eq(answer->status, 200);
 	ck_assert(!answer->whole);
@@ -155,8 +160,7 @@
 	answer_t *answer;
 
 	chat_start("standin-engine", "chat", 8, NULL);
-	faults_set(chat.one, "{\"delay_ms\": 10000}");
-	faults_set(chat.two, "{\"delay_ms\": 10000}");
+	set_both("{\"delay_ms\": 10000}");
 	start = g_get_monotonic_time();
 	answer =
 	    chat_complete(true, "hello", "Papaya-Timeout-Ms: 300", NULL, NULL);
@@ -171,8 +175,7 @@
 START_TEST(short_deadlines_blame_no_engine)
 {
 	chat_start("standin-engine", "chat", 8, NULL);
-	faults_set(chat.one, "{\"delay_ms\": 200}");
-	faults_set(chat.two, "{\"delay_ms\": 200}");
+	set_both("{\"delay_ms\": 200}");
 	for (int i = 0; i < 10; i++) {
 		answer_t *answer = chat_complete(
 		    true, "short", "Papaya-Timeout-Ms: 20", NULL, NULL);
@@ -203,8 +206,7 @@
 START_TEST(client_that_leaves_cancels)
 {
 	chat_start("standin-engine", "chat", 8, NULL);
-	faults_set(chat.one, "{\"token_ms\": 50}");
-	faults_set(chat.two, "{\"token_ms\": 50}");
+	set_both("{\"token_ms\": 50}");
 	answer_free(chat_complete(true, "hello", NULL, leave, NULL));
 	wait_until(is_cancelled, NULL);
 }
@@ -265,8 +267,7 @@
 	GThread *thread;
 
 	chat_start("standin-engine", "chat", 8, NULL);
-	faults_set(chat.one, "{\"token_ms\": 20}");
-	faults_set(chat.two, "{\"token_ms\": 20}");
+	set_both("{\"token_ms\": 20}");
 	thread = g_thread_new("first", complete_keyed, NULL);
 	chat_check(complete_keyed(NULL), "same");
 	chat_check(g_thread_join(thread), "same");
@@ -303,13 +304,13 @@
 
 	chat_start("standin-engine", "chat", 1, NULL);
 	ask = (ask_t){.to = chat.node, .path = "/metrics"};
-	faults_set(chat.one, "{\"token_ms\": 10}");
-	faults_set(chat.two, "{\"token_ms\": 10}");
+	set_both("{\"token_ms\": 50}");
 	first = g_thread_new("first", complete_plainly, "first");
 	wait_until(has_begun, NULL);
 	second = g_thread_new("second", complete_plainly, "second");
 	wait_until(is_queued, NULL);
 	kill(chat.node->pid, SIGTERM);
+	set_both("{\"token_ms\": 1}");
 	chat_check(g_thread_join(first), "first");
 	chat_check(g_thread_join(second), "second");
 	refused = ask_send(&ask);
@@ -319,6 +320,28 @@
 }
 END_TEST
 
+/* Guards against a queued request that outlives its deadline, or "has run". */
+START_TEST(queued_request_expires_as_not_run)
+{
+	GThread *first;
+	answer_t *answer;
+
+	chat_start("standin-engine", "chat", 1, NULL);
+	set_both("{\"token_ms\": 50}");
+	first = g_thread_new("first", complete_plainly, "first");
+	wait_until(has_begun, NULL);
+	answer =
+	    chat_complete(true, "queued", "Papaya-Timeout-Ms: 100", NULL, NULL);
+	ck_assert_int_eq(answer->status, 504);
+	ck_assert_str_eq(answer_header(answer, "papaya-not-run"), "true");
+	answer_free(answer);
+	set_both("{\"token_ms\": 1}");
+	chat_check(g_thread_join(first), "first");
+	ck_assert_int_eq(
+	    chat_stat(chat.one, "calls") + chat_stat(chat.two, "calls"), 1);
+}
+END_TEST
+
 static bool
 are_queued(void *data)
 {
@@ -333,8 +356,7 @@
 	gint64 start;
 
 	chat_start("standin-engine", "chat", 1, NULL);
-	faults_set(chat.one, "{\"token_ms\": 5}");
-	faults_set(chat.two, "{\"token_ms\": 5}");
+	set_both("{\"token_ms\": 50}");
 	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
 		threads[i] = g_thread_new("queued", complete_plainly, "queued");
 	wait_until(are_queued, NULL);
@@ -345,6 +367,7 @@
 	ck_assert_ptr_nonnull(answer_header(answer, "retry-after"));
 	ck_assert_int_ge(g_get_monotonic_time() - start, 100000);
 	answer_free(answer);
+	set_both("{\"token_ms\": 1}");
 	for (size_t i = 0; i < G_N_ELEMENTS(threads); i++)
 		chat_check(g_thread_join(threads[i]), "queued");
 }
@@ -475,6 +498,7 @@
 	tcase_add_test(tests, slow_client_gets_everything);
 	tcase_add_test(tests, duplicates_share_one_attempt);
 	tcase_add_test(tests, drain_finishes_what_was_accepted);
+	tcase_add_test(tests, queued_request_expires_as_not_run);
 	tcase_add_test(tests, overload_is_refused_slowly_as_not_run);
 	tcase_add_loop_test(
 	    tests, plain_requests_are_retried, 0, G_N_ELEMENTS(plain_cases));
