Order engines to load the version that the settings declare

Cause: fenced orders existed as rules only; an engine with another version than declared stayed so, and its answers were dropped by the version check. Ruled out: one order a node and engine without a holder, which the weight store pays for several times. Conclusion: placement's creations of hosts are still decided only in the library.

--- a/src/node_poll.c
+++ b/src/node_poll.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "json.h"
+#include "node_order.h"
 
 #include <string.h>
 
@@ -38,6 +39,7 @@
 
 struct node_poll {
 	node_t *node;
+	node_orders_t *orders;
 	GHashTable *targets; /* borrowed backend name: target_t */
 	int64_t assign_due_ms;
 };
@@ -92,6 +94,7 @@
 {
 	target_t *target = data;
 	json_t *json = read_object(call, result);
+	const char *loaded;
 
 	target->load = NULL;
 	count_failure(target, result);
@@ -99,6 +102,10 @@
 		return;
 	backend_report(target->backend, read_count(json, "running"),
 	    read_count(json, "waiting"), clock_mono_ms());
+	loaded = json_get_string(json, "version", NULL);
+	if (loaded != NULL)
+		node_orders_consider(
+		    target->poll->orders, target->backend, loaded);
 	target->reported = true;
 	json_decref(json);
 }
@@ -318,6 +325,7 @@
 
 	part->poll = poll;
 	poll->node = part->node;
+	poll->orders = node_orders_new(part->node);
 	poll->targets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
 }
@@ -326,6 +334,7 @@
 node_poll_free(node_backends_t *part)
 {
 	g_hash_table_destroy(part->poll->targets);
+	node_orders_free(part->poll->orders);
 	g_free(part->poll);
 }
 
--- /dev/null
+++ b/tests/test_order.c
@@ -0,0 +1,124 @@
+#include "support.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { NODES = 3 };
+
+static program_t *store;
+static program_t *engine;
+static program_t *nodes[NODES];
+
+static void
+setup(void)
+{
+	store = program_start("standin-store", NULL);
+	engine = program_start("standin-engine", "--model-version", "v1", NULL);
+	for (int i = 0; i < NODES; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "n%d", i);
+		nodes[i] = papayad_start(name, "zone-a", store, "t1", NULL);
+	}
+}
+
+static void
+teardown(void)
+{
+	programs_end();
+}
+
+/* Declares the engine at a version, whatever it has loaded. */
+static json_t *
+declare(const char *version)
+{
+	return json_pack("{s:{s:{s:s,s:s,s:[s,s],s:i,s:{s:i,s:i,s:f}}},"
+			 "s:{s:{s:s,s:s,s:s,s:s,s:s,s:s,s:s}},s:{s:{s:i}}}",
+	    "services", "chat", "kind", "model", "current", version, "versions",
+	    "v1", "v2", "timeout_ms", 20000, "slo", "first_token_ms", 690,
+	    "between_tokens_ms", 61, "target", 0.95, "backends", "e0",
+	    "address", engine->address, "host", "host-0", "zone", "zone-a",
+	    "class", "a", "service", "chat", "version", version, "fencing",
+	    "checked", "workspaces", "depot", "weight", 1);
+}
+
+static bool
+has_loaded(void *data)
+{
+	answer_t *answer = ask_json(engine, "GET", "/v1/load", NULL, 200);
+	const char *version =
+	    json_string_value(json_object_get(answer->json, "version"));
+	bool loaded = version != NULL && strcmp(version, data) == 0;
+
+	answer_free(answer);
+	return loaded;
+}
+
+static double
+orders(const char *name)
+{
+	double sum = 0;
+
+	for (int i = 0; i < NODES; i++)
+		sum += counter_read(nodes[i], name);
+	return sum;
+}
+
+static bool
+is_counted(void *data)
+{
+	return orders("orders_taken_total") >= 1;
+}
+
+static bool
+is_refused(void *data)
+{
+	return orders("orders_stale_total") >= 1;
+}
+
+/* Guards against an engine that keeps the wrong version, or is ordered twice.
+ */
+START_TEST(one_node_orders_the_declared_version)
+{
+	settings_put(nodes[0], "t1", declare("v2"));
+	wait_until(has_loaded, "v2");
+	wait_until(is_counted, NULL);
+	ck_assert(orders("orders_taken_total") == 1);
+	ck_assert(orders("orders_stale_total") == 0);
+}
+END_TEST
+
+/* Guards against an order that the engine has given to a newer holder. */
+START_TEST(an_old_fencing_token_is_refused)
+{
+	json_t *order = json_pack(
+	    "{s:i,s:s,s:s}", "fence", 9, "op", "load", "version", "v1");
+
+	answer_free(ask_json(engine, "POST", "/v1/orders", order, 200));
+	settings_put(nodes[0], "t1", declare("v2"));
+	wait_until(is_refused, NULL);
+	ck_assert(has_loaded("v1"));
+	ck_assert(orders("orders_taken_total") == 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("order");
+	TCase *tests = tcase_create("order");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_set_timeout(tests, 60);
+	tcase_add_test(tests, one_node_orders_the_declared_version);
+	tcase_add_test(tests, an_old_fencing_token_is_refused);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
