--- a/fuzz/fuzz_settings.c
+++ b/fuzz/fuzz_settings.c
@@ -1,7 +1,10 @@
+/* mutants of src/settings_check.c: SETTINGS_MUTANT=1 SETTINGS_MUTANT=2
+ * SETTINGS_MUTANT=3 */
 #include "error.h"
 #include "json.h"
 #include "settings.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,12 +14,13 @@
  * that names the source and a remedy; a diff is empty exactly between equal
  * trees.
  */
-static void
-check(bool holds)
-{
-	if (!holds)
-		abort();
-}
+#define CHECK(condition)                                               \
+	do {                                                           \
+		if (!(condition)) {                                    \
+			fprintf(stderr, "violated: %s\n", #condition); \
+			abort();                                       \
+		}                                                      \
+	} while (0)
 
 static const char base_text[] =
     "{\"services\":{\"chat\":{\"kind\":\"model\",\"current\":\"v1\","
@@ -66,34 +70,34 @@
 	GHashTableIter iter;
 	gpointer item;
 
-	check(back != NULL && json_equal(back->json, tree->json));
+	CHECK(back != NULL && json_equal(back->json, tree->json));
 	tree_unref(back);
 	json_decref(value);
 	g_hash_table_iter_init(&iter, tree->services);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		const service_t *service = item;
 
-		check(has(service->versions, service->current));
-		check(service->timeout_ms > 0 && service->slo.target < 1);
+		CHECK(has(service->versions, service->current));
+		CHECK(service->timeout_ms > 0 && service->slo.target < 1);
 	}
 	g_hash_table_iter_init(&iter, tree->backends);
 	while (g_hash_table_iter_next(&iter, NULL, &item)) {
 		const backend_conf_t *backend = item;
 		const service_t *service = tree_service(tree, backend->service);
 
-		check(service != NULL);
-		check(has(service->versions, backend->version));
-		check(address_valid(backend->address));
+		CHECK(service != NULL);
+		CHECK(has(service->versions, backend->version));
+		CHECK(address_valid(backend->address));
 	}
 }
 
 static void
 check_refused(const GError *error)
 {
-	check(papaya_error_kind(error) == PAPAYA_ERROR_BAD_SETTING);
-	check(g_str_has_prefix(error->message, "f: "));
-	check(strstr(error->message, "; ") != NULL);
-	check(g_utf8_validate(error->message, -1, NULL));
+	CHECK(papaya_error_kind(error) == PAPAYA_ERROR_BAD_SETTING);
+	CHECK(g_str_has_prefix(error->message, "f: "));
+	CHECK(strstr(error->message, "; ") != NULL);
+	CHECK(g_utf8_validate(error->message, -1, NULL));
 }
 
 static void
@@ -102,7 +106,7 @@
 	GError *error = NULL;
 	tree_t *tree = tree_parse("team", 1, "a", "m", json, "f", &error);
 
-	check((tree == NULL) == (error != NULL));
+	CHECK((tree == NULL) == (error != NULL));
 	if (tree != NULL)
 		check_accepted(tree);
 	else
@@ -117,7 +121,7 @@
 	GError *error = NULL;
 	tree_t *tree = tree_from_value("team", json, "f", &error);
 
-	check((tree == NULL) == (error != NULL));
+	CHECK((tree == NULL) == (error != NULL));
 	if (tree != NULL)
 		check_accepted(tree);
 	else
@@ -132,10 +136,10 @@
 	GString *lines = g_string_new(NULL);
 
 	tree_diff(old_tree, new_tree, lines);
-	check((lines->len == 0) == json_equal(old_tree, new_tree));
+	CHECK((lines->len == 0) == json_equal(old_tree, new_tree));
 	g_string_truncate(lines, 0);
 	tree_diff(new_tree, new_tree, lines);
-	check(lines->len == 0);
+	CHECK(lines->len == 0);
 	g_string_free(lines, TRUE);
 }
 
--- a/src/settings_check.c
+++ b/src/settings_check.c
@@ -4,6 +4,15 @@
 
 #include <string.h>
 
+/*
+ * SETTINGS_MUTANT compiles a fault in, for the checks of the checks: 1 a
+ * backend server's version is not looked up, 2 the current version is not,
+ * 3 a target that leaves no error budget is accepted.
+ */
+#ifndef SETTINGS_MUTANT
+#define SETTINGS_MUTANT 0
+#endif
+
 enum {
 	AUTHOR_MAX_LENGTH = 128,
 	MESSAGE_MAX_LENGTH = 4096,
@@ -52,7 +61,8 @@
 			    "is listed twice; list each version once");
 		service->versions[i] = g_strdup(json_string_value(item));
 	}
-	if (!g_strv_contains(
+	if (SETTINGS_MUTANT != 2 &&
+	    !g_strv_contains(
 		(const char *const *)service->versions, service->current))
 		return scope_bad(scope, "current",
 		    json_object_get(scope->object, "current"),
@@ -84,7 +94,8 @@
 	    !scope_number(&slo, "target", 0, 1, &service->slo.target))
 		return false;
 	/* A target of 1 leaves no error budget to burn. */
-	if (service->slo.target <= 0 || service->slo.target >= 1)
+	if (SETTINGS_MUTANT != 3 &&
+	    (service->slo.target <= 0 || service->slo.target >= 1))
 		return scope_bad(&slo, "target",
 		    json_object_get(slo.object, "target"),
 		    "is not between 0 and 1; set a share such as 0.95");
@@ -248,7 +259,8 @@
 		    scope->check->team);
 	if (!scope_label(scope, "version", &backend->version))
 		return false;
-	if (!g_strv_contains(
+	if (SETTINGS_MUTANT != 1 &&
+	    !g_strv_contains(
 		(const char *const *)service->versions, backend->version))
 		return scope_bad(scope, "version", version,
 		    "is not listed in the versions of %s; add it there or use "
