Limit the ledger's writes while the store refuses calls over its rate

Each partition retried a refused write on its own, so most calls were refused and few changes gathered. Now a node lets few swaps out after a refusal and takes its partitions in turn; a partition that other nodes write too is read before it is written.

fuzz_ledger: a run of five minutes reported a request that did not end; the input had set a node's clock back by 21 s, which the shell's clock never does.

--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -462,7 +462,9 @@
 			world->now_ms += RETENTION_MS / 2;
 		else if (detail < 24) {
 			world->skewed = true;
-			world->skew_ms[node] = (detail % 4) * 7000;
+			/* A node's clock never goes back. */
+			world->skew_ms[node] =
+			    MAX(world->skew_ms[node], (detail % 4) * 7000);
 		}
 		break;
 	}
--- a/src/ledger.c
+++ b/src/ledger.c
@@ -20,6 +20,7 @@
 
 	ledger->options = *options;
 	ledger->node = g_strdup(options->node);
+	ledger->window = SWAP_WINDOW_MAX;
 	ledger->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	g_queue_init(&ledger->actions);
 	ledger->parts = g_new0(part_t, options->partitions);
@@ -507,8 +508,8 @@
 			following = TAILQ_NEXT(entry, entries);
 			entry_tick(ledger, part, entry, now_ms);
 		}
-		part_step(ledger, part, now_ms);
 	}
+	ledger_take_turns(ledger, now_ms);
 }
 
 unsigned
--- a/src/ledger_part.c
+++ b/src/ledger_part.c
@@ -8,6 +8,10 @@
 	CONFLICT_SPREAD_MS = 8,
 	POLL_FIRST_MS = 50,
 	POLL_MAX_MS = 1000,
+	BUSY_PAUSE_MS = 20,
+	BUSY_SPREAD_MS = 80,
+	CONTENDED_SWAPS = 4,
+	FRESH_MS = 20, /* age of a value that is written without a read */
 };
 
 /*
@@ -322,6 +326,45 @@
 	(*ledger->reads)++;
 }
 
+/* True where the partition may write now; otherwise it waits for its turn. */
+static bool
+take_turn(ledger_t *ledger, const part_t *part, int64_t now_ms)
+{
+	bool limited = ledger->window < SWAP_WINDOW_MAX;
+
+	if (!limited || (now_ms >= ledger->pause_until_ms &&
+			    ledger->swaps_out < ledger->window &&
+			    (ledger->in_turns || !ledger->turn_waits)))
+		return true;
+	if (ledger->in_turns && !ledger->turn_waits)
+		ledger->turn = part->index;
+	ledger->turn_waits = true;
+	return false;
+}
+
+void
+ledger_take_turns(ledger_t *ledger, int64_t now_ms)
+{
+	unsigned first = ledger->turn;
+
+	ledger->in_turns = true;
+	ledger->turn_waits = false;
+	for (unsigned i = 0; i < ledger->options.partitions; i++)
+		part_step(ledger,
+		    &ledger->parts[(first + i) % ledger->options.partitions],
+		    now_ms);
+	ledger->in_turns = false;
+}
+
+/* The store refuses calls over its rate. */
+static void
+slow_down(ledger_t *ledger, int64_t now_ms, uint64_t random)
+{
+	ledger->window = 1;
+	ledger->pause_until_ms =
+	    now_ms + BUSY_PAUSE_MS + (int64_t)(random % BUSY_SPREAD_MS);
+}
+
 static void
 swap_part(ledger_t *ledger, part_t *part, unsigned changes)
 {
@@ -331,6 +374,7 @@
 	action->expected = part->value->revision;
 	action->value = ledger_value_encode(part->next);
 	part->phase = PART_SWAPPING;
+	ledger->swaps_out++;
 	(*ledger->swaps)++;
 	*ledger->changes += changes;
 }
@@ -362,6 +406,20 @@
 	}
 }
 
+/* After resolve(), entries in these states are to be written. */
+static bool
+wants_write(const part_t *part)
+{
+	const entry_t *entry;
+
+	TAILQ_FOREACH (entry, &part->entries, entries)
+		if (entry->state == ENTRY_START ||
+		    entry->state == ENTRY_FINISH ||
+		    entry->state == ENTRY_WITHDRAW)
+			return true;
+	return false;
+}
+
 void
 part_step(ledger_t *ledger, part_t *part, int64_t now_ms)
 {
@@ -381,6 +439,12 @@
 		read_part(ledger, part);
 		return;
 	}
+	if (!wants_write(part) || !take_turn(ledger, part, now_ms))
+		return;
+	if (part->contended > 0 && now_ms >= part->read_ms + FRESH_MS) {
+		read_part(ledger, part);
+		return;
+	}
 	changes = build_next(ledger, part, now_ms);
 	if (changes > 0)
 		swap_part(ledger, part, changes);
@@ -416,6 +480,8 @@
 adopt(part_t *part, ledger_value_t *value)
 {
 	if (part->value != NULL && value->revision <= part->value->revision) {
+		if (part->contended > 0)
+			part->contended--;
 		ledger_value_free(value);
 		return part->value->revision >= part->need_revision;
 	}
@@ -447,17 +513,20 @@
 		back_off(ledger, part, now_ms, random);
 	} else {
 		part->failures = 0;
+		part->read_ms = now_ms;
 	}
 	part_step(ledger, part, now_ms);
 }
 
 static void
-on_swapped(part_t *part, int64_t revision)
+on_swapped(ledger_t *ledger, part_t *part, int64_t revision, int64_t now_ms)
 {
 	ledger_value_free(part->value);
 	part->value = g_steal_pointer(&part->next);
 	part->value->revision = revision;
 	part->failures = 0;
+	part->read_ms = now_ms;
+	ledger->window = MIN(ledger->window + 1, SWAP_WINDOW_MAX);
 }
 
 static void
@@ -465,6 +534,7 @@
     uint64_t random)
 {
 	(*ledger->conflicts)++;
+	part->contended = CONTENDED_SWAPS;
 	part->need_revision = MAX(part->value->revision + 1, revision);
 	part->retry_ms = now_ms + (int64_t)(random % CONFLICT_SPREAD_MS);
 }
@@ -476,6 +546,7 @@
 	part_t *part = &ledger->parts[partition];
 
 	part->phase = PART_IDLE;
+	ledger->swaps_out--;
 	if (LEDGER_MUTANT == 1 && status == STORE_UNKNOWN) {
 		status = STORE_OK;
 		revision = part->value->revision + 1;
@@ -484,12 +555,15 @@
 		status = STORE_UNKNOWN;
 	switch (status) {
 	case STORE_OK:
-		on_swapped(part, revision);
+		on_swapped(ledger, part, revision, now_ms);
 		break;
 	case STORE_CONFLICT:
 		on_conflict(ledger, part, revision, now_ms, random);
 		break;
 	case STORE_BUSY:
+		slow_down(ledger, now_ms, random);
+		reply_finished(ledger, part);
+		break;
 	case STORE_NOT_SENT:
 	case STORE_TOO_LARGE:
 		back_off(ledger, part, now_ms, random);
@@ -502,4 +576,6 @@
 	}
 	g_clear_pointer(&part->next, ledger_value_free);
 	part_step(ledger, part, now_ms);
+	if (ledger->turn_waits)
+		ledger_take_turns(ledger, now_ms);
 }
--- a/src/ledger_part.h
+++ b/src/ledger_part.h
@@ -66,6 +66,9 @@
 	int64_t need_revision; /* a lower one read is stale */
 	bool want_read;
 	int64_t retry_ms; /* no store call before */
+	/* Swaps to come that read first, since other nodes write as well. */
+	unsigned contended;
+	int64_t read_ms; /* when the value was read or written */
 	unsigned failures;
 	int64_t poll_ms; /* next read for WAIT entries; 0: none */
 	int64_t poll_interval_ms;
@@ -78,6 +81,17 @@
 	part_t *parts;
 	GHashTable *by_name; /* borrowed name: entry_t */
 	GQueue actions;	     /* ledger_action_t */
+	/*
+	 * While the store refuses calls over its rate, few swaps are out at
+	 * once and the others wait for their turn: meanwhile the changes of
+	 * their partitions gather, so fewer writes carry more of them.
+	 */
+	unsigned swaps_out;
+	unsigned window; /* most swaps out; SWAP_WINDOW_MAX: no limit */
+	int64_t pause_until_ms;
+	bool in_turns; /* partitions go in order, from the one at turn */
+	bool turn_waits;
+	unsigned turn;
 	uint64_t *reads;
 	uint64_t *swaps;
 	uint64_t *changes;
@@ -110,6 +124,11 @@
 /* Ends an entry, with entry_tell(). */
 void entry_end(ledger_t *ledger, part_t *part, entry_t *entry, bool known);
 
+enum { SWAP_WINDOW_MAX = 64 };
+
+/* Lets the partitions that wait for their turn go on, in order. */
+void ledger_take_turns(ledger_t *ledger, int64_t now_ms);
+
 /* Queues the partition's next store call, if it needs one. */
 void part_step(ledger_t *ledger, part_t *part, int64_t now_ms);
 
