--- a/src/node.h
+++ b/src/node.h
@@ -116,6 +116,8 @@
 bool node_peers_handle(node_t *node, http_request_t *request);
 /* Leaves the entry list and tells the peers. */
 void node_peers_drain(node_t *node);
+/* True once the record in the store is removed, or that has failed. */
+bool node_peers_left(const node_t *node);
 /*
  * HTTP IP:PORT of a live node of another zone, valid until the event loop
  * runs on; NULL if there is none.
@@ -147,7 +149,10 @@
 bool node_moves_relays(const message_t *message);
 /* Version for a new request; valid until the next settings change. */
 const char *node_moves_version(node_t *node, const service_t *service);
-/* Evidence of one finished attempt. first_ms: to the first token or answer. */
+/*
+ * Evidence of one finished attempt. first_ms: to the first token or answer, or
+ * more where the pace between tokens is worse by its objective.
+ */
 void node_moves_observe(node_t *node, const service_t *service,
     const char *version, const char *route, bool ok, double first_ms);
 
