Keep settings as compact text instead of parsed JSON

Ruled out: dropping the value and reading the store at each GET, which fails while the store is out. Change: a tree holds compact text; tree_json() parses it when it is asked for.

--- a/fuzz/fuzz_settings.c
+++ b/fuzz/fuzz_settings.c
@@ -70,7 +70,7 @@
 	GHashTableIter iter;
 	gpointer item;
 
-	CHECK(back != NULL && json_equal(back->json, tree->json));
+	CHECK(back != NULL && strcmp(back->text, tree->text) == 0);
 	tree_unref(back);
 	json_decref(value);
 	g_hash_table_iter_init(&iter, tree->services);
--- a/src/ctl_settings.c
+++ b/src/ctl_settings.c
@@ -31,17 +31,21 @@
 ctl_validate(ctl_t *ctl)
 {
 	tree_t *tree = load(ctl, ctl->team != NULL ? ctl->team : "team");
+	json_t *json;
 
 	if (tree == NULL)
 		return CTL_USAGE;
-	if (ctl->json)
-		ctl_print_json(tree->json);
-	else
+	if (ctl->json) {
+		json = tree_json(tree);
+		ctl_print_json(json);
+		json_decref(json);
+	} else {
 		printf("valid: %u services, %u backend servers, %u "
 		       "workspaces\n",
 		    g_hash_table_size(tree->services),
 		    g_hash_table_size(tree->backends),
 		    g_hash_table_size(tree->workspaces));
+	}
 	tree_unref(tree);
 	return CTL_OK;
 }
@@ -111,14 +115,16 @@
 	ctl_exit_t code = CTL_OK;
 	ctl_reply_t *reply;
 	GString *lines;
+	json_t *json;
 
 	if (tree == NULL)
 		return CTL_USAGE;
 	reply = get(ctl, "");
 	if (ctl_reply_ok(reply)) {
 		lines = g_string_new(NULL);
-		tree_diff(
-		    json_object_get(reply->json, "tree"), tree->json, lines);
+		json = tree_json(tree);
+		tree_diff(json_object_get(reply->json, "tree"), json, lines);
+		json_decref(json);
 		fputs(lines->str, stdout);
 		g_string_free(lines, TRUE);
 	} else {
@@ -166,8 +172,8 @@
 	char *nonce = new_nonce();
 	char *match =
 	    g_strdup_printf("If-Match: \"%" G_GINT64_FORMAT "\"", revision);
-	json_t *body = json_pack("{s:s,s:s,s:s,s:O}", "author", ctl->author,
-	    "message", ctl->message, "nonce", nonce, "tree", tree->json);
+	json_t *body = json_pack("{s:s,s:s,s:s,s:o}", "author", ctl->author,
+	    "message", ctl->message, "nonce", nonce, "tree", tree_json(tree));
 	ctl_request_t request = {
 	    .method = "PUT",
 	    .path = path,
@@ -212,16 +218,17 @@
 	ctl_reply_t *reply = get(ctl, "");
 	bool ok = ctl_reply_ok(reply);
 	int64_t present = json_get_int(reply->json, "revision", 0);
+	json_t *json = tree_json(tree);
 
 	*equal = false;
 	if (ok) {
 		*base = ctl->revision >= 0 ? ctl->revision : present;
 		*equal = *base == present && present > 0 &&
-			 json_equal(
-			     json_object_get(reply->json, "tree"), tree->json);
+			 json_equal(json_object_get(reply->json, "tree"), json);
 	} else {
 		*code = ctl_refused(reply);
 	}
+	json_decref(json);
 	ctl_reply_free(reply);
 	return ok;
 }
--- a/src/settings.c
+++ b/src/settings.c
@@ -24,7 +24,7 @@
 	g_free(tree->team);
 	g_free(tree->author);
 	g_free(tree->message);
-	json_decref(tree->json);
+	g_free(tree->text);
 	g_hash_table_destroy(tree->services);
 	g_hash_table_destroy(tree->backends);
 	g_hash_table_destroy(tree->workspaces);
@@ -43,12 +43,18 @@
 	return g_hash_table_lookup(tree->workspaces, name);
 }
 
+json_t *
+tree_json(const tree_t *tree)
+{
+	return json_parse(tree->text, strlen(tree->text), "tree", NULL);
+}
+
 json_t *
 tree_value(const tree_t *tree)
 {
-	return json_pack("{s:I, s:s, s:s, s:O}", "revision",
+	return json_pack("{s:I, s:s, s:s, s:o}", "revision",
 	    (json_int_t)tree->revision, "author", tree->author, "message",
-	    tree->message, "tree", tree->json);
+	    tree->message, "tree", tree_json(tree));
 }
 
 static bool
--- a/src/settings.h
+++ b/src/settings.h
@@ -79,7 +79,7 @@
 	int64_t revision;
 	char *author;
 	char *message;
-	json_t *json;		/* the tree as applied */
+	char *text;		/* the tree as applied, in compact JSON */
 	GHashTable *services;	/* TEAM/NAME: service_t */
 	GHashTable *backends;	/* TEAM/NAME: backend_conf_t */
 	GHashTable *workspaces; /* NAME: workspace_t */
@@ -100,6 +100,9 @@
 /* True for IP:PORT with an IP number, as "127.0.0.1:80" or "[::1]:80". */
 bool address_valid(const char *text);
 
+/* The tree as applied; a new reference. */
+json_t *tree_json(const tree_t *tree);
+
 const service_t *tree_service(const tree_t *tree, const char *name);
 const workspace_t *tree_workspace(const tree_t *tree, const char *name);
 
--- a/src/settings_check.c
+++ b/src/settings_check.c
@@ -1,6 +1,7 @@
 #include "settings_read.h"
 
 #include "error.h"
+#include "json.h"
 
 #include <string.h>
 
@@ -462,7 +463,7 @@
 	tree->revision = revision;
 	tree->author = g_strdup(author != NULL ? author : "");
 	tree->message = g_strdup(message != NULL ? message : "");
-	tree->json = json != NULL ? json_deep_copy(json) : json_null();
+	tree->text = json != NULL ? json_text(json) : g_strdup("null");
 	tree->services = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)service_free);
 	tree->backends = g_hash_table_new_full(
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -325,12 +325,14 @@
 	tree_t *tree = tree_parse("acme", 7, "ann", "why", json, "f", NULL);
 	json_t *value = tree_value(tree);
 	tree_t *back = tree_from_value("acme", value, "settings/acme", NULL);
+	json_t *kept = tree_json(back);
 	GError *error = NULL;
 
 	ck_assert_int_eq(back->revision, 7);
 	ck_assert_str_eq(back->author, "ann");
 	ck_assert_str_eq(back->message, "why");
-	ck_assert(json_equal(back->json, json));
+	ck_assert(json_equal(kept, json));
+	json_decref(kept);
 	tree_unref(back);
 	json_object_set_new(value, "nonce", json_string("n"));
 	back = tree_from_value("acme", value, "settings/acme", NULL);
