Keep runs going in the liveness checks of ledger and move

Cause: spin does not extend a blocked run under weak fairness, so a property could hold of it unseen; only the settings model allowed for that. Change: the same idle process in all three models, and a ledger mutant that never answers a waiting request; test.sh runs the models beside the fuzzers.

--- a/model/ledger.pml
+++ b/model/ledger.pml
@@ -1,6 +1,6 @@
-/* mutants: MUTANT=1 MUTANT=2 MUTANT=3 */
+/* mutants: MUTANT=1 MUTANT=2 MUTANT=3 MUTANT=4 */
 /* sizes: REQUESTS=3,FAULTS=1 REQUESTS=2,FAULTS=2 */
-/* liveness: REQUESTS=2,FAULTS=1 */
+/* liveness: REQUESTS=2,FAULTS=1,RUN_ON=1 */
 /*
  * At most once (docs/design.md, 5.1): one key, two entry nodes, the store's
  * partition, and a client that retries at any node. A node may be slow at any
@@ -9,7 +9,8 @@
  * src/ledger_part.c.
  *
  * Mutants: 1 runs before the swap is confirmed; 2 runs a started record again;
- * 3 takes a write without an answer as failed once it is read back absent.
+ * 3 takes a write without an answer as failed once it is read back absent;
+ * 4 never refuses or answers a request that waits for another's outcome.
  */
 #ifndef MUTANT
 #define MUTANT 0
@@ -257,7 +258,8 @@
 		:: snap.nonce != 0 && !snap.done && polls < POLLS ->
 			polls++;
 			want_read = true
-		:: snap.nonce != 0 && !snap.done && polls == POLLS ->
+		:: MUTANT != 4 && snap.nonce != 0 && !snap.done &&
+		    polls == POLLS ->
 			answer(UNKNOWN);
 			become_idle()
 		fi }
@@ -318,6 +320,18 @@
 	}
 }
 
+#ifdef RUN_ON
+/*
+ * Keeps the run going where nothing else can: spin does not extend a blocked
+ * run under weak fairness, and the property would hold of it unseen.
+ */
+active proctype idle_process() {
+	do
+	:: true -> skip
+	od
+}
+#endif
+
 init {
 	atomic {
 		idle = 3;
--- a/model/move.pml
+++ b/model/move.pml
@@ -1,6 +1,6 @@
 /* mutants: MUTANT=1 MUTANT=2 MUTANT=3 MUTANT=4 MUTANT=5 MUTANT=6 */
 /* sizes: FAULTS=2,OPERATORS=1 FAULTS=0,OPERATORS=2 */
-/* liveness: FAULTS=1,OPERATORS=1 */
+/* liveness: FAULTS=1,OPERATORS=1,RUN_ON=1 */
 /*
  * Version moves (docs/design.md, 5.4): two nodes with skewed clocks, each with
  * an operator that starts a move of the same service; the store with one lease
@@ -279,6 +279,18 @@
 	goto again
 }
 
+#ifdef RUN_ON
+/*
+ * Keeps the run going where nothing else can: spin does not extend a blocked
+ * run under weak fairness, and the property would hold of it unseen.
+ */
+active proctype idle_process() {
+	do
+	:: true -> skip
+	od
+}
+#endif
+
 init {
 	atomic {
 		/* Each clock is ahead for one of the two starters. */
--- a/model/settings.pml
+++ b/model/settings.pml
@@ -1,6 +1,6 @@
 /* mutants: MUTANT=1 MUTANT=2 MUTANT=3 MUTANT=4 MUTANT=5 */
 /* sizes: ATTEMPTS=1,FAULTS=2,RESTARTS=1 ATTEMPTS=2,FAULTS=1,RESTARTS=0 */
-/* liveness: ATTEMPTS=1,FAULTS=1,RESTARTS=1,IDLE=1 */
+/* liveness: ATTEMPTS=1,FAULTS=1,RESTARTS=1,RUN_ON=1 */
 /*
  * Settings (docs/design.md, 5.5): one team, the store's value and history, two
  * nodes of which the first watches the store, and two operators who apply
@@ -272,12 +272,12 @@
 	finished++
 }
 
-#ifdef IDLE
+#ifdef RUN_ON
 /*
  * Keeps the run going where nothing else can: spin does not extend a blocked
  * run under weak fairness, and the property would hold of it unseen.
  */
-active proctype idle() {
+active proctype idle_process() {
 	do
 	:: true -> skip
 	od
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,7 +6,13 @@
 scripts/packages.sh
 scripts/build.sh build
 scripts/build.sh build-sanitize -DPAPAYA_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
-scripts/model.sh
+scripts/model.sh >build/model.log 2>&1 &
+model=$!
 scripts/fuzz.sh
+wait "$model" || {
+	cat build/model.log
+	exit 1
+}
+cat build/model.log
 ctest --test-dir build-sanitize --output-on-failure -j "$(nproc)" -LE process
 ctest --test-dir build --output-on-failure -j "$(nproc)"
