Pace lease renewals and lists by the number of nodes

Cause: at 330 nodes, renewals each 3 s would take 110 of the store's 300 writes a second, and a list of all records each 10 s about 7 KB/s of a node's 8 KB/s. Change: renewals take at most 10 writes a second together and lists 500 ms a node; a lease that has become too short is replaced by a longer one. Ruled out: replacing a lease only at twice its time: at 48 nodes it still made 165 writes in 10 s. Conclusion: renewals no longer grow with the fleet.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures real processes over loopback: requests a second and added latency of
-# one papayad against direct calls in the same run, and the idle cost of 3, 6
-# and 12 nodes. Prints one JSON object a measurement. Usage: measure.sh
+# one papayad against direct calls in the same run, and the idle cost of 3, 12
+# and 48 nodes. Prints one JSON object a measurement. Usage: measure.sh
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=build
@@ -154,6 +154,6 @@
 }
 
 measure_path
-for count in 3 6 12; do
+for count in 3 12 48; do
 	measure_idle "$count"
 done
--- a/src/member.c
+++ b/src/member.c
@@ -450,8 +450,8 @@
 	}
 }
 
-bool
-members_mesh(const members_t *members)
+unsigned
+members_count(const members_t *members)
 {
 	const member_t *member;
 	unsigned count = 0;
@@ -459,5 +459,11 @@
 	LIST_FOREACH (member, &members->list, entries)
 		if (member->state != MEMBER_GONE)
 			count++;
-	return count <= members->mesh_max;
+	return count;
+}
+
+bool
+members_mesh(const members_t *members)
+{
+	return members_count(members) <= members->mesh_max;
 }
--- a/src/member.h
+++ b/src/member.h
@@ -124,6 +124,9 @@
 void members_tick(members_t *members, int64_t now_ms,
     void (*changed)(const member_t *member, void *data), void *data);
 
+/* Nodes that are not gone, the own one included. */
+unsigned members_count(const members_t *members);
+
 /* True where all nodes exchange heartbeats directly. */
 bool members_mesh(const members_t *members);
 
--- a/src/node_join.c
+++ b/src/node_join.c
@@ -7,10 +7,19 @@
 #include <string.h>
 
 enum {
-	LEASE_MS = 10000,
-	RENEW_MS = 3000,
 	RETRY_MS = 1000,
-	LIST_MS = 10000,
+	/*
+	 * Pauses grow with the number of nodes, since the store's rates do not:
+	 * all nodes together renew at most 10 leases a second, and a list of
+	 * all records costs a node about 450 bytes a second. Membership itself
+	 * goes by heartbeats.
+	 */
+	RENEW_MIN_MS = 3000,
+	RENEW_PER_NODE_MS = 100,
+	LIST_MIN_MS = 10000,
+	LIST_PER_NODE_MS = 500,
+	/* Renewals that may fail before the lease expires, plus one. */
+	RENEWALS_PER_LEASE = 3,
 	/* Until the first list has been read. */
 	LIST_FIRST_MS = 1000,
 };
@@ -28,6 +37,7 @@
 	uv_timer_t *list_timer;
 	char *key;
 	char *lease;	  /* NULL: none */
+	int64_t lease_ms; /* its time to live */
 	int64_t revision; /* of the key as last seen */
 	bool written;	  /* under the lease, as far as is known */
 	bool registered;  /* at least once */
@@ -39,6 +49,30 @@
 
 static void step(node_join_t *join);
 
+static int64_t
+pace_ms(const node_join_t *join, int64_t least_ms, int64_t per_node_ms)
+{
+	return MAX(least_ms, per_node_ms * members_count(join->peers->members));
+}
+
+/* Follows the number of nodes, but never the lease's own time to live. */
+static int64_t
+renew_ms(const node_join_t *join)
+{
+	return MIN(pace_ms(join, RENEW_MIN_MS, RENEW_PER_NODE_MS),
+	    join->lease_ms / RENEWALS_PER_LEASE);
+}
+
+/* True where a quarter more nodes are known than when it was granted. */
+static bool
+lease_too_short(const node_join_t *join)
+{
+	int64_t wanted_ms =
+	    RENEWALS_PER_LEASE * pace_ms(join, RENEW_MIN_MS, RENEW_PER_NODE_MS);
+
+	return 4 * wanted_ms >= 5 * join->lease_ms;
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -139,7 +173,7 @@
 		meet_other(join, hello.incarnation);
 	if (!join->written)
 		json_decref(record);
-	step_after(join, join->written ? RENEW_MS : 0);
+	step_after(join, join->written ? renew_ms(join) : 0);
 }
 
 static void
@@ -155,7 +189,7 @@
 			log_event(LOG_LEVEL_INFO, "member.registered",
 			    "node=%s", join->peers->node->config->name);
 		join->registered = true;
-		step_after(join, RENEW_MS);
+		step_after(join, renew_ms(join));
 		return;
 	case STORE_CONFLICT:
 	case STORE_UNKNOWN:
@@ -186,7 +220,8 @@
 		step_after(join, 0);
 		return;
 	}
-	step_after(join, result->status == STORE_OK ? RENEW_MS : RETRY_MS);
+	step_after(
+	    join, result->status == STORE_OK ? renew_ms(join) : RETRY_MS);
 }
 
 static void
@@ -211,8 +246,15 @@
 	if (join->pending || join->stopped)
 		return;
 	join->pending = true;
+	/* The record moves to a longer lease; the shorter one expires. */
+	if (join->written && lease_too_short(join)) {
+		g_clear_pointer(&join->lease, g_free);
+		join->written = false;
+	}
 	if (join->lease == NULL) {
-		store_lease(store, LEASE_MS, on_lease, join);
+		join->lease_ms = RENEWALS_PER_LEASE *
+				 pace_ms(join, RENEW_MIN_MS, RENEW_PER_NODE_MS);
+		store_lease(store, join->lease_ms, on_lease, join);
 		return;
 	}
 	if (join->written) {
@@ -264,7 +306,9 @@
 		join->written = false;
 		join->revision = STORE_ABSENT_REVISION;
 	}
-	uv_timer_set_repeat(join->list_timer, ok ? LIST_MS : LIST_FIRST_MS);
+	uv_timer_set_repeat(join->list_timer,
+	    ok ? (uint64_t)pace_ms(join, LIST_MIN_MS, LIST_PER_NODE_MS)
+	       : LIST_FIRST_MS);
 	uv_timer_again(join->list_timer);
 }
 
