--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -56,14 +56,8 @@
 	done
 }
 
-for source in fuzz/fuzz_*.c; do
-	target=$(basename "$source" .c)
-	mkdir -p "fuzz/corpus/$target" build-fuzz/artifacts
-	if [ -n "$seconds" ]; then
-		build-fuzz/"$target" "${limits[@]}" -max_total_time="$seconds" \
-		    -artifact_prefix=build-fuzz/artifacts/ "fuzz/corpus/$target"
-		continue
-	fi
+check_target() { # TARGET
+	local target=$1 scratch
 	scratch=$(mktemp -d)
 	build-fuzz/"$target" "${limits[@]}" -runs=$runs \
 	    -artifact_prefix=build-fuzz/artifacts/ "$scratch" \
@@ -75,4 +69,30 @@
 	echo "fuzz: $target: $(grep '^Done' "$scratch.log")"
 	rm -rf "$scratch" "$scratch.log"
 	check_mutants "$target"
+}
+
+mkdir -p build-fuzz/artifacts build-fuzz/logs
+targets=()
+for source in fuzz/fuzz_*.c; do
+	target=$(basename "$source" .c)
+	targets+=("$target")
+	mkdir -p "fuzz/corpus/$target"
+done
+if [ -n "$seconds" ]; then
+	for target in "${targets[@]}"; do
+		build-fuzz/"$target" "${limits[@]}" -max_total_time="$seconds" \
+		    -artifact_prefix=build-fuzz/artifacts/ "fuzz/corpus/$target"
+	done
+	exit 0
+fi
+jobs=()
+for target in "${targets[@]}"; do
+	check_target "$target" >"build-fuzz/logs/$target" 2>&1 &
+	jobs+=($!)
+done
+failed=0
+for i in "${!targets[@]}"; do
+	wait "${jobs[$i]}" || failed=1
+	cat "build-fuzz/logs/${targets[$i]}"
 done
+exit "$failed"
