--- a/fuzz/fuzz_ledger.c
+++ b/fuzz/fuzz_ledger.c
@@ -5,8 +5,8 @@
  * counts the runs of each key. Every input byte pair is one event.
  */
 #include "ledger.h"
+#include "oracle.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -21,14 +21,6 @@
 	DRAIN_STEP_MS = 50,
 };
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			fprintf(stderr, "violated: %s\n", #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
-
 typedef struct stored {
 	int64_t revision;
 	GBytes *value;
--- a/fuzz/fuzz_member.c
+++ b/fuzz/fuzz_member.c
@@ -5,8 +5,8 @@
  * the own node is paused. Every input byte pair is one event.
  */
 #include "member.h"
+#include "oracle.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,14 +19,6 @@
 	EVENTS_MAX = 48,
 };
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			fprintf(stderr, "violated: %s\n", #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
-
 typedef struct expected {
 	bool known;
 	bool heard;
--- a/fuzz/fuzz_move.c
+++ b/fuzz/fuzz_move.c
@@ -6,8 +6,8 @@
  * and messages arrive in any order, late, or not at all.
  */
 #include "move_start.h"
+#include "oracle.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -22,14 +22,6 @@
 	SKEW_MS = MOVE_CLOCK_SKEW_MS / 2,
 };
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			fprintf(stderr, "violated: %s\n", #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
-
 /* One key of the store. */
 typedef struct item {
 	int64_t revision; /* 0: absent */
--- a/fuzz/fuzz_settings.c
+++ b/fuzz/fuzz_settings.c
@@ -2,9 +2,9 @@
  * SETTINGS_MUTANT=3 */
 #include "error.h"
 #include "json.h"
+#include "oracle.h"
 #include "settings.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,13 +14,6 @@
  * that names the source and a remedy; a diff is empty exactly between equal
  * trees.
  */
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			fprintf(stderr, "violated: %s\n", #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
 
 static const char base_text[] =
     "{\"services\":{\"chat\":{\"kind\":\"model\",\"current\":\"v1\","
--- a/fuzz/fuzz_stream.c
+++ b/fuzz/fuzz_stream.c
@@ -7,9 +7,9 @@
  * the response is always the right one, and the response is whole only with
  * all of them.
  */
+#include "oracle.h"
 #include "stream.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,14 +19,6 @@
 	INPUT_MAX = 1024,
 };
 
-#define CHECK(condition)                                               \
-	do {                                                           \
-		if (!(condition)) {                                    \
-			fprintf(stderr, "violated: %s\n", #condition); \
-			abort();                                       \
-		}                                                      \
-	} while (0)
-
 typedef enum fault {
 	FAULT_NONE,
 	FAULT_OTHER_HEADER,  /* another request's response, but own ids */
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,14 +13,11 @@
 	scripts/packages.sh
 	scripts/build.sh "$bin" >/dev/null
 fi
-work=$(mktemp -d)
-pids=()
+# shellcheck source=scripts/processes.sh
+source scripts/processes.sh
 
 cleanup() {
-	for pid in "${pids[@]}"; do
-		kill -KILL "$pid" 2>/dev/null || true
-	done
-	wait 2>/dev/null || true
+	end_all
 	if [ -n "${DEMO_KEEP:-}" ]; then
 		echo "demo: logs kept in $work" >&2
 	else
@@ -35,23 +32,6 @@
 	exit 1
 }
 
-# start NAME PROGRAM ARG...: runs a program, sets $address and $pid.
-start() {
-	local name=$1
-	shift
-	: >"$work/$name.out"
-	"$@" >"$work/$name.out" 2>"$work/$name.err" &
-	pid=$!
-	pids+=("$pid")
-	for _ in $(seq 200); do
-		address=$(sed -n 's/^listening //p' "$work/$name.out")
-		[ -n "$address" ] && return 0
-		kill -0 "$pid" 2>/dev/null || break
-		sleep 0.02
-	done
-	fail "$name did not start"
-}
-
 start store "$bin/standin-store" --seed "$seed"
 store=$address
 start cloud "$bin/standin-cloud" --seed "$seed"
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -5,34 +5,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=build
-work=$(mktemp -d)
-pids=()
-
-cleanup() {
-	for pid in "${pids[@]}"; do
-		kill -KILL "$pid" 2>/dev/null || true
-		wait "$pid" 2>/dev/null || true
-	done
-	pids=()
-}
-trap 'cleanup; rm -rf "$work"' EXIT
-
-# start NAME PROGRAM ARG...: runs a program, sets $address and $pid.
-start() {
-	local name=$1
-	shift
-	: >"$work/$name.out"
-	"$@" >"$work/$name.out" 2>"$work/$name.err" &
-	pid=$!
-	pids+=("$pid")
-	for _ in $(seq 200); do
-		address=$(sed -n 's/^listening //p' "$work/$name.out")
-		[ -n "$address" ] && return 0
-		sleep 0.02
-	done
-	echo "measure: $name did not start" >&2
-	exit 1
-}
+# shellcheck source=scripts/processes.sh
+source scripts/processes.sh
+trap 'end_all; rm -rf "$work"' EXIT
 
 cpu_ms() { # PID
 	awk -v hz="$(getconf CLK_TCK)" '{print ($14 + $15) * 1000 / hz}' \
@@ -120,7 +95,7 @@
 			    'BEGIN {print b - a}')" "$(resident_kb "$papayad_pid")"
 		done
 	done
-	cleanup
+	end_all
 }
 
 measure_idle() { # NODES
@@ -150,7 +125,7 @@
 	printf '"store_writes": %s, "resident_kb": %s}\n' \
 	    "$(($(metric "$store" writes_total) - writes))" \
 	    "$(resident_kb "${node_pids[0]}")"
-	cleanup
+	end_all
 }
 
 measure_path
