Count the time in the queue against a booking's deadline

Cause: a booking that had waited in the queue got its whole timeout again, since the deadline was read from the header a second time. Change: the time left is handed over; the second reading is gone; nonces come from node_unique() in one place; papayactl report adds up all nodes. Ruled out: ending the run with the client's deadline; a run goes on for the service's whole timeout so that its outcome is recorded. Measured: test_deadline fails before (the second booking is answered after 3 s with a timeout of 2 s) and passes after. Conclusion: deadlines go with bookings as with other requests.

--- a/src/ctl_fleet.c
+++ b/src/ctl_fleet.c
@@ -187,7 +187,8 @@
 		    ctl->format);
 		return CTL_USAGE;
 	}
-	path = g_strconcat("/v1/admin/report?format=", ctl->format, NULL);
+	path = g_strconcat(
+	    "/v1/admin/report?scope=all&format=", ctl->format, NULL);
 	reply = get(ctl, path);
 	g_free(path);
 	if (ctl_reply_ok(reply)) {
--- a/src/node.h
+++ b/src/node.h
@@ -96,9 +96,12 @@
 
 void node_books_start(node_t *node);
 void node_books_free(node_t *node);
-/* Serves a non-idempotent request to a plain service. */
+/*
+ * Serves a non-idempotent request to a plain service. left_ms: of the client's
+ * deadline, after the time in the queue.
+ */
 void node_books_serve(node_t *node, http_request_t *request,
-    const service_t *service, tree_t *tree, const char *path);
+    const service_t *service, tree_t *tree, const char *path, int64_t left_ms);
 /* Keys in progress, such as outcomes to be written; a drain waits for them. */
 unsigned node_books_active(const node_t *node);
 void node_books_message(
--- a/src/node_book.c
+++ b/src/node_book.c
@@ -5,7 +5,6 @@
 #include "node_call.h"
 
 #include <string.h>
-#include <sys/random.h>
 #include <xxhash.h>
 
 enum {
@@ -394,38 +393,18 @@
 	return (ledger_id_t){.high = hash.high64, .low = hash.low64};
 }
 
-/*
- * A nonce never repeats, also where the random numbers of the configured seed
- * do after a restart.
- */
 static ledger_id_t
 fresh_nonce(node_books_t *books)
 {
-	ledger_id_t nonce;
-
-	if (getrandom(&nonce, sizeof(nonce), 0) == (ssize_t)sizeof(nonce))
-		return nonce;
-	nonce.high = (uint64_t)books->node->incarnation;
-	nonce.low = node_random(books->node) ^ books->next_id;
-	return nonce;
-}
-
-static int64_t
-request_timeout_ms(const http_request_t *request, const service_t *service)
-{
-	const char *text = http_request_header(request, "papaya-timeout-ms");
-	gint64 timeout_ms = service->timeout_ms;
-
-	/* A malformed one was refused before. */
-	if (text != NULL)
-		g_ascii_string_to_signed(
-		    text, 10, 1, G_MAXINT32, &timeout_ms, NULL);
-	return MIN(timeout_ms, service->timeout_ms);
+	return (ledger_id_t){
+	    .high = node_unique(books->node),
+	    .low = node_unique(books->node),
+	};
 }
 
 static booking_t *
 booking_new(node_books_t *books, http_request_t *request,
-    const service_t *service, tree_t *tree, const char *path)
+    const service_t *service, tree_t *tree, const char *path, int64_t left_ms)
 {
 	booking_t *booking = g_new0(booking_t, 1);
 	size_t length;
@@ -443,15 +422,14 @@
 	booking->headers = g_ptr_array_new_with_free_func(g_free);
 	request_passed_headers(request, booking->headers);
 	booking->body = g_bytes_new(body, length);
-	booking->until_ms =
-	    books_now(books) + request_timeout_ms(request, service);
+	booking->until_ms = books_now(books) + left_ms;
 	g_hash_table_insert(books->bookings, &booking->id, booking);
 	return booking;
 }
 
 void
 node_books_serve(node_t *node, http_request_t *request,
-    const service_t *service, tree_t *tree, const char *path)
+    const service_t *service, tree_t *tree, const char *path, int64_t left_ms)
 {
 	node_books_t *books = node->books;
 	int64_t now_ms = books_now(books);
@@ -473,7 +451,7 @@
 		g_error_free(error);
 		return;
 	}
-	booking = booking_new(books, request, service, tree, path);
+	booking = booking_new(books, request, service, tree, path, left_ms);
 	asked.id = booking->id;
 	asked.key = booking->key;
 	asked.hash = request_hash(booking);
--- a/src/node_call.c
+++ b/src/node_call.c
@@ -399,7 +399,7 @@
 	listener_t *listener = TAILQ_FIRST(&call->listeners);
 
 	node_books_serve(call->node, listener->request, call->service,
-	    call->tree, call->path);
+	    call->tree, call->path, call_left_ms(call));
 }
 
 static void
--- /dev/null
+++ b/tests/test_deadline.c
@@ -0,0 +1,112 @@
+#include "support.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	RUN_MS = 1500, /* of the service */
+	/* Enough for one run, not for the wait in the queue and a run. */
+	SECOND_TIMEOUT_MS = 2000,
+};
+
+static program_t *store, *service, *node;
+
+static json_t *
+settings(void)
+{
+	return json_pack(
+	    "{s:{s:{s:s,s:b,s:s,s:[s],s:i,s:{s:i,s:f},s:{s:i,s:i},"
+	    "s:{s:i}}},s:{s:{s:s,s:s,s:s,s:s,s:s,s:s}},s:{s:{s:i}}}",
+	    "services", "pickup", "kind", "plain", "repeatable", 0, "current",
+	    "v1", "versions", "v1", "timeout_ms", 10000, "slo", "answer_ms",
+	    2000, "target", 0.95, "limit", "in_flight", 1, "waiting", 8,
+	    "ledger", "retention_s", 3600, "backends", "s0", "address",
+	    service->address, "host", "host-0", "zone", "zone-a", "class", "a",
+	    "service", "pickup", "version", "v1", "workspaces", "depot",
+	    "weight", 1);
+}
+
+static void
+setup(void)
+{
+	char faults[64];
+
+	store = program_start("standin-store", NULL);
+	service = program_start("standin-service", NULL);
+	node = papayad_start("n0", "zone-a", store, "t1", NULL);
+	settings_put(node, "t1", settings());
+	g_snprintf(faults, sizeof(faults), "{\"delay_ms\": %d}", RUN_MS);
+	faults_set(service, faults);
+}
+
+static void
+teardown(void)
+{
+	programs_end();
+}
+
+static answer_t *
+book(const char *key, int timeout_ms)
+{
+	char key_header[64], timeout_header[64];
+	const char *const headers[] = {
+	    "Papaya-Workspace: depot", key_header, timeout_header, NULL};
+	ask_t ask = {.to = node,
+	    .path = "/v1/services/t1/pickup/book",
+	    .headers = headers,
+	    .body = "{}"};
+
+	g_snprintf(key_header, sizeof(key_header), "Idempotency-Key: %s", key);
+	g_snprintf(timeout_header, sizeof(timeout_header),
+	    "Papaya-Timeout-Ms: %d", timeout_ms);
+	return ask_send(&ask);
+}
+
+static gpointer
+book_first(gpointer key)
+{
+	return book(key, 10000);
+}
+
+static bool
+has_begun(void *data)
+{
+	return counter_read(node, "bookings_total") >= 1;
+}
+
+/* Guards against a booking that waits its whole timeout again after a queue. */
+START_TEST(time_in_the_queue_counts)
+{
+	GThread *thread = g_thread_new("first", book_first, "key-1");
+	answer_t *first, *second;
+
+	wait_until(has_begun, NULL);
+	second = book("key-2", SECOND_TIMEOUT_MS);
+	first = g_thread_join(thread);
+	ck_assert_int_eq(first->status, 200);
+	ck_assert_int_ne(second->status, 200);
+	ck_assert_str_eq(answer_header(second, "papaya-not-run"), "false");
+	answer_free(first);
+	answer_free(second);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("deadline");
+	TCase *tests = tcase_create("deadline");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tests, setup, teardown);
+	tcase_set_timeout(tests, 60);
+	tcase_add_test(tests, time_in_the_queue_counts);
+	suite_add_tcase(suite, tests);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
