Check the models side by side

Cause: the models were the longest part of test.sh, one after another. Change: model.sh without arguments checks all files at once. Ruled out: smaller sizes of the models.

--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -106,8 +106,23 @@
 	grep -q 'errors: [1-9]' pan.log || report_failure "$1"
 }
 
+# All models side by side, each with its output in one piece.
+check_all() {
+	local model jobs=() models=("$root"/model/*.pml) failed=0 i
+	for model in "${models[@]}"; do
+		"$root/scripts/model.sh" "$model" \
+		    >"$scratch/$(basename "$model").log" 2>&1 &
+		jobs+=($!)
+	done
+	for i in "${!models[@]}"; do
+		wait "${jobs[$i]}" || failed=1
+		cat "$scratch/$(basename "${models[$i]}").log"
+	done
+	return "$failed"
+}
+
 if [ $# -eq 0 ]; then
-	set -- "$root"/model/*.pml
+	check_all
 fi
 for model in "$@"; do
 	check_model "$(cd "$root" && realpath "$model")"
