Run test suites through one function

Ruled out: sharing the list of tests, which differs in each program. Conclusion: assertions are unchanged.

--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -1,4 +1,5 @@
 #include "admit.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -177,8 +178,6 @@
 {
 	Suite *suite = suite_create("admit");
 	TCase *tests = tcase_create("admit");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, limit_bounds_running_requests);
 	tcase_add_test(tests, small_workspace_is_not_starved);
@@ -188,9 +187,5 @@
 	tcase_add_test(tests, expired_requests_leave_the_queue);
 	tcase_add_test(tests, refusals_are_paced);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_apply.c
+++ b/tests/test_apply.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support.h"
 
 #include <check.h>
@@ -449,8 +450,6 @@
 {
 	Suite *suite = suite_create("apply");
 	TCase *tests = tcase_create("apply");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tests, 0);
 	tcase_add_checked_fixture(tests, NULL, stop_all);
@@ -463,9 +462,5 @@
 	tcase_add_test(tests, repeated_apply_is_found_in_the_history);
 	tcase_add_test(tests, restarted_node_takes_the_newest_from_a_peer);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_VERBOSE);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,6 +1,7 @@
 #include "counter.h"
 #include "error.h"
 #include "json.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -46,16 +47,10 @@
 {
 	Suite *suite = suite_create("base");
 	TCase *tests = tcase_create("base");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, every_error_kind_is_described);
 	tcase_add_test(tests, quantiles_are_within_a_bucket);
 	tcase_add_test(tests, json_error_names_file_and_line);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_book.c
+++ b/tests/test_book.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support.h"
 
 #include <check.h>
@@ -587,8 +588,6 @@
 {
 	Suite *suite = suite_create("book");
 	TCase *tests = tcase_create("book");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tests, 100);
 	tcase_add_checked_fixture(tests, NULL, programs_end);
@@ -607,9 +606,5 @@
 	tcase_add_test(tests, node_with_other_partitions_runs_nothing);
 	tcase_add_test(tests, storm_runs_nothing_twice);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_burn.c
+++ b/tests/test_burn.c
@@ -1,5 +1,6 @@
 #include "burn.h"
 #include "json.h"
+#include "suite.h"
 
 #include <check.h>
 #include <math.h>
@@ -167,8 +168,6 @@
 {
 	Suite *suite = suite_create("burn");
 	TCase *tests = tcase_create("burn");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, windows_forget);
 	tcase_add_test(tests, level_needs_both_windows);
@@ -176,9 +175,5 @@
 	tcase_add_test(tests, reports_of_nodes_are_added);
 	tcase_add_test(tests, pages_escape_names_and_stand_alone);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support_chat.h"
 #include "token.h"
 
@@ -478,8 +479,6 @@
 {
 	Suite *suite = suite_create("call");
 	TCase *tests = tcase_create("call");
-	SRunner *runner;
-	int failed;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_set_timeout(tests, 60);
@@ -504,9 +503,5 @@
 	    tests, plain_requests_are_retried, 0, G_N_ELEMENTS(plain_cases));
 	tcase_add_test(tests, bad_requests_get_typed_errors);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -1,6 +1,7 @@
 #include "support.h"
 
 #include "http_server.h"
+#include "suite.h"
 
 #include <check.h>
 #include <glib/gstdio.h>
@@ -426,8 +427,6 @@
 {
 	Suite *suite = suite_create("ctl");
 	TCase *tests = tcase_create("ctl");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tests, 0);
 	tcase_add_checked_fixture(tests, make_dir, clean);
@@ -440,9 +439,5 @@
 	tcase_add_test(tests, drain_ends_the_named_node);
 	tcase_add_test(tests, move_exit_codes);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_VERBOSE);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support_chat.h"
 
 #include <check.h>
@@ -174,8 +175,6 @@
 {
 	Suite *suite = suite_create("handover");
 	TCase *tests = tcase_create("handover");
-	SRunner *runner;
-	int failed;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_set_timeout(tests, 60);
@@ -184,9 +183,5 @@
 	tcase_add_test(tests, short_stream_stays);
 	tcase_add_test(tests, queue_goes_to_another_zone);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -1,4 +1,5 @@
 #include "ledger.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -431,8 +432,6 @@
 {
 	Suite *suite = suite_create("ledger");
 	TCase *tests = tcase_create("ledger");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, start, end);
 	tcase_add_test(tests, start_is_committed_before_the_run);
@@ -447,9 +446,5 @@
 	tcase_add_test(tests, uuidv7_keys_expire_for_good);
 	tcase_add_test(tests, unreadable_value_is_not_used);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -1,4 +1,5 @@
 #include "peer.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -188,17 +189,11 @@
 {
 	Suite *suite = suite_create("link");
 	TCase *tests = tcase_create("link");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, set_up, tear_down);
 	tcase_set_timeout(tests, 60);
 	tcase_add_test(tests, a_peer_that_does_not_read_is_disconnected);
 	tcase_add_test(tests, early_messages_follow_the_hello);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -1,4 +1,5 @@
 #include "member.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -395,8 +396,6 @@
 {
 	Suite *suite = suite_create("member");
 	TCase *tests = tcase_create("member");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, silence_makes_suspect_then_gone);
 	tcase_add_test(tests, own_pause_is_not_silence_of_others);
@@ -411,9 +410,5 @@
 	tcase_add_test(tests, summaries_keep_far_nodes_live);
 	tcase_add_test(tests, hearsay_is_no_sign_of_life);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -1,6 +1,7 @@
 #include "error.h"
 #include "frame.h"
 #include "message.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -271,8 +272,6 @@
 {
 	Suite *suite = suite_create("message");
 	TCase *tests = tcase_create("message");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, fields_survive_the_way);
 	tcase_add_test(tests, reports_survive_the_way);
@@ -284,9 +283,5 @@
 	tcase_add_test(tests, frames_are_found_at_any_cut);
 	tcase_add_test(tests, long_and_empty_frames_are_refused);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -1,4 +1,5 @@
 #include "move_start.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -397,8 +398,6 @@
 {
 	Suite *suite = suite_create("move");
 	TCase *tests = tcase_create("move");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, good_version_finishes);
 	tcase_add_test(tests, bad_version_is_stopped_after_few_requests);
@@ -417,9 +416,5 @@
 	tcase_add_test(tests, next_move_starts_from_the_finished_version);
 	tcase_add_test(tests, record_survives_json);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_move_process.c
+++ b/tests/test_move_process.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support.h"
 
 #include <check.h>
@@ -431,8 +432,6 @@
 {
 	Suite *suite = suite_create("move_process");
 	TCase *tests = tcase_create("move_process");
-	SRunner *runner;
-	int failed;
 
 	tcase_set_timeout(tests, 60);
 	tcase_add_checked_fixture(tests, NULL, programs_end);
@@ -447,9 +446,5 @@
 	tcase_add_test(tests, settings_supersede_an_ended_move);
 	tcase_add_test(tests, report_sums_the_nodes);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support.h"
 
 #include <check.h>
@@ -108,17 +109,11 @@
 {
 	Suite *suite = suite_create("order");
 	TCase *tests = tcase_create("order");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_set_timeout(tests, 60);
 	tcase_add_test(tests, one_node_orders_the_declared_version);
 	tcase_add_test(tests, an_old_fencing_token_is_refused);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,3 +1,4 @@
+#include "suite.h"
 #include "support.h"
 
 #include <arpa/inet.h>
@@ -566,8 +567,7 @@
 	Suite *suite = suite_create("peer");
 	TCase *tests = tcase_create("peer");
 	TCase *levels = tcase_create("levels");
-	SRunner *runner;
-	int failed;
+	int code;
 
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	tcase_add_checked_fixture(tests, NULL, stop_all);
@@ -584,10 +584,7 @@
 	tcase_add_test(levels, two_levels_connect_zones);
 	suite_add_tcase(suite, tests);
 	suite_add_tcase(suite, levels);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
+	code = suite_run(suite);
 	curl_global_cleanup();
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return code;
 }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -1,5 +1,6 @@
 #include "order.h"
 #include "place.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -134,8 +135,6 @@
 {
 	Suite *suite = suite_create("place");
 	TCase *tests = tcase_create("place");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_test(tests, cover_survives_any_zone);
 	tcase_add_test(tests, cover_is_cheaper_than_on_demand);
@@ -144,9 +143,5 @@
 	tcase_add_test(tests, orders_have_one_holder);
 	tcase_add_test(tests, order_records_survive_the_store);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -1,4 +1,5 @@
 #include "route.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -140,8 +141,6 @@
 {
 	Suite *suite = suite_create("route");
 	TCase *tests = tcase_create("route");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_add_test(tests, draining_backends_get_nothing);
@@ -151,9 +150,5 @@
 	tcase_add_test(tests, reports_count_until_they_are_old);
 	tcase_add_test(tests, slow_backend_gets_less);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -2,6 +2,7 @@
 
 #include "error.h"
 #include "json.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -413,8 +414,6 @@
 {
 	Suite *suite = suite_create("settings");
 	TCase *tests = tcase_create("settings");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_loop_test(tests,
 	    bad_value_is_refused_with_its_place_and_remedy, 0,
@@ -427,9 +426,5 @@
 	tcase_add_test(tests, revision_never_goes_down);
 	tcase_add_test(tests, diff_shows_each_change);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,4 +1,5 @@
 #include "store.h"
+#include "suite.h"
 #include "support.h"
 
 #include <check.h>
@@ -261,8 +262,6 @@
 {
 	Suite *suite = suite_create("store");
 	TCase *tests = tcase_create("store");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, start, end);
 	tcase_set_timeout(tests, 60);
@@ -276,9 +275,5 @@
 	tcase_add_test(tests, lease_deletes_the_keys_attached_to_it);
 	tcase_add_test(tests, watch_answers_at_a_change);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
--- a/tests/test_stream.c
+++ b/tests/test_stream.c
@@ -1,5 +1,6 @@
 #include "reclaim.h"
 #include "stream.h"
+#include "suite.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -216,8 +217,6 @@
 {
 	Suite *suite = suite_create("stream");
 	TCase *tests = tcase_create("stream");
-	SRunner *runner;
-	int failed;
 
 	tcase_add_checked_fixture(tests, setup, teardown);
 	tcase_add_test(tests, whole_response_in_single_bytes);
@@ -229,9 +228,5 @@
 	tcase_add_test(tests, statuses_are_told_apart);
 	tcase_add_test(tests, reclaim_takes_what_fits);
 	suite_add_tcase(suite, tests);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+	return suite_run(suite);
 }
