--- a/src/node_request.c
+++ b/src/node_request.c
@@ -29,7 +29,7 @@
 	g_error_free(error);
 }
 
-/* What every request for a service needs; false and *error otherwise. */
+/* What every request for a service needs. Borrowed. */
 typedef struct target {
 	tree_t *tree;
 	const service_t *service;
