Index backend servers by service

Cause: each routing decision scanned every backend server's service name; the benchmark of routing left this out, and so did docs/CAPACITY.md. Ruled out: caching the list in each request, which would go stale at a change of settings.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -118,7 +118,14 @@
 	GRand *rand = g_rand_new_with_seed(1);
 	char what[64];
 
-	backends_of_service(backends, "team-0/model-0", candidates);
+	int64_t listed_us = clock_mono_us();
+
+	for (int i = 0; i < ROUNDS; i++) {
+		g_ptr_array_set_size(candidates, 0);
+		backends_of_service(backends, "team-0/model-0", candidates);
+	}
+	report("backends_of_service", backend_count, 0,
+	    (double)(clock_mono_us() - listed_us) / ROUNDS);
 	for (int policy = 0; policy < 3; policy++) {
 		int64_t started_us = clock_mono_us();
 
--- a/src/backend.c
+++ b/src/backend.c
@@ -14,9 +14,16 @@
 
 struct backends {
 	LIST_HEAD(, backend) list;
-	GHashTable *by_name; /* borrowed name: backend_t */
+	GHashTable *by_name;	/* borrowed name: backend_t */
+	GHashTable *by_service; /* service: GPtrArray of borrowed backend_t */
 };
 
+static void
+free_array(gpointer array)
+{
+	g_ptr_array_free(array, TRUE);
+}
+
 backends_t *
 backends_new(void)
 {
@@ -24,6 +31,8 @@
 
 	LIST_INIT(&backends->list);
 	backends->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	backends->by_service =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
 	return backends;
 }
 
@@ -49,10 +58,36 @@
 	g_free(backend);
 }
 
+static void
+index_add(backends_t *backends, backend_t *backend)
+{
+	GPtrArray *array =
+	    g_hash_table_lookup(backends->by_service, backend->service);
+
+	if (array == NULL) {
+		array = g_ptr_array_new();
+		g_hash_table_insert(
+		    backends->by_service, g_strdup(backend->service), array);
+	}
+	g_ptr_array_add(array, backend);
+}
+
+static void
+index_remove(backends_t *backends, backend_t *backend)
+{
+	GPtrArray *array =
+	    g_hash_table_lookup(backends->by_service, backend->service);
+
+	g_ptr_array_remove_fast(array, backend);
+	if (array->len == 0)
+		g_hash_table_remove(backends->by_service, backend->service);
+}
+
 static void
 backend_remove(backends_t *backends, backend_t *backend)
 {
 	backend->state = BACKEND_GONE;
+	index_remove(backends, backend);
 	g_hash_table_remove(backends->by_name, backend->name);
 	LIST_REMOVE(backend, entries);
 	backend_unref(backend);
@@ -66,6 +101,7 @@
 	while ((backend = LIST_FIRST(&backends->list)) != NULL)
 		backend_remove(backends, backend);
 	g_hash_table_destroy(backends->by_name);
+	g_hash_table_destroy(backends->by_service);
 	g_free(backends);
 }
 
@@ -130,6 +166,7 @@
 			LIST_INSERT_HEAD(&backends->list, backend, entries);
 			g_hash_table_insert(
 			    backends->by_name, backend->name, backend);
+			index_add(backends, backend);
 		}
 		backend->price_per_hour = conf->price_per_hour;
 		backend->reclaimable = conf->reclaimable;
@@ -147,11 +184,10 @@
 backends_of_service(
     const backends_t *backends, const char *service, GPtrArray *out)
 {
-	backend_t *backend;
+	GPtrArray *array = g_hash_table_lookup(backends->by_service, service);
 
-	LIST_FOREACH (backend, &backends->list, entries)
-		if (strcmp(backend->service, service) == 0)
-			g_ptr_array_add(out, backend);
+	if (array != NULL)
+		g_ptr_array_extend(out, array, NULL, NULL);
 }
 
 void
