--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(gcc clang cmake ninja-build pkg-config clang-format clang-tidy
     libuv1-dev libmsgpack-dev libh2o-dev libargtable2-dev liblog4c-dev
-    libglib2.0-dev libjansson-dev libcurl4-openssl-dev libxxhash-dev
+    libhttp-parser-dev libglib2.0-dev libjansson-dev libcurl4-openssl-dev libxxhash-dev
     libssl-dev check spin libclang-rt-14-dev curl)
 missing=()
 for package in "${packages[@]}"; do
--- /dev/null
+++ b/src/catalog.c
@@ -0,0 +1,262 @@
+#include "catalog.h"
+
+#include <string.h>
+
+enum { HOST_MAX = 256 };
+
+static void
+routes_free(gpointer routes)
+{
+	g_ptr_array_unref(routes);
+}
+
+static void
+service_free(gpointer service)
+{
+	catalog_service_free(service);
+}
+
+static void
+workspace_free(gpointer workspace)
+{
+	catalog_workspace_free(workspace);
+}
+
+static void
+route_free(gpointer route)
+{
+	catalog_route_free(route);
+}
+
+catalog_t *
+catalog_new(void)
+{
+	catalog_t *catalog = g_new0(catalog_t, 1);
+
+	catalog->refs = 1;
+	catalog->hosts = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, routes_free);
+	catalog->services = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, service_free);
+	catalog->keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	catalog->workspaces = g_ptr_array_new_with_free_func(workspace_free);
+	return catalog;
+}
+
+catalog_t *
+catalog_ref(catalog_t *catalog)
+{
+	catalog->refs++;
+	return catalog;
+}
+
+void
+catalog_unref(catalog_t *catalog)
+{
+	if (catalog == NULL || --catalog->refs > 0)
+		return;
+	g_hash_table_unref(catalog->hosts);
+	g_hash_table_unref(catalog->services);
+	g_hash_table_unref(catalog->keys);
+	g_ptr_array_unref(catalog->workspaces);
+	g_free(catalog);
+}
+
+static void
+split_clear(gpointer item)
+{
+	catalog_split_t *split = item;
+
+	g_free(split->service);
+}
+
+catalog_route_t *
+catalog_route_new(void)
+{
+	catalog_route_t *route = g_new0(catalog_route_t, 1);
+
+	route->splits = g_array_new(FALSE, FALSE, sizeof(catalog_split_t));
+	g_array_set_clear_func(route->splits, split_clear);
+	route->max_attempts = 1;
+	return route;
+}
+
+void
+catalog_route_free(catalog_route_t *route)
+{
+	if (route == NULL)
+		return;
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->path_prefix);
+	g_array_unref(route->splits);
+	g_free(route);
+}
+
+catalog_service_t *
+catalog_service_new(void)
+{
+	return g_new0(catalog_service_t, 1);
+}
+
+void
+catalog_service_free(catalog_service_t *service)
+{
+	if (service == NULL)
+		return;
+	if (service->scaling != NULL)
+		g_hash_table_unref(service->scaling->zone_prices);
+	g_free(service->scaling);
+	g_free(service->name);
+	g_free(service);
+}
+
+void
+catalog_workspace_free(catalog_workspace_t *workspace)
+{
+	if (workspace == NULL)
+		return;
+	g_free(workspace->name);
+	g_free(workspace);
+}
+
+void
+catalog_route_add_split(
+    catalog_route_t *route, const char *service, unsigned weight)
+{
+	catalog_split_t split = {
+	    .service = g_strdup(service), .weight = weight};
+
+	g_array_append_val(route->splits, split);
+}
+
+static gint
+longest_prefix_first(gconstpointer left, gconstpointer right)
+{
+	const catalog_route_t *a = *(catalog_route_t *const *)left;
+	const catalog_route_t *b = *(catalog_route_t *const *)right;
+	size_t length_a = strlen(a->path_prefix);
+	size_t length_b = strlen(b->path_prefix);
+
+	return (length_a < length_b) - (length_a > length_b);
+}
+
+void
+catalog_add_route(catalog_t *catalog, catalog_route_t *route)
+{
+	char *host = g_ascii_strdown(route->host, -1);
+	GPtrArray *routes = g_hash_table_lookup(catalog->hosts, host);
+
+	if (routes == NULL) {
+		routes = g_ptr_array_new_with_free_func(route_free);
+		g_hash_table_insert(catalog->hosts, host, routes);
+	} else {
+		g_free(host);
+	}
+	g_ptr_array_add(routes, route);
+	g_ptr_array_sort(routes, longest_prefix_first);
+	catalog->route_count++;
+}
+
+void
+catalog_add_service(catalog_t *catalog, catalog_service_t *service)
+{
+	g_hash_table_replace(catalog->services, service->name, service);
+}
+
+void
+catalog_add_workspace(catalog_t *catalog, catalog_workspace_t *workspace)
+{
+	g_ptr_array_add(catalog->workspaces, workspace);
+}
+
+void
+catalog_add_key(
+    catalog_t *catalog, const char *key, catalog_workspace_t *workspace)
+{
+	g_hash_table_replace(catalog->keys, g_strdup(key), workspace);
+}
+
+/* Lower-case host without its port; false where it is too long. */
+static bool
+plain_host(const char *host, char *out, size_t size)
+{
+	size_t length = strcspn(host, ":");
+
+	if (length >= size)
+		return false;
+	for (size_t i = 0; i < length; i++)
+		out[i] = g_ascii_tolower(host[i]);
+	out[length] = '\0';
+	return true;
+}
+
+const catalog_route_t *
+catalog_find_route(
+    const catalog_t *catalog, const char *host, const char *target)
+{
+	size_t path_length = strcspn(target, "?");
+	char name[HOST_MAX];
+	GPtrArray *routes;
+
+	if (!plain_host(host, name, sizeof(name)))
+		return NULL;
+	routes = g_hash_table_lookup(catalog->hosts, name);
+	for (guint i = 0; routes != NULL && i < routes->len; i++) {
+		const catalog_route_t *route = routes->pdata[i];
+		size_t length = strlen(route->path_prefix);
+
+		if (length <= path_length &&
+		    strncmp(route->path_prefix, target, length) == 0)
+			return route;
+	}
+	return NULL;
+}
+
+const catalog_service_t *
+catalog_find_service(const catalog_t *catalog, const char *name)
+{
+	return g_hash_table_lookup(catalog->services, name);
+}
+
+const catalog_workspace_t *
+catalog_find_workspace(const catalog_t *catalog, const char *key)
+{
+	return g_hash_table_lookup(catalog->keys, key);
+}
+
+const char *
+catalog_pick_service(const catalog_route_t *route, uint64_t random)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < route->splits->len; i++)
+		sum += g_array_index(route->splits, catalog_split_t, i).weight;
+	if (sum == 0)
+		return NULL;
+	random %= sum;
+	for (guint i = 0; i < route->splits->len; i++) {
+		const catalog_split_t *split =
+		    &g_array_index(route->splits, catalog_split_t, i);
+
+		if (random < split->weight)
+			return split->service;
+		random -= split->weight;
+	}
+	return NULL;
+}
+
+bool
+catalog_may_repeat(const catalog_route_t *route)
+{
+	switch (route->repeat) {
+	case CATALOG_IDEMPOTENT:
+		return true;
+	case CATALOG_NON_IDEMPOTENT:
+		return false;
+	case CATALOG_STREAM:
+		return route->can_resume;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/cluster.h
@@ -0,0 +1,58 @@
+#ifndef PAPAYA_CLUSTER_H
+#define PAPAYA_CLUSTER_H
+
+#include "front_config.h"
+#include "pool.h"
+#include "quota.h"
+#include "usage.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+/*
+ * The other nodes: who they are, by their keys in the store, and what they
+ * say in their digests. Feeds the load of backend servers, the spending of
+ * workspaces and the usage counts of this node.
+ */
+typedef struct cluster cluster_t;
+
+typedef struct cluster_options {
+	const front_config_t *config; /* borrowed */
+	pool_t *pool;		      /* borrowed, as the next two */
+	quota_t *quota;
+	usage_t *usage;
+	/* A node has a newer configuration than this one. */
+	void (*on_newer_configuration)(void *data);
+	void *data;
+} cluster_options_t;
+
+cluster_t *cluster_start(
+    uv_loop_t *loop, const cluster_options_t *options, GError **error);
+void cluster_free(cluster_t *cluster);
+
+/* A node is registered; address is the IP:PORT of its digests. */
+void cluster_put(cluster_t *cluster, const char *name, const char *address);
+void cluster_remove(cluster_t *cluster, const char *name);
+
+/* What this node says of itself in its next digests. */
+void cluster_set_self(
+    cluster_t *cluster, bool ready, int64_t configuration_version);
+
+/* Sends a digest to every node now. */
+void cluster_send(cluster_t *cluster);
+
+/* Registered nodes, with this one. */
+unsigned cluster_nodes(const cluster_t *cluster);
+
+/*
+ * Addresses for a client in an availability zone (borrowed char *): ready
+ * nodes that have been heard from lately.
+ */
+GPtrArray *cluster_addresses(const cluster_t *cluster, const char *zone);
+
+/* Wall-clock time corrected by the clocks of the other nodes. */
+int64_t cluster_wall_ms(const cluster_t *cluster);
+
+#endif
--- /dev/null
+++ b/src/conn.c
@@ -0,0 +1,287 @@
+#include "conn.h"
+
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	READ_BUFFER_BYTES = 64 * 1024,
+	/* Time for a peer to read the last response before the close. */
+	LINGER_MS = 1000,
+	KEEPALIVE_IDLE_S = 1,
+	KEEPALIVE_INTERVAL_S = 1,
+	KEEPALIVE_PROBES = 2,
+};
+
+struct conn {
+	uv_tcp_t tcp;
+	uv_timer_t linger;
+	uv_connect_t connect;
+	uv_shutdown_t shutdown;
+	conn_callbacks_t callbacks;
+	void *data;
+	unsigned open_handles;
+	bool reading;
+	bool ended;    /* on_end has been called */
+	bool released; /* by its owner */
+};
+
+typedef struct write {
+	uv_write_t request;
+	conn_t *conn;
+	char bytes[];
+} write_t;
+
+/* One loop, one thread: bytes are used up before the next read. */
+static char read_buffer[READ_BUFFER_BYTES];
+
+bool
+conn_address(const char *text, struct sockaddr_in *address)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+	char *end;
+	long port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	if (end == colon + 1 || *end != '\0' || port < 1 || port > UINT16_MAX)
+		return false;
+	return uv_ip4_addr(host, (int)port, address) == 0;
+}
+
+static void
+on_handle_closed(uv_handle_t *handle)
+{
+	conn_t *conn = handle->data;
+
+	if (--conn->open_handles == 0)
+		g_free(conn);
+}
+
+static void
+close_handles(conn_t *conn)
+{
+	if (uv_is_closing((uv_handle_t *)&conn->tcp))
+		return;
+	uv_close((uv_handle_t *)&conn->linger, on_handle_closed);
+	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
+}
+
+static conn_t *
+conn_new(uv_loop_t *loop, const conn_callbacks_t *callbacks, void *data)
+{
+	conn_t *conn = g_new0(conn_t, 1);
+
+	conn->callbacks = *callbacks;
+	conn->data = data;
+	conn->open_handles = 2;
+	uv_tcp_init(loop, &conn->tcp);
+	uv_timer_init(loop, &conn->linger);
+	conn->tcp.data = conn;
+	conn->linger.data = conn;
+	return conn;
+}
+
+static void
+end(conn_t *conn, int error)
+{
+	if (conn->released) {
+		close_handles(conn);
+		return;
+	}
+	if (conn->ended)
+		return;
+	conn->ended = true;
+	conn->callbacks.on_end(conn, error, conn->data);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+	conn_t *conn = stream->data;
+
+	if (length < 0) {
+		uv_read_stop(stream);
+		conn->reading = false;
+		end(conn, length == UV_EOF ? 0 : (int)length);
+		return;
+	}
+	if (length > 0 && !conn->released)
+		conn->callbacks.on_data(
+		    conn, buffer->base, (size_t)length, conn->data);
+}
+
+void
+conn_set_reading(conn_t *conn, bool reading)
+{
+	if (conn->reading == reading || conn->ended)
+		return;
+	conn->reading = reading;
+	if (reading)
+		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	else
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
+static void
+set_options(conn_t *conn, unsigned unacked_ms)
+{
+	static const int idle = KEEPALIVE_IDLE_S;
+	static const int interval = KEEPALIVE_INTERVAL_S;
+	static const int probes = KEEPALIVE_PROBES;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	if (unacked_ms == 0 || uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0)
+		return;
+	uv_tcp_keepalive(&conn->tcp, 1, KEEPALIVE_IDLE_S);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+	    sizeof(unacked_ms));
+}
+
+conn_t *
+conn_accept(
+    uv_stream_t *listener, const conn_callbacks_t *callbacks, void *data)
+{
+	conn_t *conn = conn_new(listener->loop, callbacks, data);
+
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+		conn->released = true;
+		close_handles(conn);
+		return NULL;
+	}
+	set_options(conn, 0);
+	conn_set_reading(conn, true);
+	return conn;
+}
+
+static void
+on_connected(uv_connect_t *request, int status)
+{
+	conn_t *conn = request->data;
+
+	if (conn->released)
+		return;
+	if (status == 0)
+		conn_set_reading(conn, true);
+	conn->callbacks.on_open(conn, status, conn->data);
+}
+
+conn_t *
+conn_connect(uv_loop_t *loop, const struct sockaddr_in *address,
+    unsigned unacked_ms, const conn_callbacks_t *callbacks, void *data)
+{
+	conn_t *conn = conn_new(loop, callbacks, data);
+
+	conn->connect.data = conn;
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+		(const struct sockaddr *)address, on_connected) != 0) {
+		conn->released = true;
+		close_handles(conn);
+		return NULL;
+	}
+	set_options(conn, unacked_ms);
+	return conn;
+}
+
+static void
+on_written(uv_write_t *request, int status)
+{
+	write_t *write = request->data;
+	conn_t *conn = write->conn;
+
+	g_free(write);
+	if (status < 0) {
+		if (status != UV_ECANCELED)
+			end(conn, status);
+		return;
+	}
+	if (!conn->released && conn_queued(conn) == 0 &&
+	    conn->callbacks.on_drain != NULL)
+		conn->callbacks.on_drain(conn, conn->data);
+}
+
+void
+conn_write(conn_t *conn, const char *bytes, size_t length)
+{
+	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
+	uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)length);
+	write_t *write;
+	int sent = 0;
+
+	if (conn->ended || length == 0)
+		return;
+	if (conn_queued(conn) == 0)
+		sent = uv_try_write(stream, &buffer, 1);
+	if (sent < 0)
+		sent = 0; /* the queued write reports the error */
+	if ((size_t)sent == length)
+		return;
+	write = g_malloc(sizeof(*write) + length - (size_t)sent);
+	write->conn = conn;
+	write->request.data = write;
+	memcpy(write->bytes, bytes + sent, length - (size_t)sent);
+	buffer = uv_buf_init(write->bytes, (unsigned)(length - (size_t)sent));
+	if (uv_write(&write->request, stream, &buffer, 1, on_written) != 0)
+		g_free(write); /* the reading side reports the failure */
+}
+
+size_t
+conn_queued(const conn_t *conn)
+{
+	return uv_stream_get_write_queue_size(
+	    (const uv_stream_t *)&conn->tcp);
+}
+
+void
+conn_close(conn_t *conn)
+{
+	conn->released = true;
+	close_handles(conn);
+}
+
+static void
+on_linger(uv_timer_t *timer)
+{
+	close_handles(timer->data);
+}
+
+static void
+on_shutdown(uv_shutdown_t *request, int status)
+{
+	conn_t *conn = request->data;
+
+	if (status != 0)
+		close_handles(conn);
+}
+
+void
+conn_finish(conn_t *conn)
+{
+	bool ended = conn->ended;
+
+	conn->released = true;
+	conn->shutdown.data = conn;
+	if (uv_shutdown(&conn->shutdown, (uv_stream_t *)&conn->tcp,
+		on_shutdown) != 0) {
+		close_handles(conn);
+		return;
+	}
+	if (!ended)
+		conn_set_reading(conn, true);
+	uv_timer_start(&conn->linger, on_linger, LINGER_MS, 0);
+}
--- /dev/null
+++ b/src/digest.c
@@ -0,0 +1,294 @@
+#include "digest.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+enum {
+	FORMAT_VERSION = 1,
+	FIELDS = 12,
+	NAME_MAX_BYTES = 256,
+};
+
+static void
+spending_clear(gpointer item)
+{
+	g_free(((digest_spending_t *)item)->workspace);
+}
+
+static void
+usage_clear(gpointer item)
+{
+	g_free(((digest_usage_t *)item)->workspace);
+}
+
+digest_t *
+digest_new(void)
+{
+	digest_t *digest = g_new0(digest_t, 1);
+
+	digest->spending = g_array_new(FALSE, TRUE, sizeof(digest_spending_t));
+	digest->loads = g_array_new(FALSE, TRUE, sizeof(digest_load_t));
+	digest->usage = g_array_new(FALSE, TRUE, sizeof(digest_usage_t));
+	g_array_set_clear_func(digest->spending, spending_clear);
+	g_array_set_clear_func(digest->usage, usage_clear);
+	return digest;
+}
+
+void
+digest_free(digest_t *digest)
+{
+	if (digest == NULL)
+		return;
+	g_free(digest->node);
+	g_free(digest->client_address);
+	g_free(digest->zone);
+	g_array_unref(digest->spending);
+	g_array_unref(digest->loads);
+	g_array_unref(digest->usage);
+	g_free(digest);
+}
+
+static void
+pack_string(msgpack_packer *packer, const char *text)
+{
+	size_t length = strlen(text);
+
+	msgpack_pack_str(packer, length);
+	msgpack_pack_str_body(packer, text, length);
+}
+
+static int
+write_bytes(void *data, const char *bytes, size_t length)
+{
+	g_byte_array_append(data, (const guint8 *)bytes, (guint)length);
+	return 0;
+}
+
+static void
+pack_spending(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * 3);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_spending_t *item =
+		    &g_array_index(list, digest_spending_t, i);
+
+		pack_string(packer, item->workspace);
+		msgpack_pack_double(packer, item->spent);
+		msgpack_pack_double(packer, item->level);
+	}
+}
+
+static void
+pack_loads(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * 4);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_load_t *item =
+		    &g_array_index(list, digest_load_t, i);
+
+		msgpack_pack_uint32(packer, item->server);
+		msgpack_pack_uint32(packer, item->load.in_flight);
+		msgpack_pack_int64(
+		    packer, (int64_t)item->load.waiting_tokens);
+		msgpack_pack_int64(packer, (int64_t)item->load.held_tokens);
+	}
+}
+
+static void
+pack_usage(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * 3);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_usage_t *item =
+		    &g_array_index(list, digest_usage_t, i);
+
+		msgpack_pack_int64(packer, item->window);
+		pack_string(packer, item->workspace);
+		msgpack_pack_int64(packer, (int64_t)item->count);
+	}
+}
+
+void
+digest_encode(const digest_t *digest, GByteArray *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, write_bytes);
+	msgpack_pack_array(&packer, FIELDS);
+	msgpack_pack_int(&packer, FORMAT_VERSION);
+	pack_string(&packer, digest->node);
+	msgpack_pack_int64(&packer, digest->incarnation);
+	msgpack_pack_int64(&packer, digest->sequence);
+	pack_string(&packer, digest->client_address);
+	pack_string(&packer, digest->zone);
+	msgpack_pack_int(&packer, digest->ready);
+	msgpack_pack_int64(&packer, digest->wall_ms);
+	msgpack_pack_int64(&packer, digest->configuration_version);
+	pack_spending(&packer, digest->spending);
+	pack_loads(&packer, digest->loads);
+	pack_usage(&packer, digest->usage);
+}
+
+static bool
+read_int(const msgpack_object *object, int64_t *value)
+{
+	if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    object->via.u64 <= INT64_MAX)
+		*value = (int64_t)object->via.u64;
+	else if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		*value = object->via.i64;
+	else
+		return false;
+	return true;
+}
+
+static bool
+read_double(const msgpack_object *object, double *value)
+{
+	int64_t number;
+
+	if (read_int(object, &number)) {
+		*value = (double)number;
+		return true;
+	}
+	if (object->type != MSGPACK_OBJECT_FLOAT64 &&
+	    object->type != MSGPACK_OBJECT_FLOAT32)
+		return false;
+	*value = object->via.f64;
+	return true;
+}
+
+static bool
+read_string(const msgpack_object *object, char **value)
+{
+	if (object->type != MSGPACK_OBJECT_STR ||
+	    object->via.str.size > NAME_MAX_BYTES)
+		return false;
+	*value = g_strndup(object->via.str.ptr, object->via.str.size);
+	return true;
+}
+
+/* Members of an array whose length is a multiple of the step. */
+static bool
+read_list(const msgpack_object *object, uint32_t step,
+    const msgpack_object **members, uint32_t *count)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size % step != 0)
+		return false;
+	*members = object->via.array.ptr;
+	*count = object->via.array.size / step;
+	return true;
+}
+
+static bool
+read_spending(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!read_list(object, 3, &member, &count))
+		return false;
+	for (; count > 0; count--, member += 3) {
+		digest_spending_t item = {0};
+
+		if (!read_string(&member[0], &item.workspace))
+			return false;
+		if (!read_double(&member[1], &item.spent) ||
+		    !read_double(&member[2], &item.level)) {
+			g_free(item.workspace);
+			return false;
+		}
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
+static bool
+read_loads(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!read_list(object, 4, &member, &count))
+		return false;
+	for (; count > 0; count--, member += 4) {
+		digest_load_t item = {0};
+		int64_t server, in_flight;
+
+		if (!read_int(&member[0], &server) ||
+		    !read_int(&member[1], &in_flight) || server < 0 ||
+		    server > UINT32_MAX || in_flight < 0 ||
+		    in_flight > UINT16_MAX ||
+		    !read_double(&member[2], &item.load.waiting_tokens) ||
+		    !read_double(&member[3], &item.load.held_tokens))
+			return false;
+		item.server = (uint32_t)server;
+		item.load.in_flight = (unsigned)in_flight;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
+static bool
+read_usage(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!read_list(object, 3, &member, &count))
+		return false;
+	for (; count > 0; count--, member += 3) {
+		digest_usage_t item = {0};
+
+		if (!read_int(&member[0], &item.window) ||
+		    !read_double(&member[2], &item.count) ||
+		    !read_string(&member[1], &item.workspace))
+			return false;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
+static bool
+read_digest(const msgpack_object *fields, digest_t *digest)
+{
+	int64_t version, ready;
+
+	if (!read_int(&fields[0], &version) || version != FORMAT_VERSION ||
+	    !read_string(&fields[1], &digest->node) ||
+	    !read_int(&fields[2], &digest->incarnation) ||
+	    !read_int(&fields[3], &digest->sequence) ||
+	    !read_string(&fields[4], &digest->client_address) ||
+	    !read_string(&fields[5], &digest->zone) ||
+	    !read_int(&fields[6], &ready) ||
+	    !read_int(&fields[7], &digest->wall_ms) ||
+	    !read_int(&fields[8], &digest->configuration_version))
+		return false;
+	digest->ready = ready != 0;
+	return read_spending(&fields[9], digest->spending) &&
+	       read_loads(&fields[10], digest->loads) &&
+	       read_usage(&fields[11], digest->usage);
+}
+
+digest_t *
+digest_decode(const char *bytes, size_t length)
+{
+	digest_t *digest = NULL;
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
+		MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
+	    unpacked.data.via.array.size == FIELDS) {
+		digest = digest_new();
+		if (!read_digest(unpacked.data.via.array.ptr, digest)) {
+			digest_free(digest);
+			digest = NULL;
+		}
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return digest;
+}
--- /dev/null
+++ b/src/entry.c
@@ -0,0 +1,627 @@
+#include "entry.h"
+
+#include "clock.h"
+#include "conn.h"
+#include "error.h"
+
+#include <string.h>
+#include <sys/queue.h>
+
+enum {
+	LISTEN_BACKLOG = 1024,
+	/* Bytes of a next request kept while one is in progress. */
+	AHEAD_MAX_BYTES = 64 * 1024,
+	/* Beyond the operators' limit, which counts names and values only. */
+	HEAD_MARGIN_BYTES = 4096,
+	STATUS_BAD_REQUEST = 400,
+	STATUS_TIMEOUT = 408,
+	STATUS_TOO_LARGE = 413,
+	STATUS_HEAD_TOO_LARGE = 431,
+};
+
+typedef TAILQ_HEAD(client_list, client) client_list_t;
+
+struct entry_server {
+	uv_tcp_t listener;
+	entry_options_t options;
+	client_list_t clients;
+	unsigned connections;
+	unsigned active;
+	bool draining;
+};
+
+typedef enum client_phase {
+	CLIENT_IDLE,	/* waits for a request */
+	CLIENT_READING, /* a request is partly read */
+	CLIENT_BUSY,	/* a response is due */
+} client_phase_t;
+
+/* One connection of a client. Freed once it is closed and unreferenced. */
+typedef struct client {
+	TAILQ_ENTRY(client) entries; /* least recently used first */
+	entry_server_t *server;
+	conn_t *conn; /* NULL once closed */
+	uv_timer_t timer;
+	http1_reader_t *reader;
+	client_phase_t phase;
+	exchange_t *exchange;
+	GByteArray *body;
+	GByteArray *ahead;
+	int64_t received_ms;
+	int64_t idle_since_ms;
+	bool too_large;
+} client_t;
+
+struct exchange {
+	unsigned refs;
+	client_t *client; /* NULL once the client left or the response ended */
+	http1_reader_t *reader; /* keeps the head */
+	GByteArray *body;
+	int64_t received_ms;
+	bool keep_alive;
+	bool is_head;
+	bool chunked;
+	bool started;
+	void (*on_gone)(void *data);
+	void (*on_drain)(void *data);
+	void *data;
+};
+
+static void client_next(client_t *client);
+
+static const catalog_limits_t *
+limits(const entry_server_t *server)
+{
+	return server->options.limits(server->options.data);
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+	client_t *client = handle->data;
+
+	http1_reader_free(client->reader);
+	g_byte_array_unref(client->body);
+	g_byte_array_unref(client->ahead);
+	g_free(client);
+}
+
+/* Takes the client off the server; its connection has been closed. */
+static void
+client_remove(client_t *client)
+{
+	entry_server_t *server = client->server;
+	exchange_t *exchange = client->exchange;
+
+	client->conn = NULL;
+	TAILQ_REMOVE(&server->clients, client, entries);
+	server->connections--;
+	if (exchange != NULL) {
+		client->exchange = NULL;
+		exchange->client = NULL;
+		server->active--;
+	}
+	uv_close((uv_handle_t *)&client->timer, on_timer_closed);
+	if (exchange == NULL)
+		return;
+	if (exchange->on_gone != NULL)
+		exchange->on_gone(exchange->data);
+	exchange_unref(exchange);
+}
+
+static void
+client_close(client_t *client)
+{
+	conn_close(client->conn);
+	client_remove(client);
+}
+
+static void
+client_finish(client_t *client)
+{
+	conn_finish(client->conn);
+	client_remove(client);
+}
+
+static void
+add_status_line(GString *out, unsigned status)
+{
+	g_string_append_printf(
+	    out, "HTTP/1.1 %u %s\r\n", status, http1_reason(status));
+}
+
+/* Ends a connection whose request cannot be read. */
+static void
+client_reject(client_t *client, unsigned status)
+{
+	GString *out = g_string_new(NULL);
+
+	add_status_line(out, status);
+	g_string_append(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	conn_write(client->conn, out->str, out->len);
+	g_string_free(out, TRUE);
+	client_finish(client);
+}
+
+static void on_timeout(uv_timer_t *timer);
+
+static void
+start_timer(client_t *client, int64_t timeout_ms)
+{
+	uv_timer_start(&client->timer, on_timeout, (uint64_t)timeout_ms, 0);
+}
+
+/* The limit may have been raised since the timer was started. */
+static void
+idle_timeout(client_t *client)
+{
+	int64_t left = client->idle_since_ms +
+		       limits(client->server)->idle_timeout_ms -
+		       clock_mono_ms();
+
+	if (left > 0)
+		start_timer(client, left);
+	else
+		client_finish(client);
+}
+
+static void
+on_timeout(uv_timer_t *timer)
+{
+	client_t *client = timer->data;
+
+	switch (client->phase) {
+	case CLIENT_IDLE:
+		idle_timeout(client);
+		return;
+	case CLIENT_READING:
+		client_reject(client, STATUS_TIMEOUT);
+		return;
+	case CLIENT_BUSY:
+		return;
+	}
+}
+
+static void
+enter_idle(client_t *client)
+{
+	client->phase = CLIENT_IDLE;
+	client->idle_since_ms = clock_mono_ms();
+	start_timer(client, limits(client->server)->idle_timeout_ms);
+}
+
+static bool
+on_head(const http1_head_t *head, void *data)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	client_t *client = data;
+
+	start_timer(client, limits(client->server)->idle_timeout_ms);
+	if (http1_head_get(head, "expect") != NULL)
+		conn_write(client->conn, go_on, strlen(go_on));
+	return true;
+}
+
+static bool
+on_body(const char *bytes, size_t length, void *data)
+{
+	client_t *client = data;
+	size_t most = limits(client->server)->body_bytes;
+
+	if (client->body->len + length > most) {
+		client->too_large = true;
+		return false;
+	}
+	g_byte_array_append(
+	    client->body, (const guint8 *)bytes, (guint)length);
+	return true;
+}
+
+static http1_reader_t *
+reader_new(client_t *client)
+{
+	static const http1_callbacks_t callbacks = {
+	    .on_head = on_head, .on_body = on_body};
+
+	return http1_reader_new(HTTP1_REQUEST,
+	    limits(client->server)->head_bytes + HEAD_MARGIN_BYTES, &callbacks,
+	    client);
+}
+
+/* Hands the request that has been read to the handler. */
+static void
+client_dispatch(client_t *client)
+{
+	entry_server_t *server = client->server;
+	exchange_t *exchange = g_new0(exchange_t, 1);
+	const http1_head_t *head;
+
+	exchange->refs = 2; /* the connection's and the handler's */
+	exchange->client = client;
+	exchange->reader = client->reader;
+	exchange->body = client->body;
+	exchange->received_ms = client->received_ms;
+	client->reader = reader_new(client);
+	client->body = g_byte_array_new();
+	head = exchange_head(exchange);
+	exchange->keep_alive = head->keep_alive;
+	exchange->is_head = strcmp(head->method, "HEAD") == 0;
+	client->exchange = exchange;
+	client->phase = CLIENT_BUSY;
+	uv_timer_stop(&client->timer);
+	server->active++;
+	server->options.on_request(exchange, server->options.data);
+}
+
+static void
+client_read(client_t *client, const char *bytes, size_t length)
+{
+	size_t used;
+
+	if (client->phase == CLIENT_IDLE) {
+		client->phase = CLIENT_READING;
+		client->received_ms = clock_boot_ms();
+		start_timer(client, limits(client->server)->head_timeout_ms);
+	}
+	used = http1_reader_feed(client->reader, bytes, length);
+	switch (http1_reader_state(client->reader)) {
+	case HTTP1_READING:
+		return;
+	case HTTP1_COMPLETE:
+		g_byte_array_append(client->ahead,
+		    (const guint8 *)bytes + used, (guint)(length - used));
+		client_dispatch(client);
+		return;
+	case HTTP1_FAILED:
+		break;
+	}
+	if (client->too_large)
+		client_reject(client, STATUS_TOO_LARGE);
+	else if (http1_reader_head_too_large(client->reader))
+		client_reject(client, STATUS_HEAD_TOO_LARGE);
+	else
+		client_reject(client, STATUS_BAD_REQUEST);
+}
+
+static void
+on_data(conn_t *conn, const char *bytes, size_t length, void *data)
+{
+	client_t *client = data;
+
+	if (client->phase != CLIENT_BUSY) {
+		client_read(client, bytes, length);
+		return;
+	}
+	g_byte_array_append(
+	    client->ahead, (const guint8 *)bytes, (guint)length);
+	if (client->ahead->len > AHEAD_MAX_BYTES)
+		conn_set_reading(conn, false);
+}
+
+static void
+on_end(conn_t *conn, int error, void *data)
+{
+	client_close(data);
+}
+
+static void
+on_conn_drain(conn_t *conn, void *data)
+{
+	client_t *client = data;
+
+	if (client->exchange != NULL && client->exchange->on_drain != NULL)
+		client->exchange->on_drain(client->exchange->data);
+}
+
+/* Makes room by closing the connection that has waited longest. */
+static void
+evict_idle(entry_server_t *server)
+{
+	client_t *client;
+
+	TAILQ_FOREACH(client, &server->clients, entries)
+	{
+		if (client->phase != CLIENT_IDLE)
+			continue;
+		client_finish(client);
+		return;
+	}
+}
+
+static void
+on_connection(uv_stream_t *listener, int status)
+{
+	static const conn_callbacks_t callbacks = {
+	    .on_data = on_data, .on_end = on_end, .on_drain = on_conn_drain};
+	entry_server_t *server = listener->data;
+	client_t *client;
+
+	if (status != 0)
+		return;
+	if (server->connections >= server->options.connections_max)
+		evict_idle(server);
+	client = g_new0(client_t, 1);
+	client->conn = conn_accept(listener, &callbacks, client);
+	if (client->conn == NULL) {
+		g_free(client);
+		return;
+	}
+	client->server = server;
+	client->body = g_byte_array_new();
+	client->ahead = g_byte_array_new();
+	client->reader = reader_new(client);
+	uv_timer_init(listener->loop, &client->timer);
+	client->timer.data = client;
+	TAILQ_INSERT_TAIL(&server->clients, client, entries);
+	server->connections++;
+	enter_idle(client);
+}
+
+entry_server_t *
+entry_server_start(
+    uv_loop_t *loop, const entry_options_t *options, GError **error)
+{
+	entry_server_t *server = g_new0(entry_server_t, 1);
+	struct sockaddr_in address;
+	int rc;
+
+	server->options = *options;
+	TAILQ_INIT(&server->clients);
+	server->listener.data = server;
+	if (!conn_address(options->address, &address)) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
+		    "\"%s\" is not IP:PORT; correct it", options->address);
+		g_free(server);
+		return NULL;
+	}
+	uv_tcp_init(loop, &server->listener);
+	rc = uv_tcp_bind(
+	    &server->listener, (const struct sockaddr *)&address, 0);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)&server->listener,
+		    LISTEN_BACKLOG, on_connection);
+	if (rc == 0)
+		return server;
+	papaya_error_set(error, PAPAYA_ERROR_INTERNAL,
+	    "cannot listen on %s: %s", options->address, uv_strerror(rc));
+	return NULL;
+}
+
+static void
+on_listener_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+void
+entry_server_free(entry_server_t *server)
+{
+	client_t *client;
+
+	if (server == NULL)
+		return;
+	while ((client = TAILQ_FIRST(&server->clients)) != NULL)
+		client_close(client);
+	uv_close((uv_handle_t *)&server->listener, on_listener_closed);
+}
+
+void
+entry_server_drain(entry_server_t *server)
+{
+	server->draining = true;
+}
+
+void
+entry_server_close_idle(entry_server_t *server)
+{
+	client_t *client, *next;
+
+	for (client = TAILQ_FIRST(&server->clients); client != NULL;
+	     client = next) {
+		next = TAILQ_NEXT(client, entries);
+		if (client->phase == CLIENT_IDLE)
+			client_finish(client);
+	}
+}
+
+unsigned
+entry_server_connections(const entry_server_t *server)
+{
+	return server->connections;
+}
+
+unsigned
+entry_server_active(const entry_server_t *server)
+{
+	return server->active;
+}
+
+const http1_head_t *
+exchange_head(const exchange_t *exchange)
+{
+	return http1_reader_head(exchange->reader);
+}
+
+const GByteArray *
+exchange_body(const exchange_t *exchange)
+{
+	return exchange->body;
+}
+
+int64_t
+exchange_received_ms(const exchange_t *exchange)
+{
+	return exchange->received_ms;
+}
+
+exchange_t *
+exchange_ref(exchange_t *exchange)
+{
+	exchange->refs++;
+	return exchange;
+}
+
+void
+exchange_unref(exchange_t *exchange)
+{
+	if (exchange == NULL || --exchange->refs > 0)
+		return;
+	http1_reader_free(exchange->reader);
+	g_byte_array_unref(exchange->body);
+	g_free(exchange);
+}
+
+void
+exchange_watch(exchange_t *exchange, void (*on_gone)(void *data),
+    void (*on_drain)(void *data), void *data)
+{
+	exchange->on_gone = on_gone;
+	exchange->on_drain = on_drain;
+	exchange->data = data;
+}
+
+/* True where the connection ends with this response. */
+static bool
+closes(const exchange_t *exchange)
+{
+	return !exchange->keep_alive || exchange->client->server->draining ||
+	       (exchange->chunked && exchange_head(exchange)->http_1_0);
+}
+
+static void
+add_framing(exchange_t *exchange, GString *out, int64_t length)
+{
+	bool http_1_0 = exchange_head(exchange)->http_1_0;
+
+	exchange->chunked = length < 0;
+	if (length >= 0)
+		g_string_append_printf(
+		    out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
+	else if (!http_1_0)
+		g_string_append(out, "Transfer-Encoding: chunked\r\n");
+	if (closes(exchange))
+		g_string_append(out, "Connection: close\r\n");
+	g_string_append(out, "\r\n");
+}
+
+static void
+send_text(exchange_t *exchange, GString *out)
+{
+	conn_write(exchange->client->conn, out->str, out->len);
+	g_string_free(out, TRUE);
+}
+
+void
+exchange_reply(exchange_t *exchange, unsigned status, const char *extra,
+    const char *body, size_t length)
+{
+	GString *out;
+
+	if (exchange->client == NULL)
+		return;
+	out = g_string_new(NULL);
+	add_status_line(out, status);
+	if (extra != NULL)
+		g_string_append(out, extra);
+	add_framing(exchange, out, (int64_t)length);
+	if (!exchange->is_head)
+		g_string_append_len(out, body, (gssize)length);
+	send_text(exchange, out);
+	exchange->started = true;
+	exchange->chunked = false;
+	exchange_end(exchange);
+}
+
+void
+exchange_start(exchange_t *exchange, const http1_head_t *source, int64_t length)
+{
+	GString *out;
+
+	if (exchange->client == NULL)
+		return;
+	out = g_string_new(NULL);
+	add_status_line(out, source->status);
+	for (size_t i = 0; i < source->header_count; i++)
+		if (!http1_head_is_hop(source, source->headers[i].name))
+			http1_add_header(out, source->headers[i].name,
+			    source->headers[i].value);
+	add_framing(exchange, out, length);
+	send_text(exchange, out);
+	exchange->started = true;
+}
+
+void
+exchange_write(exchange_t *exchange, const char *bytes, size_t length)
+{
+	GString *out;
+
+	if (exchange->client == NULL || exchange->is_head || length == 0)
+		return;
+	if (!exchange->chunked || exchange_head(exchange)->http_1_0) {
+		conn_write(exchange->client->conn, bytes, length);
+		return;
+	}
+	out = g_string_sized_new(length + 16);
+	g_string_append_printf(out, "%zx\r\n", length);
+	g_string_append_len(out, bytes, (gssize)length);
+	g_string_append(out, "\r\n");
+	send_text(exchange, out);
+}
+
+void
+exchange_end(exchange_t *exchange)
+{
+	static const char last_chunk[] = "0\r\n\r\n";
+	client_t *client = exchange->client;
+	bool close;
+
+	if (client == NULL)
+		return;
+	if (exchange->chunked && !exchange_head(exchange)->http_1_0 &&
+	    !exchange->is_head)
+		conn_write(client->conn, last_chunk, strlen(last_chunk));
+	close = closes(exchange);
+	client->exchange = NULL;
+	exchange->client = NULL;
+	client->server->active--;
+	exchange_unref(exchange);
+	if (close)
+		client_finish(client);
+	else
+		client_next(client);
+}
+
+void
+exchange_abort(exchange_t *exchange)
+{
+	client_t *client = exchange->client;
+
+	if (client == NULL)
+		return;
+	exchange->on_gone = NULL;
+	client_close(client);
+}
+
+size_t
+exchange_queued(const exchange_t *exchange)
+{
+	return exchange->client == NULL ? 0
+					: conn_queued(exchange->client->conn);
+}
+
+/* Waits for the next request, part of which may have been read. */
+static void
+client_next(client_t *client)
+{
+	GByteArray *ahead = client->ahead;
+
+	TAILQ_REMOVE(&client->server->clients, client, entries);
+	TAILQ_INSERT_TAIL(&client->server->clients, client, entries);
+	conn_set_reading(client->conn, true);
+	enter_idle(client);
+	if (ahead->len == 0)
+		return;
+	client->ahead = g_byte_array_new();
+	client_read(client, (const char *)ahead->data, ahead->len);
+	g_byte_array_unref(ahead);
+}
--- /dev/null
+++ b/src/event_stream.c
@@ -0,0 +1,136 @@
+#include "event_stream.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct event_stream {
+	GString *buffer;
+	char *last_id;
+	bool resumed;
+};
+
+event_stream_t *
+event_stream_new(void)
+{
+	event_stream_t *stream = g_new0(event_stream_t, 1);
+
+	stream->buffer = g_string_sized_new(512);
+	return stream;
+}
+
+void
+event_stream_free(event_stream_t *stream)
+{
+	if (stream == NULL)
+		return;
+	g_string_free(stream->buffer, TRUE);
+	g_free(stream->last_id);
+	g_free(stream);
+}
+
+void
+event_stream_feed(event_stream_t *stream, const char *bytes, size_t length)
+{
+	g_string_append_len(stream->buffer, bytes, (gssize)length);
+}
+
+/* End of the first whole event from a place on; 0 where there is none. */
+static size_t
+event_end(const GString *buffer, size_t from)
+{
+	const char *start = buffer->str + from;
+	size_t length = buffer->len - from;
+	const char *plain = memmem(start, length, "\n\n", 2);
+	const char *returns = memmem(start, length, "\r\n\r\n", 4);
+
+	if (returns != NULL && (plain == NULL || returns < plain))
+		return (size_t)(returns - buffer->str) + 4;
+	return plain == NULL ? 0 : (size_t)(plain - buffer->str) + 2;
+}
+
+/* The event's id, newly allocated; NULL where it has none. */
+static char *
+event_id(const char *event, size_t length)
+{
+	static const char field[] = "id:";
+	const char *end = event + length;
+
+	while (event < end) {
+		const char *line_end = memchr(event, '\n', (size_t)(end - event));
+
+		if (line_end == NULL)
+			line_end = end;
+		if ((size_t)(line_end - event) > strlen(field) &&
+		    memcmp(event, field, strlen(field)) == 0) {
+			char *id = g_strndup(event + strlen(field),
+			    (size_t)(line_end - event) - strlen(field));
+
+			return g_strstrip(id);
+		}
+		event = line_end + 1;
+	}
+	return NULL;
+}
+
+/* After a resume, an event that the client has had already. */
+static bool
+is_repeat(const event_stream_t *stream, const char *id)
+{
+	char *id_end, *last_end;
+	long long number, last;
+
+	if (!stream->resumed || id == NULL || stream->last_id == NULL)
+		return false;
+	number = strtoll(id, &id_end, 10);
+	last = strtoll(stream->last_id, &last_end, 10);
+	return *id_end == '\0' && *last_end == '\0' && number <= last;
+}
+
+GString *
+event_stream_take(event_stream_t *stream)
+{
+	GString *out = NULL;
+	size_t from = 0, end;
+
+	while ((end = event_end(stream->buffer, from)) != 0) {
+		const char *event = stream->buffer->str + from;
+		char *id = event_id(event, end - from);
+
+		if (!is_repeat(stream, id)) {
+			if (out == NULL)
+				out = g_string_sized_new(end - from + 1);
+			g_string_append_len(out, event, (gssize)(end - from));
+			if (id != NULL) {
+				g_free(stream->last_id);
+				stream->last_id = g_strdup(id);
+			}
+		}
+		g_free(id);
+		from = end;
+	}
+	g_string_erase(stream->buffer, 0, (gssize)from);
+	return out;
+}
+
+GString *
+event_stream_rest(event_stream_t *stream)
+{
+	GString *rest = stream->buffer;
+
+	stream->buffer = g_string_new(NULL);
+	return rest;
+}
+
+void
+event_stream_resume(event_stream_t *stream)
+{
+	g_string_truncate(stream->buffer, 0);
+	stream->resumed = stream->last_id != NULL;
+}
+
+const char *
+event_stream_last_id(const event_stream_t *stream)
+{
+	return stream->last_id;
+}
--- /dev/null
+++ b/src/flow.h
@@ -0,0 +1,41 @@
+#ifndef PAPAYA_FLOW_H
+#define PAPAYA_FLOW_H
+
+#include "catalog.h"
+#include "cluster.h"
+#include "counter.h"
+#include "entry.h"
+#include "pool.h"
+#include "prefix.h"
+#include "quota.h"
+#include "retry_budget.h"
+#include "usage.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+/*
+ * The way of one request: route, authorise, allotment, choose, attempt,
+ * answer. All members are borrowed and outlive every request.
+ */
+typedef struct flow_context {
+	uv_loop_t *loop;
+	const char *zone;
+	pool_t *pool;
+	quota_t *quota;
+	retry_budget_t *budget;
+	usage_t *usage;
+	prefix_cache_t *prefixes;
+	cluster_t *cluster;
+	counters_t *counters;
+	catalog_t *catalog; /* in force; NULL: none yet */
+	/* clock_boot_ms() after which the catalog may not be used. */
+	int64_t usable_until_ms;
+	bool refusing; /* the node is about to stop */
+} flow_context_t;
+
+/* Serves a request; takes over the reference. */
+void flow_start(flow_context_t *context, exchange_t *exchange);
+
+#endif
--- /dev/null
+++ b/src/flow_log.c
@@ -0,0 +1,26 @@
+#include "flow_log.h"
+
+#include "log.h"
+
+enum { US_PER_MS = 1000 };
+
+void
+flow_log_outcome(counters_t *counters, const flow_log_t *line)
+{
+	counter_add(counters, 1,
+	    "requests_total{service=\"%s\",status=\"%u\",cause=\"%s\"}",
+	    line->service, line->status, line->cause);
+	histogram_add(counter_histogram(counters, "request_us"),
+	    line->elapsed_ms * US_PER_MS);
+	log_event(line->status >= 200 && line->status < 300 ? LOG_LEVEL_INFO
+							    : LOG_LEVEL_WARN,
+	    "request.ended",
+	    "id=%s status=%u cause=\"%s\" route=%s workspace=%s service=%s "
+	    "server=%s attempts=%u ran=%d elapsed_ms=%" G_GINT64_FORMAT
+	    " configuration=%" G_GINT64_FORMAT
+	    " usable_ms=%" G_GINT64_FORMAT,
+	    line->attempt_id == NULL ? "" : line->attempt_id, line->status,
+	    line->cause, line->route, line->workspace, line->service,
+	    line->server, line->attempts, line->ran, line->elapsed_ms,
+	    line->configuration, line->proof_age_ms);
+}
--- /dev/null
+++ b/src/flow_log.h
@@ -0,0 +1,28 @@
+#ifndef PAPAYA_FLOW_LOG_H
+#define PAPAYA_FLOW_LOG_H
+
+#include "counter.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* How a request ended, for logs and metrics. Strings are borrowed. */
+typedef struct flow_log {
+	const char *attempt_id; /* may be NULL */
+	const char *route;
+	const char *workspace;
+	const char *service;
+	const char *server; /* the last one; "" */
+	unsigned status;    /* to the client; 0: it left */
+	const char *cause;
+	unsigned attempts; /* servers that got the request */
+	bool ran;	   /* a server may have begun */
+	int64_t elapsed_ms;
+	int64_t configuration; /* version */
+	int64_t proof_age_ms;  /* time for which the configuration is usable */
+} flow_log_t;
+
+/* Counts the outcome and writes its line. */
+void flow_log_outcome(counters_t *counters, const flow_log_t *line);
+
+#endif
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,515 @@
+#include "front.h"
+
+#include "clock.h"
+#include "cluster.h"
+#include "entry.h"
+#include "flow.h"
+#include "http_client.h"
+#include "lease.h"
+#include "log.h"
+#include "platform_catalog.h"
+#include "platform_request.h"
+#include "platform_store.h"
+#include "sync.h"
+#include "usage_report.h"
+
+#include <string.h>
+
+enum {
+	TICK_MS = 100,
+	SWEEP_MS = 1000,
+	/* Time for which clients that still know the address are served. */
+	LEAVE_MS = 2500,
+	/* The process ends this long before it would be killed. */
+	END_MARGIN_MS = 400,
+	/* How long an entry may be missing after the store was away. */
+	LAPSE_MS = 1800,
+	LAPSE_WINDOW_MS = 2500,
+	ADDRESS_TTL_MS = 2000,
+	/* Descriptors kept for backend servers and the platform. */
+	OTHER_DESCRIPTORS = 1500,
+	CONNECTIONS_MIN = 64,
+	ADDRESSES_MAX = 64,
+};
+
+/* Share of the longest use of a withdrawn key after which a node refuses. */
+static const double use_share = 0.8;
+/* The same, after which it is not offered to clients. */
+static const double ready_share = 0.6;
+
+struct front {
+	uv_loop_t *loop;
+	front_config_t *config;
+	http_client_t *http;
+	platform_store_t *store;
+	sync_t *sync;
+	lease_t *lease;
+	cluster_t *cluster;
+	usage_report_t *usage_report;
+	flow_context_t flow;
+	entry_server_t *clients;
+	entry_server_t *questions; /* which addresses to use */
+	entry_server_t *readiness;
+	entry_server_t *metrics;
+	uv_timer_t timer;
+	int64_t swept_ms;
+	bool listed;
+	bool ready;
+	int64_t drain_from_ms; /* 0: not draining */
+	void (*on_drained)(void *data);
+	void *drain_data;
+};
+
+static const catalog_limits_t limits_default = {
+    .head_bytes = 16384,
+    .body_bytes = 4 * 1024 * 1024,
+    .head_timeout_ms = 3000,
+    .idle_timeout_ms = 15000,
+};
+
+static const catalog_limits_t *
+limits(void *data)
+{
+	const front_t *front = data;
+
+	return front->flow.catalog == NULL ? &limits_default
+					   : &front->flow.catalog->limits;
+}
+
+static void
+put_configuration(front_t *front, const platform_item_t *item)
+{
+	catalog_t *old = front->flow.catalog;
+	GError *error = NULL;
+	catalog_t *catalog =
+	    platform_read_catalog(item->value, item->length, &error);
+
+	if (catalog == NULL) {
+		log_event(LOG_LEVEL_ERROR, "configuration.malformed",
+		    "revision=%" G_GINT64_FORMAT " error=\"%s\"",
+		    item->revision, error->message);
+		g_error_free(error);
+		return;
+	}
+	if (old != NULL && catalog->version <= old->version) {
+		catalog_unref(catalog);
+		return;
+	}
+	log_event(LOG_LEVEL_INFO, "configuration.applied",
+	    "version=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
+	    " routes=%u",
+	    catalog->version, item->revision, catalog->route_count);
+	front->flow.catalog = catalog;
+	catalog_unref(old);
+	quota_configure(front->flow.quota, catalog, clock_boot_ms());
+}
+
+static void
+put_server(front_t *front, const char *id, const platform_item_t *item)
+{
+	GError *error = NULL;
+	server_info_t *info =
+	    platform_read_server(id, item->value, item->length, &error);
+
+	if (info == NULL) {
+		log_event(LOG_LEVEL_WARN, "server.malformed",
+		    "id=%s error=\"%s\"", id, error->message);
+		g_error_free(error);
+		pool_remove(front->flow.pool, id, 0, clock_boot_ms());
+		return;
+	}
+	log_event(LOG_LEVEL_INFO, "server.listed",
+	    "id=%s service=%s address=%s zone=%s version=%s draining=%d "
+	    "spot=%d leaves_ms=%" G_GINT64_FORMAT,
+	    id, info->service, info->address, info->zone, info->version,
+	    info->draining, info->spot, info->leaves_ms);
+	pool_put(front->flow.pool, info, clock_boot_ms());
+}
+
+/* The rest of a key after a prefix; NULL where it has another one. */
+static const char *
+after_prefix(const char *key, const char *prefix)
+{
+	return g_str_has_prefix(key, prefix) ? key + strlen(prefix) : NULL;
+}
+
+static void
+on_put(const platform_item_t *item, void *data)
+{
+	front_t *front = data;
+	const char *name;
+
+	if (item->value == NULL)
+		return;
+	if (strcmp(item->key, platform_configuration_key) == 0) {
+		put_configuration(front, item);
+	} else if ((name = after_prefix(item->key, platform_servers_prefix)) !=
+		   NULL) {
+		put_server(front, name, item);
+	} else if ((name = after_prefix(item->key, lease_node_prefix)) !=
+		   NULL) {
+		char *address = g_strndup(item->value, item->length);
+
+		cluster_put(front->cluster, name, address);
+		g_free(address);
+	} else if (strcmp(item->key, lease_holder_key) == 0) {
+		lease_see_holder(
+		    front->lease, item->value, item->length, item->revision);
+	} else if (strcmp(item->key, usage_report_key) == 0) {
+		usage_report_see(front->usage_report, item->value,
+		    item->length, item->revision);
+	} else if ((name = platform_rollout_service(item->key)) != NULL) {
+		log_event(LOG_LEVEL_WARN, "rollout.ignored",
+		    "service=%s reason=\"version moves are not built yet\"",
+		    name);
+	}
+}
+
+/* Entries that were removed while the store was away may come back. */
+static int64_t
+lapse_ms(const front_t *front, int64_t now_ms)
+{
+	int64_t regained_ms = sync_regained_ms(front->sync);
+
+	if (sync_is_away(front->sync))
+		return LAPSE_MS;
+	return regained_ms != 0 && now_ms - regained_ms < LAPSE_WINDOW_MS
+		   ? LAPSE_MS
+		   : 0;
+}
+
+static void
+on_removed(const char *key, void *data)
+{
+	front_t *front = data;
+	int64_t now_ms = clock_boot_ms();
+	const char *name;
+
+	if ((name = after_prefix(key, platform_servers_prefix)) != NULL) {
+		int64_t lapse = lapse_ms(front, now_ms);
+
+		log_event(LOG_LEVEL_INFO, "server.removed",
+		    "id=%s kept_ms=%" G_GINT64_FORMAT, name, lapse);
+		pool_remove(front->flow.pool, name, lapse, now_ms);
+	} else if ((name = after_prefix(key, lease_node_prefix)) != NULL) {
+		cluster_remove(front->cluster, name);
+	} else if (strcmp(key, lease_holder_key) == 0) {
+		lease_see_holder(front->lease, NULL, 0, 0);
+	} else if (strcmp(key, usage_report_key) == 0) {
+		usage_report_see(front->usage_report, NULL, 0, 0);
+	}
+}
+
+static void
+on_listed(void *data)
+{
+	front_t *front = data;
+
+	if (!front->listed)
+		log_event(LOG_LEVEL_INFO, "front.listed", "servers=%u nodes=%u",
+		    pool_count(front->flow.pool),
+		    cluster_nodes(front->cluster));
+	front->listed = true;
+	lease_compete(front->lease);
+}
+
+static void
+on_newer_configuration(void *data)
+{
+	sync_refresh(((front_t *)data)->sync);
+}
+
+static void
+on_request(exchange_t *exchange, void *data)
+{
+	front_t *front = data;
+
+	flow_start(&front->flow, exchange);
+}
+
+static void
+answer_addresses(front_t *front, exchange_t *exchange, const char *zone)
+{
+	static const char type[] = "Content-Type: application/json\r\n";
+	GPtrArray *addresses = cluster_addresses(front->cluster, zone);
+	int64_t ttl_ms =
+	    MIN(ADDRESS_TTL_MS, front->config->bounds.address_ttl_max_ms);
+
+	if (addresses->len > ADDRESSES_MAX)
+		g_ptr_array_set_size(addresses, ADDRESSES_MAX);
+	if (addresses->len == 0) {
+		exchange_reply(exchange, 503, NULL, "", 0);
+	} else {
+		char *text = platform_write_addresses(addresses, ttl_ms);
+
+		exchange_reply(exchange, 200, type, text, strlen(text));
+		g_free(text);
+	}
+	g_ptr_array_unref(addresses);
+}
+
+static void
+on_question(exchange_t *exchange, void *data)
+{
+	front_t *front = data;
+	char *zone;
+
+	switch (platform_read_question(exchange_head(exchange)->target, &zone)) {
+	case PLATFORM_QUESTION_READY:
+		exchange_reply(
+		    exchange, front->ready ? 200 : 503, NULL, "", 0);
+		break;
+	case PLATFORM_QUESTION_ADDRESSES:
+		answer_addresses(front, exchange, zone);
+		break;
+	case PLATFORM_QUESTION_OTHER:
+		exchange_reply(exchange, 404, NULL, "", 0);
+		break;
+	}
+	g_free(zone);
+	exchange_unref(exchange);
+}
+
+static void
+on_metrics(exchange_t *exchange, void *data)
+{
+	static const char type[] = "Content-Type: text/plain\r\n";
+	front_t *front = data;
+	GString *text = g_string_new(NULL);
+
+	counters_write(front->flow.counters, text);
+	exchange_reply(exchange, 200, type, text->str, text->len);
+	g_string_free(text, TRUE);
+	exchange_unref(exchange);
+}
+
+static void
+update_ready(front_t *front, int64_t now_ms)
+{
+	int64_t confirmed_ms = sync_confirmed_ms(front->sync);
+	double revoke_ms = (double)front->config->bounds.revoke_ms;
+	bool ready = front->flow.catalog != NULL && front->listed &&
+		     front->drain_from_ms == 0 &&
+		     now_ms < confirmed_ms + (int64_t)(ready_share * revoke_ms);
+
+	front->flow.usable_until_ms =
+	    confirmed_ms + (int64_t)(use_share * revoke_ms);
+	if (ready != front->ready)
+		log_event(LOG_LEVEL_INFO, ready ? "front.ready" : "front.unready",
+		    "proof_age_ms=%" G_GINT64_FORMAT " draining=%d",
+		    now_ms - confirmed_ms, front->drain_from_ms != 0);
+	front->ready = ready;
+	cluster_set_self(front->cluster, ready,
+	    front->flow.catalog == NULL ? 0 : front->flow.catalog->version);
+}
+
+static void
+update_gauges(front_t *front, int64_t now_ms)
+{
+	counters_t *counters = front->flow.counters;
+
+	*counter_get(counters, "client_connections") =
+	    entry_server_connections(front->clients);
+	*counter_get(counters, "requests_in_progress") =
+	    entry_server_active(front->clients);
+	*counter_get(counters, "nodes") = cluster_nodes(front->cluster);
+	*counter_get(counters, "backend_servers") =
+	    pool_count(front->flow.pool);
+	*counter_get(counters, "configuration_proof_age_ms") =
+	    (uint64_t)(now_ms - sync_confirmed_ms(front->sync));
+	*counter_get(counters, "log_lines_dropped_total") = log_dropped();
+}
+
+static void
+check_drain(front_t *front, int64_t now_ms)
+{
+	int64_t passed_ms = now_ms - front->drain_from_ms;
+	int64_t most_ms = front->config->bounds.grace_ms - END_MARGIN_MS;
+	unsigned active = entry_server_active(front->clients);
+
+	if (passed_ms < MIN(LEAVE_MS, most_ms))
+		return;
+	front->flow.refusing = true;
+	entry_server_close_idle(front->clients);
+	if (active > 0 && passed_ms < most_ms)
+		return;
+	log_event(active > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "front.drained",
+	    "interrupted=%u passed_ms=%" G_GINT64_FORMAT, active, passed_ms);
+	cluster_send(front->cluster);
+	uv_timer_stop(&front->timer);
+	front->on_drained(front->drain_data);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	front_t *front = timer->data;
+	int64_t now_ms = clock_boot_ms();
+
+	update_ready(front, now_ms);
+	usage_report_tick(
+	    front->usage_report, cluster_wall_ms(front->cluster));
+	if (now_ms - front->swept_ms >= SWEEP_MS) {
+		front->swept_ms = now_ms;
+		prefix_cache_sweep(front->flow.prefixes, now_ms);
+		update_gauges(front, now_ms);
+	}
+	pool_sweep(front->flow.pool, now_ms);
+	log_flush();
+	if (front->drain_from_ms != 0)
+		check_drain(front, now_ms);
+}
+
+static entry_server_t *
+listen_on(front_t *front, const char *address, unsigned connections_max,
+    void (*handler)(exchange_t *exchange, void *data), GError **error)
+{
+	entry_options_t options = {
+	    .address = address,
+	    .connections_max = connections_max,
+	    .on_request = handler,
+	    .limits = limits,
+	    .data = front,
+	};
+
+	return entry_server_start(front->loop, &options, error);
+}
+
+static bool
+start_listeners(front_t *front, GError **error)
+{
+	const front_config_t *config = front->config;
+	unsigned most = config->descriptors > OTHER_DESCRIPTORS + CONNECTIONS_MIN
+			    ? config->descriptors - OTHER_DESCRIPTORS
+			    : CONNECTIONS_MIN;
+	char *metrics =
+	    g_strdup_printf("%s:%d", config->ip, config->metrics_port);
+	bool ok;
+
+	front->clients =
+	    listen_on(front, config->client_address, most, on_request, error);
+	ok = front->clients != NULL;
+	if (ok && config->ready_address != NULL) {
+		front->readiness = listen_on(front, config->ready_address,
+		    CONNECTIONS_MIN, on_question, error);
+		ok = front->readiness != NULL;
+	}
+	if (ok && config->directory_address != NULL) {
+		front->questions = listen_on(front, config->directory_address,
+		    most / 4 + CONNECTIONS_MIN, on_question, error);
+		ok = front->questions != NULL;
+	}
+	if (ok && config->metrics_port != 0) {
+		front->metrics = listen_on(
+		    front, metrics, CONNECTIONS_MIN, on_metrics, error);
+		ok = front->metrics != NULL;
+	}
+	g_free(metrics);
+	return ok;
+}
+
+static void
+start_flow(front_t *front)
+{
+	const front_bounds_t *bounds = &front->config->bounds;
+	retry_limits_t retry = {.ratio = bounds->retry_ratio,
+	    .extra = bounds->retry_extra,
+	    .window_ms = bounds->retry_window_ms};
+
+	front->flow = (flow_context_t){
+	    .loop = front->loop,
+	    .zone = front->config->zone,
+	    .pool = pool_new(front->loop),
+	    .quota = quota_new(clock_boot_ms()),
+	    .budget = retry_budget_new(&retry),
+	    .usage = usage_new(bounds->usage_window_ms),
+	    .prefixes = prefix_cache_new(),
+	    .counters = counters_new(),
+	};
+}
+
+static bool
+start_cluster(front_t *front, GError **error)
+{
+	cluster_options_t options = {
+	    .config = front->config,
+	    .pool = front->flow.pool,
+	    .quota = front->flow.quota,
+	    .usage = front->flow.usage,
+	    .on_newer_configuration = on_newer_configuration,
+	    .data = front,
+	};
+
+	front->cluster = cluster_start(front->loop, &options, error);
+	front->flow.cluster = front->cluster;
+	return front->cluster != NULL;
+}
+
+static void
+start_store(front_t *front)
+{
+	usage_report_options_t report = {.config = front->config};
+	sync_options_t sync = {
+	    .on_put = on_put,
+	    .on_removed = on_removed,
+	    .on_listed = on_listed,
+	    .data = front,
+	};
+
+	front->http = http_client_new(front->loop);
+	front->store =
+	    platform_store_new(front->http, front->config->store_url);
+	front->lease =
+	    lease_start(front->loop, front->config, front->store);
+	report.store = front->store;
+	report.http = front->http;
+	report.lease = front->lease;
+	report.usage = front->flow.usage;
+	front->usage_report = usage_report_new(&report);
+	sync.store = front->store;
+	front->sync = sync_start(front->loop, &sync);
+}
+
+front_t *
+front_start(uv_loop_t *loop, front_config_t *config, GError **error)
+{
+	front_t *front = g_new0(front_t, 1);
+
+	front->loop = loop;
+	front->config = config;
+	start_flow(front);
+	if (!start_cluster(front, error) || !start_listeners(front, error))
+		return NULL; /* the process ends */
+	start_store(front);
+	uv_timer_init(loop, &front->timer);
+	front->timer.data = front;
+	uv_timer_start(&front->timer, on_tick, TICK_MS, TICK_MS);
+	log_event(LOG_LEVEL_INFO, "front.started", "node=%s zone=%s address=%s",
+	    config->name, config->zone, config->client_address);
+	return front;
+}
+
+void
+front_reload(front_t *front, front_config_t *config)
+{
+	front->config->bounds = config->bounds;
+	log_event(LOG_LEVEL_INFO, "front.reloaded", "node=%s",
+	    front->config->name);
+	front_config_free(config);
+}
+
+void
+front_drain(front_t *front, void (*done)(void *data), void *data)
+{
+	if (front->drain_from_ms != 0)
+		return;
+	front->drain_from_ms = clock_boot_ms();
+	front->on_drained = done;
+	front->drain_data = data;
+	log_event(LOG_LEVEL_INFO, "front.draining", "active=%u",
+	    entry_server_active(front->clients));
+	update_ready(front, front->drain_from_ms);
+	cluster_send(front->cluster);
+	entry_server_drain(front->clients);
+	lease_end(front->lease);
+}
--- /dev/null
+++ b/src/front_config.c
@@ -0,0 +1,17 @@
+#include "front_config.h"
+
+void
+front_config_free(front_config_t *config)
+{
+	if (config == NULL)
+		return;
+	g_free(config->name);
+	g_free(config->zone);
+	g_free(config->ip);
+	g_free(config->client_address);
+	g_free(config->ready_address);
+	g_free(config->directory_address);
+	g_free(config->store_url);
+	g_free(config->cloud_url);
+	g_free(config);
+}
--- /dev/null
+++ b/src/http1.c
@@ -0,0 +1,341 @@
+#include "http1.h"
+
+#include <http_parser.h>
+#include <string.h>
+#include <strings.h>
+
+typedef struct span {
+	size_t name;
+	size_t value;
+} span_t;
+
+struct http1_reader {
+	http_parser parser;
+	http1_kind_t kind;
+	size_t head_max;
+	http1_callbacks_t callbacks;
+	void *data;
+	http1_state_t state;
+	http1_head_t head;
+	GString *text; /* target, names and values, each zero-terminated */
+	span_t spans[HTTP1_HEADERS_MAX];
+	bool in_value;
+	bool head_done; /* what follows are trailers, which are dropped */
+	bool started;
+	bool skipped; /* an interim response */
+	bool too_large;
+	bool no_body;
+};
+
+static int
+append(http1_reader_t *reader, const char *bytes, size_t length)
+{
+	if (reader->text->len + length > reader->head_max) {
+		reader->too_large = true;
+		return 1;
+	}
+	g_string_append_len(reader->text, bytes, (gssize)length);
+	return 0;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+	http1_reader_t *reader = parser->data;
+
+	reader->started = true;
+	return 0;
+}
+
+static int
+on_url(http_parser *parser, const char *bytes, size_t length)
+{
+	return append(parser->data, bytes, length);
+}
+
+static int
+on_name(http_parser *parser, const char *bytes, size_t length)
+{
+	http1_reader_t *reader = parser->data;
+	size_t count = reader->head.header_count;
+
+	if (reader->head_done)
+		return 0;
+	if (reader->in_value || count == 0) {
+		if (count == HTTP1_HEADERS_MAX) {
+			reader->too_large = true;
+			return 1;
+		}
+		g_string_append_c(reader->text, '\0');
+		reader->spans[count].name = reader->text->len;
+		reader->head.header_count++;
+		reader->in_value = false;
+	}
+	return append(reader, bytes, length);
+}
+
+static int
+on_value(http_parser *parser, const char *bytes, size_t length)
+{
+	http1_reader_t *reader = parser->data;
+	span_t *span;
+
+	if (reader->head_done)
+		return 0;
+	span = &reader->spans[reader->head.header_count - 1];
+	if (!reader->in_value) {
+		g_string_append_c(reader->text, '\0');
+		span->value = reader->text->len;
+		reader->in_value = true;
+	}
+	return append(reader, bytes, length);
+}
+
+static void
+fill_head(http1_reader_t *reader)
+{
+	http_parser *parser = &reader->parser;
+	http1_head_t *head = &reader->head;
+
+	g_string_append_c(reader->text, '\0');
+	for (size_t i = 0; i < head->header_count; i++) {
+		head->headers[i].name = reader->text->str + reader->spans[i].name;
+		head->headers[i].value =
+		    reader->text->str + reader->spans[i].value;
+	}
+	head->target = reader->text->str;
+	head->method = http_method_str((enum http_method)parser->method);
+	head->status = parser->status_code;
+	head->http_1_0 = parser->http_major == 1 && parser->http_minor == 0;
+	head->keep_alive = http_should_keep_alive(parser) != 0;
+	head->has_length = (parser->flags & F_CHUNKED) != 0 ||
+			   parser->content_length != ULLONG_MAX;
+	head->bytes = reader->text->len;
+}
+
+static int
+on_headers_complete(http_parser *parser)
+{
+	http1_reader_t *reader = parser->data;
+
+	/* The protocol is never switched: the message ends as any other. */
+	parser->upgrade = 0;
+	if (parser->http_major != 1)
+		return -1;
+	fill_head(reader);
+	reader->head_done = true;
+	if (reader->kind == HTTP1_RESPONSE && reader->head.status < 200) {
+		reader->skipped = true;
+		return 0;
+	}
+	if (!reader->callbacks.on_head(&reader->head, reader->data))
+		return -1;
+	return reader->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *bytes, size_t length)
+{
+	http1_reader_t *reader = parser->data;
+
+	return reader->callbacks.on_body(bytes, length, reader->data) ? 0 : 1;
+}
+
+static void
+clear_head(http1_reader_t *reader)
+{
+	g_string_truncate(reader->text, 0);
+	memset(&reader->head, 0, sizeof(reader->head));
+	reader->in_value = false;
+	reader->head_done = false;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+	http1_reader_t *reader = parser->data;
+
+	if (reader->skipped) {
+		reader->skipped = false;
+		clear_head(reader);
+		return 0;
+	}
+	reader->state = HTTP1_COMPLETE;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
+    .on_url = on_url,
+    .on_header_field = on_name,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+http1_reader_t *
+http1_reader_new(http1_kind_t kind, size_t head_max,
+    const http1_callbacks_t *callbacks, void *data)
+{
+	http1_reader_t *reader = g_new0(http1_reader_t, 1);
+
+	reader->kind = kind;
+	reader->head_max = head_max;
+	reader->callbacks = *callbacks;
+	reader->data = data;
+	reader->text = g_string_sized_new(1024);
+	http1_reader_reset(reader);
+	return reader;
+}
+
+void
+http1_reader_free(http1_reader_t *reader)
+{
+	if (reader == NULL)
+		return;
+	g_string_free(reader->text, TRUE);
+	g_free(reader);
+}
+
+void
+http1_reader_reset(http1_reader_t *reader)
+{
+	http_parser_init(&reader->parser,
+	    reader->kind == HTTP1_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+	reader->parser.data = reader;
+	reader->state = HTTP1_READING;
+	reader->started = false;
+	reader->skipped = false;
+	reader->too_large = false;
+	reader->no_body = false;
+	clear_head(reader);
+}
+
+size_t
+http1_reader_feed(http1_reader_t *reader, const char *bytes, size_t length)
+{
+	size_t used;
+
+	if (reader->state != HTTP1_READING || length == 0)
+		return 0;
+	used =
+	    http_parser_execute(&reader->parser, &parser_settings, bytes, length);
+	if (reader->state == HTTP1_READING &&
+	    HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK)
+		reader->state = HTTP1_FAILED;
+	return used;
+}
+
+void
+http1_reader_finish(http1_reader_t *reader)
+{
+	if (reader->state != HTTP1_READING)
+		return;
+	http_parser_execute(&reader->parser, &parser_settings, NULL, 0);
+	if (reader->state == HTTP1_READING)
+		reader->state = HTTP1_FAILED;
+}
+
+void
+http1_reader_expect_no_body(http1_reader_t *reader)
+{
+	reader->no_body = true;
+}
+
+const http1_head_t *
+http1_reader_head(const http1_reader_t *reader)
+{
+	return &reader->head;
+}
+
+http1_state_t
+http1_reader_state(const http1_reader_t *reader)
+{
+	return reader->state;
+}
+
+bool
+http1_reader_started(const http1_reader_t *reader)
+{
+	return reader->started;
+}
+
+bool
+http1_reader_head_too_large(const http1_reader_t *reader)
+{
+	return reader->too_large ||
+	       HTTP_PARSER_ERRNO(&reader->parser) == HPE_HEADER_OVERFLOW;
+}
+
+const char *
+http1_head_get(const http1_head_t *head, const char *name)
+{
+	for (size_t i = 0; i < head->header_count; i++)
+		if (strcasecmp(head->headers[i].name, name) == 0)
+			return head->headers[i].value;
+	return NULL;
+}
+
+size_t
+http1_head_count(const http1_head_t *head, const char *name)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < head->header_count; i++)
+		if (strcasecmp(head->headers[i].name, name) == 0)
+			count++;
+	return count;
+}
+
+/* True where a comma-separated list has the name. */
+static bool
+list_has(const char *list, const char *name)
+{
+	size_t length = strlen(name);
+
+	while (*list != '\0') {
+		size_t item;
+
+		list += strspn(list, " \t,");
+		item = strcspn(list, " \t,");
+		if (item == length && strncasecmp(list, name, length) == 0)
+			return true;
+		list += item;
+	}
+	return false;
+}
+
+bool
+http1_head_is_hop(const http1_head_t *head, const char *name)
+{
+	static const char *const hop[] = {"connection", "keep-alive",
+	    "proxy-connection", "proxy-authenticate", "proxy-authorization",
+	    "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+	    "expect"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hop); i++)
+		if (strcasecmp(hop[i], name) == 0)
+			return true;
+	for (size_t i = 0; i < head->header_count; i++)
+		if (strcasecmp(head->headers[i].name, "connection") == 0 &&
+		    list_has(head->headers[i].value, name))
+			return true;
+	return false;
+}
+
+void
+http1_add_header(GString *out, const char *name, const char *value)
+{
+	g_string_append(out, name);
+	g_string_append(out, ": ");
+	g_string_append(out, value);
+	g_string_append(out, "\r\n");
+}
+
+const char *
+http1_reason(unsigned status)
+{
+	return http_status_str((enum http_status)status);
+}
--- a/src/log.c
+++ b/src/log.c
@@ -1,11 +1,27 @@
 #include "log.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum {
+	/* Lines that wait for a slow reader. */
+	WAITING_MAX_BYTES = 256 * 1024,
+	/* A pipe that is ready takes at least so much without blocking. */
+	ATOMIC_BYTES = 4096,
+};
 
 static log4c_category_t *log_category;
 static const char *log_program = "papaya";
+static int log_output = STDERR_FILENO;
+static GString *log_waiting;
+static bool log_batches; /* log_flush() is called regularly */
+static uint64_t log_dropped_lines;
+static uint64_t log_reported_lines;
 
 static const char *
 format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
@@ -23,26 +39,85 @@
 	return line;
 }
 
-/* log4c's own stderr appender puts its name before each line. */
+static bool
+output_ready(void)
+{
+	struct pollfd output = {.fd = log_output, .events = POLLOUT};
+
+	return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+/* Bytes up to the end of the last line that fits one write. */
+static size_t
+whole_lines(const GString *text)
+{
+	const char *end;
+
+	if (text->len <= ATOMIC_BYTES)
+		return text->len;
+	end = memrchr(text->str, '\n', ATOMIC_BYTES);
+	return end == NULL ? ATOMIC_BYTES : (size_t)(end - text->str) + 1;
+}
+
+void
+log_flush(void)
+{
+	while (log_waiting != NULL && log_waiting->len > 0 && output_ready()) {
+		ssize_t written = write(
+		    log_output, log_waiting->str, whole_lines(log_waiting));
+
+		if (written <= 0)
+			return; /* tried again with the next line */
+		g_string_erase(log_waiting, 0, written);
+	}
+	if (log_dropped_lines > log_reported_lines && log_category != NULL) {
+		uint64_t lines = log_dropped_lines - log_reported_lines;
+
+		log_reported_lines = log_dropped_lines;
+		log_event(LOG_LEVEL_WARN, "log.dropped",
+		    "lines=%" G_GUINT64_FORMAT, lines);
+	}
+}
+
+uint64_t
+log_dropped(void)
+{
+	return log_dropped_lines;
+}
+
+/* log4c's own appenders put their names before each line, and block. */
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
-	return fputs(event->evt_rendered_msg, stderr) < 0 ? -1 : 0;
+	size_t length = strlen(event->evt_rendered_msg);
+
+	if (log_waiting->len + length > WAITING_MAX_BYTES) {
+		log_dropped_lines++;
+		return 0;
+	}
+	g_string_append_len(
+	    log_waiting, event->evt_rendered_msg, (gssize)length);
+	if (!log_batches || log_waiting->len >= ATOMIC_BYTES / 2)
+		log_flush();
+	return 0;
 }
 
 static const log4c_appender_type_t appender_type = {
-    .name = "papaya_stderr", .append = append_line};
+    .name = "papaya_output", .append = append_line};
 
 static const log4c_layout_type_t layout_type = {
     .name = "papaya", .format = format_line};
 
 int
-log_start(const char *program)
+log_start(const char *program, int output, bool batches)
 {
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
 
 	log_program = program;
+	log_output = output;
+	log_batches = batches;
+	log_waiting = g_string_new(NULL);
 	if (log4c_init() != 0)
 		return -1;
 	log4c_layout_type_set(&layout_type);
@@ -61,6 +136,7 @@
 void
 log_stop(void)
 {
+	log_flush();
 	log_category = NULL;
 	log4c_fini();
 }
--- a/src/log.h
+++ b/src/log.h
@@ -2,10 +2,13 @@
 #define PAPAYA_LOG_H
 
 #include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
 
 /*
- * Structured log lines on stderr, for changes of state only; what happens at
- * each call is counted instead.
+ * Structured log lines. Writing never blocks: lines wait in
+ * a bounded buffer while the reader is slow, and are dropped and counted once
+ * it is full.
  */
 typedef enum log_level {
 	LOG_LEVEL_INFO,
@@ -13,8 +16,12 @@
 	LOG_LEVEL_ERROR
 } log_level_t;
 
-/* Starts logging under a program's name. Returns 0, or -1 with no log. */
-int log_start(const char *program);
+/*
+ * Starts logging under a program's name to a descriptor. With batches, lines
+ * wait for log_flush(), which the program calls several times a second.
+ * Returns 0, or -1 with no log.
+ */
+int log_start(const char *program, int output, bool batches);
 void log_stop(void);
 
 /*
@@ -24,4 +31,10 @@
 void log_event(log_level_t level, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
+/* Lines given up because the reader was too slow. */
+uint64_t log_dropped(void);
+
+/* Writes what waits, as far as the reader takes it. */
+void log_flush(void);
+
 #endif
--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -1,11 +1,14 @@
 #include "error.h"
+#include "front.h"
 #include "log.h"
 #include "node.h"
+#include "platform_settings.h"
 
 #include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 static void
 on_drained(node_t *node)
@@ -65,6 +68,87 @@
 	return 0;
 }
 
+static front_t *front;
+
+static void
+on_front_drained(void *data)
+{
+	uv_stop(data);
+}
+
+static void
+on_front_signal(uv_signal_t *signal, int number)
+{
+	front_drain(front, on_front_drained, signal->loop);
+}
+
+static void
+on_front_reload(uv_signal_t *signal, int number)
+{
+	const char *file = g_getenv(platform_settings_variable);
+	GError *error = NULL;
+	front_config_t *config = platform_settings_load(file, &error);
+
+	if (config != NULL) {
+		front_reload(front, config);
+		return;
+	}
+	log_event(LOG_LEVEL_ERROR, "front.reload_failed", "error=\"%s\"",
+	    error->message);
+	g_error_free(error);
+}
+
+static void
+watch_signal(uv_signal_t *signal, uv_signal_cb callback, int number)
+{
+	uv_signal_init(uv_default_loop(), signal);
+	uv_signal_start(signal, callback, number);
+}
+
+/* Settings of the platform's node file; NULL after saying what is wrong. */
+static front_config_t *
+load_platform_settings(void)
+{
+	const char *file = g_getenv(platform_settings_variable);
+	GError *error = NULL;
+	front_config_t *config;
+
+	if (file == NULL) {
+		fprintf(stderr, "papayad: set %s to the settings file\n",
+		    platform_settings_variable);
+		return NULL;
+	}
+	config = platform_settings_load(file, &error);
+	if (config == NULL) {
+		fprintf(stderr, "papayad: %s\n", error->message);
+		g_error_free(error);
+	}
+	return config;
+}
+
+static int
+run_on_platform(void)
+{
+	uv_loop_t *loop = uv_default_loop();
+	uv_signal_t term, interrupt, hangup;
+	front_config_t *config = load_platform_settings();
+	GError *error = NULL;
+
+	if (config == NULL)
+		return 2;
+	front = front_start(loop, config, &error);
+	if (front == NULL) {
+		fprintf(stderr, "papayad: %s\n", error->message);
+		g_error_free(error);
+		return 1;
+	}
+	watch_signal(&term, on_front_signal, SIGTERM);
+	watch_signal(&interrupt, on_front_signal, SIGINT);
+	watch_signal(&hangup, on_front_reload, SIGHUP);
+	uv_run(loop, UV_RUN_DEFAULT);
+	return 0;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -72,10 +156,13 @@
 	struct arg_lit *version = arg_lit0(NULL, "version", "show the version");
 	struct arg_file *config = arg_file0(
 	    NULL, "config", "FILE", "configuration of this node (JSON)");
+	struct arg_lit *platform = arg_lit0(NULL, "platform",
+	    "run on the users' platform, with the settings that "
+	    "the environment names");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the configuration and exit");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {help, version, config, check, end};
+	void *table[] = {help, version, platform, config, check, end};
 	int errors = arg_parse(argc, argv, table);
 	int rc;
 
@@ -85,11 +172,18 @@
 			arg_print_glossary(stdout, table, "  %-20s %s\n");
 		return 0;
 	}
-	if (errors > 0 || config->count == 0) {
+	if (errors > 0 || config->count + platform->count != 1) {
 		arg_print_errors(stderr, end, "papayad");
-		fprintf(stderr, "papayad: give --config FILE; see --help\n");
+		fprintf(stderr, "papayad: give --config FILE or --platform; see --help\n");
 		return 2;
 	}
+	if (check->count > 0 && platform->count > 0) {
+		front_config_t *parsed = load_platform_settings();
+
+		rc = parsed == NULL ? 2 : 0;
+		front_config_free(parsed);
+		return rc;
+	}
 	if (check->count > 0) {
 		GError *error = NULL;
 		node_config_t *parsed =
@@ -103,8 +197,13 @@
 		return rc;
 	}
 	signal(SIGPIPE, SIG_IGN);
-	log_start("papayad");
-	rc = run(config->filename[0]);
+	if (platform->count > 0) {
+		log_start("papayad", STDOUT_FILENO, true);
+		rc = run_on_platform();
+	} else {
+		log_start("papayad", STDERR_FILENO, false);
+		rc = run(config->filename[0]);
+	}
 	log_stop();
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return rc;
--- /dev/null
+++ b/src/pick.c
@@ -0,0 +1,188 @@
+#include "pick.h"
+
+#include <float.h>
+#include <string.h>
+
+enum {
+	/* Time that each request beyond the batch adds to the first token. */
+	QUEUED_MS = 40,
+	/* Requests in progress slow down each other's steps. */
+	RUNNING_MS = 1,
+	/* Cost of a server all of whose recent requests failed. */
+	FAILURE_MS = 600,
+	/* Cost of a memory that is full. */
+	MEMORY_MS = 400,
+	PLAIN_LATENCY_DEFAULT_MS = 50,
+	OTHER_ZONE_MS = 1,
+	/* A preferred server for a prompt, so that nodes agree on one. */
+	HOME_MS = 4,
+};
+
+/* Prompt tokens that an engine reads in a millisecond. */
+static const double read_tokens_per_ms = 100.0;
+/* Share of its memory beyond which an engine is avoided. */
+static const double memory_share = 0.8;
+
+double
+pick_request_tokens(const request_facts_t *facts)
+{
+	return facts->has_tokens
+		   ? (double)facts->tokens_in + (double)facts->tokens_out
+		   : 0;
+}
+
+static bool
+was_tried(const pick_query_t *query, const server_t *server)
+{
+	for (guint i = 0; query->tried != NULL && i < query->tried->len; i++)
+		if (query->tried->pdata[i] == server)
+			return true;
+	return false;
+}
+
+/* Rendezvous hash of a prompt's longest shared part and a server. */
+static uint64_t
+home_weight(uint64_t part, uint32_t tag)
+{
+	uint64_t x = part ^ ((uint64_t)tag * UINT64_C(0x9E3779B97F4A7C15));
+
+	x ^= x >> 33;
+	x *= UINT64_C(0xFF51AFD7ED558CCD);
+	x ^= x >> 33;
+	x *= UINT64_C(0xC4CEB9FE1A85EC53);
+	return x ^ x >> 33;
+}
+
+/* The server where nodes look first for a prompt's shared parts. */
+static const server_t *
+home_server(const pick_query_t *query)
+{
+	const request_facts_t *facts = query->facts;
+	const server_t *home = NULL;
+	uint64_t best = 0;
+	uint64_t part;
+
+	if (facts->part_count < 2)
+		return NULL;
+	part = facts->parts[facts->part_count - 2].id;
+	for (guint i = 0; i < query->servers->len; i++) {
+		const server_t *server = query->servers->pdata[i];
+		uint64_t weight = home_weight(part, server->tag);
+
+		if (server_usable(server, query->now_ms) &&
+		    (home == NULL || weight > best)) {
+			home = server;
+			best = weight;
+		}
+	}
+	return home;
+}
+
+static double
+new_tokens(const pick_query_t *query, const server_t *server, bool is_home)
+{
+	const request_facts_t *facts = query->facts;
+	double tokens = (double)facts->tokens_in;
+	unsigned held = prefix_cache_held(
+	    query->prefixes, server->tag, facts, query->now_ms);
+
+	if (is_home && held == 0)
+		held = prefix_shared_tokens(facts) / 2;
+	return MAX(tokens - held, 0);
+}
+
+static double
+queue_ms(const server_t *server, unsigned batch)
+{
+	unsigned running = server_in_flight(server);
+
+	return running * RUNNING_MS +
+	       (running >= batch ? (running - batch + 1) * QUEUED_MS : 0);
+}
+
+static double
+memory_ms(const pick_query_t *query, const server_t *server)
+{
+	double capacity = query->service->cache_tokens;
+	double held = server->own.held_tokens + server->peers.held_tokens +
+		      pick_request_tokens(query->facts);
+
+	if (capacity <= 0 || held <= memory_share * capacity)
+		return 0;
+	return MEMORY_MS * (held / (memory_share * capacity) - 1 + 0.2);
+}
+
+static double
+engine_ms(const pick_query_t *query, const server_t *server, double tokens)
+{
+	double waiting =
+	    server->own.waiting_tokens + server->peers.waiting_tokens;
+
+	return (waiting + tokens) / read_tokens_per_ms +
+	       queue_ms(server, query->service->batch) +
+	       memory_ms(query, server);
+}
+
+static double
+plain_ms(const server_t *server)
+{
+	double latency = server->latency_ms > 0 ? server->latency_ms
+						: PLAIN_LATENCY_DEFAULT_MS;
+	unsigned running = server_in_flight(server);
+	unsigned slots = server->info->slots;
+
+	if (running < slots)
+		return latency + (double)running / slots;
+	return latency * (1 + (double)(running - slots + 1) / slots);
+}
+
+/* What is not time but counts against a server. */
+static double
+penalty_ms(const pick_query_t *query, const server_t *server, bool is_home)
+{
+	double penalty = server->failure_rate * FAILURE_MS;
+
+	if (strcmp(server->info->zone, query->zone) != 0)
+		penalty += OTHER_ZONE_MS;
+	if (server->info->cold_ms > 0)
+		penalty += server->latency_ms;
+	return is_home ? penalty - HOME_MS : penalty;
+}
+
+pick_choice_t
+pick_server(const pick_query_t *query)
+{
+	pick_choice_t choice = {.full = true};
+	bool is_engine = query->service != NULL && query->service->is_engine;
+	double best = DBL_MAX;
+	const server_t *home;
+	guint first;
+
+	if (query->servers == NULL || query->servers->len == 0)
+		return choice;
+	home = is_engine ? home_server(query) : NULL;
+	first = (guint)(query->random % query->servers->len);
+	for (guint i = 0; i < query->servers->len; i++) {
+		server_t *server = query->servers
+				       ->pdata[(first + i) % query->servers->len];
+		bool is_home = server == home;
+		double tokens, expected, cost;
+
+		if (!server_usable(server, query->now_ms) ||
+		    was_tried(query, server))
+			continue;
+		tokens = is_engine ? new_tokens(query, server, is_home) : 0;
+		expected = is_engine ? engine_ms(query, server, tokens)
+				     : plain_ms(server);
+		cost = expected + penalty_ms(query, server, is_home);
+		if (server_in_flight(server) < server->info->slots)
+			choice.full = false;
+		if (cost >= best)
+			continue;
+		best = cost;
+		choice.server = server;
+		choice.expected_ms = expected;
+		choice.new_tokens = tokens;
+	}
+	return choice;
+}
--- /dev/null
+++ b/src/pick.h
@@ -0,0 +1,38 @@
+#ifndef PAPAYA_PICK_H
+#define PAPAYA_PICK_H
+
+#include "catalog.h"
+#include "pool.h"
+#include "prefix.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Chooses the backend server of a request. Decides only; no I/O. */
+
+typedef struct pick_query {
+	const request_facts_t *facts;
+	const catalog_service_t *service; /* NULL: a service not configured */
+	const GPtrArray *servers;	  /* of the service; or NULL */
+	const GPtrArray *tried; /* servers that had this request; or NULL */
+	const prefix_cache_t *prefixes;
+	const char *zone; /* of this node */
+	int64_t now_ms;
+	uint64_t random;
+} pick_query_t;
+
+typedef struct pick_choice {
+	server_t *server; /* borrowed; NULL: none is usable */
+	/* Estimated time to the first token or to the response, ms. */
+	double expected_ms;
+	double new_tokens; /* of the prompt that its cache does not hold */
+	bool full;	   /* every usable server has its places taken */
+} pick_choice_t;
+
+pick_choice_t pick_server(const pick_query_t *query);
+
+/* Memory that a request takes at an engine, in tokens. */
+double pick_request_tokens(const request_facts_t *facts);
+
+#endif
--- /dev/null
+++ b/src/pool.c
@@ -0,0 +1,257 @@
+#include "pool.h"
+
+#include <string.h>
+
+enum {
+	SUSPECT_MIN_MS = 500,
+	SUSPECT_MAX_MS = 4000,
+	/* A server that says it is full is passed over for so long. */
+	FULL_MS = 100,
+};
+
+/* Weight of the newest attempt in the moving averages. */
+static const double failure_weight = 0.08;
+static const double latency_weight = 0.1;
+
+struct pool {
+	uv_loop_t *loop;
+	GHashTable *by_id;	/* id to server_t, owns a reference */
+	GHashTable *by_tag;	/* tag to server_t, borrowed */
+	GHashTable *by_service; /* service to GPtrArray of server_t */
+};
+
+uint32_t
+server_tag(const char *id)
+{
+	return g_str_hash(id);
+}
+
+server_t *
+server_ref(server_t *server)
+{
+	server->refs++;
+	return server;
+}
+
+void
+server_unref(server_t *server)
+{
+	if (server == NULL || --server->refs > 0)
+		return;
+	upstream_free(server->upstream);
+	server_info_free(server->info);
+	g_free(server);
+}
+
+static void
+unref_value(gpointer server)
+{
+	server_unref(server);
+}
+
+static void
+unref_array(gpointer array)
+{
+	g_ptr_array_unref(array);
+}
+
+pool_t *
+pool_new(uv_loop_t *loop)
+{
+	pool_t *pool = g_new0(pool_t, 1);
+
+	pool->loop = loop;
+	pool->by_id = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, unref_value);
+	pool->by_tag = g_hash_table_new(NULL, NULL);
+	pool->by_service = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, unref_array);
+	return pool;
+}
+
+void
+pool_free(pool_t *pool)
+{
+	if (pool == NULL)
+		return;
+	g_hash_table_unref(pool->by_service);
+	g_hash_table_unref(pool->by_tag);
+	g_hash_table_unref(pool->by_id);
+	g_free(pool);
+}
+
+static void
+unlink_server(pool_t *pool, server_t *server)
+{
+	GPtrArray *list =
+	    g_hash_table_lookup(pool->by_service, server->info->service);
+
+	server->gone = true;
+	if (list != NULL)
+		g_ptr_array_remove(list, server);
+	g_hash_table_remove(pool->by_tag, GUINT_TO_POINTER(server->tag));
+	g_hash_table_remove(pool->by_id, server->info->id);
+}
+
+static void
+link_server(pool_t *pool, server_t *server)
+{
+	const char *service = server->info->service;
+	GPtrArray *list = g_hash_table_lookup(pool->by_service, service);
+
+	if (list == NULL) {
+		list = g_ptr_array_new();
+		g_hash_table_insert(
+		    pool->by_service, g_strdup(service), list);
+	}
+	g_ptr_array_add(list, server);
+	g_hash_table_insert(
+	    pool->by_tag, GUINT_TO_POINTER(server->tag), server);
+	g_hash_table_insert(pool->by_id, server->info->id, server);
+}
+
+/* True where an entry speaks of the same start of the same server. */
+static bool
+same_server(const server_info_t *a, const server_info_t *b)
+{
+	return a->started_ms == b->started_ms &&
+	       strcmp(a->address, b->address) == 0 &&
+	       strcmp(a->service, b->service) == 0;
+}
+
+void
+pool_put(pool_t *pool, server_info_t *info, int64_t now_ms)
+{
+	server_t *server = g_hash_table_lookup(pool->by_id, info->id);
+
+	if (server != NULL && same_server(server->info, info)) {
+		/* The tables borrow the id: keep the first copy. */
+		server_info_t *old = server->info;
+		char *id = info->id;
+
+		info->id = old->id;
+		old->id = id;
+		server->info = info;
+		server->lapsed_until_ms = 0;
+		server_info_free(old);
+		return;
+	}
+	if (server != NULL)
+		unlink_server(pool, server);
+	server = g_new0(server_t, 1);
+	server->refs = 1;
+	server->info = info;
+	server->tag = server_tag(info->id);
+	server->listed_at_ms = now_ms;
+	server->upstream = upstream_new(pool->loop, info->address);
+	link_server(pool, server);
+}
+
+void
+pool_remove(pool_t *pool, const char *id, int64_t lapse_ms, int64_t now_ms)
+{
+	server_t *server = g_hash_table_lookup(pool->by_id, id);
+
+	if (server == NULL || server->lapsed_until_ms != 0)
+		return;
+	if (lapse_ms > 0 && !server->info->draining)
+		server->lapsed_until_ms = now_ms + lapse_ms;
+	else
+		unlink_server(pool, server);
+}
+
+void
+pool_sweep(pool_t *pool, int64_t now_ms)
+{
+	GList *servers = g_hash_table_get_values(pool->by_id);
+
+	for (GList *item = servers; item != NULL; item = item->next) {
+		server_t *server = item->data;
+
+		if (server->lapsed_until_ms != 0 &&
+		    now_ms >= server->lapsed_until_ms)
+			unlink_server(pool, server);
+		else if (server->upstream != NULL)
+			upstream_sweep(server->upstream, now_ms);
+	}
+	g_list_free(servers);
+}
+
+void
+pool_each(
+    pool_t *pool, void (*visit)(server_t *server, void *data), void *data)
+{
+	GHashTableIter iter;
+	gpointer server;
+
+	g_hash_table_iter_init(&iter, pool->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, &server))
+		visit(server, data);
+}
+
+const GPtrArray *
+pool_service(const pool_t *pool, const char *service)
+{
+	return g_hash_table_lookup(pool->by_service, service);
+}
+
+server_t *
+pool_find(const pool_t *pool, uint32_t tag)
+{
+	return g_hash_table_lookup(pool->by_tag, GUINT_TO_POINTER(tag));
+}
+
+unsigned
+pool_count(const pool_t *pool)
+{
+	return g_hash_table_size(pool->by_id);
+}
+
+bool
+server_usable(const server_t *server, int64_t now_ms)
+{
+	return !server->gone && !server->info->draining &&
+	       server->upstream != NULL && now_ms >= server->suspect_until_ms;
+}
+
+unsigned
+server_in_flight(const server_t *server)
+{
+	return server->own.in_flight + server->peers.in_flight;
+}
+
+static void
+suspect(server_t *server, int64_t now_ms)
+{
+	int64_t wait_ms = SUSPECT_MIN_MS;
+
+	for (unsigned i = 1; i < server->failures && wait_ms < SUSPECT_MAX_MS;
+	     i++)
+		wait_ms *= 2;
+	server->suspect_until_ms = now_ms + MIN(wait_ms, SUSPECT_MAX_MS);
+}
+
+void
+server_observe(server_t *server, server_outcome_t outcome, double latency_ms,
+    int64_t now_ms)
+{
+	double failed = outcome == SERVER_SERVED || outcome == SERVER_FULL ? 0
+									   : 1;
+
+	if (outcome == SERVER_FULL) {
+		server->suspect_until_ms =
+		    MAX(server->suspect_until_ms, now_ms + FULL_MS);
+		return;
+	}
+	server->failure_rate += failure_weight * (failed - server->failure_rate);
+	if (outcome == SERVER_UNREACHABLE) {
+		server->failures++;
+		suspect(server, now_ms);
+		return;
+	}
+	server->failures = 0;
+	if (outcome == SERVER_SERVED)
+		server->latency_ms +=
+		    (server->latency_ms == 0 ? 1 : latency_weight) *
+		    (latency_ms - server->latency_ms);
+}
--- /dev/null
+++ b/src/pool.h
@@ -0,0 +1,92 @@
+#ifndef PAPAYA_POOL_H
+#define PAPAYA_POOL_H
+
+#include "server.h"
+#include "upstream.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * The backend servers that service discovery lists, as one node sees them:
+ * state, load, recent failures. Times are clock_boot_ms().
+ */
+
+/* Requests in progress at a server. */
+typedef struct server_load {
+	unsigned in_flight;
+	double waiting_tokens; /* of prompts without a first token yet */
+	double held_tokens;    /* prompts and outputs in its memory */
+} server_load_t;
+
+/* Reference counted: a request keeps the server that it was sent to. */
+typedef struct server {
+	unsigned refs;
+	server_info_t *info;
+	uint32_t tag; /* hash of the id, in digests and in the prefix cache */
+	bool gone;    /* no longer listed */
+	int64_t lapsed_until_ms; /* removed while the store was away; 0: no */
+	int64_t listed_at_ms;
+	server_load_t own;
+	server_load_t peers; /* sum of what other nodes say */
+	double failure_rate; /* of recent requests, 0 to 1 */
+	unsigned failures;   /* in a row, of connections or silence */
+	int64_t suspect_until_ms;
+	double latency_ms; /* moving average; 0 before the first */
+	upstream_t *upstream; /* NULL where the address is malformed */
+} server_t;
+
+typedef struct pool pool_t;
+
+pool_t *pool_new(uv_loop_t *loop);
+void pool_free(pool_t *pool);
+
+/* Takes over an entry; owns info. */
+void pool_put(pool_t *pool, server_info_t *info, int64_t now_ms);
+
+/*
+ * An entry is gone. With lapse_ms > 0 the server stays in use for that long,
+ * since its entry may only have lapsed and come back.
+ */
+void pool_remove(
+    pool_t *pool, const char *id, int64_t lapse_ms, int64_t now_ms);
+
+/* Drops entries whose lapse is over; closes old connections. */
+void pool_sweep(pool_t *pool, int64_t now_ms);
+
+/* Calls visit with every id that is listed. */
+void pool_each(pool_t *pool, void (*visit)(server_t *server, void *data),
+    void *data);
+
+/* Servers of a service (server_t *), borrowed; empty array or NULL. */
+const GPtrArray *pool_service(const pool_t *pool, const char *service);
+
+/* A server by the tag of its id; NULL if unknown. */
+server_t *pool_find(const pool_t *pool, uint32_t tag);
+
+unsigned pool_count(const pool_t *pool);
+
+server_t *server_ref(server_t *server);
+void server_unref(server_t *server);
+
+/* True where a new request may go there. */
+bool server_usable(const server_t *server, int64_t now_ms);
+
+/* Requests of all nodes in progress there. */
+unsigned server_in_flight(const server_t *server);
+
+typedef enum server_outcome {
+	SERVER_SERVED,
+	SERVER_FAILED,	    /* its own failure, or a broken response */
+	SERVER_FULL,	    /* refused as not run */
+	SERVER_UNREACHABLE, /* no connection, or silence */
+} server_outcome_t;
+
+/* Takes over how one attempt ended; latency_ms counts where it was served. */
+void server_observe(server_t *server, server_outcome_t outcome,
+    double latency_ms, int64_t now_ms);
+
+uint32_t server_tag(const char *id);
+
+#endif
--- /dev/null
+++ b/src/prefix.c
@@ -0,0 +1,137 @@
+#include "prefix.h"
+
+#include <glib.h>
+
+enum {
+	HOLDERS_MAX = 6,
+	/* Engines evict a part that has not been used for about so long. */
+	HELD_MS = 15000,
+	PARTS_MAX = 20000,
+};
+
+typedef struct holder {
+	uint32_t server;
+	int64_t used_ms;
+} holder_t;
+
+typedef struct entry {
+	uint64_t id;
+	unsigned count;
+	holder_t holders[HOLDERS_MAX];
+} entry_t;
+
+struct prefix_cache {
+	GHashTable *entries; /* &entry->id to entry_t */
+};
+
+prefix_cache_t *
+prefix_cache_new(void)
+{
+	prefix_cache_t *cache = g_new0(prefix_cache_t, 1);
+
+	cache->entries = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, g_free);
+	return cache;
+}
+
+void
+prefix_cache_free(prefix_cache_t *cache)
+{
+	if (cache == NULL)
+		return;
+	g_hash_table_unref(cache->entries);
+	g_free(cache);
+}
+
+/* The holder's place, or that of the one to be replaced. */
+static holder_t *
+holder_place(entry_t *entry, uint32_t server)
+{
+	holder_t *oldest = &entry->holders[0];
+
+	for (unsigned i = 0; i < entry->count; i++) {
+		if (entry->holders[i].server == server)
+			return &entry->holders[i];
+		if (entry->holders[i].used_ms < oldest->used_ms)
+			oldest = &entry->holders[i];
+	}
+	if (entry->count < HOLDERS_MAX)
+		return &entry->holders[entry->count++];
+	return oldest;
+}
+
+void
+prefix_cache_learn(prefix_cache_t *cache, uint32_t server,
+    const request_facts_t *facts, int64_t now_ms)
+{
+	for (size_t i = 0; i + 1 < facts->part_count; i++) {
+		uint64_t id = facts->parts[i].id;
+		entry_t *entry = g_hash_table_lookup(cache->entries, &id);
+		holder_t *place;
+
+		if (entry == NULL) {
+			if (g_hash_table_size(cache->entries) >= PARTS_MAX)
+				return;
+			entry = g_new0(entry_t, 1);
+			entry->id = id;
+			g_hash_table_insert(
+			    cache->entries, &entry->id, entry);
+		}
+		place = holder_place(entry, server);
+		place->server = server;
+		place->used_ms = now_ms;
+	}
+}
+
+static bool
+holds(const entry_t *entry, uint32_t server, int64_t now_ms)
+{
+	for (unsigned i = 0; entry != NULL && i < entry->count; i++)
+		if (entry->holders[i].server == server)
+			return now_ms - entry->holders[i].used_ms < HELD_MS;
+	return false;
+}
+
+unsigned
+prefix_cache_held(const prefix_cache_t *cache, uint32_t server,
+    const request_facts_t *facts, int64_t now_ms)
+{
+	unsigned tokens = 0;
+
+	for (size_t i = 0; i + 1 < facts->part_count; i++) {
+		uint64_t id = facts->parts[i].id;
+
+		if (!holds(g_hash_table_lookup(cache->entries, &id), server,
+			now_ms))
+			break;
+		tokens += facts->parts[i].tokens;
+	}
+	return tokens;
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer now)
+{
+	const entry_t *entry = value;
+
+	for (unsigned i = 0; i < entry->count; i++)
+		if (*(int64_t *)now - entry->holders[i].used_ms < HELD_MS)
+			return FALSE;
+	return TRUE;
+}
+
+void
+prefix_cache_sweep(prefix_cache_t *cache, int64_t now_ms)
+{
+	g_hash_table_foreach_remove(cache->entries, is_old, &now_ms);
+}
+
+unsigned
+prefix_shared_tokens(const request_facts_t *facts)
+{
+	unsigned tokens = 0;
+
+	for (size_t i = 0; i + 1 < facts->part_count; i++)
+		tokens += facts->parts[i].tokens;
+	return tokens;
+}
--- /dev/null
+++ b/src/retry_budget.c
@@ -0,0 +1,106 @@
+#include "retry_budget.h"
+
+#include <string.h>
+
+enum { SLOTS = 20 };
+
+/* Part of the bound that is used, since nodes come, go and restart. */
+static const double safety = 0.75;
+
+/* Counts of one service, by slots of the window. */
+typedef struct counts {
+	int64_t slot; /* newest one, since the origin of time */
+	unsigned requests[SLOTS];
+	unsigned repeats[SLOTS];
+} counts_t;
+
+struct retry_budget {
+	retry_limits_t limits;
+	GHashTable *services; /* name to counts_t */
+};
+
+retry_budget_t *
+retry_budget_new(const retry_limits_t *limits)
+{
+	retry_budget_t *budget = g_new0(retry_budget_t, 1);
+
+	budget->limits = *limits;
+	budget->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return budget;
+}
+
+void
+retry_budget_free(retry_budget_t *budget)
+{
+	if (budget == NULL)
+		return;
+	g_hash_table_unref(budget->services);
+	g_free(budget);
+}
+
+/* Clears the slots that have become old. */
+static void
+advance(const retry_budget_t *budget, counts_t *counts, int64_t now_ms)
+{
+	int64_t slot = now_ms / MAX(budget->limits.window_ms / SLOTS, 1);
+
+	if (slot - counts->slot >= SLOTS) {
+		memset(counts->requests, 0, sizeof(counts->requests));
+		memset(counts->repeats, 0, sizeof(counts->repeats));
+		counts->slot = slot;
+	}
+	while (counts->slot < slot) {
+		counts->slot++;
+		counts->requests[counts->slot % SLOTS] = 0;
+		counts->repeats[counts->slot % SLOTS] = 0;
+	}
+}
+
+static counts_t *
+service_counts(retry_budget_t *budget, const char *service, int64_t now_ms)
+{
+	counts_t *counts = g_hash_table_lookup(budget->services, service);
+
+	if (counts == NULL) {
+		counts = g_new0(counts_t, 1);
+		g_hash_table_insert(
+		    budget->services, g_strdup(service), counts);
+	}
+	advance(budget, counts, now_ms);
+	return counts;
+}
+
+static unsigned
+sum(const unsigned *slots)
+{
+	unsigned total = 0;
+
+	for (unsigned i = 0; i < SLOTS; i++)
+		total += slots[i];
+	return total;
+}
+
+void
+retry_budget_request(
+    retry_budget_t *budget, const char *service, int64_t now_ms)
+{
+	counts_t *counts = service_counts(budget, service, now_ms);
+
+	counts->requests[counts->slot % SLOTS]++;
+}
+
+bool
+retry_budget_take(retry_budget_t *budget, const char *service, unsigned nodes,
+    int64_t now_ms)
+{
+	counts_t *counts = service_counts(budget, service, now_ms);
+	double most =
+	    safety * (budget->limits.ratio * sum(counts->requests) +
+			 budget->limits.extra / MAX(nodes, 1));
+
+	if (sum(counts->repeats) + 1 > most)
+		return false;
+	counts->repeats[counts->slot % SLOTS]++;
+	return true;
+}
--- /dev/null
+++ b/src/sync.c
@@ -0,0 +1,278 @@
+#include "sync.h"
+
+#include "clock.h"
+#include "log.h"
+
+enum {
+	/* Each watch ends after so long, which bounds the age of the proof. */
+	WATCH_MS = 1200,
+	RETRY_MIN_MS = 60,
+	RETRY_MAX_MS = 400,
+	/* The store counts as away after failing for so long. */
+	AWAY_MS = 300,
+	REFRESH_PAUSE_MS = 300,
+};
+
+static const char all_keys[] = "";
+
+struct sync {
+	sync_options_t options;
+	uv_timer_t timer;
+	GHashTable *known;  /* key to revision (int64_t *) */
+	GHashTable *listed; /* keys of the list in progress; NULL: none */
+	char *page;	    /* last key of the page before; NULL: first page */
+	int64_t list_revision; /* of the first page */
+	int64_t list_sent_ms;
+	int64_t revision; /* up to which changes are known */
+	int64_t sent_ms;  /* of the call in progress */
+	int64_t confirmed_ms;
+	int64_t answered_ms; /* last answer of the store */
+	int64_t regained_ms;
+	int64_t refreshed_ms;
+	unsigned failures;
+	bool has_list;
+	bool away;
+	bool refresh;
+};
+
+static void step(sync_t *sync);
+
+/* True where the revision is newer than what is known of the key. */
+static bool
+remember(sync_t *sync, const char *key, int64_t revision)
+{
+	int64_t *known = g_hash_table_lookup(sync->known, key);
+
+	if (known != NULL && *known >= revision)
+		return false;
+	if (known == NULL) {
+		known = g_new(int64_t, 1);
+		g_hash_table_insert(sync->known, g_strdup(key), known);
+	}
+	*known = revision;
+	return true;
+}
+
+static void
+forget(sync_t *sync, const char *key, int64_t revision)
+{
+	int64_t *known = g_hash_table_lookup(sync->known, key);
+
+	if (known == NULL || *known >= revision)
+		return;
+	sync->options.on_removed(key, sync->options.data);
+	g_hash_table_remove(sync->known, key);
+}
+
+static void
+take_items(sync_t *sync, const platform_result_t *result)
+{
+	for (size_t i = 0; i < result->count; i++) {
+		const platform_item_t *item = &result->items[i];
+
+		if (item->removed)
+			forget(sync, item->key, item->revision);
+		else if (remember(sync, item->key, item->revision))
+			sync->options.on_put(item, sync->options.data);
+		if (sync->listed != NULL)
+			g_hash_table_add(sync->listed, g_strdup(item->key));
+	}
+}
+
+static void
+note_answer(sync_t *sync)
+{
+	int64_t now_ms = clock_boot_ms();
+
+	sync->failures = 0;
+	sync->answered_ms = now_ms;
+	if (!sync->away)
+		return;
+	sync->away = false;
+	sync->regained_ms = now_ms;
+	log_event(LOG_LEVEL_INFO, "store.regained",
+	    "revision=%" G_GINT64_FORMAT, sync->revision);
+}
+
+static void
+on_retry(uv_timer_t *timer)
+{
+	step(timer->data);
+}
+
+static void
+fail(sync_t *sync, platform_status_t status)
+{
+	int64_t wait_ms = MIN(
+	    RETRY_MIN_MS << MIN(sync->failures, 4u), RETRY_MAX_MS);
+
+	sync->failures++;
+	if (!sync->away && clock_boot_ms() - sync->answered_ms > AWAY_MS) {
+		sync->away = true;
+		log_event(LOG_LEVEL_WARN, "store.lost",
+		    "status=%d failures=%u", (int)status, sync->failures);
+	}
+	uv_timer_start(&sync->timer, on_retry,
+	    (uint64_t)(wait_ms + g_random_int_range(0, RETRY_MIN_MS)), 0);
+}
+
+static void
+end_list(sync_t *sync)
+{
+	GHashTable *listed = sync->listed;
+	GHashTableIter iter;
+	gpointer key;
+
+	sync->listed = NULL;
+	g_hash_table_iter_init(&iter, sync->known);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		if (g_hash_table_contains(listed, key))
+			continue;
+		sync->options.on_removed(key, sync->options.data);
+		g_hash_table_iter_remove(&iter);
+	}
+	g_hash_table_unref(listed);
+	g_clear_pointer(&sync->page, g_free);
+	sync->revision = MAX(sync->revision, sync->list_revision);
+	sync->confirmed_ms = sync->list_sent_ms;
+	sync->has_list = true;
+	sync->options.on_listed(sync->options.data);
+}
+
+static void
+drop_list(sync_t *sync)
+{
+	g_clear_pointer(&sync->listed, g_hash_table_unref);
+	g_clear_pointer(&sync->page, g_free);
+}
+
+static void
+on_page(const platform_result_t *result, void *data)
+{
+	sync_t *sync = data;
+
+	if (result->status != PLATFORM_OK) {
+		drop_list(sync);
+		fail(sync, result->status);
+		return;
+	}
+	note_answer(sync);
+	if (sync->page == NULL)
+		sync->list_revision = result->revision;
+	take_items(sync, result);
+	g_free(sync->page);
+	sync->page = NULL;
+	if (result->more && result->count > 0)
+		sync->page = g_strdup(result->items[result->count - 1].key);
+	else
+		end_list(sync);
+	step(sync);
+}
+
+static void
+on_watch(const platform_result_t *result, void *data)
+{
+	sync_t *sync = data;
+
+	if (result->status == PLATFORM_COMPACTED) {
+		note_answer(sync);
+		sync->has_list = false;
+		step(sync);
+		return;
+	}
+	if (result->status != PLATFORM_OK) {
+		fail(sync, result->status);
+		return;
+	}
+	note_answer(sync);
+	take_items(sync, result);
+	sync->revision = MAX(sync->revision, result->revision);
+	sync->confirmed_ms = sync->sent_ms;
+	step(sync);
+}
+
+/* Makes the next call. */
+static void
+step(sync_t *sync)
+{
+	int64_t now_ms = clock_boot_ms();
+
+	sync->sent_ms = now_ms;
+	if (sync->refresh && now_ms - sync->refreshed_ms > REFRESH_PAUSE_MS) {
+		sync->refresh = false;
+		sync->refreshed_ms = now_ms;
+		sync->has_list = false;
+	}
+	if (sync->has_list) {
+		/* After a failure, prove quickly that the copy is current. */
+		int64_t wait_ms = sync->failures > 0 ? 1 : WATCH_MS;
+
+		platform_store_watch(sync->options.store, all_keys,
+		    sync->revision, wait_ms, on_watch, sync);
+		return;
+	}
+	if (sync->listed == NULL) {
+		sync->listed = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, g_free, NULL);
+		sync->list_sent_ms = now_ms;
+	}
+	platform_store_list(
+	    sync->options.store, all_keys, sync->page, on_page, sync);
+}
+
+sync_t *
+sync_start(uv_loop_t *loop, const sync_options_t *options)
+{
+	sync_t *sync = g_new0(sync_t, 1);
+
+	sync->options = *options;
+	sync->known =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	sync->answered_ms = clock_boot_ms();
+	uv_timer_init(loop, &sync->timer);
+	sync->timer.data = sync;
+	step(sync);
+	return sync;
+}
+
+static void
+on_timer_closed(uv_handle_t *handle)
+{
+	sync_t *sync = handle->data;
+
+	g_hash_table_unref(sync->known);
+	drop_list(sync);
+	g_free(sync);
+}
+
+/* The http client has been freed before: no call is in progress. */
+void
+sync_free(sync_t *sync)
+{
+	if (sync != NULL)
+		uv_close((uv_handle_t *)&sync->timer, on_timer_closed);
+}
+
+int64_t
+sync_confirmed_ms(const sync_t *sync)
+{
+	return sync->confirmed_ms;
+}
+
+int64_t
+sync_regained_ms(const sync_t *sync)
+{
+	return sync->regained_ms;
+}
+
+bool
+sync_is_away(const sync_t *sync)
+{
+	return sync->away;
+}
+
+void
+sync_refresh(sync_t *sync)
+{
+	sync->refresh = true;
+}
--- /dev/null
+++ b/src/sync.h
@@ -0,0 +1,40 @@
+#ifndef PAPAYA_SYNC_H
+#define PAPAYA_SYNC_H
+
+#include "platform_store.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+/*
+ * Keeps a copy of the store's keys current by one list and then watches. Every
+ * completed call also proves that the copy was current when it was sent.
+ */
+typedef struct sync sync_t;
+
+typedef struct sync_options {
+	platform_store_t *store; /* borrowed */
+	/* A key was written. */
+	void (*on_put)(const platform_item_t *item, void *data);
+	void (*on_removed)(const char *key, void *data);
+	/* The first list is complete. */
+	void (*on_listed)(void *data);
+	void *data;
+} sync_options_t;
+
+sync_t *sync_start(uv_loop_t *loop, const sync_options_t *options);
+void sync_free(sync_t *sync);
+
+/* clock_boot_ms() at which the copy is known to have been current; 0: never. */
+int64_t sync_confirmed_ms(const sync_t *sync);
+
+/* clock_boot_ms() at which the store answered again after it was away. */
+int64_t sync_regained_ms(const sync_t *sync);
+bool sync_is_away(const sync_t *sync);
+
+/* Lists again at the next opportunity: a change may have been missed. */
+void sync_refresh(sync_t *sync);
+
+#endif
--- /dev/null
+++ b/src/usage_report.c
@@ -0,0 +1,196 @@
+#include "usage_report.h"
+
+#include "clock.h"
+#include "json.h"
+#include "log.h"
+#include "platform_duty.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+	/* Time for the counts of all nodes to arrive after a window. */
+	GATHER_MS = 1500,
+	RETRY_MS = 500,
+	/* Windows before the current one that are still reported. */
+	BACKLOG = 2,
+};
+
+const char usage_report_key[] = "papaya/usage";
+
+struct usage_report {
+	usage_report_options_t options;
+	int64_t recorded_window; /* 0: none */
+	int64_t recorded_revision;
+	GHashTable *recorded; /* workspace to double * */
+	int64_t sent_window;  /* last one that this node has sent */
+	bool recording;
+	bool sending;
+	int64_t sending_window;
+	int64_t not_before_ms;
+};
+
+usage_report_t *
+usage_report_new(const usage_report_options_t *options)
+{
+	usage_report_t *report = g_new0(usage_report_t, 1);
+
+	report->options = *options;
+	return report;
+}
+
+void
+usage_report_free(usage_report_t *report)
+{
+	if (report == NULL)
+		return;
+	if (report->recorded != NULL)
+		g_hash_table_unref(report->recorded);
+	g_free(report);
+}
+
+void
+usage_report_see(usage_report_t *report, const char *value, size_t length,
+    int64_t revision)
+{
+	GError *error = NULL;
+	const char *name;
+	json_t *json, *count;
+
+	report->recorded_revision = value == NULL ? 0 : revision;
+	if (value == NULL)
+		return;
+	json = json_parse(value, length, usage_report_key, &error);
+	if (json == NULL) {
+		log_event(LOG_LEVEL_ERROR, "usage.malformed_record",
+		    "error=\"%s\"", error->message);
+		g_error_free(error);
+		return;
+	}
+	report->recorded_window = json_get_int(json, "window", 0);
+	if (report->recorded != NULL)
+		g_hash_table_unref(report->recorded);
+	report->recorded =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	json_object_foreach (json_object_get(json, "counts"), name, count) {
+		double *number = g_new(double, 1);
+
+		*number = json_number_value(count);
+		g_hash_table_insert(
+		    report->recorded, g_strdup(name), number);
+	}
+	json_decref(json);
+}
+
+static void
+on_sent(platform_duty_status_t status, void *data)
+{
+	usage_report_t *report = data;
+
+	report->sending = false;
+	switch (status) {
+	case PLATFORM_DUTY_DONE:
+		report->sent_window = report->sending_window;
+		return;
+	case PLATFORM_DUTY_FENCED:
+		lease_fenced(report->options.lease);
+		return;
+	case PLATFORM_DUTY_UNAVAILABLE:
+	case PLATFORM_DUTY_REFUSED:
+	case PLATFORM_DUTY_UNKNOWN:
+		/* Sent again: the platform ignores an exact repeat. */
+		report->not_before_ms = clock_boot_ms() + RETRY_MS;
+		return;
+	}
+}
+
+static void
+send_record(usage_report_t *report, int64_t token)
+{
+	platform_duty_token_t holder = {
+	    .cloud_url = report->options.config->cloud_url,
+	    .holder = report->options.config->name,
+	    .token = token};
+
+	report->sending = true;
+	report->sending_window = report->recorded_window;
+	platform_report_usage(report->options.http, &holder,
+	    report->recorded_window, report->recorded, on_sent, report);
+}
+
+static void
+on_recorded(const platform_result_t *result, void *data)
+{
+	usage_report_t *report = data;
+
+	/* Whether it was written, the watch tells. */
+	report->recording = false;
+	if (result->status != PLATFORM_OK)
+		report->not_before_ms = clock_boot_ms() + RETRY_MS;
+}
+
+static char *
+record_text(int64_t window, GHashTable *counts)
+{
+	json_t *list = json_object();
+	GHashTableIter iter;
+	gpointer name, count;
+	json_t *json;
+	char *text;
+
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &name, &count))
+		json_object_set_new(list, name,
+		    json_integer((json_int_t) * (double *)count));
+	json = json_pack(
+	    "{s:I,s:o}", "window", (json_int_t)window, "counts", list);
+	text = json_text(json);
+	json_decref(json);
+	return text;
+}
+
+static void
+record(usage_report_t *report, int64_t window, int64_t token)
+{
+	GHashTable *counts = usage_total(report->options.usage, window);
+	char *text = record_text(window, counts);
+	platform_condition_t conditions[] = {
+	    {.key = lease_holder_key, .revision = token},
+	    {.key = usage_report_key, .revision = report->recorded_revision}};
+	platform_write_t write = {.key = usage_report_key,
+	    .value = text,
+	    .length = strlen(text)};
+
+	report->recording = true;
+	platform_store_commit(report->options.store, conditions,
+	    G_N_ELEMENTS(conditions), &write, 1, on_recorded, report);
+	g_free(text);
+	g_hash_table_unref(counts);
+}
+
+void
+usage_report_tick(usage_report_t *report, int64_t wall_ms)
+{
+	const front_bounds_t *bounds = &report->options.config->bounds;
+	int64_t token = lease_token(report->options.lease);
+	int64_t newest =
+	    usage_window(report->options.usage, wall_ms - GATHER_MS) - 1;
+	int64_t window = MAX(report->recorded_window + 1, newest - BACKLOG);
+
+	if (token == 0 || report->options.config->cloud_url == NULL ||
+	    report->recording || report->sending ||
+	    clock_boot_ms() < report->not_before_ms)
+		return;
+	if (report->recorded != NULL &&
+	    report->recorded_window > report->sent_window &&
+	    (report->recorded_window + 1) * bounds->usage_window_ms +
+		    bounds->usage_late_ms >
+		wall_ms) {
+		send_record(report, token);
+		return;
+	}
+	if (report->recorded_window == 0)
+		window = newest;
+	if (window <= newest)
+		record(report, window, token);
+}
--- /dev/null
+++ b/src/usage_report.h
@@ -0,0 +1,39 @@
+#ifndef PAPAYA_USAGE_REPORT_H
+#define PAPAYA_USAGE_REPORT_H
+
+#include "front_config.h"
+#include "http_client.h"
+#include "lease.h"
+#include "platform_store.h"
+#include "usage.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * Reports the usage of each window once. The counts are recorded in the store
+ * before they are sent, so that a later holder repeats just the same.
+ */
+typedef struct usage_report usage_report_t;
+
+extern const char usage_report_key[];
+
+typedef struct usage_report_options {
+	const front_config_t *config; /* all borrowed */
+	platform_store_t *store;
+	http_client_t *http;
+	lease_t *lease;
+	usage_t *usage;
+} usage_report_options_t;
+
+usage_report_t *usage_report_new(const usage_report_options_t *options);
+void usage_report_free(usage_report_t *report);
+
+/* The record in the store has been read; value NULL: removed. */
+void usage_report_see(usage_report_t *report, const char *value, size_t length,
+    int64_t revision);
+
+/* Does what is due. wall_ms: true time as well as it is known. */
+void usage_report_tick(usage_report_t *report, int64_t wall_ms);
+
+#endif
