Judge allotments over a sliding window; learn the time to the first token; order reclaimable servers

Each node now counts the spending of all nodes in the window and takes the others to have spent as much as itself since it last heard from them. Ruled out: late digests (the refused workspace was steadily over its rate).

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -10,7 +10,6 @@
 #include <string.h>
 
 enum {
-	SEND_MIN_MS = 200,
 	/* Added for each node, so that a large fleet sends more seldom. */
 	SEND_NODE_MS = 15,
 	/* Digests that may be lost before a node counts as silent. */
@@ -76,7 +75,7 @@
 static int64_t
 interval_ms(const cluster_t *cluster)
 {
-	return MAX(SEND_MIN_MS, SEND_NODE_MS * (int64_t)cluster_nodes(cluster));
+	return MAX(CLUSTER_SEND_MIN_MS, SEND_NODE_MS * (int64_t)cluster_nodes(cluster));
 }
 
 static bool
@@ -100,22 +99,22 @@
 	return count;
 }
 
-/* Applies what a peer has spent since its last digest. */
+/*
+ * Applies what a peer has spent since its last digest. A node that has just
+ * started takes over the sums of the first one instead.
+ */
 static void
 apply_spending(cluster_t *cluster, peer_t *peer, const digest_t *digest,
     int64_t now_ms)
 {
 	quota_t *quota = cluster->options.quota;
 	bool adopt = now_ms - cluster->started_ms < ADOPT_MS;
-	double reserved_ms =
-	    (double)peer->silent_ms / cluster_nodes(cluster);
 
 	for (guint i = 0; i < digest->spending->len; i++) {
 		const digest_spending_t *item = &g_array_index(
 		    digest->spending, digest_spending_t, i);
 		double *spent =
 		    g_hash_table_lookup(peer->spent, item->workspace);
-		double delta, reserved;
 
 		if (spent == NULL) {
 			spent = g_new0(double, 1);
@@ -123,16 +122,13 @@
 				*spent = item->spent;
 			g_hash_table_insert(
 			    peer->spent, g_strdup(item->workspace), spent);
+			if (adopt)
+				quota_adopt(quota, item->workspace,
+				    item->window_spent, now_ms);
 		}
-		delta = item->spent - *spent;
+		quota_spent_elsewhere(quota, item->workspace,
+		    item->spent - *spent, peer->silent_ms, now_ms);
 		*spent = item->spent;
-		reserved = quota_rate(quota, item->workspace) * reserved_ms;
-		if (delta > 0)
-			delta -= MIN(delta, reserved);
-		quota_spent_elsewhere(quota, item->workspace, delta, now_ms);
-		if (adopt)
-			quota_adopt_level(
-			    quota, item->workspace, item->level);
 	}
 	peer->silent_ms = 0;
 }
@@ -211,7 +207,7 @@
 	digest_t *digest = data;
 	digest_spending_t item = {.workspace = g_strdup(state->workspace),
 	    .spent = state->spent,
-	    .level = state->level};
+	    .window_spent = state->window_spent};
 
 	g_array_append_val(digest->spending, item);
 }
@@ -312,6 +308,8 @@
 			server->peers.in_flight += item->load.in_flight;
 			server->peers.waiting_tokens +=
 			    item->load.waiting_tokens;
+			server->peers.urgent_tokens +=
+			    item->load.urgent_tokens;
 			server->peers.held_tokens += item->load.held_tokens;
 		}
 	}
@@ -336,8 +334,8 @@
 		peer->silent_ms += passed_ms;
 		silent++;
 	}
-	quota_set_silent(cluster->options.quota,
-	    (double)silent / cluster_nodes(cluster), now_ms);
+	quota_set_nodes(
+	    cluster->options.quota, cluster_nodes(cluster), silent, now_ms);
 }
 
 static void
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -18,6 +18,9 @@
  */
 typedef struct cluster cluster_t;
 
+/* Time between two digests of a node in a small fleet. */
+enum { CLUSTER_SEND_MIN_MS = 200 };
+
 typedef struct cluster_options {
 	const front_config_t *config; /* borrowed */
 	pool_t *pool;		      /* borrowed, as the next two */
--- a/src/digest.c
+++ b/src/digest.c
@@ -4,8 +4,11 @@
 #include <string.h>
 
 enum {
-	FORMAT_VERSION = 1,
+	FORMAT_VERSION = 2,
 	FIELDS = 12,
+	LOAD_FIELDS = 5,
+	SPENDING_FIELDS = 3,
+	USAGE_FIELDS = 3,
 	NAME_MAX_BYTES = 256,
 };
 
@@ -67,21 +70,21 @@
 static void
 pack_spending(msgpack_packer *packer, const GArray *list)
 {
-	msgpack_pack_array(packer, list->len * 3);
+	msgpack_pack_array(packer, list->len * SPENDING_FIELDS);
 	for (guint i = 0; i < list->len; i++) {
 		const digest_spending_t *item =
 		    &g_array_index(list, digest_spending_t, i);
 
 		pack_string(packer, item->workspace);
 		msgpack_pack_double(packer, item->spent);
-		msgpack_pack_double(packer, item->level);
+		msgpack_pack_double(packer, item->window_spent);
 	}
 }
 
 static void
 pack_loads(msgpack_packer *packer, const GArray *list)
 {
-	msgpack_pack_array(packer, list->len * 4);
+	msgpack_pack_array(packer, list->len * LOAD_FIELDS);
 	for (guint i = 0; i < list->len; i++) {
 		const digest_load_t *item =
 		    &g_array_index(list, digest_load_t, i);
@@ -90,6 +93,7 @@
 		msgpack_pack_uint32(packer, item->load.in_flight);
 		msgpack_pack_int64(
 		    packer, (int64_t)item->load.waiting_tokens);
+		msgpack_pack_int64(packer, (int64_t)item->load.urgent_tokens);
 		msgpack_pack_int64(packer, (int64_t)item->load.held_tokens);
 	}
 }
@@ -97,7 +101,7 @@
 static void
 pack_usage(msgpack_packer *packer, const GArray *list)
 {
-	msgpack_pack_array(packer, list->len * 3);
+	msgpack_pack_array(packer, list->len * USAGE_FIELDS);
 	for (guint i = 0; i < list->len; i++) {
 		const digest_usage_t *item =
 		    &g_array_index(list, digest_usage_t, i);
@@ -187,15 +191,15 @@
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, 3, &member, &count))
+	if (!read_list(object, SPENDING_FIELDS, &member, &count))
 		return false;
-	for (; count > 0; count--, member += 3) {
+	for (; count > 0; count--, member += SPENDING_FIELDS) {
 		digest_spending_t item = {0};
 
 		if (!read_string(&member[0], &item.workspace))
 			return false;
 		if (!read_double(&member[1], &item.spent) ||
-		    !read_double(&member[2], &item.level)) {
+		    !read_double(&member[2], &item.window_spent)) {
 			g_free(item.workspace);
 			return false;
 		}
@@ -210,9 +214,9 @@
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, 4, &member, &count))
+	if (!read_list(object, LOAD_FIELDS, &member, &count))
 		return false;
-	for (; count > 0; count--, member += 4) {
+	for (; count > 0; count--, member += LOAD_FIELDS) {
 		digest_load_t item = {0};
 		int64_t server, in_flight;
 
@@ -221,7 +225,8 @@
 		    server > UINT32_MAX || in_flight < 0 ||
 		    in_flight > UINT16_MAX ||
 		    !read_double(&member[2], &item.load.waiting_tokens) ||
-		    !read_double(&member[3], &item.load.held_tokens))
+		    !read_double(&member[3], &item.load.urgent_tokens) ||
+		    !read_double(&member[4], &item.load.held_tokens))
 			return false;
 		item.server = (uint32_t)server;
 		item.load.in_flight = (unsigned)in_flight;
@@ -236,9 +241,9 @@
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, 3, &member, &count))
+	if (!read_list(object, USAGE_FIELDS, &member, &count))
 		return false;
-	for (; count > 0; count--, member += 3) {
+	for (; count > 0; count--, member += USAGE_FIELDS) {
 		digest_usage_t item = {0};
 
 		if (!read_int(&member[0], &item.window) ||
--- a/src/entry.c
+++ b/src/entry.c
@@ -61,6 +61,7 @@
 	bool keep_alive;
 	bool is_head;
 	bool chunked;
+	bool unframed;
 	bool started;
 	void (*on_gone)(void *data);
 	void (*on_drain)(void *data);
@@ -485,7 +486,7 @@
 closes(const exchange_t *exchange)
 {
 	return !exchange->keep_alive || exchange->client->server->draining ||
-	       (exchange->chunked && exchange_head(exchange)->http_1_0);
+	       exchange->unframed;
 }
 
 static void
@@ -493,11 +494,12 @@
 {
 	bool http_1_0 = exchange_head(exchange)->http_1_0;
 
-	exchange->chunked = length < 0;
+	exchange->chunked = length == EXCHANGE_CHUNKED && !http_1_0;
+	exchange->unframed = length < 0 && !exchange->chunked;
 	if (length >= 0)
 		g_string_append_printf(
 		    out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
-	else if (!http_1_0)
+	else if (exchange->chunked)
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
 	if (closes(exchange))
 		g_string_append(out, "Connection: close\r\n");
@@ -557,7 +559,7 @@
 
 	if (exchange->client == NULL || exchange->is_head || length == 0)
 		return;
-	if (!exchange->chunked || exchange_head(exchange)->http_1_0) {
+	if (!exchange->chunked) {
 		conn_write(exchange->client->conn, bytes, length);
 		return;
 	}
@@ -577,8 +579,7 @@
 
 	if (client == NULL)
 		return;
-	if (exchange->chunked && !exchange_head(exchange)->http_1_0 &&
-	    !exchange->is_head)
+	if (exchange->chunked && !exchange->is_head)
 		conn_write(client->conn, last_chunk, strlen(last_chunk));
 	close = closes(exchange);
 	client->exchange = NULL;
--- a/src/entry.h
+++ b/src/entry.h
@@ -63,9 +63,15 @@
 void exchange_reply(exchange_t *exchange, unsigned status, const char *extra,
     const char *body, size_t length);
 
+enum {
+	EXCHANGE_CHUNKED = -1,
+	/* The body ends with the connection, which proves nothing. */
+	EXCHANGE_UNFRAMED = -2,
+};
+
 /*
  * Starts a response with the headers of a backend server's response. length
- * is that of the body, or -1 for one sent in chunks.
+ * is that of the body, or one of the values above.
  */
 void exchange_start(
     exchange_t *exchange, const http1_head_t *source, int64_t length);
--- a/src/flow.c
+++ b/src/flow.c
@@ -53,6 +53,9 @@
 	upstream_call_t *call;
 	int64_t attempt_ms;
 	double new_tokens;
+	double ahead_tokens;
+	double expected_ms;
+	int64_t first_ms; /* -1: nothing yet */
 	bool waiting; /* for the first event: counts among waiting prompts */
 	response_facts_t response;
 	bool not_run;
@@ -64,6 +67,7 @@
 	unsigned connects;
 	bool ran;     /* a server may have begun */
 	bool started; /* the response to the client */
+	bool framed;  /* its end is told apart from a cut */
 	bool done;
 	event_stream_t *events; /* NULL: not a stream */
 } flow_t;
@@ -95,6 +99,27 @@
 	return flow->route->repeat == CATALOG_STREAM;
 }
 
+/* Urgent prompts are read first. */
+static bool
+is_urgent(const flow_t *flow)
+{
+	return flow->route->priority == 0;
+}
+
+/* The prompt is no longer among those that its server has to read. */
+static void
+stop_waiting(flow_t *flow)
+{
+	server_load_t *load = &flow->server->own;
+
+	if (!flow->waiting)
+		return;
+	flow->waiting = false;
+	load->waiting_tokens -= flow->new_tokens;
+	if (is_urgent(flow))
+		load->urgent_tokens -= flow->new_tokens;
+}
+
 /* Takes the attempt in progress off its server's load. */
 static void
 leave_server(flow_t *flow)
@@ -106,9 +131,7 @@
 	load = &flow->server->own;
 	load->in_flight--;
 	load->held_tokens -= pick_request_tokens(&flow->facts);
-	if (flow->waiting)
-		load->waiting_tokens -= flow->new_tokens;
-	flow->waiting = false;
+	stop_waiting(flow);
 	server_unref(flow->server);
 	flow->server = NULL;
 }
@@ -144,6 +167,9 @@
 	    .attempts = flow->tried->len,
 	    .ran = flow->ran,
 	    .elapsed_ms = clock_boot_ms() - flow->received_ms,
+	    .first_ms = flow->first_ms,
+	    .expected_ms = flow->expected_ms,
+	    .ahead_tokens = flow->ahead_tokens,
 	    .configuration = flow->catalog == NULL ? 0 : flow->catalog->version,
 	    .proof_age_ms = flow->context->usable_until_ms - clock_boot_ms(),
 	};
@@ -165,8 +191,8 @@
 	}
 	/* What was not run costs the workspace nothing. */
 	if (!flow->ran && flow->units > 0)
-		quota_return(
-		    flow->context->quota, flow->workspace->name, flow->units);
+		quota_return(flow->context->quota, flow->workspace->name,
+		    flow->units, clock_boot_ms());
 	if (retry_after_ms >= 0)
 		g_snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
 		    (double)MIN(retry_after_ms, RETRY_AFTER_MAX_MS) / MS_PER_S);
@@ -212,18 +238,46 @@
 		    cluster_wall_ms(flow->context->cluster));
 }
 
+static pace_t *
+find_pace(const flow_t *flow)
+{
+	GHashTable *paces = flow->context->paces;
+	pace_t *pace = g_hash_table_lookup(paces, flow->service_name);
+
+	if (pace == NULL) {
+		pace = g_new0(pace_t, 1);
+		g_hash_table_insert(paces, g_strdup(flow->service_name), pace);
+	}
+	return pace;
+}
+
 /* The server's first byte of work has been seen. */
 static void
 note_begun(flow_t *flow)
 {
+	int64_t now_ms = clock_boot_ms();
+	double took_ms;
+
 	flow->ran = true;
 	if (!flow->waiting)
 		return;
-	flow->waiting = false;
-	flow->server->own.waiting_tokens -= flow->new_tokens;
+	stop_waiting(flow);
 	count_usage(flow);
-	server_observe(flow->server, SERVER_SERVED,
-	    (double)(clock_boot_ms() - flow->attempt_ms), clock_boot_ms());
+	took_ms = (double)(now_ms - flow->attempt_ms);
+	flow->first_ms = now_ms - flow->received_ms;
+	if (flow->service != NULL && flow->service->is_engine)
+		pace_learn(find_pace(flow), flow->ahead_tokens, took_ms);
+	server_observe(flow->server, SERVER_SERVED, took_ms, now_ms);
+}
+
+/*
+ * Length of the response to the client. One that ends with the server's
+ * connection may be cut, so that it is not framed as complete either.
+ */
+static int64_t
+framing(const flow_t *flow, int64_t length)
+{
+	return flow->head->has_length ? length : EXCHANGE_UNFRAMED;
 }
 
 /* Passes on the whole response that is held. */
@@ -232,7 +286,8 @@
 {
 	log_outcome(flow, flow->head->status, "served");
 	exchange_watch(flow->exchange, NULL, NULL, NULL);
-	exchange_start(flow->exchange, flow->head, (int64_t)flow->held->len);
+	exchange_start(flow->exchange, flow->head,
+	    framing(flow, (int64_t)flow->held->len));
 	exchange_write(flow->exchange, (const char *)flow->held->data,
 	    flow->held->len);
 	exchange_end(flow->exchange);
@@ -249,8 +304,10 @@
 		return;
 	note_begun(flow);
 	if (!flow->started) {
-		exchange_start(flow->exchange, flow->head, -1);
+		exchange_start(flow->exchange, flow->head,
+		    framing(flow, EXCHANGE_CHUNKED));
 		flow->started = true;
+		flow->framed = flow->head->has_length;
 	}
 	exchange_write(flow->exchange, out->str, out->len);
 	g_string_free(out, TRUE);
@@ -295,7 +352,8 @@
 pass_large(flow_t *flow)
 {
 	note_begun(flow);
-	exchange_start(flow->exchange, flow->head, -1);
+	exchange_start(
+	    flow->exchange, flow->head, framing(flow, EXCHANGE_CHUNKED));
 	flow->started = true;
 	exchange_write(flow->exchange, (const char *)flow->held->data,
 	    flow->held->len);
@@ -347,7 +405,8 @@
 	log_outcome(flow, 200, "served");
 	exchange_watch(flow->exchange, NULL, NULL, NULL);
 	if (!flow->started)
-		exchange_start(flow->exchange, flow->head, -1);
+		exchange_start(flow->exchange, flow->head,
+		    framing(flow, EXCHANGE_CHUNKED));
 	exchange_write(flow->exchange, rest->str, rest->len);
 	g_string_free(rest, TRUE);
 	exchange_end(flow->exchange);
@@ -363,7 +422,10 @@
 	}
 	if (flow->events != NULL && flow->status == 200) {
 		note_begun(flow);
-		stream_complete(flow);
+		if (flow->started && flow->framed && !flow->head->has_length)
+			answer(flow, 502, -1, "unframed_resume");
+		else
+			stream_complete(flow);
 		return;
 	}
 	if (flow->started) {
@@ -563,11 +625,15 @@
 
 	flow->server = server_ref(choice->server);
 	flow->new_tokens = choice->new_tokens;
+	flow->ahead_tokens = choice->ahead_tokens;
+	flow->expected_ms = choice->expected_ms;
 	flow->waiting = true;
 	flow->attempt_ms = clock_boot_ms();
 	load->in_flight++;
 	load->held_tokens += pick_request_tokens(&flow->facts);
 	load->waiting_tokens += choice->new_tokens;
+	if (is_urgent(flow))
+		load->urgent_tokens += choice->new_tokens;
 	g_ptr_array_add(flow->tried, choice->server);
 }
 
@@ -620,6 +686,8 @@
 	    .servers = pool_service(context->pool, flow->service_name),
 	    .tried = flow->tried,
 	    .prefixes = context->prefixes,
+	    .pace = find_pace(flow),
+	    .urgent = is_urgent(flow),
 	    .zone = context->zone,
 	    .now_ms = clock_boot_ms(),
 	    .random = g_random_int(),
@@ -700,6 +768,7 @@
 	flow->context = context;
 	flow->exchange = exchange;
 	flow->received_ms = exchange_received_ms(exchange);
+	flow->first_ms = -1;
 	flow->held = g_byte_array_new();
 	flow->tried = g_ptr_array_new();
 	if (context->catalog != NULL)
--- a/src/flow.h
+++ b/src/flow.h
@@ -27,6 +27,7 @@
 	retry_budget_t *budget;
 	usage_t *usage;
 	prefix_cache_t *prefixes;
+	GHashTable *paces; /* service to pace_t *, owned by their user */
 	cluster_t *cluster;
 	counters_t *counters;
 	catalog_t *catalog; /* in force; NULL: none yet */
--- a/src/flow_log.h
+++ b/src/flow_log.h
@@ -18,6 +18,9 @@
 	unsigned attempts; /* servers that got the request */
 	bool ran;	   /* a server may have begun */
 	int64_t elapsed_ms;
+	int64_t first_ms;    /* to the first event or the response; -1: none */
+	double expected_ms;  /* the same, as estimated when it was sent */
+	double ahead_tokens; /* to be read before its first token */
 	int64_t configuration; /* version */
 	int64_t proof_age_ms;  /* time for which the configuration is usable */
 } flow_log_t;
--- a/src/front.c
+++ b/src/front.c
@@ -10,6 +10,7 @@
 #include "platform_catalog.h"
 #include "platform_request.h"
 #include "platform_store.h"
+#include "scale_order.h"
 #include "sync.h"
 #include "usage_report.h"
 
@@ -46,6 +47,7 @@
 	lease_t *lease;
 	cluster_t *cluster;
 	usage_report_t *usage_report;
+	scale_orders_t *scale_orders;
 	flow_context_t flow;
 	entry_server_t *clients;
 	entry_server_t *questions; /* which addresses to use */
@@ -76,6 +78,21 @@
 					   : &front->flow.catalog->limits;
 }
 
+static void
+log_workspaces(const catalog_t *catalog)
+{
+	for (guint i = 0; i < catalog->workspaces->len; i++) {
+		const catalog_workspace_t *workspace =
+		    catalog->workspaces->pdata[i];
+
+		log_event(LOG_LEVEL_INFO, "configuration.workspace",
+		    "version=%" G_GINT64_FORMAT
+		    " workspace=%s rate_per_s=%.0f burst=%.0f priority=%d",
+		    catalog->version, workspace->name, workspace->rate_per_s,
+		    workspace->burst, workspace->priority);
+	}
+}
+
 static void
 put_configuration(front_t *front, const platform_item_t *item)
 {
@@ -95,6 +112,7 @@
 		catalog_unref(catalog);
 		return;
 	}
+	log_workspaces(catalog);
 	log_event(LOG_LEVEL_INFO, "configuration.applied",
 	    "version=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
 	    " routes=%u",
@@ -158,6 +176,10 @@
 	} else if (strcmp(item->key, usage_report_key) == 0) {
 		usage_report_see(front->usage_report, item->value,
 		    item->length, item->revision);
+	} else if ((name = after_prefix(item->key, scale_order_prefix)) !=
+		   NULL) {
+		scale_orders_see(
+		    front->scale_orders, name, item->value, item->length);
 	} else if ((name = platform_rollout_service(item->key)) != NULL) {
 		log_event(LOG_LEVEL_WARN, "rollout.ignored",
 		    "service=%s reason=\"version moves are not built yet\"",
@@ -197,6 +219,8 @@
 		lease_see_holder(front->lease, NULL, 0, 0);
 	} else if (strcmp(key, usage_report_key) == 0) {
 		usage_report_see(front->usage_report, NULL, 0, 0);
+	} else if ((name = after_prefix(key, scale_order_prefix)) != NULL) {
+		scale_orders_see(front->scale_orders, name, NULL, 0);
 	}
 }
 
@@ -349,6 +373,7 @@
 	update_ready(front, now_ms);
 	usage_report_tick(
 	    front->usage_report, cluster_wall_ms(front->cluster));
+	scale_orders_tick(front->scale_orders, front->flow.catalog);
 	if (now_ms - front->swept_ms >= SWEEP_MS) {
 		front->swept_ms = now_ms;
 		prefix_cache_sweep(front->flow.prefixes, now_ms);
@@ -420,10 +445,13 @@
 	    .loop = front->loop,
 	    .zone = front->config->zone,
 	    .pool = pool_new(front->loop),
-	    .quota = quota_new(clock_boot_ms()),
+	    .quota = quota_new(bounds->allotment_window_ms,
+		CLUSTER_SEND_MIN_MS, clock_boot_ms()),
 	    .budget = retry_budget_new(&retry),
 	    .usage = usage_new(bounds->usage_window_ms),
 	    .prefixes = prefix_cache_new(),
+	    .paces = g_hash_table_new_full(
+		g_str_hash, g_str_equal, g_free, g_free),
 	    .counters = counters_new(),
 	};
 }
@@ -466,6 +494,13 @@
 	report.lease = front->lease;
 	report.usage = front->flow.usage;
 	front->usage_report = usage_report_new(&report);
+	front->scale_orders = scale_orders_new(&(scale_order_options_t){
+	    .config = front->config,
+	    .store = front->store,
+	    .http = front->http,
+	    .lease = front->lease,
+	    .pool = front->flow.pool,
+	});
 	sync.store = front->store;
 	front->sync = sync_start(front->loop, &sync);
 }
--- a/src/pick.c
+++ b/src/pick.c
@@ -18,8 +18,6 @@
 	HOME_MS = 4,
 };
 
-/* Prompt tokens that an engine reads in a millisecond. */
-static const double read_tokens_per_ms = 100.0;
 /* Share of its memory beyond which an engine is avoided. */
 static const double memory_share = 0.8;
 
@@ -112,13 +110,19 @@
 	return MEMORY_MS * (held / (memory_share * capacity) - 1 + 0.2);
 }
 
+/* Prompt tokens that a server reads before those of this request. */
 static double
-engine_ms(const pick_query_t *query, const server_t *server, double tokens)
+tokens_ahead(const pick_query_t *query, const server_t *server)
 {
-	double waiting =
-	    server->own.waiting_tokens + server->peers.waiting_tokens;
+	if (query->urgent)
+		return server->own.urgent_tokens + server->peers.urgent_tokens;
+	return server->own.waiting_tokens + server->peers.waiting_tokens;
+}
 
-	return (waiting + tokens) / read_tokens_per_ms +
+static double
+engine_ms(const pick_query_t *query, const server_t *server, double tokens)
+{
+	return pace_expect_ms(query->pace, tokens) +
 	       queue_ms(server, query->service->batch) +
 	       memory_ms(query, server);
 }
@@ -166,13 +170,14 @@
 		server_t *server = query->servers
 				       ->pdata[(first + i) % query->servers->len];
 		bool is_home = server == home;
-		double tokens, expected, cost;
+		double tokens, ahead, expected, cost;
 
 		if (!server_usable(server, query->now_ms) ||
 		    was_tried(query, server))
 			continue;
 		tokens = is_engine ? new_tokens(query, server, is_home) : 0;
-		expected = is_engine ? engine_ms(query, server, tokens)
+		ahead = tokens + tokens_ahead(query, server);
+		expected = is_engine ? engine_ms(query, server, ahead)
 				     : plain_ms(server);
 		cost = expected + penalty_ms(query, server, is_home);
 		if (server_in_flight(server) < server->info->slots)
@@ -183,6 +188,7 @@
 		choice.server = server;
 		choice.expected_ms = expected;
 		choice.new_tokens = tokens;
+		choice.ahead_tokens = ahead;
 	}
 	return choice;
 }
--- a/src/pick.h
+++ b/src/pick.h
@@ -2,6 +2,7 @@
 #define PAPAYA_PICK_H
 
 #include "catalog.h"
+#include "pace.h"
 #include "pool.h"
 #include "prefix.h"
 
@@ -17,6 +18,8 @@
 	const GPtrArray *servers;	  /* of the service; or NULL */
 	const GPtrArray *tried; /* servers that had this request; or NULL */
 	const prefix_cache_t *prefixes;
+	const pace_t *pace; /* of the service; NULL: not an engine */
+	bool urgent;	    /* read before prompts that are not */
 	const char *zone; /* of this node */
 	int64_t now_ms;
 	uint64_t random;
@@ -27,6 +30,7 @@
 	/* Estimated time to the first token or to the response, ms. */
 	double expected_ms;
 	double new_tokens; /* of the prompt that its cache does not hold */
+	double ahead_tokens; /* to be read up to its first token */
 	bool full;	   /* every usable server has its places taken */
 } pick_choice_t;
 
--- a/src/pool.h
+++ b/src/pool.h
@@ -17,6 +17,7 @@
 typedef struct server_load {
 	unsigned in_flight;
 	double waiting_tokens; /* of prompts without a first token yet */
+	double urgent_tokens;  /* those of them that are most urgent */
 	double held_tokens;    /* prompts and outputs in its memory */
 } server_load_t;
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -1,41 +1,55 @@
 #include "quota.h"
 
-enum { MS_PER_S = 1000 };
+#include <string.h>
 
-/* Fill of a bucket when a node starts: what was spent before is not known. */
-static const double start_fill = 0.5;
+enum {
+	SLOTS = 32, /* of a window */
+	RECENT_SLOTS = 8,
+	MS_PER_S = 1000,
+};
 
-typedef struct bucket {
+/* Spending of one workspace, by slots of time. */
+typedef struct account {
 	char *workspace;
 	double rate_per_s;
-	double burst;
-	double level; /* below zero after spending that was heard of late */
-	double spent;
-	int64_t filled_ms;
+	double limit; /* of a window */
 	bool limited;
-} bucket_t;
+	double spent;	     /* by this node since its start */
+	int64_t slot;	     /* newest one, since the origin of time */
+	double slots[SLOTS]; /* of all nodes */
+	int64_t recent_slot;
+	double recent[RECENT_SLOTS]; /* of this node */
+} account_t;
 
 struct quota {
-	GHashTable *buckets; /* workspace to bucket_t */
-	double silent;
+	GHashTable *accounts; /* workspace to account_t */
+	int64_t window_ms;
+	int64_t unheard_ms;
+	int64_t reserved_ms; /* time up to which silent parts are counted */
+	unsigned nodes;
+	unsigned silent;
 };
 
 static void
-bucket_free(gpointer data)
+account_free(gpointer data)
 {
-	bucket_t *bucket = data;
+	account_t *account = data;
 
-	g_free(bucket->workspace);
-	g_free(bucket);
+	g_free(account->workspace);
+	g_free(account);
 }
 
 quota_t *
-quota_new(int64_t now_ms)
+quota_new(int64_t window_ms, int64_t unheard_ms, int64_t now_ms)
 {
 	quota_t *quota = g_new0(quota_t, 1);
 
-	quota->buckets = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, bucket_free);
+	quota->accounts = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, account_free);
+	quota->window_ms = MAX(window_ms, SLOTS);
+	quota->unheard_ms = MAX(unheard_ms, RECENT_SLOTS);
+	quota->reserved_ms = now_ms;
+	quota->nodes = 1;
 	return quota;
 }
 
@@ -44,39 +58,84 @@
 {
 	if (quota == NULL)
 		return;
-	g_hash_table_unref(quota->buckets);
+	g_hash_table_unref(quota->accounts);
 	g_free(quota);
 }
 
+static int64_t
+slot_ms(const quota_t *quota)
+{
+	return quota->window_ms / SLOTS;
+}
+
+static int64_t
+recent_slot_ms(const quota_t *quota)
+{
+	return quota->unheard_ms / RECENT_SLOTS;
+}
+
+/* Clears the slots that have become old. */
+static void
+advance(const quota_t *quota, account_t *account, int64_t now_ms)
+{
+	int64_t slot = now_ms / slot_ms(quota);
+	int64_t recent = now_ms / recent_slot_ms(quota);
+
+	account->slot = MAX(account->slot, slot - SLOTS);
+	while (account->slot < slot)
+		account->slots[++account->slot % SLOTS] = 0;
+	account->recent_slot =
+	    MAX(account->recent_slot, recent - RECENT_SLOTS);
+	while (account->recent_slot < recent)
+		account->recent[++account->recent_slot % RECENT_SLOTS] = 0;
+}
+
+static double
+sum(const double *values, size_t count)
+{
+	double total = 0;
+
+	for (size_t i = 0; i < count; i++)
+		total += values[i];
+	return total;
+}
+
 static void
-fill(const quota_t *quota, bucket_t *bucket, int64_t now_ms)
+fill_evenly(account_t *account, double spent)
 {
-	double rate = bucket->rate_per_s * (1 - quota->silent);
-	double added = rate * (double)(now_ms - bucket->filled_ms) / MS_PER_S;
+	for (size_t i = 0; i < SLOTS; i++)
+		account->slots[i] = spent / SLOTS;
+}
 
-	bucket->filled_ms = now_ms;
-	bucket->level = MIN(bucket->level + added, bucket->burst);
+static account_t *
+account_new(
+    quota_t *quota, const catalog_workspace_t *workspace, int64_t now_ms)
+{
+	account_t *account = g_new0(account_t, 1);
+
+	account->workspace = g_strdup(workspace->name);
+	account->slot = now_ms / slot_ms(quota);
+	account->recent_slot = now_ms / recent_slot_ms(quota);
+	g_hash_table_insert(quota->accounts, account->workspace, account);
+	return account;
 }
 
 static void
 configure(quota_t *quota, const catalog_workspace_t *workspace, int64_t now_ms)
 {
-	bucket_t *bucket =
-	    g_hash_table_lookup(quota->buckets, workspace->name);
+	account_t *account =
+	    g_hash_table_lookup(quota->accounts, workspace->name);
+	bool is_new = account == NULL;
 
-	if (bucket == NULL) {
-		bucket = g_new0(bucket_t, 1);
-		bucket->workspace = g_strdup(workspace->name);
-		bucket->filled_ms = now_ms;
-		bucket->level = workspace->burst * start_fill;
-		g_hash_table_insert(
-		    quota->buckets, bucket->workspace, bucket);
-	}
-	fill(quota, bucket, now_ms);
-	bucket->rate_per_s = workspace->rate_per_s;
-	bucket->burst = MAX(workspace->burst, workspace->rate_per_s / 10);
-	bucket->level = MIN(bucket->level, bucket->burst);
-	bucket->limited = workspace->rate_per_s > 0;
+	if (is_new)
+		account = account_new(quota, workspace, now_ms);
+	account->rate_per_s = workspace->rate_per_s;
+	account->limit =
+	    workspace->rate_per_s * (double)quota->window_ms / MS_PER_S +
+	    workspace->burst;
+	account->limited = workspace->rate_per_s > 0;
+	if (is_new)
+		fill_evenly(account, account->limit);
 }
 
 void
@@ -86,80 +145,121 @@
 		configure(quota, catalog->workspaces->pdata[i], now_ms);
 }
 
+/* What one node's part of an allotment is in a time. */
+static double
+part(const quota_t *quota, const account_t *account, int64_t ms)
+{
+	return account->limit * (double)ms / (double)quota->window_ms /
+	       MAX(quota->nodes, 1);
+}
+
+void
+quota_set_nodes(
+    quota_t *quota, unsigned nodes, unsigned silent, int64_t now_ms)
+{
+	int64_t passed_ms = now_ms - quota->reserved_ms;
+	GHashTableIter iter;
+	gpointer value;
+
+	quota->nodes = nodes;
+	quota->silent = silent;
+	quota->reserved_ms = now_ms;
+	g_hash_table_iter_init(&iter, quota->accounts);
+	while (silent > 0 && g_hash_table_iter_next(&iter, NULL, &value)) {
+		account_t *account = value;
+
+		advance(quota, account, now_ms);
+		account->slots[account->slot % SLOTS] +=
+		    silent * part(quota, account, passed_ms);
+	}
+}
+
+/* Spending of all nodes, with what has not been heard of yet. */
+static double
+estimate(const quota_t *quota, const account_t *account)
+{
+	unsigned others = quota->nodes - 1 - MIN(quota->silent, quota->nodes - 1);
+
+	return sum(account->slots, SLOTS) +
+	       others * sum(account->recent, RECENT_SLOTS);
+}
+
 bool
 quota_take(quota_t *quota, const char *workspace, double units, int64_t now_ms,
     int64_t *wait_ms)
 {
-	bucket_t *bucket = g_hash_table_lookup(quota->buckets, workspace);
+	account_t *account = g_hash_table_lookup(quota->accounts, workspace);
 
 	*wait_ms = 0;
-	if (bucket == NULL || !bucket->limited)
+	if (account == NULL || !account->limited)
 		return true;
-	fill(quota, bucket, now_ms);
-	if (bucket->level <= 0) {
-		*wait_ms = 1 + (int64_t)((units - bucket->level) * MS_PER_S /
-					 bucket->rate_per_s);
+	advance(quota, account, now_ms);
+	/* May pass the limit, so that large requests pass as small ones do. */
+	if (estimate(quota, account) >= account->limit) {
+		*wait_ms = slot_ms(quota) +
+			   (int64_t)(units * MS_PER_S / account->rate_per_s);
 		return false;
 	}
-	/* May fall below zero, so that large requests pass as small ones do. */
-	bucket->level -= units;
-	bucket->spent += units;
+	account->slots[account->slot % SLOTS] += units;
+	account->recent[account->recent_slot % RECENT_SLOTS] += units;
+	account->spent += units;
 	return true;
 }
 
-void
-quota_return(quota_t *quota, const char *workspace, double units)
-{
-	bucket_t *bucket = g_hash_table_lookup(quota->buckets, workspace);
-
-	if (bucket == NULL || !bucket->limited)
-		return;
-	bucket->level = MIN(bucket->level + units, bucket->burst);
-	bucket->spent -= units;
-}
-
-void
-quota_set_silent(quota_t *quota, double part, int64_t now_ms)
+/* Takes spending off the newest slots. */
+static void
+take_off(account_t *account, double units)
 {
-	GHashTableIter iter;
-	gpointer bucket;
+	for (int64_t i = 0; i < SLOTS && units > 0; i++) {
+		double *slot = &account->slots[(account->slot - i) % SLOTS];
+		double off = MIN(*slot, units);
 
-	g_hash_table_iter_init(&iter, quota->buckets);
-	while (g_hash_table_iter_next(&iter, NULL, &bucket))
-		fill(quota, bucket, now_ms);
-	quota->silent = part;
+		*slot -= off;
+		units -= off;
+	}
 }
 
 void
-quota_spent_elsewhere(
+quota_return(
     quota_t *quota, const char *workspace, double units, int64_t now_ms)
 {
-	bucket_t *bucket = g_hash_table_lookup(quota->buckets, workspace);
+	account_t *account = g_hash_table_lookup(quota->accounts, workspace);
 
-	if (bucket == NULL || !bucket->limited)
+	if (account == NULL || !account->limited)
 		return;
-	fill(quota, bucket, now_ms);
-	bucket->level = MIN(bucket->level - units, bucket->burst);
+	advance(quota, account, now_ms);
+	take_off(account, units);
+	account->spent -= units;
 }
 
 void
-quota_adopt_level(quota_t *quota, const char *workspace, double level)
+quota_spent_elsewhere(quota_t *quota, const char *workspace, double units,
+    int64_t silent_ms, int64_t now_ms)
 {
-	bucket_t *bucket = g_hash_table_lookup(quota->buckets, workspace);
+	account_t *account = g_hash_table_lookup(quota->accounts, workspace);
 
-	if (bucket != NULL && bucket->limited)
-		bucket->level = MIN(bucket->level, level);
+	if (account == NULL || !account->limited)
+		return;
+	advance(quota, account, now_ms);
+	if (units < 0) {
+		take_off(account, -units);
+		return;
+	}
+	units -= MIN(units, part(quota, account, silent_ms));
+	account->slots[account->slot % SLOTS] += units;
 }
 
-double
-quota_rate(const quota_t *quota, const char *workspace)
+void
+quota_adopt(
+    quota_t *quota, const char *workspace, double window_spent, int64_t now_ms)
 {
-	const bucket_t *bucket =
-	    g_hash_table_lookup(quota->buckets, workspace);
+	account_t *account = g_hash_table_lookup(quota->accounts, workspace);
 
-	return bucket == NULL || !bucket->limited
-		   ? 0
-		   : bucket->rate_per_s / MS_PER_S;
+	if (account == NULL || !account->limited)
+		return;
+	advance(quota, account, now_ms);
+	if (window_spent < sum(account->slots, SLOTS))
+		fill_evenly(account, MAX(window_spent, 0));
 }
 
 void
@@ -169,17 +269,17 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_iter_init(&iter, quota->buckets);
+	g_hash_table_iter_init(&iter, quota->accounts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		bucket_t *bucket = value;
+		account_t *account = value;
 		quota_state_t state;
 
-		if (!bucket->limited)
+		if (!account->limited)
 			continue;
-		fill(quota, bucket, now_ms);
-		state = (quota_state_t){.workspace = bucket->workspace,
-		    .spent = bucket->spent,
-		    .level = bucket->level};
+		advance(quota, account, now_ms);
+		state = (quota_state_t){.workspace = account->workspace,
+		    .spent = account->spent,
+		    .window_spent = sum(account->slots, SLOTS)};
 		visit(&state, data);
 	}
 }
--- a/src/quota.h
+++ b/src/quota.h
@@ -8,46 +8,54 @@
 #include <stdint.h>
 
 /*
- * Rate limits of workspaces over all nodes. Each node keeps a token bucket per
- * workspace that it fills at the whole rate and empties by its own spending
- * and by what other nodes say they spent. A node that is not heard from is
- * taken to spend its part of the rate. Times are clock_boot_ms().
+ * Allotments of workspaces over all nodes. In any window a workspace may spend
+ * its rate times the window, and its burst. Each node counts its own spending
+ * and what other nodes say they spent; it takes the others to have spent as
+ * much as itself since it last heard from them. A node that is silent is taken
+ * to spend its part. Times are clock_boot_ms().
  */
 typedef struct quota quota_t;
 
-quota_t *quota_new(int64_t now_ms);
+/*
+ * window_ms: of the bound. unheard_ms: age of what other nodes say. What was
+ * spent before the start is not known; the allotment counts as used.
+ */
+quota_t *quota_new(int64_t window_ms, int64_t unheard_ms, int64_t now_ms);
 void quota_free(quota_t *quota);
 
 /* Takes over limits. */
 void quota_configure(quota_t *quota, const catalog_t *catalog, int64_t now_ms);
 
+/* How many nodes there are, with this one, and how many are silent. */
+void quota_set_nodes(
+    quota_t *quota, unsigned nodes, unsigned silent, int64_t now_ms);
+
 /*
- * Spends units of a workspace; false where it is over its limit, with the time
- * until it is not in *wait_ms.
+ * Spends units of a workspace; false where it has spent its allotment, with
+ * the time until part of it is free again in *wait_ms.
  */
 bool quota_take(quota_t *quota, const char *workspace, double units,
     int64_t now_ms, int64_t *wait_ms);
 
 /* Gives back the units of a request that was not run. */
-void quota_return(quota_t *quota, const char *workspace, double units);
-
-/* Part of all nodes that are not heard from, 0 to 1. */
-void quota_set_silent(quota_t *quota, double part, int64_t now_ms);
-
-/* Another node spent units. */
-void quota_spent_elsewhere(
+void quota_return(
     quota_t *quota, const char *workspace, double units, int64_t now_ms);
 
-/* A node that has just started takes over another's level. */
-void quota_adopt_level(quota_t *quota, const char *workspace, double level);
+/*
+ * Another node spent units. silent_ms: time for which its part has been
+ * reserved meanwhile, which is taken off.
+ */
+void quota_spent_elsewhere(quota_t *quota, const char *workspace, double units,
+    int64_t silent_ms, int64_t now_ms);
 
-/* Units a millisecond that a workspace may spend; 0 without a limit. */
-double quota_rate(const quota_t *quota, const char *workspace);
+/* A node that has just started takes over what another knows to be spent. */
+void quota_adopt(
+    quota_t *quota, const char *workspace, double window_spent, int64_t now_ms);
 
 typedef struct quota_state {
 	const char *workspace;
-	double spent; /* by this node since its start */
-	double level; /* of the bucket */
+	double spent;	     /* by this node since its start */
+	double window_spent; /* by all nodes in the window */
 } quota_state_t;
 
 /* Calls visit for each workspace with a limit. */
