--- a/src/cluster.c
+++ b/src/cluster.c
@@ -29,7 +29,6 @@
 	int64_t wall_offset_ms; /* its clock less this one's */
 	digest_t *digest;	/* newest; NULL: none */
 	GHashTable *spent;	/* workspace to double *: applied so far */
-	GHashTable *works;	/* service hash to double *: the same */
 } peer_t;
 
 struct cluster {
@@ -37,8 +36,6 @@
 	uv_udp_t socket;
 	uv_timer_t timer;
 	GHashTable *peers; /* name to peer_t */
-	GHashTable *own_works; /* service hash to double *, of this node */
-	GHashTable *all_works; /* the same, of all nodes */
 	int64_t started_ms;
 	int64_t incarnation;
 	int64_t sequence;
@@ -57,7 +54,6 @@
 	g_free(peer->name);
 	digest_free(peer->digest);
 	g_hash_table_unref(peer->spent);
-	g_hash_table_unref(peer->works);
 	g_free(peer);
 }
 
@@ -72,7 +68,6 @@
 	peer->name = g_strdup(name);
 	peer->spent =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	peer->works = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	g_hash_table_insert(cluster->peers, peer->name, peer);
 	return peer;
 }
@@ -138,48 +133,6 @@
 	peer->silent_ms = 0;
 }
 
-static double *
-find_work(GHashTable *works, uint32_t service)
-{
-	double *work = g_hash_table_lookup(works, GUINT_TO_POINTER(service));
-
-	if (work == NULL) {
-		work = g_new0(double, 1);
-		g_hash_table_insert(works, GUINT_TO_POINTER(service), work);
-	}
-	return work;
-}
-
-static void
-apply_works(cluster_t *cluster, peer_t *peer, const digest_t *digest)
-{
-	for (guint i = 0; i < digest->works->len; i++) {
-		const digest_work_t *item =
-		    &g_array_index(digest->works, digest_work_t, i);
-		double *applied = find_work(peer->works, item->service);
-
-		if (item->work_ms > *applied)
-			*find_work(cluster->all_works, item->service) +=
-			    item->work_ms - *applied;
-		*applied = item->work_ms;
-	}
-}
-
-void
-cluster_add_work(cluster_t *cluster, const char *service, double work_ms)
-{
-	uint32_t hash = g_str_hash(service);
-
-	*find_work(cluster->own_works, hash) += work_ms;
-	*find_work(cluster->all_works, hash) += work_ms;
-}
-
-double
-cluster_work_ms(const cluster_t *cluster, const char *service)
-{
-	return *find_work(cluster->all_works, g_str_hash(service));
-}
-
 static void
 apply_usage(cluster_t *cluster, const digest_t *digest)
 {
@@ -196,14 +149,6 @@
 	g_free(source);
 }
 
-/* A new process counts from zero. */
-static void
-forget_counts(peer_t *peer)
-{
-	g_hash_table_remove_all(peer->spent);
-	g_hash_table_remove_all(peer->works);
-}
-
 static void
 apply(cluster_t *cluster, digest_t *digest, int64_t now_ms)
 {
@@ -216,12 +161,11 @@
 		return;
 	}
 	if (last != NULL && digest->incarnation != last->incarnation)
-		forget_counts(peer);
+		g_hash_table_remove_all(peer->spent);
 	peer->heard_ms = now_ms;
 	peer->wall_offset_ms = digest->wall_ms - clock_wall_ms();
 	apply_spending(cluster, peer, digest, now_ms);
 	apply_usage(cluster, digest);
-	apply_works(cluster, peer, digest);
 	digest_free(peer->digest);
 	peer->digest = digest;
 	if (digest->configuration_version > cluster->configuration_version)
@@ -289,21 +233,6 @@
 	g_array_append_val(digest->usage, item);
 }
 
-static void
-add_works(const cluster_t *cluster, digest_t *digest)
-{
-	GHashTableIter iter;
-	gpointer service, work;
-
-	g_hash_table_iter_init(&iter, cluster->own_works);
-	while (g_hash_table_iter_next(&iter, &service, &work)) {
-		digest_work_t item = {.service = GPOINTER_TO_UINT(service),
-		    .work_ms = *(double *)work};
-
-		g_array_append_val(digest->works, item);
-	}
-}
-
 static digest_t *
 own_digest(cluster_t *cluster, int64_t now_ms)
 {
@@ -321,7 +250,6 @@
 	quota_each(cluster->options.quota, now_ms, add_spending, digest);
 	pool_each(cluster->options.pool, add_load, digest);
 	usage_each(cluster->options.usage, add_usage, digest);
-	add_works(cluster, digest);
 	return digest;
 }
 
@@ -434,8 +362,6 @@
 	cluster->options = *options;
 	cluster->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
-	cluster->own_works = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	cluster->all_works = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	cluster->started_ms = clock_boot_ms();
 	cluster->silent_checked_ms = cluster->started_ms;
 	cluster->incarnation = clock_wall_ms();
@@ -471,8 +397,6 @@
 	if (--cluster->open_handles > 0)
 		return;
 	g_hash_table_unref(cluster->peers);
-	g_hash_table_unref(cluster->own_works);
-	g_hash_table_unref(cluster->all_works);
 	g_free(cluster);
 }
 
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -46,13 +46,6 @@
 /* Sends a digest to every node now. */
 void cluster_send(cluster_t *cluster);
 
-/* A client asked this node for work of a service, in milliseconds of a server.
- */
-void cluster_add_work(cluster_t *cluster, const char *service, double work_ms);
-
-/* What clients asked of all nodes since this node's start. */
-double cluster_work_ms(const cluster_t *cluster, const char *service);
-
 /* Registered nodes, with this one. */
 unsigned cluster_nodes(const cluster_t *cluster);
 
--- a/src/digest.c
+++ b/src/digest.c
@@ -4,12 +4,11 @@
 #include <string.h>
 
 enum {
-	FORMAT_VERSION = 3,
-	FIELDS = 13,
+	FORMAT_VERSION = 2,
+	FIELDS = 12,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
 	USAGE_FIELDS = 3,
-	WORK_FIELDS = 2,
 	NAME_MAX_BYTES = 256,
 };
 
@@ -33,7 +32,6 @@
 	digest->spending = g_array_new(FALSE, TRUE, sizeof(digest_spending_t));
 	digest->loads = g_array_new(FALSE, TRUE, sizeof(digest_load_t));
 	digest->usage = g_array_new(FALSE, TRUE, sizeof(digest_usage_t));
-	digest->works = g_array_new(FALSE, TRUE, sizeof(digest_work_t));
 	g_array_set_clear_func(digest->spending, spending_clear);
 	g_array_set_clear_func(digest->usage, usage_clear);
 	return digest;
@@ -50,7 +48,6 @@
 	g_array_unref(digest->spending);
 	g_array_unref(digest->loads);
 	g_array_unref(digest->usage);
-	g_array_unref(digest->works);
 	g_free(digest);
 }
 
@@ -115,19 +112,6 @@
 	}
 }
 
-static void
-pack_works(msgpack_packer *packer, const GArray *list)
-{
-	msgpack_pack_array(packer, list->len * WORK_FIELDS);
-	for (guint i = 0; i < list->len; i++) {
-		const digest_work_t *item =
-		    &g_array_index(list, digest_work_t, i);
-
-		msgpack_pack_uint32(packer, item->service);
-		msgpack_pack_double(packer, item->work_ms);
-	}
-}
-
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -147,7 +131,6 @@
 	pack_spending(&packer, digest->spending);
 	pack_loads(&packer, digest->loads);
 	pack_usage(&packer, digest->usage);
-	pack_works(&packer, digest->works);
 }
 
 static bool
@@ -272,28 +255,6 @@
 	return true;
 }
 
-static bool
-read_works(const msgpack_object *object, GArray *list)
-{
-	const msgpack_object *member;
-	uint32_t count;
-
-	if (!read_list(object, WORK_FIELDS, &member, &count))
-		return false;
-	for (; count > 0; count--, member += WORK_FIELDS) {
-		digest_work_t item = {0};
-		int64_t service;
-
-		if (!read_int(&member[0], &service) || service < 0 ||
-		    service > UINT32_MAX ||
-		    !read_double(&member[1], &item.work_ms))
-			return false;
-		item.service = (uint32_t)service;
-		g_array_append_val(list, item);
-	}
-	return true;
-}
-
 static bool
 read_digest(const msgpack_object *fields, digest_t *digest)
 {
@@ -312,8 +273,7 @@
 	digest->ready = ready != 0;
 	return read_spending(&fields[9], digest->spending) &&
 	       read_loads(&fields[10], digest->loads) &&
-	       read_usage(&fields[11], digest->usage) &&
-	       read_works(&fields[12], digest->works);
+	       read_usage(&fields[11], digest->usage);
 }
 
 digest_t *
--- a/src/digest.h
+++ b/src/digest.h
@@ -30,12 +30,6 @@
 	double count;
 } digest_usage_t;
 
-/* Work that clients asked of a service since the sender's start. */
-typedef struct digest_work {
-	uint32_t service; /* hash of its name */
-	double work_ms;	  /* of one server */
-} digest_work_t;
-
 typedef struct digest {
 	char *node;
 	int64_t incarnation; /* of the process; later ones are higher */
@@ -48,7 +42,6 @@
 	GArray *spending; /* of digest_spending_t */
 	GArray *loads;	  /* of digest_load_t */
 	GArray *usage;	  /* of digest_usage_t */
-	GArray *works;	  /* of digest_work_t */
 } digest_t;
 
 digest_t *digest_new(void);
--- a/src/flow.c
+++ b/src/flow.c
@@ -694,11 +694,6 @@
 	};
 	pick_choice_t choice = pick_server(&query);
 
-	if (flow->tried->len == 0 && flow->connects == 0 &&
-	    flow->service != NULL && flow->service->is_engine)
-		cluster_add_work(context->cluster, flow->service_name,
-		    pace_work_ms(query.pace, choice.new_tokens));
-
 	if (choice.server == NULL) {
 		refuse(flow, RETRY_AFTER_DEFAULT_MS, "no_server");
 		return;
--- a/src/front.c
+++ b/src/front.c
@@ -500,7 +500,6 @@
 	    .http = front->http,
 	    .lease = front->lease,
 	    .pool = front->flow.pool,
-	    .cluster = front->cluster,
 	});
 	sync.store = front->store;
 	front->sync = sync_start(front->loop, &sync);
--- a/src/pace.c
+++ b/src/pace.c
@@ -23,40 +23,22 @@
 	pace->product = pace->product * decay + tokens * first_ms;
 }
 
-/* Milliseconds for each token of the learned line. */
-static double
-slope_of(const pace_t *pace)
+double
+pace_expect_ms(const pace_t *pace, double tokens)
 {
-	double mean_tokens, mean_ms, variance;
+	double mean_tokens, mean_ms, variance, slope, base;
 
 	if (pace->weight < weight_least)
-		return default_token_ms;
+		return default_base_ms + tokens * default_token_ms;
 	mean_tokens = pace->tokens / pace->weight;
 	mean_ms = pace->first_ms / pace->weight;
 	variance =
 	    pace->tokens_squared / pace->weight - mean_tokens * mean_tokens;
-	if (variance < 1)
-		return default_token_ms;
-	return CLAMP(
-	    (pace->product / pace->weight - mean_tokens * mean_ms) / variance,
-	    token_ms_least, token_ms_most);
-}
-
-double
-pace_expect_ms(const pace_t *pace, double tokens)
-{
-	double slope = slope_of(pace);
-	double base = default_base_ms;
-
-	if (pace->weight >= weight_least)
-		base = CLAMP((pace->first_ms - slope * pace->tokens) /
-				 pace->weight,
-		    0, base_ms_most);
+	slope = default_token_ms;
+	if (variance > 1)
+		slope = (pace->product / pace->weight - mean_tokens * mean_ms) /
+			variance;
+	slope = CLAMP(slope, token_ms_least, token_ms_most);
+	base = CLAMP(mean_ms - slope * mean_tokens, 0, base_ms_most);
 	return base + slope * tokens;
 }
-
-double
-pace_work_ms(const pace_t *pace, double tokens)
-{
-	return slope_of(pace) * tokens;
-}
--- a/src/pace.h
+++ b/src/pace.h
@@ -19,7 +19,4 @@
 /* Expected time to the first token, in milliseconds. */
 double pace_expect_ms(const pace_t *pace, double tokens);
 
-/* Time that reading so many prompt tokens takes, in milliseconds. */
-double pace_work_ms(const pace_t *pace, double tokens);
-
 #endif
--- a/src/scale_order.c
+++ b/src/scale_order.c
@@ -36,7 +36,6 @@
 	GHashTable *baselines; /* zone to unsigned; NULL: no record yet */
 	GHashTable *placed;    /* "zone/kind" to order_t */
 	bool recording;
-	autoscale_t scale;
 } service_state_t;
 
 struct scale_orders {
@@ -262,9 +261,8 @@
 	    is_pending(order, want, token, service->scaling, now_ms))
 		return;
 	log_event(LOG_LEVEL_INFO, "scale.ordered",
-	    "service=%s zone=%s spot=%d count=%u have=%u load=%.2f peak=%.2f",
-	    service->name, zone->name, spot, want, have, state->scale.load,
-	    state->scale.peak);
+	    "service=%s zone=%s spot=%d count=%u have=%u", service->name,
+	    zone->name, spot, want, have);
 	order->busy = true;
 	order->placed = false;
 	order->count = want;
@@ -292,17 +290,14 @@
 	zones = g_array_new(FALSE, TRUE, sizeof(autoscale_zone_t));
 	g_hash_table_iter_init(&iter, state->baselines);
 	while (g_hash_table_iter_next(&iter, &name, &baseline)) {
-		const double *price = g_hash_table_lookup(
-		    service->scaling->zone_prices, name);
-		autoscale_zone_t zone = {.name = name,
-		    .price = price == NULL ? 1 : *price,
-		    .baseline = GPOINTER_TO_UINT(baseline)};
+		autoscale_zone_t zone = {
+		    .name = name, .baseline = GPOINTER_TO_UINT(baseline)};
 
 		count_zone(servers, &zone);
 		g_array_append_val(zones, zone);
 	}
-	autoscale_decide(&state->scale, service->scaling,
-	    (autoscale_zone_t *)zones->data, zones->len, clock_boot_ms());
+	autoscale_decide(service->scaling, (autoscale_zone_t *)zones->data,
+	    zones->len);
 	for (guint i = 0; i < zones->len; i++) {
 		const autoscale_zone_t *zone =
 		    &g_array_index(zones, autoscale_zone_t, i);
@@ -321,7 +316,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (catalog == NULL ||
+	if (token == 0 || catalog == NULL ||
 	    orders->options.config->cloud_url == NULL ||
 	    now_ms - orders->ticked_ms < TICK_MS)
 		return;
@@ -330,13 +325,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const catalog_service_t *service = value;
 
-		if (service->scaling == NULL)
-			continue;
-		/* Every node measures, so that a new holder knows the load. */
-		autoscale_measure(&find_state(orders, service->name)->scale,
-		    cluster_work_ms(orders->options.cluster, service->name),
-		    now_ms);
-		if (token != 0)
+		if (service->scaling != NULL)
 			scale_service(orders, service, token);
 	}
 }
--- a/src/scale_order.h
+++ b/src/scale_order.h
@@ -2,7 +2,6 @@
 #define PAPAYA_SCALE_ORDER_H
 
 #include "catalog.h"
-#include "cluster.h"
 #include "front_config.h"
 #include "http_client.h"
 #include "lease.h"
@@ -27,7 +26,6 @@
 	http_client_t *http;
 	lease_t *lease;
 	pool_t *pool;
-	cluster_t *cluster;
 } scale_order_options_t;
 
 scale_orders_t *scale_orders_new(const scale_order_options_t *options);
