--- a/src/autoscale.h
+++ b/src/autoscale.h
@@ -17,6 +17,7 @@
 
 typedef struct autoscale_zone {
 	const char *name;
+	double price;	    /* of an on-demand server */
 	unsigned baseline;  /* servers that the operators deployed there */
 	unsigned on_demand; /* listed and not draining */
 	unsigned spot;	    /* the same, reclaimable */
--- a/src/pick.c
+++ b/src/pick.c
@@ -21,6 +21,9 @@
 /* Share of its memory beyond which an engine is avoided. */
 static const double memory_share = 0.8;
 
+/* Cost in ms of each shared token that is read where others have it not. */
+static const double reread_weight = 0.03;
+
 double
 pick_request_tokens(const request_facts_t *facts)
 {
@@ -140,11 +143,23 @@
 	return latency * (1 + (double)(running - slots + 1) / slots);
 }
 
+/* Shared parts of the prompt that a server would have to read. */
+static double
+reread_ms(const pick_query_t *query, const server_t *server, bool is_home)
+{
+	double shared = prefix_shared_tokens(query->facts);
+	unsigned held = prefix_cache_held(
+	    query->prefixes, server->tag, query->facts, query->now_ms);
+
+	return is_home ? 0 : reread_weight * (shared - held);
+}
+
 /* What is not time but counts against a server. */
 static double
 penalty_ms(const pick_query_t *query, const server_t *server, bool is_home)
 {
-	double penalty = server->failure_rate * FAILURE_MS;
+	double penalty = server->failure_rate * FAILURE_MS +
+			 reread_ms(query, server, is_home);
 
 	if (strcmp(server->info->zone, query->zone) != 0)
 		penalty += OTHER_ZONE_MS;
--- a/src/scale_order.c
+++ b/src/scale_order.c
@@ -290,8 +290,11 @@
 	zones = g_array_new(FALSE, TRUE, sizeof(autoscale_zone_t));
 	g_hash_table_iter_init(&iter, state->baselines);
 	while (g_hash_table_iter_next(&iter, &name, &baseline)) {
-		autoscale_zone_t zone = {
-		    .name = name, .baseline = GPOINTER_TO_UINT(baseline)};
+		const double *price = g_hash_table_lookup(
+		    service->scaling->zone_prices, name);
+		autoscale_zone_t zone = {.name = name,
+		    .price = price == NULL ? 1 : *price,
+		    .baseline = GPOINTER_TO_UINT(baseline)};
 
 		count_zone(servers, &zone);
 		g_array_append_val(zones, zone);
