Test the parts of the platform path; refuse header names with separators

The tests found two faults: the parser takes "Content-Length :" for a length while the name was passed on, and the window of an allotment was one slot short.

--- a/src/http1.c
+++ b/src/http1.c
@@ -91,6 +91,21 @@
 	return append(reader, bytes, length);
 }
 
+/* Names that another reader might take for something else are refused. */
+static bool
+valid_names(const http1_head_t *head)
+{
+	static const char separators[] = "()<>@,;:\\\"/[]?={} \t";
+
+	for (size_t i = 0; i < head->header_count; i++) {
+		const char *name = head->headers[i].name;
+
+		if (*name == '\0' || strpbrk(name, separators) != NULL)
+			return false;
+	}
+	return true;
+}
+
 static void
 fill_head(http1_reader_t *reader)
 {
@@ -124,6 +139,8 @@
 		return -1;
 	fill_head(reader);
 	reader->head_done = true;
+	if (!valid_names(&reader->head))
+		return -1;
 	if (reader->kind == HTTP1_RESPONSE && reader->head.status < 200) {
 		reader->skipped = true;
 		return 0;
--- a/src/pick.c
+++ b/src/pick.c
@@ -88,7 +88,7 @@
 	    query->prefixes, server->tag, facts, query->now_ms);
 
 	if (is_home && held == 0)
-		held = prefix_shared_tokens(facts) / 2;
+		held = prefix_shared_tokens(facts);
 	return MAX(tokens - held, 0);
 }
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -3,7 +3,9 @@
 #include <string.h>
 
 enum {
-	SLOTS = 32, /* of a window */
+	SLOTS_PER_WINDOW = 32,
+	/* One more, since the newest one has only begun. */
+	SLOTS = SLOTS_PER_WINDOW + 1,
 	RECENT_SLOTS = 8,
 	MS_PER_S = 1000,
 };
@@ -65,7 +67,7 @@
 static int64_t
 slot_ms(const quota_t *quota)
 {
-	return quota->window_ms / SLOTS;
+	return quota->window_ms / SLOTS_PER_WINDOW;
 }
 
 static int64_t
--- /dev/null
+++ b/tests/test_autoscale.c
@@ -0,0 +1,103 @@
+#include "autoscale.h"
+#include "suite.h"
+
+#include <check.h>
+
+enum { ZONES = 3, BASELINE = 6 };
+
+static catalog_scaling_t scaling = {
+    .min_size = 1, .max_size = 12, .spot_price = 0.2};
+
+static void
+fill(autoscale_zone_t *zones, unsigned on_demand, unsigned spot)
+{
+	static const char *const names[ZONES] = {"a", "b", "c"};
+
+	for (int i = 0; i < ZONES; i++)
+		zones[i] = (autoscale_zone_t){.name = names[i],
+		    .price = 1 + i * 0.1,
+		    .baseline = BASELINE,
+		    .on_demand = on_demand,
+		    .spot = spot};
+}
+
+static unsigned
+sum_on_demand(const autoscale_zone_t *zones)
+{
+	unsigned sum = 0;
+
+	for (int i = 0; i < ZONES; i++)
+		sum += zones[i].want_on_demand;
+	return sum;
+}
+
+/* Guards against paying the full price while cheap servers carry the load. */
+START_TEST(reclaimable_servers_take_over)
+{
+	autoscale_zone_t zones[ZONES];
+
+	fill(zones, BASELINE, BASELINE);
+	autoscale_decide(&scaling, zones, ZONES);
+	ck_assert_uint_lt(sum_on_demand(zones), ZONES * BASELINE / 2);
+	for (int i = 0; i < ZONES; i++) {
+		ck_assert_uint_eq(zones[i].want_spot, BASELINE);
+		ck_assert_uint_ge(zones[i].want_on_demand, 1);
+	}
+}
+END_TEST
+
+/* Guards against too few servers after reclaims of every zone. */
+START_TEST(on_demand_servers_fill_the_gap)
+{
+	autoscale_zone_t zones[ZONES];
+
+	fill(zones, 2, 0);
+	autoscale_decide(&scaling, zones, ZONES);
+	ck_assert_uint_ge(sum_on_demand(zones), ZONES * BASELINE * 3 / 4);
+}
+END_TEST
+
+START_TEST(without_reclaimable_servers_the_deployed_size_stays)
+{
+	catalog_scaling_t fixed = scaling;
+	autoscale_zone_t zones[ZONES];
+
+	fixed.spot_price = 0;
+	fill(zones, BASELINE - 2, 0);
+	autoscale_decide(&fixed, zones, ZONES);
+	for (int i = 0; i < ZONES; i++) {
+		ck_assert_uint_eq(zones[i].want_on_demand, BASELINE);
+		ck_assert_uint_eq(zones[i].want_spot, 0);
+	}
+}
+END_TEST
+
+/* Guards against orders that the platform refuses for their size. */
+START_TEST(the_most_of_a_zone_is_kept)
+{
+	catalog_scaling_t small = scaling;
+	autoscale_zone_t zones[ZONES];
+
+	small.max_size = 7;
+	fill(zones, BASELINE, 0);
+	autoscale_decide(&small, zones, ZONES);
+	for (int i = 0; i < ZONES; i++)
+		ck_assert_uint_le(
+		    zones[i].want_on_demand + zones[i].want_spot, 7);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("autoscale");
+	TCase *cases = tcase_create("autoscale");
+
+	tcase_add_test(cases, reclaimable_servers_take_over);
+	tcase_add_test(cases, on_demand_servers_fill_the_gap);
+	tcase_add_test(
+	    cases, without_reclaimable_servers_the_deployed_size_stays);
+	tcase_add_test(cases, the_most_of_a_zone_is_kept);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- /dev/null
+++ b/tests/test_catalog.c
@@ -0,0 +1,181 @@
+#include "catalog.h"
+#include "platform_catalog.h"
+#include "suite.h"
+
+#include <check.h>
+#include <string.h>
+
+static const char configuration[] =
+    "{\"version\": 7, \"routes\": ["
+    "{\"name\": \"r1\", \"host\": \"a.example\", \"path_prefix\": \"/x/\","
+    " \"route_type\": \"streaming\", \"timeout_ms\": 2500.0,"
+    " \"target_latency_ms\": 500, \"priority\": 0, \"service\": \"s1\","
+    " \"max_attempts\": 2, \"can_resume\": true, \"gap_aim_ms\": 400},"
+    "{\"name\": \"r2\", \"host\": \"a.example\", \"path_prefix\": \"/x/y/\","
+    " \"route_type\": \"non_idempotent\", \"timeout_ms\": 900,"
+    " \"traffic_split\": [{\"service\": \"s1\", \"weight\": 90},"
+    " {\"service\": \"s2\", \"weight\": 10}], \"max_attempts\": 1}],"
+    "\"services\": [{\"name\": \"s1\", \"max_connections\": 200,"
+    " \"engine\": {\"slots\": 24, \"kv_capacity_tokens\": 444000},"
+    " \"scaling\": {\"min_size\": 1, \"max_size\": 12, \"boot_time_s\": 4.0,"
+    " \"spot_price\": 0.18, \"zone_prices\": {\"z\": 0.85}}}],"
+    "\"limits\": {\"max_header_bytes\": 100, \"max_body_bytes\": 200,"
+    " \"header_timeout_ms\": 300, \"idle_timeout_ms\": 400},"
+    "\"tenants\": [{\"name\": \"t\", \"api_keys\": [\"k1\", \"k2\"],"
+    " \"priority\": 1, \"unit\": \"token_count\", \"plain_tokens\": 200,"
+    " \"rate_per_s\": 10, \"burst\": 20}]}";
+
+static catalog_t *
+read_configuration(const char *text)
+{
+	GError *error = NULL;
+	catalog_t *catalog = platform_read_catalog(text, strlen(text), &error);
+
+	g_clear_error(&error);
+	return catalog;
+}
+
+START_TEST(the_longest_prefix_wins)
+{
+	catalog_t *catalog = read_configuration(configuration);
+	const catalog_route_t *route;
+
+	ck_assert_ptr_nonnull(catalog);
+	route = catalog_find_route(catalog, "a.example", "/x/y/z?q=/x/");
+	ck_assert_str_eq(route->name, "r2");
+	route = catalog_find_route(catalog, "A.Example:80", "/x/z");
+	ck_assert_str_eq(route->name, "r1");
+	ck_assert_ptr_null(catalog_find_route(catalog, "a.example", "/x"));
+	ck_assert_ptr_null(catalog_find_route(catalog, "b.example", "/x/"));
+	ck_assert_ptr_null(catalog_find_route(catalog, "a.example", "/?/x/"));
+	catalog_unref(catalog);
+}
+END_TEST
+
+/* Guards against a kind that is taken for one that may be repeated. */
+START_TEST(the_kind_says_what_may_be_repeated)
+{
+	catalog_t *catalog = read_configuration(configuration);
+
+	ck_assert(catalog_may_repeat(
+	    catalog_find_route(catalog, "a.example", "/x/")));
+	ck_assert(!catalog_may_repeat(
+	    catalog_find_route(catalog, "a.example", "/x/y/")));
+	catalog_unref(catalog);
+}
+END_TEST
+
+START_TEST(every_field_is_read)
+{
+	catalog_t *catalog = read_configuration(configuration);
+	const catalog_service_t *service = catalog_find_service(catalog, "s1");
+	const catalog_workspace_t *workspace =
+	    catalog_find_workspace(catalog, "k2");
+	const catalog_route_t *route =
+	    catalog_find_route(catalog, "a.example", "/x/");
+
+	ck_assert_int_eq(catalog->version, 7);
+	ck_assert_uint_eq(catalog->limits.body_bytes, 200);
+	ck_assert_int_eq(catalog->limits.idle_timeout_ms, 400);
+	ck_assert_int_eq(route->timeout_ms, 2500);
+	ck_assert_int_eq(route->objective_ms, 500);
+	ck_assert_int_eq(route->gap_objective_ms, 400);
+	ck_assert_uint_eq(route->max_attempts, 2);
+	ck_assert(service->is_engine);
+	ck_assert_uint_eq(service->batch, 24);
+	ck_assert_int_eq(service->scaling->boot_ms, 4000);
+	ck_assert_str_eq(workspace->name, "t");
+	ck_assert(workspace->counts_tokens);
+	ck_assert_double_eq(workspace->burst, 20);
+	ck_assert_ptr_null(catalog_find_workspace(catalog, "k3"));
+	catalog_unref(catalog);
+}
+END_TEST
+
+START_TEST(a_split_follows_its_weights)
+{
+	catalog_t *catalog = read_configuration(configuration);
+	const catalog_route_t *route =
+	    catalog_find_route(catalog, "a.example", "/x/y/");
+	int second = 0;
+
+	for (uint64_t i = 0; i < 1000; i++)
+		if (strcmp(catalog_pick_service(route, i), "s2") == 0)
+			second++;
+	ck_assert_int_eq(second, 100);
+	catalog_unref(catalog);
+}
+END_TEST
+
+/* Guards against a crash, or half a configuration, on bad bytes. */
+START_TEST(a_malformed_configuration_is_refused_whole)
+{
+	static const char *const bad[] = {"", "[]x", "{\"routes\": [{}]}",
+	    "{\"routes\": [{\"host\": \"a\", \"path_prefix\": \"/\","
+	    " \"route_type\": \"other\"}]}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert_ptr_null(read_configuration(bad[i]));
+}
+END_TEST
+
+static server_info_t *
+read_entry(const char *text)
+{
+	GError *error = NULL;
+	server_info_t *info =
+	    platform_read_server("i-1", text, strlen(text), &error);
+
+	ck_assert((info == NULL) == (error != NULL));
+	g_clear_error(&error);
+	return info;
+}
+
+/* Guards against requests to a server that a torn entry names. */
+START_TEST(a_malformed_entry_names_no_server)
+{
+	static const char *const bad[] = {"", "\xff\xfe", "[]", "{}",
+	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
+	    " \"state\": \"other\", \"slots\": 4}",
+	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
+	    " \"state\": \"ready\", \"slots\": \"4\"}",
+	    "{\"service\": 7, \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
+	    " \"state\": \"ready\", \"slots\": 4}"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert_ptr_null(read_entry(bad[i]));
+}
+END_TEST
+
+START_TEST(an_entry_is_read)
+{
+	server_info_t *info = read_entry(
+	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
+	    " \"state\": \"draining\", \"slots\": 4, \"spot\": true,"
+	    " \"leaves_ms\": 2500.5, \"born\": 1700000000000}");
+
+	ck_assert_ptr_nonnull(info);
+	ck_assert(info->draining);
+	ck_assert(info->spot);
+	ck_assert_int_eq(info->leaves_ms, 2500);
+	ck_assert_int_eq(info->started_ms, 1700000000000);
+	server_info_free(info);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("catalog");
+	TCase *cases = tcase_create("catalog");
+
+	tcase_add_test(cases, the_longest_prefix_wins);
+	tcase_add_test(cases, the_kind_says_what_may_be_repeated);
+	tcase_add_test(cases, every_field_is_read);
+	tcase_add_test(cases, a_split_follows_its_weights);
+	tcase_add_test(cases, a_malformed_configuration_is_refused_whole);
+	tcase_add_test(cases, a_malformed_entry_names_no_server);
+	tcase_add_test(cases, an_entry_is_read);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- /dev/null
+++ b/tests/test_digest.c
@@ -0,0 +1,100 @@
+#include "digest.h"
+#include "suite.h"
+
+#include <check.h>
+
+static digest_t *
+sample(void)
+{
+	digest_t *digest = digest_new();
+	digest_spending_t spending = {.workspace = g_strdup("depot"),
+	    .spent = 1.5,
+	    .window_spent = 20};
+	digest_load_t load = {.server = 0xfedcba98u,
+	    .load = {.in_flight = 3,
+		.waiting_tokens = 100,
+		.urgent_tokens = 40,
+		.held_tokens = 900}};
+	digest_usage_t usage = {
+	    .window = 77, .workspace = g_strdup("depot"), .count = 12};
+
+	digest->node = g_strdup("n1");
+	digest->incarnation = 1234567890123;
+	digest->sequence = 9;
+	digest->client_address = g_strdup("10.0.0.1:80");
+	digest->zone = g_strdup("z");
+	digest->ready = true;
+	digest->wall_ms = -5;
+	digest->configuration_version = 7;
+	g_array_append_val(digest->spending, spending);
+	g_array_append_val(digest->loads, load);
+	g_array_append_val(digest->usage, usage);
+	return digest;
+}
+
+START_TEST(a_digest_survives_the_wire)
+{
+	digest_t *digest = sample(), *read;
+	GByteArray *bytes = g_byte_array_new();
+
+	digest_encode(digest, bytes);
+	read = digest_decode((const char *)bytes->data, bytes->len);
+	ck_assert_ptr_nonnull(read);
+	ck_assert_str_eq(read->node, "n1");
+	ck_assert_int_eq(read->incarnation, 1234567890123);
+	ck_assert_int_eq(read->wall_ms, -5);
+	ck_assert(read->ready);
+	ck_assert_str_eq(
+	    g_array_index(read->spending, digest_spending_t, 0).workspace,
+	    "depot");
+	ck_assert_double_eq(
+	    g_array_index(read->spending, digest_spending_t, 0).spent, 1.5);
+	ck_assert_uint_eq(
+	    g_array_index(read->loads, digest_load_t, 0).server, 0xfedcba98u);
+	ck_assert_double_eq(
+	    g_array_index(read->loads, digest_load_t, 0).load.urgent_tokens,
+	    40);
+	ck_assert_int_eq(
+	    g_array_index(read->usage, digest_usage_t, 0).window, 77);
+	digest_free(read);
+	digest_free(digest);
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
+/* Guards against a crash on datagrams that are cut or altered. */
+START_TEST(altered_bytes_are_read_or_refused)
+{
+	digest_t *digest = sample();
+	GByteArray *bytes = g_byte_array_new();
+
+	digest_encode(digest, bytes);
+	for (guint length = 0; length < bytes->len; length++)
+		ck_assert_ptr_null(
+		    digest_decode((const char *)bytes->data, length));
+	for (guint i = 0; i < bytes->len; i++) {
+		for (int value = 0; value < 256; value += 5) {
+			guint8 kept = bytes->data[i];
+
+			bytes->data[i] = (guint8)value;
+			digest_free(digest_decode(
+			    (const char *)bytes->data, bytes->len));
+			bytes->data[i] = kept;
+		}
+	}
+	digest_free(digest);
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("digest");
+	TCase *cases = tcase_create("digest");
+
+	tcase_add_test(cases, a_digest_survives_the_wire);
+	tcase_add_test(cases, altered_bytes_are_read_or_refused);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- /dev/null
+++ b/tests/test_quota.c
@@ -0,0 +1,205 @@
+#include "quota.h"
+#include "suite.h"
+
+#include <check.h>
+
+enum {
+	WINDOW_MS = 8000,
+	UNHEARD_MS = 200,
+	RATE = 1000,
+	BURST = 2000,
+	LIMIT = RATE * WINDOW_MS / 1000 + BURST,
+	START_MS = 1000000,
+	STEP_MS = 50,
+	UNITS = 40,
+};
+
+static catalog_t *
+catalog_with(double rate, double burst)
+{
+	catalog_t *catalog = catalog_new();
+	catalog_workspace_t *workspace = g_new0(catalog_workspace_t, 1);
+
+	workspace->name = g_strdup("depot");
+	workspace->rate_per_s = rate;
+	workspace->burst = burst;
+	catalog_add_workspace(catalog, workspace);
+	return catalog;
+}
+
+static quota_t *
+quota_with(double rate, double burst, int64_t now_ms)
+{
+	quota_t *quota = quota_new(WINDOW_MS, UNHEARD_MS, now_ms);
+	catalog_t *catalog = catalog_with(rate, burst);
+
+	quota_configure(quota, catalog, now_ms);
+	catalog_unref(catalog);
+	return quota;
+}
+
+/* Units admitted of a steady demand above the rate, from one time to another. */
+static double
+admitted(quota_t *quota, int64_t from_ms, int64_t to_ms)
+{
+	int64_t wait_ms;
+	double sum = 0;
+
+	for (int64_t now = from_ms; now < to_ms; now += STEP_MS)
+		for (int i = 0; i < 10; i++)
+			if (quota_take(quota, "depot", UNITS, now, &wait_ms))
+				sum += UNITS;
+	return sum;
+}
+
+/* Guards against refusing what the allotment allows over its window. */
+START_TEST(a_steady_demand_gets_the_whole_window)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	int64_t later_ms = START_MS + 3 * WINDOW_MS;
+
+	admitted(quota, START_MS, later_ms);
+	ck_assert_double_ge(
+	    admitted(quota, later_ms, later_ms + 4 * WINDOW_MS),
+	    4 * LIMIT * 0.9);
+	quota_free(quota);
+}
+END_TEST
+
+/* Guards against more than the bound of any window, from the start on. */
+START_TEST(no_window_passes_the_bound)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	GArray *taken = g_array_new(FALSE, TRUE, sizeof(double));
+	size_t width = WINDOW_MS / STEP_MS;
+
+	for (int64_t now = START_MS; now < START_MS + 5 * WINDOW_MS;
+	     now += STEP_MS) {
+		double units = admitted(quota, now, now + STEP_MS);
+
+		g_array_append_val(taken, units);
+	}
+	for (guint i = 0; i + width <= taken->len; i++) {
+		double sum = 0;
+
+		for (size_t j = 0; j < width; j++)
+			sum += g_array_index(taken, double, i + j);
+		ck_assert_double_le(sum, LIMIT + UNITS);
+	}
+	g_array_unref(taken);
+	quota_free(quota);
+}
+END_TEST
+
+/* Guards against a second allotment after all nodes were restarted. */
+START_TEST(a_start_does_not_grant_a_burst)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+
+	ck_assert_double_le(admitted(quota, START_MS, START_MS + 1000),
+	    LIMIT / 8 + LIMIT / 32 + UNITS);
+	quota_free(quota);
+}
+END_TEST
+
+/* Guards against nodes that all use the same free part at the same time. */
+START_TEST(nodes_together_keep_the_bound)
+{
+	enum { NODES = 7, EXCHANGE_MS = 200 };
+	quota_t *quotas[NODES];
+	double unsent[NODES] = {0}, total = 0;
+	int64_t wait_ms;
+
+	for (int i = 0; i < NODES; i++) {
+		quotas[i] = quota_with(RATE, BURST, START_MS);
+		quota_set_nodes(quotas[i], NODES, 0, START_MS);
+	}
+	for (int64_t now = START_MS; now < START_MS + 4 * WINDOW_MS; now++) {
+		for (int i = 0; i < NODES; i++) {
+			if (!quota_take(quotas[i], "depot", UNITS, now, &wait_ms))
+				continue;
+			unsent[i] += UNITS;
+			if (now >= START_MS + 3 * WINDOW_MS)
+				total += UNITS;
+		}
+		if (now % EXCHANGE_MS != 0)
+			continue;
+		for (int i = 0; i < NODES; i++)
+			for (int j = 0; j < NODES; j++)
+				if (i != j)
+					quota_spent_elsewhere(quotas[j],
+					    "depot", unsent[i], 0, now);
+		for (int i = 0; i < NODES; i++)
+			unsent[i] = 0;
+	}
+	ck_assert_double_le(total, LIMIT * 1.1);
+	ck_assert_double_ge(total, LIMIT * 0.7);
+	for (int i = 0; i < NODES; i++)
+		quota_free(quotas[i]);
+}
+END_TEST
+
+/* Guards against two halves of a partition that each spend the whole. */
+START_TEST(silent_nodes_keep_their_part)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	double sum = 0;
+
+	for (int64_t now = START_MS; now < START_MS + 4 * WINDOW_MS;
+	     now += STEP_MS) {
+		double units;
+
+		quota_set_nodes(quota, 4, 3, now);
+		units = admitted(quota, now, now + STEP_MS);
+		if (now >= START_MS + 3 * WINDOW_MS)
+			sum += units;
+	}
+	ck_assert_double_le(sum, LIMIT / 4 + UNITS);
+	quota_free(quota);
+}
+END_TEST
+
+/* Guards against a refusal that costs the workspace its allotment. */
+START_TEST(what_was_not_run_is_given_back)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	int64_t later_ms = START_MS + WINDOW_MS + WINDOW_MS / 32;
+	int64_t wait_ms;
+
+	ck_assert(quota_take(quota, "depot", LIMIT, later_ms, &wait_ms));
+	ck_assert(!quota_take(quota, "depot", UNITS, later_ms + 300, &wait_ms));
+	ck_assert_int_gt(wait_ms, 0);
+	quota_return(quota, "depot", LIMIT, later_ms + 300);
+	ck_assert(
+	    quota_take(quota, "depot", UNITS, later_ms + 600, &wait_ms));
+	quota_free(quota);
+}
+END_TEST
+
+START_TEST(a_workspace_without_a_limit_is_never_refused)
+{
+	quota_t *quota = quota_with(0, 0, START_MS);
+	int64_t wait_ms;
+
+	ck_assert(quota_take(quota, "depot", 1e9, START_MS, &wait_ms));
+	ck_assert(quota_take(quota, "other", 1e9, START_MS, &wait_ms));
+	quota_free(quota);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("quota");
+	TCase *cases = tcase_create("quota");
+
+	tcase_add_test(cases, a_steady_demand_gets_the_whole_window);
+	tcase_add_test(cases, no_window_passes_the_bound);
+	tcase_add_test(cases, a_start_does_not_grant_a_burst);
+	tcase_add_test(cases, nodes_together_keep_the_bound);
+	tcase_add_test(cases, silent_nodes_keep_their_part);
+	tcase_add_test(cases, what_was_not_run_is_given_back);
+	tcase_add_test(cases, a_workspace_without_a_limit_is_never_refused);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
