Smooth what other nodes may have spent; half of a burst at once

Cause: a single large prompt, taken as what every other node spent too, refused its workspace for 200 ms at that node. The estimate now spans a second.

--- a/src/quota.c
+++ b/src/quota.c
@@ -1,7 +1,9 @@
 #include "quota.h"
 
 enum {
-	RECENT_SLOTS = 8,
+	/* Span over which a node's own spending is smoothed. */
+	RECENT_MS = 1000,
+	RECENT_SLOTS = 10,
 	MS_PER_S = 1000,
 };
 
@@ -9,7 +11,7 @@
  * Part of the burst that can be spent at once. The rest raises the rate, so
  * that a steady demand gets all that the window allows.
  */
-static const double capacity_share = 0.35;
+static const double capacity_share = 0.5;
 
 typedef struct bucket {
 	char *workspace;
@@ -48,7 +50,7 @@
 	quota->buckets = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, bucket_free);
 	quota->window_ms = MAX(window_ms, 1);
-	quota->unheard_ms = MAX(unheard_ms, RECENT_SLOTS);
+	quota->unheard_ms = unheard_ms;
 	quota->nodes = 1;
 	return quota;
 }
@@ -72,7 +74,7 @@
 static void
 advance(const quota_t *quota, bucket_t *bucket, int64_t now_ms)
 {
-	int64_t slot = now_ms / (quota->unheard_ms / RECENT_SLOTS);
+	int64_t slot = now_ms / (RECENT_MS / RECENT_SLOTS);
 	double passed_ms = (double)(now_ms - bucket->filled_ms);
 
 	bucket->filled_ms = now_ms;
@@ -148,7 +150,8 @@
 
 	for (size_t i = 0; i < RECENT_SLOTS; i++)
 		recent += bucket->recent[i];
-	return recent * (quota->nodes - 1 - quota->silent);
+	return recent * (double)quota->unheard_ms / RECENT_MS *
+	       (quota->nodes - 1 - quota->silent);
 }
 
 bool
