--- a/src/entry.c
+++ b/src/entry.c
@@ -453,6 +453,12 @@
 	return exchange->received_ms;
 }
 
+bool
+exchange_gone(const exchange_t *exchange)
+{
+	return exchange->client == NULL;
+}
+
 exchange_t *
 exchange_ref(exchange_t *exchange)
 {
--- a/src/entry.h
+++ b/src/entry.h
@@ -49,6 +49,9 @@
 /* clock_boot_ms() at which the first byte of the request was read. */
 int64_t exchange_received_ms(const exchange_t *exchange);
 
+/* True where the client has left, or has its whole response. */
+bool exchange_gone(const exchange_t *exchange);
+
 exchange_t *exchange_ref(exchange_t *exchange);
 void exchange_unref(exchange_t *exchange);
 
--- a/src/flow.c
+++ b/src/flow.c
@@ -786,7 +786,7 @@
 		return false;
 	}
 	if (flow->catalog == NULL) {
-		answer(flow, 503, 0, "no_configuration");
+		answer(flow, 503, RETRY_AFTER_DEFAULT_MS, "no_configuration");
 		return false;
 	}
 	if (clock_boot_ms() >= context->usable_until_ms) {
--- a/src/front.c
+++ b/src/front.c
@@ -27,6 +27,8 @@
 	LAPSE_MS = 1800,
 	LAPSE_WINDOW_MS = 2500,
 	ADDRESS_TTL_MS = 2000,
+	/* Requests wait so long after the start for the first configuration. */
+	EARLY_MS = 500,
 	/* Descriptors kept for backend servers and the platform. */
 	OTHER_DESCRIPTORS = 1500,
 	CONNECTIONS_MIN = 64,
@@ -54,7 +56,9 @@
 	entry_server_t *readiness;
 	entry_server_t *metrics;
 	uv_timer_t timer;
+	int64_t started_ms;
 	int64_t swept_ms;
+	GPtrArray *early; /* exchange_t: requests before the first list */
 	bool listed;
 	bool ready;
 	int64_t drain_from_ms; /* 0: not draining */
@@ -306,12 +310,43 @@
 	sync_refresh(((front_t *)data)->sync);
 }
 
+static void
+serve(front_t *front, exchange_t *exchange)
+{
+	if (exchange_gone(exchange))
+		exchange_unref(exchange);
+	else
+		flow_start(&front->flow, exchange);
+}
+
+/* Serves, or refuses, the requests that came before the configuration. */
+static void
+serve_early(front_t *front)
+{
+	GPtrArray *early = front->early;
+
+	front->early = g_ptr_array_new();
+	for (guint i = 0; i < early->len; i++)
+		serve(front, early->pdata[i]);
+	g_ptr_array_unref(early);
+}
+
+static bool
+is_starting(const front_t *front)
+{
+	return front->flow.catalog == NULL && front->drain_from_ms == 0 &&
+	       clock_boot_ms() - front->started_ms < EARLY_MS;
+}
+
 static void
 on_request(exchange_t *exchange, void *data)
 {
 	front_t *front = data;
 
-	flow_start(&front->flow, exchange);
+	if (is_starting(front))
+		g_ptr_array_add(front->early, exchange);
+	else
+		serve(front, exchange);
 }
 
 static void
@@ -391,6 +426,16 @@
 	    front->flow.catalog == NULL ? 0 : front->flow.catalog->version);
 }
 
+static void
+on_confirmed(void *data)
+{
+	front_t *front = data;
+
+	update_ready(front, clock_boot_ms());
+	if (front->flow.catalog != NULL)
+		serve_early(front);
+}
+
 static void
 update_gauges(front_t *front, int64_t now_ms)
 {
@@ -435,6 +480,8 @@
 	int64_t now_ms = clock_boot_ms();
 
 	update_ready(front, now_ms);
+	if (!is_starting(front))
+		serve_early(front);
 	usage_report_tick(front->usage_report, cluster_wall_ms(front->cluster));
 	scale_orders_tick(front->scale_orders, front->flow.catalog);
 	if (now_ms - front->swept_ms >= SWEEP_MS) {
@@ -545,6 +592,7 @@
 	    .on_put = on_put,
 	    .on_removed = on_removed,
 	    .on_listed = on_listed,
+	    .on_confirmed = on_confirmed,
 	    .data = front,
 	};
 
@@ -575,6 +623,8 @@
 
 	front->loop = loop;
 	front->config = config;
+	front->started_ms = clock_boot_ms();
+	front->early = g_ptr_array_new();
 	start_flow(front);
 	if (!start_cluster(front, error) || !start_listeners(front, error))
 		return NULL; /* the process ends */
--- a/src/sync.c
+++ b/src/sync.c
@@ -137,6 +137,7 @@
 	sync->confirmed_ms = sync->list_sent_ms;
 	sync->has_list = true;
 	sync->options.on_listed(sync->options.data);
+	sync->options.on_confirmed(sync->options.data);
 }
 
 static void
@@ -188,6 +189,7 @@
 	take_items(sync, result);
 	sync->revision = MAX(sync->revision, result->revision);
 	sync->confirmed_ms = sync->sent_ms;
+	sync->options.on_confirmed(sync->options.data);
 	step(sync);
 }
 
--- a/src/sync.h
+++ b/src/sync.h
@@ -19,8 +19,10 @@
 	/* A key was written. */
 	void (*on_put)(const platform_item_t *item, void *data);
 	void (*on_removed)(const char *key, void *data);
-	/* The first list is complete. */
+	/* A list is complete. */
 	void (*on_listed)(void *data);
+	/* The copy has just been proved current. */
+	void (*on_confirmed)(void *data);
 	void *data;
 } sync_options_t;
 
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -148,7 +148,7 @@
 }
 
 program_t *
-front_start(const char *name)
+front_launch(const char *name)
 {
 	int port = next_port;
 	char *path = write_settings(name, port);
@@ -161,6 +161,14 @@
 	g_free(path);
 	g_hash_table_insert(
 	    questions, program, g_strdup_printf("127.0.0.1:%d", port + 2));
+	return program;
+}
+
+program_t *
+front_start(const char *name)
+{
+	program_t *program = front_launch(name);
+
 	wait_ready(front_questions(program));
 	return program;
 }
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -23,6 +23,9 @@
 /* Starts the daemon of an entry host and waits until it is ready. */
 program_t *front_start(const char *name);
 
+/* The same without the wait. */
+program_t *front_launch(const char *name);
+
 /* Address of the node's directory and readiness questions. */
 const char *front_questions(const program_t *front);
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -391,6 +391,28 @@
 }
 END_TEST
 
+/* Guards against refusals in the moment between the start and the first list.
+ */
+START_TEST(a_request_at_the_start_waits_for_the_configuration)
+{
+	int client, server;
+	char *request;
+
+	faults_set(front_platform, "{\"down\": true}");
+	front = front_launch("n2");
+	client = send_request("/read/a", "id-1");
+	g_usleep(100000);
+	faults_set(front_platform, "{\"down\": false}");
+	server = wire_accept(server_1);
+	request = wire_read_message(server);
+	answer(server, "200 OK", "id-1", "ok");
+	ck_assert_uint_eq(read_status(client), 200);
+	g_free(request);
+	close(client);
+	close(server);
+}
+END_TEST
+
 /* Guards against requests to a server that has said that it leaves. */
 START_TEST(a_leaving_server_gets_nothing_new)
 {
@@ -552,6 +574,8 @@
 	tcase_add_test(cases, a_withdrawn_key_stops);
 	tcase_add_test(cases, an_older_configuration_is_ignored);
 	tcase_add_test(cases, a_node_without_the_store_refuses_keys_in_time);
+	tcase_add_test(
+	    cases, a_request_at_the_start_waits_for_the_configuration);
 	tcase_add_test(cases, a_leaving_server_gets_nothing_new);
 	tcase_add_test(cases, requests_beyond_the_limits_are_refused);
 	tcase_add_test(
