Take running streams away from engines that are about to end

Cause: a stream that cannot be resumed was cut when its engine was reclaimed or drained away in its midst. One second before the end, its memory is copied to another engine, which goes on after the last event.

--- a/src/catalog.h
+++ b/src/catalog.h
@@ -51,8 +51,9 @@
 	char *name;
 	unsigned max_connections; /* to one server, from all callers */
 	bool is_engine;
-	unsigned batch;		    /* engines: requests that run at once */
-	double cache_tokens;	    /* engines: KV memory */
+	unsigned batch;	     /* engines: requests that run at once */
+	double cache_tokens; /* engines: KV memory */
+	bool can_move;	     /* engines: a run can go on at another one */
 	catalog_scaling_t *scaling; /* NULL: fixed size */
 } catalog_service_t;
 
--- a/src/flow.h
+++ b/src/flow.h
@@ -13,6 +13,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/queue.h>
 #include <uv.h>
 
 /*
@@ -33,10 +34,14 @@
 	catalog_t *catalog; /* in force; NULL: none yet */
 	/* clock_boot_ms() after which the catalog may not be used. */
 	int64_t usable_until_ms;
-	bool refusing; /* the node is about to stop */
+	bool refusing;			   /* the node is about to stop */
+	TAILQ_HEAD(flow_list, flow) flows; /* requests in progress */
 } flow_context_t;
 
 /* Serves a request; takes over the reference. */
 void flow_start(flow_context_t *context, exchange_t *exchange);
 
+/* Takes streams away from engines that are about to end. */
+void flow_move_streams(flow_context_t *context, int64_t now_ms);
+
 #endif
--- /dev/null
+++ b/src/flow_attempt.c
@@ -0,0 +1,156 @@
+#include "flow_state.h"
+
+#include "clock.h"
+#include "platform_request.h"
+
+#include <string.h>
+
+enum {
+	/* A kept connection used within this time is not about to be closed. */
+	FRESH_CONNECTION_MS = 1000,
+	ANY_CONNECTION_MS = INT32_MAX,
+	SILENCE_OBJECTIVES = 2,
+	/* Priorities of routes that are told apart within a workspace's. */
+	ROUTE_URGENCIES = 3,
+	URGENCY_LEAST = 9,
+};
+
+/* The workspace's priority goes before the route's. */
+static int
+urgency(const flow_t *flow)
+{
+	unsigned route = MIN(flow->route->priority, ROUTE_URGENCIES - 1);
+	int workspace =
+	    flow->workspace == NULL ? -1 : flow->workspace->priority;
+
+	if (workspace < 0)
+		return (int)route;
+	return MIN(workspace * ROUTE_URGENCIES + (int)route, URGENCY_LEAST);
+}
+
+static GString *
+request_head(flow_t *flow, const server_t *server)
+{
+	const GByteArray *body = exchange_body(flow->exchange);
+	const http1_head_t *head = exchange_head(flow->exchange);
+	forward_options_t options = {
+	    .server_id = server->info->id,
+	    .workspace = flow->workspace == NULL ? NULL : flow->workspace->name,
+	    .drop_key = flow->catalog->workspaces->len > 0,
+	    .deadline_ms = flow_left_ms(flow),
+	    .priority = flow->service != NULL && flow->service->is_engine
+			    ? urgency(flow)
+			    : -1,
+	    .last_event_id =
+		flow->started ? event_stream_last_id(flow->events) : NULL,
+	    .moved_from = flow->move.from,
+	    .body_length = body->len,
+	    .has_body = body->len > 0 || head->has_length,
+	};
+	GString *out = g_string_sized_new(1024);
+
+	platform_write_request(head, &options, out);
+	return out;
+}
+
+/* Connections that this node may have to one server. */
+static unsigned
+connections_max(const flow_t *flow)
+{
+	unsigned nodes = cluster_nodes(flow->context->cluster);
+
+	if (flow->service == NULL || flow->service->max_connections == 0)
+		return 0;
+	return MAX(flow->service->max_connections / MAX(nodes, 1), 2);
+}
+
+static void
+enter_server(flow_t *flow, const pick_choice_t *choice)
+{
+	server_load_t *load = &choice->server->own;
+
+	flow->server = server_ref(choice->server);
+	flow->new_tokens = choice->new_tokens;
+	flow->ahead_tokens = choice->ahead_tokens;
+	flow->expected_ms = choice->expected_ms;
+	flow->waiting = true;
+	flow->attempt_ms = clock_boot_ms();
+	load->in_flight++;
+	load->held_tokens += pick_request_tokens(&flow->facts);
+	load->waiting_tokens += choice->new_tokens;
+	if (flow->urgent)
+		load->urgent_tokens += choice->new_tokens;
+	g_ptr_array_add(flow->tried, choice->server);
+}
+
+void
+flow_send(flow_t *flow, const pick_choice_t *choice)
+{
+	const GByteArray *body = exchange_body(flow->exchange);
+	const http1_head_t *head = exchange_head(flow->exchange);
+	GString *text;
+	upstream_request_t request = {
+	    .attempt_id = flow->facts.attempt_id,
+	    .body = (const char *)body->data,
+	    .body_length = body->len,
+	    .is_head = strcmp(head->method, "HEAD") == 0,
+	    .idle_max_ms = catalog_may_repeat(flow->route)
+			       ? ANY_CONNECTION_MS
+			       : FRESH_CONNECTION_MS,
+	    .on_head = flow_on_head,
+	    .on_body = flow_on_body,
+	    .on_end = flow_on_end,
+	    .data = flow,
+	};
+
+	enter_server(flow, choice);
+	text = request_head(flow, choice->server);
+	request.head = text->str;
+	request.head_length = text->len;
+	flow->not_run = false;
+	flow->status = 0;
+	flow->call = upstream_start(
+	    choice->server->upstream, connections_max(flow), &request);
+	g_string_free(text, TRUE);
+	if (flow->call == NULL) {
+		flow_not_sent(flow, SERVER_FULL, "no_connection");
+		return;
+	}
+	prefix_cache_learn(flow->context->prefixes, choice->server->tag,
+	    &flow->facts, flow->attempt_ms);
+	flow_watch_silence(
+	    flow, SILENCE_OBJECTIVES * flow->route->objective_ms);
+}
+
+pick_choice_t
+flow_pick(flow_t *flow)
+{
+	flow_context_t *context = flow->context;
+	pick_query_t query = {
+	    .facts = &flow->facts,
+	    .service = flow->service,
+	    .servers = pool_service(context->pool, flow->service_name),
+	    .tried = flow->tried,
+	    .prefixes = context->prefixes,
+	    .pace = flow_pace(flow),
+	    .urgent = flow->urgent,
+	    .zone = context->zone,
+	    .now_ms = clock_boot_ms(),
+	    .random = g_random_int(),
+	};
+
+	return pick_server(&query);
+}
+
+void
+flow_attempt(flow_t *flow)
+{
+	pick_choice_t choice = flow_pick(flow);
+
+	if (choice.server == NULL)
+		flow_refuse(flow, FLOW_RETRY_AFTER_MS, "no_server");
+	else if (!flow->ran && choice.expected_ms > (double)flow_left_ms(flow))
+		flow_refuse(flow, (int64_t)choice.expected_ms, "overloaded");
+	else
+		flow_send(flow, &choice);
+}
--- /dev/null
+++ b/src/flow_response.c
@@ -0,0 +1,329 @@
+#include "flow_state.h"
+
+#include "clock.h"
+
+enum {
+	/* Responses up to this size are passed on once they are complete. */
+	HOLD_MAX_BYTES = 64 * 1024,
+	/* Bytes to a slow client beyond which its server is read no more. */
+	QUEUED_MAX_BYTES = 256 * 1024,
+	CONNECTS_MAX = 3,
+	/* A silent server is given up after so many objectives. */
+	SILENCE_OBJECTIVES = 2,
+	SILENCE_MIN_MS = 400,
+};
+
+static void
+count_usage(flow_t *flow)
+{
+	if (flow->workspace != NULL)
+		usage_count(flow->context->usage, flow->workspace->name,
+		    cluster_wall_ms(flow->context->cluster));
+}
+
+pace_t *
+flow_pace(const flow_t *flow)
+{
+	GHashTable *paces = flow->context->paces;
+	pace_t *pace = g_hash_table_lookup(paces, flow->service_name);
+
+	if (pace == NULL) {
+		pace = g_new0(pace_t, 1);
+		g_hash_table_insert(paces, g_strdup(flow->service_name), pace);
+	}
+	return pace;
+}
+
+/* The server's first byte of work has been seen. */
+static void
+note_begun(flow_t *flow)
+{
+	int64_t now_ms = clock_boot_ms();
+	double took_ms;
+
+	flow->ran = true;
+	if (!flow->waiting)
+		return;
+	flow_stop_waiting(flow);
+	count_usage(flow);
+	took_ms = (double)(now_ms - flow->attempt_ms);
+	flow->first_ms = now_ms - flow->received_ms;
+	if (flow->service != NULL && flow->service->is_engine)
+		pace_learn(flow_pace(flow), flow->ahead_tokens, took_ms);
+	server_observe(flow->server, SERVER_SERVED, took_ms, now_ms);
+}
+
+/*
+ * Length of the response to the client. One that ends with the server's
+ * connection may be cut, so that it is not framed as complete either.
+ */
+static int64_t
+framing(const flow_t *flow, int64_t length)
+{
+	return flow->head->has_length ? length : EXCHANGE_UNFRAMED;
+}
+
+/* Passes on the whole response that is held. */
+static void
+pass_held(flow_t *flow)
+{
+	flow_log_end(flow, flow->head->status, "served");
+	exchange_watch(flow->exchange, NULL, NULL, NULL);
+	exchange_start(flow->exchange, flow->head,
+	    framing(flow, (int64_t)flow->held->len));
+	exchange_write(
+	    flow->exchange, (const char *)flow->held->data, flow->held->len);
+	exchange_end(flow->exchange);
+	flow_finish(flow);
+}
+
+/* Events that are complete go to the client. */
+static void
+pass_events(flow_t *flow)
+{
+	GString *out = event_stream_take(flow->events);
+
+	if (out == NULL)
+		return;
+	note_begun(flow);
+	if (!flow->started) {
+		exchange_start(flow->exchange, flow->head,
+		    framing(flow, EXCHANGE_CHUNKED));
+		flow->started = true;
+		flow->framed = flow->head->has_length;
+	}
+	exchange_write(flow->exchange, out->str, out->len);
+	g_string_free(out, TRUE);
+	if (exchange_queued(flow->exchange) > QUEUED_MAX_BYTES)
+		upstream_set_reading(flow->call, false);
+}
+
+static void on_silence(uv_timer_t *timer);
+
+/* Watches for a server that says nothing; only where another may go on. */
+void
+flow_watch_silence(flow_t *flow, int64_t limit_ms)
+{
+	if (catalog_may_repeat(flow->route) && limit_ms > 0)
+		uv_timer_start(&flow->silence_timer, on_silence,
+		    (uint64_t)MAX(limit_ms, SILENCE_MIN_MS), 0);
+}
+
+void
+flow_on_head(
+    const http1_head_t *head, const response_facts_t *facts, void *data)
+{
+	flow_t *flow = data;
+
+	flow->response = *facts;
+	flow->not_run = facts->not_run;
+	flow->status = head->status;
+	flow->head = head;
+}
+
+static void
+on_stream_bytes(flow_t *flow, const char *bytes, size_t length)
+{
+	event_stream_feed(flow->events, bytes, length);
+	pass_events(flow);
+	flow_watch_silence(
+	    flow, SILENCE_OBJECTIVES * 2 * flow->route->gap_objective_ms);
+}
+
+/* Starts to pass on a response that is too large to be held. */
+static void
+pass_large(flow_t *flow)
+{
+	note_begun(flow);
+	exchange_start(
+	    flow->exchange, flow->head, framing(flow, EXCHANGE_CHUNKED));
+	flow->started = true;
+	exchange_write(
+	    flow->exchange, (const char *)flow->held->data, flow->held->len);
+	g_byte_array_set_size(flow->held, 0);
+}
+
+void
+flow_on_body(const char *bytes, size_t length, void *data)
+{
+	flow_t *flow = data;
+
+	if (flow->events != NULL && flow->status == 200) {
+		on_stream_bytes(flow, bytes, length);
+		return;
+	}
+	if (flow->started && flow->events != NULL)
+		return; /* no part of the stream */
+	if (flow->started) {
+		exchange_write(flow->exchange, bytes, length);
+		if (exchange_queued(flow->exchange) > QUEUED_MAX_BYTES)
+			upstream_set_reading(flow->call, false);
+		return;
+	}
+	g_byte_array_append(flow->held, (const guint8 *)bytes, (guint)length);
+	if (flow->held->len > HOLD_MAX_BYTES && !flow->not_run)
+		pass_large(flow);
+}
+
+/* The server said that it did not run the request. */
+static void
+not_run(flow_t *flow)
+{
+	server_observe(flow->server,
+	    flow->response.wrong_server ? SERVER_UNREACHABLE : SERVER_FULL, 0,
+	    clock_boot_ms());
+	flow_leave_server(flow);
+	g_byte_array_set_size(flow->held, 0);
+	if (flow_may_go_on(flow))
+		flow_attempt(flow);
+	else
+		flow_refuse(flow, FLOW_RETRY_AFTER_MS, "server_refused");
+}
+
+static void
+stream_complete(flow_t *flow)
+{
+	GString *rest = event_stream_rest(flow->events);
+
+	flow_log_end(flow, 200, "served");
+	exchange_watch(flow->exchange, NULL, NULL, NULL);
+	if (!flow->started)
+		exchange_start(flow->exchange, flow->head,
+		    framing(flow, EXCHANGE_CHUNKED));
+	exchange_write(flow->exchange, rest->str, rest->len);
+	g_string_free(rest, TRUE);
+	exchange_end(flow->exchange);
+	flow_finish(flow);
+}
+
+static void
+complete(flow_t *flow)
+{
+	if (flow->not_run && !flow->started) {
+		not_run(flow);
+		return;
+	}
+	if (flow->events != NULL && flow->status == 200) {
+		note_begun(flow);
+		if (flow->started && flow->framed && !flow->head->has_length)
+			flow_answer(flow, 502, -1, "unframed_resume");
+		else
+			stream_complete(flow);
+		return;
+	}
+	if (flow->started) {
+		if (flow->events != NULL) {
+			flow_answer(flow, 502, -1, "resume_failed");
+			return;
+		}
+		flow_log_end(flow, flow->status, "served");
+		exchange_watch(flow->exchange, NULL, NULL, NULL);
+		exchange_end(flow->exchange);
+		flow_finish(flow);
+		return;
+	}
+	flow->ran = true;
+	if (flow->status >= 500) {
+		if (flow->waiting)
+			count_usage(flow);
+		server_observe(flow->server, SERVER_FAILED, 0, clock_boot_ms());
+		if (catalog_may_repeat(flow->route) && flow_may_go_on(flow)) {
+			flow_leave_server(flow);
+			g_byte_array_set_size(flow->held, 0);
+			flow_attempt(flow);
+			return;
+		}
+		/* A promise of 503 would be false for what has run. */
+		if (flow->status == 503 && !catalog_may_repeat(flow->route)) {
+			flow_answer(flow, 502, -1, "server_failed");
+			return;
+		}
+	} else {
+		note_begun(flow);
+	}
+	pass_held(flow);
+}
+
+/* Sent, and no whole response came back. */
+static void
+broken(flow_t *flow, server_outcome_t outcome, const char *why)
+{
+	if (flow->waiting)
+		count_usage(flow);
+	flow->ran = true;
+	server_observe(flow->server, outcome, 0, clock_boot_ms());
+	flow_leave_server(flow);
+	g_byte_array_set_size(flow->held, 0);
+	if (flow->started && (flow->events == NULL || flow->status != 200)) {
+		flow_answer(flow, 502, -1, why);
+		return;
+	}
+	if (catalog_may_repeat(flow->route) && flow_may_go_on(flow)) {
+		if (flow->events != NULL)
+			event_stream_resume(flow->events);
+		flow_attempt(flow);
+		return;
+	}
+	flow_answer(flow, 502, -1, why);
+}
+
+/* The server got nothing. */
+void
+flow_not_sent(flow_t *flow, server_outcome_t outcome, const char *why)
+{
+	server_observe(flow->server, outcome, 0, clock_boot_ms());
+	flow_leave_server(flow);
+	g_ptr_array_set_size(flow->tried, (gint)flow->tried->len - 1);
+	if (++flow->connects < CONNECTS_MAX &&
+	    flow_left_ms(flow) > FLOW_ATTEMPT_MIN_MS)
+		flow_attempt(flow);
+	else
+		flow_refuse(flow, FLOW_RETRY_AFTER_MS, why);
+}
+
+void
+flow_on_end(upstream_end_t end, const char *why, void *data)
+{
+	flow_t *flow = data;
+
+	flow->call = NULL;
+	uv_timer_stop(&flow->silence_timer);
+	switch (end) {
+	case UPSTREAM_COMPLETE:
+		complete(flow);
+		return;
+	case UPSTREAM_NOT_SENT:
+		flow_not_sent(flow, SERVER_UNREACHABLE, why);
+		return;
+	case UPSTREAM_BROKEN:
+		if (flow_move_takes_on(flow))
+			return;
+		broken(flow, SERVER_FAILED, why);
+		return;
+	}
+}
+
+static void
+on_silence(uv_timer_t *timer)
+{
+	flow_t *flow = timer->data;
+
+	if (flow->call == NULL || flow->move.state == FLOW_MOVE_ASKED ||
+	    flow->tried->len >= flow->route->max_attempts)
+		return;
+	if (flow->started && flow->events == NULL)
+		return;
+	if (!flow_may_go_on(flow))
+		return;
+	upstream_cancel(flow->call);
+	flow->call = NULL;
+	if (flow->waiting)
+		count_usage(flow);
+	flow->ran = true;
+	server_observe(flow->server, SERVER_UNREACHABLE, 0, clock_boot_ms());
+	flow_leave_server(flow);
+	g_byte_array_set_size(flow->held, 0);
+	if (flow->events != NULL)
+		event_stream_resume(flow->events);
+	flow_attempt(flow);
+}
--- a/src/front.c
+++ b/src/front.c
@@ -490,6 +490,7 @@
 		update_gauges(front, now_ms);
 	}
 	pool_sweep(front->flow.pool, now_ms);
+	flow_move_streams(&front->flow, now_ms);
 	log_flush();
 	if (front->drain_from_ms != 0)
 		check_drain(front, now_ms);
@@ -555,7 +556,7 @@
 	front->flow = (flow_context_t){
 	    .loop = front->loop,
 	    .zone = front->config->zone,
-	    .pool = pool_new(front->loop),
+	    .pool = pool_new(front->loop, bounds->drain_ms),
 	    .quota =
 		quota_new(bounds->allotment_window_ms, CLUSTER_SEND_MIN_MS),
 	    .budget = retry_budget_new(&retry),
@@ -565,6 +566,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 	    .counters = counters_new(),
 	};
+	TAILQ_INIT(&front->flow.flows);
 }
 
 static bool
--- a/src/pool.c
+++ b/src/pool.c
@@ -15,6 +15,7 @@
 
 struct pool {
 	uv_loop_t *loop;
+	int64_t drain_ms;
 	GHashTable *by_id;	/* id to server_t, owns a reference */
 	GHashTable *by_tag;	/* tag to server_t, borrowed */
 	GHashTable *by_service; /* service to GPtrArray of server_t */
@@ -56,11 +57,12 @@
 }
 
 pool_t *
-pool_new(uv_loop_t *loop)
+pool_new(uv_loop_t *loop, int64_t drain_ms)
 {
 	pool_t *pool = g_new0(pool_t, 1);
 
 	pool->loop = loop;
+	pool->drain_ms = drain_ms;
 	pool->by_id =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_value);
 	pool->by_tag = g_hash_table_new(NULL, NULL);
@@ -80,13 +82,25 @@
 	g_free(pool);
 }
 
+/* Notes when a server ends that leaves. */
 static void
-unlink_server(pool_t *pool, server_t *server)
+note_leaving(const pool_t *pool, server_t *server, int64_t now_ms)
+{
+	int64_t left_ms = server->info->leaves_ms;
+
+	if (server->leave_at_ms == 0)
+		server->leave_at_ms =
+		    now_ms + (left_ms >= 0 ? left_ms : pool->drain_ms);
+}
+
+static void
+unlink_server(pool_t *pool, server_t *server, int64_t now_ms)
 {
 	GPtrArray *list =
 	    g_hash_table_lookup(pool->by_service, server->info->service);
 
 	server->gone = true;
+	note_leaving(pool, server, now_ms);
 	if (list != NULL)
 		g_ptr_array_remove(list, server);
 	g_hash_table_remove(pool->by_tag, GUINT_TO_POINTER(server->tag));
@@ -133,16 +147,20 @@
 		server->info = info;
 		server->lapsed_until_ms = 0;
 		server_info_free(old);
+		if (info->draining)
+			note_leaving(pool, server, now_ms);
 		return;
 	}
 	if (server != NULL)
-		unlink_server(pool, server);
+		unlink_server(pool, server, now_ms);
 	server = g_new0(server_t, 1);
 	server->refs = 1;
 	server->info = info;
 	server->tag = server_tag(info->id);
 	server->listed_at_ms = now_ms;
 	server->upstream = upstream_new(pool->loop, info->address);
+	if (info->draining)
+		note_leaving(pool, server, now_ms);
 	link_server(pool, server);
 }
 
@@ -156,7 +174,7 @@
 	if (lapse_ms > 0 && !server->info->draining)
 		server->lapsed_until_ms = now_ms + lapse_ms;
 	else
-		unlink_server(pool, server);
+		unlink_server(pool, server, now_ms);
 }
 
 void
@@ -169,7 +187,7 @@
 
 		if (server->lapsed_until_ms != 0 &&
 		    now_ms >= server->lapsed_until_ms)
-			unlink_server(pool, server);
+			unlink_server(pool, server, now_ms);
 		else if (server->upstream != NULL)
 			upstream_sweep(server->upstream, now_ms);
 	}
--- a/src/pool.h
+++ b/src/pool.h
@@ -29,6 +29,7 @@
 	bool gone;    /* no longer listed */
 	int64_t lapsed_until_ms; /* removed while the store was away; 0: no */
 	int64_t listed_at_ms;
+	int64_t leave_at_ms; /* when it ends, as far as is known; 0: stays */
 	server_load_t own;
 	server_load_t peers; /* sum of what other nodes say */
 	double failure_rate; /* of recent requests, 0 to 1 */
@@ -40,7 +41,8 @@
 
 typedef struct pool pool_t;
 
-pool_t *pool_new(uv_loop_t *loop);
+/* drain_ms: how long a server goes on that leaves without saying when. */
+pool_t *pool_new(uv_loop_t *loop, int64_t drain_ms);
 void pool_free(pool_t *pool);
 
 /* Takes over an entry; owns info. */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -123,13 +123,14 @@
 	if (call == NULL)
 		return false;
 	platform_read_response(head, &facts);
-	if (facts.attempt_id != NULL &&
+	if (call->attempt_id != NULL && facts.attempt_id != NULL &&
 	    strcmp(facts.attempt_id, call->attempt_id) != 0) {
 		link->skipping = true;
 		link->tainted = true;
 		return true;
 	}
-	if (facts.attempt_id == NULL && head->status < 300)
+	if (call->attempt_id != NULL && facts.attempt_id == NULL &&
+	    head->status < 300)
 		return false;
 	if (call->request.is_head)
 		http1_reader_expect_no_body(link->reader);
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -25,7 +25,7 @@
 } upstream_end_t;
 
 typedef struct upstream_request {
-	const char *attempt_id;
+	const char *attempt_id; /* that the response has to echo; or NULL */
 	const char *head; /* copied */
 	size_t head_length;
 	const char *body; /* copied */
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -110,9 +110,11 @@
 /* Guards against a crash, or half a configuration, on bad bytes. */
 START_TEST(a_malformed_configuration_is_refused_whole)
 {
-	static const char *const bad[] = {"", "[]x", "{\"routes\": [{}]}",
+	static const char bad_kind[] =
 	    "{\"routes\": [{\"host\": \"a\", \"path_prefix\": \"/\","
-	    " \"route_type\": \"other\"}]}"};
+	    " \"route_type\": \"other\"}]}";
+	static const char *const bad[] = {
+	    "", "[]x", "{\"routes\": [{}]}", bad_kind};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
 		ck_assert_ptr_null(read_configuration(bad[i]));
@@ -134,13 +136,17 @@
 /* Guards against requests to a server that a torn entry names. */
 START_TEST(a_malformed_entry_names_no_server)
 {
-	static const char *const bad[] = {"", "\xff\xfe", "[]", "{}",
+	static const char bad_state[] =
 	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
-	    " \"state\": \"other\", \"slots\": 4}",
+	    " \"state\": \"other\", \"slots\": 4}";
+	static const char bad_slots[] =
 	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
-	    " \"state\": \"ready\", \"slots\": \"4\"}",
+	    " \"state\": \"ready\", \"slots\": \"4\"}";
+	static const char bad_service[] =
 	    "{\"service\": 7, \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
-	    " \"state\": \"ready\", \"slots\": 4}"};
+	    " \"state\": \"ready\", \"slots\": 4}";
+	static const char *const bad[] = {
+	    "", "\xff\xfe", "[]", "{}", bad_state, bad_slots, bad_service};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
 		ck_assert_ptr_null(read_entry(bad[i]));
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -30,7 +30,7 @@
 static void
 setup(void)
 {
-	pool = pool_new(uv_default_loop());
+	pool = pool_new(uv_default_loop(), 2000);
 	prefixes = prefix_cache_new();
 	memset(&pace, 0, sizeof(pace));
 	for (int i = 0; i < SERVERS; i++) {
