--- a/src/flow.c
+++ b/src/flow.c
@@ -89,6 +89,7 @@
 	    .server = flow->server == NULL ? "" : flow->server->info->id,
 	    .status = status,
 	    .cause = cause,
+	    .retry_after_ms = flow->retry_after_ms,
 	    .attempts = flow->tried->len,
 	    .ran = flow->ran,
 	    .elapsed_ms = clock_boot_ms() - flow->received_ms,
@@ -109,6 +110,7 @@
 {
 	char extra[64] = "";
 
+	flow->retry_after_ms = retry_after_ms;
 	flow_log_end(flow, status, cause);
 	if (flow->started) {
 		exchange_abort(flow->exchange);
@@ -249,6 +251,7 @@
 	flow->exchange = exchange;
 	flow->received_ms = exchange_received_ms(exchange);
 	flow->first_ms = -1;
+	flow->retry_after_ms = -1;
 	flow->held = g_byte_array_new();
 	flow->tried = g_ptr_array_new();
 	if (context->catalog != NULL)
--- a/src/flow_log.h
+++ b/src/flow_log.h
@@ -15,8 +15,9 @@
 	const char *server; /* the last one; "" */
 	unsigned status;    /* to the client; 0: it left */
 	const char *cause;
-	unsigned attempts; /* servers that got the request */
-	bool ran;	   /* a server may have begun */
+	int64_t retry_after_ms; /* told to the client; -1: none */
+	unsigned attempts;	/* servers that got the request */
+	bool ran;		/* a server may have begun */
 	int64_t elapsed_ms;
 	int64_t first_ms;    /* to the first event or the response; -1: none */
 	double expected_ms;  /* the same, as estimated when it was sent */
@@ -28,4 +29,18 @@
 /* Counts the outcome and writes its line. */
 void flow_log_outcome(counters_t *counters, const flow_log_t *line);
 
+/* An attempt failed, and what was expected of it. Strings are borrowed. */
+typedef struct flow_log_attempt {
+	const char *attempt_id;
+	const char *server;
+	const char *why;
+	unsigned number; /* of the attempt */
+	bool sent;
+	int64_t took_ms;
+	double failure_rate; /* of the server lately */
+	unsigned in_flight;  /* at the server */
+} flow_log_attempt_t;
+
+void flow_log_failure(counters_t *counters, const flow_log_attempt_t *line);
+
 #endif
--- a/src/flow_response.c
+++ b/src/flow_response.c
@@ -1,6 +1,7 @@
 #include "flow_state.h"
 
 #include "clock.h"
+#include "flow_log.h"
 
 enum {
 	/* Responses up to this size are passed on once they are complete. */
@@ -165,10 +166,29 @@
 		pass_large(flow);
 }
 
+static void
+log_failure(flow_t *flow, const char *why, bool sent)
+{
+	const server_t *server = flow->server;
+	flow_log_attempt_t line = {
+	    .attempt_id = flow->facts.attempt_id,
+	    .server = server->info->id,
+	    .why = why,
+	    .number = flow->tried->len,
+	    .sent = sent,
+	    .took_ms = clock_boot_ms() - flow->attempt_ms,
+	    .failure_rate = server->failure_rate,
+	    .in_flight = server_in_flight(server),
+	};
+
+	flow_log_failure(flow->context->counters, &line);
+}
+
 /* The server said that it did not run the request. */
 static void
 not_run(flow_t *flow)
 {
+	log_failure(flow, "refused as not run", true);
 	server_observe(flow->server,
 	    flow->response.wrong_server ? SERVER_UNREACHABLE : SERVER_FULL, 0,
 	    clock_boot_ms());
@@ -226,6 +246,7 @@
 	if (flow->status >= 500) {
 		if (flow->waiting)
 			count_usage(flow);
+		log_failure(flow, "server error", true);
 		server_observe(flow->server, SERVER_FAILED, 0, clock_boot_ms());
 		if (catalog_may_repeat(flow->route) && flow_may_go_on(flow)) {
 			flow_leave_server(flow);
@@ -251,6 +272,7 @@
 	if (flow->waiting)
 		count_usage(flow);
 	flow->ran = true;
+	log_failure(flow, why, true);
 	server_observe(flow->server, outcome, 0, clock_boot_ms());
 	flow_leave_server(flow);
 	g_byte_array_set_size(flow->held, 0);
@@ -271,6 +293,7 @@
 void
 flow_not_sent(flow_t *flow, server_outcome_t outcome, const char *why)
 {
+	log_failure(flow, why, false);
 	server_observe(flow->server, outcome, 0, clock_boot_ms());
 	flow_leave_server(flow);
 	g_ptr_array_set_size(flow->tried, (gint)flow->tried->len - 1);
@@ -319,6 +342,7 @@
 	flow->call = NULL;
 	if (flow->waiting)
 		count_usage(flow);
+	log_failure(flow, "silent", true);
 	flow->ran = true;
 	server_observe(flow->server, SERVER_UNREACHABLE, 0, clock_boot_ms());
 	flow_leave_server(flow);
--- a/src/flow_state.h
+++ b/src/flow_state.h
@@ -60,8 +60,9 @@
 	double new_tokens;
 	double ahead_tokens;
 	double expected_ms;
-	int64_t first_ms; /* -1: nothing yet */
-	bool urgent;	  /* its prompt is read before others */
+	int64_t retry_after_ms; /* told to the client; -1: none */
+	int64_t first_ms;	/* -1: nothing yet */
+	bool urgent;		/* its prompt is read before others */
 	bool waiting; /* for the first event: counts among waiting prompts */
 	response_facts_t response;
 	bool not_run;
--- a/src/quota.c
+++ b/src/quota.c
@@ -12,6 +12,8 @@
  * that a steady demand gets all that the window allows.
  */
 static const double capacity_share = 0.5;
+/* Time of the rate that can be spent at once where there is no burst. */
+static const double capacity_s = 0.25;
 
 typedef struct bucket {
 	char *workspace;
@@ -112,7 +114,8 @@
 	}
 	advance(quota, bucket, now_ms);
 	bucket->limited = workspace->rate_per_s > 0;
-	bucket->capacity = workspace->burst * capacity_share;
+	bucket->capacity = MAX(workspace->burst * capacity_share,
+	    workspace->rate_per_s * capacity_s);
 	bucket->rate_per_ms = (workspace->rate_per_s * window_s +
 				  workspace->burst - bucket->capacity) /
 			      (double)quota->window_ms;
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -32,6 +32,9 @@
 /* Writes a configuration with these keys of the workspace. */
 void front_configure(int version, const char *keys_json);
 
+/* The same with a rate limit of the workspace, in requests a second. */
+void front_configure_rate(int version, double rate_per_s);
+
 /* Writes, or removes, a key of the store. */
 void front_put(const char *key, const char *value);
 void front_remove(const char *key);
--- a/tests/support_wire.c
+++ b/tests/support_wire.c
@@ -86,7 +86,7 @@
 
 	ck_assert_msg(readable(fd, WIRE_TIMEOUT_MS),
 	    "nothing was read in time after \"%s\"", text->str);
-	got = recv(fd, bytes, sizeof(bytes), 0);
+	got = read(fd, bytes, sizeof(bytes)); /* sockets and pipes */
 	if (got <= 0) {
 		if (reset != NULL)
 			*reset = got < 0;
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -330,6 +330,55 @@
 }
 END_TEST
 
+/* Guards against a stream that is cut because its engine is reclaimed. */
+START_TEST(a_stream_moves_away_from_an_engine_that_leaves)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	int client = send_request("/write/a", "id-1");
+	int source = wire_accept(server_2);
+	int port_3, server_3 = wire_listen(&port_3), order, target;
+	char *request = wire_read_message(source);
+	char *response, *from, *moved;
+
+	wire_send(source, head);
+	wire_send(source, "f\r\nid: 1\ndata: a\n\n\r\n");
+	front_list_server("e-2", "engine", port_3, "ready");
+	front_list_server("e-1", "engine", port_2, "draining");
+	g_free(request);
+	order = wire_accept(server_2);
+	request = wire_read_message(order);
+	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
+	ck_assert_ptr_nonnull(strstr(request, "\"id\":\"id-1\""));
+	wire_send(source, "f\r\nid: 2\ndata: b\n\n\r\n");
+	g_usleep(50000);
+	close(source);
+	wire_send(order, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			 "{\"handle\": 7,\"created\": 2}");
+	g_free(request);
+	target = wire_accept(server_3);
+	request = wire_read_message(target);
+	from = g_strdup_printf("127.0.0.1:%d/7", port_2);
+	moved = wire_header(request, "Kv-From");
+	ck_assert_str_eq(moved, from);
+	assert_header(request, "Last-Event-Id", "2");
+	assert_header(request, "X-Attempt-Id", "id-1");
+	wire_send(target, head);
+	wire_send(target, "f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(client, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	ck_assert_ptr_nonnull(strstr(response, "id: 3\ndata: c\n\n"));
+	g_free(response);
+	g_free(from);
+	g_free(moved);
+	g_free(request);
+	close(client);
+	close(order);
+	close(target);
+	close(server_3);
+}
+END_TEST
+
 START_TEST(unknown_keys_and_routes_are_refused)
 {
 	char *text = front_request("/read/a", "id-1", "key-3");
@@ -570,6 +619,7 @@
 	tcase_add_test(cases, a_client_that_leaves_ends_the_work_of_its_server);
 	tcase_add_test(cases, a_stream_goes_on_at_another_server);
 	tcase_add_test(cases, a_stream_that_cannot_be_resumed_ends_cut);
+	tcase_add_test(cases, a_stream_moves_away_from_an_engine_that_leaves);
 	tcase_add_test(cases, unknown_keys_and_routes_are_refused);
 	tcase_add_test(cases, a_withdrawn_key_stops);
 	tcase_add_test(cases, an_older_configuration_is_ignored);
--- /dev/null
+++ b/tests/test_operations.c
@@ -0,0 +1,153 @@
+#include "suite.h"
+#include "support_front.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Follows docs/OPERATIONS.md from a request's id to the cause of its failure.
+ */
+
+static program_t *front;
+static int server_1, server_2;
+static int port_1, port_2;
+
+static void
+setup(void)
+{
+	front_setup();
+	server_1 = wire_listen(&port_1);
+	server_2 = wire_listen(&port_2);
+	front_list_server("i-1", "plain", port_1, "ready");
+	front_list_server("e-1", "engine", port_2, "ready");
+	front = front_start("n1");
+}
+
+static void
+teardown(void)
+{
+	front_teardown();
+	close(server_1);
+	close(server_2);
+}
+
+static int
+send_request(const char *path, const char *attempt_id)
+{
+	char *text = front_request(path, attempt_id, "key-1");
+	int fd = wire_connect(front->address);
+
+	wire_send(fd, text);
+	g_free(text);
+	return fd;
+}
+
+/* The log up to the line that ends the request: grep 'id=ID' of the page. */
+static char *
+log_of(const char *attempt_id)
+{
+	char *wanted = g_strdup_printf("request.ended id=%s ", attempt_id);
+	char *text = wire_read_until(front->output, wanted);
+	char *rest = wire_read_until(front->output, "\n");
+	char *whole = g_strconcat(text, rest, NULL);
+	char **lines = g_strsplit(whole, "\n", -1);
+	char *mark = g_strdup_printf("id=%s ", attempt_id);
+	GString *found = g_string_new(NULL);
+
+	for (char **line = lines; *line != NULL; line++)
+		if (strstr(*line, mark) != NULL)
+			g_string_append_printf(found, "%s\n", *line);
+	g_free(mark);
+	g_strfreev(lines);
+	g_free(whole);
+	g_free(rest);
+	g_free(text);
+	g_free(wanted);
+	return g_string_free(found, FALSE);
+}
+
+static void
+assert_has(const char *text, const char *part)
+{
+	ck_assert_msg(
+	    strstr(text, part) != NULL, "\"%s\" is not in:\n%s", part, text);
+}
+
+START_TEST(a_booking_with_an_unknown_outcome)
+{
+	int client = send_request("/book/a", "id-1");
+	int server = wire_accept(server_1);
+	char *request = wire_read_message(server);
+	char *lines;
+
+	close(server);
+	lines = log_of("id-1");
+	assert_has(lines, "attempt.failed id=id-1 attempt=1 server=i-1 "
+			  "why=\"connection closed\" sent=1");
+	assert_has(lines, "status=502 cause=\"connection closed\"");
+	assert_has(lines, "attempts=1 ran=1");
+	g_free(lines);
+	g_free(request);
+	close(client);
+}
+END_TEST
+
+START_TEST(a_refusal_over_the_allotment)
+{
+	int client;
+	char *lines;
+
+	front_configure_rate(2, 1);
+	g_usleep(300000);
+	client = send_request("/read/a", "id-1");
+	close(wire_accept(server_1));
+	close(client);
+	client = send_request("/read/a", "id-2");
+	lines = log_of("id-2");
+	assert_has(lines, "status=429 cause=\"over_allotment\"");
+	assert_has(lines, "workspace=depot");
+	assert_has(lines, "ran=0");
+	assert_has(lines, "configuration=2 ");
+	g_free(lines);
+	close(client);
+}
+END_TEST
+
+START_TEST(a_stream_that_broke_off)
+{
+	int client = send_request("/write/a", "id-1");
+	int server = wire_accept(server_2);
+	char *request = wire_read_message(server);
+	char *lines;
+
+	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+			  "Transfer-Encoding: chunked\r\n\r\n"
+			  "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_usleep(50000);
+	close(server);
+	lines = log_of("id-1");
+	assert_has(lines, "attempt.failed id=id-1 attempt=1 server=e-1 "
+			  "why=\"connection closed\" sent=1");
+	assert_has(lines, "status=502");
+	ck_assert_ptr_null(strstr(lines, "first_ms=-1"));
+	g_free(lines);
+	g_free(request);
+	close(client);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("operations");
+	TCase *cases = tcase_create("operations");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_add_test(cases, a_booking_with_an_unknown_outcome);
+	tcase_add_test(cases, a_refusal_over_the_allotment);
+	tcase_add_test(cases, a_stream_that_broke_off);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -186,6 +186,18 @@
 }
 END_TEST
 
+/* Guards against an allotment without a burst that lets nothing pass. */
+START_TEST(a_rate_without_a_burst_is_served)
+{
+	quota_t *quota = quota_with(RATE, 0, START_MS);
+
+	ck_assert_double_ge(
+	    admitted(quota, START_MS + WINDOW_MS, START_MS + 2 * WINDOW_MS),
+	    RATE * (WINDOW_MS / 1000.0) * 0.9);
+	quota_free(quota);
+}
+END_TEST
+
 START_TEST(a_workspace_without_a_limit_is_never_refused)
 {
 	quota_t *quota = quota_with(0, 0, START_MS);
@@ -209,6 +221,7 @@
 	tcase_add_test(cases, nodes_together_keep_the_bound);
 	tcase_add_test(cases, silent_nodes_keep_their_part);
 	tcase_add_test(cases, what_was_not_run_is_given_back);
+	tcase_add_test(cases, a_rate_without_a_burst_is_served);
 	tcase_add_test(cases, a_workspace_without_a_limit_is_never_refused);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
