Count usage by a time of day that does not follow steps of the clock

The time now runs with the clock since boot, which counts suspension. Ruled out: lost counts (the sum over the windows was right).

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -5,6 +5,7 @@
 #include "digest.h"
 #include "error.h"
 #include "log.h"
+#include "true_time.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -40,6 +41,7 @@
 	int64_t incarnation;
 	int64_t sequence;
 	int64_t silent_checked_ms;
+	true_time_t time;
 	bool ready;
 	int64_t configuration_version;
 	unsigned open_handles;
@@ -156,15 +158,15 @@
 	peer_t *peer = find_or_add(cluster, digest->node);
 	const digest_t *last = peer->digest;
 
-	if (last != NULL && digest->incarnation == last->incarnation &&
-	    digest->sequence <= last->sequence) {
+	if (last != NULL && is_late(cluster, peer, digest, now_ms)) {
 		digest_free(digest);
 		return;
 	}
 	if (last != NULL && digest->incarnation != last->incarnation)
 		g_hash_table_remove_all(peer->spent);
 	peer->heard_ms = now_ms;
-	peer->wall_offset_ms = digest->wall_ms - clock_wall_ms();
+	peer->wall_offset_ms =
+	    digest->wall_ms - true_time_now(&cluster->time, now_ms);
 	apply_spending(cluster, peer, digest, now_ms);
 	apply_usage(cluster, digest);
 	digest_free(peer->digest);
@@ -245,7 +247,7 @@
 	digest->client_address = g_strdup(config->client_address);
 	digest->zone = g_strdup(config->zone);
 	digest->ready = cluster->ready;
-	digest->wall_ms = clock_wall_ms();
+	digest->wall_ms = true_time_now(&cluster->time, now_ms);
 	digest->configuration_version = cluster->configuration_version;
 	quota_each(cluster->options.quota, now_ms, add_spending, digest);
 	pool_each(cluster->options.pool, add_load, digest);
@@ -342,6 +344,7 @@
 	cluster_t *cluster = timer->data;
 	int64_t now_ms = clock_boot_ms();
 
+	true_time_update(&cluster->time, clock_wall_ms(), now_ms);
 	check_silence(cluster, now_ms);
 	sum_loads(cluster, now_ms);
 	cluster_send(cluster);
@@ -361,6 +364,8 @@
 	cluster->started_ms = clock_boot_ms();
 	cluster->silent_checked_ms = cluster->started_ms;
 	cluster->incarnation = clock_wall_ms();
+	true_time_start(
+	    &cluster->time, cluster->incarnation, cluster->started_ms);
 	cluster->socket.data = cluster;
 	cluster->timer.data = cluster;
 	cluster->open_handles = 2;
@@ -495,5 +500,5 @@
 	qsort(offsets->data, offsets->len, sizeof(int64_t), compare_offsets);
 	median = g_array_index(offsets, int64_t, offsets->len / 2);
 	g_array_unref(offsets);
-	return clock_wall_ms() + median;
+	return true_time_now(&cluster->time, now_ms) + median;
 }
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -55,7 +55,8 @@
  */
 GPtrArray *cluster_addresses(const cluster_t *cluster, const char *zone);
 
-/* Wall-clock time corrected by the clocks of the other nodes. */
+/* Time of day, without steps of this clock, corrected by other nodes' clocks.
+ */
 int64_t cluster_wall_ms(const cluster_t *cluster);
 
 #endif
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -26,7 +26,7 @@
 
 typedef struct upstream_request {
 	const char *attempt_id; /* that the response has to echo; or NULL */
-	const char *head; /* copied */
+	const char *head;	/* copied */
 	size_t head_length;
 	const char *body; /* copied */
 	size_t body_length;
