--- a/src/cluster.c
+++ b/src/cluster.c
@@ -152,6 +152,22 @@
 	g_free(source);
 }
 
+/*
+ * A datagram that has been overtaken, also by those of a newer process. A
+ * lower incarnation after a silence is that of a clock which was set back.
+ */
+static bool
+is_late(const cluster_t *cluster, const peer_t *peer, const digest_t *digest,
+    int64_t now_ms)
+{
+	const digest_t *last = peer->digest;
+
+	if (digest->incarnation == last->incarnation)
+		return digest->sequence <= last->sequence;
+	return digest->incarnation < last->incarnation &&
+	       is_heard(cluster, peer, now_ms);
+}
+
 static void
 apply(cluster_t *cluster, digest_t *digest, int64_t now_ms)
 {
