Refuse at once what an engine's queue would make late

Ruled out: a limit on the whole expected time. Now a request is refused where the queue takes more than the rest of its objective, or 0.3 of it for a prompt that is late at an idle engine too.

--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -142,6 +142,15 @@
 	return pick_server(&query);
 }
 
+/* Of engines only: the time of a plain service is not estimated as well. */
+static int64_t
+objective_ms(const flow_t *flow)
+{
+	return flow->service != NULL && flow->service->is_engine
+		   ? flow->route->objective_ms
+		   : 0;
+}
+
 void
 flow_attempt(flow_t *flow)
 {
@@ -149,8 +158,12 @@
 
 	if (choice.server == NULL)
 		flow_refuse(flow, FLOW_RETRY_AFTER_MS, "no_server");
-	else if (!flow->ran && choice.expected_ms > (double)flow_left_ms(flow))
-		flow_refuse(flow, (int64_t)choice.expected_ms, "overloaded");
+	else if (!flow->ran && pick_is_too_late(&choice, objective_ms(flow),
+				   flow_left_ms(flow)))
+		flow_refuse(flow,
+		    MAX(pick_return_ms(&choice, objective_ms(flow)),
+			FLOW_RETRY_AFTER_MS),
+		    "overloaded");
 	else
 		flow_send(flow, &choice);
 }
--- a/src/pick.c
+++ b/src/pick.c
@@ -24,6 +24,28 @@
 /* Cost in ms of each shared token that is read where others have it not. */
 static const double reread_weight = 0.03;
 
+/* Part of its objective that any request may wait. */
+static const double wait_share = 0.3;
+
+bool
+pick_is_too_late(
+    const pick_choice_t *choice, int64_t objective_ms, int64_t left_ms)
+{
+	double wait_ms = choice->expected_ms - choice->alone_ms;
+	double objective = (double)objective_ms;
+
+	if (choice->expected_ms > (double)left_ms)
+		return true;
+	return objective_ms > 0 && wait_ms > MAX(objective - choice->alone_ms,
+						 objective * wait_share);
+}
+
+int64_t
+pick_return_ms(const pick_choice_t *choice, int64_t objective_ms)
+{
+	return (int64_t)choice->expected_ms - objective_ms / 2;
+}
+
 double
 pick_request_tokens(const request_facts_t *facts)
 {
@@ -154,6 +176,15 @@
 	return is_home ? 0 : reread_weight * (shared - held);
 }
 
+/* Time at a server that has nothing else to do. */
+static double
+alone_ms(const pick_query_t *query, double tokens)
+{
+	return query->service != NULL && query->service->is_engine
+		   ? pace_expect_ms(query->pace, tokens)
+		   : 0;
+}
+
 /* What is not time but counts against a server. */
 static double
 penalty_ms(const pick_query_t *query, const server_t *server, bool is_home)
@@ -202,6 +233,7 @@
 		best = cost;
 		choice.server = server;
 		choice.expected_ms = expected;
+		choice.alone_ms = alone_ms(query, tokens);
 		choice.new_tokens = tokens;
 		choice.ahead_tokens = ahead;
 	}
--- a/src/pick.h
+++ b/src/pick.h
@@ -29,6 +29,7 @@
 	server_t *server; /* borrowed; NULL: none is usable */
 	/* Estimated time to the first token or to the response, ms. */
 	double expected_ms;
+	double alone_ms;     /* the same at an idle server */
 	double new_tokens;   /* of the prompt that its cache does not hold */
 	double ahead_tokens; /* to be read up to its first token */
 	bool full;	     /* every usable server has its places taken */
@@ -36,6 +37,18 @@
 
 pick_choice_t pick_server(const pick_query_t *query);
 
+/*
+ * True where the queue makes the response so late that the work is better
+ * spent on requests that can still be on time. objective_ms 0: none. A prompt
+ * that is late at an idle server too may wait for a part of its objective, so
+ * that long ones are not always refused.
+ */
+bool pick_is_too_late(
+    const pick_choice_t *choice, int64_t objective_ms, int64_t left_ms);
+
+/* Time after which a request refused so has a chance to be on time. */
+int64_t pick_return_ms(const pick_choice_t *choice, int64_t objective_ms);
+
 /* Memory that a request takes at an engine, in tokens. */
 double pick_request_tokens(const request_facts_t *facts);
 
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -180,6 +180,87 @@
 }
 END_TEST
 
+/* One engine that reads prompts in turn, at a time for each token. */
+typedef struct reader {
+	double busy_until_ms;
+	unsigned on_time;
+	unsigned late;
+	unsigned refused;
+} reader_t;
+
+/* Offers prompts of TOKENS every gap_ms for a while. */
+static reader_t
+offer_load(double gap_ms, bool sheds)
+{
+	enum { REQUESTS = 400, TOKENS = 10000, OBJECTIVE_MS = 800 };
+	reader_t reader = {0};
+
+	for (int i = 0; i < REQUESTS; i++) {
+		double now_ms = i * gap_ms;
+		double queue_ms = MAX(reader.busy_until_ms - now_ms, 0);
+		pick_choice_t choice = {.expected_ms = pace_expect_ms(
+					    &pace, queue_ms * 100 + TOKENS)};
+
+		if (sheds && pick_is_too_late(&choice, OBJECTIVE_MS, 10000)) {
+			reader.refused++;
+			continue;
+		}
+		reader.busy_until_ms = now_ms + queue_ms + TOKENS * 0.01;
+		if (queue_ms + TOKENS * 0.01 + 70 <= OBJECTIVE_MS)
+			reader.on_time++;
+		else
+			reader.late++;
+	}
+	return reader;
+}
+
+/*
+ * The pattern: prompts that arrive one and a half times as fast as an engine
+ * reads them. Guards against a queue that makes every response late.
+ */
+START_TEST(overload_leaves_many_requests_on_time)
+{
+	reader_t all = offer_load(67, false);
+	reader_t shed = offer_load(67, true);
+
+	ck_assert_uint_eq(all.refused, 0);
+	ck_assert_uint_gt(shed.on_time, 2 * all.on_time);
+	ck_assert_uint_lt(shed.late, all.late / 2);
+}
+END_TEST
+
+/* Guards against refusals while the engine keeps up. */
+START_TEST(a_load_that_fits_is_not_refused)
+{
+	reader_t shed = offer_load(105, true);
+
+	ck_assert_uint_eq(shed.refused, 0);
+	ck_assert_uint_eq(shed.late, 0);
+}
+END_TEST
+
+/* Guards against long prompts that are refused at every load. */
+START_TEST(a_long_prompt_is_served_by_an_idle_engine)
+{
+	pick_choice_t idle = {.expected_ms = 1500, .alone_ms = 1500};
+	pick_choice_t busy = {.expected_ms = 2500, .alone_ms = 1500};
+
+	ck_assert(!pick_is_too_late(&idle, 800, 10000));
+	ck_assert(pick_is_too_late(&busy, 800, 10000));
+}
+END_TEST
+
+START_TEST(a_refused_request_is_told_when_the_queue_is_short)
+{
+	pick_choice_t choice = {.expected_ms = 3000, .alone_ms = 200};
+
+	ck_assert(pick_is_too_late(&choice, 800, 10000));
+	ck_assert(!pick_is_too_late(&choice, 0, 10000));
+	ck_assert(pick_is_too_late(&choice, 0, 2000));
+	ck_assert_int_eq(pick_return_ms(&choice, 800), 2600);
+}
+END_TEST
+
 START_TEST(the_time_to_the_first_token_is_learned)
 {
 	pace_t learned = {0};
@@ -207,6 +288,11 @@
 	    cases, a_server_that_had_the_request_is_not_picked_again);
 	tcase_add_test(cases, urgent_requests_wait_for_urgent_prompts_only);
 	tcase_add_test(cases, a_failing_server_gets_little);
+	tcase_add_test(cases, overload_leaves_many_requests_on_time);
+	tcase_add_test(cases, a_long_prompt_is_served_by_an_idle_engine);
+	tcase_add_test(cases, a_load_that_fits_is_not_refused);
+	tcase_add_test(
+	    cases, a_refused_request_is_told_when_the_queue_is_short);
 	tcase_add_test(cases, the_time_to_the_first_token_is_learned);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
