--- a/src/entry.c
+++ b/src/entry.c
@@ -1,11 +1,9 @@
-#include "entry.h"
+#include "entry_state.h"
 
 #include "clock.h"
-#include "conn.h"
 #include "error.h"
 
 #include <string.h>
-#include <sys/queue.h>
 
 enum {
 	LISTEN_BACKLOG = 1024,
@@ -19,57 +17,6 @@
 	STATUS_HEAD_TOO_LARGE = 431,
 };
 
-typedef TAILQ_HEAD(client_list, client) client_list_t;
-
-struct entry_server {
-	uv_tcp_t listener;
-	entry_options_t options;
-	client_list_t clients;
-	unsigned connections;
-	unsigned active;
-	bool draining;
-};
-
-typedef enum client_phase {
-	CLIENT_IDLE,	/* waits for a request */
-	CLIENT_READING, /* a request is partly read */
-	CLIENT_BUSY,	/* a response is due */
-} client_phase_t;
-
-/* One connection of a client. Freed once it is closed and unreferenced. */
-typedef struct client {
-	TAILQ_ENTRY(client) entries; /* least recently used first */
-	entry_server_t *server;
-	conn_t *conn; /* NULL once closed */
-	uv_timer_t timer;
-	http1_reader_t *reader;
-	client_phase_t phase;
-	exchange_t *exchange;
-	GByteArray *body;
-	GByteArray *ahead;
-	int64_t received_ms;
-	int64_t idle_since_ms;
-	bool too_large;
-} client_t;
-
-struct exchange {
-	unsigned refs;
-	client_t *client; /* NULL once the client left or the response ended */
-	http1_reader_t *reader; /* keeps the head */
-	GByteArray *body;
-	int64_t received_ms;
-	bool keep_alive;
-	bool is_head;
-	bool chunked;
-	bool unframed;
-	bool started;
-	void (*on_gone)(void *data);
-	void (*on_drain)(void *data);
-	void *data;
-};
-
-static void client_next(client_t *client);
-
 static const catalog_limits_t *
 limits(const entry_server_t *server)
 {
@@ -110,22 +57,22 @@
 	exchange_unref(exchange);
 }
 
-static void
-client_close(client_t *client)
+void
+entry_client_close(client_t *client)
 {
 	conn_close(client->conn);
 	client_remove(client);
 }
 
-static void
-client_finish(client_t *client)
+void
+entry_client_finish(client_t *client)
 {
 	conn_finish(client->conn);
 	client_remove(client);
 }
 
-static void
-add_status_line(GString *out, unsigned status)
+void
+entry_add_status_line(GString *out, unsigned status)
 {
 	g_string_append_printf(
 	    out, "HTTP/1.1 %u %s\r\n", status, http1_reason(status));
@@ -137,11 +84,11 @@
 {
 	GString *out = g_string_new(NULL);
 
-	add_status_line(out, status);
+	entry_add_status_line(out, status);
 	g_string_append(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
 	conn_write(client->conn, out->str, out->len);
 	g_string_free(out, TRUE);
-	client_finish(client);
+	entry_client_finish(client);
 }
 
 static void on_timeout(uv_timer_t *timer);
@@ -163,7 +110,7 @@
 	if (left > 0)
 		start_timer(client, left);
 	else
-		client_finish(client);
+		entry_client_finish(client);
 }
 
 static void
@@ -301,7 +248,7 @@
 static void
 on_end(conn_t *conn, int error, void *data)
 {
-	client_close(data);
+	entry_client_close(data);
 }
 
 static void
@@ -322,7 +269,7 @@
 	TAILQ_FOREACH (client, &server->clients, entries) {
 		if (client->phase != CLIENT_IDLE)
 			continue;
-		client_finish(client);
+		entry_client_finish(client);
 		return;
 	}
 }
@@ -400,7 +347,7 @@
 	if (server == NULL)
 		return;
 	while ((client = TAILQ_FIRST(&server->clients)) != NULL)
-		client_close(client);
+		entry_client_close(client);
 	uv_close((uv_handle_t *)&server->listener, on_listener_closed);
 }
 
@@ -419,7 +366,7 @@
 	     client = next) {
 		next = TAILQ_NEXT(client, entries);
 		if (client->phase == CLIENT_IDLE)
-			client_finish(client);
+			entry_client_finish(client);
 	}
 }
 
@@ -435,188 +382,9 @@
 	return server->active;
 }
 
-const http1_head_t *
-exchange_head(const exchange_t *exchange)
-{
-	return http1_reader_head(exchange->reader);
-}
-
-const GByteArray *
-exchange_body(const exchange_t *exchange)
-{
-	return exchange->body;
-}
-
-int64_t
-exchange_received_ms(const exchange_t *exchange)
-{
-	return exchange->received_ms;
-}
-
-bool
-exchange_gone(const exchange_t *exchange)
-{
-	return exchange->client == NULL;
-}
-
-exchange_t *
-exchange_ref(exchange_t *exchange)
-{
-	exchange->refs++;
-	return exchange;
-}
-
-void
-exchange_unref(exchange_t *exchange)
-{
-	if (exchange == NULL || --exchange->refs > 0)
-		return;
-	http1_reader_free(exchange->reader);
-	g_byte_array_unref(exchange->body);
-	g_free(exchange);
-}
-
-void
-exchange_watch(exchange_t *exchange, void (*on_gone)(void *data),
-    void (*on_drain)(void *data), void *data)
-{
-	exchange->on_gone = on_gone;
-	exchange->on_drain = on_drain;
-	exchange->data = data;
-}
-
-/* True where the connection ends with this response. */
-static bool
-closes(const exchange_t *exchange)
-{
-	return !exchange->keep_alive || exchange->client->server->draining ||
-	       exchange->unframed;
-}
-
-static void
-add_framing(exchange_t *exchange, GString *out, int64_t length)
-{
-	bool http_1_0 = exchange_head(exchange)->http_1_0;
-
-	exchange->chunked = length == EXCHANGE_CHUNKED && !http_1_0;
-	exchange->unframed = length < 0 && !exchange->chunked;
-	if (length >= 0)
-		g_string_append_printf(
-		    out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
-	else if (exchange->chunked)
-		g_string_append(out, "Transfer-Encoding: chunked\r\n");
-	if (closes(exchange))
-		g_string_append(out, "Connection: close\r\n");
-	g_string_append(out, "\r\n");
-}
-
-static void
-send_text(exchange_t *exchange, GString *out)
-{
-	conn_write(exchange->client->conn, out->str, out->len);
-	g_string_free(out, TRUE);
-}
-
-void
-exchange_reply(exchange_t *exchange, unsigned status, const char *extra,
-    const char *body, size_t length)
-{
-	GString *out;
-
-	if (exchange->client == NULL)
-		return;
-	out = g_string_new(NULL);
-	add_status_line(out, status);
-	if (extra != NULL)
-		g_string_append(out, extra);
-	add_framing(exchange, out, (int64_t)length);
-	if (!exchange->is_head)
-		g_string_append_len(out, body, (gssize)length);
-	send_text(exchange, out);
-	exchange->started = true;
-	exchange->chunked = false;
-	exchange_end(exchange);
-}
-
-void
-exchange_start(exchange_t *exchange, const http1_head_t *source, int64_t length)
-{
-	GString *out;
-
-	if (exchange->client == NULL)
-		return;
-	out = g_string_new(NULL);
-	add_status_line(out, source->status);
-	for (size_t i = 0; i < source->header_count; i++)
-		if (!http1_head_is_hop(source, source->headers[i].name))
-			http1_add_header(out, source->headers[i].name,
-			    source->headers[i].value);
-	add_framing(exchange, out, length);
-	send_text(exchange, out);
-	exchange->started = true;
-}
-
-void
-exchange_write(exchange_t *exchange, const char *bytes, size_t length)
-{
-	GString *out;
-
-	if (exchange->client == NULL || exchange->is_head || length == 0)
-		return;
-	if (!exchange->chunked) {
-		conn_write(exchange->client->conn, bytes, length);
-		return;
-	}
-	out = g_string_sized_new(length + 16);
-	g_string_append_printf(out, "%zx\r\n", length);
-	g_string_append_len(out, bytes, (gssize)length);
-	g_string_append(out, "\r\n");
-	send_text(exchange, out);
-}
-
-void
-exchange_end(exchange_t *exchange)
-{
-	static const char last_chunk[] = "0\r\n\r\n";
-	client_t *client = exchange->client;
-	bool close;
-
-	if (client == NULL)
-		return;
-	if (exchange->chunked && !exchange->is_head)
-		conn_write(client->conn, last_chunk, strlen(last_chunk));
-	close = closes(exchange);
-	client->exchange = NULL;
-	exchange->client = NULL;
-	client->server->active--;
-	exchange_unref(exchange);
-	if (close)
-		client_finish(client);
-	else
-		client_next(client);
-}
-
-void
-exchange_abort(exchange_t *exchange)
-{
-	client_t *client = exchange->client;
-
-	if (client == NULL)
-		return;
-	exchange->on_gone = NULL;
-	client_close(client);
-}
-
-size_t
-exchange_queued(const exchange_t *exchange)
-{
-	return exchange->client == NULL ? 0
-					: conn_queued(exchange->client->conn);
-}
-
 /* Waits for the next request, part of which may have been read. */
-static void
-client_next(client_t *client)
+void
+entry_client_next(client_t *client)
 {
 	GByteArray *ahead = client->ahead;
 
--- a/src/json.c
+++ b/src/json.c
@@ -19,6 +19,25 @@
 	return value;
 }
 
+json_t *
+json_load_settings(const char *file, const char *hint, GError **error)
+{
+	GError *failure = NULL;
+	json_t *json;
+	char *text;
+	gsize length;
+
+	if (!g_file_get_contents(file, &text, &length, &failure)) {
+		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING, "%s; %s",
+		    failure->message, hint);
+		g_error_free(failure);
+		return NULL;
+	}
+	json = json_parse(text, length, file, error);
+	g_free(text);
+	return json;
+}
+
 const char *
 json_get_string(const json_t *object, const char *name, const char *fallback)
 {
--- a/src/json.h
+++ b/src/json.h
@@ -13,6 +13,12 @@
 json_t *json_parse(
     const char *text, size_t length, const char *file, GError **error);
 
+/*
+ * Reads and parses a file. hint ends the message where it cannot be read, such
+ * as "give a readable file with --config".
+ */
+json_t *json_load_settings(const char *file, const char *hint, GError **error);
+
 /* A member of an object, or the fallback where it is absent or mistyped. */
 const char *json_get_string(
     const json_t *object, const char *name, const char *fallback);
--- a/src/node.c
+++ b/src/node.c
@@ -138,20 +138,10 @@
 node_config_t *
 node_config_load(const char *file, GError **error)
 {
+	json_t *json = json_load_settings(
+	    file, "give a readable file with --config", error);
 	node_config_t *config = NULL;
-	GError *failure = NULL;
-	json_t *json;
-	char *text;
-	gsize length;
 
-	if (!g_file_get_contents(file, &text, &length, &failure)) {
-		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
-		    "%s; give a readable file with --config", failure->message);
-		g_error_free(failure);
-		return NULL;
-	}
-	json = json_parse(text, length, file, error);
-	g_free(text);
 	if (json == NULL)
 		return NULL;
 	if (config_check(file, json, error))
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -1,4 +1,5 @@
 #include "support_front.h"
+#include "support_wire.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -14,6 +15,9 @@
 };
 
 program_t *front_platform;
+program_t *front_node;
+int front_server_1, front_server_2;
+int front_port_1, front_port_2;
 static GHashTable *questions; /* program_t to IP:PORT */
 static int next_port;
 
@@ -202,3 +206,33 @@
 			       "Content-Length: 4\r\n\r\nbody",
 	    path, attempt_id, key);
 }
+
+void
+front_fixture_start(void)
+{
+	front_setup();
+	front_server_1 = wire_listen(&front_port_1);
+	front_server_2 = wire_listen(&front_port_2);
+	front_list_server("i-1", "plain", front_port_1, "ready");
+	front_list_server("e-1", "engine", front_port_2, "ready");
+	front_node = front_start("n1");
+}
+
+void
+front_fixture_end(void)
+{
+	front_teardown();
+	close(front_server_1);
+	close(front_server_2);
+}
+
+int
+front_send(const char *path, const char *attempt_id)
+{
+	char *text = front_request(path, attempt_id, "key-1");
+	int fd = wire_connect(front_node->address);
+
+	wire_send(fd, text);
+	g_free(text);
+	return fd;
+}
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -39,6 +39,21 @@
 void front_put(const char *key, const char *value);
 void front_remove(const char *key);
 
+/*
+ * Listening sockets of two scripted backend servers, and a node in front of
+ * them: "i-1" of service "plain" and "e-1" of service "engine".
+ */
+extern program_t *front_node;
+extern int front_server_1, front_server_2;
+extern int front_port_1, front_port_2;
+
+/* A fixture of these on top of front_setup(). */
+void front_fixture_start(void);
+void front_fixture_end(void);
+
+/* Sends a request with "key-1" on a new connection to front_node. */
+int front_send(const char *path, const char *attempt_id);
+
 /* Lists a backend server. */
 void front_list_server(
     const char *id, const char *service, int port, const char *state);
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -8,41 +8,6 @@
 #include <string.h>
 #include <unistd.h>
 
-static program_t *front;
-static int server_1, server_2;
-static int port_1, port_2;
-
-static void
-setup(void)
-{
-	front_setup();
-	server_1 = wire_listen(&port_1);
-	server_2 = wire_listen(&port_2);
-	front_list_server("i-1", "plain", port_1, "ready");
-	front_list_server("e-1", "engine", port_2, "ready");
-	front = front_start("n1");
-}
-
-static void
-teardown(void)
-{
-	front_teardown();
-	close(server_1);
-	close(server_2);
-}
-
-/* Sends a request on a new connection and returns it. */
-static int
-send_request(const char *path, const char *attempt_id)
-{
-	char *text = front_request(path, attempt_id, "key-1");
-	int fd = wire_connect(front->address);
-
-	wire_send(fd, text);
-	g_free(text);
-	return fd;
-}
-
 static unsigned
 status_of(const char *message)
 {
@@ -86,8 +51,8 @@
 
 START_TEST(a_request_reaches_its_server_and_the_response_its_client)
 {
-	int client = send_request("/read/a?b=c", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/read/a?b=c", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 	char *deadline = wire_header(request, "X-Deadline-Ms");
 	char *response;
@@ -116,8 +81,8 @@
 /* Guards against a cut response without a length that looks complete. */
 START_TEST(a_response_without_a_length_is_not_framed_as_complete)
 {
-	int client = send_request("/book/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/book/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 	char *response;
 	bool reset;
@@ -141,17 +106,17 @@
 	int client, server;
 	char *request;
 
-	front_list_server("i-2", "plain", port_2, "ready");
-	client = send_request("/book/a", "id-1");
-	if (wire_waits(server_1, 300))
-		server = wire_accept(server_1);
+	front_list_server("i-2", "plain", front_port_2, "ready");
+	client = front_send("/book/a", "id-1");
+	if (wire_waits(front_server_1, 300))
+		server = wire_accept(front_server_1);
 	else
-		server = wire_accept(server_2);
+		server = wire_accept(front_server_2);
 	request = wire_read_message(server);
 	close(server);
 	ck_assert_uint_eq(read_status(client), 502);
-	ck_assert(!wire_waits(server_1, 300));
-	ck_assert(!wire_waits(server_2, 100));
+	ck_assert(!wire_waits(front_server_1, 300));
+	ck_assert(!wire_waits(front_server_2, 100));
 	g_free(request);
 	close(client);
 }
@@ -160,8 +125,8 @@
 /* Guards against a refusal that says not run where it may have run. */
 START_TEST(what_a_server_did_not_run_is_refused_as_not_run)
 {
-	int client = send_request("/book/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/book/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 	char *response, *after;
 
@@ -183,8 +148,8 @@
 /* Guards against a false promise passed on from a server. */
 START_TEST(a_server_that_fails_with_503_after_it_ran_promises_nothing)
 {
-	int client = send_request("/book/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/book/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 
 	answer(server, "503 Broken", "id-1", "");
@@ -200,14 +165,14 @@
 	int client, servers[2], used;
 	char *request;
 
-	front_list_server("i-2", "plain", port_2, "ready");
+	front_list_server("i-2", "plain", front_port_2, "ready");
 	g_usleep(100000);
-	client = send_request("/read/a", "id-1");
-	used = wire_waits(server_1, 300) ? 0 : 1;
-	servers[0] = wire_accept(used == 0 ? server_1 : server_2);
+	client = front_send("/read/a", "id-1");
+	used = wire_waits(front_server_1, 300) ? 0 : 1;
+	servers[0] = wire_accept(used == 0 ? front_server_1 : front_server_2);
 	request = wire_read_message(servers[0]);
 	close(servers[0]);
-	servers[1] = wire_accept(used == 0 ? server_2 : server_1);
+	servers[1] = wire_accept(used == 0 ? front_server_2 : front_server_1);
 	g_free(request);
 	request = wire_read_message(servers[1]);
 	assert_header(request, "X-Attempt-Id", "id-1");
@@ -222,8 +187,8 @@
 /* Guards against a late response that is taken for another request's. */
 START_TEST(a_response_to_another_request_is_skipped)
 {
-	int client = send_request("/book/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/book/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 	char *response;
 
@@ -241,8 +206,8 @@
 /* Guards against bytes behind a response that the next request would get. */
 START_TEST(a_connection_with_bytes_left_over_is_not_used_again)
 {
-	int client = send_request("/read/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/read/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 
 	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
@@ -258,8 +223,8 @@
 /* Guards against work that goes on for nobody. */
 START_TEST(a_client_that_leaves_ends_the_work_of_its_server)
 {
-	int client = send_request("/write/a", "id-1");
-	int server = wire_accept(server_2);
+	int client = front_send("/write/a", "id-1");
+	int server = wire_accept(front_server_2);
 	char *request = wire_read_message(server);
 
 	close(client);
@@ -282,15 +247,15 @@
 
 	front_list_server("e-2", "engine", port_3, "ready");
 	g_usleep(100000);
-	client = send_request("/talk/a", "id-1");
-	first = wire_waits(server_2, 300);
-	server = wire_accept(first ? server_2 : server_3);
+	client = front_send("/talk/a", "id-1");
+	first = wire_waits(front_server_2, 300);
+	server = wire_accept(first ? front_server_2 : server_3);
 	request = wire_read_message(server);
 	wire_send(server, head);
 	wire_send(server, "1c\r\nid: 1\ndata: a\n\nid: 2\ndata: \r\n");
 	close(server);
 	g_free(request);
-	server = wire_accept(first ? server_3 : server_2);
+	server = wire_accept(first ? server_3 : front_server_2);
 	request = wire_read_message(server);
 	assert_header(request, "Last-Event-Id", "1");
 	wire_send(server, head);
@@ -310,8 +275,8 @@
 /* Guards against a cut stream that cannot go on and looks complete. */
 START_TEST(a_stream_that_cannot_be_resumed_ends_cut)
 {
-	int client = send_request("/write/a", "id-1");
-	int server = wire_accept(server_2);
+	int client = front_send("/write/a", "id-1");
+	int server = wire_accept(front_server_2);
 	char *request = wire_read_message(server);
 	char *response;
 	bool reset;
@@ -335,8 +300,8 @@
 {
 	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
 				   "Transfer-Encoding: chunked\r\n\r\n";
-	int client = send_request("/write/a", "id-1");
-	int source = wire_accept(server_2);
+	int client = front_send("/write/a", "id-1");
+	int source = wire_accept(front_server_2);
 	int port_3, server_3 = wire_listen(&port_3), order, target;
 	char *request = wire_read_message(source);
 	char *response, *from, *moved;
@@ -344,9 +309,9 @@
 	wire_send(source, head);
 	wire_send(source, "f\r\nid: 1\ndata: a\n\n\r\n");
 	front_list_server("e-2", "engine", port_3, "ready");
-	front_list_server("e-1", "engine", port_2, "draining");
+	front_list_server("e-1", "engine", front_port_2, "draining");
 	g_free(request);
-	order = wire_accept(server_2);
+	order = wire_accept(front_server_2);
 	request = wire_read_message(order);
 	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
 	ck_assert_ptr_nonnull(strstr(request, "\"id\":\"id-1\""));
@@ -358,7 +323,7 @@
 	g_free(request);
 	target = wire_accept(server_3);
 	request = wire_read_message(target);
-	from = g_strdup_printf("127.0.0.1:%d/7", port_2);
+	from = g_strdup_printf("127.0.0.1:%d/7", front_port_2);
 	moved = wire_header(request, "Kv-From");
 	ck_assert_str_eq(moved, from);
 	assert_header(request, "Last-Event-Id", "2");
@@ -382,7 +347,7 @@
 START_TEST(unknown_keys_and_routes_are_refused)
 {
 	char *text = front_request("/read/a", "id-1", "key-3");
-	int client = wire_connect(front->address);
+	int client = wire_connect(front_node->address);
 
 	wire_send(client, text);
 	ck_assert_uint_eq(read_status(client), 401);
@@ -402,7 +367,7 @@
 
 	front_configure(2, "[\"key-2\"]");
 	g_usleep(300000);
-	client = send_request("/read/a", "id-1");
+	client = front_send("/read/a", "id-1");
 	ck_assert_uint_eq(read_status(client), 401);
 	close(client);
 }
@@ -416,7 +381,7 @@
 	front_configure(5, "[\"key-2\"]");
 	front_configure(4, "[\"key-1\"]");
 	g_usleep(300000);
-	client = send_request("/read/a", "id-1");
+	client = front_send("/read/a", "id-1");
 	ck_assert_uint_eq(read_status(client), 401);
 	close(client);
 }
@@ -429,13 +394,13 @@
 
 	faults_set(front_platform, "{\"down\": true}");
 	g_usleep(2100000);
-	client = send_request("/read/a", "id-1");
+	client = front_send("/read/a", "id-1");
 	ck_assert_uint_eq(read_status(client), 503);
 	close(client);
 	faults_set(front_platform, "{\"down\": false}");
 	g_usleep(1000000);
-	client = send_request("/book/a", "id-2");
-	close(wire_accept(server_1));
+	client = front_send("/book/a", "id-2");
+	close(wire_accept(front_server_1));
 	close(client);
 }
 END_TEST
@@ -448,11 +413,11 @@
 	char *request;
 
 	faults_set(front_platform, "{\"down\": true}");
-	front = front_launch("n2");
-	client = send_request("/read/a", "id-1");
+	front_node = front_launch("n2");
+	client = front_send("/read/a", "id-1");
 	g_usleep(100000);
 	faults_set(front_platform, "{\"down\": false}");
-	server = wire_accept(server_1);
+	server = wire_accept(front_server_1);
 	request = wire_read_message(server);
 	answer(server, "200 OK", "id-1", "ok");
 	ck_assert_uint_eq(read_status(client), 200);
@@ -467,18 +432,18 @@
 {
 	int client;
 
-	front_list_server("i-1", "plain", port_1, "draining");
+	front_list_server("i-1", "plain", front_port_1, "draining");
 	g_usleep(300000);
-	client = send_request("/read/a", "id-1");
+	client = front_send("/read/a", "id-1");
 	ck_assert_uint_eq(read_status(client), 503);
-	ck_assert(!wire_waits(server_1, 100));
+	ck_assert(!wire_waits(front_server_1, 100));
 	close(client);
 }
 END_TEST
 
 START_TEST(requests_beyond_the_limits_are_refused)
 {
-	int client = wire_connect(front->address);
+	int client = wire_connect(front_node->address);
 	char *body = g_strnfill(3000, 'x');
 	char *text = g_strdup_printf("POST /read/a HTTP/1.1\r\n"
 				     "Host: t.example\r\nX-Attempt-Id: i\r\n"
@@ -488,11 +453,11 @@
 	wire_send(client, text);
 	ck_assert_uint_eq(read_status(client), 413);
 	close(client);
-	client = wire_connect(front->address);
+	client = wire_connect(front_node->address);
 	wire_send(client, "GET /read/a HTTP/1.1\r\nHost: t.exa");
 	ck_assert_uint_eq(read_status(client), 408);
 	close(client);
-	client = wire_connect(front->address);
+	client = wire_connect(front_node->address);
 	wire_send(client, "POST /read/a HTTP/1.1\r\nHost: t.example\r\n"
 			  "Content-Length: 3\r\n"
 			  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
@@ -506,7 +471,7 @@
 static char *
 addresses(void)
 {
-	program_t to = {.address = (char *)front_questions(front)};
+	program_t to = {.address = (char *)front_questions(front_node)};
 	ask_t ask = {.to = &to, .path = "/v1/resolve?name=t.example&zone=z"};
 	answer_t *response = ask_send(&ask);
 	char *text = g_strdup(response->body->str);
@@ -526,18 +491,18 @@
 	list = addresses();
 	ck_assert_ptr_nonnull(strstr(list, other->address));
 	g_free(list);
-	client = send_request("/book/a", "id-1");
-	server = wire_accept(server_1);
+	client = front_send("/book/a", "id-1");
+	server = wire_accept(front_server_1);
 	request = wire_read_message(server);
-	kill(front->pid, SIGTERM);
+	kill(front_node->pid, SIGTERM);
 	g_usleep(300000);
 	list = addresses();
-	ck_assert_ptr_null(strstr(list, front->address));
+	ck_assert_ptr_null(strstr(list, front_node->address));
 	g_free(list);
 	g_usleep(1700000);
 	answer(server, "200 OK", "id-1", "done");
 	ck_assert_uint_eq(read_status(client), 200);
-	ck_assert_int_eq(program_wait(front), 0);
+	ck_assert_int_eq(program_wait(front_node), 0);
 	g_free(request);
 	close(client);
 	close(server);
@@ -564,8 +529,8 @@
 /* Guards against two reports of one window that differ. */
 START_TEST(usage_is_reported_once_a_window)
 {
-	int client = send_request("/read/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/read/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	json_t *calls, *call, *count;
@@ -603,7 +568,8 @@
 	TCase *cases = tcase_create("front");
 
 	tcase_set_timeout(cases, 60);
-	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_add_checked_fixture(
+	    cases, front_fixture_start, front_fixture_end);
 	tcase_add_test(
 	    cases, a_request_reaches_its_server_and_the_response_its_client);
 	tcase_add_test(
--- a/tests/test_operations.c
+++ b/tests/test_operations.c
@@ -9,47 +9,13 @@
 /* Follows docs/OPERATIONS.md from a request's id to the cause of its failure.
  */
 
-static program_t *front;
-static int server_1, server_2;
-static int port_1, port_2;
-
-static void
-setup(void)
-{
-	front_setup();
-	server_1 = wire_listen(&port_1);
-	server_2 = wire_listen(&port_2);
-	front_list_server("i-1", "plain", port_1, "ready");
-	front_list_server("e-1", "engine", port_2, "ready");
-	front = front_start("n1");
-}
-
-static void
-teardown(void)
-{
-	front_teardown();
-	close(server_1);
-	close(server_2);
-}
-
-static int
-send_request(const char *path, const char *attempt_id)
-{
-	char *text = front_request(path, attempt_id, "key-1");
-	int fd = wire_connect(front->address);
-
-	wire_send(fd, text);
-	g_free(text);
-	return fd;
-}
-
 /* The log up to the line that ends the request: grep 'id=ID' of the page. */
 static char *
 log_of(const char *attempt_id)
 {
 	char *wanted = g_strdup_printf("request.ended id=%s ", attempt_id);
-	char *text = wire_read_until(front->output, wanted);
-	char *rest = wire_read_until(front->output, "\n");
+	char *text = wire_read_until(front_node->output, wanted);
+	char *rest = wire_read_until(front_node->output, "\n");
 	char *whole = g_strconcat(text, rest, NULL);
 	char **lines = g_strsplit(whole, "\n", -1);
 	char *mark = g_strdup_printf("id=%s ", attempt_id);
@@ -76,8 +42,8 @@
 
 START_TEST(a_booking_with_an_unknown_outcome)
 {
-	int client = send_request("/book/a", "id-1");
-	int server = wire_accept(server_1);
+	int client = front_send("/book/a", "id-1");
+	int server = wire_accept(front_server_1);
 	char *request = wire_read_message(server);
 	char *lines;
 
@@ -100,10 +66,10 @@
 
 	front_configure_rate(2, 1);
 	g_usleep(300000);
-	client = send_request("/read/a", "id-1");
-	close(wire_accept(server_1));
+	client = front_send("/read/a", "id-1");
+	close(wire_accept(front_server_1));
 	close(client);
-	client = send_request("/read/a", "id-2");
+	client = front_send("/read/a", "id-2");
 	lines = log_of("id-2");
 	assert_has(lines, "status=429 cause=\"over_allotment\"");
 	assert_has(lines, "workspace=depot");
@@ -116,8 +82,8 @@
 
 START_TEST(a_stream_that_broke_off)
 {
-	int client = send_request("/write/a", "id-1");
-	int server = wire_accept(server_2);
+	int client = front_send("/write/a", "id-1");
+	int server = wire_accept(front_server_2);
 	char *request = wire_read_message(server);
 	char *lines;
 
@@ -144,7 +110,8 @@
 	TCase *cases = tcase_create("operations");
 
 	tcase_set_timeout(cases, 60);
-	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_add_checked_fixture(
+	    cases, front_fixture_start, front_fixture_end);
 	tcase_add_test(cases, a_booking_with_an_unknown_outcome);
 	tcase_add_test(cases, a_refusal_over_the_allotment);
 	tcase_add_test(cases, a_stream_that_broke_off);
