--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -367,6 +367,7 @@
 serve_duty(http_request_t *request, json_t *body)
 {
 	const char *text = http_request_header(request, "x-fence-token");
+	const char *holder = http_request_header(request, "x-duty-holder");
 	int64_t token = text == NULL ? 0 : strtoll(text, NULL, 10);
 
 	if (token < highest_token) {
@@ -376,8 +377,9 @@
 	}
 	highest_token = token;
 	json_array_append_new(calls,
-	    json_pack("{s:s,s:I,s:O}", "path", http_request_path(request),
-		"token", (json_int_t)token, "body", body));
+	    json_pack("{s:s,s:s,s:I,s:O}", "path", http_request_path(request),
+		"holder", holder == NULL ? "" : holder, "token",
+		(json_int_t)token, "body", body));
 	http_reply_json(request, STATUS_OK, json_object());
 }
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -561,6 +561,62 @@
 }
 END_TEST
 
+/* Fails where two reports of one window differ. */
+static void
+assert_consistent(const json_t *calls)
+{
+	const json_t *left, *right;
+	size_t i, j;
+
+	json_array_foreach (calls, i, left) {
+		json_array_foreach (calls, j, right) {
+			json_t *a = json_object_get(left, "body");
+			json_t *b = json_object_get(right, "body");
+
+			if (json_equal(json_object_get(a, "window_id"),
+				json_object_get(b, "window_id")))
+				ck_assert(json_equal(a, b));
+		}
+	}
+}
+
+static const char *
+last_holder(const json_t *calls)
+{
+	const json_t *call = json_array_get(calls, json_array_size(calls) - 1);
+
+	return json_string_value(json_object_get(call, "holder"));
+}
+
+static int64_t
+last_token(const json_t *calls)
+{
+	const json_t *call = json_array_get(calls, json_array_size(calls) - 1);
+
+	return json_integer_value(json_object_get(call, "token"));
+}
+
+/* Guards against duties that end with their holder, or are done by two. */
+START_TEST(the_duties_pass_on_when_their_holder_is_killed)
+{
+	program_t *other = front_start("n2");
+	json_t *before, *after;
+
+	g_usleep(4000000);
+	before = duty_calls("/usage");
+	ck_assert_uint_ge(json_array_size(before), 1);
+	program_end(strcmp(last_holder(before), "n1") == 0 ? front_node : other,
+	    SIGKILL);
+	g_usleep(7000000);
+	after = duty_calls("/usage");
+	ck_assert_str_ne(last_holder(after), last_holder(before));
+	ck_assert_int_gt(last_token(after), last_token(before));
+	assert_consistent(after);
+	json_decref(before);
+	json_decref(after);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -597,6 +653,7 @@
 	tcase_add_test(
 	    cases, a_stop_finishes_what_runs_and_leaves_the_list_first);
 	tcase_add_test(cases, usage_is_reported_once_a_window);
+	tcase_add_test(cases, the_duties_pass_on_when_their_holder_is_killed);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
