--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -1,15 +1,19 @@
 #include "support_front.h"
 #include "support_wire.h"
 
+#include <arpa/inet.h>
 #include <check.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum {
-	PORTS_FIRST = 21000,
-	PORTS_RANGE = 3000,
-	PORTS_EACH = 10, /* of one node */
+	/* Below the ports that the kernel gives to connections. */
+	PORTS_FIRST = 20000,
+	PORTS_LAST = 32000,
+	PORTS_EACH = 5, /* of one node */
 	READY_STEP_US = 20000,
 	READY_STEPS = 500,
 };
@@ -113,7 +117,9 @@
 {
 	front_platform = program_start("standin-platform", NULL);
 	questions = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	next_port = PORTS_FIRST + (int)getpid() % PORTS_RANGE * PORTS_EACH;
+	next_port = PORTS_FIRST +
+		    (int)getpid() % ((PORTS_LAST - PORTS_FIRST) / PORTS_EACH) *
+			PORTS_EACH;
 	front_configure(1, "[\"key-1\", \"key-2\"]");
 }
 
@@ -147,6 +153,39 @@
 	return path;
 }
 
+static bool
+is_free(int port, int type)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	bool ok;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)port);
+	ok = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+	close(fd);
+	return ok;
+}
+
+/* First of the ports of one node, all of which are free. */
+static int
+free_ports(void)
+{
+	for (;;) {
+		int first = next_port, used = 0;
+
+		next_port += PORTS_EACH;
+		if (next_port > PORTS_LAST)
+			next_port = PORTS_FIRST;
+		for (int i = 0; i < PORTS_EACH; i++)
+			if (!is_free(first + i, SOCK_STREAM) ||
+			    !is_free(first + i, SOCK_DGRAM))
+				used++;
+		if (used == 0)
+			return first;
+	}
+}
+
 static void
 wait_ready(const char *address)
 {
@@ -168,11 +207,10 @@
 program_t *
 front_launch(const char *name)
 {
-	int port = next_port;
+	int port = free_ports();
 	char *path = write_settings(name, port);
 	program_t *program;
 
-	next_port += PORTS_EACH;
 	g_setenv("PAPAYAWHARF_NODE_FILE", path, TRUE);
 	program = program_start("papayad", "--platform", NULL);
 	unlink(path);
