--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,5 +14,5 @@
 	exit 1
 }
 cat build/model.log
-ctest --test-dir build-sanitize --output-on-failure -j "$(nproc)" -LE process
-ctest --test-dir build --output-on-failure -j "$(nproc)"
+scripts/ctest.sh --test-dir build-sanitize -j "$(nproc)" -LE process
+scripts/ctest.sh --test-dir build -j "$(nproc)"
--- a/src/catalog.c
+++ b/src/catalog.c
@@ -136,10 +136,9 @@
 {
 	const catalog_route_t *a = *(catalog_route_t *const *)left;
 	const catalog_route_t *b = *(catalog_route_t *const *)right;
-	size_t length_a = strlen(a->path_prefix);
-	size_t length_b = strlen(b->path_prefix);
 
-	return (length_a < length_b) - (length_a > length_b);
+	return (a->prefix_length < b->prefix_length) -
+	       (a->prefix_length > b->prefix_length);
 }
 
 void
@@ -154,11 +153,22 @@
 	} else {
 		g_free(host);
 	}
+	route->prefix_length = strlen(route->path_prefix);
 	g_ptr_array_add(routes, route);
-	g_ptr_array_sort(routes, longest_prefix_first);
 	catalog->route_count++;
 }
 
+void
+catalog_seal(catalog_t *catalog)
+{
+	GHashTableIter iter;
+	gpointer routes;
+
+	g_hash_table_iter_init(&iter, catalog->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &routes))
+		g_ptr_array_sort(routes, longest_prefix_first);
+}
+
 void
 catalog_add_service(catalog_t *catalog, catalog_service_t *service)
 {
@@ -205,10 +215,10 @@
 	routes = g_hash_table_lookup(catalog->hosts, name);
 	for (guint i = 0; routes != NULL && i < routes->len; i++) {
 		const catalog_route_t *route = routes->pdata[i];
-		size_t length = strlen(route->path_prefix);
 
-		if (length <= path_length &&
-		    strncmp(route->path_prefix, target, length) == 0)
+		if (route->prefix_length <= path_length &&
+		    memcmp(route->path_prefix, target, route->prefix_length) ==
+			0)
 			return route;
 	}
 	return NULL;
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -26,6 +26,7 @@
 	char *name;
 	char *host;
 	char *path_prefix;
+	size_t prefix_length;
 	catalog_repeat_t repeat;
 	bool can_resume;
 	bool is_public;
@@ -96,6 +97,9 @@
 void catalog_add_key(
     catalog_t *catalog, const char *key, catalog_workspace_t *workspace);
 
+/* Completes a catalog: call it once, after everything has been added. */
+void catalog_seal(catalog_t *catalog);
+
 catalog_route_t *catalog_route_new(void);
 void catalog_route_free(catalog_route_t *route);
 catalog_service_t *catalog_service_new(void);
--- a/src/front.c
+++ b/src/front.c
@@ -243,7 +243,6 @@
 	}
 	pool_sweep(front->flow.pool, now_ms);
 	flow_move_streams(&front->flow, now_ms);
-	log_flush();
 	if (front->drain_from_ms != 0)
 		check_drain(front, now_ms);
 }
--- a/src/log.c
+++ b/src/log.c
@@ -13,13 +13,15 @@
 	WAITING_MAX_BYTES = 256 * 1024,
 	/* A pipe that is ready takes at least so much without blocking. */
 	ATOMIC_BYTES = 4096,
+	FLUSH_MS = 100,
 };
 
 static log4c_category_t *log_category;
 static const char *log_program = "papaya";
 static int log_output = STDERR_FILENO;
 static GString *log_waiting;
-static bool log_batches; /* log_flush() is called regularly */
+static bool log_batches; /* a timer flushes */
+static uv_timer_t log_timer;
 static uint64_t log_dropped_lines;
 static uint64_t log_reported_lines;
 
@@ -109,14 +111,13 @@
     .name = "papaya", .format = format_line};
 
 int
-log_start(const char *program, int output, bool batches)
+log_start(const char *program, int output)
 {
 	log4c_appender_t *appender;
 	log4c_layout_t *layout;
 
 	log_program = program;
 	log_output = output;
-	log_batches = batches;
 	log_waiting = g_string_new(NULL);
 	if (log4c_init() != 0)
 		return -1;
@@ -133,6 +134,22 @@
 	return 0;
 }
 
+static void
+on_flush(uv_timer_t *timer)
+{
+	log_flush();
+}
+
+void
+log_use_loop(uv_loop_t *loop)
+{
+	log_batches = true;
+	uv_timer_init(loop, &log_timer);
+	uv_timer_start(&log_timer, on_flush, FLUSH_MS, FLUSH_MS);
+	/* Logging alone keeps no loop alive. */
+	uv_unref((uv_handle_t *)&log_timer);
+}
+
 void
 log_stop(void)
 {
--- a/src/log.h
+++ b/src/log.h
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <uv.h>
 
 /*
  * Structured log lines. Writing never blocks: lines wait in
@@ -17,11 +18,17 @@
 } log_level_t;
 
 /*
- * Starts logging under a program's name to a descriptor. With batches, lines
- * wait for log_flush(), which the program calls several times a second.
- * Returns 0, or -1 with no log.
+ * Starts logging under a program's name to a descriptor. Returns 0, or -1 with
+ * no log.
  */
-int log_start(const char *program, int output, bool batches);
+int log_start(const char *program, int output);
+
+/*
+ * Lines wait for a timer of the loop, which writes them several times a second;
+ * without a loop each line is written at once, as far as the reader takes it.
+ */
+void log_use_loop(uv_loop_t *loop);
+
 void log_stop(void);
 
 /*
--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -28,6 +28,7 @@
 
 	if (signalled) {
 		log_event(LOG_LEVEL_WARN, "node.stopped", "signal=%d", number);
+		log_flush();
 		_Exit(EXIT_FAILURE);
 	}
 	signalled = true;
@@ -201,10 +202,12 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	if (platform->count > 0) {
-		log_start("papayad", STDOUT_FILENO, true);
+		log_start("papayad", STDOUT_FILENO);
+		log_use_loop(uv_default_loop());
 		rc = run_on_platform();
 	} else {
-		log_start("papayad", STDERR_FILENO, false);
+		log_start("papayad", STDERR_FILENO);
+		log_use_loop(uv_default_loop());
 		rc = run(config->filename[0]);
 	}
 	log_stop();
