Never pass on a server's 408, 421 or 429 for work that it ran

Found in the read-through: only 503 was kept from becoming a false promise. The new test fails before (429) and passes after (502). Names: quota in place of allotment, campaign in place of compete.

--- a/src/flow.c
+++ b/src/flow.c
@@ -210,7 +210,7 @@
 
 /* False where the workspace is over its limit; the request is answered. */
 static bool
-take_allotment(flow_t *flow)
+take_quota(flow_t *flow)
 {
 	int64_t wait_ms;
 	double units;
@@ -223,7 +223,7 @@
 		flow->units = units;
 		return true;
 	}
-	flow_answer(flow, 429, wait_ms, "over_allotment");
+	flow_answer(flow, 429, wait_ms, "over_quota");
 	return false;
 }
 
@@ -317,7 +317,7 @@
 	}
 	flow->urgent = flow->route->priority == 0;
 	set_deadline(flow);
-	if (!take_allotment(flow))
+	if (!take_quota(flow))
 		return;
 	flow->service_name = catalog_pick_service(flow->route, g_random_int());
 	if (flow->service_name == NULL) {
--- a/src/flow.h
+++ b/src/flow.h
@@ -17,7 +17,7 @@
 #include <uv.h>
 
 /*
- * The way of one request: route, authorise, allotment, choose, attempt,
+ * The way of one request: route, authorise, quota, choose, attempt,
  * answer. All members are borrowed and outlive every request.
  */
 typedef struct flow_context {
--- a/src/flow_response.c
+++ b/src/flow_response.c
@@ -184,6 +184,20 @@
 	flow_log_failure(flow->context->counters, &line);
 }
 
+/* Sends the request to another server; what this one sent is dropped. */
+static void
+try_elsewhere(flow_t *flow)
+{
+	if (flow->call != NULL)
+		upstream_cancel(flow->call);
+	flow->call = NULL;
+	flow_leave_server(flow);
+	g_byte_array_set_size(flow->held, 0);
+	if (flow->events != NULL)
+		event_stream_resume(flow->events);
+	flow_attempt(flow);
+}
+
 /* The server said that it did not run the request. */
 static void
 not_run(flow_t *flow)
@@ -192,10 +206,8 @@
 	server_observe(flow->server,
 	    flow->response.wrong_server ? SERVER_UNREACHABLE : SERVER_FULL, 0,
 	    clock_boot_ms());
-	flow_leave_server(flow);
-	g_byte_array_set_size(flow->held, 0);
 	if (flow_may_go_on(flow))
-		flow_attempt(flow);
+		try_elsewhere(flow);
 	else
 		flow_refuse(flow, FLOW_RETRY_AFTER_MS, "server_refused");
 }
@@ -216,6 +228,54 @@
 	flow_finish(flow);
 }
 
+/* Statuses that promise clients that the request has not run. */
+static bool
+is_promise(unsigned status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/* The server ran the request and failed. */
+static void
+server_failed(flow_t *flow)
+{
+	if (flow->waiting)
+		count_usage(flow);
+	log_failure(flow, "server error", true);
+	server_observe(flow->server, SERVER_FAILED, 0, clock_boot_ms());
+	if (catalog_may_repeat(flow->route) && flow_may_go_on(flow))
+		try_elsewhere(flow);
+	else if (is_promise(flow->status) && !catalog_may_repeat(flow->route))
+		flow_answer(flow, 502, -1, "server_failed");
+	else
+		pass_held(flow);
+}
+
+/* A whole response that has been passed on already, but for its end. */
+static void
+complete_started(flow_t *flow)
+{
+	if (flow->events != NULL) {
+		flow_answer(flow, 502, -1, "resume_failed");
+		return;
+	}
+	flow_log_end(flow, flow->status, "served");
+	exchange_watch(flow->exchange, NULL, NULL, NULL);
+	exchange_end(flow->exchange);
+	flow_finish(flow);
+}
+
+static void
+complete_stream(flow_t *flow)
+{
+	note_begun(flow);
+	/* Whether an unframed rest is whole cannot be told any more. */
+	if (flow->started && flow->framed && !flow->head->has_length)
+		flow_answer(flow, 502, -1, "unframed_resume");
+	else
+		stream_complete(flow);
+}
+
 static void
 complete(flow_t *flow)
 {
@@ -224,44 +284,19 @@
 		return;
 	}
 	if (flow->events != NULL && flow->status == 200) {
-		note_begun(flow);
-		if (flow->started && flow->framed && !flow->head->has_length)
-			flow_answer(flow, 502, -1, "unframed_resume");
-		else
-			stream_complete(flow);
+		complete_stream(flow);
 		return;
 	}
 	if (flow->started) {
-		if (flow->events != NULL) {
-			flow_answer(flow, 502, -1, "resume_failed");
-			return;
-		}
-		flow_log_end(flow, flow->status, "served");
-		exchange_watch(flow->exchange, NULL, NULL, NULL);
-		exchange_end(flow->exchange);
-		flow_finish(flow);
+		complete_started(flow);
 		return;
 	}
 	flow->ran = true;
-	if (flow->status >= 500) {
-		if (flow->waiting)
-			count_usage(flow);
-		log_failure(flow, "server error", true);
-		server_observe(flow->server, SERVER_FAILED, 0, clock_boot_ms());
-		if (catalog_may_repeat(flow->route) && flow_may_go_on(flow)) {
-			flow_leave_server(flow);
-			g_byte_array_set_size(flow->held, 0);
-			flow_attempt(flow);
-			return;
-		}
-		/* A promise of 503 would be false for what has run. */
-		if (flow->status == 503 && !catalog_may_repeat(flow->route)) {
-			flow_answer(flow, 502, -1, "server_failed");
-			return;
-		}
-	} else {
-		note_begun(flow);
+	if (flow->status >= 500 || is_promise(flow->status)) {
+		server_failed(flow);
+		return;
 	}
+	note_begun(flow);
 	pass_held(flow);
 }
 
@@ -269,24 +304,18 @@
 static void
 broken(flow_t *flow, server_outcome_t outcome, const char *why)
 {
+	bool cut =
+	    flow->started && (flow->events == NULL || flow->status != 200);
+
 	if (flow->waiting)
 		count_usage(flow);
 	flow->ran = true;
 	log_failure(flow, why, true);
 	server_observe(flow->server, outcome, 0, clock_boot_ms());
-	flow_leave_server(flow);
-	g_byte_array_set_size(flow->held, 0);
-	if (flow->started && (flow->events == NULL || flow->status != 200)) {
+	if (!cut && catalog_may_repeat(flow->route) && flow_may_go_on(flow))
+		try_elsewhere(flow);
+	else
 		flow_answer(flow, 502, -1, why);
-		return;
-	}
-	if (catalog_may_repeat(flow->route) && flow_may_go_on(flow)) {
-		if (flow->events != NULL)
-			event_stream_resume(flow->events);
-		flow_attempt(flow);
-		return;
-	}
-	flow_answer(flow, 502, -1, why);
 }
 
 /* The server got nothing. */
@@ -332,22 +361,12 @@
 	flow_t *flow = timer->data;
 
 	if (flow->call == NULL || flow->move.state == FLOW_MOVE_ASKED ||
-	    flow->tried->len >= flow->route->max_attempts)
-		return;
-	if (flow->started && flow->events == NULL)
+	    (flow->started && flow->events == NULL) || !flow_may_go_on(flow))
 		return;
-	if (!flow_may_go_on(flow))
-		return;
-	upstream_cancel(flow->call);
-	flow->call = NULL;
 	if (flow->waiting)
 		count_usage(flow);
-	log_failure(flow, "silent", true);
 	flow->ran = true;
+	log_failure(flow, "silent", true);
 	server_observe(flow->server, SERVER_UNREACHABLE, 0, clock_boot_ms());
-	flow_leave_server(flow);
-	g_byte_array_set_size(flow->held, 0);
-	if (flow->events != NULL)
-		event_stream_resume(flow->events);
-	flow_attempt(flow);
+	try_elsewhere(flow);
 }
--- a/src/front.c
+++ b/src/front.c
@@ -53,7 +53,7 @@
 		    pool_count(front->flow.pool),
 		    cluster_nodes(front->cluster));
 	front->listed = true;
-	lease_compete(front->lease);
+	lease_campaign(front->lease);
 }
 
 static void
@@ -308,8 +308,7 @@
 	    .loop = front->loop,
 	    .zone = front->config->zone,
 	    .pool = pool_new(front->loop, bounds->drain_ms),
-	    .quota =
-		quota_new(bounds->allotment_window_ms, CLUSTER_SEND_MIN_MS),
+	    .quota = quota_new(bounds->quota_window_ms, CLUSTER_SEND_MIN_MS),
 	    .budget = retry_budget_new(&retry),
 	    .usage = usage_new(bounds->usage_window_ms),
 	    .prefixes = prefix_cache_new(),
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -13,7 +13,7 @@
 	double retry_ratio; /* repeats for each request of a service */
 	double retry_extra; /* repeats beyond the ratio, in one window */
 	int64_t retry_window_ms;
-	int64_t allotment_window_ms; /* in which allotments are judged */
+	int64_t quota_window_ms; /* in which quotas are judged */
 	int64_t usage_window_ms;
 	int64_t usage_late_ms;	    /* after the end of a usage window */
 	int64_t address_ttl_max_ms; /* that clients keep an address list */
--- a/src/lease.c
+++ b/src/lease.c
@@ -10,9 +10,9 @@
 	RENEW_MS = 1000,
 	/* The duties end this long before the lease can end. */
 	HOLD_MARGIN_MS = 500,
-	/* Nodes compete at random within this time of a holder's end. */
-	COMPETE_JITTER_MS = 400,
-	COMPETE_RETRY_MS = 1000,
+	/* Nodes campaign at random within this time of a holder's end. */
+	CAMPAIGN_JITTER_MS = 400,
+	CAMPAIGN_RETRY_MS = 1000,
 };
 
 const char lease_node_prefix[] = "papaya/node/";
@@ -30,9 +30,9 @@
 	bool registered;
 	bool registering;
 	bool ended;
-	bool competes;
-	bool competing; /* a write of the holder's key is in progress */
-	int64_t compete_at_ms;
+	bool campaigns;
+	bool campaigning; /* a write of the holder's key is in progress */
+	int64_t campaign_at_ms;
 	bool holder_known; /* some node holds the duties */
 	bool holder_self;
 	int64_t token;
@@ -111,19 +111,20 @@
 }
 
 static bool
-may_compete(const lease_t *lease, int64_t now_ms)
+may_campaign(const lease_t *lease, int64_t now_ms)
 {
-	return lease->competes && !lease->competing && !lease->holder_known &&
-	       lease->id != 0 && now_ms < lease->valid_until_ms &&
-	       now_ms >= lease->compete_at_ms;
+	return lease->campaigns && !lease->campaigning &&
+	       !lease->holder_known && lease->id != 0 &&
+	       now_ms < lease->valid_until_ms &&
+	       now_ms >= lease->campaign_at_ms;
 }
 
 static void
-on_competed(const platform_result_t *result, void *data)
+on_campaigned(const platform_result_t *result, void *data)
 {
 	lease_t *lease = data;
 
-	lease->competing = false;
+	lease->campaigning = false;
 	if (result->status == PLATFORM_OK)
 		lease_see_holder(lease, lease->identity,
 		    strlen(lease->identity), result->revision);
@@ -132,7 +133,7 @@
 }
 
 static void
-compete(lease_t *lease, int64_t now_ms)
+campaign(lease_t *lease, int64_t now_ms)
 {
 	platform_condition_t condition = {.key = lease_holder_key};
 	platform_write_t write = {.key = lease_holder_key,
@@ -140,10 +141,10 @@
 	    .length = strlen(lease->identity),
 	    .lease = lease->id};
 
-	lease->competing = true;
-	lease->compete_at_ms = now_ms + COMPETE_RETRY_MS;
+	lease->campaigning = true;
+	lease->campaign_at_ms = now_ms + CAMPAIGN_RETRY_MS;
 	platform_store_commit(
-	    lease->store, &condition, 1, &write, 1, on_competed, lease);
+	    lease->store, &condition, 1, &write, 1, on_campaigned, lease);
 }
 
 static void
@@ -169,8 +170,8 @@
 	}
 	if (lease->id != 0 && !lease->registered && !lease->registering)
 		register_node(lease);
-	if (may_compete(lease, now_ms))
-		compete(lease, now_ms);
+	if (may_campaign(lease, now_ms))
+		campaign(lease, now_ms);
 }
 
 lease_t *
@@ -219,8 +220,8 @@
 	if (lease->holder_self)
 		lease->token = MAX(lease->token, revision);
 	if (value == NULL)
-		lease->compete_at_ms =
-		    clock_boot_ms() + g_random_int_range(0, COMPETE_JITTER_MS);
+		lease->campaign_at_ms =
+		    clock_boot_ms() + g_random_int_range(0, CAMPAIGN_JITTER_MS);
 	if (was_self != lease->holder_self)
 		log_event(LOG_LEVEL_INFO, "duty.holder",
 		    "self=%d token=%" G_GINT64_FORMAT, lease->holder_self,
@@ -228,12 +229,12 @@
 }
 
 void
-lease_compete(lease_t *lease)
+lease_campaign(lease_t *lease)
 {
-	if (!lease->competes)
-		lease->compete_at_ms =
-		    clock_boot_ms() + g_random_int_range(0, COMPETE_JITTER_MS);
-	lease->competes = true;
+	if (!lease->campaigns)
+		lease->campaign_at_ms =
+		    clock_boot_ms() + g_random_int_range(0, CAMPAIGN_JITTER_MS);
+	lease->campaigns = true;
 }
 
 int64_t
--- a/src/lease.h
+++ b/src/lease.h
@@ -25,8 +25,8 @@
 void lease_see_holder(
     lease_t *lease, const char *value, size_t length, int64_t revision);
 
-/* Starts to compete for the duties; before that the node only registers. */
-void lease_compete(lease_t *lease);
+/* Starts to campaign for the duties; before that the node only registers. */
+void lease_campaign(lease_t *lease);
 
 /*
  * Fencing token of the duties while this node certainly holds them, or 0. It
--- a/src/quota.h
+++ b/src/quota.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 
 /*
- * Allotments of workspaces over all nodes. In any window a workspace may spend
+ * Quotas of workspaces over all nodes. In any window a workspace may spend
  * its rate times the window, and its burst. Each node keeps a token bucket that
  * it empties by its own spending and by what other nodes say they spent; it
  * takes the others to have spent as much as itself since it last heard from
@@ -32,7 +32,7 @@
     quota_t *quota, unsigned nodes, unsigned silent, int64_t now_ms);
 
 /*
- * Spends units of a workspace; false where it has spent its allotment, with
+ * Spends units of a workspace; false where it has spent its quota, with
  * the time until part of it is free again in *wait_ms.
  */
 bool quota_take(quota_t *quota, const char *workspace, double units,
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -160,6 +160,20 @@
 }
 END_TEST
 
+START_TEST(a_server_that_answers_429_after_it_ran_promises_nothing)
+{
+	int client = front_send("/book/a", "id-1");
+	int server = wire_accept(front_server_1);
+	char *request = wire_read_message(server);
+
+	answer(server, "429 Busy", "id-1", "");
+	ck_assert_uint_eq(read_status(client), 502);
+	g_free(request);
+	close(client);
+	close(server);
+}
+END_TEST
+
 START_TEST(an_idempotent_request_goes_to_another_server)
 {
 	int client, servers[2], used;
@@ -634,6 +648,8 @@
 	tcase_add_test(cases, what_a_server_did_not_run_is_refused_as_not_run);
 	tcase_add_test(
 	    cases, a_server_that_fails_with_503_after_it_ran_promises_nothing);
+	tcase_add_test(
+	    cases, a_server_that_answers_429_after_it_ran_promises_nothing);
 	tcase_add_test(cases, an_idempotent_request_goes_to_another_server);
 	tcase_add_test(cases, a_response_to_another_request_is_skipped);
 	tcase_add_test(
--- a/tests/test_operations.c
+++ b/tests/test_operations.c
@@ -59,7 +59,7 @@
 }
 END_TEST
 
-START_TEST(a_refusal_over_the_allotment)
+START_TEST(a_refusal_over_the_quota)
 {
 	int client;
 	char *lines;
@@ -71,7 +71,7 @@
 	close(client);
 	client = front_send("/read/a", "id-2");
 	lines = log_of("id-2");
-	assert_has(lines, "status=429 cause=\"over_allotment\"");
+	assert_has(lines, "status=429 cause=\"over_quota\"");
 	assert_has(lines, "workspace=depot");
 	assert_has(lines, "ran=0");
 	assert_has(lines, "configuration=2 ");
@@ -113,7 +113,7 @@
 	tcase_add_checked_fixture(
 	    cases, front_fixture_start, front_fixture_end);
 	tcase_add_test(cases, a_booking_with_an_unknown_outcome);
-	tcase_add_test(cases, a_refusal_over_the_allotment);
+	tcase_add_test(cases, a_refusal_over_the_quota);
 	tcase_add_test(cases, a_stream_that_broke_off);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -53,7 +53,7 @@
 	return sum;
 }
 
-/* Guards against refusing what the allotment allows over its window. */
+/* Guards against refusing what the quota allows over its window. */
 START_TEST(a_steady_demand_gets_the_whole_window)
 {
 	quota_t *quota = quota_with(RATE, BURST, START_MS);
@@ -92,7 +92,7 @@
 END_TEST
 
 /*
- * Guards against a second allotment after all nodes were restarted, whenever
+ * Guards against a second quota after all nodes were restarted, whenever
  * in the window the first one was spent.
  */
 START_TEST(a_restart_keeps_the_bound)
@@ -170,7 +170,7 @@
 }
 END_TEST
 
-/* Guards against a refusal that costs the workspace its allotment. */
+/* Guards against a refusal that costs the workspace its quota. */
 START_TEST(what_was_not_run_is_given_back)
 {
 	quota_t *quota = quota_with(RATE, BURST, START_MS);
@@ -186,7 +186,7 @@
 }
 END_TEST
 
-/* Guards against an allotment without a burst that lets nothing pass. */
+/* Guards against a quota without a burst that lets nothing pass. */
 START_TEST(a_rate_without_a_burst_is_served)
 {
 	quota_t *quota = quota_with(RATE, 0, START_MS);
