--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -274,3 +274,23 @@
 	g_free(text);
 	return fd;
 }
+
+front_ends_t
+front_open(const char *path, int listener)
+{
+	front_ends_t ends = {.client = front_send(path, "id-1")};
+
+	ends.server = wire_accept(listener);
+	ends.request = wire_read_message(ends.server);
+	return ends;
+}
+
+void
+front_close(front_ends_t *ends)
+{
+	g_free(ends->request);
+	if (ends->client >= 0)
+		close(ends->client);
+	if (ends->server >= 0)
+		close(ends->server);
+}
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -54,6 +54,18 @@
 /* Sends a request with "key-1" on a new connection to front_node. */
 int front_send(const char *path, const char *attempt_id);
 
+/* Both ends of one request, and the request as its server got it. */
+typedef struct front_ends {
+	int client;
+	int server;
+	char *request;
+} front_ends_t;
+
+/* Sends a request with id "id-1" and accepts it at a server's socket. */
+front_ends_t front_open(const char *path, int listener);
+/* Closes what is still open (not -1). */
+void front_close(front_ends_t *ends);
+
 /* Lists a backend server. */
 void front_list_server(
     const char *id, const char *service, int port, const char *state);
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -51,52 +51,47 @@
 
 START_TEST(a_request_reaches_its_server_and_the_response_its_client)
 {
-	int client = front_send("/read/a?b=c", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
-	char *deadline = wire_header(request, "X-Deadline-Ms");
+	front_ends_t ends = front_open("/read/a?b=c", front_server_1);
+	char *deadline = wire_header(ends.request, "X-Deadline-Ms");
 	char *response;
 
-	ck_assert(g_str_has_prefix(request, "POST /read/a?b=c HTTP/1.1\r\n"));
-	ck_assert(g_str_has_suffix(request, "\r\n\r\nbody"));
-	assert_header(request, "X-Attempt-Id", "id-1");
-	assert_header(request, "X-Tenant", "depot");
-	assert_header(request, "X-Target-Instance", "i-1");
-	assert_header(request, "Authorization", NULL);
+	ck_assert(
+	    g_str_has_prefix(ends.request, "POST /read/a?b=c HTTP/1.1\r\n"));
+	ck_assert(g_str_has_suffix(ends.request, "\r\n\r\nbody"));
+	assert_header(ends.request, "X-Attempt-Id", "id-1");
+	assert_header(ends.request, "X-Tenant", "depot");
+	assert_header(ends.request, "X-Target-Instance", "i-1");
+	assert_header(ends.request, "Authorization", NULL);
 	ck_assert_int_le(atoi(deadline), 3000);
 	ck_assert_int_gt(atoi(deadline), 2000);
-	answer(server, "200 OK", "id-1", "whole");
-	response = wire_read_message(client);
+	answer(ends.server, "200 OK", "id-1", "whole");
+	response = wire_read_message(ends.client);
 	ck_assert_uint_eq(status_of(response), 200);
 	assert_header(response, "X-Response-Stamp", "s1");
 	ck_assert(g_str_has_suffix(response, "\r\n\r\nwhole"));
 	g_free(response);
 	g_free(deadline);
-	g_free(request);
-	close(client);
-	close(server);
+	front_close(&ends);
 }
 END_TEST
 
 /* Guards against a cut response without a length that looks complete. */
 START_TEST(a_response_without_a_length_is_not_framed_as_complete)
 {
-	int client = front_send("/book/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/book/a", front_server_1);
 	char *response;
 	bool reset;
 
-	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-			  "Connection: close\r\n\r\nhalf");
-	close(server);
-	response = wire_read_to_end(client, &reset);
+	wire_send(ends.server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+			       "Connection: close\r\n\r\nhalf");
+	close(ends.server);
+	ends.server = -1;
+	response = wire_read_to_end(ends.client, &reset);
 	assert_header(response, "Content-Length", NULL);
 	assert_header(response, "Transfer-Encoding", NULL);
 	assert_header(response, "Connection", "close");
 	g_free(response);
-	g_free(request);
-	close(client);
+	front_close(&ends);
 }
 END_TEST
 
@@ -125,52 +120,41 @@
 /* Guards against a refusal that says not run where it may have run. */
 START_TEST(what_a_server_did_not_run_is_refused_as_not_run)
 {
-	int client = front_send("/book/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/book/a", front_server_1);
 	char *response, *after;
 
-	wire_send(server, "HTTP/1.1 503 Full\r\nX-Attempt-Id: id-1\r\n"
-			  "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-	response = wire_read_message(client);
+	wire_send(ends.server,
+	    "HTTP/1.1 503 Full\r\nX-Attempt-Id: id-1\r\n"
+	    "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+	response = wire_read_message(ends.client);
 	after = wire_header(response, "Retry-After");
 	ck_assert_uint_eq(status_of(response), 503);
 	ck_assert_ptr_nonnull(after);
 	assert_header(response, "X-Response-Stamp", NULL);
 	g_free(after);
 	g_free(response);
-	g_free(request);
-	close(client);
-	close(server);
+	front_close(&ends);
 }
 END_TEST
 
 /* Guards against a false promise passed on from a server. */
 START_TEST(a_server_that_fails_with_503_after_it_ran_promises_nothing)
 {
-	int client = front_send("/book/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/book/a", front_server_1);
 
-	answer(server, "503 Broken", "id-1", "");
-	ck_assert_uint_eq(read_status(client), 502);
-	g_free(request);
-	close(client);
-	close(server);
+	answer(ends.server, "503 Broken", "id-1", "");
+	ck_assert_uint_eq(read_status(ends.client), 502);
+	front_close(&ends);
 }
 END_TEST
 
 START_TEST(a_server_that_answers_429_after_it_ran_promises_nothing)
 {
-	int client = front_send("/book/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/book/a", front_server_1);
 
-	answer(server, "429 Busy", "id-1", "");
-	ck_assert_uint_eq(read_status(client), 502);
-	g_free(request);
-	close(client);
-	close(server);
+	answer(ends.server, "429 Busy", "id-1", "");
+	ck_assert_uint_eq(read_status(ends.client), 502);
+	front_close(&ends);
 }
 END_TEST
 
@@ -201,50 +185,41 @@
 /* Guards against a late response that is taken for another request's. */
 START_TEST(a_response_to_another_request_is_skipped)
 {
-	int client = front_send("/book/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/book/a", front_server_1);
 	char *response;
 
-	answer(server, "200 OK", "id-0", "other");
-	answer(server, "200 OK", "id-1", "mine");
-	response = wire_read_message(client);
+	answer(ends.server, "200 OK", "id-0", "other");
+	answer(ends.server, "200 OK", "id-1", "mine");
+	response = wire_read_message(ends.client);
 	ck_assert(g_str_has_suffix(response, "\r\n\r\nmine"));
 	g_free(response);
-	g_free(request);
-	close(client);
-	close(server);
+	front_close(&ends);
 }
 END_TEST
 
 /* Guards against bytes behind a response that the next request would get. */
 START_TEST(a_connection_with_bytes_left_over_is_not_used_again)
 {
-	int client = front_send("/read/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/read/a", front_server_1);
 
-	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-			  "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
-	ck_assert_uint_eq(read_status(client), 200);
-	ck_assert(wire_closes(server, 1000));
-	g_free(request);
-	close(client);
-	close(server);
+	wire_send(ends.server,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+	    "Content-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n");
+	ck_assert_uint_eq(read_status(ends.client), 200);
+	ck_assert(wire_closes(ends.server, 1000));
+	front_close(&ends);
 }
 END_TEST
 
 /* Guards against work that goes on for nobody. */
 START_TEST(a_client_that_leaves_ends_the_work_of_its_server)
 {
-	int client = front_send("/write/a", "id-1");
-	int server = wire_accept(front_server_2);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/write/a", front_server_2);
 
-	close(client);
-	ck_assert(wire_closes(server, 500));
-	g_free(request);
-	close(server);
+	close(ends.client);
+	ends.client = -1;
+	ck_assert(wire_closes(ends.server, 500));
+	front_close(&ends);
 }
 END_TEST
 
@@ -289,23 +264,21 @@
 /* Guards against a cut stream that cannot go on and looks complete. */
 START_TEST(a_stream_that_cannot_be_resumed_ends_cut)
 {
-	int client = front_send("/write/a", "id-1");
-	int server = wire_accept(front_server_2);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/write/a", front_server_2);
 	char *response;
 	bool reset;
 
-	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-			  "Transfer-Encoding: chunked\r\n\r\n"
-			  "f\r\nid: 1\ndata: a\n\n\r\n");
+	wire_send(ends.server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n"
+			       "f\r\nid: 1\ndata: a\n\n\r\n");
 	g_usleep(50000);
-	close(server);
-	response = wire_read_to_end(client, &reset);
+	close(ends.server);
+	ends.server = -1;
+	response = wire_read_to_end(ends.client, &reset);
 	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
 	ck_assert_ptr_null(strstr(response, "0\r\n\r\n"));
 	g_free(response);
-	g_free(request);
-	close(client);
+	front_close(&ends);
 }
 END_TEST
 
@@ -543,16 +516,14 @@
 /* Guards against two reports of one window that differ. */
 START_TEST(usage_is_reported_once_a_window)
 {
-	int client = front_send("/read/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/read/a", front_server_1);
 	GHashTable *seen = g_hash_table_new(NULL, NULL);
 	json_t *calls, *call, *count;
 	int64_t total = 0;
 	size_t i;
 
-	answer(server, "200 OK", "id-1", "ok");
-	ck_assert_uint_eq(read_status(client), 200);
+	answer(ends.server, "200 OK", "id-1", "ok");
+	ck_assert_uint_eq(read_status(ends.client), 200);
 	g_usleep(4500000);
 	calls = duty_calls("/usage");
 	ck_assert_uint_ge(json_array_size(calls), 2);
@@ -569,9 +540,7 @@
 	ck_assert_int_eq(total, 1);
 	json_decref(calls);
 	g_hash_table_unref(seen);
-	g_free(request);
-	close(client);
-	close(server);
+	front_close(&ends);
 }
 END_TEST
 
--- a/tests/test_operations.c
+++ b/tests/test_operations.c
@@ -42,20 +42,18 @@
 
 START_TEST(a_booking_with_an_unknown_outcome)
 {
-	int client = front_send("/book/a", "id-1");
-	int server = wire_accept(front_server_1);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/book/a", front_server_1);
 	char *lines;
 
-	close(server);
+	close(ends.server);
+	ends.server = -1;
 	lines = log_of("id-1");
 	assert_has(lines, "attempt.failed id=id-1 attempt=1 server=i-1 "
 			  "why=\"connection closed\" sent=1");
 	assert_has(lines, "status=502 cause=\"connection closed\"");
 	assert_has(lines, "attempts=1 ran=1");
 	g_free(lines);
-	g_free(request);
-	close(client);
+	front_close(&ends);
 }
 END_TEST
 
@@ -82,24 +80,22 @@
 
 START_TEST(a_stream_that_broke_off)
 {
-	int client = front_send("/write/a", "id-1");
-	int server = wire_accept(front_server_2);
-	char *request = wire_read_message(server);
+	front_ends_t ends = front_open("/write/a", front_server_2);
 	char *lines;
 
-	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-			  "Transfer-Encoding: chunked\r\n\r\n"
-			  "f\r\nid: 1\ndata: a\n\n\r\n");
+	wire_send(ends.server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n"
+			       "f\r\nid: 1\ndata: a\n\n\r\n");
 	g_usleep(50000);
-	close(server);
+	close(ends.server);
+	ends.server = -1;
 	lines = log_of("id-1");
 	assert_has(lines, "attempt.failed id=id-1 attempt=1 server=e-1 "
 			  "why=\"connection closed\" sent=1");
 	assert_has(lines, "status=502");
 	ck_assert_ptr_null(strstr(lines, "first_ms=-1"));
 	g_free(lines);
-	g_free(request);
-	close(client);
+	front_close(&ends);
 }
 END_TEST
 
