--- a/src/flow_move.c
+++ b/src/flow_move.c
@@ -21,9 +21,13 @@
 	flow->move.state = FLOW_MOVE_OVER;
 	event_stream_resume(flow->events);
 	flow_send(flow, &choice);
+	if (flow->call == NULL)
+		return; /* not sent, and ended or tried elsewhere */
 	/* The prompt has been read, and its usage counted, at the source. */
-	if (flow->server != NULL)
-		flow_stop_waiting(flow);
+	flow_stop_waiting(flow);
+	/* The copy is used up: a further resume starts from the events. */
+	if (catalog_may_repeat(flow->route))
+		g_clear_pointer(&flow->move.from, g_free);
 }
 
 /* The source has stopped, and what it made has arrived or is given up. */
