Count the nodes once, not at every request

Cause: cluster_nodes() walked all peers, and is_heard() called it for each peer. Each request counts usage by cluster_wall_ms(), which asked both and sorted the clocks anew: the square of the number of nodes, at every request. Ruled out: caching in the callers, which are five.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -36,7 +36,9 @@
 	cluster_options_t options;
 	uv_udp_t socket;
 	uv_timer_t timer;
-	GHashTable *peers; /* name to peer_t */
+	GHashTable *peers;   /* name to peer_t */
+	unsigned registered; /* peers that are */
+	int64_t offset_ms;   /* median of the other clocks, less this one's */
 	int64_t started_ms;
 	int64_t incarnation;
 	int64_t sequence;
@@ -91,15 +93,7 @@
 unsigned
 cluster_nodes(const cluster_t *cluster)
 {
-	GHashTableIter iter;
-	gpointer value;
-	unsigned count = 1;
-
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((peer_t *)value)->registered)
-			count++;
-	return count;
+	return cluster->registered + 1;
 }
 
 /*
@@ -354,6 +348,37 @@
 	    cluster->options.quota, cluster_nodes(cluster), silent, now_ms);
 }
 
+static int
+compare_offsets(const void *left, const void *right)
+{
+	int64_t a = *(const int64_t *)left;
+	int64_t b = *(const int64_t *)right;
+
+	return (a > b) - (a < b);
+}
+
+/* Compares this clock with those of the nodes that are heard from. */
+static void
+update_offset(cluster_t *cluster, int64_t now_ms)
+{
+	GArray *offsets = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	int64_t own = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_array_append_val(offsets, own);
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+
+		if (is_heard(cluster, peer, now_ms))
+			g_array_append_val(offsets, peer->wall_offset_ms);
+	}
+	qsort(offsets->data, offsets->len, sizeof(int64_t), compare_offsets);
+	cluster->offset_ms = g_array_index(offsets, int64_t, offsets->len / 2);
+	g_array_unref(offsets);
+}
+
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -361,6 +386,7 @@
 	int64_t now_ms = clock_boot_ms();
 
 	true_time_update(&cluster->time, clock_wall_ms(), now_ms);
+	update_offset(cluster, now_ms);
 	check_silence(cluster, now_ms);
 	sum_loads(cluster, now_ms);
 	cluster_send(cluster);
@@ -438,10 +464,12 @@
 		    "node=%s address=%s", name, address);
 		return;
 	}
-	if (!peer->registered)
-		log_event(LOG_LEVEL_INFO, "cluster.node_joined",
-		    "node=%s address=%s", name, address);
+	if (peer->registered)
+		return;
 	peer->registered = true;
+	cluster->registered++;
+	log_event(LOG_LEVEL_INFO, "cluster.node_joined", "node=%s address=%s",
+	    name, address);
 }
 
 void
@@ -452,6 +480,7 @@
 	if (peer == NULL || !peer->registered)
 		return;
 	peer->registered = false;
+	cluster->registered--;
 	log_event(LOG_LEVEL_INFO, "cluster.node_left",
 	    "node=%s silent_ms=%" G_GINT64_FORMAT, name,
 	    clock_boot_ms() - peer->heard_ms);
@@ -487,34 +516,9 @@
 	return addresses;
 }
 
-static int
-compare_offsets(const void *left, const void *right)
-{
-	int64_t a = *(const int64_t *)left;
-	int64_t b = *(const int64_t *)right;
-
-	return (a > b) - (a < b);
-}
-
 int64_t
 cluster_wall_ms(const cluster_t *cluster)
 {
-	GArray *offsets = g_array_new(FALSE, FALSE, sizeof(int64_t));
-	int64_t now_ms = clock_boot_ms();
-	int64_t own = 0, median;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_array_append_val(offsets, own);
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_t *peer = value;
-
-		if (is_heard(cluster, peer, now_ms))
-			g_array_append_val(offsets, peer->wall_offset_ms);
-	}
-	qsort(offsets->data, offsets->len, sizeof(int64_t), compare_offsets);
-	median = g_array_index(offsets, int64_t, offsets->len / 2);
-	g_array_unref(offsets);
-	return true_time_now(&cluster->time, now_ms) + median;
+	return true_time_now(&cluster->time, clock_boot_ms()) +
+	       cluster->offset_ms;
 }
