Remove what the platform path declares and nothing uses

Found by listing each declared function and field without a use. The format of digests changes with its zone, so its version goes up by one. No assertion changes; test_digest no longer sets the zone, which it never checked. test_front, test_operations, test_digest, test_pick and test_catalog pass.

--- a/src/catalog.h
+++ b/src/catalog.h
@@ -30,7 +30,6 @@
 	catalog_repeat_t repeat;
 	bool can_resume;
 	bool is_public;
-	bool has_prompt; /* requests name their model and prompt */
 	unsigned max_attempts;
 	unsigned priority; /* 0 is the most urgent */
 	int64_t timeout_ms;
--- a/src/cluster.c
+++ b/src/cluster.c
@@ -46,7 +46,6 @@
 	true_time_t time;
 	bool ready;
 	int64_t configuration_version;
-	unsigned open_handles;
 	char buffer[DATAGRAM_MAX_BYTES];
 };
 
@@ -255,7 +254,6 @@
 	digest->incarnation = cluster->incarnation;
 	digest->sequence = ++cluster->sequence;
 	digest->client_address = g_strdup(config->client_address);
-	digest->zone = g_strdup(config->zone);
 	digest->ready = cluster->ready;
 	digest->wall_ms = true_time_now(&cluster->time, now_ms);
 	digest->configuration_version = cluster->configuration_version;
@@ -410,7 +408,6 @@
 	    &cluster->time, cluster->incarnation, cluster->started_ms);
 	cluster->socket.data = cluster;
 	cluster->timer.data = cluster;
-	cluster->open_handles = 2;
 	uv_udp_init(loop, &cluster->socket);
 	uv_timer_init(loop, &cluster->timer);
 	rc = uv_ip4_addr(
@@ -431,26 +428,6 @@
 	return cluster;
 }
 
-static void
-on_closed(uv_handle_t *handle)
-{
-	cluster_t *cluster = handle->data;
-
-	if (--cluster->open_handles > 0)
-		return;
-	g_hash_table_unref(cluster->peers);
-	g_free(cluster);
-}
-
-void
-cluster_free(cluster_t *cluster)
-{
-	if (cluster == NULL)
-		return;
-	uv_close((uv_handle_t *)&cluster->socket, on_closed);
-	uv_close((uv_handle_t *)&cluster->timer, on_closed);
-}
-
 void
 cluster_put(cluster_t *cluster, const char *name, const char *address)
 {
@@ -494,7 +471,7 @@
 }
 
 GPtrArray *
-cluster_addresses(const cluster_t *cluster, const char *zone)
+cluster_addresses(const cluster_t *cluster)
 {
 	GPtrArray *addresses = g_ptr_array_new();
 	int64_t now_ms = clock_boot_ms();
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -33,7 +33,6 @@
 
 cluster_t *cluster_start(
     uv_loop_t *loop, const cluster_options_t *options, GError **error);
-void cluster_free(cluster_t *cluster);
 
 /* A node is registered; address is the IP:PORT of its digests. */
 void cluster_put(cluster_t *cluster, const char *name, const char *address);
@@ -49,11 +48,8 @@
 /* Registered nodes, with this one. */
 unsigned cluster_nodes(const cluster_t *cluster);
 
-/*
- * Addresses for a client in an availability zone (borrowed char *): ready
- * nodes that have been heard from lately.
- */
-GPtrArray *cluster_addresses(const cluster_t *cluster, const char *zone);
+/* Addresses for clients (borrowed char *): ready nodes heard from lately. */
+GPtrArray *cluster_addresses(const cluster_t *cluster);
 
 /* Time of day, without steps of this clock, corrected by other nodes' clocks.
  */
--- a/src/digest.c
+++ b/src/digest.c
@@ -4,8 +4,8 @@
 #include <string.h>
 
 enum {
-	FORMAT_VERSION = 2,
-	FIELDS = 12,
+	FORMAT_VERSION = 3,
+	FIELDS = 11,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
 	USAGE_FIELDS = 3,
@@ -44,7 +44,6 @@
 		return;
 	g_free(digest->node);
 	g_free(digest->client_address);
-	g_free(digest->zone);
 	g_array_unref(digest->spending);
 	g_array_unref(digest->loads);
 	g_array_unref(digest->usage);
@@ -123,7 +122,6 @@
 	msgpack_pack_int64(&packer, digest->incarnation);
 	msgpack_pack_int64(&packer, digest->sequence);
 	pack_string(&packer, digest->client_address);
-	pack_string(&packer, digest->zone);
 	msgpack_pack_int(&packer, digest->ready);
 	msgpack_pack_int64(&packer, digest->wall_ms);
 	msgpack_pack_int64(&packer, digest->configuration_version);
@@ -264,15 +262,14 @@
 	    !read_int(&fields[2], &digest->incarnation) ||
 	    !read_int(&fields[3], &digest->sequence) ||
 	    !read_string(&fields[4], &digest->client_address) ||
-	    !read_string(&fields[5], &digest->zone) ||
-	    !read_int(&fields[6], &ready) ||
-	    !read_int(&fields[7], &digest->wall_ms) ||
-	    !read_int(&fields[8], &digest->configuration_version))
+	    !read_int(&fields[5], &ready) ||
+	    !read_int(&fields[6], &digest->wall_ms) ||
+	    !read_int(&fields[7], &digest->configuration_version))
 		return false;
 	digest->ready = ready != 0;
-	return read_spending(&fields[9], digest->spending) &&
-	       read_loads(&fields[10], digest->loads) &&
-	       read_usage(&fields[11], digest->usage);
+	return read_spending(&fields[8], digest->spending) &&
+	       read_loads(&fields[9], digest->loads) &&
+	       read_usage(&fields[10], digest->usage);
 }
 
 digest_t *
--- a/src/digest.h
+++ b/src/digest.h
@@ -35,7 +35,6 @@
 	int64_t incarnation; /* of the process; later ones are higher */
 	int64_t sequence;
 	char *client_address;
-	char *zone;
 	bool ready;
 	int64_t wall_ms; /* of the sender's clock when it was sent */
 	int64_t configuration_version;
--- a/src/entry.c
+++ b/src/entry.c
@@ -333,24 +333,6 @@
 	return NULL;
 }
 
-static void
-on_listener_closed(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
-void
-entry_server_free(entry_server_t *server)
-{
-	client_t *client;
-
-	if (server == NULL)
-		return;
-	while ((client = TAILQ_FIRST(&server->clients)) != NULL)
-		entry_client_close(client);
-	uv_close((uv_handle_t *)&server->listener, on_listener_closed);
-}
-
 void
 entry_server_drain(entry_server_t *server)
 {
--- a/src/entry.h
+++ b/src/entry.h
@@ -32,9 +32,6 @@
 entry_server_t *entry_server_start(
     uv_loop_t *loop, const entry_options_t *options, GError **error);
 
-/* Closes every connection; exchanges in progress see their client leave. */
-void entry_server_free(entry_server_t *server);
-
 /* From now on each response closes its connection. */
 void entry_server_drain(entry_server_t *server);
 /* Closes the connections that wait for a request. */
@@ -52,7 +49,6 @@
 /* True where the client has left, or has its whole response. */
 bool exchange_gone(const exchange_t *exchange);
 
-exchange_t *exchange_ref(exchange_t *exchange);
 void exchange_unref(exchange_t *exchange);
 
 /*
--- a/src/entry_state.h
+++ b/src/entry_state.h
@@ -54,7 +54,6 @@
 	bool is_head;
 	bool chunked;
 	bool unframed;
-	bool started;
 	void (*on_gone)(void *data);
 	void (*on_drain)(void *data);
 	void *data;
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -26,13 +26,6 @@
 	return exchange->client == NULL;
 }
 
-exchange_t *
-exchange_ref(exchange_t *exchange)
-{
-	exchange->refs++;
-	return exchange;
-}
-
 void
 exchange_unref(exchange_t *exchange)
 {
@@ -100,7 +93,6 @@
 	if (!exchange->is_head)
 		g_string_append_len(out, body, (gssize)length);
 	send_text(exchange, out);
-	exchange->started = true;
 	exchange->chunked = false;
 	exchange_end(exchange);
 }
@@ -120,7 +112,6 @@
 			    source->headers[i].value);
 	add_framing(exchange, out, length);
 	send_text(exchange, out);
-	exchange->started = true;
 }
 
 void
--- a/src/front.c
+++ b/src/front.c
@@ -102,10 +102,10 @@
 }
 
 static void
-answer_addresses(front_t *front, exchange_t *exchange, const char *zone)
+answer_addresses(front_t *front, exchange_t *exchange)
 {
 	static const char type[] = "Content-Type: application/json\r\n";
-	GPtrArray *addresses = cluster_addresses(front->cluster, zone);
+	GPtrArray *addresses = cluster_addresses(front->cluster);
 	int64_t ttl_ms =
 	    MIN(ADDRESS_TTL_MS, front->config->bounds.address_ttl_max_ms);
 
@@ -126,21 +126,18 @@
 on_question(exchange_t *exchange, void *data)
 {
 	front_t *front = data;
-	char *zone;
 
-	switch (
-	    platform_read_question(exchange_head(exchange)->target, &zone)) {
+	switch (platform_read_question(exchange_head(exchange)->target)) {
 	case PLATFORM_QUESTION_READY:
 		exchange_reply(exchange, front->ready ? 200 : 503, NULL, "", 0);
 		break;
 	case PLATFORM_QUESTION_ADDRESSES:
-		answer_addresses(front, exchange, zone);
+		answer_addresses(front, exchange);
 		break;
 	case PLATFORM_QUESTION_OTHER:
 		exchange_reply(exchange, 404, NULL, "", 0);
 		break;
 	}
-	g_free(zone);
 	exchange_unref(exchange);
 }
 
--- a/src/front.h
+++ b/src/front.h
@@ -6,7 +6,8 @@
 #include <glib.h>
 #include <uv.h>
 
-/* The daemon of an entry host on the users' platform. */
+/* The daemon of an entry host on the users' platform; it and its parts live
+ * until the process ends. */
 typedef struct front front_t;
 
 /* Takes over config. NULL with *error set where it cannot listen. */
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -30,8 +30,7 @@
 	int peer_port;		 /* UDP, for other nodes */
 	int metrics_port;
 	char *store_url;
-	char *cloud_url; /* NULL: no singleton duties */
-	int64_t memory_bytes;
+	char *cloud_url;      /* NULL: no singleton duties */
 	unsigned descriptors; /* for sockets */
 	front_bounds_t bounds;
 } front_config_t;
--- a/src/lease.c
+++ b/src/lease.c
@@ -190,23 +190,6 @@
 	return lease;
 }
 
-static void
-on_closed(uv_handle_t *handle)
-{
-	lease_t *lease = handle->data;
-
-	g_free(lease->identity);
-	g_free(lease);
-}
-
-/* The http client has been freed before: no call is in progress. */
-void
-lease_free(lease_t *lease)
-{
-	if (lease != NULL)
-		uv_close((uv_handle_t *)&lease->timer, on_closed);
-}
-
 void
 lease_see_holder(
     lease_t *lease, const char *value, size_t length, int64_t revision)
--- a/src/lease.h
+++ b/src/lease.h
@@ -19,7 +19,6 @@
 
 lease_t *lease_start(
     uv_loop_t *loop, const front_config_t *config, platform_store_t *store);
-void lease_free(lease_t *lease);
 
 /* The holder's key has been read; value NULL: removed. */
 void lease_see_holder(
--- a/src/pick.c
+++ b/src/pick.c
@@ -202,7 +202,7 @@
 pick_choice_t
 pick_server(const pick_query_t *query)
 {
-	pick_choice_t choice = {.full = true};
+	pick_choice_t choice = {0};
 	bool is_engine = query->service != NULL && query->service->is_engine;
 	double best = DBL_MAX;
 	const server_t *home;
@@ -226,8 +226,6 @@
 		expected = is_engine ? engine_ms(query, server, ahead)
 				     : plain_ms(server);
 		cost = expected + penalty_ms(query, server, is_home);
-		if (server_in_flight(server) < server->info->slots)
-			choice.full = false;
 		if (cost >= best)
 			continue;
 		best = cost;
--- a/src/pick.h
+++ b/src/pick.h
@@ -32,7 +32,6 @@
 	double alone_ms;     /* the same at an idle server */
 	double new_tokens;   /* of the prompt that its cache does not hold */
 	double ahead_tokens; /* to be read up to its first token */
-	bool full;	     /* every usable server has its places taken */
 } pick_choice_t;
 
 pick_choice_t pick_server(const pick_query_t *query);
--- a/src/request_facts.h
+++ b/src/request_facts.h
@@ -18,7 +18,6 @@
 	const char *attempt_id; /* NULL where missing or repeated */
 	const char *host;	/* NULL where missing or repeated */
 	const char *api_key;	/* NULL where missing */
-	const char *last_event_id;
 	int64_t deadline_ms; /* -1: none */
 	bool has_tokens;
 	unsigned tokens_in;
--- a/src/scale_order.c
+++ b/src/scale_order.c
@@ -66,15 +66,6 @@
 	return orders;
 }
 
-void
-scale_orders_free(scale_orders_t *orders)
-{
-	if (orders == NULL)
-		return;
-	g_hash_table_unref(orders->services);
-	g_free(orders);
-}
-
 static service_state_t *
 find_state(scale_orders_t *orders, const char *service)
 {
--- a/src/scale_order.h
+++ b/src/scale_order.h
@@ -29,7 +29,6 @@
 } scale_order_options_t;
 
 scale_orders_t *scale_orders_new(const scale_order_options_t *options);
-void scale_orders_free(scale_orders_t *orders);
 
 /* The record of a service has been read; value NULL: removed. */
 void scale_orders_see(scale_orders_t *orders, const char *service,
--- a/src/sync.c
+++ b/src/sync.c
@@ -237,24 +237,6 @@
 	return sync;
 }
 
-static void
-on_timer_closed(uv_handle_t *handle)
-{
-	sync_t *sync = handle->data;
-
-	g_hash_table_unref(sync->known);
-	drop_list(sync);
-	g_free(sync);
-}
-
-/* The http client has been freed before: no call is in progress. */
-void
-sync_free(sync_t *sync)
-{
-	if (sync != NULL)
-		uv_close((uv_handle_t *)&sync->timer, on_timer_closed);
-}
-
 int64_t
 sync_confirmed_ms(const sync_t *sync)
 {
--- a/src/sync.h
+++ b/src/sync.h
@@ -27,7 +27,6 @@
 } sync_options_t;
 
 sync_t *sync_start(uv_loop_t *loop, const sync_options_t *options);
-void sync_free(sync_t *sync);
 
 /* clock_boot_ms() at which the copy is known to have been current; 0: never. */
 int64_t sync_confirmed_ms(const sync_t *sync);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -49,7 +49,6 @@
 	struct sockaddr_in address;
 	link_list_t idle;
 	unsigned links;
-	uint64_t opened;
 	bool freed; /* by its owner; the last connection releases it */
 };
 
@@ -309,7 +308,6 @@
 	link->timer.data = link;
 	uv_timer_start(&link->timer, on_connect_timeout, CONNECT_TIMEOUT_MS, 0);
 	upstream->links++;
-	upstream->opened++;
 	return link;
 }
 
@@ -419,9 +417,3 @@
 			link_close(link);
 	}
 }
-
-uint64_t
-upstream_opened(const upstream_t *upstream)
-{
-	return upstream->opened;
-}
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -62,7 +62,4 @@
 /* Closes connections that the server is about to close. */
 void upstream_sweep(upstream_t *upstream, int64_t now_ms);
 
-/* Connections opened since the start. */
-uint64_t upstream_opened(const upstream_t *upstream);
-
 #endif
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -39,16 +39,6 @@
 	return report;
 }
 
-void
-usage_report_free(usage_report_t *report)
-{
-	if (report == NULL)
-		return;
-	if (report->recorded != NULL)
-		g_hash_table_unref(report->recorded);
-	g_free(report);
-}
-
 void
 usage_report_see(
     usage_report_t *report, const char *value, size_t length, int64_t revision)
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -27,7 +27,6 @@
 } usage_report_options_t;
 
 usage_report_t *usage_report_new(const usage_report_options_t *options);
-void usage_report_free(usage_report_t *report);
 
 /* The record in the store has been read; value NULL: removed. */
 void usage_report_see(
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -21,7 +21,6 @@
 	digest->incarnation = 1234567890123;
 	digest->sequence = 9;
 	digest->client_address = g_strdup("10.0.0.1:80");
-	digest->zone = g_strdup("z");
 	digest->ready = true;
 	digest->wall_ms = -5;
 	digest->configuration_version = 7;
