--- a/src/json.c
+++ b/src/json.c
@@ -81,3 +81,17 @@
 	free(dumped);
 	return text;
 }
+
+json_t *
+json_counts(GHashTable *counts)
+{
+	json_t *object = json_object();
+	GHashTableIter iter;
+	gpointer name, count;
+
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &name, &count))
+		json_object_set_new(
+		    object, name, json_integer((json_int_t) * (double *)count));
+	return object;
+}
--- a/src/json.h
+++ b/src/json.h
@@ -26,6 +26,9 @@
 double json_get_double(const json_t *object, const char *name, double fallback);
 bool json_get_bool(const json_t *object, const char *name, bool fallback);
 
+/* An object of whole numbers from a table of name to double *. */
+json_t *json_counts(GHashTable *counts);
+
 /* Compact text with sorted names, newly allocated for g_free(). */
 char *json_text(const json_t *value);
 
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -121,19 +121,10 @@
 static char *
 record_text(int64_t window, GHashTable *counts)
 {
-	json_t *list = json_object();
-	GHashTableIter iter;
-	gpointer name, count;
-	json_t *json;
-	char *text;
-
-	g_hash_table_iter_init(&iter, counts);
-	while (g_hash_table_iter_next(&iter, &name, &count))
-		json_object_set_new(
-		    list, name, json_integer((json_int_t) * (double *)count));
-	json = json_pack(
-	    "{s:I,s:o}", "window", (json_int_t)window, "counts", list);
-	text = json_text(json);
+	json_t *json = json_pack("{s:I,s:o}", "window", (json_int_t)window,
+	    "counts", json_counts(counts));
+	char *text = json_text(json);
+
 	json_decref(json);
 	return text;
 }
