State defaults and silence limits once; derive what a response says

Change: catalog_limits_default, one SILENCE_OBJECTIVES, response.not_run, which is cleared with each attempt.

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -4,6 +4,13 @@
 
 enum { HOST_MAX = 256 };
 
+const catalog_limits_t catalog_limits_default = {
+    .head_bytes = 16384,
+    .body_bytes = 4 * 1024 * 1024,
+    .head_timeout_ms = 3000,
+    .idle_timeout_ms = 15000,
+};
+
 static void
 routes_free(gpointer routes)
 {
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -73,6 +73,9 @@
 	int64_t idle_timeout_ms;
 } catalog_limits_t;
 
+/* Limits in force until a configuration gives others. */
+extern const catalog_limits_t catalog_limits_default;
+
 typedef struct catalog {
 	unsigned refs;
 	int64_t version;
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -9,7 +9,6 @@
 	/* A kept connection used within this time is not about to be closed. */
 	FRESH_CONNECTION_MS = 1000,
 	ANY_CONNECTION_MS = INT32_MAX,
-	SILENCE_OBJECTIVES = 2,
 	/* Priorities of routes that are told apart within a workspace's. */
 	ROUTE_URGENCIES = 3,
 	URGENCY_LEAST = 9,
@@ -107,7 +106,7 @@
 	text = request_head(flow, choice->server);
 	request.head = text->str;
 	request.head_length = text->len;
-	flow->not_run = false;
+	flow->response = (response_facts_t){0};
 	flow->status = 0;
 	flow->call = upstream_start(
 	    choice->server->upstream, connections_max(flow), &request);
@@ -118,8 +117,7 @@
 	}
 	prefix_cache_learn(flow->context->prefixes, choice->server->tag,
 	    &flow->facts, flow->attempt_ms);
-	flow_watch_silence(
-	    flow, SILENCE_OBJECTIVES * flow->route->objective_ms);
+	flow_watch_silence(flow, flow->route->objective_ms);
 }
 
 pick_choice_t
--- a/src/flow_response.c
+++ b/src/flow_response.c
@@ -12,6 +12,8 @@
 	/* A silent server is given up after so many objectives. */
 	SILENCE_OBJECTIVES = 2,
 	SILENCE_MIN_MS = 400,
+	/* Gaps between events vary more than the time to the first one. */
+	GAP_OBJECTIVES = 2,
 };
 
 static void
@@ -103,11 +105,13 @@
 
 /* Watches for a server that says nothing; only where another may go on. */
 void
-flow_watch_silence(flow_t *flow, int64_t limit_ms)
+flow_watch_silence(flow_t *flow, int64_t objective_ms)
 {
-	if (catalog_may_repeat(flow->route) && limit_ms > 0)
+	if (catalog_may_repeat(flow->route) && objective_ms > 0)
 		uv_timer_start(&flow->silence_timer, on_silence,
-		    (uint64_t)MAX(limit_ms, SILENCE_MIN_MS), 0);
+		    (uint64_t)MAX(
+			SILENCE_OBJECTIVES * objective_ms, SILENCE_MIN_MS),
+		    0);
 }
 
 void
@@ -117,7 +121,6 @@
 	flow_t *flow = data;
 
 	flow->response = *facts;
-	flow->not_run = facts->not_run;
 	flow->status = head->status;
 	flow->head = head;
 }
@@ -128,7 +131,7 @@
 	event_stream_feed(flow->events, bytes, length);
 	pass_events(flow);
 	flow_watch_silence(
-	    flow, SILENCE_OBJECTIVES * 2 * flow->route->gap_objective_ms);
+	    flow, GAP_OBJECTIVES * flow->route->gap_objective_ms);
 }
 
 /* Starts to pass on a response that is too large to be held. */
@@ -162,7 +165,7 @@
 		return;
 	}
 	g_byte_array_append(flow->held, (const guint8 *)bytes, (guint)length);
-	if (flow->held->len > HOLD_MAX_BYTES && !flow->not_run)
+	if (flow->held->len > HOLD_MAX_BYTES && !flow->response.not_run)
 		pass_large(flow);
 }
 
@@ -279,7 +282,7 @@
 static void
 complete(flow_t *flow)
 {
-	if (flow->not_run && !flow->started) {
+	if (flow->response.not_run && !flow->started) {
 		not_run(flow);
 		return;
 	}
--- a/src/flow_state.h
+++ b/src/flow_state.h
@@ -65,7 +65,6 @@
 	bool urgent;		/* its prompt is read before others */
 	bool waiting; /* for the first event: counts among waiting prompts */
 	response_facts_t response;
-	bool not_run;
 	unsigned status;
 	const http1_head_t *head; /* of the response in progress */
 	GByteArray *held;	  /* bytes not passed on yet */
@@ -104,7 +103,8 @@
 
 /* flow_response.c */
 pace_t *flow_pace(const flow_t *flow);
-void flow_watch_silence(flow_t *flow, int64_t limit_ms);
+/* Gives up a server that sends nothing for long beside an objective. */
+void flow_watch_silence(flow_t *flow, int64_t objective_ms);
 void flow_not_sent(flow_t *flow, server_outcome_t outcome, const char *why);
 void flow_on_head(
     const http1_head_t *head, const response_facts_t *facts, void *data);
--- a/src/front.c
+++ b/src/front.c
@@ -27,19 +27,12 @@
 /* The same, after which it is not offered to clients. */
 static const double ready_share = 0.6;
 
-static const catalog_limits_t limits_default = {
-    .head_bytes = 16384,
-    .body_bytes = 4 * 1024 * 1024,
-    .head_timeout_ms = 3000,
-    .idle_timeout_ms = 15000,
-};
-
 static const catalog_limits_t *
 limits(void *data)
 {
 	const front_t *front = data;
 
-	return front->flow.catalog == NULL ? &limits_default
+	return front->flow.catalog == NULL ? &catalog_limits_default
 					   : &front->flow.catalog->limits;
 }
 
