Reckon a lease by the time that the store has granted

Cause: the end of the lease was kept beside the last renewal, and computed from the node's own bound, which a reload of the settings may change while the lease keeps the time it was granted with. The holder of the duties could then believe in a lease that has ended. Change: the granted time is kept, and the end is derived from the last renewal.

--- a/src/lease.c
+++ b/src/lease.c
@@ -24,7 +24,7 @@
 	uv_timer_t timer;
 	int64_t id;	 /* 0: none */
 	int64_t sent_ms; /* of the call in progress */
-	int64_t valid_until_ms;
+	int64_t ttl_ms;	 /* that the store granted */
 	int64_t renewed_ms;
 	bool busy; /* a lease call is in progress */
 	bool registered;
@@ -40,6 +40,13 @@
 	char *identity;	      /* value of the holder's key */
 };
 
+/* The lease holds at least so long: it runs from the arrival of a call. */
+static int64_t
+valid_until_ms(const lease_t *lease)
+{
+	return lease->renewed_ms + lease->ttl_ms;
+}
+
 static void
 lose(lease_t *lease)
 {
@@ -89,8 +96,8 @@
 	if (result->status != PLATFORM_OK || lease->ended)
 		return;
 	lease->id = result->lease;
+	lease->ttl_ms = result->ttl_ms;
 	lease->renewed_ms = lease->sent_ms;
-	lease->valid_until_ms = lease->sent_ms + lease->config->bounds.lease_ms;
 	register_node(lease);
 }
 
@@ -107,7 +114,6 @@
 	if (result->status != PLATFORM_OK)
 		return;
 	lease->renewed_ms = lease->sent_ms;
-	lease->valid_until_ms = lease->sent_ms + lease->config->bounds.lease_ms;
 }
 
 static bool
@@ -115,7 +121,7 @@
 {
 	return lease->campaigns && !lease->campaigning &&
 	       !lease->holder_known && lease->id != 0 &&
-	       now_ms < lease->valid_until_ms &&
+	       now_ms < valid_until_ms(lease) &&
 	       now_ms >= lease->campaign_at_ms;
 }
 
@@ -155,7 +161,7 @@
 
 	if (lease->ended)
 		return;
-	if (lease->id != 0 && now_ms > lease->valid_until_ms + RENEW_MS)
+	if (lease->id != 0 && now_ms > valid_until_ms(lease) + RENEW_MS)
 		lose(lease);
 	if (!lease->busy && lease->id == 0) {
 		lease->busy = true;
@@ -225,7 +231,7 @@
 {
 	if (!lease->holder_self || lease->ended ||
 	    lease->token == lease->fenced_token ||
-	    clock_boot_ms() >= lease->valid_until_ms - HOLD_MARGIN_MS)
+	    clock_boot_ms() >= valid_until_ms(lease) - HOLD_MARGIN_MS)
 		return 0;
 	return lease->token;
 }
