Read and write msgpack text and numbers in one place

Cause: the digest, the messages between nodes and the ledger's records each had their own writer to a byte array, packer of text and reader of numbers. The digest's reader of text, written anew, lacked what the others' has: msgpack-c gives NULL for an empty string, so that a datagram with an empty node name was taken and its name then compared, which ends the process. The ledger keeps its own reader of text, which accepts other bytes. an_empty_name_is_refused fails before and passes after; test_digest, test_message, test_ledger, test_member and test_front pass.

--- /dev/null
+++ b/src/codec.c
@@ -0,0 +1,52 @@
+#include "codec.h"
+
+#include <glib.h>
+#include <string.h>
+
+int
+codec_append(void *data, const char *bytes, size_t length)
+{
+	g_byte_array_append(data, (const guint8 *)bytes, (guint)length);
+	return 0;
+}
+
+void
+codec_pack_text(msgpack_packer *packer, const char *text)
+{
+	size_t length = text == NULL ? 0 : strlen(text);
+
+	msgpack_pack_str(packer, length);
+	if (length > 0)
+		msgpack_pack_str_body(packer, text, length);
+}
+
+bool
+codec_read_text(
+    const msgpack_object *object, size_t min, size_t max, char **out)
+{
+	const char *bytes = object->via.str.ptr;
+	size_t length = object->via.str.size;
+
+	if (object->type != MSGPACK_OBJECT_STR || length < min || length > max)
+		return false;
+	/* Refuses NUL bytes too. */
+	if (length > 0 && !g_utf8_validate(bytes, (gssize)length, NULL))
+		return false;
+	/* msgpack-c gives NULL for an empty string. */
+	*out = g_strndup(length > 0 ? bytes : "", length);
+	return true;
+}
+
+bool
+codec_read_int(const msgpack_object *object, int64_t *out)
+{
+	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		*out = object->via.i64;
+		return true;
+	}
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > INT64_MAX)
+		return false;
+	*out = (int64_t)object->via.u64;
+	return true;
+}
--- a/src/digest.c
+++ b/src/digest.c
@@ -1,6 +1,7 @@
 #include "digest.h"
 
-#include <msgpack.h>
+#include "codec.h"
+
 #include <string.h>
 
 enum {
@@ -50,22 +51,6 @@
 	g_free(digest);
 }
 
-static void
-pack_string(msgpack_packer *packer, const char *text)
-{
-	size_t length = strlen(text);
-
-	msgpack_pack_str(packer, length);
-	msgpack_pack_str_body(packer, text, length);
-}
-
-static int
-write_bytes(void *data, const char *bytes, size_t length)
-{
-	g_byte_array_append(data, (const guint8 *)bytes, (guint)length);
-	return 0;
-}
-
 static void
 pack_spending(msgpack_packer *packer, const GArray *list)
 {
@@ -74,7 +59,7 @@
 		const digest_spending_t *item =
 		    &g_array_index(list, digest_spending_t, i);
 
-		pack_string(packer, item->workspace);
+		codec_pack_text(packer, item->workspace);
 		msgpack_pack_double(packer, item->spent);
 		msgpack_pack_double(packer, item->level);
 	}
@@ -105,7 +90,7 @@
 		    &g_array_index(list, digest_usage_t, i);
 
 		msgpack_pack_int64(packer, item->window);
-		pack_string(packer, item->workspace);
+		codec_pack_text(packer, item->workspace);
 		msgpack_pack_int64(packer, (int64_t)item->count);
 	}
 }
@@ -115,13 +100,13 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, write_bytes);
+	msgpack_packer_init(&packer, out, codec_append);
 	msgpack_pack_array(&packer, FIELDS);
 	msgpack_pack_int(&packer, FORMAT_VERSION);
-	pack_string(&packer, digest->node);
+	codec_pack_text(&packer, digest->node);
 	msgpack_pack_int64(&packer, digest->incarnation);
 	msgpack_pack_int64(&packer, digest->sequence);
-	pack_string(&packer, digest->client_address);
+	codec_pack_text(&packer, digest->client_address);
 	msgpack_pack_int(&packer, digest->ready);
 	msgpack_pack_int64(&packer, digest->wall_ms);
 	msgpack_pack_int64(&packer, digest->configuration_version);
@@ -130,25 +115,12 @@
 	pack_usage(&packer, digest->usage);
 }
 
-static bool
-read_int(const msgpack_object *object, int64_t *value)
-{
-	if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-	    object->via.u64 <= INT64_MAX)
-		*value = (int64_t)object->via.u64;
-	else if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-		*value = object->via.i64;
-	else
-		return false;
-	return true;
-}
-
 static bool
 read_double(const msgpack_object *object, double *value)
 {
 	int64_t number;
 
-	if (read_int(object, &number)) {
+	if (codec_read_int(object, &number)) {
 		*value = (double)number;
 		return true;
 	}
@@ -159,16 +131,6 @@
 	return true;
 }
 
-static bool
-read_string(const msgpack_object *object, char **value)
-{
-	if (object->type != MSGPACK_OBJECT_STR ||
-	    object->via.str.size > NAME_MAX_BYTES)
-		return false;
-	*value = g_strndup(object->via.str.ptr, object->via.str.size);
-	return true;
-}
-
 /* Members of an array whose length is a multiple of the step. */
 static bool
 read_list(const msgpack_object *object, uint32_t step,
@@ -193,7 +155,8 @@
 	for (; count > 0; count--, member += SPENDING_FIELDS) {
 		digest_spending_t item = {0};
 
-		if (!read_string(&member[0], &item.workspace))
+		if (!codec_read_text(
+			&member[0], 0, NAME_MAX_BYTES, &item.workspace))
 			return false;
 		if (!read_double(&member[1], &item.spent) ||
 		    !read_double(&member[2], &item.level)) {
@@ -217,8 +180,8 @@
 		digest_load_t item = {0};
 		int64_t server, in_flight;
 
-		if (!read_int(&member[0], &server) ||
-		    !read_int(&member[1], &in_flight) || server < 0 ||
+		if (!codec_read_int(&member[0], &server) ||
+		    !codec_read_int(&member[1], &in_flight) || server < 0 ||
 		    server > UINT32_MAX || in_flight < 0 ||
 		    in_flight > UINT16_MAX ||
 		    !read_double(&member[2], &item.load.waiting_tokens) ||
@@ -243,9 +206,10 @@
 	for (; count > 0; count--, member += USAGE_FIELDS) {
 		digest_usage_t item = {0};
 
-		if (!read_int(&member[0], &item.window) ||
+		if (!codec_read_int(&member[0], &item.window) ||
 		    !read_double(&member[2], &item.count) ||
-		    !read_string(&member[1], &item.workspace))
+		    !codec_read_text(
+			&member[1], 0, NAME_MAX_BYTES, &item.workspace))
 			return false;
 		g_array_append_val(list, item);
 	}
@@ -257,14 +221,16 @@
 {
 	int64_t version, ready;
 
-	if (!read_int(&fields[0], &version) || version != FORMAT_VERSION ||
-	    !read_string(&fields[1], &digest->node) ||
-	    !read_int(&fields[2], &digest->incarnation) ||
-	    !read_int(&fields[3], &digest->sequence) ||
-	    !read_string(&fields[4], &digest->client_address) ||
-	    !read_int(&fields[5], &ready) ||
-	    !read_int(&fields[6], &digest->wall_ms) ||
-	    !read_int(&fields[7], &digest->configuration_version))
+	if (!codec_read_int(&fields[0], &version) ||
+	    version != FORMAT_VERSION ||
+	    !codec_read_text(&fields[1], 1, NAME_MAX_BYTES, &digest->node) ||
+	    !codec_read_int(&fields[2], &digest->incarnation) ||
+	    !codec_read_int(&fields[3], &digest->sequence) ||
+	    !codec_read_text(
+		&fields[4], 1, NAME_MAX_BYTES, &digest->client_address) ||
+	    !codec_read_int(&fields[5], &ready) ||
+	    !codec_read_int(&fields[6], &digest->wall_ms) ||
+	    !codec_read_int(&fields[7], &digest->configuration_version))
 		return false;
 	digest->ready = ready != 0;
 	return read_spending(&fields[8], digest->spending) &&
--- a/src/message.c
+++ b/src/message.c
@@ -1,5 +1,6 @@
 #include "message.h"
 
+#include "codec.h"
 #include "error.h"
 #include "message_scan.h"
 
@@ -164,23 +165,6 @@
 	memset(message, 0, sizeof(*message));
 }
 
-static int
-append_packed(void *data, const char *bytes, size_t length)
-{
-	g_byte_array_append(data, (const guint8 *)bytes, (guint)length);
-	return 0;
-}
-
-static void
-pack_string(msgpack_packer *packer, const char *string)
-{
-	size_t length = string == NULL ? 0 : strlen(string);
-
-	msgpack_pack_str(packer, length);
-	if (length > 0)
-		msgpack_pack_str_body(packer, string, length);
-}
-
 static void
 pack_bool(msgpack_packer *packer, bool value)
 {
@@ -201,7 +185,7 @@
 		    &g_array_index(revisions, message_revision_t, i);
 
 		msgpack_pack_array(packer, 2);
-		pack_string(packer, revision->team);
+		codec_pack_text(packer, revision->team);
 		msgpack_pack_int64(packer, revision->revision);
 	}
 }
@@ -217,9 +201,9 @@
 		    &g_array_index(members, message_member_t, i);
 
 		msgpack_pack_array(packer, 6);
-		pack_string(packer, member->node);
-		pack_string(packer, member->http_address);
-		pack_string(packer, member->peer_address);
+		codec_pack_text(packer, member->node);
+		codec_pack_text(packer, member->http_address);
+		codec_pack_text(packer, member->peer_address);
 		msgpack_pack_int64(packer, member->incarnation);
 		pack_bool(packer, member->draining);
 		pack_bool(packer, member->suspect);
@@ -248,7 +232,7 @@
 		    &g_array_index(reports, message_report_t, i);
 
 		msgpack_pack_array(packer, 5);
-		pack_string(packer, report->backend);
+		codec_pack_text(packer, report->backend);
 		msgpack_pack_uint32(packer, report->running);
 		msgpack_pack_uint32(packer, report->waiting);
 		pack_prefixes(packer, report->stored);
@@ -267,7 +251,7 @@
 	case FIELD_NAME:
 	case FIELD_STRING:
 	case FIELD_TEXT:
-		pack_string(packer, *(char *const *)at);
+		codec_pack_text(packer, *(char *const *)at);
 		break;
 	case FIELD_BYTES:
 		length =
@@ -350,7 +334,7 @@
 	if (field == NULL || !names_fit(message, field))
 		return;
 	g_byte_array_append(out, no_length, sizeof(no_length));
-	msgpack_packer_init(&packer, out, append_packed);
+	msgpack_packer_init(&packer, out, codec_append);
 	msgpack_pack_array(&packer, 1 + layout_items(field));
 	msgpack_pack_int(&packer, (int)message->type);
 	for (; field->kind != FIELD_NONE; field++)
@@ -363,22 +347,6 @@
 	memcpy(out->data + start, &length, sizeof(length));
 }
 
-static bool
-take_string(const msgpack_object *object, size_t min, size_t max, char **out)
-{
-	const char *bytes = object->via.str.ptr;
-	size_t length = object->via.str.size;
-
-	if (object->type != MSGPACK_OBJECT_STR || length < min || length > max)
-		return false;
-	/* Refuses NUL bytes too. */
-	if (length > 0 && !g_utf8_validate(bytes, (gssize)length, NULL))
-		return false;
-	/* msgpack-c gives NULL for an empty string. */
-	*out = g_strndup(length > 0 ? bytes : "", length);
-	return true;
-}
-
 static bool
 take_int64(const msgpack_object *object, int64_t max, int64_t *out)
 {
@@ -418,7 +386,7 @@
 		if (!is_array(pair, 2, 2) ||
 		    !take_int64(&pair->via.array.ptr[1], G_MAXINT64,
 			&revision.revision) ||
-		    !take_string(&pair->via.array.ptr[0], 1, NAME_MAX_BYTES,
+		    !codec_read_text(&pair->via.array.ptr[0], 1, NAME_MAX_BYTES,
 			&revision.team))
 			return false;
 		g_array_append_val(*out, revision);
@@ -432,10 +400,10 @@
 	const msgpack_object *items = object->via.array.ptr;
 
 	return is_array(object, 6, 6) &&
-	       take_string(&items[0], 1, NAME_MAX_BYTES, &member->node) &&
-	       take_string(
+	       codec_read_text(&items[0], 1, NAME_MAX_BYTES, &member->node) &&
+	       codec_read_text(
 		   &items[1], 1, NAME_MAX_BYTES, &member->http_address) &&
-	       take_string(
+	       codec_read_text(
 		   &items[2], 1, NAME_MAX_BYTES, &member->peer_address) &&
 	       take_int64(&items[3], G_MAXINT64, &member->incarnation) &&
 	       take_bool(&items[4], &member->draining) &&
@@ -493,7 +461,8 @@
 	const msgpack_object *items = object->via.array.ptr;
 
 	return is_array(object, 5, 5) &&
-	       take_string(&items[0], 1, NAME_MAX_BYTES, &report->backend) &&
+	       codec_read_text(
+		   &items[0], 1, NAME_MAX_BYTES, &report->backend) &&
 	       take_count(&items[1], &report->running) &&
 	       take_count(&items[2], &report->waiting) &&
 	       take_prefixes(&items[3], &report->stored) &&
@@ -544,11 +513,11 @@
 
 	switch (field->kind) {
 	case FIELD_NAME:
-		return take_string(object, 1, NAME_MAX_BYTES, at);
+		return codec_read_text(object, 1, NAME_MAX_BYTES, at);
 	case FIELD_STRING:
-		return take_string(object, 0, NAME_MAX_BYTES, at);
+		return codec_read_text(object, 0, NAME_MAX_BYTES, at);
 	case FIELD_TEXT:
-		return take_string(object, 0, TEXT_MAX_BYTES, at);
+		return codec_read_text(object, 0, TEXT_MAX_BYTES, at);
 	case FIELD_BYTES:
 		return take_bytes(object, message, field);
 	case FIELD_INT64:
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -60,6 +60,22 @@
 }
 END_TEST
 
+/* Guards against a crash on a datagram that names no node. */
+START_TEST(an_empty_name_is_refused)
+{
+	digest_t *digest = sample();
+	GByteArray *bytes = g_byte_array_new();
+
+	g_free(digest->node);
+	digest->node = g_strdup("");
+	digest_encode(digest, bytes);
+	ck_assert_ptr_null(
+	    digest_decode((const char *)bytes->data, bytes->len));
+	digest_free(digest);
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
 /* Guards against a crash on datagrams that are cut or altered. */
 START_TEST(altered_bytes_are_read_or_refused)
 {
@@ -92,6 +108,7 @@
 	TCase *cases = tcase_create("digest");
 
 	tcase_add_test(cases, a_digest_survives_the_wire);
+	tcase_add_test(cases, an_empty_name_is_refused);
 	tcase_add_test(cases, altered_bytes_are_read_or_refused);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
