--- a/src/request_facts.h
+++ b/src/request_facts.h
@@ -18,7 +18,7 @@
 	const char *attempt_id; /* NULL where missing or repeated */
 	const char *host;	/* NULL where missing or repeated */
 	const char *api_key;	/* NULL where missing */
-	int64_t deadline_ms; /* -1: none */
+	int64_t deadline_ms;	/* -1: none */
 	bool has_tokens;
 	unsigned tokens_in;
 	unsigned tokens_out;
