Move services between versions on the users' platform

Cause: an order of a version move was logged and ignored. Orders of servers counted those of the version on trial, so that old servers were dismissed during a move.

Change: rollout decides the stages of one move (canary, ramp, full, completed, reverted) from evidence that the older move code already judges; rollouts keeps the orders, writes stages while the node holds the duties, and filters the servers of a request; digests carry the evidence and a stop; platform_rollout reads the order and writes the status.

Ruled out: reusing move.c, whose finish is a swap of a leased key of another store; one server for all canary requests, which cannot tell a bad server from a bad version; a full stage from the start, which cannot be compared.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -4,6 +4,7 @@
 #include "front_config.h"
 #include "pool.h"
 #include "quota.h"
+#include "rollouts.h"
 #include "usage.h"
 
 #include <glib.h>
@@ -23,9 +24,10 @@
 
 typedef struct cluster_options {
 	const front_config_t *config; /* borrowed */
-	pool_t *pool;		      /* borrowed, as the next two */
+	pool_t *pool;		      /* borrowed, as the next three */
 	quota_t *quota;
 	usage_t *usage;
+	rollouts_t *rollouts;
 	/* A node has a newer configuration than this one. */
 	void (*on_newer_configuration)(void *data);
 	void *data;
--- a/src/digest.c
+++ b/src/digest.c
@@ -5,11 +5,13 @@
 #include <string.h>
 
 enum {
-	FORMAT_VERSION = 3,
-	FIELDS = 11,
+	FORMAT_VERSION = 4,
+	FIELDS = 12,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
 	USAGE_FIELDS = 3,
+	MOVE_FIELDS = 4,
+	EVIDENCE_MAX_BYTES = 8 * 1024,
 	NAME_MAX_BYTES = 256,
 };
 
@@ -25,6 +27,13 @@
 	g_free(((digest_usage_t *)item)->workspace);
 }
 
+static void
+move_clear(gpointer item)
+{
+	g_free(((digest_move_t *)item)->service);
+	g_free(((digest_move_t *)item)->evidence);
+}
+
 digest_t *
 digest_new(void)
 {
@@ -33,6 +42,8 @@
 	digest->spending = g_array_new(FALSE, TRUE, sizeof(digest_spending_t));
 	digest->loads = g_array_new(FALSE, TRUE, sizeof(digest_load_t));
 	digest->usage = g_array_new(FALSE, TRUE, sizeof(digest_usage_t));
+	digest->moves = g_array_new(FALSE, TRUE, sizeof(digest_move_t));
+	g_array_set_clear_func(digest->moves, move_clear);
 	g_array_set_clear_func(digest->spending, spending_clear);
 	g_array_set_clear_func(digest->usage, usage_clear);
 	return digest;
@@ -48,6 +59,7 @@
 	g_array_unref(digest->spending);
 	g_array_unref(digest->loads);
 	g_array_unref(digest->usage);
+	g_array_unref(digest->moves);
 	g_free(digest);
 }
 
@@ -95,6 +107,21 @@
 	}
 }
 
+static void
+pack_moves(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * MOVE_FIELDS);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_move_t *item =
+		    &g_array_index(list, digest_move_t, i);
+
+		codec_pack_text(packer, item->service);
+		msgpack_pack_int64(packer, item->revision);
+		msgpack_pack_int(packer, item->stopped);
+		codec_pack_text(packer, item->evidence);
+	}
+}
+
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -113,6 +140,7 @@
 	pack_spending(&packer, digest->spending);
 	pack_loads(&packer, digest->loads);
 	pack_usage(&packer, digest->usage);
+	pack_moves(&packer, digest->moves);
 }
 
 static bool
@@ -216,6 +244,40 @@
 	return true;
 }
 
+static bool
+read_move(const msgpack_object *member, digest_move_t *item)
+{
+	int64_t stopped;
+
+	if (!codec_read_int(&member[1], &item->revision) ||
+	    !codec_read_int(&member[2], &stopped) ||
+	    !codec_read_text(&member[0], 0, NAME_MAX_BYTES, &item->service))
+		return false;
+	item->stopped = stopped != 0;
+	if (codec_read_text(&member[3], 0, EVIDENCE_MAX_BYTES, &item->evidence))
+		return true;
+	g_free(item->service);
+	return false;
+}
+
+static bool
+read_moves(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!read_list(object, MOVE_FIELDS, &member, &count))
+		return false;
+	for (; count > 0; count--, member += MOVE_FIELDS) {
+		digest_move_t item = {0};
+
+		if (!read_move(member, &item))
+			return false;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
 static bool
 read_digest(const msgpack_object *fields, digest_t *digest)
 {
@@ -235,7 +297,8 @@
 	digest->ready = ready != 0;
 	return read_spending(&fields[8], digest->spending) &&
 	       read_loads(&fields[9], digest->loads) &&
-	       read_usage(&fields[10], digest->usage);
+	       read_usage(&fields[10], digest->usage) &&
+	       read_moves(&fields[11], digest->moves);
 }
 
 digest_t *
--- a/src/digest.h
+++ b/src/digest.h
@@ -30,6 +30,14 @@
 	double count;
 } digest_usage_t;
 
+/* What a node has seen of a version move. */
+typedef struct digest_move {
+	char *service;
+	int64_t revision; /* of the order */
+	bool stopped;	  /* the sender has found the new version bad */
+	char *evidence;	  /* JSON text of evidence_json() */
+} digest_move_t;
+
 typedef struct digest {
 	char *node;
 	int64_t incarnation; /* of the process; later ones are higher */
@@ -41,6 +49,7 @@
 	GArray *spending; /* of digest_spending_t */
 	GArray *loads;	  /* of digest_load_t */
 	GArray *usage;	  /* of digest_usage_t */
+	GArray *moves;	  /* of digest_move_t, those that run */
 } digest_t;
 
 digest_t *digest_new(void);
--- a/src/flow.c
+++ b/src/flow.c
@@ -181,6 +181,8 @@
 {
 	flow_t *flow = timer->data;
 
+	if (flow->server != NULL && flow->waiting)
+		flow_observe_version(flow, false, 0);
 	if (flow->ran || flow->tried->len > 0)
 		flow_answer(flow, 504, -1, "deadline");
 	else
--- a/src/flow.h
+++ b/src/flow.h
@@ -9,6 +9,7 @@
 #include "prefix.h"
 #include "quota.h"
 #include "retry_budget.h"
+#include "rollouts.h"
 #include "usage.h"
 
 #include <stdbool.h>
@@ -30,6 +31,7 @@
 	prefix_cache_t *prefixes;
 	GHashTable *paces; /* service to pace_t *, owned by their user */
 	cluster_t *cluster;
+	rollouts_t *rollouts;
 	counters_t *counters;
 	catalog_t *catalog; /* in force; NULL: none yet */
 	/* clock_boot_ms() after which the catalog may not be used. */
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -115,19 +115,21 @@
 		flow_not_sent(flow, SERVER_FULL, "no_connection");
 		return;
 	}
+	rollouts_sent(flow->context->rollouts, flow->service_name,
+	    flow->trial.revision, flow->trial.to_new);
 	prefix_cache_learn(flow->context->prefixes, choice->server->tag,
 	    &flow->facts, flow->attempt_ms);
 	flow_watch_silence(flow, flow->route->objective_ms);
 }
 
-pick_choice_t
-flow_pick(flow_t *flow)
+static pick_choice_t
+pick_among(flow_t *flow, const GPtrArray *servers)
 {
 	flow_context_t *context = flow->context;
 	pick_query_t query = {
 	    .facts = &flow->facts,
 	    .service = flow->service,
-	    .servers = pool_service(context->pool, flow->service_name),
+	    .servers = servers,
 	    .tried = flow->tried,
 	    .prefixes = context->prefixes,
 	    .pace = flow_pace(flow),
@@ -140,6 +142,48 @@
 	return pick_server(&query);
 }
 
+/* Chooses the version and one of its servers. */
+static pick_choice_t
+pick_version(flow_t *flow)
+{
+	bool first = flow->tried->len == 0 && !flow->ran;
+	rollouts_route_t route = rollouts_choose(flow->context->rollouts,
+	    flow->service_name, first, g_random_double());
+	pick_choice_t choice = pick_among(flow, route.servers);
+
+	flow->trial = (flow_trial_t){.revision = route.revision,
+	    .to_new = route.to_new,
+	    .share = route.share};
+	if (choice.server == NULL && route.others != NULL) {
+		choice = pick_among(flow, route.others);
+		/* Not chosen at random: it counts, and proves nothing. */
+		flow->trial.to_new = false;
+		flow->trial.share = 0;
+	}
+	rollouts_route_clear(&route);
+	return choice;
+}
+
+pick_choice_t
+flow_pick_target(flow_t *flow)
+{
+	const GPtrArray *servers =
+	    pool_service(flow->context->pool, flow->service_name);
+	const char *version = flow->server->info->version;
+	GPtrArray *same = g_ptr_array_new();
+	pick_choice_t choice;
+
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		server_t *server = servers->pdata[i];
+
+		if (strcmp(server->info->version, version) == 0)
+			g_ptr_array_add(same, server);
+	}
+	choice = pick_among(flow, same);
+	g_ptr_array_unref(same);
+	return choice;
+}
+
 /* Of engines only: the time of a plain service is not estimated as well. */
 static int64_t
 objective_ms(const flow_t *flow)
@@ -152,7 +196,7 @@
 void
 flow_attempt(flow_t *flow)
 {
-	pick_choice_t choice = flow_pick(flow);
+	pick_choice_t choice = pick_version(flow);
 
 	if (choice.server == NULL)
 		flow_refuse(flow, FLOW_RETRY_AFTER_MS, "no_server");
--- a/src/flow_move.c
+++ b/src/flow_move.c
@@ -147,7 +147,7 @@
 static void
 move(flow_t *flow)
 {
-	pick_choice_t choice = flow_pick(flow);
+	pick_choice_t choice = flow_pick_target(flow);
 
 	flow->move.state = FLOW_MOVE_OVER;
 	if (choice.server == NULL || choice.server == flow->server ||
--- a/src/flow_response.c
+++ b/src/flow_response.c
@@ -14,6 +14,7 @@
 	SILENCE_MIN_MS = 400,
 	/* Gaps between events vary more than the time to the first one. */
 	GAP_OBJECTIVES = 2,
+	PERCENT = 100,
 };
 
 static void
@@ -37,6 +38,38 @@
 	return pace;
 }
 
+/*
+ * How slow an attempt was: of engines the percentage of the time that its
+ * tokens take, since a new server's cache is empty; of others the time in ms.
+ */
+static double
+slowness(const flow_t *flow, double took_ms)
+{
+	double expected_ms;
+
+	if (flow->service == NULL || !flow->service->is_engine)
+		return took_ms;
+	expected_ms = pace_expect_ms(flow_pace(flow), flow->ahead_tokens);
+	return PERCENT * took_ms / MAX(expected_ms, 1);
+}
+
+void
+flow_observe_version(flow_t *flow, bool ok, double took_ms)
+{
+	evidence_attempt_t attempt = {
+	    .side = flow->trial.to_new ? EVIDENCE_NEW : EVIDENCE_OLD,
+	    .share = flow->trial.share,
+	    .route = flow->route->name,
+	    .ok = ok,
+	    .first_ms = ok ? slowness(flow, took_ms) : 0,
+	};
+
+	if (flow->trial.revision != 0 &&
+	    !(ok && server_is_cold(flow->server, clock_boot_ms())))
+		rollouts_observe(flow->context->rollouts, flow->service_name,
+		    flow->trial.revision, &attempt);
+}
+
 /* The server's first byte of work has been seen. */
 static void
 note_begun(flow_t *flow)
@@ -50,6 +83,7 @@
 	flow_stop_waiting(flow);
 	count_usage(flow);
 	took_ms = (double)(now_ms - flow->attempt_ms);
+	flow_observe_version(flow, true, took_ms);
 	flow->first_ms = now_ms - flow->received_ms;
 	if (flow->service != NULL && flow->service->is_engine)
 		pace_learn(flow_pace(flow), flow->ahead_tokens, took_ms);
@@ -245,6 +279,7 @@
 	if (flow->waiting)
 		count_usage(flow);
 	log_failure(flow, "server error", true);
+	flow_observe_version(flow, false, 0);
 	server_observe(flow->server, SERVER_FAILED, 0, clock_boot_ms());
 	if (catalog_may_repeat(flow->route) && flow_may_go_on(flow))
 		try_elsewhere(flow);
@@ -314,6 +349,7 @@
 		count_usage(flow);
 	flow->ran = true;
 	log_failure(flow, why, true);
+	flow_observe_version(flow, false, 0);
 	server_observe(flow->server, outcome, 0, clock_boot_ms());
 	if (!cut && catalog_may_repeat(flow->route) && flow_may_go_on(flow))
 		try_elsewhere(flow);
@@ -370,6 +406,7 @@
 		count_usage(flow);
 	flow->ran = true;
 	log_failure(flow, "silent", true);
+	flow_observe_version(flow, false, 0);
 	server_observe(flow->server, SERVER_UNREACHABLE, 0, clock_boot_ms());
 	try_elsewhere(flow);
 }
--- a/src/flow_state.h
+++ b/src/flow_state.h
@@ -37,6 +37,13 @@
 	bool stopped; /* the source has closed the stream */
 } flow_move_t;
 
+/* The part of an attempt in the version move of its service. */
+typedef struct flow_trial {
+	int64_t revision; /* of the move; 0: none, or no evidence */
+	bool to_new;
+	double share; /* probability with which the version was chosen */
+} flow_trial_t;
+
 typedef struct flow {
 	TAILQ_ENTRY(flow) entries; /* of the context */
 	unsigned refs;
@@ -57,6 +64,7 @@
 	server_t *server; /* NULL: none */
 	upstream_call_t *call;
 	int64_t attempt_ms;
+	flow_trial_t trial;
 	double new_tokens;
 	double ahead_tokens;
 	double expected_ms;
@@ -98,11 +106,14 @@
 /* flow_attempt.c */
 /* Sends the request to a server, or refuses it. */
 void flow_attempt(flow_t *flow);
-pick_choice_t flow_pick(flow_t *flow);
+/* A server of the same version, to which the running stream may move. */
+pick_choice_t flow_pick_target(flow_t *flow);
 void flow_send(flow_t *flow, const pick_choice_t *choice);
 
 /* flow_response.c */
 pace_t *flow_pace(const flow_t *flow);
+/* Tells the version move of the service how an attempt went. */
+void flow_observe_version(flow_t *flow, bool ok, double took_ms);
 /* Gives up a server that sends nothing for long beside an objective. */
 void flow_watch_silence(flow_t *flow, int64_t objective_ms);
 void flow_not_sent(flow_t *flow, server_outcome_t outcome, const char *why);
--- a/src/front.c
+++ b/src/front.c
@@ -215,6 +215,13 @@
 	front->on_drained(front->drain_data);
 }
 
+static void
+set_move_time(front_t *front)
+{
+	rollouts_set_time(front->flow.rollouts, cluster_wall_ms(front->cluster),
+	    cluster_nodes(front->cluster));
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -225,6 +232,8 @@
 	if (!is_starting(front))
 		serve_early(front);
 	usage_report_tick(front->usage_report, cluster_wall_ms(front->cluster));
+	set_move_time(front);
+	rollouts_tick(front->flow.rollouts, front->store, front->lease);
 	scale_orders_tick(front->scale_orders, front->flow.catalog);
 	if (now_ms - front->swept_ms >= SWEEP_MS) {
 		front->swept_ms = now_ms;
@@ -306,6 +315,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 	    .counters = counters_new(),
 	};
+	front->flow.rollouts = rollouts_new(&(rollouts_options_t){
+	    .config = front->config, .pool = front->flow.pool});
 	TAILQ_INIT(&front->flow.flows);
 }
 
@@ -317,6 +328,7 @@
 	    .pool = front->flow.pool,
 	    .quota = front->flow.quota,
 	    .usage = front->flow.usage,
+	    .rollouts = front->flow.rollouts,
 	    .on_newer_configuration = on_newer_configuration,
 	    .data = front,
 	};
@@ -353,6 +365,7 @@
 	    .http = front->http,
 	    .lease = front->lease,
 	    .pool = front->flow.pool,
+	    .rollouts = front->flow.rollouts,
 	});
 	sync.store = front->store;
 	front->sync = sync_start(front->loop, &sync);
@@ -370,6 +383,7 @@
 	start_flow(front);
 	if (!start_cluster(front, error) || !start_listeners(front, error))
 		return NULL; /* the process ends */
+	set_move_time(front);
 	start_store(front);
 	uv_timer_init(loop, &front->timer);
 	front->timer.data = front;
--- a/src/front_config.h
+++ b/src/front_config.h
@@ -15,7 +15,9 @@
 	int64_t retry_window_ms;
 	int64_t quota_window_ms; /* in which quotas are judged */
 	int64_t usage_window_ms;
-	int64_t usage_late_ms;	    /* after the end of a usage window */
+	int64_t usage_late_ms; /* after the end of a usage window */
+	double expose_share;   /* of requests that a bad version may get */
+	double expose_extra;   /* requests beyond that share, in one move */
 	int64_t address_ttl_max_ms; /* that clients keep an address list */
 } front_bounds_t;
 
--- a/src/front_keys.c
+++ b/src/front_keys.c
@@ -86,6 +86,7 @@
 	KEY_USAGE,
 	KEY_SCALE,
 	KEY_ROLLOUT,
+	KEY_ROLLOUT_RECORD,
 	KEY_OTHER,
 } key_kind_t;
 
@@ -101,6 +102,7 @@
 	    {lease_node_prefix, KEY_NODE},
 	    {scale_order_prefix, KEY_SCALE},
 	    {platform_rollout_prefix, KEY_ROLLOUT},
+	    {rollouts_prefix, KEY_ROLLOUT_RECORD},
 	};
 
 	*name = key;
@@ -159,9 +161,12 @@
 		    front->scale_orders, name, item->value, item->length);
 		break;
 	case KEY_ROLLOUT:
-		log_event(LOG_LEVEL_WARN, "rollout.ignored",
-		    "service=%s reason=\"version moves are not built yet\"",
-		    name);
+		rollouts_see_order(front->flow.rollouts, name, item->value,
+		    item->length, item->revision);
+		break;
+	case KEY_ROLLOUT_RECORD:
+		rollouts_see_record(
+		    front->flow.rollouts, name, item->value, item->length);
 		break;
 	case KEY_OTHER:
 		break;
@@ -214,8 +219,13 @@
 	case KEY_SCALE:
 		scale_orders_see(front->scale_orders, name, NULL, 0);
 		break;
-	case KEY_CONFIGURATION:
 	case KEY_ROLLOUT:
+		rollouts_see_order(front->flow.rollouts, name, NULL, 0, 0);
+		break;
+	case KEY_ROLLOUT_RECORD:
+		rollouts_see_record(front->flow.rollouts, name, NULL, 0);
+		break;
+	case KEY_CONFIGURATION:
 	case KEY_OTHER:
 		break;
 	}
--- a/src/front_state.h
+++ b/src/front_state.h
@@ -8,6 +8,7 @@
 #include "http_client.h"
 #include "lease.h"
 #include "platform_store.h"
+#include "rollouts.h"
 #include "scale_order.h"
 #include "sync.h"
 #include "usage_report.h"
--- a/src/pool.c
+++ b/src/pool.c
@@ -230,6 +230,12 @@
 	       server->upstream != NULL && now_ms >= server->suspect_until_ms;
 }
 
+bool
+server_is_cold(const server_t *server, int64_t now_ms)
+{
+	return now_ms < server->listed_at_ms + server->info->cold_ms;
+}
+
 unsigned
 server_in_flight(const server_t *server)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -76,6 +76,9 @@
 /* True where a new request may go there. */
 bool server_usable(const server_t *server, int64_t now_ms);
 
+/* True while a server is still slow after its start. */
+bool server_is_cold(const server_t *server, int64_t now_ms);
+
 /* Requests of all nodes in progress there. */
 unsigned server_in_flight(const server_t *server);
 
--- /dev/null
+++ b/src/rollouts.h
@@ -0,0 +1,80 @@
+#ifndef PAPAYA_ROLLOUTS_H
+#define PAPAYA_ROLLOUTS_H
+
+#include "digest.h"
+#include "front_config.h"
+#include "lease.h"
+#include "platform_store.h"
+#include "pool.h"
+#include "rollout.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * The version moves that the operators have ordered, one a service. Every node
+ * sends requests by the stage in the store and stops by itself where the new
+ * version is bad; the holder of the duties writes the stages and the outcome.
+ */
+typedef struct rollouts rollouts_t;
+
+/* Prefix of the keys that hold the stage of each service's move. */
+extern const char rollouts_prefix[];
+
+typedef struct rollouts_options {
+	const front_config_t *config; /* all borrowed */
+	pool_t *pool;
+} rollouts_options_t;
+
+rollouts_t *rollouts_new(const rollouts_options_t *options);
+
+/* An order has been written; value NULL: removed. */
+void rollouts_see_order(rollouts_t *rollouts, const char *service,
+    const char *value, size_t length, int64_t revision);
+/* The record of a stage has been written; value NULL: removed. */
+void rollouts_see_record(rollouts_t *rollouts, const char *service,
+    const char *value, size_t length);
+
+/* The time, and the nodes that share the requests. */
+void rollouts_set_time(rollouts_t *rollouts, int64_t wall_ms, unsigned nodes);
+
+/* Judges the moves, and writes what is due while this node has the duties. */
+void rollouts_tick(
+    rollouts_t *rollouts, platform_store_t *store, const lease_t *lease);
+
+/* The servers that one request may go to. */
+typedef struct rollouts_route {
+	const GPtrArray *servers; /* server_t *; or NULL */
+	/* Where those are of the new version and none of them can take the
+	 * request: the others. NULL: none. */
+	const GPtrArray *others;
+	GPtrArray *owned[2]; /* to be released; may be NULL */
+	int64_t revision;    /* of the move; 0: none runs */
+	bool to_new;
+	double share; /* probability with which to_new was chosen */
+} rollouts_route_t;
+
+/*
+ * Chooses the version for a request. first: its first attempt, which counts as
+ * evidence; others go to the old version while a move is judged.
+ */
+rollouts_route_t rollouts_choose(
+    const rollouts_t *rollouts, const char *service, bool first, double random);
+void rollouts_route_clear(rollouts_route_t *route);
+
+/* A first attempt was sent to, or ended at, one of the versions. */
+void rollouts_sent(
+    rollouts_t *rollouts, const char *service, int64_t revision, bool to_new);
+void rollouts_observe(rollouts_t *rollouts, const char *service,
+    int64_t revision, const evidence_attempt_t *attempt);
+
+/* True where a server is of the version that the service stays with. */
+bool rollouts_counts(const rollouts_t *rollouts, const server_info_t *info);
+
+/* What this node tells the others, and what they say. */
+void rollouts_fill(const rollouts_t *rollouts, digest_t *digest);
+void rollouts_merge(rollouts_t *rollouts, const digest_t *digest);
+
+#endif
--- a/src/scale_order.c
+++ b/src/scale_order.c
@@ -107,14 +107,17 @@
 	json_decref(json);
 }
 
-/* Servers of a zone that are listed and stay. */
+/* Servers of a zone that are listed and stay; those of a version that is only
+ * on trial do not count. */
 static void
-count_zone(const GPtrArray *servers, autoscale_zone_t *zone)
+count_zone(const rollouts_t *rollouts, const GPtrArray *servers,
+    autoscale_zone_t *zone)
 {
 	for (guint i = 0; servers != NULL && i < servers->len; i++) {
 		const server_t *server = servers->pdata[i];
 
 		if (server->info->draining ||
+		    !rollouts_counts(rollouts, server->info) ||
 		    strcmp(server->info->zone, zone->name) != 0)
 			continue;
 		if (server->info->spot)
@@ -168,7 +171,7 @@
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
 		autoscale_zone_t zone = {.name = name};
 
-		count_zone(servers, &zone);
+		count_zone(orders->options.rollouts, servers, &zone);
 		json_object_set_new(
 		    json, name, json_integer(zone.on_demand + zone.spot));
 	}
@@ -286,7 +289,7 @@
 		    .price = price == NULL ? 1 : *price,
 		    .baseline = GPOINTER_TO_UINT(baseline)};
 
-		count_zone(servers, &zone);
+		count_zone(orders->options.rollouts, servers, &zone);
 		g_array_append_val(zones, zone);
 	}
 	autoscale_decide(
--- a/src/scale_order.h
+++ b/src/scale_order.h
@@ -7,6 +7,7 @@
 #include "lease.h"
 #include "platform_store.h"
 #include "pool.h"
+#include "rollouts.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -26,6 +27,7 @@
 	http_client_t *http;
 	lease_t *lease;
 	pool_t *pool;
+	rollouts_t *rollouts;
 } scale_order_options_t;
 
 scale_orders_t *scale_orders_new(const scale_order_options_t *options);
--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -46,6 +46,28 @@
 	    200));
 }
 
+char *
+front_get(const char *key)
+{
+	char *path = g_strconcat("/v1/kv-key?key=", key, NULL);
+	ask_t ask = {.to = front_platform, .path = path};
+	answer_t *answer = ask_send(&ask);
+	const char *value =
+	    json_string_value(json_object_get(answer->json, "value"));
+	char *text = NULL;
+	gsize length;
+
+	if (answer->status == 200 && value != NULL)
+		text = (char *)g_base64_decode(value, &length);
+	if (text != NULL)
+		text = g_realloc(text, length + 1);
+	if (text != NULL)
+		text[length] = '\0';
+	answer_free(answer);
+	g_free(path);
+	return text;
+}
+
 static json_t *
 route(const char *path, const char *kind, int attempts, const char *service)
 {
@@ -99,13 +121,20 @@
 void
 front_list_server(
     const char *id, const char *service, int port, const char *state)
+{
+	front_list_version(id, service, port, state, "v1");
+}
+
+void
+front_list_version(const char *id, const char *service, int port,
+    const char *state, const char *version)
 {
 	char *key = g_strconcat("servers/", id, NULL);
 	char *text = g_strdup_printf(
 	    "{\"service\": \"%s\", \"address\": \"127.0.0.1:%d\","
-	    " \"zone\": \"z\", \"version\": \"v1\", \"slots\": 4,"
+	    " \"zone\": \"z\", \"version\": \"%s\", \"slots\": 4,"
 	    " \"state\": \"%s\", \"sequence\": 1}",
-	    service, port, state);
+	    service, port, version, state);
 
 	front_put(key, text);
 	g_free(text);
@@ -137,7 +166,7 @@
 	char *path = g_strdup("/tmp/papaya-front-XXXXXX");
 	json_t *json =
 	    json_pack("{s:s,s:s,s:s,s:{s:o,s:o,s:o},s:[i,i],s:{s:o},s:{s:o},"
-		      "s:{s:i,s:i,s:i,s:i}}",
+		      "s:{s:i,s:i,s:i,s:i,s:i}}",
 		"node_name", name, "zone", "z", "ip", "127.0.0.1",
 		"listen_addrs", "front", json_sprintf("127.0.0.1:%d", port),
 		"ready", json_sprintf("127.0.0.1:%d", port + 1), "directory",
@@ -145,7 +174,8 @@
 		port + 3, port + 4, "platform", "address",
 		json_string(front_platform->address), "cloud_api", "address",
 		json_string(front_platform->address), "bounds", "revoke_ms",
-		2000, "window_s", 1, "usage_late_s", 10, "grace_s", 6);
+		2000, "window_s", 1, "usage_late_s", 10, "grace_s", 6,
+		"expose_slack", 200);
 
 	close(mkstemp(path));
 	ck_assert_int_eq(json_dump_file(json, path, 0), 0);
--- a/tests/support_front.h
+++ b/tests/support_front.h
@@ -66,9 +66,14 @@
 /* Closes what is still open (not -1). */
 void front_close(front_ends_t *ends);
 
-/* Lists a backend server. */
+/* Lists a backend server of version "v1", or of another one. */
 void front_list_server(
     const char *id, const char *service, int port, const char *state);
+void front_list_version(const char *id, const char *service, int port,
+    const char *state, const char *version);
+
+/* The value of a key of the store; NULL where there is none. */
+char *front_get(const char *key);
 
 /* Text of a request of one of the routes above. Free with g_free(). */
 char *front_request(const char *path, const char *attempt_id, const char *key);
--- /dev/null
+++ b/tests/test_rollouts.c
@@ -0,0 +1,169 @@
+#include "suite.h"
+#include "support_front.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <poll.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Version moves that operators order in the store, with real nodes. */
+
+enum {
+	MOVE_S = 8,
+	MOVE_MS = MOVE_S * 1000,
+	/* A request each, for so long after the order. */
+	PAUSE_MS = 10,
+	ACCEPT_MS = 3000,
+};
+
+static unsigned new_requests;
+
+static void
+respond(int listener, const char *status)
+{
+	int fd = wire_accept(listener);
+	char *request = wire_read_message(fd);
+	char *id = wire_header(request, "X-Attempt-Id");
+	char *text =
+	    g_strdup_printf("HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n"
+			    "X-Response-Stamp: s\r\nConnection: close\r\n"
+			    "Content-Length: 2\r\n\r\nok",
+		status, id);
+
+	wire_send(fd, text);
+	g_free(text);
+	g_free(id);
+	g_free(request);
+	close(fd);
+}
+
+/* Serves whatever the node sends for one request of a client. */
+static void
+serve_one(int client, const char *new_status)
+{
+	struct pollfd ends[] = {{.fd = front_server_1, .events = POLLIN},
+	    {.fd = front_server_2, .events = POLLIN},
+	    {.fd = client, .events = POLLIN}};
+
+	for (;;) {
+		ck_assert_int_gt(poll(ends, 3, ACCEPT_MS), 0);
+		if (ends[0].revents != 0) {
+			respond(front_server_1, "200 OK");
+		} else if (ends[1].revents != 0) {
+			new_requests++;
+			respond(front_server_2, new_status);
+		} else {
+			g_free(wire_read_message(client));
+			return;
+		}
+	}
+}
+
+static void
+send_requests(int64_t for_ms, const char *new_status)
+{
+	int64_t until = g_get_monotonic_time() + for_ms * 1000;
+
+	while (g_get_monotonic_time() < until) {
+		char *id = g_strdup_printf("id-%u", g_random_int());
+		int client = front_send("/read/a", id);
+
+		serve_one(client, new_status);
+		close(client);
+		g_free(id);
+		g_usleep(PAUSE_MS * 1000);
+	}
+}
+
+static void
+order_move(void)
+{
+	char *text = g_strdup_printf(
+	    "{\"service\": \"plain\", \"target\": \"v2\", \"duration_s\": %d}",
+	    MOVE_S);
+
+	front_list_version("i-2", "plain", front_port_2, "ready", "v2");
+	front_put("op/rollout/plain", text);
+	g_free(text);
+}
+
+static void
+assert_state(const char *state)
+{
+	char *text = front_get("status/rollout/plain");
+	json_t *json = text == NULL ? NULL : json_loads(text, 0, NULL);
+
+	ck_assert_pstr_eq(
+	    json_string_value(json_object_get(json, "state")), state);
+	ck_assert_pstr_eq(
+	    json_string_value(json_object_get(json, "target")), "v2");
+	json_decref(json);
+	g_free(text);
+}
+
+/* Guards against a good version that is never reported as completed. */
+START_TEST(a_good_version_takes_over)
+{
+	order_move();
+	send_requests(MOVE_MS, "200 OK");
+	assert_state("completed");
+	new_requests = 0;
+	send_requests(500, "200 OK");
+	ck_assert_uint_gt(new_requests, 0);
+	ck_assert(!wire_waits(front_server_1, 0));
+}
+END_TEST
+
+/* Guards against requests to a version that has been found bad. */
+START_TEST(a_bad_version_gets_nothing_more)
+{
+	order_move();
+	send_requests(MOVE_MS, "500 Broken");
+	assert_state("reverted");
+	new_requests = 0;
+	send_requests(500, "500 Broken");
+	ck_assert_uint_eq(new_requests, 0);
+}
+END_TEST
+
+/* Guards against a new process that forgets the outcome of a move. */
+START_TEST(a_restarted_node_keeps_the_outcome)
+{
+	order_move();
+	send_requests(MOVE_MS, "500 Broken");
+	assert_state("reverted");
+	program_end(front_node, SIGKILL);
+	front_node = front_start("n1");
+	new_requests = 0;
+	send_requests(500, "500 Broken");
+	ck_assert_uint_eq(new_requests, 0);
+}
+END_TEST
+
+/* Guards against an order that cannot be read and stops a service. */
+START_TEST(a_malformed_order_changes_nothing)
+{
+	front_put("op/rollout/plain", "{\"target\": 7}");
+	send_requests(300, "200 OK");
+	ck_assert_ptr_null(front_get("status/rollout/plain"));
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("rollouts");
+	TCase *cases = tcase_create("rollouts");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, front_fixture_start, front_fixture_end);
+	tcase_add_test(cases, a_good_version_takes_over);
+	tcase_add_test(cases, a_bad_version_gets_nothing_more);
+	tcase_add_test(cases, a_restarted_node_keeps_the_outcome);
+	tcase_add_test(cases, a_malformed_order_changes_nothing);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
