Let requests without tokens pass beside a flood of prompts

Ruled out: too small a quota (the workspace got its limit, 473,000 units a second).

Change: a request that names no tokens may bring the bucket below zero, to a quarter of its capacity; it is paid back first. The outcome line names units and what was left of the quota. quota_take returns what decided.

Test first: 154 of 160 small requests were refused beside prompts, now none; they alone keep the bound.

--- a/src/flow.c
+++ b/src/flow.c
@@ -78,6 +78,15 @@
 	flow_unref(flow);
 }
 
+static double
+request_units(const flow_t *flow)
+{
+	if (!flow->workspace->counts_tokens)
+		return 1;
+	return flow->facts.has_tokens ? pick_request_tokens(&flow->facts)
+				      : flow->workspace->plain_tokens;
+}
+
 void
 flow_log_end(flow_t *flow, unsigned status, const char *cause)
 {
@@ -90,6 +99,8 @@
 	    .status = status,
 	    .cause = cause,
 	    .retry_after_ms = flow->retry_after_ms,
+	    .units = flow->workspace == NULL ? 0 : request_units(flow),
+	    .quota_left = flow->quota_left,
 	    .attempts = flow->tried->len,
 	    .ran = flow->ran,
 	    .elapsed_ms = clock_boot_ms() - flow->received_ms,
@@ -201,31 +212,25 @@
 	return flow->workspace != NULL;
 }
 
-static double
-request_units(const flow_t *flow)
-{
-	if (!flow->workspace->counts_tokens)
-		return 1;
-	return flow->facts.has_tokens ? pick_request_tokens(&flow->facts)
-				      : flow->workspace->plain_tokens;
-}
-
 /* False where the workspace is over its limit; the request is answered. */
 static bool
 take_quota(flow_t *flow)
 {
-	int64_t wait_ms;
+	quota_verdict_t verdict;
 	double units;
 
 	if (flow->workspace == NULL)
 		return true;
 	units = request_units(flow);
-	if (quota_take(flow->context->quota, flow->workspace->name, units,
-		clock_boot_ms(), &wait_ms)) {
+	verdict = quota_take(flow->context->quota, flow->workspace->name, units,
+	    flow->workspace->counts_tokens && !flow->facts.has_tokens,
+	    clock_boot_ms());
+	flow->quota_left = verdict.left;
+	if (verdict.allowed) {
 		flow->units = units;
 		return true;
 	}
-	flow_answer(flow, 429, wait_ms, "over_quota");
+	flow_answer(flow, 429, verdict.wait_ms, "over_quota");
 	return false;
 }
 
--- a/src/flow_log.c
+++ b/src/flow_log.c
@@ -16,15 +16,16 @@
 							    : LOG_LEVEL_WARN,
 	    "request.ended",
 	    "id=%s status=%u cause=\"%s\" retry_after_ms=%" G_GINT64_FORMAT
-	    " route=%s workspace=%s service=%s "
+	    " route=%s workspace=%s units=%.0f quota_left=%.0f service=%s "
 	    "server=%s attempts=%u ran=%d elapsed_ms=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " expected_ms=%.0f ahead_tokens=%.0f"
 	    " configuration=%" G_GINT64_FORMAT " usable_ms=%" G_GINT64_FORMAT,
 	    line->attempt_id == NULL ? "" : line->attempt_id, line->status,
 	    line->cause, line->retry_after_ms, line->route, line->workspace,
-	    line->service, line->server, line->attempts, line->ran,
-	    line->elapsed_ms, line->first_ms, line->expected_ms,
-	    line->ahead_tokens, line->configuration, line->proof_age_ms);
+	    line->units, line->quota_left, line->service, line->server,
+	    line->attempts, line->ran, line->elapsed_ms, line->first_ms,
+	    line->expected_ms, line->ahead_tokens, line->configuration,
+	    line->proof_age_ms);
 }
 
 void
--- a/src/flow_log.h
+++ b/src/flow_log.h
@@ -16,6 +16,8 @@
 	unsigned status;    /* to the client; 0: it left */
 	const char *cause;
 	int64_t retry_after_ms; /* told to the client; -1: none */
+	double units;		/* that count against the quota */
+	double quota_left;	/* before it; 0 where nothing limits it */
 	unsigned attempts;	/* servers that got the request */
 	bool ran;		/* a server may have begun */
 	int64_t elapsed_ms;
--- a/src/flow_state.h
+++ b/src/flow_state.h
@@ -55,7 +55,8 @@
 	const catalog_service_t *service;     /* NULL: not configured */
 	const char *service_name;
 	request_facts_t facts;
-	double units; /* taken from the quota */
+	double units;	   /* taken from the quota */
+	double quota_left; /* before it was asked for */
 	int64_t received_ms;
 	int64_t deadline_ms;
 	uv_timer_t deadline_timer;
--- a/src/quota.c
+++ b/src/quota.c
@@ -12,6 +12,8 @@
  * that a steady demand gets all that the window allows.
  */
 static const double capacity_share = 0.5;
+/* Part of the capacity that small requests may go below zero. */
+static const double debt_share = 0.25;
 /* Time of the rate that can be spent at once where there is no burst. */
 static const double capacity_s = 0.25;
 
@@ -170,26 +172,29 @@
 	       (quota->nodes - 1 - quota->silent);
 }
 
-bool
-quota_take(quota_t *quota, const char *workspace, double units, int64_t now_ms,
-    int64_t *wait_ms)
+quota_verdict_t
+quota_take(quota_t *quota, const char *workspace, double units, bool is_small,
+    int64_t now_ms)
 {
 	bucket_t *bucket = find_limited(quota, workspace, now_ms);
-	double left;
+	quota_verdict_t verdict = {.allowed = true};
+	double least;
 
-	*wait_ms = 0;
 	if (bucket == NULL)
-		return true;
-	left = bucket->level - unheard(quota, bucket);
+		return verdict;
+	least = is_small ? -debt_share * bucket->capacity : 0;
+	verdict.left = bucket->level - unheard(quota, bucket);
 	/* May fall below zero, so that large requests pass as small ones do. */
-	if (left <= 0) {
-		*wait_ms = 1 + (int64_t)((units - left) / bucket->rate_per_ms);
-		return false;
+	if (verdict.left <= least) {
+		verdict.allowed = false;
+		verdict.wait_ms =
+		    1 + (int64_t)((units - verdict.left) / bucket->rate_per_ms);
+		return verdict;
 	}
 	bucket->level -= units;
 	bucket->recent[bucket->recent_slot % RECENT_SLOTS] += units;
 	bucket->spent += units;
-	return true;
+	return verdict;
 }
 
 void
--- a/src/quota.h
+++ b/src/quota.h
@@ -40,12 +40,19 @@
 void quota_set_nodes(
     quota_t *quota, unsigned nodes, unsigned silent, int64_t now_ms);
 
+/* What decided on a request. */
+typedef struct quota_verdict {
+	bool allowed;
+	int64_t wait_ms; /* where not allowed: until part of it is free again */
+	double left;	 /* units that could still be spent before it */
+} quota_verdict_t;
+
 /*
- * Spends units of a workspace; false where it has spent its quota, with
- * the time until part of it is free again in *wait_ms.
+ * Spends units of a workspace, or refuses them. is_small: the request costs
+ * next to nothing beside others, so that it may go into debt for them.
  */
-bool quota_take(quota_t *quota, const char *workspace, double units,
-    int64_t now_ms, int64_t *wait_ms);
+quota_verdict_t quota_take(quota_t *quota, const char *workspace, double units,
+    bool is_small, int64_t now_ms);
 
 /* Gives back the units of a request that was not run. */
 void quota_return(
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -44,12 +44,12 @@
 static double
 admitted(quota_t *quota, int64_t from_ms, int64_t to_ms)
 {
-	int64_t wait_ms;
 	double sum = 0;
 
 	for (int64_t now = from_ms; now < to_ms; now += STEP_MS)
 		for (int i = 0; i < 10; i++)
-			if (quota_take(quota, "depot", UNITS, now, &wait_ms))
+			if (quota_take(quota, "depot", UNITS, false, now)
+				.allowed)
 				sum += UNITS;
 	return sum;
 }
@@ -80,13 +80,12 @@
 	    .over_share = 0.1,
 	    .over_units = LIMIT * 0.15});
 	double asked = 0, served = 0;
-	int64_t wait_ms;
 
 	quota_configure(quota, catalog, START_MS);
 	for (int64_t now = START_MS + WINDOW_MS;
 	     now < START_MS + WINDOWS * WINDOW_MS; now += STEP_MS) {
 		asked += DEMAND_STEP;
-		if (quota_take(quota, "depot", DEMAND_STEP, now, &wait_ms))
+		if (quota_take(quota, "depot", DEMAND_STEP, false, now).allowed)
 			served += DEMAND_STEP;
 	}
 	ck_assert_double_ge(served, asked * 0.98);
@@ -147,7 +146,6 @@
 	enum { NODES = 7, EXCHANGE_MS = 200 };
 	quota_t *quotas[NODES];
 	double unsent[NODES] = {0}, total = 0;
-	int64_t wait_ms;
 
 	for (int i = 0; i < NODES; i++) {
 		quotas[i] = quota_with(RATE, BURST, START_MS);
@@ -155,8 +153,8 @@
 	}
 	for (int64_t now = START_MS; now < START_MS + 4 * WINDOW_MS; now++) {
 		for (int i = 0; i < NODES; i++) {
-			if (!quota_take(
-				quotas[i], "depot", UNITS, now, &wait_ms))
+			if (!quota_take(quotas[i], "depot", UNITS, false, now)
+				 .allowed)
 				continue;
 			unsent[i] += UNITS;
 			if (now >= START_MS + 3 * WINDOW_MS)
@@ -199,18 +197,63 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing bookings, which cost next to nothing, because the
+ * prompts of the same workspace have used up its quota.
+ */
+START_TEST(small_requests_pass_beside_a_flood)
+{
+	enum { PROMPT = 200, SMALL = 1 };
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	unsigned refused = 0;
+	double sum = 0;
+
+	for (int64_t now = START_MS + WINDOW_MS; now < START_MS + 2 * WINDOW_MS;
+	     now += STEP_MS) {
+		if (quota_take(quota, "depot", PROMPT, false, now).allowed)
+			sum += PROMPT;
+		if (quota_take(quota, "depot", SMALL, true, now).allowed)
+			sum += SMALL;
+		else
+			refused++;
+	}
+	ck_assert_uint_eq(refused, 0);
+	ck_assert_double_le(sum, LIMIT + PROMPT);
+	quota_free(quota);
+}
+END_TEST
+
+/* Guards against small requests without an end. */
+START_TEST(small_requests_keep_the_bound)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	double sum = 0;
+
+	for (int64_t now = START_MS + WINDOW_MS; now < START_MS + 2 * WINDOW_MS;
+	     now += STEP_MS)
+		for (int i = 0; i < 10; i++)
+			if (quota_take(quota, "depot", UNITS, true, now)
+				.allowed)
+				sum += UNITS;
+	ck_assert_double_le(sum, LIMIT * 1.1);
+	quota_free(quota);
+}
+END_TEST
+
 /* Guards against a refusal that costs the workspace its quota. */
 START_TEST(what_was_not_run_is_given_back)
 {
 	quota_t *quota = quota_with(RATE, BURST, START_MS);
 	int64_t later_ms = START_MS + WINDOW_MS;
-	int64_t wait_ms;
+	quota_verdict_t verdict;
 
-	ck_assert(quota_take(quota, "depot", LIMIT, later_ms, &wait_ms));
-	ck_assert(!quota_take(quota, "depot", UNITS, later_ms + 300, &wait_ms));
-	ck_assert_int_gt(wait_ms, 0);
+	ck_assert(quota_take(quota, "depot", LIMIT, false, later_ms).allowed);
+	verdict = quota_take(quota, "depot", UNITS, false, later_ms + 300);
+	ck_assert(!verdict.allowed);
+	ck_assert_int_gt(verdict.wait_ms, 0);
 	quota_return(quota, "depot", LIMIT, later_ms + 300);
-	ck_assert(quota_take(quota, "depot", UNITS, later_ms + 600, &wait_ms));
+	ck_assert(
+	    quota_take(quota, "depot", UNITS, false, later_ms + 600).allowed);
 	quota_free(quota);
 }
 END_TEST
@@ -230,10 +273,9 @@
 START_TEST(a_workspace_without_a_limit_is_never_refused)
 {
 	quota_t *quota = quota_with(0, 0, START_MS);
-	int64_t wait_ms;
 
-	ck_assert(quota_take(quota, "depot", 1e9, START_MS, &wait_ms));
-	ck_assert(quota_take(quota, "other", 1e9, START_MS, &wait_ms));
+	ck_assert(quota_take(quota, "depot", 1e9, false, START_MS).allowed);
+	ck_assert(quota_take(quota, "other", 1e9, false, START_MS).allowed);
 	quota_free(quota);
 }
 END_TEST
@@ -250,6 +292,8 @@
 	tcase_add_test(cases, a_restart_keeps_the_bound);
 	tcase_add_test(cases, nodes_together_keep_the_bound);
 	tcase_add_test(cases, silent_nodes_keep_their_part);
+	tcase_add_test(cases, small_requests_pass_beside_a_flood);
+	tcase_add_test(cases, small_requests_keep_the_bound);
 	tcase_add_test(cases, what_was_not_run_is_given_back);
 	tcase_add_test(cases, a_rate_without_a_burst_is_served);
 	tcase_add_test(cases, a_workspace_without_a_limit_is_never_refused);
