--- a/tests/support_wire.c
+++ b/tests/support_wire.c
@@ -172,3 +172,15 @@
 
 	return readable(fd, timeout_ms) && recv(fd, &byte, 1, 0) <= 0;
 }
+
+void
+wire_assert_header(const char *message, const char *name, const char *value)
+{
+	char *found = wire_header(message, name);
+
+	if (value == NULL)
+		ck_assert_ptr_null(found);
+	else
+		ck_assert_pstr_eq(found, value);
+	g_free(found);
+}
--- a/tests/support_wire.h
+++ b/tests/support_wire.h
@@ -39,5 +39,8 @@
 
 /* Value of a header of a message, newly allocated; NULL where absent. */
 char *wire_header(const char *message, const char *name);
+/* Fails where a header has another value; NULL: is to be absent. */
+void wire_assert_header(
+    const char *message, const char *name, const char *value);
 
 #endif
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -37,18 +37,6 @@
 	g_free(text);
 }
 
-static void
-assert_header(const char *message, const char *name, const char *value)
-{
-	char *found = wire_header(message, name);
-
-	if (value == NULL)
-		ck_assert_ptr_null(found);
-	else
-		ck_assert_pstr_eq(found, value);
-	g_free(found);
-}
-
 START_TEST(a_request_reaches_its_server_and_the_response_its_client)
 {
 	front_ends_t ends = front_open("/read/a?b=c", front_server_1);
@@ -58,16 +46,16 @@
 	ck_assert(
 	    g_str_has_prefix(ends.request, "POST /read/a?b=c HTTP/1.1\r\n"));
 	ck_assert(g_str_has_suffix(ends.request, "\r\n\r\nbody"));
-	assert_header(ends.request, "X-Attempt-Id", "id-1");
-	assert_header(ends.request, "X-Tenant", "depot");
-	assert_header(ends.request, "X-Target-Instance", "i-1");
-	assert_header(ends.request, "Authorization", NULL);
+	wire_assert_header(ends.request, "X-Attempt-Id", "id-1");
+	wire_assert_header(ends.request, "X-Tenant", "depot");
+	wire_assert_header(ends.request, "X-Target-Instance", "i-1");
+	wire_assert_header(ends.request, "Authorization", NULL);
 	ck_assert_int_le(atoi(deadline), 3000);
 	ck_assert_int_gt(atoi(deadline), 2000);
 	answer(ends.server, "200 OK", "id-1", "whole");
 	response = wire_read_message(ends.client);
 	ck_assert_uint_eq(status_of(response), 200);
-	assert_header(response, "X-Response-Stamp", "s1");
+	wire_assert_header(response, "X-Response-Stamp", "s1");
 	ck_assert(g_str_has_suffix(response, "\r\n\r\nwhole"));
 	g_free(response);
 	g_free(deadline);
@@ -87,9 +75,9 @@
 	close(ends.server);
 	ends.server = -1;
 	response = wire_read_to_end(ends.client, &reset);
-	assert_header(response, "Content-Length", NULL);
-	assert_header(response, "Transfer-Encoding", NULL);
-	assert_header(response, "Connection", "close");
+	wire_assert_header(response, "Content-Length", NULL);
+	wire_assert_header(response, "Transfer-Encoding", NULL);
+	wire_assert_header(response, "Connection", "close");
 	g_free(response);
 	front_close(&ends);
 }
@@ -130,7 +118,7 @@
 	after = wire_header(response, "Retry-After");
 	ck_assert_uint_eq(status_of(response), 503);
 	ck_assert_ptr_nonnull(after);
-	assert_header(response, "X-Response-Stamp", NULL);
+	wire_assert_header(response, "X-Response-Stamp", NULL);
 	g_free(after);
 	g_free(response);
 	front_close(&ends);
@@ -166,7 +154,7 @@
 	servers[1] = wire_accept(used == 0 ? front_server_2 : front_server_1);
 	g_free(request);
 	request = wire_read_message(servers[1]);
-	assert_header(request, "X-Attempt-Id", "id-1");
+	wire_assert_header(request, "X-Attempt-Id", "id-1");
 	answer(servers[1], "200 OK", "id-1", "ok");
 	ck_assert_uint_eq(read_status(client), 200);
 	g_free(request);
@@ -216,114 +204,6 @@
 }
 END_TEST
 
-/* Guards against events that are missing, doubled or joined after a cut. */
-START_TEST(a_stream_goes_on_at_another_server)
-{
-	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-				   "X-Response-Stamp: s1\r\n"
-				   "Content-Type: text/event-stream\r\n"
-				   "Transfer-Encoding: chunked\r\n\r\n";
-	int client, server, port_3, server_3 = wire_listen(&port_3);
-	char *request, *response;
-	bool first;
-
-	front_list_server("e-2", "engine", port_3, "ready");
-	g_usleep(100000);
-	client = front_send("/talk/a", "id-1");
-	first = wire_waits(front_server_2, 300);
-	server = wire_accept(first ? front_server_2 : server_3);
-	request = wire_read_message(server);
-	wire_send(server, head);
-	wire_send(server, "1c\r\nid: 1\ndata: a\n\nid: 2\ndata: \r\n");
-	close(server);
-	g_free(request);
-	server = wire_accept(first ? server_3 : front_server_2);
-	request = wire_read_message(server);
-	assert_header(request, "Last-Event-Id", "1");
-	wire_send(server, head);
-	wire_send(server, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
-	response = wire_read_until(client, "0\r\n\r\n");
-	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
-	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
-	ck_assert_ptr_null(strstr(response, "data: \n"));
-	g_free(response);
-	g_free(request);
-	close(client);
-	close(server);
-	close(server_3);
-}
-END_TEST
-
-/* Guards against a cut stream that cannot go on and looks complete. */
-START_TEST(a_stream_that_cannot_be_resumed_ends_cut)
-{
-	front_ends_t ends = front_open("/write/a", front_server_2);
-	char *response;
-	bool reset;
-
-	wire_send(ends.server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-			       "Transfer-Encoding: chunked\r\n\r\n"
-			       "f\r\nid: 1\ndata: a\n\n\r\n");
-	g_usleep(50000);
-	close(ends.server);
-	ends.server = -1;
-	response = wire_read_to_end(ends.client, &reset);
-	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
-	ck_assert_ptr_null(strstr(response, "0\r\n\r\n"));
-	g_free(response);
-	front_close(&ends);
-}
-END_TEST
-
-/* Guards against a stream that is cut because its engine is reclaimed. */
-START_TEST(a_stream_moves_away_from_an_engine_that_leaves)
-{
-	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
-				   "Transfer-Encoding: chunked\r\n\r\n";
-	int client = front_send("/write/a", "id-1");
-	int source = wire_accept(front_server_2);
-	int port_3, server_3 = wire_listen(&port_3), order, target;
-	char *request = wire_read_message(source);
-	char *response, *from, *moved;
-
-	wire_send(source, head);
-	wire_send(source, "f\r\nid: 1\ndata: a\n\n\r\n");
-	front_list_server("e-2", "engine", port_3, "ready");
-	front_list_server("e-1", "engine", front_port_2, "draining");
-	g_free(request);
-	order = wire_accept(front_server_2);
-	request = wire_read_message(order);
-	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
-	ck_assert_ptr_nonnull(strstr(request, "\"id\":\"id-1\""));
-	wire_send(source, "f\r\nid: 2\ndata: b\n\n\r\n");
-	g_usleep(50000);
-	close(source);
-	wire_send(order, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
-			 "{\"handle\": 7,\"created\": 2}");
-	g_free(request);
-	target = wire_accept(server_3);
-	request = wire_read_message(target);
-	from = g_strdup_printf("127.0.0.1:%d/7", front_port_2);
-	moved = wire_header(request, "Kv-From");
-	ck_assert_str_eq(moved, from);
-	assert_header(request, "Last-Event-Id", "2");
-	assert_header(request, "X-Attempt-Id", "id-1");
-	wire_send(target, head);
-	wire_send(target, "f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n");
-	response = wire_read_until(client, "0\r\n\r\n");
-	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
-	ck_assert_ptr_nonnull(strstr(response, "id: 3\ndata: c\n\n"));
-	g_free(response);
-	g_free(from);
-	g_free(moved);
-	g_free(request);
-	close(client);
-	close(order);
-	close(target);
-	close(server_3);
-}
-END_TEST
-
 START_TEST(unknown_keys_and_routes_are_refused)
 {
 	char *text = front_request("/read/a", "id-1", "key-3");
@@ -616,9 +496,6 @@
 	tcase_add_test(
 	    cases, a_connection_with_bytes_left_over_is_not_used_again);
 	tcase_add_test(cases, a_client_that_leaves_ends_the_work_of_its_server);
-	tcase_add_test(cases, a_stream_goes_on_at_another_server);
-	tcase_add_test(cases, a_stream_that_cannot_be_resumed_ends_cut);
-	tcase_add_test(cases, a_stream_moves_away_from_an_engine_that_leaves);
 	tcase_add_test(cases, unknown_keys_and_routes_are_refused);
 	tcase_add_test(cases, a_withdrawn_key_stops);
 	tcase_add_test(cases, an_older_configuration_is_ignored);
--- /dev/null
+++ b/tests/test_stream_moves.c
@@ -0,0 +1,223 @@
+#include "suite.h"
+#include "support_front.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Streams whose engine breaks off, leaves or crashes. */
+
+/* Guards against events that are missing, doubled or joined after a cut. */
+START_TEST(a_stream_goes_on_at_another_server)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+				   "X-Response-Stamp: s1\r\n"
+				   "Content-Type: text/event-stream\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	int client, server, port_3, server_3 = wire_listen(&port_3);
+	char *request, *response;
+	bool first;
+
+	front_list_server("e-2", "engine", port_3, "ready");
+	g_usleep(100000);
+	client = front_send("/talk/a", "id-1");
+	first = wire_waits(front_server_2, 300);
+	server = wire_accept(first ? front_server_2 : server_3);
+	request = wire_read_message(server);
+	wire_send(server, head);
+	wire_send(server, "1c\r\nid: 1\ndata: a\n\nid: 2\ndata: \r\n");
+	close(server);
+	g_free(request);
+	server = wire_accept(first ? server_3 : front_server_2);
+	request = wire_read_message(server);
+	wire_assert_header(request, "Last-Event-Id", "1");
+	wire_send(server, head);
+	wire_send(server, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(client, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	ck_assert_ptr_null(strstr(response, "data: \n"));
+	g_free(response);
+	g_free(request);
+	close(client);
+	close(server);
+	close(server_3);
+}
+END_TEST
+
+/* Guards against a cut stream that cannot go on and looks complete. */
+START_TEST(a_stream_that_cannot_be_resumed_ends_cut)
+{
+	front_ends_t ends = front_open("/write/a", front_server_2);
+	char *response;
+	bool reset;
+
+	wire_send(ends.server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n"
+			       "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_usleep(50000);
+	close(ends.server);
+	ends.server = -1;
+	response = wire_read_to_end(ends.client, &reset);
+	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
+	ck_assert_ptr_null(strstr(response, "0\r\n\r\n"));
+	g_free(response);
+	front_close(&ends);
+}
+END_TEST
+
+/* Guards against a stream that is cut because its engine is reclaimed. */
+START_TEST(a_stream_moves_away_from_an_engine_that_leaves)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	int client = front_send("/write/a", "id-1");
+	int source = wire_accept(front_server_2);
+	int port_3, server_3 = wire_listen(&port_3), order, target;
+	char *request = wire_read_message(source);
+	char *response, *from, *moved;
+
+	wire_send(source, head);
+	wire_send(source, "f\r\nid: 1\ndata: a\n\n\r\n");
+	front_list_server("e-2", "engine", port_3, "ready");
+	front_list_server("e-1", "engine", front_port_2, "draining");
+	g_free(request);
+	order = wire_accept(front_server_2);
+	request = wire_read_message(order);
+	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
+	ck_assert_ptr_nonnull(strstr(request, "\"id\":\"id-1\""));
+	wire_send(source, "f\r\nid: 2\ndata: b\n\n\r\n");
+	g_usleep(50000);
+	close(source);
+	wire_send(order, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			 "{\"handle\": 7,\"created\": 2}");
+	g_free(request);
+	target = wire_accept(server_3);
+	request = wire_read_message(target);
+	from = g_strdup_printf("127.0.0.1:%d/7", front_port_2);
+	moved = wire_header(request, "Kv-From");
+	ck_assert_str_eq(moved, from);
+	wire_assert_header(request, "Last-Event-Id", "2");
+	wire_assert_header(request, "X-Attempt-Id", "id-1");
+	wire_send(target, head);
+	wire_send(target, "f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(client, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	ck_assert_ptr_nonnull(strstr(response, "id: 3\ndata: c\n\n"));
+	g_free(response);
+	g_free(from);
+	g_free(moved);
+	g_free(request);
+	close(client);
+	close(order);
+	close(target);
+	close(server_3);
+}
+END_TEST
+
+/*
+ * Guards against a stream that ends cut though a copy of its run exists. The
+ * engine is asked to stop first; how it answers decides from where to go on.
+ */
+START_TEST(a_stream_goes_on_from_its_backup)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	int port_3, server_3 = wire_listen(&port_3), client, source, target;
+	char *request, *response, *backup, *from;
+	bool first;
+
+	front_list_server("e-2", "engine", port_3, "ready");
+	g_usleep(100000);
+	client = front_send("/write/a", "id-1");
+	first = wire_waits(front_server_2, 300);
+	source = wire_accept(first ? front_server_2 : server_3);
+	request = wire_read_message(source);
+	backup = g_strdup_printf("127.0.0.1:%d", first ? port_3 : front_port_2);
+	from = g_strdup_printf("%s/id-1", backup);
+	wire_assert_header(request, "X-Kv-Backup", backup);
+	g_free(request);
+	wire_send(source, head);
+	wire_send(source, "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_usleep(50000);
+	close(source);
+	source = wire_accept(first ? front_server_2 : server_3);
+	request = wire_read_message(source);
+	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
+	g_free(request);
+	wire_send(source, "HTTP/1.1 404 None\r\nContent-Length: 0\r\n\r\n");
+	target = wire_accept(first ? server_3 : front_server_2);
+	request = wire_read_message(target);
+	wire_assert_header(request, "Kv-From", from);
+	wire_assert_header(request, "Last-Event-Id", "1");
+	wire_assert_header(request, "X-Kv-Backup", NULL);
+	g_free(request);
+	wire_send(target, head);
+	wire_send(target, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(client, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	g_free(response);
+	g_free(backup);
+	g_free(from);
+	close(client);
+	close(source);
+	close(target);
+	close(server_3);
+}
+END_TEST
+
+/* Guards against a run at two engines where only the connection broke. */
+START_TEST(an_engine_that_still_runs_hands_over)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	int port_3, server_3 = wire_listen(&port_3), client, source, target;
+	char *request, *from;
+	bool first;
+
+	front_list_server("e-2", "engine", port_3, "ready");
+	g_usleep(100000);
+	client = front_send("/write/a", "id-1");
+	first = wire_waits(front_server_2, 300);
+	source = wire_accept(first ? front_server_2 : server_3);
+	g_free(wire_read_message(source));
+	wire_send(source, head);
+	wire_send(source, "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_usleep(50000);
+	close(source);
+	source = wire_accept(first ? front_server_2 : server_3);
+	g_free(wire_read_message(source));
+	wire_send(source, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			  "{\"handle\": 7,\"created\": 1}");
+	target = wire_accept(first ? server_3 : front_server_2);
+	request = wire_read_message(target);
+	from = g_strdup_printf("127.0.0.1:%d/7", first ? front_port_2 : port_3);
+	wire_assert_header(request, "Kv-From", from);
+	g_free(request);
+	g_free(from);
+	close(client);
+	close(source);
+	close(target);
+	close(server_3);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("stream_moves");
+	TCase *cases = tcase_create("stream_moves");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, front_fixture_start, front_fixture_end);
+	tcase_add_test(cases, a_stream_goes_on_at_another_server);
+	tcase_add_test(cases, a_stream_that_cannot_be_resumed_ends_cut);
+	tcase_add_test(cases, a_stream_moves_away_from_an_engine_that_leaves);
+	tcase_add_test(cases, a_stream_goes_on_from_its_backup);
+	tcase_add_test(cases, an_engine_that_still_runs_hands_over);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
