Take back the copies of streams at a second engine

A copy of every stream costs more than the streams it saves. Ruled out as a mend: only some streams, since a crash gives no notice.

Conclusion: streams are moved on notice only, as before.

--- a/src/catalog.h
+++ b/src/catalog.h
@@ -54,7 +54,6 @@
 	unsigned batch;	     /* engines: requests that run at once */
 	double cache_tokens; /* engines: KV memory */
 	bool can_move;	     /* engines: a run can go on at another one */
-	bool can_back_up;    /* engines: a run's memory is copied as it grows */
 	catalog_scaling_t *scaling; /* NULL: fixed size */
 } catalog_service_t;
 
--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -43,9 +43,6 @@
 	    .last_event_id =
 		flow->started ? event_stream_last_id(flow->events) : NULL,
 	    .moved_from = flow->move.from,
-	    .backup = flow->move.backup != NULL && flow->move.from == NULL
-			  ? flow->move.backup->info->address
-			  : NULL,
 	    .body_length = body->len,
 	    .has_body = body->len > 0 || head->has_length,
 	};
@@ -125,12 +122,11 @@
 	flow_watch_silence(flow, flow->route->objective_ms);
 }
 
-static pick_query_t
-pick_query(flow_t *flow, const GPtrArray *servers)
+static pick_choice_t
+pick_among(flow_t *flow, const GPtrArray *servers)
 {
 	flow_context_t *context = flow->context;
-
-	return (pick_query_t){
+	pick_query_t query = {
 	    .facts = &flow->facts,
 	    .service = flow->service,
 	    .servers = servers,
@@ -142,12 +138,6 @@
 	    .now_ms = clock_boot_ms(),
 	    .random = g_random_int(),
 	};
-}
-
-static pick_choice_t
-pick_among(flow_t *flow, const GPtrArray *servers)
-{
-	pick_query_t query = pick_query(flow, servers);
 
 	return pick_server(&query);
 }
@@ -203,19 +193,6 @@
 		   : 0;
 }
 
-/* A stream that could not be sent again keeps a copy at a second server. */
-static void
-set_backup(flow_t *flow, const server_t *chosen)
-{
-	pick_query_t query = pick_query(
-	    flow, pool_service(flow->context->pool, flow->service_name));
-
-	if (flow->events != NULL && !catalog_may_repeat(flow->route) &&
-	    flow->service != NULL && flow->service->can_back_up &&
-	    query.servers != NULL)
-		flow_set_backup(flow, pick_backup(&query, chosen));
-}
-
 void
 flow_attempt(flow_t *flow)
 {
@@ -229,8 +206,6 @@
 		    MAX(pick_return_ms(&choice, objective_ms(flow)),
 			FLOW_RETRY_AFTER_MS),
 		    "overloaded");
-	else {
-		set_backup(flow, choice.server);
+	else
 		flow_send(flow, &choice);
-	}
 }
--- a/src/flow_move.c
+++ b/src/flow_move.c
@@ -9,9 +9,6 @@
 	BEFORE_MS = 1000,
 	/* Wait for the last events after the copy is complete. */
 	LAST_EVENTS_MS = 200,
-	/* A source that is asked to stop and does not answer is taken as gone.
-	 */
-	SOURCE_SILENT_MS = 250,
 	STATUS_OK = 200,
 	STATUS_UNAVAILABLE = 503,
 };
@@ -54,32 +51,10 @@
 		leave_source(flow);
 }
 
-/* Goes on from the copy that the backup has. */
-static void
-go_on_at_backup(flow_t *flow)
-{
-	flow_move_t *move = &flow->move;
-
-	if (move->target != NULL)
-		server_unref(move->target);
-	move->target = server_ref(move->backup);
-	move->from = platform_backup_source(
-	    move->backup->info->address, flow->facts.attempt_id);
-	log_event(LOG_LEVEL_INFO, "stream.restored", "id=%s from=%s events=%s",
-	    flow->facts.attempt_id, move->from,
-	    event_stream_last_id(flow->events));
-	move->state = FLOW_MOVE_READY;
-	leave_source(flow);
-}
-
 /* The copy did not come about; the stream goes on, or has been cut. */
 static void
 give_up(flow_t *flow)
 {
-	if (flow->move.stopped && flow->move.backup != NULL) {
-		go_on_at_backup(flow);
-		return;
-	}
 	flow->move.state = FLOW_MOVE_OVER;
 	log_event(LOG_LEVEL_WARN, "stream.not_moved", "id=%s status=%u",
 	    flow->facts.attempt_id, flow->move.status);
@@ -109,7 +84,6 @@
 	const char *source = flow->server->info->address;
 
 	move->call = NULL;
-	uv_timer_stop(&flow->silence_timer);
 	if (end == UPSTREAM_COMPLETE &&
 	    (move->status == STATUS_OK || move->status == STATUS_UNAVAILABLE))
 		move->from = platform_read_move(
@@ -195,57 +169,6 @@
 	}
 }
 
-void
-flow_set_backup(flow_t *flow, server_t *backup)
-{
-	double tokens = pick_request_tokens(&flow->facts);
-
-	if (flow->move.backup != NULL) {
-		flow->move.backup->own.held_tokens -= tokens;
-		server_unref(flow->move.backup);
-	}
-	flow->move.backup = backup == NULL ? NULL : server_ref(backup);
-	if (backup != NULL)
-		backup->own.held_tokens += tokens;
-}
-
-static void
-on_source_silent(uv_timer_t *timer)
-{
-	flow_t *flow = timer->data;
-
-	if (flow->move.call == NULL)
-		return;
-	upstream_cancel(flow->move.call);
-	flow->move.call = NULL;
-	give_up(flow);
-}
-
-/*
- * The stream has broken off, and a backup has a copy. The source is asked to
- * stop first: where only the connection broke, it may still be at work.
- */
-static bool
-restore(flow_t *flow)
-{
-	server_t *backup = flow->move.backup;
-
-	if (backup == NULL || !flow->started || !flow->framed ||
-	    event_stream_last_id(flow->events) == NULL ||
-	    !server_usable(backup, clock_boot_ms()) ||
-	    flow_left_ms(flow) < FLOW_ATTEMPT_MIN_MS ||
-	    !retry_budget_take(flow->context->budget, flow->service_name,
-		cluster_nodes(flow->context->cluster), clock_boot_ms()))
-		return false;
-	server_observe(flow->server, SERVER_FAILED, 0, clock_boot_ms());
-	flow->move.stopped = true;
-	ask_source(flow, backup);
-	if (flow->move.call != NULL)
-		uv_timer_start(&flow->silence_timer, on_source_silent,
-		    SOURCE_SILENT_MS, 0);
-	return true;
-}
-
 bool
 flow_move_takes_on(flow_t *flow)
 {
@@ -257,9 +180,8 @@
 		leave_source(flow);
 		return true;
 	case FLOW_MOVE_NONE:
-		return restore(flow);
 	case FLOW_MOVE_OVER:
-		break;
+		return false;
 	}
 	return false;
 }
@@ -274,7 +196,6 @@
 	move->call = NULL;
 	server_unref(move->target);
 	move->target = NULL;
-	flow_set_backup(flow, NULL);
 	g_clear_pointer(&move->from, g_free);
 	if (move->answer != NULL)
 		g_string_free(move->answer, TRUE);
--- a/src/flow_state.h
+++ b/src/flow_state.h
@@ -35,8 +35,6 @@
 	unsigned status;
 	GString *answer;
 	bool stopped; /* the source has closed the stream */
-	/* Gets a copy of the run's memory as it grows; NULL: none. */
-	server_t *backup;
 } flow_move_t;
 
 /* The part of an attempt in the version move of its service. */
@@ -126,8 +124,6 @@
 void flow_on_end(upstream_end_t end, const char *why, void *data);
 
 /* flow_move.c */
-/* Chooses the server that keeps a copy of a stream that cannot be repeated. */
-void flow_set_backup(flow_t *flow, server_t *backup);
 /* The stream has been closed; true where a move takes it on. */
 bool flow_move_takes_on(flow_t *flow);
 void flow_move_clear(flow_t *flow);
--- a/src/pick.c
+++ b/src/pick.c
@@ -21,9 +21,6 @@
 /* Share of its memory beyond which an engine is avoided. */
 static const double memory_share = 0.8;
 
-/* Share of its memory up to which an engine takes copies of others' runs. */
-static const double backup_share = 0.5;
-
 /* Cost in ms of each shared token that is read where others have it not. */
 static const double reread_weight = 0.03;
 
@@ -126,17 +123,12 @@
 	       (running >= batch ? (running - batch + 1) * QUEUED_MS : 0);
 }
 
-static double
-held_tokens(const server_t *server)
-{
-	return server->own.held_tokens + server->peers.held_tokens;
-}
-
 static double
 memory_ms(const pick_query_t *query, const server_t *server)
 {
 	double capacity = query->service->cache_tokens;
-	double held = held_tokens(server) + pick_request_tokens(query->facts);
+	double held = server->own.held_tokens + server->peers.held_tokens +
+		      pick_request_tokens(query->facts);
 
 	if (capacity <= 0 || held <= memory_share * capacity)
 		return 0;
@@ -245,25 +237,3 @@
 	}
 	return choice;
 }
-
-server_t *
-pick_backup(const pick_query_t *query, const server_t *chosen)
-{
-	double least = backup_share * query->service->cache_tokens -
-		       pick_request_tokens(query->facts);
-	server_t *best = NULL;
-	guint first = (guint)(query->random % query->servers->len);
-
-	for (guint i = 0; i < query->servers->len; i++) {
-		server_t *server =
-		    query->servers->pdata[(first + i) % query->servers->len];
-
-		if (server == chosen || held_tokens(server) >= least ||
-		    !server_usable(server, query->now_ms) ||
-		    strcmp(server->info->version, chosen->info->version) != 0)
-			continue;
-		least = held_tokens(server);
-		best = server;
-	}
-	return best;
-}
--- a/src/pick.h
+++ b/src/pick.h
@@ -36,13 +36,6 @@
 
 pick_choice_t pick_server(const pick_query_t *query);
 
-/*
- * The server that gets a copy of a run's memory, so that the run can go on
- * there when its own server crashes: the one with the most room among those of
- * the same version. NULL where none has room.
- */
-server_t *pick_backup(const pick_query_t *query, const server_t *chosen);
-
 /*
  * True where the queue makes the response so late that the work is better
  * spent on requests that can still be on time. objective_ms 0: none. A prompt
--- a/src/request_facts.h
+++ b/src/request_facts.h
@@ -43,7 +43,6 @@
 	int priority;		   /* 0 is the most urgent; -1: not said */
 	const char *last_event_id; /* overrides the client's; NULL: its own */
 	const char *moved_from; /* IP:PORT/HANDLE of a run's memory; or NULL */
-	const char *backup;	/* IP:PORT that gets a copy of it; NULL: none */
 	size_t body_length;
 	bool has_body;
 } forward_options_t;
