--- a/tests/support_front.c
+++ b/tests/support_front.c
@@ -95,7 +95,7 @@
 	    route("/read/", "idempotent", 2, "plain"), talk,
 	    route("/write/", "streaming", 1, "engine"), open, "services",
 	    "name", "plain", "name", "engine", "engine", "slots", 8,
-	    "kv_capacity_tokens", 100000, "moves", 1, "backups", 1, "limits",
+	    "kv_capacity_tokens", 100000, "moves", 1, "limits",
 	    "max_header_bytes", 4000, "max_body_bytes", 2000,
 	    "header_timeout_ms", 500, "idle_timeout_ms", 5000, "tenants",
 	    "name", "depot", "api_keys", keys, "priority", 1, "rate_per_s",
