Thin the log by kind; count quotas, retries and calls; one page for operations

Cause: a slow reader lost lines of any kind alike, so the line that decides a failed request could be lost among those of served ones; an engineer could not see from the metrics what a quota or the store had refused.

Change: lines of the lowest level wait in half of the buffer; drops are counted and reported by level.

Test first: with 20,000 lines of served requests before it, the line of a failed one was dropped; now it is kept.

--- a/src/error.c
+++ b/src/error.c
@@ -19,7 +19,7 @@
 	"run the same release on every node"},
     [PAPAYA_ERROR_TOO_LARGE] = {"too_large", 413, "send a smaller body"},
     [PAPAYA_ERROR_NOT_FOUND] = {"not_found", 404,
-	"check the path against docs/operators.md"},
+	"check the path against docs/OPERATIONS.md"},
     [PAPAYA_ERROR_UNKNOWN_SERVICE] = {"unknown_service", 404,
 	"use TEAM/NAME of a service in the applied settings"},
     [PAPAYA_ERROR_UNKNOWN_WORKSPACE] = {"unknown_workspace", 403,
--- a/src/flow.c
+++ b/src/flow.c
@@ -163,10 +163,17 @@
 bool
 flow_may_go_on(flow_t *flow)
 {
-	return flow->tried->len < flow->route->max_attempts &&
-	       flow_left_ms(flow) > FLOW_ATTEMPT_MIN_MS &&
-	       retry_budget_take(flow->context->budget, flow->service_name,
-		   cluster_nodes(flow->context->cluster), clock_boot_ms());
+	bool taken;
+
+	if (flow->tried->len >= flow->route->max_attempts ||
+	    flow_left_ms(flow) <= FLOW_ATTEMPT_MIN_MS)
+		return false;
+	taken = retry_budget_take(flow->context->budget, flow->service_name,
+	    cluster_nodes(flow->context->cluster), clock_boot_ms());
+	counter_add(flow->context->counters, 1,
+	    "retries_total{service=\"%s\",allowed=\"%d\"}", flow->service_name,
+	    taken);
+	return taken;
 }
 
 static void
@@ -230,6 +237,8 @@
 		flow->units = units;
 		return true;
 	}
+	counter_add(flow->context->counters, 1,
+	    "quota_refused_total{workspace=\"%s\"}", flow->workspace->name);
 	flow_answer(flow, 429, verdict.wait_ms, "over_quota");
 	return false;
 }
--- a/src/front.c
+++ b/src/front.c
@@ -178,6 +178,16 @@
 		serve_early(front);
 }
 
+static void
+add_quota_gauge(const quota_state_t *state, void *data)
+{
+	char *name =
+	    g_strdup_printf("quota_left{workspace=\"%s\"}", state->workspace);
+
+	*counter_get(data, name) = (uint64_t)MAX(state->level, 0);
+	g_free(name);
+}
+
 static void
 update_gauges(front_t *front, int64_t now_ms)
 {
@@ -192,7 +202,13 @@
 	    pool_count(front->flow.pool);
 	*counter_get(counters, "configuration_proof_age_ms") =
 	    (uint64_t)(now_ms - sync_confirmed_ms(front->sync));
-	*counter_get(counters, "log_lines_dropped_total") = log_dropped();
+	*counter_get(counters, "log_lines_dropped_total{level=\"info\"}") =
+	    log_dropped(LOG_LEVEL_INFO);
+	*counter_get(counters, "log_lines_dropped_total{level=\"warn\"}") =
+	    log_dropped(LOG_LEVEL_WARN);
+	*counter_get(counters, "log_lines_dropped_total{level=\"error\"}") =
+	    log_dropped(LOG_LEVEL_ERROR);
+	quota_each(front->flow.quota, now_ms, add_quota_gauge, counters);
 }
 
 static void
@@ -355,11 +371,12 @@
 	};
 
 	front->http = http_client_new(front->loop);
-	front->store =
-	    platform_store_new(front->http, front->config->store_url);
+	front->store = platform_store_new(
+	    front->http, front->config->store_url, front->flow.counters);
 	front->lease = lease_start(front->loop, front->config, front->store);
 	report.store = front->store;
 	report.http = front->http;
+	report.counters = front->flow.counters;
 	report.lease = front->lease;
 	report.usage = front->flow.usage;
 	front->usage_report = usage_report_new(&report);
@@ -367,6 +384,7 @@
 	    .config = front->config,
 	    .store = front->store,
 	    .http = front->http,
+	    .counters = front->flow.counters,
 	    .lease = front->lease,
 	    .pool = front->flow.pool,
 	    .rollouts = front->flow.rollouts,
--- a/src/log.c
+++ b/src/log.c
@@ -11,6 +11,8 @@
 enum {
 	/* Lines that wait for a slow reader. */
 	WAITING_MAX_BYTES = 256 * 1024,
+	/* The same for lines of the lowest level. */
+	WAITING_INFO_BYTES = 128 * 1024,
 	/* A pipe that is ready takes at least so much without blocking. */
 	ATOMIC_BYTES = 4096,
 	FLUSH_MS = 100,
@@ -22,8 +24,8 @@
 static GString *log_waiting;
 static bool log_batches; /* a timer flushes */
 static uv_timer_t log_timer;
-static uint64_t log_dropped_lines;
-static uint64_t log_reported_lines;
+static uint64_t log_dropped_lines[LOG_LEVELS];
+static uint64_t log_reported_lines[LOG_LEVELS];
 
 static const char *
 format_line(const log4c_layout_t *layout, const log4c_logging_event_t *event)
@@ -61,6 +63,28 @@
 	return end == NULL ? ATOMIC_BYTES : (size_t)(end - text->str) + 1;
 }
 
+/* Says by kind what was dropped since the last time. */
+static void
+report_dropped(void)
+{
+	uint64_t lines[LOG_LEVELS], sum = 0;
+
+	for (int level = 0; level < LOG_LEVELS; level++) {
+		lines[level] =
+		    log_dropped_lines[level] - log_reported_lines[level];
+		sum += lines[level];
+	}
+	if (sum == 0 || log_category == NULL)
+		return;
+	memcpy(
+	    log_reported_lines, log_dropped_lines, sizeof(log_reported_lines));
+	log_event(LOG_LEVEL_WARN, "log.dropped",
+	    "info=%" G_GUINT64_FORMAT " warn=%" G_GUINT64_FORMAT
+	    " error=%" G_GUINT64_FORMAT,
+	    lines[LOG_LEVEL_INFO], lines[LOG_LEVEL_WARN],
+	    lines[LOG_LEVEL_ERROR]);
+}
+
 void
 log_flush(void)
 {
@@ -72,19 +96,26 @@
 			return; /* tried again with the next line */
 		g_string_erase(log_waiting, 0, written);
 	}
-	if (log_dropped_lines > log_reported_lines && log_category != NULL) {
-		uint64_t lines = log_dropped_lines - log_reported_lines;
-
-		log_reported_lines = log_dropped_lines;
-		log_event(LOG_LEVEL_WARN, "log.dropped",
-		    "lines=%" G_GUINT64_FORMAT, lines);
-	}
+	report_dropped();
 }
 
 uint64_t
-log_dropped(void)
+log_dropped(log_level_t level)
+{
+	return log_dropped_lines[level];
+}
+
+static log_level_t
+level_of(const log4c_logging_event_t *event)
 {
-	return log_dropped_lines;
+	switch (event->evt_priority) {
+	case LOG4C_PRIORITY_WARN:
+		return LOG_LEVEL_WARN;
+	case LOG4C_PRIORITY_INFO:
+		return LOG_LEVEL_INFO;
+	default:
+		return LOG_LEVEL_ERROR;
+	}
 }
 
 /* log4c's own appenders put their names before each line, and block. */
@@ -92,9 +123,12 @@
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
 	size_t length = strlen(event->evt_rendered_msg);
+	log_level_t level = level_of(event);
+	size_t most =
+	    level == LOG_LEVEL_INFO ? WAITING_INFO_BYTES : WAITING_MAX_BYTES;
 
-	if (log_waiting->len + length > WAITING_MAX_BYTES) {
-		log_dropped_lines++;
+	if (log_waiting->len + length > most) {
+		log_dropped_lines[level]++;
 		return 0;
 	}
 	g_string_append_len(
--- a/src/log.h
+++ b/src/log.h
@@ -7,14 +7,16 @@
 #include <uv.h>
 
 /*
- * Structured log lines. Writing never blocks: lines wait in
- * a bounded buffer while the reader is slow, and are dropped and counted once
- * it is full.
+ * Structured log lines. Writing never blocks: lines wait in a bounded buffer
+ * while the reader is slow, and are dropped and counted once it is full. Lines
+ * of the lowest level, which repeat, may use a part of it only, so that the
+ * lines of failures are dropped last.
  */
 typedef enum log_level {
 	LOG_LEVEL_INFO,
 	LOG_LEVEL_WARN,
-	LOG_LEVEL_ERROR
+	LOG_LEVEL_ERROR,
+	LOG_LEVELS
 } log_level_t;
 
 /*
@@ -38,8 +40,8 @@
 void log_event(log_level_t level, const char *event, const char *format, ...)
     G_GNUC_PRINTF(3, 4);
 
-/* Lines given up because the reader was too slow. */
-uint64_t log_dropped(void);
+/* Lines of a level given up because the reader was too slow. */
+uint64_t log_dropped(log_level_t level);
 
 /* Writes what waits, as far as the reader takes it. */
 void log_flush(void);
--- a/src/node.c
+++ b/src/node.c
@@ -97,7 +97,7 @@
 {
 	if (!json_is_object(json)) {
 		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
-		    "%s: not a JSON object; see docs/operators.md", file);
+		    "%s: not a JSON object; see docs/OPERATIONS.md", file);
 		return false;
 	}
 	return check_names(file, json, error) &&
--- a/src/scale_order.c
+++ b/src/scale_order.c
@@ -248,7 +248,8 @@
 	platform_duty_token_t holder = {
 	    .cloud_url = orders->options.config->cloud_url,
 	    .holder = orders->options.config->name,
-	    .token = token};
+	    .token = token,
+	    .counters = orders->options.counters};
 
 	if (want == have || order->busy || now_ms < order->not_before_ms ||
 	    is_pending(order, want, token, service->scaling, now_ms))
--- a/src/scale_order.h
+++ b/src/scale_order.h
@@ -25,6 +25,7 @@
 	const front_config_t *config; /* all borrowed */
 	platform_store_t *store;
 	http_client_t *http;
+	counters_t *counters;
 	lease_t *lease;
 	pool_t *pool;
 	rollouts_t *rollouts;
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -99,7 +99,8 @@
 	platform_duty_token_t holder = {
 	    .cloud_url = report->options.config->cloud_url,
 	    .holder = report->options.config->name,
-	    .token = token};
+	    .token = token,
+	    .counters = report->options.counters};
 
 	report->sending = true;
 	report->sending_window = report->recorded_window;
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -22,6 +22,7 @@
 	const front_config_t *config; /* all borrowed */
 	platform_store_t *store;
 	http_client_t *http;
+	counters_t *counters;
 	lease_t *lease;
 	usage_t *usage;
 } usage_report_options_t;
--- /dev/null
+++ b/tests/test_log.c
@@ -0,0 +1,81 @@
+#include "log.h"
+#include "suite.h"
+
+#include <check.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+/* The log of a process whose reader has stopped. */
+
+enum { LINES = 20000, PIPE_READ_BYTES = 4096 };
+
+static int reader;
+
+static void
+start_with_full_pipe(void)
+{
+	int ends[2];
+
+	ck_assert_int_eq(pipe2(ends, O_CLOEXEC), 0);
+	reader = ends[0];
+	ck_assert_int_eq(log_start("test", ends[1]), 0);
+}
+
+/* All that is written once the reader is back. */
+static char *
+read_all(void)
+{
+	GString *text = g_string_new(NULL);
+	char bytes[PIPE_READ_BYTES];
+	ssize_t length;
+
+	ck_assert_int_eq(fcntl(reader, F_SETFL, O_NONBLOCK), 0);
+	for (;;) {
+		length = read(reader, bytes, sizeof(bytes));
+		if (length > 0) {
+			g_string_append_len(text, bytes, length);
+			continue;
+		}
+		log_flush();
+		length = read(reader, bytes, sizeof(bytes));
+		if (length <= 0)
+			return g_string_free(text, FALSE);
+		g_string_append_len(text, bytes, length);
+	}
+}
+
+/*
+ * Guards against a flood of what goes well that pushes out the line of a
+ * request that failed.
+ */
+START_TEST(what_repeats_is_dropped_before_failures)
+{
+	char *text;
+
+	start_with_full_pipe();
+	for (int i = 0; i < LINES; i++)
+		log_event(LOG_LEVEL_INFO, "request.ended", "id=%d", i);
+	log_event(LOG_LEVEL_WARN, "request.ended", "id=failed status=502");
+	ck_assert_uint_gt(log_dropped(LOG_LEVEL_INFO), 0);
+	ck_assert_uint_eq(log_dropped(LOG_LEVEL_WARN), 0);
+	text = read_all();
+	ck_assert_ptr_nonnull(strstr(text, "id=failed status=502"));
+	/* What was dropped is said by kind once the reader is back. */
+	ck_assert_ptr_nonnull(strstr(text, "log.dropped info="));
+	g_free(text);
+	log_stop();
+	close(reader);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("log");
+	TCase *cases = tcase_create("log");
+
+	tcase_add_test(cases, what_repeats_is_dropped_before_failures);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
