Let the nodes of a large fleet learn the store's changes from four of them

Ruled out: fewer watches by waiting between them, which delays the removal of servers. Change: from 12 nodes on, all but the first four in an order by name ask one of those each 300 ms for the changes after their revision; the answer carries them and the age of the proof, which the asker counts from its own question. Without a useful answer for 900 ms, or with a change that fits no datagram, a node watches by itself.

Change: the reserve weighs the node's own sample against what it has heard; its room is on top of what can be spent at once.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -11,14 +11,23 @@
 #include <string.h>
 
 enum {
+	/* Time between two digests of a node in a small fleet. */
+	SEND_MIN_MS = 200,
 	/* Added for each node, so that a large fleet sends more seldom. */
 	SEND_NODE_MS = 15,
+	/* From the making of a digest to its use, at most. */
+	DELIVERY_MS = 50,
 	/* Digests that may be lost before a node counts as silent. */
 	SILENT_DIGESTS = 5,
 	LOAD_MAX_AGE_MS = 2000,
 	/* A node that has run for longer knows the levels by itself. */
 	ADOPT_MS = 2000,
 	DATAGRAM_MAX_BYTES = 16 * 1024,
+	/* Fleets from this size on have followers. */
+	FOLLOWED_NODES_LEAST = 12,
+	RELAYS = 4,
+	/* A follower asks another relay after so long. */
+	RELAY_TURN_MS = 5000,
 };
 
 typedef struct peer {
@@ -78,8 +87,7 @@
 static int64_t
 interval_ms(const cluster_t *cluster)
 {
-	return MAX(CLUSTER_SEND_MIN_MS,
-	    SEND_NODE_MS * (int64_t)cluster_nodes(cluster));
+	return MAX(SEND_MIN_MS, SEND_NODE_MS * (int64_t)cluster_nodes(cluster));
 }
 
 static bool
@@ -193,6 +201,79 @@
 	*buffer = uv_buf_init(cluster->buffer, sizeof(cluster->buffer));
 }
 
+static peer_t *
+find_sender(const cluster_t *cluster, const struct sockaddr *from)
+{
+	const struct sockaddr_in *address = (const struct sockaddr_in *)from;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		peer_t *peer = value;
+
+		if (peer->registered &&
+		    peer->address.sin_port == address->sin_port &&
+		    peer->address.sin_addr.s_addr == address->sin_addr.s_addr)
+			return peer;
+	}
+	return NULL;
+}
+
+static void
+send_to(cluster_t *cluster, const peer_t *peer, const GByteArray *bytes)
+{
+	uv_buf_t buffer = uv_buf_init((char *)bytes->data, bytes->len);
+
+	/* Whatever is lost is sent, or asked for, again. */
+	(void)uv_udp_try_send(&cluster->socket, &buffer, 1,
+	    (const struct sockaddr *)&peer->address);
+}
+
+static void
+answer_question(cluster_t *cluster, const relay_question_t *question,
+    const struct sockaddr *from)
+{
+	const peer_t *peer = find_sender(cluster, from);
+	GByteArray *answer = g_byte_array_new();
+
+	if (peer != NULL) {
+		cluster->options.on_question(
+		    question, answer, cluster->options.data);
+		if (answer->len > 0)
+			send_to(cluster, peer, answer);
+	}
+	g_byte_array_unref(answer);
+}
+
+/* True where the datagram was a question or an answer of a follower. */
+static bool
+take_relayed(cluster_t *cluster, const char *bytes, size_t length,
+    const struct sockaddr *from)
+{
+	relay_message_t message;
+
+	relay_decode(bytes, length, &message);
+	switch (message.kind) {
+	case RELAY_NONE:
+		return false;
+	case RELAY_QUESTION:
+		answer_question(cluster, &message.question, from);
+		break;
+	case RELAY_ANSWER:
+		if (find_sender(cluster, from) != NULL)
+			cluster->options.on_answer(
+			    &message.answer, cluster->options.data);
+		break;
+	case RELAY_MALFORMED:
+		log_event(
+		    LOG_LEVEL_WARN, "relay.malformed", "bytes=%zu", length);
+		break;
+	}
+	relay_message_clear(&message);
+	return true;
+}
+
 static void
 on_datagram(uv_udp_t *socket, ssize_t length, const uv_buf_t *buffer,
     const struct sockaddr *from, unsigned flags)
@@ -202,6 +283,8 @@
 
 	if (length <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
 		return;
+	if (take_relayed(cluster, buffer->base, (size_t)length, from))
+		return;
 	digest = digest_decode(buffer->base, (size_t)length);
 	if (digest == NULL) {
 		log_event(
@@ -278,12 +361,9 @@
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const peer_t *peer = value;
-		uv_buf_t buffer = uv_buf_init((char *)bytes->data, bytes->len);
 
-		/* A digest that is lost is replaced by the next one. */
 		if (peer->registered)
-			(void)uv_udp_try_send(&cluster->socket, &buffer, 1,
-			    (const struct sockaddr *)&peer->address);
+			send_to(cluster, peer, bytes);
 	}
 	g_byte_array_unref(bytes);
 }
@@ -344,8 +424,8 @@
 		peer->silent_ms += passed_ms;
 		silent++;
 	}
-	quota_set_nodes(
-	    cluster->options.quota, cluster_nodes(cluster), silent, now_ms);
+	quota_set_nodes(cluster->options.quota, cluster_nodes(cluster), silent,
+	    interval_ms(cluster) / 2 + DELIVERY_MS, now_ms);
 }
 
 static int
@@ -495,6 +575,73 @@
 	return addresses;
 }
 
+/* Order of the nodes, by which all agree on those that watch the store. */
+static uint64_t
+node_order(const char *name)
+{
+	return (uint64_t)g_str_hash(name) << 32 | strlen(name);
+}
+
+/* The first nodes in that order which are heard from, at most RELAYS. */
+static unsigned
+find_relays(const cluster_t *cluster, const peer_t **relays)
+{
+	int64_t now_ms = clock_boot_ms();
+	unsigned count = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const peer_t *peer = value;
+		unsigned at = count;
+
+		if (!peer->registered || !is_heard(cluster, peer, now_ms) ||
+		    !peer->digest->ready)
+			continue;
+		while (at > 0 && node_order(peer->name) <
+				     node_order(relays[at - 1]->name)) {
+			if (at < RELAYS)
+				relays[at] = relays[at - 1];
+			at--;
+		}
+		if (at < RELAYS)
+			relays[at] = peer;
+		count = MIN(count + 1, RELAYS);
+	}
+	return count;
+}
+
+bool
+cluster_follows(const cluster_t *cluster)
+{
+	const peer_t *relays[RELAYS];
+	unsigned count;
+
+	if (cluster_nodes(cluster) < FOLLOWED_NODES_LEAST)
+		return false;
+	count = find_relays(cluster, relays);
+	return count == RELAYS && node_order(cluster->options.config->name) >
+				      node_order(relays[RELAYS - 1]->name);
+}
+
+void
+cluster_ask(cluster_t *cluster, const relay_question_t *question)
+{
+	const peer_t *relays[RELAYS];
+	unsigned count = find_relays(cluster, relays);
+	uint64_t turn = node_order(cluster->options.config->name) >> 32;
+	GByteArray *bytes;
+
+	if (count == 0)
+		return;
+	turn += (uint64_t)(clock_boot_ms() / RELAY_TURN_MS);
+	bytes = g_byte_array_new();
+	relay_encode_question(question, bytes);
+	send_to(cluster, relays[turn % count], bytes);
+	g_byte_array_unref(bytes);
+}
+
 int64_t
 cluster_wall_ms(const cluster_t *cluster)
 {
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -4,6 +4,7 @@
 #include "front_config.h"
 #include "pool.h"
 #include "quota.h"
+#include "relay.h"
 #include "rollouts.h"
 #include "usage.h"
 
@@ -19,9 +20,6 @@
  */
 typedef struct cluster cluster_t;
 
-/* Time between two digests of a node in a small fleet. */
-enum { CLUSTER_SEND_MIN_MS = 200 };
-
 typedef struct cluster_options {
 	const front_config_t *config; /* borrowed */
 	pool_t *pool;		      /* borrowed, as the next three */
@@ -30,6 +28,10 @@
 	rollouts_t *rollouts;
 	/* A node has a newer configuration than this one. */
 	void (*on_newer_configuration)(void *data);
+	/* A follower asks for changes: writes the answer. */
+	void (*on_question)(
+	    const relay_question_t *question, GByteArray *answer, void *data);
+	void (*on_answer)(const relay_answer_t *answer, void *data);
 	void *data;
 } cluster_options_t;
 
@@ -47,6 +49,14 @@
 /* Sends a digest to every node now. */
 void cluster_send(cluster_t *cluster);
 
+/*
+ * True where this node is to learn the store's changes from others: in a large
+ * fleet all but a few do, and the others watch it.
+ */
+bool cluster_follows(const cluster_t *cluster);
+/* Asks one of those few. */
+void cluster_ask(cluster_t *cluster, const relay_question_t *question);
+
 /* Registered nodes, with this one. */
 unsigned cluster_nodes(const cluster_t *cluster);
 
--- a/src/front.c
+++ b/src/front.c
@@ -55,6 +55,36 @@
 	sync_refresh(((front_t *)data)->sync);
 }
 
+static void
+on_follower_question(
+    const relay_question_t *question, GByteArray *answer, void *data)
+{
+	const front_t *front = data;
+
+	if (front->sync != NULL)
+		sync_answer(front->sync, question, answer);
+}
+
+static void
+on_relay_answer(const relay_answer_t *answer, void *data)
+{
+	front_t *front = data;
+
+	if (front->sync != NULL)
+		sync_take_answer(front->sync, answer);
+}
+
+/* In a large fleet most nodes ask others for the store's changes. */
+static void
+follow(front_t *front)
+{
+	relay_question_t question;
+
+	sync_follow(front->sync, cluster_follows(front->cluster));
+	if (sync_question(front->sync, &question))
+		cluster_ask(front->cluster, &question);
+}
+
 static void
 serve(front_t *front, exchange_t *exchange)
 {
@@ -244,6 +274,7 @@
 	front_t *front = timer->data;
 	int64_t now_ms = clock_boot_ms();
 
+	follow(front);
 	update_ready(front, now_ms);
 	if (!is_starting(front))
 		serve_early(front);
@@ -319,7 +350,6 @@
 	    .extra = bounds->retry_extra,
 	    .window_ms = bounds->retry_window_ms};
 	quota_options_t quota = {.window_ms = bounds->quota_window_ms,
-	    .unheard_ms = CLUSTER_SEND_MIN_MS,
 	    .over_share = bounds->quota_over,
 	    .over_units = bounds->quota_slack};
 
@@ -350,6 +380,8 @@
 	    .usage = front->flow.usage,
 	    .rollouts = front->flow.rollouts,
 	    .on_newer_configuration = on_newer_configuration,
+	    .on_question = on_follower_question,
+	    .on_answer = on_relay_answer,
 	    .data = front,
 	};
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -4,6 +4,9 @@
 	/* Span over which a node's own spending is smoothed. */
 	RECENT_MS = 1000,
 	RECENT_SLOTS = 10,
+	/* Requests of its own from which a node can tell what the others spend
+	 * as well as from what it has heard of them. */
+	SAMPLE = 8,
 	MS_PER_S = 1000,
 };
 
@@ -26,18 +29,23 @@
 typedef struct bucket {
 	char *workspace;
 	bool limited;
+	double rate_per_s; /* of the limit */
+	double burst;
 	double rate_per_ms; /* at which it fills */
 	double capacity;
 	double level; /* below zero after spending that was heard of late */
 	double spent; /* by this node since its start */
 	int64_t filled_ms;
 	int64_t recent_slot;
-	double recent[RECENT_SLOTS]; /* spending of this node */
+	double recent[RECENT_SLOTS];	 /* spending of this node */
+	unsigned requests[RECENT_SLOTS]; /* that it is of */
+	double heard[RECENT_SLOTS]; /* spending of others, as it was heard of */
 } bucket_t;
 
 struct quota {
 	GHashTable *buckets; /* workspace to bucket_t */
 	quota_options_t options;
+	int64_t unheard_ms;
 	unsigned nodes;
 	unsigned silent;
 };
@@ -91,8 +99,13 @@
 	    bucket->rate_per_ms * passed_ms * (1 - silent_part(quota));
 	bucket->level = MIN(bucket->level, bucket->capacity);
 	bucket->recent_slot = MAX(bucket->recent_slot, slot - RECENT_SLOTS);
-	while (bucket->recent_slot < slot)
-		bucket->recent[++bucket->recent_slot % RECENT_SLOTS] = 0;
+	while (bucket->recent_slot < slot) {
+		size_t next = (size_t)(++bucket->recent_slot % RECENT_SLOTS);
+
+		bucket->recent[next] = 0;
+		bucket->requests[next] = 0;
+		bucket->heard[next] = 0;
+	}
 }
 
 /* The bucket of a workspace with a limit, filled up to now; else NULL. */
@@ -109,20 +122,33 @@
 
 /* What a workspace may spend in any window. */
 static double
-window_units(
-    const quota_options_t *options, const catalog_workspace_t *workspace)
+window_units(const quota_options_t *options, const bucket_t *bucket)
 {
 	double window_s = (double)options->window_ms / MS_PER_S;
-	double limit = workspace->rate_per_s * window_s + workspace->burst;
+	double limit = bucket->rate_per_s * window_s + bucket->burst;
 	double tolerance = options->over_share * limit + options->over_units;
 
 	return limit + tolerance_share * MIN(tolerance, limit);
 }
 
+/* Room for what is not heard of yet is on top of what can be spent at once. */
+static void
+apply_limits(const quota_t *quota, bucket_t *bucket)
+{
+	double unheard_s = (double)quota->unheard_ms / MS_PER_S;
+	double at_once = MAX(
+	    bucket->burst * capacity_share, bucket->rate_per_s * capacity_s);
+
+	bucket->capacity = at_once + bucket->rate_per_s * unheard_s;
+	bucket->rate_per_ms =
+	    (window_units(&quota->options, bucket) - bucket->capacity) /
+	    (double)quota->options.window_ms;
+	bucket->level = MIN(bucket->level, bucket->capacity);
+}
+
 static void
 configure(quota_t *quota, const catalog_workspace_t *workspace, int64_t now_ms)
 {
-	double spendable = window_units(&quota->options, workspace);
 	bucket_t *bucket = g_hash_table_lookup(quota->buckets, workspace->name);
 
 	if (bucket == NULL) {
@@ -133,11 +159,9 @@
 	}
 	advance(quota, bucket, now_ms);
 	bucket->limited = workspace->rate_per_s > 0;
-	bucket->capacity = MAX(workspace->burst * capacity_share,
-	    workspace->rate_per_s * capacity_s);
-	bucket->rate_per_ms =
-	    (spendable - bucket->capacity) / (double)quota->options.window_ms;
-	bucket->level = MIN(bucket->level, bucket->capacity);
+	bucket->rate_per_s = workspace->rate_per_s;
+	bucket->burst = workspace->burst;
+	apply_limits(quota, bucket);
 }
 
 void
@@ -148,14 +172,18 @@
 }
 
 void
-quota_set_nodes(quota_t *quota, unsigned nodes, unsigned silent, int64_t now_ms)
+quota_set_nodes(quota_t *quota, unsigned nodes, unsigned silent,
+    int64_t unheard_ms, int64_t now_ms)
 {
 	GHashTableIter iter;
 	gpointer bucket;
 
 	g_hash_table_iter_init(&iter, quota->buckets);
-	while (g_hash_table_iter_next(&iter, NULL, &bucket))
+	quota->unheard_ms = unheard_ms;
+	while (g_hash_table_iter_next(&iter, NULL, &bucket)) {
 		advance(quota, bucket, now_ms);
+		apply_limits(quota, bucket);
+	}
 	quota->nodes = nodes;
 	quota->silent = MIN(silent, nodes - 1);
 }
@@ -164,12 +192,17 @@
 static double
 unheard(const quota_t *quota, const bucket_t *bucket)
 {
-	double recent = 0;
+	double recent = 0, heard = 0, own, others;
+	unsigned requests = 0;
 
-	for (size_t i = 0; i < RECENT_SLOTS; i++)
+	for (size_t i = 0; i < RECENT_SLOTS; i++) {
 		recent += bucket->recent[i];
-	return recent * (double)quota->options.unheard_ms / RECENT_MS *
-	       (quota->nodes - 1 - quota->silent);
+		requests += bucket->requests[i];
+		heard += bucket->heard[i];
+	}
+	own = recent * (quota->nodes - 1 - quota->silent);
+	others = (own * requests + heard * SAMPLE) / (requests + SAMPLE);
+	return others * (double)quota->unheard_ms / RECENT_MS;
 }
 
 quota_verdict_t
@@ -193,6 +226,7 @@
 	}
 	bucket->level -= units;
 	bucket->recent[bucket->recent_slot % RECENT_SLOTS] += units;
+	bucket->requests[bucket->recent_slot % RECENT_SLOTS]++;
 	bucket->spent += units;
 	return verdict;
 }
@@ -218,6 +252,7 @@
 
 	if (bucket == NULL)
 		return;
+	bucket->heard[bucket->recent_slot % RECENT_SLOTS] += MAX(units, 0);
 	reserved =
 	    bucket->rate_per_ms * (double)silent_ms / MAX(quota->nodes, 1);
 	if (units > 0)
--- a/src/quota.h
+++ b/src/quota.h
@@ -18,8 +18,7 @@
 typedef struct quota quota_t;
 
 typedef struct quota_options {
-	int64_t window_ms;  /* of the bound */
-	int64_t unheard_ms; /* age of what other nodes say */
+	int64_t window_ms; /* of the bound */
 	/* By how much the bound may be passed in a window: a share of it, and
 	 * units beyond that. */
 	double over_share;
@@ -36,9 +35,12 @@
 /* Takes over limits. */
 void quota_configure(quota_t *quota, const catalog_t *catalog, int64_t now_ms);
 
-/* How many nodes there are, with this one, and how many are silent. */
-void quota_set_nodes(
-    quota_t *quota, unsigned nodes, unsigned silent, int64_t now_ms);
+/*
+ * How many nodes there are, with this one, how many are silent, and the mean
+ * age of what the others say.
+ */
+void quota_set_nodes(quota_t *quota, unsigned nodes, unsigned silent,
+    int64_t unheard_ms, int64_t now_ms);
 
 /* What decided on a request. */
 typedef struct quota_verdict {
--- /dev/null
+++ b/src/relay.c
@@ -0,0 +1,287 @@
+#include "relay.h"
+
+#include "codec.h"
+
+#include <string.h>
+
+enum {
+	/* First fields of the messages; digests begin with lower numbers. */
+	QUESTION_TYPE = 100,
+	ANSWER_TYPE = 101,
+	QUESTION_FIELDS = 3,
+	ANSWER_FIELDS = 7,
+	ITEM_FIELDS = 3,
+	LOG_MAX_ITEMS = 1024,
+	LOG_MAX_BYTES = 256 * 1024,
+	/* Of changes in one answer, which is a datagram. */
+	ANSWER_MAX_BYTES = 8 * 1024,
+	KEY_MAX_BYTES = 200,
+};
+
+typedef struct change {
+	char *key;
+	char *value; /* NULL: removed */
+	size_t length;
+	int64_t revision;
+} change_t;
+
+struct relay_log {
+	GQueue *changes; /* of change_t, oldest first */
+	size_t bytes;
+	int64_t base; /* all changes after it are there */
+};
+
+static void
+change_free(change_t *change)
+{
+	g_free(change->key);
+	g_free(change->value);
+	g_free(change);
+}
+
+relay_log_t *
+relay_log_new(void)
+{
+	relay_log_t *log = g_new0(relay_log_t, 1);
+
+	log->changes = g_queue_new();
+	log->base = INT64_MAX;
+	return log;
+}
+
+static void
+drop_oldest(relay_log_t *log)
+{
+	change_t *change = g_queue_pop_head(log->changes);
+
+	log->base = change->revision;
+	log->bytes -= change->length;
+	change_free(change);
+}
+
+void
+relay_log_reset(relay_log_t *log, int64_t revision)
+{
+	while (!g_queue_is_empty(log->changes))
+		drop_oldest(log);
+	log->base = revision;
+}
+
+void
+relay_log_free(relay_log_t *log)
+{
+	if (log == NULL)
+		return;
+	relay_log_reset(log, 0);
+	g_queue_free(log->changes);
+	g_free(log);
+}
+
+void
+relay_log_add(relay_log_t *log, const platform_item_t *item)
+{
+	change_t *change = g_new0(change_t, 1);
+
+	change->key = g_strdup(item->key);
+	change->revision = item->revision;
+	if (!item->removed && item->value != NULL) {
+		change->length = item->length;
+		change->value = g_memdup2(item->value, item->length + 1);
+	}
+	g_queue_push_tail(log->changes, change);
+	log->bytes += change->length;
+	while (log->bytes > LOG_MAX_BYTES ||
+	       g_queue_get_length(log->changes) > LOG_MAX_ITEMS)
+		drop_oldest(log);
+}
+
+void
+relay_encode_question(const relay_question_t *question, GByteArray *out)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, out, codec_append);
+	msgpack_pack_array(&packer, QUESTION_FIELDS);
+	msgpack_pack_int(&packer, QUESTION_TYPE);
+	msgpack_pack_int64(&packer, question->since);
+	msgpack_pack_int64(&packer, question->sent_ms);
+}
+
+/*
+ * The changes after a revision that fit; *up_to is the last revision whose
+ * changes are all among them.
+ */
+static GPtrArray *
+select_changes(const relay_log_t *log, int64_t since, int64_t *up_to)
+{
+	GPtrArray *selected = g_ptr_array_new();
+	size_t bytes = 0;
+
+	for (GList *link = log->changes->head; link != NULL;
+	     link = link->next) {
+		change_t *change = link->data;
+
+		if (change->revision <= since)
+			continue;
+		bytes += change->length + KEY_MAX_BYTES;
+		if (bytes > ANSWER_MAX_BYTES) {
+			*up_to = change->revision - 1;
+			break;
+		}
+		g_ptr_array_add(selected, change);
+	}
+	while (selected->len > 0) {
+		const change_t *last = selected->pdata[selected->len - 1];
+
+		if (last->revision <= *up_to)
+			break;
+		g_ptr_array_set_size(selected, (gint)selected->len - 1);
+	}
+	return selected;
+}
+
+static void
+pack_changes(msgpack_packer *packer, const GPtrArray *changes)
+{
+	msgpack_pack_array(packer, changes->len * ITEM_FIELDS);
+	for (guint i = 0; i < changes->len; i++) {
+		const change_t *change = changes->pdata[i];
+
+		codec_pack_text(packer, change->key);
+		msgpack_pack_int64(packer, change->revision);
+		if (change->value == NULL) {
+			msgpack_pack_nil(packer);
+			continue;
+		}
+		msgpack_pack_bin(packer, change->length);
+		msgpack_pack_bin_body(packer, change->value, change->length);
+	}
+}
+
+void
+relay_encode_answer(const relay_log_t *log, const relay_question_t *question,
+    const relay_state_t *state, GByteArray *out)
+{
+	int64_t up_to = state->revision;
+	GPtrArray *changes = select_changes(log, question->since, &up_to);
+	bool gap = question->since < log->base ||
+		   (changes->len == 0 && up_to < state->revision);
+	bool whole = !gap && up_to >= state->revision;
+	msgpack_packer packer;
+
+	if (gap)
+		g_ptr_array_set_size(changes, 0);
+	msgpack_packer_init(&packer, out, codec_append);
+	msgpack_pack_array(&packer, ANSWER_FIELDS);
+	msgpack_pack_int(&packer, ANSWER_TYPE);
+	msgpack_pack_int64(&packer, question->sent_ms);
+	msgpack_pack_int64(&packer, up_to);
+	msgpack_pack_int64(&packer, whole ? state->age_ms : -1);
+	msgpack_pack_int(&packer, state->unsettled);
+	msgpack_pack_int(&packer, gap);
+	pack_changes(&packer, changes);
+	g_ptr_array_unref(changes);
+}
+
+static bool
+read_item(const msgpack_object *member, platform_item_t *item)
+{
+	const msgpack_object *value = &member[2];
+	char *key;
+
+	if (!codec_read_int(&member[1], &item->revision) ||
+	    (value->type != MSGPACK_OBJECT_NIL &&
+		value->type != MSGPACK_OBJECT_BIN) ||
+	    !codec_read_text(&member[0], 1, KEY_MAX_BYTES, &key))
+		return false;
+	item->key = key;
+	item->removed = value->type == MSGPACK_OBJECT_NIL;
+	if (!item->removed) {
+		item->length = value->via.bin.size;
+		item->value = g_strndup(value->via.bin.ptr, item->length);
+	}
+	return true;
+}
+
+static bool
+read_items(const msgpack_object *object, relay_answer_t *answer)
+{
+	size_t count;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size % ITEM_FIELDS != 0)
+		return false;
+	count = object->via.array.size / ITEM_FIELDS;
+	answer->items = g_new0(platform_item_t, count + 1);
+	for (; answer->count < count; answer->count++)
+		if (!read_item(
+			&object->via.array.ptr[answer->count * ITEM_FIELDS],
+			&answer->items[answer->count]))
+			return false;
+	return true;
+}
+
+static bool
+read_answer(const msgpack_object *fields, relay_answer_t *answer)
+{
+	int64_t unsettled, gap;
+
+	if (!codec_read_int(&fields[1], &answer->sent_ms) ||
+	    !codec_read_int(&fields[2], &answer->revision) ||
+	    !codec_read_int(&fields[3], &answer->age_ms) ||
+	    !codec_read_int(&fields[4], &unsettled) ||
+	    !codec_read_int(&fields[5], &gap))
+		return false;
+	answer->unsettled = unsettled != 0;
+	answer->gap = gap != 0;
+	return read_items(&fields[6], answer);
+}
+
+static relay_kind_t
+read_message(const msgpack_object *object, relay_message_t *message)
+{
+	const msgpack_object *fields;
+	int64_t type;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size < QUESTION_FIELDS ||
+	    !codec_read_int(&object->via.array.ptr[0], &type))
+		return RELAY_NONE;
+	fields = object->via.array.ptr;
+	if (type == QUESTION_TYPE)
+		return codec_read_int(&fields[1], &message->question.since) &&
+			       codec_read_int(
+				   &fields[2], &message->question.sent_ms)
+			   ? RELAY_QUESTION
+			   : RELAY_MALFORMED;
+	if (type != ANSWER_TYPE)
+		return RELAY_NONE;
+	return object->via.array.size == ANSWER_FIELDS &&
+		       read_answer(fields, &message->answer)
+		   ? RELAY_ANSWER
+		   : RELAY_MALFORMED;
+}
+
+void
+relay_decode(const char *bytes, size_t length, relay_message_t *message)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0;
+
+	*message = (relay_message_t){0};
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		message->kind = read_message(&unpacked.data, message);
+	msgpack_unpacked_destroy(&unpacked);
+}
+
+void
+relay_message_clear(relay_message_t *message)
+{
+	for (size_t i = 0; i < message->answer.count; i++) {
+		g_free((char *)message->answer.items[i].key);
+		g_free((char *)message->answer.items[i].value);
+	}
+	g_free(message->answer.items);
+}
--- /dev/null
+++ b/src/relay.h
@@ -0,0 +1,74 @@
+#ifndef PAPAYA_RELAY_H
+#define PAPAYA_RELAY_H
+
+#include "platform_store.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * How nodes of a large fleet learn the store's changes from a few that watch
+ * it: a follower asks for all after a revision, and the answer carries the
+ * changes and how old the proof is that there are no more. The follower counts
+ * that age from its own question, so that a datagram that is held up proves
+ * nothing too new. No I/O.
+ */
+
+/* The newest changes that a node knows. */
+typedef struct relay_log relay_log_t;
+
+relay_log_t *relay_log_new(void);
+void relay_log_free(relay_log_t *log);
+
+/* Forgets all: what is known is a list as of a revision. */
+void relay_log_reset(relay_log_t *log, int64_t revision);
+/* A change; revisions do not go down. */
+void relay_log_add(relay_log_t *log, const platform_item_t *item);
+
+typedef struct relay_question {
+	int64_t since;	 /* revision */
+	int64_t sent_ms; /* of the sender's clock */
+} relay_question_t;
+
+typedef struct relay_answer {
+	int64_t sent_ms;  /* that of the question */
+	int64_t revision; /* all changes up to it are there */
+	/* Age of the proof that there are no later ones; -1: no proof. */
+	int64_t age_ms;
+	bool unsettled; /* the store is, or was just, away */
+	bool gap;	/* some changes are not known, or do not fit */
+	platform_item_t *items;
+	size_t count;
+} relay_answer_t;
+
+/* What the node that is asked knows of itself. */
+typedef struct relay_state {
+	int64_t revision;
+	int64_t age_ms;
+	bool unsettled;
+} relay_state_t;
+
+void relay_encode_question(const relay_question_t *question, GByteArray *out);
+void relay_encode_answer(const relay_log_t *log,
+    const relay_question_t *question, const relay_state_t *state,
+    GByteArray *out);
+
+typedef enum relay_kind {
+	RELAY_NONE, /* another message */
+	RELAY_QUESTION,
+	RELAY_ANSWER,
+	RELAY_MALFORMED,
+} relay_kind_t;
+
+typedef struct relay_message {
+	relay_kind_t kind;
+	relay_question_t question;
+	relay_answer_t answer;
+} relay_message_t;
+
+void relay_decode(const char *bytes, size_t length, relay_message_t *message);
+void relay_message_clear(relay_message_t *message);
+
+#endif
--- a/src/sync.c
+++ b/src/sync.c
@@ -11,6 +11,15 @@
 	/* The store counts as away after failing for so long. */
 	AWAY_MS = 300,
 	REFRESH_PAUSE_MS = 300,
+	/* Between two questions of a follower. */
+	ASK_MS = 300,
+	/* A follower without a useful answer for so long watches by itself. */
+	UNHEARD_MS = 900,
+	/* An answer whose proof is older is of no use. */
+	PROOF_MAX_MS = 2000,
+	CHECK_MS = 100,
+	/* After the store was away, its entries may still come back. */
+	SETTLE_MS = 2500,
 };
 
 static const char all_keys[] = "";
@@ -33,6 +42,10 @@
 	bool has_list;
 	bool away;
 	bool refresh;
+	relay_log_t *log; /* for nodes that follow this one */
+	bool follow;
+	int64_t asked_ms; /* last question */
+	int64_t heard_ms; /* last useful answer of another node */
 };
 
 static void step(sync_t *sync);
@@ -65,11 +78,16 @@
 }
 
 static void
-take_items(sync_t *sync, const platform_result_t *result)
+take_items(sync_t *sync, const platform_item_t *items, size_t count)
 {
-	for (size_t i = 0; i < result->count; i++) {
-		const platform_item_t *item = &result->items[i];
+	for (size_t i = 0; i < count; i++) {
+		const platform_item_t *item = &items[i];
 
+		/* A watch and an answer may overlap. */
+		if (sync->listed == NULL && item->revision <= sync->revision)
+			continue;
+		if (sync->listed == NULL)
+			relay_log_add(sync->log, item);
 		if (item->removed)
 			forget(sync, item->key, item->revision);
 		else if (remember(sync, item->key, item->revision))
@@ -135,6 +153,7 @@
 	g_clear_pointer(&sync->page, g_free);
 	sync->revision = MAX(sync->revision, sync->list_revision);
 	sync->confirmed_ms = sync->list_sent_ms;
+	relay_log_reset(sync->log, sync->revision);
 	sync->has_list = true;
 	sync->options.on_listed(sync->options.data);
 	sync->options.on_confirmed(sync->options.data);
@@ -160,7 +179,7 @@
 	note_answer(sync);
 	if (sync->page == NULL)
 		sync->list_revision = result->revision;
-	take_items(sync, result);
+	take_items(sync, result->items, result->count);
 	g_free(sync->page);
 	sync->page = NULL;
 	if (result->more && result->count > 0)
@@ -170,6 +189,31 @@
 	step(sync);
 }
 
+/* True where another node keeps the copy current. */
+static bool
+is_heard(const sync_t *sync)
+{
+	return sync->follow && sync->has_list && !sync->refresh &&
+	       clock_boot_ms() - sync->heard_ms < UNHEARD_MS;
+}
+
+static void
+on_check(uv_timer_t *timer)
+{
+	sync_t *sync = timer->data;
+
+	if (is_heard(sync))
+		return;
+	uv_timer_stop(timer);
+	step(sync);
+}
+
+static void
+wait_for_answers(sync_t *sync)
+{
+	uv_timer_start(&sync->timer, on_check, CHECK_MS, CHECK_MS);
+}
+
 static void
 on_watch(const platform_result_t *result, void *data)
 {
@@ -186,11 +230,14 @@
 		return;
 	}
 	note_answer(sync);
-	take_items(sync, result);
+	take_items(sync, result->items, result->count);
 	sync->revision = MAX(sync->revision, result->revision);
-	sync->confirmed_ms = sync->sent_ms;
+	sync->confirmed_ms = MAX(sync->confirmed_ms, sync->sent_ms);
 	sync->options.on_confirmed(sync->options.data);
-	step(sync);
+	if (is_heard(sync))
+		wait_for_answers(sync);
+	else
+		step(sync);
 }
 
 /* Makes the next call. */
@@ -231,6 +278,7 @@
 	sync->known =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sync->answered_ms = clock_boot_ms();
+	sync->log = relay_log_new();
 	uv_timer_init(loop, &sync->timer);
 	sync->timer.data = sync;
 	step(sync);
@@ -260,3 +308,65 @@
 {
 	sync->refresh = true;
 }
+
+void
+sync_follow(sync_t *sync, bool follow)
+{
+	sync->follow = follow;
+}
+
+bool
+sync_question(sync_t *sync, relay_question_t *question)
+{
+	int64_t now_ms = clock_boot_ms();
+
+	if (!sync->follow || !sync->has_list ||
+	    now_ms - sync->asked_ms < ASK_MS)
+		return false;
+	sync->asked_ms = now_ms;
+	question->since = sync->revision;
+	question->sent_ms = now_ms;
+	return true;
+}
+
+void
+sync_take_answer(sync_t *sync, const relay_answer_t *answer)
+{
+	int64_t now_ms = clock_boot_ms();
+
+	if (!sync->follow || !sync->has_list || sync->listed != NULL)
+		return;
+	if (answer->gap) {
+		/* One watch of its own brings all at once. */
+		sync->heard_ms = 0;
+		return;
+	}
+	if (answer->unsettled)
+		sync->regained_ms = now_ms;
+	take_items(sync, answer->items, answer->count);
+	sync->revision = MAX(sync->revision, answer->revision);
+	if (answer->age_ms < 0 || answer->age_ms > PROOF_MAX_MS)
+		return;
+	sync->heard_ms = now_ms;
+	sync->confirmed_ms =
+	    MAX(sync->confirmed_ms, answer->sent_ms - answer->age_ms);
+	note_answer(sync);
+	sync->options.on_confirmed(sync->options.data);
+}
+
+void
+sync_answer(
+    const sync_t *sync, const relay_question_t *question, GByteArray *out)
+{
+	int64_t now_ms = clock_boot_ms();
+	relay_state_t state = {
+	    .revision = sync->revision,
+	    .age_ms =
+		sync->confirmed_ms == 0 ? -1 : now_ms - sync->confirmed_ms,
+	    .unsettled =
+		sync->away || (sync->regained_ms != 0 &&
+				  now_ms - sync->regained_ms < SETTLE_MS),
+	};
+
+	relay_encode_answer(sync->log, question, &state, out);
+}
--- a/src/sync.h
+++ b/src/sync.h
@@ -2,6 +2,7 @@
 #define PAPAYA_SYNC_H
 
 #include "platform_store.h"
+#include "relay.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -10,7 +11,9 @@
 
 /*
  * Keeps a copy of the store's keys current by one list and then watches. Every
- * completed call also proves that the copy was current when it was sent.
+ * completed call also proves that the copy was current when it was sent. A
+ * follower in a large fleet asks another node instead, and watches by itself
+ * only where it gets no answers.
  */
 typedef struct sync sync_t;
 
@@ -35,6 +38,17 @@
 int64_t sync_regained_ms(const sync_t *sync);
 bool sync_is_away(const sync_t *sync);
 
+/* Whether the changes are to come from other nodes. */
+void sync_follow(sync_t *sync, bool follow);
+
+/* What to ask another node; false: nothing now. */
+bool sync_question(sync_t *sync, relay_question_t *question);
+/* The answer; it and its items are borrowed. */
+void sync_take_answer(sync_t *sync, const relay_answer_t *answer);
+/* Answers another node's question. */
+void sync_answer(
+    const sync_t *sync, const relay_question_t *question, GByteArray *out);
+
 /* Lists again at the next opportunity: a change may have been missed. */
 void sync_refresh(sync_t *sync);
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -30,8 +30,7 @@
 static quota_t *
 quota_with(double rate, double burst, int64_t now_ms)
 {
-	quota_t *quota = quota_new(&(quota_options_t){
-	    .window_ms = WINDOW_MS, .unheard_ms = UNHEARD_MS});
+	quota_t *quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS});
 	catalog_t *catalog = catalog_with(rate, burst);
 
 	quota_configure(quota, catalog, now_ms);
@@ -76,7 +75,6 @@
 	enum { DEMAND_STEP = LIMIT * STEP_MS / WINDOW_MS, WINDOWS = 6 };
 	catalog_t *catalog = catalog_with(RATE, BURST);
 	quota_t *quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS,
-	    .unheard_ms = UNHEARD_MS,
 	    .over_share = 0.1,
 	    .over_units = LIMIT * 0.15});
 	double asked = 0, served = 0;
@@ -140,19 +138,44 @@
 }
 END_TEST
 
-/* Guards against nodes that all use the same free part at the same time. */
+/* Nodes, and the time between two of their digests. */
+static const struct fleet {
+	int nodes;
+	int exchange_ms;
+} fleets[] = {{7, 200}, {62, 930}};
+
+enum { NODES_MAX = 62 };
+
+/* Tells every node what the others have spent since the last time. */
+static void
+exchange(quota_t **quotas, double *unsent, int nodes, int64_t now_ms)
+{
+	for (int i = 0; i < nodes; i++) {
+		for (int j = 0; j < nodes; j++)
+			if (i != j)
+				quota_spent_elsewhere(
+				    quotas[j], "depot", unsent[i], 0, now_ms);
+		unsent[i] = 0;
+	}
+}
+
+/*
+ * Guards against nodes that all use the same free part at the same time, also
+ * where digests are rare because the fleet is large.
+ */
 START_TEST(nodes_together_keep_the_bound)
 {
-	enum { NODES = 7, EXCHANGE_MS = 200 };
-	quota_t *quotas[NODES];
-	double unsent[NODES] = {0}, total = 0;
+	const struct fleet *fleet = &fleets[_i];
+	quota_t *quotas[NODES_MAX];
+	double unsent[NODES_MAX] = {0}, total = 0;
 
-	for (int i = 0; i < NODES; i++) {
+	for (int i = 0; i < fleet->nodes; i++) {
 		quotas[i] = quota_with(RATE, BURST, START_MS);
-		quota_set_nodes(quotas[i], NODES, 0, START_MS);
+		quota_set_nodes(quotas[i], (unsigned)fleet->nodes, 0,
+		    fleet->exchange_ms, START_MS);
 	}
 	for (int64_t now = START_MS; now < START_MS + 4 * WINDOW_MS; now++) {
-		for (int i = 0; i < NODES; i++) {
+		for (int i = 0; i < fleet->nodes; i++) {
 			if (!quota_take(quotas[i], "depot", UNITS, false, now)
 				 .allowed)
 				continue;
@@ -160,19 +183,47 @@
 			if (now >= START_MS + 3 * WINDOW_MS)
 				total += UNITS;
 		}
-		if (now % EXCHANGE_MS != 0)
-			continue;
-		for (int i = 0; i < NODES; i++)
-			for (int j = 0; j < NODES; j++)
-				if (i != j)
-					quota_spent_elsewhere(quotas[j],
-					    "depot", unsent[i], 0, now);
-		for (int i = 0; i < NODES; i++)
-			unsent[i] = 0;
+		if (now % fleet->exchange_ms == 0)
+			exchange(quotas, unsent, fleet->nodes, now);
 	}
 	ck_assert_double_le(total, LIMIT * 1.1);
 	ck_assert_double_ge(total, LIMIT * 0.7);
-	for (int i = 0; i < NODES; i++)
+	for (int i = 0; i < fleet->nodes; i++)
+		quota_free(quotas[i]);
+}
+END_TEST
+
+/*
+ * Guards against nodes that each spend a full bucket in a sudden flood, before
+ * they hear of each other.
+ */
+START_TEST(a_sudden_flood_keeps_the_bound)
+{
+	enum { FLOOD_UNITS = 4 };
+	const struct fleet *fleet = &fleets[_i];
+	int64_t flood_ms = START_MS + 2 * WINDOW_MS;
+	quota_t *quotas[NODES_MAX];
+	double unsent[NODES_MAX] = {0}, total = 0;
+
+	for (int i = 0; i < fleet->nodes; i++) {
+		quotas[i] = quota_with(RATE, BURST, START_MS);
+		quota_set_nodes(quotas[i], (unsigned)fleet->nodes, 0,
+		    fleet->exchange_ms, START_MS);
+	}
+	for (int64_t now = flood_ms; now < flood_ms + WINDOW_MS; now++) {
+		for (int i = 0; i < fleet->nodes; i++) {
+			if (!quota_take(
+				quotas[i], "depot", FLOOD_UNITS, false, now)
+				 .allowed)
+				continue;
+			unsent[i] += FLOOD_UNITS;
+			total += FLOOD_UNITS;
+		}
+		if ((now + 1) % fleet->exchange_ms == 0)
+			exchange(quotas, unsent, fleet->nodes, now);
+	}
+	ck_assert_double_le(total, LIMIT * 1.1);
+	for (int i = 0; i < fleet->nodes; i++)
 		quota_free(quotas[i]);
 }
 END_TEST
@@ -187,7 +238,7 @@
 	     now += STEP_MS) {
 		double units;
 
-		quota_set_nodes(quota, 4, 3, now);
+		quota_set_nodes(quota, 4, 3, UNHEARD_MS, now);
 		units = admitted(quota, now, now + STEP_MS);
 		if (now >= START_MS + 3 * WINDOW_MS)
 			sum += units;
@@ -290,7 +341,10 @@
 	tcase_add_test(cases, a_demand_at_the_limit_is_served);
 	tcase_add_test(cases, no_window_passes_the_bound);
 	tcase_add_test(cases, a_restart_keeps_the_bound);
-	tcase_add_test(cases, nodes_together_keep_the_bound);
+	tcase_add_loop_test(
+	    cases, a_sudden_flood_keeps_the_bound, 0, G_N_ELEMENTS(fleets));
+	tcase_add_loop_test(
+	    cases, nodes_together_keep_the_bound, 0, G_N_ELEMENTS(fleets));
 	tcase_add_test(cases, silent_nodes_keep_their_part);
 	tcase_add_test(cases, small_requests_pass_beside_a_flood);
 	tcase_add_test(cases, small_requests_keep_the_bound);
