Split the evidence and the cluster by what their parts do; release members in one place

The load generator decided twice in the same lines whether a refusal is final, and two files released the members of a message.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -1,11 +1,9 @@
-#include "cluster.h"
+#include "cluster_state.h"
 
 #include "clock.h"
 #include "conn.h"
-#include "digest.h"
 #include "error.h"
 #include "log.h"
-#include "true_time.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -22,46 +20,12 @@
 	LOAD_MAX_AGE_MS = 2000,
 	/* A node that has run for longer knows the levels by itself. */
 	ADOPT_MS = 2000,
-	DATAGRAM_MAX_BYTES = 16 * 1024,
-	/* Fleets from this size on have followers. */
-	FOLLOWED_NODES_LEAST = 12,
-	RELAYS = 4,
-	/* A follower asks another relay after so long. */
-	RELAY_TURN_MS = 5000,
-};
-
-typedef struct peer {
-	char *name;
-	struct sockaddr_in address;
-	bool registered;
-	int64_t heard_ms;  /* 0: never */
-	int64_t silent_ms; /* for which its part was reserved since heard */
-	int64_t wall_offset_ms; /* its clock less this one's */
-	digest_t *digest;	/* newest; NULL: none */
-	GHashTable *spent;	/* workspace to double *: applied so far */
-} peer_t;
-
-struct cluster {
-	cluster_options_t options;
-	uv_udp_t socket;
-	uv_timer_t timer;
-	GHashTable *peers;   /* name to peer_t */
-	unsigned registered; /* peers that are */
-	int64_t offset_ms;   /* median of the other clocks, less this one's */
-	int64_t started_ms;
-	int64_t incarnation;
-	int64_t sequence;
-	int64_t silent_checked_ms;
-	true_time_t time;
-	bool ready;
-	int64_t configuration_version;
-	char buffer[DATAGRAM_MAX_BYTES];
 };
 
 static void
 peer_free(gpointer data)
 {
-	peer_t *peer = data;
+	cluster_peer_t *peer = data;
 
 	g_free(peer->name);
 	digest_free(peer->digest);
@@ -69,14 +33,14 @@
 	g_free(peer);
 }
 
-static peer_t *
+static cluster_peer_t *
 find_or_add(cluster_t *cluster, const char *name)
 {
-	peer_t *peer = g_hash_table_lookup(cluster->peers, name);
+	cluster_peer_t *peer = g_hash_table_lookup(cluster->peers, name);
 
 	if (peer != NULL)
 		return peer;
-	peer = g_new0(peer_t, 1);
+	peer = g_new0(cluster_peer_t, 1);
 	peer->name = g_strdup(name);
 	peer->spent =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -90,8 +54,9 @@
 	return MAX(SEND_MIN_MS, SEND_NODE_MS * (int64_t)cluster_nodes(cluster));
 }
 
-static bool
-is_heard(const cluster_t *cluster, const peer_t *peer, int64_t now_ms)
+bool
+cluster_is_heard(
+    const cluster_t *cluster, const cluster_peer_t *peer, int64_t now_ms)
 {
 	return peer->heard_ms != 0 &&
 	       now_ms - peer->heard_ms < SILENT_DIGESTS * interval_ms(cluster);
@@ -108,8 +73,8 @@
  * started takes over the sums of the first one instead.
  */
 static void
-apply_spending(
-    cluster_t *cluster, peer_t *peer, const digest_t *digest, int64_t now_ms)
+apply_spending(cluster_t *cluster, cluster_peer_t *peer, const digest_t *digest,
+    int64_t now_ms)
 {
 	quota_t *quota = cluster->options.quota;
 	bool adopt = now_ms - cluster->started_ms < ADOPT_MS;
@@ -158,21 +123,21 @@
  * lower incarnation after a silence is that of a clock which was set back.
  */
 static bool
-is_late(const cluster_t *cluster, const peer_t *peer, const digest_t *digest,
-    int64_t now_ms)
+is_late(const cluster_t *cluster, const cluster_peer_t *peer,
+    const digest_t *digest, int64_t now_ms)
 {
 	const digest_t *last = peer->digest;
 
 	if (digest->incarnation == last->incarnation)
 		return digest->sequence <= last->sequence;
 	return digest->incarnation < last->incarnation &&
-	       is_heard(cluster, peer, now_ms);
+	       cluster_is_heard(cluster, peer, now_ms);
 }
 
 static void
 apply(cluster_t *cluster, digest_t *digest, int64_t now_ms)
 {
-	peer_t *peer = find_or_add(cluster, digest->node);
+	cluster_peer_t *peer = find_or_add(cluster, digest->node);
 	const digest_t *last = peer->digest;
 
 	if (last != NULL && is_late(cluster, peer, digest, now_ms)) {
@@ -201,27 +166,9 @@
 	*buffer = uv_buf_init(cluster->buffer, sizeof(cluster->buffer));
 }
 
-static peer_t *
-find_sender(const cluster_t *cluster, const struct sockaddr *from)
-{
-	const struct sockaddr_in *address = (const struct sockaddr_in *)from;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		peer_t *peer = value;
-
-		if (peer->registered &&
-		    peer->address.sin_port == address->sin_port &&
-		    peer->address.sin_addr.s_addr == address->sin_addr.s_addr)
-			return peer;
-	}
-	return NULL;
-}
-
-static void
-send_to(cluster_t *cluster, const peer_t *peer, const GByteArray *bytes)
+void
+cluster_send_to(
+    cluster_t *cluster, const cluster_peer_t *peer, const GByteArray *bytes)
 {
 	uv_buf_t buffer = uv_buf_init((char *)bytes->data, bytes->len);
 
@@ -230,50 +177,6 @@
 	    (const struct sockaddr *)&peer->address);
 }
 
-static void
-answer_question(cluster_t *cluster, const relay_question_t *question,
-    const struct sockaddr *from)
-{
-	const peer_t *peer = find_sender(cluster, from);
-	GByteArray *answer = g_byte_array_new();
-
-	if (peer != NULL) {
-		cluster->options.on_question(
-		    question, answer, cluster->options.data);
-		if (answer->len > 0)
-			send_to(cluster, peer, answer);
-	}
-	g_byte_array_unref(answer);
-}
-
-/* True where the datagram was a question or an answer of a follower. */
-static bool
-take_relayed(cluster_t *cluster, const char *bytes, size_t length,
-    const struct sockaddr *from)
-{
-	relay_message_t message;
-
-	relay_decode(bytes, length, &message);
-	switch (message.kind) {
-	case RELAY_NONE:
-		return false;
-	case RELAY_QUESTION:
-		answer_question(cluster, &message.question, from);
-		break;
-	case RELAY_ANSWER:
-		if (find_sender(cluster, from) != NULL)
-			cluster->options.on_answer(
-			    &message.answer, cluster->options.data);
-		break;
-	case RELAY_MALFORMED:
-		log_event(
-		    LOG_LEVEL_WARN, "relay.malformed", "bytes=%zu", length);
-		break;
-	}
-	relay_message_clear(&message);
-	return true;
-}
-
 static void
 on_datagram(uv_udp_t *socket, ssize_t length, const uv_buf_t *buffer,
     const struct sockaddr *from, unsigned flags)
@@ -283,7 +186,7 @@
 
 	if (length <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
 		return;
-	if (take_relayed(cluster, buffer->base, (size_t)length, from))
+	if (cluster_take_relayed(cluster, buffer->base, (size_t)length, from))
 		return;
 	digest = digest_decode(buffer->base, (size_t)length);
 	if (digest == NULL) {
@@ -360,10 +263,10 @@
 	digest_free(digest);
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_t *peer = value;
+		const cluster_peer_t *peer = value;
 
 		if (peer->registered)
-			send_to(cluster, peer, bytes);
+			cluster_send_to(cluster, peer, bytes);
 	}
 	g_byte_array_unref(bytes);
 }
@@ -383,7 +286,7 @@
 	pool_each(cluster->options.pool, clear_peer_load, NULL);
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_t *peer = value;
+		const cluster_peer_t *peer = value;
 
 		if (peer->digest == NULL ||
 		    now_ms - peer->heard_ms > LOAD_MAX_AGE_MS)
@@ -417,9 +320,10 @@
 	cluster->silent_checked_ms = now_ms;
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		peer_t *peer = value;
+		cluster_peer_t *peer = value;
 
-		if (!peer->registered || is_heard(cluster, peer, now_ms))
+		if (!peer->registered ||
+		    cluster_is_heard(cluster, peer, now_ms))
 			continue;
 		peer->silent_ms += passed_ms;
 		silent++;
@@ -449,9 +353,9 @@
 	g_array_append_val(offsets, own);
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_t *peer = value;
+		const cluster_peer_t *peer = value;
 
-		if (is_heard(cluster, peer, now_ms))
+		if (cluster_is_heard(cluster, peer, now_ms))
 			g_array_append_val(offsets, peer->wall_offset_ms);
 	}
 	qsort(offsets->data, offsets->len, sizeof(int64_t), compare_offsets);
@@ -513,7 +417,7 @@
 void
 cluster_put(cluster_t *cluster, const char *name, const char *address)
 {
-	peer_t *peer;
+	cluster_peer_t *peer;
 
 	if (strcmp(name, cluster->options.config->name) == 0)
 		return;
@@ -534,7 +438,7 @@
 void
 cluster_remove(cluster_t *cluster, const char *name)
 {
-	peer_t *peer = g_hash_table_lookup(cluster->peers, name);
+	cluster_peer_t *peer = g_hash_table_lookup(cluster->peers, name);
 
 	if (peer == NULL || !peer->registered)
 		return;
@@ -565,9 +469,10 @@
 		    addresses, cluster->options.config->client_address);
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_t *peer = value;
+		const cluster_peer_t *peer = value;
 
-		if (peer->registered && is_heard(cluster, peer, now_ms) &&
+		if (peer->registered &&
+		    cluster_is_heard(cluster, peer, now_ms) &&
 		    peer->digest->ready)
 			g_ptr_array_add(
 			    addresses, peer->digest->client_address);
@@ -575,73 +480,6 @@
 	return addresses;
 }
 
-/* Order of the nodes, by which all agree on those that watch the store. */
-static uint64_t
-node_order(const char *name)
-{
-	return (uint64_t)g_str_hash(name) << 32 | strlen(name);
-}
-
-/* The first nodes in that order which are heard from, at most RELAYS. */
-static unsigned
-find_relays(const cluster_t *cluster, const peer_t **relays)
-{
-	int64_t now_ms = clock_boot_ms();
-	unsigned count = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const peer_t *peer = value;
-		unsigned at = count;
-
-		if (!peer->registered || !is_heard(cluster, peer, now_ms) ||
-		    !peer->digest->ready)
-			continue;
-		while (at > 0 && node_order(peer->name) <
-				     node_order(relays[at - 1]->name)) {
-			if (at < RELAYS)
-				relays[at] = relays[at - 1];
-			at--;
-		}
-		if (at < RELAYS)
-			relays[at] = peer;
-		count = MIN(count + 1, RELAYS);
-	}
-	return count;
-}
-
-bool
-cluster_follows(const cluster_t *cluster)
-{
-	const peer_t *relays[RELAYS];
-	unsigned count;
-
-	if (cluster_nodes(cluster) < FOLLOWED_NODES_LEAST)
-		return false;
-	count = find_relays(cluster, relays);
-	return count == RELAYS && node_order(cluster->options.config->name) >
-				      node_order(relays[RELAYS - 1]->name);
-}
-
-void
-cluster_ask(cluster_t *cluster, const relay_question_t *question)
-{
-	const peer_t *relays[RELAYS];
-	unsigned count = find_relays(cluster, relays);
-	uint64_t turn = node_order(cluster->options.config->name) >> 32;
-	GByteArray *bytes;
-
-	if (count == 0)
-		return;
-	turn += (uint64_t)(clock_boot_ms() / RELAY_TURN_MS);
-	bytes = g_byte_array_new();
-	relay_encode_question(question, bytes);
-	send_to(cluster, relays[turn % count], bytes);
-	g_byte_array_unref(bytes);
-}
-
 int64_t
 cluster_wall_ms(const cluster_t *cluster)
 {
--- a/src/evidence.c
+++ b/src/evidence.c
@@ -1,4 +1,4 @@
-#include "evidence.h"
+#include "evidence_state.h"
 
 #include <math.h>
 #include <string.h>
@@ -14,9 +14,6 @@
 	/* A route with this part of all attempts needs so many of its own. */
 	ROUTE_PART = 50,
 	ROUTE_ATTEMPTS = 10,
-	CELLS = EVIDENCE_ROUTES_MAX + 1,
-	ROUTE_LENGTH_MAX = 128,
-	COUNT_MAX = 1 << 28,
 };
 
 static const double LATENCY_FIRST_MS = 0.5;
@@ -33,7 +30,7 @@
  * differences after few events. A bet gains only where the true odds exceed
  * (odds - 1) / ln(odds), so smaller differences never add up.
  */
-static const bet_t bets[] = {
+static const bet_t bets[EVIDENCE_BETS] = {
     {"errors", 3, 0},
     {"errors", 10, 0},
     {"errors", 50, 0},
@@ -41,8 +38,6 @@
     {"latency", 6, 0.95},
 };
 
-enum { BETS = G_N_ELEMENTS(bets) };
-
 /* An attempt is slow from this multiple of the old version's quantile on. */
 static const double SLOW_RATIO = 1.25;
 
@@ -74,32 +69,10 @@
 static const double ERRORS_RATIO_LEAST = 1.5;
 static const double LATENCY_RATIO_LEAST = 1.3;
 
-typedef struct counts {
-	uint32_t attempts;
-	uint32_t errors;
-	uint32_t latency[EVIDENCE_BUCKETS];
-} counts_t;
-
-typedef enum span { SPAN_ALL, SPAN_CURRENT, SPAN_PREVIOUS, SPANS } span_t;
-
-typedef struct cell {
-	char *route; /* NULL: the total */
-	counts_t counts[SPANS][EVIDENCE_SIDES];
-	double sum[BETS];  /* logarithm of the gain since the start */
-	double gain[BETS]; /* the same since its lowest point */
-	double events[BETS];
-	double streak; /* answers of the new version since its last failure */
-} cell_t;
-
-struct evidence {
-	cell_t *cells[CELLS]; /* the first is the total */
-	unsigned cell_count;
-};
-
-static cell_t *
+static evidence_cell_t *
 cell_new(const char *route)
 {
-	cell_t *cell = g_new0(cell_t, 1);
+	evidence_cell_t *cell = g_new0(evidence_cell_t, 1);
 
 	cell->route = g_strdup(route);
 	return cell;
@@ -111,7 +84,7 @@
 	evidence_t *evidence = g_new0(evidence_t, 1);
 
 	evidence->cells[0] = cell_new(NULL);
-	evidence->cell_count = 1;
+	evidence->evidence_cell_count = 1;
 	return evidence;
 }
 
@@ -120,9 +93,9 @@
 {
 	evidence_t *copy = g_new0(evidence_t, 1);
 
-	copy->cell_count = evidence->cell_count;
-	for (unsigned i = 0; i < copy->cell_count; i++) {
-		copy->cells[i] = g_new(cell_t, 1);
+	copy->evidence_cell_count = evidence->evidence_cell_count;
+	for (unsigned i = 0; i < copy->evidence_cell_count; i++) {
+		copy->cells[i] = g_new(evidence_cell_t, 1);
 		*copy->cells[i] = *evidence->cells[i];
 		copy->cells[i]->route = g_strdup(evidence->cells[i]->route);
 	}
@@ -134,32 +107,32 @@
 {
 	if (evidence == NULL)
 		return;
-	for (unsigned i = 0; i < evidence->cell_count; i++) {
+	for (unsigned i = 0; i < evidence->evidence_cell_count; i++) {
 		g_free(evidence->cells[i]->route);
 		g_free(evidence->cells[i]);
 	}
 	g_free(evidence);
 }
 
-static cell_t *
-cell_find(const evidence_t *evidence, const char *route)
+evidence_cell_t *
+evidence_cell_find(const evidence_t *evidence, const char *route)
 {
-	for (unsigned i = 1; i < evidence->cell_count; i++)
+	for (unsigned i = 1; i < evidence->evidence_cell_count; i++)
 		if (strcmp(evidence->cells[i]->route, route) == 0)
 			return evidence->cells[i];
 	return NULL;
 }
 
-static cell_t *
-cell_obtain(evidence_t *evidence, const char *route)
+evidence_cell_t *
+evidence_cell_obtain(evidence_t *evidence, const char *route)
 {
-	cell_t *cell = cell_find(evidence, route);
+	evidence_cell_t *cell = evidence_cell_find(evidence, route);
 
-	if (cell != NULL || evidence->cell_count == CELLS ||
-	    strlen(route) > ROUTE_LENGTH_MAX || *route == '\0')
+	if (cell != NULL || evidence->evidence_cell_count == EVIDENCE_CELLS ||
+	    strlen(route) > EVIDENCE_ROUTE_LENGTH_MAX || *route == '\0')
 		return cell;
 	cell = cell_new(route);
-	evidence->cells[evidence->cell_count++] = cell;
+	evidence->cells[evidence->evidence_cell_count++] = cell;
 	return cell;
 }
 
@@ -176,7 +149,7 @@
 }
 
 static void
-counts_merge(counts_t *into, const counts_t *from)
+counts_merge(evidence_counts_t *into, const evidence_counts_t *from)
 {
 	into->attempts += from->attempts;
 	into->errors += from->errors;
@@ -184,8 +157,9 @@
 		into->latency[i] += from->latency[i];
 }
 
-static void
-cell_count(cell_t *cell, evidence_side_t side, const counts_t *counts)
+void
+evidence_cell_count(evidence_cell_t *cell, evidence_side_t side,
+    const evidence_counts_t *counts)
 {
 	if (side == EVIDENCE_NEW && counts->errors > 0)
 		cell->streak = 0;
@@ -200,24 +174,24 @@
 	memset(cell->counts[SPAN_CURRENT], 0, sizeof(cell->counts[0]));
 }
 
-static counts_t
-recent_counts(const cell_t *cell, evidence_side_t side)
+static evidence_counts_t
+recent_counts(const evidence_cell_t *cell, evidence_side_t side)
 {
-	counts_t recent = cell->counts[SPAN_PREVIOUS][side];
+	evidence_counts_t recent = cell->counts[SPAN_PREVIOUS][side];
 
 	counts_merge(&recent, &cell->counts[SPAN_CURRENT][side]);
 	return recent;
 }
 
 static uint32_t
-answers(const counts_t *counts)
+answers(const evidence_counts_t *counts)
 {
 	return counts->attempts - counts->errors;
 }
 
 /* Latency at a quantile, interpolated within its bucket. */
 static double
-quantile_ms(const counts_t *counts, double quantile)
+quantile_ms(const evidence_counts_t *counts, double quantile)
 {
 	double rank = quantile * answers(counts), seen = 0;
 
@@ -236,7 +210,7 @@
 }
 
 static uint32_t
-count_above(const counts_t *counts, unsigned bucket)
+count_above(const evidence_counts_t *counts, unsigned bucket)
 {
 	uint32_t above = 0;
 
@@ -254,7 +228,8 @@
 
 /* True where the attempt is the event that the bet is about. */
 static bool
-bet_event(const bet_t *bet, const counts_t *old, const evidence_attempt_t *what)
+bet_event(const bet_t *bet, const evidence_counts_t *old,
+    const evidence_attempt_t *what)
 {
 	if (bet->slow_quantile <= 0)
 		return !what->ok;
@@ -262,8 +237,9 @@
 	       what->first_ms > slow_ms(quantile_ms(old, bet->slow_quantile));
 }
 
-static void
-cell_gain(cell_t *cell, unsigned bet, double gain, double events)
+void
+evidence_cell_gain(
+    evidence_cell_t *cell, unsigned bet, double gain, double events)
 {
 	cell->events[bet] += events;
 	cell->sum[bet] += gain;
@@ -272,39 +248,39 @@
 
 /* The old version's quantiles are those before this attempt. */
 static void
-cell_bet(cell_t *cell, const evidence_attempt_t *attempt)
+cell_bet(evidence_cell_t *cell, const evidence_attempt_t *attempt)
 {
-	const counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
+	const evidence_counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
 
 	if (attempt->share <= 0 || attempt->share >= 1)
 		return;
-	for (unsigned i = 0; i < BETS; i++) {
+	for (unsigned i = 0; i < EVIDENCE_BETS; i++) {
 		double odds = bets[i].odds;
 		double won = attempt->side == EVIDENCE_NEW ? log(odds) : 0;
 
 		if (bet_event(&bets[i], old, attempt))
-			cell_gain(cell, i,
+			evidence_cell_gain(cell, i,
 			    won - log(1 + (odds - 1) * attempt->share), 1);
 	}
 }
 
 static void
-cell_add(cell_t *cell, const evidence_attempt_t *attempt)
+cell_add(evidence_cell_t *cell, const evidence_attempt_t *attempt)
 {
-	counts_t one = {.attempts = 1};
+	evidence_counts_t one = {.attempts = 1};
 
 	if (attempt->ok)
 		one.latency[latency_bucket(attempt->first_ms)] = 1;
 	else
 		one.errors = 1;
 	cell_bet(cell, attempt);
-	cell_count(cell, attempt->side, &one);
+	evidence_cell_count(cell, attempt->side, &one);
 }
 
 void
 evidence_add(evidence_t *evidence, const evidence_attempt_t *attempt)
 {
-	cell_t *cell = cell_obtain(evidence, attempt->route);
+	evidence_cell_t *cell = evidence_cell_obtain(evidence, attempt->route);
 
 	cell_add(evidence->cells[0], attempt);
 	if (cell != NULL)
@@ -312,7 +288,7 @@
 }
 
 static double
-error_rate(const counts_t *counts)
+error_rate(const evidence_counts_t *counts)
 {
 	return counts->attempts == 0
 		   ? 0
@@ -321,7 +297,8 @@
 
 /* True where the new version's failures differ enough to act on. */
 static bool
-errors_matter(const counts_t *old, const counts_t *new, unsigned least)
+errors_matter(
+    const evidence_counts_t *old, const evidence_counts_t *new, unsigned least)
 {
 	double before = error_rate(old), now = error_rate(new);
 
@@ -333,12 +310,13 @@
 	double strength; /* 1 and more: bad */
 	bool suspect;
 	const bet_t *bet;
-	const cell_t *cell;
+	const evidence_cell_t *cell;
 } finding_t;
 
 /* A route's finding says more than the total's. */
 static bool
-more_telling(const finding_t *best, const cell_t *cell, double strength)
+more_telling(
+    const finding_t *best, const evidence_cell_t *cell, double strength)
 {
 	if (best->cell != NULL && best->cell->route == NULL && strength >= 1)
 		return true;
@@ -346,17 +324,17 @@
 }
 
 static void
-judge_cell(finding_t *best, const cell_t *cell, unsigned routes)
+judge_cell(finding_t *best, const evidence_cell_t *cell, unsigned routes)
 {
-	counts_t old = recent_counts(cell, EVIDENCE_OLD);
-	counts_t new = recent_counts(cell, EVIDENCE_NEW);
+	evidence_counts_t old = recent_counts(cell, EVIDENCE_OLD);
+	evidence_counts_t new = recent_counts(cell, EVIDENCE_NEW);
 	bool errors = errors_matter(&old, &new, ERRORS_LEAST);
 	bool doubt = errors_matter(&old, &new, DOUBT_ERRORS_LEAST) &&
 		     cell->streak * error_rate(&new) < STREAK_RATIO;
 	/* Each route is one more chance of a false alarm. */
 	double extra = cell->route == NULL ? 0 : log(routes);
 
-	for (unsigned i = 0; i < BETS; i++) {
+	for (unsigned i = 0; i < EVIDENCE_BETS; i++) {
 		bool slow = bets[i].slow_quantile > 0;
 		double bar = (slow ? LATENCY_BAD : ERRORS_BAD) + extra +
 			     2 * log(1 + cell->events[i] / EVENTS_FREE);
@@ -378,10 +356,10 @@
 static char *
 describe(const finding_t *finding)
 {
-	const cell_t *cell = finding->cell;
+	const evidence_cell_t *cell = finding->cell;
 	const char *route = cell->route != NULL ? cell->route : "all routes";
-	counts_t old = recent_counts(cell, EVIDENCE_OLD);
-	counts_t new = recent_counts(cell, EVIDENCE_NEW);
+	evidence_counts_t old = recent_counts(cell, EVIDENCE_OLD);
+	evidence_counts_t new = recent_counts(cell, EVIDENCE_NEW);
 
 	if (finding->bet->slow_quantile <= 0)
 		return g_strdup_printf(
@@ -398,11 +376,11 @@
 {
 	finding_t best = {0};
 
-	for (unsigned i = 0; i < evidence->cell_count; i++)
+	for (unsigned i = 0; i < evidence->evidence_cell_count; i++)
 		if (i == 0 || route == NULL ||
 		    strcmp(evidence->cells[i]->route, route) == 0)
-			judge_cell(
-			    &best, evidence->cells[i], evidence->cell_count);
+			judge_cell(&best, evidence->cells[i],
+			    evidence->evidence_cell_count);
 	if (best.cell == NULL || (best.strength < 1 && !best.suspect))
 		return EVIDENCE_CLEAR;
 	if (why != NULL)
@@ -438,9 +416,9 @@
 
 /* Whether the shares above the pooled median differ, and the medians. */
 static bool
-doubt_latency(const counts_t *old, const counts_t *new)
+doubt_latency(const evidence_counts_t *old, const evidence_counts_t *new)
 {
-	counts_t pooled = *old;
+	evidence_counts_t pooled = *old;
 	double above_old, above_new;
 	unsigned bucket;
 
@@ -461,10 +439,11 @@
 bool
 evidence_doubt(const evidence_t *evidence)
 {
-	for (unsigned i = 0; i < evidence->cell_count; i++) {
-		const cell_t *cell = evidence->cells[i];
-		const counts_t *old = &cell->counts[SPAN_ALL][EVIDENCE_OLD];
-		counts_t new = recent_counts(cell, EVIDENCE_NEW);
+	for (unsigned i = 0; i < evidence->evidence_cell_count; i++) {
+		const evidence_cell_t *cell = evidence->cells[i];
+		const evidence_counts_t *old =
+		    &cell->counts[SPAN_ALL][EVIDENCE_OLD];
+		evidence_counts_t new = recent_counts(cell, EVIDENCE_NEW);
 
 		if (errors_matter(old, &new, DOUBT_ERRORS_LEAST) &&
 		    log_factor(new.errors, new.attempts, old->errors,
@@ -477,13 +456,14 @@
 }
 
 static unsigned
-attempts_of(const cell_t *cell, evidence_side_t side)
+attempts_of(const evidence_cell_t *cell, evidence_side_t side)
 {
 	return cell == NULL ? 0 : cell->counts[SPAN_ALL][side].attempts;
 }
 
 static unsigned
-attempts_since(const cell_t *cell, const cell_t *since, evidence_side_t side)
+attempts_since(const evidence_cell_t *cell, const evidence_cell_t *since,
+    evidence_side_t side)
 {
 	return attempts_of(cell, side) - attempts_of(since, side);
 }
@@ -499,16 +479,17 @@
 evidence_enough(
     const evidence_t *evidence, const evidence_t *since, unsigned attempts)
 {
-	const cell_t *total = evidence->cells[0], *before = since->cells[0];
+	const evidence_cell_t *total = evidence->cells[0],
+			      *before = since->cells[0];
 	unsigned new = attempts_since(total, before, EVIDENCE_NEW);
 	unsigned all = new + attempts_since(total, before, EVIDENCE_OLD);
 
 	if (new < attempts)
 		return false;
-	for (unsigned i = 1; i < evidence->cell_count; i++) {
-		const cell_t *cell = evidence->cells[i];
+	for (unsigned i = 1; i < evidence->evidence_cell_count; i++) {
+		const evidence_cell_t *cell = evidence->cells[i];
 
-		before = cell_find(since, cell->route);
+		before = evidence_cell_find(since, cell->route);
 		new = attempts_since(cell, before, EVIDENCE_NEW);
 		if ((new + attempts_since(cell, before, EVIDENCE_OLD)) *
 			    ROUTE_PART >=
@@ -530,139 +511,3 @@
 {
 	return evidence->cells[0]->counts[SPAN_ALL][side].errors;
 }
-
-/* Plain members of a cell's JSON before its sums. */
-enum { JSON_ROUTE, JSON_COUNTS, JSON_SUMS = 1 + 2 * EVIDENCE_SIDES };
-
-/* [route, old attempts, old errors, new attempts, new errors, sums...,
- * events...] */
-json_t *
-evidence_json(const evidence_t *evidence)
-{
-	json_t *cells = json_array();
-
-	for (unsigned i = 0; i < evidence->cell_count; i++) {
-		const cell_t *cell = evidence->cells[i];
-		json_t *item = json_array();
-
-		json_array_append_new(
-		    item, json_string(cell->route == NULL ? "" : cell->route));
-		for (int side = 0; side < EVIDENCE_SIDES; side++) {
-			const counts_t *counts = &cell->counts[SPAN_ALL][side];
-
-			json_array_append_new(
-			    item, json_integer(counts->attempts));
-			json_array_append_new(
-			    item, json_integer(counts->errors));
-		}
-		for (unsigned bet = 0; bet < BETS; bet++)
-			json_array_append_new(item, json_real(cell->sum[bet]));
-		for (unsigned bet = 0; bet < BETS; bet++)
-			json_array_append_new(
-			    item, json_integer((json_int_t)cell->events[bet]));
-		json_array_append_new(cells, item);
-	}
-	return cells;
-}
-
-static double
-number_at(const json_t *item, size_t index)
-{
-	return json_number_value(json_array_get(item, index));
-}
-
-static bool
-cell_json_good(const json_t *item, bool first)
-{
-	const char *route = json_string_value(json_array_get(item, JSON_ROUTE));
-	json_int_t before = COUNT_MAX;
-
-	if (route == NULL || (*route == '\0') != first ||
-	    strlen(route) > ROUTE_LENGTH_MAX ||
-	    json_array_size(item) != JSON_SUMS + 2 * BETS)
-		return false;
-	for (size_t i = JSON_COUNTS; i < JSON_SUMS; i++) {
-		const json_t *value = json_array_get(item, i);
-		json_int_t most = i % 2 == 1 ? COUNT_MAX : before;
-
-		before = json_integer_value(value);
-		if (!json_is_integer(value) || before < 0 || before > most)
-			return false;
-	}
-	for (size_t i = JSON_SUMS; i < JSON_SUMS + BETS; i++)
-		if (!json_is_number(json_array_get(item, i)) ||
-		    number_at(item, i + BETS) < 0)
-			return false;
-	return true;
-}
-
-static const json_t *
-cell_json_find(const json_t *json, const char *route)
-{
-	const json_t *item;
-	size_t i;
-
-	json_array_foreach (json, i, item)
-		if (g_strcmp0(
-			json_string_value(json_array_get(item, JSON_ROUTE)),
-			route) == 0)
-			return item;
-	return NULL;
-}
-
-/* Counts that went down are those of a node that has started again. */
-static bool
-continues(const json_t *item, const json_t *last)
-{
-	for (size_t i = JSON_COUNTS; i < JSON_SUMS; i++)
-		if (number_at(item, i) < number_at(last, i))
-			return false;
-	return last != NULL;
-}
-
-static void
-absorb_cell(cell_t *cell, const json_t *item, const json_t *last)
-{
-	const json_t *from = continues(item, last) ? last : NULL;
-
-	for (int side = 0; side < EVIDENCE_SIDES; side++) {
-		size_t at = JSON_COUNTS + 2 * (size_t)side;
-		counts_t more = {0};
-
-		more.attempts =
-		    (uint32_t)(number_at(item, at) - number_at(from, at));
-		more.errors = (uint32_t)(number_at(item, at + 1) -
-					 number_at(from, at + 1));
-		cell_count(cell, side, &more);
-	}
-	for (unsigned bet = 0; bet < BETS; bet++)
-		cell_gain(cell, bet,
-		    number_at(item, JSON_SUMS + bet) -
-			number_at(from, JSON_SUMS + bet),
-		    number_at(item, JSON_SUMS + BETS + bet) -
-			number_at(from, JSON_SUMS + BETS + bet));
-}
-
-bool
-evidence_absorb(evidence_t *evidence, const json_t *json, const json_t *last)
-{
-	const json_t *item;
-	size_t i;
-
-	if (!json_is_array(json) || json_array_size(json) == 0 ||
-	    json_array_size(json) > CELLS)
-		return false;
-	json_array_foreach (json, i, item)
-		if (!cell_json_good(item, i == 0))
-			return false;
-	json_array_foreach (json, i, item) {
-		const char *route =
-		    json_string_value(json_array_get(item, JSON_ROUTE));
-		cell_t *cell =
-		    i == 0 ? evidence->cells[0] : cell_obtain(evidence, route);
-
-		if (cell != NULL)
-			absorb_cell(cell, item, cell_json_find(last, route));
-	}
-	return true;
-}
--- a/src/load.c
+++ b/src/load.c
@@ -269,6 +269,19 @@
 	call_end(call);
 }
 
+/* A request that is refused for good is not sent again. */
+static void
+retry_unless_refused(load_call_t *call, const http_result_t *result)
+{
+	if (result->status >= 400 && result->status < 500 &&
+	    result->status != 429 && result->status != 409) {
+		call->load->report->refusals_final++;
+		call_end(call);
+		return;
+	}
+	retry_or_give_up(call);
+}
+
 static void
 on_booking_done(http_call_t *http, const http_result_t *result, void *data)
 {
@@ -302,13 +315,7 @@
 		call_end(call);
 		return;
 	}
-	if (result->status >= 400 && result->status < 500 &&
-	    result->status != 429 && result->status != 409) {
-		report->refusals_final++;
-		call_end(call);
-		return;
-	}
-	retry_or_give_up(call);
+	retry_unless_refused(call, result);
 }
 
 static void
@@ -403,13 +410,7 @@
 		report->streams_cut++;
 	else
 		report->streams_refused++;
-	if (result->status >= 400 && result->status < 500 &&
-	    result->status != 429 && result->status != 409) {
-		report->refusals_final++;
-		call_end(call);
-		return;
-	}
-	retry_or_give_up(call);
+	retry_unless_refused(call, result);
 }
 
 static void
--- a/src/message.c
+++ b/src/message.c
@@ -95,19 +95,22 @@
 	g_array_free(revisions, TRUE);
 }
 
+void
+message_member_clear(message_member_t *member)
+{
+	g_free(member->node);
+	g_free(member->http_address);
+	g_free(member->peer_address);
+}
+
 static void
 free_members(GArray *members)
 {
 	if (members == NULL)
 		return;
-	for (guint i = 0; i < members->len; i++) {
-		message_member_t *member =
-		    &g_array_index(members, message_member_t, i);
-
-		g_free(member->node);
-		g_free(member->http_address);
-		g_free(member->peer_address);
-	}
+	for (guint i = 0; i < members->len; i++)
+		message_member_clear(
+		    &g_array_index(members, message_member_t, i));
 	g_array_free(members, TRUE);
 }
 
--- a/src/message.h
+++ b/src/message.h
@@ -38,6 +38,9 @@
 	bool suspect;
 } message_member_t;
 
+/* Frees what a member holds, not itself. */
+void message_member_clear(message_member_t *member);
+
 /* What an observer learned of one engine since its last report. */
 typedef struct message_report {
 	char *backend;
--- a/src/node_relay.c
+++ b/src/node_relay.c
@@ -103,14 +103,9 @@
 static void
 clear_members(GArray *members)
 {
-	for (guint i = 0; i < members->len; i++) {
-		message_member_t *member =
-		    &g_array_index(members, message_member_t, i);
-
-		g_free(member->node);
-		g_free(member->http_address);
-		g_free(member->peer_address);
-	}
+	for (guint i = 0; i < members->len; i++)
+		message_member_clear(
+		    &g_array_index(members, message_member_t, i));
 	g_array_set_size(members, 0);
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -166,7 +166,7 @@
 START_TEST(nodes_together_keep_the_bound)
 {
 	const struct fleet *fleet = &fleets[_i];
-	quota_t *quotas[NODES_MAX];
+	quota_t *quotas[NODES_MAX] = {0};
 	double unsent[NODES_MAX] = {0}, total = 0;
 
 	for (int i = 0; i < fleet->nodes; i++) {
@@ -202,7 +202,7 @@
 	enum { FLOOD_UNITS = 4 };
 	const struct fleet *fleet = &fleets[_i];
 	int64_t flood_ms = START_MS + 2 * WINDOW_MS;
-	quota_t *quotas[NODES_MAX];
+	quota_t *quotas[NODES_MAX] = {0};
 	double unsent[NODES_MAX] = {0}, total = 0;
 
 	for (int i = 0; i < fleet->nodes; i++) {
