Bound the age of a proof by how long it may be used

Cause: a watch ended after 1.2 s whatever the longest use of a withdrawn key is. With a bound of 2 s, followers' proofs passed 0.6 of it between two answers, so that nodes left the list of addresses and returned, and watched by themselves (40 watches of ten followers in 4 s).

Test: 14 nodes, of which ten make at most one watch each in 4 s, all hear of a withdrawn key in time, also after the four that watch were killed; it failed before.

--- a/src/front.c
+++ b/src/front.c
@@ -395,6 +395,8 @@
 {
 	usage_report_options_t report = {.config = front->config};
 	sync_options_t sync = {
+	    .use_ms =
+		(int64_t)(use_share * (double)front->config->bounds.revoke_ms),
 	    .on_put = front_on_put,
 	    .on_removed = front_on_removed,
 	    .on_listed = on_listed,
--- a/src/sync.c
+++ b/src/sync.c
@@ -4,8 +4,8 @@
 #include "log.h"
 
 enum {
-	/* Each watch ends after so long, which bounds the age of the proof. */
-	WATCH_MS = 1200,
+	/* Each watch ends after so long at most, which bounds a proof's age. */
+	WATCH_MAX_MS = 1200,
 	RETRY_MIN_MS = 60,
 	RETRY_MAX_MS = 400,
 	/* The store counts as away after failing for so long. */
@@ -15,8 +15,6 @@
 	ASK_MS = 300,
 	/* A follower without a useful answer for so long watches by itself. */
 	UNHEARD_MS = 900,
-	/* An answer whose proof is older is of no use. */
-	PROOF_MAX_MS = 2000,
 	CHECK_MS = 100,
 	/* After the store was away, its entries may still come back. */
 	SETTLE_MS = 2500,
@@ -24,6 +22,11 @@
 
 static const char all_keys[] = "";
 
+/* Share of a proof's use after which a watch ends, for the next proof. */
+static const double watch_share = 0.3;
+/* The same from which on another node's proof is too old to be passed on. */
+static const double relay_share = 0.5;
+
 struct sync {
 	sync_options_t options;
 	uv_timer_t timer;
@@ -240,6 +243,13 @@
 		step(sync);
 }
 
+static int64_t
+watch_ms(const sync_t *sync)
+{
+	return MIN(WATCH_MAX_MS,
+	    (int64_t)(watch_share * (double)sync->options.use_ms));
+}
+
 /* Makes the next call. */
 static void
 step(sync_t *sync)
@@ -254,7 +264,7 @@
 	}
 	if (sync->has_list) {
 		/* After a failure, prove quickly that the copy is current. */
-		int64_t wait_ms = sync->failures > 0 ? 1 : WATCH_MS;
+		int64_t wait_ms = sync->failures > 0 ? 1 : watch_ms(sync);
 
 		platform_store_watch(sync->options.store, all_keys,
 		    sync->revision, wait_ms, on_watch, sync);
@@ -345,7 +355,8 @@
 		sync->regained_ms = now_ms;
 	take_items(sync, answer->items, answer->count);
 	sync->revision = MAX(sync->revision, answer->revision);
-	if (answer->age_ms < 0 || answer->age_ms > PROOF_MAX_MS)
+	if (answer->age_ms < 0 ||
+	    (double)answer->age_ms > relay_share * (double)sync->options.use_ms)
 		return;
 	sync->heard_ms = now_ms;
 	sync->confirmed_ms =
--- a/src/sync.h
+++ b/src/sync.h
@@ -19,6 +19,7 @@
 
 typedef struct sync_options {
 	platform_store_t *store; /* borrowed */
+	int64_t use_ms; /* for which a proof that the copy is current holds */
 	/* A key was written. */
 	void (*on_put)(const platform_item_t *item, void *data);
 	void (*on_removed)(const char *key, void *data);
