Keep each node's part of a quota from its first request on

A node took itself to be alone until its next digest was due, up to a second in a large fleet, and filled its bucket at the whole rate; and it took over the sums of the others without counting them, though those had just started too. Ruled out: the bucket at the start, which is empty.

Change: once the nodes are listed, those not heard from count as silent and hear of this one; sums are taken over from nodes that have run for longer only.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -69,15 +69,24 @@
 }
 
 /*
- * Applies what a peer has spent since its last digest. A node that has just
- * started takes over the sums of the first one instead.
+ * True where this node has just started and the peer has run for longer: its
+ * sums then say nothing of the present window, and its level does. Of nodes
+ * that start together each has spent all of its sums just now.
  */
+static bool
+adopts(const cluster_t *cluster, const digest_t *digest, int64_t now_ms)
+{
+	return now_ms - cluster->started_ms < ADOPT_MS &&
+	       digest->incarnation < cluster->incarnation - ADOPT_MS;
+}
+
+/* Applies what a peer has spent since its last digest. */
 static void
 apply_spending(cluster_t *cluster, cluster_peer_t *peer, const digest_t *digest,
     int64_t now_ms)
 {
 	quota_t *quota = cluster->options.quota;
-	bool adopt = now_ms - cluster->started_ms < ADOPT_MS;
+	bool adopt = adopts(cluster, digest, now_ms);
 
 	for (guint i = 0; i < digest->spending->len; i++) {
 		const digest_spending_t *item =
@@ -414,6 +423,13 @@
 	return cluster;
 }
 
+void
+cluster_refresh(cluster_t *cluster)
+{
+	check_silence(cluster, clock_boot_ms());
+	cluster_send(cluster);
+}
+
 void
 cluster_put(cluster_t *cluster, const char *name, const char *address)
 {
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -42,6 +42,12 @@
 void cluster_put(cluster_t *cluster, const char *name, const char *address);
 void cluster_remove(cluster_t *cluster, const char *name);
 
+/*
+ * Takes account of the nodes that were registered, and tells them of this one.
+ * Until then a node that has just started takes itself to be alone.
+ */
+void cluster_refresh(cluster_t *cluster);
+
 /* What this node says of itself in its next digests. */
 void cluster_set_self(
     cluster_t *cluster, bool ready, int64_t configuration_version);
--- a/src/front.c
+++ b/src/front.c
@@ -46,6 +46,7 @@
 		    pool_count(front->flow.pool),
 		    cluster_nodes(front->cluster));
 	front->listed = true;
+	cluster_refresh(front->cluster);
 	lease_campaign(front->lease);
 }
 
--- /dev/null
+++ b/tests/test_cluster.c
@@ -0,0 +1,194 @@
+#include "clock.h"
+#include "cluster.h"
+#include "digest.h"
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* One node's view of the others, with datagrams over the loopback interface. */
+
+enum {
+	NODES = 7,
+	RATE = 10000,
+	BURST = 10000,
+	WINDOW_MS = 8000,
+	WAIT_MS = 100,
+	US_PER_MS = 1000,
+	MINUTE_MS = 60000,
+};
+
+static uv_loop_t loop;
+static front_config_t config;
+static quota_t *quota;
+static cluster_t *cluster;
+static int peer; /* socket of another node */
+
+static int
+bound_socket(int *port)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(
+	    getsockname(fd, (struct sockaddr *)&address, &length), 0);
+	*port = ntohs(address.sin_port);
+	return fd;
+}
+
+static void
+limit_workspace(void)
+{
+	catalog_t *catalog = catalog_new();
+	catalog_workspace_t *workspace = g_new0(catalog_workspace_t, 1);
+
+	workspace->name = g_strdup("depot");
+	workspace->rate_per_s = RATE;
+	workspace->burst = BURST;
+	catalog_add_workspace(catalog, workspace);
+	quota_configure(quota, catalog, clock_boot_ms());
+	catalog_unref(catalog);
+}
+
+static void
+setup(void)
+{
+	int port, fd = bound_socket(&port);
+
+	close(fd);
+	uv_loop_init(&loop);
+	config = (front_config_t){.name = "n0",
+	    .ip = "127.0.0.1",
+	    .client_address = "127.0.0.1:1",
+	    .peer_port = port};
+	quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS});
+	cluster = cluster_start(&loop,
+	    &(cluster_options_t){.config = &config,
+		.pool = pool_new(&loop, WINDOW_MS),
+		.quota = quota,
+		.usage = usage_new(WINDOW_MS),
+		.rollouts =
+		    rollouts_new(&(rollouts_options_t){.config = &config})},
+	    NULL);
+	ck_assert_ptr_nonnull(cluster);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	limit_workspace();
+	peer = bound_socket(&port);
+}
+
+static void
+teardown(void)
+{
+	close(peer);
+}
+
+static double
+spend_all(void)
+{
+	double spent = 0;
+
+	while (quota_take(quota, "depot", 1, false, clock_boot_ms()).allowed)
+		spent++;
+	return spent;
+}
+
+/*
+ * Guards against nodes that start together and each spend a quota of their own
+ * until they hear of each other.
+ */
+START_TEST(registered_nodes_keep_their_part_from_the_start)
+{
+	for (int i = 1; i < NODES; i++) {
+		char *name = g_strdup_printf("n%d", i);
+
+		cluster_put(cluster, name, "127.0.0.1:9");
+		g_free(name);
+	}
+	cluster_refresh(cluster);
+	spend_all();
+	g_usleep(WAIT_MS * US_PER_MS);
+	/* Twice its part leaves room for a slow machine. */
+	ck_assert_double_le(
+	    spend_all(), 2.0 * RATE * WAIT_MS / 1000 / NODES * 1.2);
+}
+END_TEST
+
+/* Sends a digest that has spent units; started_ms: before now. */
+static void
+send_digest(double spent, double level, int64_t started_ms)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)config.peer_port)};
+	digest_spending_t spending = {
+	    .workspace = g_strdup("depot"), .spent = spent, .level = level};
+	digest_t *digest = digest_new();
+	GByteArray *bytes = g_byte_array_new();
+
+	digest->node = g_strdup("n1");
+	digest->client_address = g_strdup("127.0.0.1:2");
+	digest->incarnation = clock_wall_ms() - started_ms;
+	digest->sequence = 1;
+	g_array_append_val(digest->spending, spending);
+	digest_encode(digest, bytes);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(sendto(peer, bytes->data, bytes->len, 0,
+			     (struct sockaddr *)&address, sizeof(address)),
+	    (int)bytes->len);
+	g_usleep(WAIT_MS * US_PER_MS);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	g_byte_array_unref(bytes);
+	digest_free(digest);
+}
+
+static void
+note_level(const quota_state_t *state, void *data)
+{
+	*(double *)data = state->level;
+}
+
+static double
+level(void)
+{
+	double found = 0;
+
+	quota_each(quota, clock_boot_ms(), note_level, &found);
+	return found;
+}
+
+/* Guards against forgetting what nodes that start together have spent. */
+START_TEST(spending_of_a_node_that_has_just_started_counts)
+{
+	send_digest(5000, 0, 0);
+	ck_assert_double_lt(level(), 0);
+}
+END_TEST
+
+/* Guards against counting all that an older node has ever spent. */
+START_TEST(the_level_of_an_older_node_is_taken_over)
+{
+	send_digest(1e9, 4000, MINUTE_MS);
+	ck_assert_double_ge(level(), 4000);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("cluster");
+	TCase *cases = tcase_create("cluster");
+
+	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_add_test(cases, registered_nodes_keep_their_part_from_the_start);
+	tcase_add_test(cases, spending_of_a_node_that_has_just_started_counts);
+	tcase_add_test(cases, the_level_of_an_older_node_is_taken_over);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
