Keep urgent requests away from engines that read a long prompt

An engine reads the most urgent prompt first, but one that it has begun goes on. Ruled out: a slow server (other requests there were on time before and after).

Change: the part of other prompts counts against a server in the choice; the estimate, by which a request is refused, stays as it was.

Test first: an urgent prompt went to one of five busy engines beside an idle one.

--- a/src/pick.c
+++ b/src/pick.c
@@ -24,6 +24,13 @@
 /* Cost in ms of each shared token that is read where others have it not. */
 static const double reread_weight = 0.03;
 
+/*
+ * Part of the other prompts that counts against a server for an urgent one: an
+ * engine reads the most urgent first, but a long prompt that it has begun goes
+ * on in between.
+ */
+static const double begun_share = 0.6;
+
 /* Part of its objective that any request may wait. */
 static const double wait_share = 0.3;
 
@@ -135,13 +142,19 @@
 	return MEMORY_MS * (held / (memory_share * capacity) - 1 + 0.2);
 }
 
+static double
+waiting_tokens(const server_t *server)
+{
+	return server->own.waiting_tokens + server->peers.waiting_tokens;
+}
+
 /* Prompt tokens that a server reads before those of this request. */
 static double
 tokens_ahead(const pick_query_t *query, const server_t *server)
 {
 	if (query->urgent)
 		return server->own.urgent_tokens + server->peers.urgent_tokens;
-	return server->own.waiting_tokens + server->peers.waiting_tokens;
+	return waiting_tokens(server);
 }
 
 static double
@@ -185,6 +198,17 @@
 		   : 0;
 }
 
+/* Time that an urgent request may lose to long prompts that have begun. */
+static double
+begun_ms(const pick_query_t *query, const server_t *server, double ahead)
+{
+	double begun = begun_share *
+		       (waiting_tokens(server) - tokens_ahead(query, server));
+
+	return pace_expect_ms(query->pace, ahead + MAX(begun, 0)) -
+	       pace_expect_ms(query->pace, ahead);
+}
+
 /* What is not time but counts against a server. */
 static double
 penalty_ms(const pick_query_t *query, const server_t *server, bool is_home)
@@ -226,6 +250,8 @@
 		expected = is_engine ? engine_ms(query, server, ahead)
 				     : plain_ms(server);
 		cost = expected + penalty_ms(query, server, is_home);
+		if (is_engine)
+			cost += begun_ms(query, server, ahead);
 		if (cost >= best)
 			continue;
 		best = cost;
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -163,6 +163,27 @@
 }
 END_TEST
 
+/*
+ * Guards against short urgent questions that wait behind a long prompt, which
+ * its engine has begun to read, while other engines have none.
+ */
+START_TEST(urgent_requests_avoid_long_prompts)
+{
+	request_facts_t facts = prompt(7, 0, 1000);
+
+	for (int i = 0; i < SERVERS - 1; i++) {
+		server_t *server = pool_service(pool, "s")->pdata[i];
+
+		server->own.waiting_tokens = 50000;
+	}
+	for (int i = 0; i < SERVERS; i++) {
+		facts.parts[0].id = (uint64_t)i;
+		ck_assert_ptr_eq(pick(&facts, true, NULL).server,
+		    pool_service(pool, "s")->pdata[SERVERS - 1]);
+	}
+}
+END_TEST
+
 /* Guards against a server whose answers fail while its entry looks good. */
 START_TEST(a_failing_server_gets_little)
 {
@@ -287,6 +308,7 @@
 	tcase_add_test(
 	    cases, a_server_that_had_the_request_is_not_picked_again);
 	tcase_add_test(cases, urgent_requests_wait_for_urgent_prompts_only);
+	tcase_add_test(cases, urgent_requests_avoid_long_prompts);
 	tcase_add_test(cases, a_failing_server_gets_little);
 	tcase_add_test(cases, overload_leaves_many_requests_on_time);
 	tcase_add_test(cases, a_long_prompt_is_served_by_an_idle_engine);
