Complete a move to the version that serves already

Where the operators order the version that all servers have, the old side of the choice is empty, and seven in ten requests were refused; after "reverted" all were. Change: without an older server listed the share is 1 and the move is completed.

--- a/src/rollout.c
+++ b/src/rollout.c
@@ -162,7 +162,7 @@
 double
 rollout_share(const rollout_t *rollout, const rollout_view_t *view)
 {
-	if (rollout->stage == ROLLOUT_COMPLETED)
+	if (rollout->stage == ROLLOUT_COMPLETED || view->old_listed == 0)
 		return 1;
 	if (rollout->stopped || view->new_servers == 0)
 		return 0;
@@ -292,6 +292,8 @@
 		return rollout->stage;
 	if (rollout_judge(rollout))
 		return ROLLOUT_REVERTED;
+	if (view->old_listed == 0 && view->new_servers > 0)
+		return ROLLOUT_COMPLETED;
 	if (view->now_ms >= last_write_ms(rollout))
 		return end_stage(rollout);
 	switch (rollout->stage) {
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -31,7 +31,6 @@
 } rollout_stage_t;
 
 typedef struct rollout_order {
-	const char *service;
 	const char *target; /* the new version */
 	int64_t revision;   /* of the order in the store; names the move */
 	int64_t duration_ms;
@@ -47,6 +46,7 @@
 typedef struct rollout_view {
 	int64_t now_ms;
 	unsigned nodes;
+	unsigned old_listed;
 	unsigned old_servers;	/* usable */
 	unsigned new_servers;	/* usable */
 	unsigned old_in_flight; /* requests of all nodes at old servers */
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -189,6 +189,7 @@
 			view.new_servers += usable;
 			continue;
 		}
+		view.old_listed++;
 		view.old_servers += usable;
 		view.old_in_flight += server_in_flight(server);
 	}
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -122,6 +122,7 @@
 	    .move = new_move(),
 	    .random = g_rand_new_with_seed(seed),
 	    .view = {.nodes = 1,
+		.old_listed = SERVERS,
 		.old_servers = SERVERS,
 		.new_servers = SERVERS},
 	    .ended_ms = -1,
@@ -202,7 +203,8 @@
 START_TEST(nothing_completes_without_requests)
 {
 	rollout_t *move = new_move();
-	rollout_view_t view = {.nodes = 1, .old_servers = 3, .new_servers = 3};
+	rollout_view_t view = {
+	    .nodes = 1, .old_listed = 3, .old_servers = 3, .new_servers = 3};
 
 	for (int64_t passed_ms = 0; passed_ms < DURATION_MS;
 	     passed_ms += TICK_MS) {
@@ -233,6 +235,7 @@
 	rollout_t *one = new_move(), *other = new_move();
 	rollout_view_t view = {.now_ms = STARTED_MS,
 	    .nodes = 2,
+	    .old_listed = 3,
 	    .old_servers = 3,
 	    .new_servers = 3};
 	json_t *evidence = rollout_evidence(one);
@@ -248,12 +251,32 @@
 }
 END_TEST
 
+/*
+ * Guards against refusing every request where the operators order the version
+ * that serves already, so that there is no other one.
+ */
+START_TEST(a_version_without_an_older_one_is_complete)
+{
+	rollout_t *move = new_move();
+	rollout_view_t view = {
+	    .now_ms = STARTED_MS, .nodes = 1, .new_servers = 3};
+
+	ck_assert_double_eq(rollout_share(move, &view), 1);
+	ck_assert_int_eq(rollout_next(move, &view), ROLLOUT_COMPLETED);
+	/* The same after it was taken back, and the old servers have left. */
+	rollout_enter(move, ROLLOUT_REVERTED, STARTED_MS, STARTED_MS);
+	ck_assert_double_eq(rollout_share(move, &view), 1);
+	rollout_free(move);
+}
+END_TEST
+
 /* Guards against an outcome that changes after it was written. */
 START_TEST(a_final_stage_stays)
 {
 	rollout_t *move = new_move();
 	rollout_view_t view = {.now_ms = STARTED_MS,
 	    .nodes = 1,
+	    .old_listed = 3,
 	    .old_servers = 3,
 	    .new_servers = 3};
 
@@ -279,6 +302,7 @@
 	tcase_add_test(cases, nothing_completes_without_requests);
 	tcase_add_test(cases, old_requests_end_before_the_move_completes);
 	tcase_add_test(cases, a_stop_of_one_node_stops_the_others);
+	tcase_add_test(cases, a_version_without_an_older_one_is_complete);
 	tcase_add_test(cases, a_final_stage_stays);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
