--- a/src/sync.c
+++ b/src/sync.c
@@ -22,9 +22,9 @@
 
 static const char all_keys[] = "";
 
-/* Share of a proof's use after which a watch ends, for the next proof. */
+/* A watch ends, and gives a new proof, after this share of a proof's use. */
 static const double watch_share = 0.3;
-/* The same from which on another node's proof is too old to be passed on. */
+/* A proof of another node that is older than this share is not taken over. */
 static const double relay_share = 0.5;
 
 struct sync {
