Stop following a node that has lost the store

Cause: the store turned away 22 of 62 nodes while it served the others, and a configuration was written that fits no datagram. Ruled out: the server's entry, which the store had acknowledged.

Change: a follower watches by itself once its proof is 0.6 s older than a watch lasts. Test first: a proof of 1.8 s beside watches of 1.2 s was taken.

Fleets below 12 nodes have no followers; nothing changes there.

--- a/src/relay.c
+++ b/src/relay.c
@@ -16,6 +16,8 @@
 	/* Of changes in one answer, which is a datagram. */
 	ANSWER_MAX_BYTES = 8 * 1024,
 	KEY_MAX_BYTES = 200,
+	/* From the end of a watch to its proof at a follower, at most. */
+	RELAY_DELAY_MS = 600,
 };
 
 typedef struct change {
@@ -39,6 +41,12 @@
 	g_free(change);
 }
 
+bool
+relay_is_current(int64_t proof_age_ms, int64_t watch_ms)
+{
+	return proof_age_ms < watch_ms + RELAY_DELAY_MS;
+}
+
 relay_log_t *
 relay_log_new(void)
 {
--- a/src/relay.h
+++ b/src/relay.h
@@ -16,6 +16,13 @@
  * nothing too new. No I/O.
  */
 
+/*
+ * True where a follower's proof is as new as those of a node that watches the
+ * store, whose watches end after watch_ms. Where it is not, the node that is
+ * asked may have lost the store.
+ */
+bool relay_is_current(int64_t proof_age_ms, int64_t watch_ms);
+
 /* The newest changes that a node knows. */
 typedef struct relay_log relay_log_t;
 
--- a/src/sync.c
+++ b/src/sync.c
@@ -13,8 +13,6 @@
 	REFRESH_PAUSE_MS = 300,
 	/* Between two questions of a follower. */
 	ASK_MS = 300,
-	/* A follower without a useful answer for so long watches by itself. */
-	UNHEARD_MS = 900,
 	CHECK_MS = 100,
 	/* After the store was away, its entries may still come back. */
 	SETTLE_MS = 2500,
@@ -24,8 +22,6 @@
 
 /* A watch ends, and gives a new proof, after this share of a proof's use. */
 static const double watch_share = 0.3;
-/* A proof of another node that is older than this share is not taken over. */
-static const double relay_share = 0.5;
 
 struct sync {
 	sync_options_t options;
@@ -48,7 +44,7 @@
 	relay_log_t *log; /* for nodes that follow this one */
 	bool follow;
 	int64_t asked_ms; /* last question */
-	int64_t heard_ms; /* last useful answer of another node */
+	bool gap;	  /* the last answer lacked changes */
 };
 
 static void step(sync_t *sync);
@@ -192,12 +188,20 @@
 	step(sync);
 }
 
+static int64_t
+watch_ms(const sync_t *sync)
+{
+	return MIN(WATCH_MAX_MS,
+	    (int64_t)(watch_share * (double)sync->options.use_ms));
+}
+
 /* True where another node keeps the copy current. */
 static bool
 is_heard(const sync_t *sync)
 {
-	return sync->follow && sync->has_list && !sync->refresh &&
-	       clock_boot_ms() - sync->heard_ms < UNHEARD_MS;
+	return sync->follow && sync->has_list && !sync->refresh && !sync->gap &&
+	       relay_is_current(
+		   clock_boot_ms() - sync->confirmed_ms, watch_ms(sync));
 }
 
 static void
@@ -236,6 +240,7 @@
 	take_items(sync, result->items, result->count);
 	sync->revision = MAX(sync->revision, result->revision);
 	sync->confirmed_ms = MAX(sync->confirmed_ms, sync->sent_ms);
+	sync->gap = false;
 	sync->options.on_confirmed(sync->options.data);
 	if (is_heard(sync))
 		wait_for_answers(sync);
@@ -243,13 +248,6 @@
 		step(sync);
 }
 
-static int64_t
-watch_ms(const sync_t *sync)
-{
-	return MIN(WATCH_MAX_MS,
-	    (int64_t)(watch_share * (double)sync->options.use_ms));
-}
-
 /* Makes the next call. */
 static void
 step(sync_t *sync)
@@ -343,24 +341,24 @@
 sync_take_answer(sync_t *sync, const relay_answer_t *answer)
 {
 	int64_t now_ms = clock_boot_ms();
+	int64_t proved_ms;
 
 	if (!sync->follow || !sync->has_list || sync->listed != NULL)
 		return;
 	if (answer->gap) {
 		/* One watch of its own brings all at once. */
-		sync->heard_ms = 0;
+		sync->gap = true;
 		return;
 	}
 	if (answer->unsettled)
 		sync->regained_ms = now_ms;
 	take_items(sync, answer->items, answer->count);
 	sync->revision = MAX(sync->revision, answer->revision);
+	proved_ms = answer->sent_ms - answer->age_ms;
 	if (answer->age_ms < 0 ||
-	    (double)answer->age_ms > relay_share * (double)sync->options.use_ms)
+	    !relay_is_current(now_ms - proved_ms, watch_ms(sync)))
 		return;
-	sync->heard_ms = now_ms;
-	sync->confirmed_ms =
-	    MAX(sync->confirmed_ms, answer->sent_ms - answer->age_ms);
+	sync->confirmed_ms = MAX(sync->confirmed_ms, proved_ms);
 	note_answer(sync);
 	sync->options.on_confirmed(sync->options.data);
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -142,6 +142,19 @@
 }
 END_TEST
 
+/*
+ * Guards against following a node that has lost the store until a server that
+ * leaves has to be left, two seconds after it said so.
+ */
+START_TEST(a_relay_that_lost_the_store_is_not_followed)
+{
+	enum { WATCH_MS = 1200, DRAIN_MS = 2000 };
+
+	ck_assert(relay_is_current(WATCH_MS + 400, WATCH_MS));
+	ck_assert(!relay_is_current(DRAIN_MS - 200, WATCH_MS));
+}
+END_TEST
+
 /* Guards against a crash on datagrams that are cut or altered. */
 START_TEST(altered_bytes_are_read_or_refused)
 {
@@ -181,6 +194,7 @@
 	tcase_add_test(cases, forgotten_changes_are_a_gap);
 	tcase_add_test(cases, a_change_that_is_too_large_is_a_gap);
 	tcase_add_test(cases, a_removal_stays_one);
+	tcase_add_test(cases, a_relay_that_lost_the_store_is_not_followed);
 	tcase_add_test(cases, altered_bytes_are_read_or_refused);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
