--- a/src/sync.c
+++ b/src/sync.c
@@ -12,7 +12,7 @@
 	AWAY_MS = 300,
 	REFRESH_PAUSE_MS = 300,
 	/* Between two questions of a follower. */
-	ASK_MS = 300,
+	ASK_MS = 200,
 	CHECK_MS = 100,
 	/* After the store was away, its entries may still come back. */
 	SETTLE_MS = 2500,
