Check the structure of a datagram before it is decoded

The messages over TCP have been checked for that since long; datagrams were not, digests neither. Change: both use message_scan, which now knows the float that digests have; a removal is a false instead of a nil.

test_cluster kept only the last of its clusters, which live until the process ends, and LeakSanitizer reported the others; each test has one of its own now.

--- a/src/digest.c
+++ b/src/digest.c
@@ -1,6 +1,7 @@
 #include "digest.h"
 
 #include "codec.h"
+#include "message_scan.h"
 
 #include <string.h>
 
@@ -309,7 +310,8 @@
 	size_t offset = 0;
 
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
+	if (message_scan(bytes, length) &&
+	    msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
 		MSGPACK_UNPACK_SUCCESS &&
 	    unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
 	    unpacked.data.via.array.size == FIELDS) {
--- a/src/message_scan.c
+++ b/src/message_scan.c
@@ -83,13 +83,14 @@
 	case 0xce:
 	case 0xd2:
 		return scan_skip(scan, 4);
+	case 0xcb: /* float 64 */
 	case 0xcf:
 	case 0xd3:
 		return scan_skip(scan, 8);
 	case 0xdc: /* array 16 */
 		scan->array = true;
 		return scan_number(scan, 2, &scan->items);
-	default: /* nil, float, map, ext and array 32 are not used */
+	default: /* nil, float 32, map, ext and array 32 are not used */
 		return false;
 	}
 }
--- a/src/relay.c
+++ b/src/relay.c
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include "codec.h"
+#include "message_scan.h"
 
 #include <string.h>
 
@@ -158,7 +159,7 @@
 		codec_pack_text(packer, change->key);
 		msgpack_pack_int64(packer, change->revision);
 		if (change->value == NULL) {
-			msgpack_pack_nil(packer);
+			msgpack_pack_false(packer);
 			continue;
 		}
 		msgpack_pack_bin(packer, change->length);
@@ -198,12 +199,12 @@
 	char *key;
 
 	if (!codec_read_int(&member[1], &item->revision) ||
-	    (value->type != MSGPACK_OBJECT_NIL &&
+	    (value->type != MSGPACK_OBJECT_BOOLEAN &&
 		value->type != MSGPACK_OBJECT_BIN) ||
 	    !codec_read_text(&member[0], 1, KEY_MAX_BYTES, &key))
 		return false;
 	item->key = key;
-	item->removed = value->type == MSGPACK_OBJECT_NIL;
+	item->removed = value->type == MSGPACK_OBJECT_BOOLEAN;
 	if (!item->removed) {
 		item->length = value->via.bin.size;
 		item->value = g_strndup(value->via.bin.ptr, item->length);
@@ -278,8 +279,9 @@
 
 	*message = (relay_message_t){0};
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
-	    MSGPACK_UNPACK_SUCCESS)
+	if (message_scan(bytes, length) &&
+	    msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
+		MSGPACK_UNPACK_SUCCESS)
 		message->kind = read_message(&unpacked.data, message);
 	msgpack_unpacked_destroy(&unpacked);
 }
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -13,6 +13,7 @@
 /* One node's view of the others, with datagrams over the loopback interface. */
 
 enum {
+	TESTS = 3,
 	NODES = 7,
 	RATE = 10000,
 	BURST = 10000,
@@ -22,10 +23,14 @@
 	MINUTE_MS = 60000,
 };
 
-static uv_loop_t loop;
-static front_config_t config;
-static quota_t *quota;
-static cluster_t *cluster;
+/* A cluster lives until the process ends, so each test has one of its own. */
+static struct node {
+	uv_loop_t loop;
+	front_config_t config;
+	quota_t *quota;
+	cluster_t *cluster;
+} tested[TESTS], *node = tested;
+
 static int peer; /* socket of another node */
 
 static int
@@ -54,7 +59,7 @@
 	workspace->rate_per_s = RATE;
 	workspace->burst = BURST;
 	catalog_add_workspace(catalog, workspace);
-	quota_configure(quota, catalog, clock_boot_ms());
+	quota_configure(node->quota, catalog, clock_boot_ms());
 	catalog_unref(catalog);
 }
 
@@ -64,22 +69,22 @@
 	int port, fd = bound_socket(&port);
 
 	close(fd);
-	uv_loop_init(&loop);
-	config = (front_config_t){.name = "n0",
+	uv_loop_init(&node->loop);
+	node->config = (front_config_t){.name = "n0",
 	    .ip = "127.0.0.1",
 	    .client_address = "127.0.0.1:1",
 	    .peer_port = port};
-	quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS});
-	cluster = cluster_start(&loop,
-	    &(cluster_options_t){.config = &config,
-		.pool = pool_new(&loop, WINDOW_MS),
-		.quota = quota,
+	node->quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS});
+	node->cluster = cluster_start(&node->loop,
+	    &(cluster_options_t){.config = &node->config,
+		.pool = pool_new(&node->loop, WINDOW_MS),
+		.quota = node->quota,
 		.usage = usage_new(WINDOW_MS),
-		.rollouts =
-		    rollouts_new(&(rollouts_options_t){.config = &config})},
+		.rollouts = rollouts_new(
+		    &(rollouts_options_t){.config = &node->config})},
 	    NULL);
-	ck_assert_ptr_nonnull(cluster);
-	uv_run(&loop, UV_RUN_NOWAIT);
+	ck_assert_ptr_nonnull(node->cluster);
+	uv_run(&node->loop, UV_RUN_NOWAIT);
 	limit_workspace();
 	peer = bound_socket(&port);
 }
@@ -88,6 +93,7 @@
 teardown(void)
 {
 	close(peer);
+	node++;
 }
 
 static double
@@ -95,7 +101,8 @@
 {
 	double spent = 0;
 
-	while (quota_take(quota, "depot", 1, false, clock_boot_ms()).allowed)
+	while (
+	    quota_take(node->quota, "depot", 1, false, clock_boot_ms()).allowed)
 		spent++;
 	return spent;
 }
@@ -109,10 +116,10 @@
 	for (int i = 1; i < NODES; i++) {
 		char *name = g_strdup_printf("n%d", i);
 
-		cluster_put(cluster, name, "127.0.0.1:9");
+		cluster_put(node->cluster, name, "127.0.0.1:9");
 		g_free(name);
 	}
-	cluster_refresh(cluster);
+	cluster_refresh(node->cluster);
 	spend_all();
 	g_usleep(WAIT_MS * US_PER_MS);
 	/* Twice its part leaves room for a slow machine. */
@@ -126,7 +133,7 @@
 send_digest(double spent, double level, int64_t started_ms)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_port = htons((uint16_t)config.peer_port)};
+	    .sin_port = htons((uint16_t)node->config.peer_port)};
 	digest_spending_t spending = {
 	    .workspace = g_strdup("depot"), .spent = spent, .level = level};
 	digest_t *digest = digest_new();
@@ -143,7 +150,7 @@
 			     (struct sockaddr *)&address, sizeof(address)),
 	    (int)bytes->len);
 	g_usleep(WAIT_MS * US_PER_MS);
-	uv_run(&loop, UV_RUN_NOWAIT);
+	uv_run(&node->loop, UV_RUN_NOWAIT);
 	g_byte_array_unref(bytes);
 	digest_free(digest);
 }
@@ -159,7 +166,7 @@
 {
 	double found = 0;
 
-	quota_each(quota, clock_boot_ms(), note_level, &found);
+	quota_each(node->quota, clock_boot_ms(), note_level, &found);
 	return found;
 }
 
