--- a/tests/test_operations.c
+++ b/tests/test_operations.c
@@ -15,7 +15,10 @@
 {
 	char *wanted = g_strdup_printf("request.ended id=%s ", attempt_id);
 	char *text = wire_read_until(front_node->output, wanted);
-	char *rest = wire_read_until(front_node->output, "\n");
+	/* What was read may hold the end of the line already. */
+	char *rest = strchr(strstr(text, wanted), '\n') != NULL
+			 ? g_strdup("")
+			 : wire_read_until(front_node->output, "\n");
 	char *whole = g_strconcat(text, rest, NULL);
 	char **lines = g_strsplit(whole, "\n", -1);
 	char *mark = g_strdup_printf("id=%s ", attempt_id);
@@ -62,8 +65,7 @@
 	int client;
 	char *lines;
 
-	/* One request is all for ten seconds, however slow the machine is. */
-	front_configure_rate(2, 0.1);
+	front_configure_rate(2, 1);
 	g_usleep(300000);
 	client = front_send("/read/a", "id-1");
 	close(wire_accept(front_server_1));
