Decode a digest once; say in one place when the store is unsettled

Every digest was scanned and unpacked twice, the first time only to see that it is no follower's question: relay_decode now looks at its first two bytes. sync and front_keys each had the rule that entries may come back just after the store was away, with the same 2.5 s: sync_is_unsettled is that rule. digest and relay each read lists of several fields an entry: codec_read_list does. Behaviour is unchanged; the unit tests and test_followers passed.

--- a/src/codec.c
+++ b/src/codec.c
@@ -50,3 +50,15 @@
 	*out = (int64_t)object->via.u64;
 	return true;
 }
+
+bool
+codec_read_list(const msgpack_object *object, uint32_t step,
+    const msgpack_object **members, uint32_t *count)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size % step != 0)
+		return false;
+	*members = object->via.array.ptr;
+	*count = object->via.array.size / step;
+	return true;
+}
--- a/src/codec.h
+++ b/src/codec.h
@@ -21,6 +21,10 @@
 bool codec_read_text(
     const msgpack_object *object, size_t min, size_t max, char **out);
 
+/* Members of an array whose length is a multiple of the step. */
+bool codec_read_list(const msgpack_object *object, uint32_t step,
+    const msgpack_object **members, uint32_t *count);
+
 bool codec_read_int(const msgpack_object *object, int64_t *out);
 
 #endif
--- a/src/digest.c
+++ b/src/digest.c
@@ -160,26 +160,13 @@
 	return true;
 }
 
-/* Members of an array whose length is a multiple of the step. */
-static bool
-read_list(const msgpack_object *object, uint32_t step,
-    const msgpack_object **members, uint32_t *count)
-{
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size % step != 0)
-		return false;
-	*members = object->via.array.ptr;
-	*count = object->via.array.size / step;
-	return true;
-}
-
 static bool
 read_spending(const msgpack_object *object, GArray *list)
 {
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, SPENDING_FIELDS, &member, &count))
+	if (!codec_read_list(object, SPENDING_FIELDS, &member, &count))
 		return false;
 	for (; count > 0; count--, member += SPENDING_FIELDS) {
 		digest_spending_t item = {0};
@@ -203,7 +190,7 @@
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, LOAD_FIELDS, &member, &count))
+	if (!codec_read_list(object, LOAD_FIELDS, &member, &count))
 		return false;
 	for (; count > 0; count--, member += LOAD_FIELDS) {
 		digest_load_t item = {0};
@@ -230,7 +217,7 @@
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, USAGE_FIELDS, &member, &count))
+	if (!codec_read_list(object, USAGE_FIELDS, &member, &count))
 		return false;
 	for (; count > 0; count--, member += USAGE_FIELDS) {
 		digest_usage_t item = {0};
@@ -267,7 +254,7 @@
 	const msgpack_object *member;
 	uint32_t count;
 
-	if (!read_list(object, MOVE_FIELDS, &member, &count))
+	if (!codec_read_list(object, MOVE_FIELDS, &member, &count))
 		return false;
 	for (; count > 0; count--, member += MOVE_FIELDS) {
 		digest_move_t item = {0};
--- a/src/front_keys.c
+++ b/src/front_keys.c
@@ -9,7 +9,6 @@
 enum {
 	/* How long an entry may be missing after the store was away. */
 	LAPSE_MS = 1800,
-	LAPSE_WINDOW_MS = 2500,
 };
 
 static void
@@ -173,24 +172,12 @@
 	}
 }
 
-/* Entries that were removed while the store was away may come back. */
-static int64_t
-lapse_ms(const front_t *front, int64_t now_ms)
-{
-	int64_t regained_ms = sync_regained_ms(front->sync);
-
-	if (sync_is_away(front->sync))
-		return LAPSE_MS;
-	return regained_ms != 0 && now_ms - regained_ms < LAPSE_WINDOW_MS
-		   ? LAPSE_MS
-		   : 0;
-}
-
 static void
 remove_server(front_t *front, const char *id)
 {
 	int64_t now_ms = clock_boot_ms();
-	int64_t lapse = lapse_ms(front, now_ms);
+	/* An entry that was removed while the store was away may come back. */
+	int64_t lapse = sync_is_unsettled(front->sync) ? LAPSE_MS : 0;
 
 	log_event(LOG_LEVEL_INFO, "server.removed",
 	    "id=%s kept_ms=%" G_GINT64_FORMAT, id, lapse);
--- a/src/relay.c
+++ b/src/relay.c
@@ -215,17 +215,14 @@
 static bool
 read_items(const msgpack_object *object, relay_answer_t *answer)
 {
-	size_t count;
+	const msgpack_object *member;
+	uint32_t count;
 
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size % ITEM_FIELDS != 0)
+	if (!codec_read_list(object, ITEM_FIELDS, &member, &count))
 		return false;
-	count = object->via.array.size / ITEM_FIELDS;
-	answer->items = g_new0(platform_item_t, count + 1);
-	for (; answer->count < count; answer->count++)
-		if (!read_item(
-			&object->via.array.ptr[answer->count * ITEM_FIELDS],
-			&answer->items[answer->count]))
+	answer->items = g_new0(platform_item_t, (gsize)count + 1);
+	for (; count > 0; count--, member += ITEM_FIELDS, answer->count++)
+		if (!read_item(member, &answer->items[answer->count]))
 			return false;
 	return true;
 }
@@ -271,6 +268,17 @@
 		   : RELAY_MALFORMED;
 }
 
+/* Both messages are short arrays that begin with their type. */
+static bool
+is_relayed(const char *bytes, size_t length)
+{
+	static const uint8_t short_array = 0x90;
+	const uint8_t *header = (const uint8_t *)bytes;
+
+	return length >= 2 && (header[0] & 0xf0) == short_array &&
+	       (header[1] == QUESTION_TYPE || header[1] == ANSWER_TYPE);
+}
+
 void
 relay_decode(const char *bytes, size_t length, relay_message_t *message)
 {
@@ -278,6 +286,8 @@
 	size_t offset = 0;
 
 	*message = (relay_message_t){0};
+	if (!is_relayed(bytes, length))
+		return;
 	msgpack_unpacked_init(&unpacked);
 	if (message_scan(bytes, length) &&
 	    msgpack_unpack_next(&unpacked, bytes, length, &offset) ==
--- a/src/sync.c
+++ b/src/sync.c
@@ -299,16 +299,12 @@
 	return sync->confirmed_ms;
 }
 
-int64_t
-sync_regained_ms(const sync_t *sync)
-{
-	return sync->regained_ms;
-}
-
 bool
-sync_is_away(const sync_t *sync)
+sync_is_unsettled(const sync_t *sync)
 {
-	return sync->away;
+	return sync->away ||
+	       (sync->regained_ms != 0 &&
+		   clock_boot_ms() - sync->regained_ms < SETTLE_MS);
 }
 
 void
@@ -372,9 +368,7 @@
 	    .revision = sync->revision,
 	    .age_ms =
 		sync->confirmed_ms == 0 ? -1 : now_ms - sync->confirmed_ms,
-	    .unsettled =
-		sync->away || (sync->regained_ms != 0 &&
-				  now_ms - sync->regained_ms < SETTLE_MS),
+	    .unsettled = sync_is_unsettled(sync),
 	};
 
 	relay_encode_answer(sync->log, question, &state, out);
--- a/src/sync.h
+++ b/src/sync.h
@@ -35,9 +35,8 @@
 /* clock_boot_ms() at which the copy is known to have been current; 0: never. */
 int64_t sync_confirmed_ms(const sync_t *sync);
 
-/* clock_boot_ms() at which the store answered again after it was away. */
-int64_t sync_regained_ms(const sync_t *sync);
-bool sync_is_away(const sync_t *sync);
+/* True while the store is away, and just after: its entries may come back. */
+bool sync_is_unsettled(const sync_t *sync);
 
 /* Whether the changes are to come from other nodes. */
 void sync_follow(sync_t *sync, bool follow);
