Filter servers by version in one place; leave out work after a move has ended

The choice of a version and the move of a stream each had the same loop over a service's servers: pool_of_version serves both. What an attempt is in a move stood in two structs with the same fields: rollouts_trial_t is one. After a move had completed every request still counted the servers, made two lists and added evidence; without an older server listed the service's own list is used, and evidence ends with the move, as the header says. Which server a request gets is unchanged.

--- a/src/flow_attempt.c
+++ b/src/flow_attempt.c
@@ -151,9 +151,7 @@
 	    flow->service_name, first, g_random_double());
 	pick_choice_t choice = pick_among(flow, route.servers);
 
-	flow->trial = (flow_trial_t){.revision = route.revision,
-	    .to_new = route.to_new,
-	    .share = route.share};
+	flow->trial = route.trial;
 	if (choice.server == NULL && route.others != NULL) {
 		choice = pick_among(flow, route.others);
 		/* Not chosen at random: it counts, and proves nothing. */
@@ -167,19 +165,11 @@
 pick_choice_t
 flow_pick_target(flow_t *flow)
 {
-	const GPtrArray *servers =
-	    pool_service(flow->context->pool, flow->service_name);
-	const char *version = flow->server->info->version;
-	GPtrArray *same = g_ptr_array_new();
-	pick_choice_t choice;
+	GPtrArray *same = pool_of_version(
+	    pool_service(flow->context->pool, flow->service_name),
+	    flow->server->info->version, true);
+	pick_choice_t choice = pick_among(flow, same);
 
-	for (guint i = 0; servers != NULL && i < servers->len; i++) {
-		server_t *server = servers->pdata[i];
-
-		if (strcmp(server->info->version, version) == 0)
-			g_ptr_array_add(same, server);
-	}
-	choice = pick_among(flow, same);
 	g_ptr_array_unref(same);
 	return choice;
 }
--- a/src/flow_state.h
+++ b/src/flow_state.h
@@ -37,13 +37,6 @@
 	bool stopped; /* the source has closed the stream */
 } flow_move_t;
 
-/* The part of an attempt in the version move of its service. */
-typedef struct flow_trial {
-	int64_t revision; /* of the move; 0: none, or no evidence */
-	bool to_new;
-	double share; /* probability with which the version was chosen */
-} flow_trial_t;
-
 typedef struct flow {
 	TAILQ_ENTRY(flow) entries; /* of the context */
 	unsigned refs;
@@ -65,7 +58,7 @@
 	server_t *server; /* NULL: none */
 	upstream_call_t *call;
 	int64_t attempt_ms;
-	flow_trial_t trial;
+	rollouts_trial_t trial;
 	double new_tokens;
 	double ahead_tokens;
 	double expected_ms;
--- a/src/pool.c
+++ b/src/pool.c
@@ -211,6 +211,20 @@
 	return g_hash_table_lookup(pool->by_service, service);
 }
 
+GPtrArray *
+pool_of_version(const GPtrArray *servers, const char *version, bool has)
+{
+	GPtrArray *found = g_ptr_array_new();
+
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		server_t *server = servers->pdata[i];
+
+		if ((strcmp(server->info->version, version) == 0) == has)
+			g_ptr_array_add(found, server);
+	}
+	return found;
+}
+
 server_t *
 pool_find(const pool_t *pool, uint32_t tag)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -65,6 +65,13 @@
 /* Servers of a service (server_t *), borrowed; empty array or NULL. */
 const GPtrArray *pool_service(const pool_t *pool, const char *service);
 
+/*
+ * Those of the servers (server_t *) that have a version, or that do not:
+ * borrowed, in an array of the caller's.
+ */
+GPtrArray *pool_of_version(
+    const GPtrArray *servers, const char *version, bool has);
+
 /* A server by the tag of its id; NULL if unknown. */
 server_t *pool_find(const pool_t *pool, uint32_t tag);
 
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -315,18 +315,11 @@
 	}
 }
 
-static GPtrArray *
-filter(const GPtrArray *servers, const rollout_t *move, bool want_new)
+static bool
+is_running(const entry_t *entry)
 {
-	GPtrArray *found = g_ptr_array_new();
-
-	for (guint i = 0; i < servers->len; i++) {
-		server_t *server = servers->pdata[i];
-
-		if (is_new(move, server->info) == want_new)
-			g_ptr_array_add(found, server);
-	}
-	return found;
+	return entry->move != NULL &&
+	       state_of(rollout_stage(entry->move)) == PLATFORM_ROLLOUT_RUNNING;
 }
 
 rollouts_route_t
@@ -341,13 +334,18 @@
 	if (entry == NULL || entry->move == NULL || route.servers == NULL)
 		return route;
 	view = look_at(rollouts, entry);
-	route.share = rollout_share(entry->move, &view);
-	route.to_new = route.share >= 1 || (first && random < route.share);
-	if (first)
-		route.revision = rollout_revision(entry->move);
-	route.owned[0] = filter(route.servers, entry->move, route.to_new);
-	if (route.to_new)
-		route.owned[1] = filter(route.servers, entry->move, false);
+	route.trial.share = rollout_share(entry->move, &view);
+	route.trial.to_new =
+	    route.trial.share >= 1 || (first && random < route.trial.share);
+	if (first && is_running(entry))
+		route.trial.revision = rollout_revision(entry->move);
+	if (view.old_listed == 0)
+		return route; /* all are of the new version */
+	route.owned[0] = pool_of_version(
+	    route.servers, rollout_target(entry->move), route.trial.to_new);
+	if (route.trial.to_new)
+		route.owned[1] = pool_of_version(
+		    route.servers, rollout_target(entry->move), false);
 	route.servers = route.owned[0];
 	route.others = route.owned[1];
 	return route;
@@ -393,13 +391,6 @@
 	       (rollout_stage(entry->move) == ROLLOUT_COMPLETED);
 }
 
-static bool
-is_running(const entry_t *entry)
-{
-	return entry->move != NULL &&
-	       state_of(rollout_stage(entry->move)) == PLATFORM_ROLLOUT_RUNNING;
-}
-
 void
 rollouts_fill(const rollouts_t *rollouts, digest_t *digest)
 {
--- a/src/rollouts.h
+++ b/src/rollouts.h
@@ -44,6 +44,13 @@
 void rollouts_tick(
     rollouts_t *rollouts, platform_store_t *store, const lease_t *lease);
 
+/* The part of an attempt in the version move of its service. */
+typedef struct rollouts_trial {
+	int64_t revision; /* of the move; 0: none runs, or no evidence */
+	bool to_new;
+	double share; /* probability with which to_new was chosen; 0: none */
+} rollouts_trial_t;
+
 /* The servers that one request may go to. */
 typedef struct rollouts_route {
 	const GPtrArray *servers; /* server_t *; or NULL */
@@ -51,9 +58,7 @@
 	 * request: the others. NULL: none. */
 	const GPtrArray *others;
 	GPtrArray *owned[2]; /* to be released; may be NULL */
-	int64_t revision;    /* of the move; 0: none runs */
-	bool to_new;
-	double share; /* probability with which to_new was chosen */
+	rollouts_trial_t trial;
 } rollouts_route_t;
 
 /*
