--- a/src/cluster.c
+++ b/src/cluster.c
@@ -9,16 +9,7 @@
 #include <string.h>
 
 enum {
-	/* Interval between the digests of a node in a small fleet. */
-	DIGEST_INTERVAL_MIN_MS = 200,
-	/* Interval for each node of the fleet, where that is longer: limits
-	 * the datagrams of a large fleet. */
-	DIGEST_INTERVAL_PER_NODE_MS = 15,
-	/* Upper bound of the time from building a digest to applying it. */
-	DIGEST_DELIVERY_MAX_MS = 50,
-	/* A peer is unreachable after this many intervals without a digest, as
-	 * some datagrams may be lost. */
-	PEER_TIMEOUT_INTERVALS = 5,
+	MAINTENANCE_INTERVAL_MS = 150,
 	/* Server loads in older digests are ignored. */
 	LOAD_MAX_AGE_MS = 2000,
 	/* Uptime in which a node copies bucket levels from older peers. Later
@@ -52,28 +43,6 @@
 	return peer;
 }
 
-static int64_t
-digest_interval_ms(const cluster_t *cluster)
-{
-	return MAX(DIGEST_INTERVAL_MIN_MS,
-	    DIGEST_INTERVAL_PER_NODE_MS * (int64_t)cluster_node_count(cluster));
-}
-
-bool
-cluster_is_peer_alive(
-    const cluster_t *cluster, const cluster_peer_t *peer, int64_t now_ms)
-{
-	return peer->last_digest_ms != 0 &&
-	       now_ms - peer->last_digest_ms <
-		   PEER_TIMEOUT_INTERVALS * digest_interval_ms(cluster);
-}
-
-unsigned
-cluster_node_count(const cluster_t *cluster)
-{
-	return cluster->registered_peers + 1;
-}
-
 /*
  * True where this node has just started and the peer has run for longer. The
  * peer's spending since its start then includes units of earlier windows, so
@@ -159,12 +128,15 @@
 {
 	cluster_peer_t *peer = find_or_add_peer(cluster, digest->node);
 	const digest_t *previous = peer->digest;
+	bool is_new_process;
 
 	if (previous != NULL && is_stale(cluster, peer, digest, now_ms)) {
 		digest_free(digest);
 		return;
 	}
-	if (previous != NULL && digest->incarnation != previous->incarnation)
+	is_new_process =
+	    previous == NULL || digest->incarnation != previous->incarnation;
+	if (is_new_process)
 		g_hash_table_remove_all(peer->applied_units);
 	peer->last_digest_ms = now_ms;
 	peer->clock_offset_ms =
@@ -174,7 +146,10 @@
 	rollouts_merge_digest(cluster->options.rollouts, digest);
 	digest_free(peer->digest);
 	peer->digest = digest;
-	if (digest->configuration_version > cluster->configuration_version)
+	if (is_new_process && peer->registered)
+		cluster_send_digest_to(cluster, peer);
+	if (digest->configuration_version >
+	    cluster->local.configuration_version)
 		cluster->options.on_newer_configuration(cluster->options.data);
 }
 
@@ -222,78 +197,6 @@
 		apply_digest(cluster, digest, clock_boot_ms());
 }
 
-static void
-add_spending(const quota_state_t *state, void *data)
-{
-	digest_t *digest = data;
-	digest_spending_t item = {.workspace = g_strdup(state->workspace),
-	    .spent_units = state->spent,
-	    .bucket_level = state->level};
-
-	g_array_append_val(digest->spending, item);
-}
-
-static void
-add_load(server_t *server, void *data)
-{
-	digest_t *digest = data;
-	digest_load_t item = {
-	    .server_tag = server->tag, .load = server->local_load};
-
-	if (server->local_load.in_flight > 0)
-		g_array_append_val(digest->loads, item);
-}
-
-static void
-add_usage(int64_t window, const char *workspace, double count, void *data)
-{
-	digest_t *digest = data;
-	digest_usage_t item = {
-	    .window = window, .workspace = g_strdup(workspace), .count = count};
-
-	g_array_append_val(digest->usage, item);
-}
-
-static digest_t *
-build_digest(cluster_t *cluster, int64_t now_ms)
-{
-	const gateway_config_t *config = cluster->options.config;
-	digest_t *digest = digest_new();
-
-	digest->node = g_strdup(config->name);
-	digest->incarnation = cluster->incarnation;
-	digest->sequence = ++cluster->sequence;
-	digest->client_address = g_strdup(config->client_address);
-	digest->ready = cluster->ready;
-	digest->wall_ms = slewed_clock_now(&cluster->wall_clock, now_ms);
-	digest->configuration_version = cluster->configuration_version;
-	quota_each(cluster->options.quota, now_ms, add_spending, digest);
-	pool_each(cluster->options.pool, add_load, digest);
-	usage_each(cluster->options.usage, add_usage, digest);
-	rollouts_add_to_digest(cluster->options.rollouts, digest);
-	return digest;
-}
-
-void
-cluster_send_digest(cluster_t *cluster)
-{
-	GByteArray *datagram = g_byte_array_new();
-	digest_t *digest = build_digest(cluster, clock_boot_ms());
-	GHashTableIter iter;
-	gpointer value;
-
-	digest_encode(digest, datagram);
-	digest_free(digest);
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const cluster_peer_t *peer = value;
-
-		if (peer->registered)
-			cluster_send_datagram(cluster, peer, datagram);
-	}
-	g_byte_array_unref(datagram);
-}
-
 static void
 reset_peer_load(server_t *server, void *data)
 {
@@ -337,7 +240,6 @@
 update_liveness(cluster_t *cluster, int64_t now_ms)
 {
 	int64_t elapsed_ms = now_ms - cluster->liveness_checked_ms;
-	unsigned unreachable = 0;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -346,15 +248,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		cluster_peer_t *peer = value;
 
-		if (!peer->registered ||
-		    cluster_is_peer_alive(cluster, peer, now_ms))
-			continue;
-		peer->share_reserved_ms += elapsed_ms;
-		unreachable++;
+		if (peer->registered &&
+		    !cluster_is_peer_alive(cluster, peer, now_ms))
+			peer->share_reserved_ms += elapsed_ms;
 	}
-	quota_set_nodes(cluster->options.quota, cluster_node_count(cluster),
-	    unreachable,
-	    digest_interval_ms(cluster) / 2 + DIGEST_DELIVERY_MAX_MS, now_ms);
+	cluster_update_quota_nodes(cluster, now_ms);
 }
 
 static int
@@ -395,13 +293,21 @@
 	cluster_t *cluster = timer->data;
 	int64_t now_ms = clock_boot_ms();
 
-	slewed_clock_update(&cluster->wall_clock, clock_wall_ms(), now_ms);
-	update_clock_offset(cluster, now_ms);
-	update_liveness(cluster, now_ms);
-	sum_peer_loads(cluster, now_ms);
-	cluster_send_digest(cluster);
-	uv_timer_start(
-	    timer, on_digest_timer, (uint64_t)digest_interval_ms(cluster), 0);
+	if (now_ms - cluster->maintained_ms >= MAINTENANCE_INTERVAL_MS) {
+		cluster->maintained_ms = now_ms;
+		slewed_clock_update(
+		    &cluster->wall_clock, clock_wall_ms(), now_ms);
+		update_clock_offset(cluster, now_ms);
+		cluster_update_active(cluster, now_ms);
+		update_liveness(cluster, now_ms);
+		sum_peer_loads(cluster, now_ms);
+	}
+	if (cluster_is_isolated(cluster))
+		cluster_broadcast_digest(cluster);
+	else
+		cluster_send_due_digests(cluster);
+	uv_timer_start(timer, on_digest_timer,
+	    (uint64_t)cluster_digest_tick_ms(cluster), 0);
 }
 
 cluster_t *
@@ -414,6 +320,8 @@
 	cluster->options = *options;
 	cluster->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	cluster->active_peers = g_ptr_array_new();
+	cluster->relayed_addresses = g_ptr_array_new_with_free_func(g_free);
 	cluster->started_ms = clock_boot_ms();
 	cluster->liveness_checked_ms = cluster->started_ms;
 	cluster->incarnation = clock_wall_ms();
@@ -444,8 +352,10 @@
 void
 cluster_apply_registrations(cluster_t *cluster)
 {
-	update_liveness(cluster, clock_boot_ms());
-	cluster_send_digest(cluster);
+	int64_t now_ms = clock_boot_ms();
+
+	cluster_update_active(cluster, now_ms);
+	update_liveness(cluster, now_ms);
 }
 
 void
@@ -465,6 +375,9 @@
 		return;
 	peer->registered = true;
 	cluster->registered_peers++;
+	/* Its first digest has arrived before its address was known. */
+	if (peer->digest != NULL)
+		cluster_send_digest_to(cluster, peer);
 	log_event(LOG_LEVEL_INFO, "cluster.node_joined", "node=%s address=%s",
 	    name, address);
 }
@@ -484,35 +397,20 @@
 }
 
 void
-cluster_set_local_state(
-    cluster_t *cluster, bool ready, int64_t configuration_version)
+cluster_set_local_state(cluster_t *cluster, const cluster_local_state_t *state)
 {
-	cluster->ready = ready;
-	cluster->configuration_version = configuration_version;
-}
-
-GPtrArray *
-cluster_client_addresses(const cluster_t *cluster)
-{
-	GPtrArray *addresses = g_ptr_array_new();
+	bool became_ready = state->ready && !cluster->local.ready;
+	int64_t tick_ms = cluster_digest_tick_ms(cluster);
 	int64_t now_ms = clock_boot_ms();
-	GHashTableIter iter;
-	gpointer value;
 
-	if (cluster->ready)
-		g_ptr_array_add(
-		    addresses, cluster->options.config->client_address);
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const cluster_peer_t *peer = value;
-
-		if (peer->registered &&
-		    cluster_is_peer_alive(cluster, peer, now_ms) &&
-		    peer->digest->ready)
-			g_ptr_array_add(
-			    addresses, peer->digest->client_address);
-	}
-	return addresses;
+	cluster->local = *state;
+	if (became_ready)
+		cluster->ready_since_ms = now_ms;
+	cluster_update_active(cluster, now_ms);
+	if (became_ready)
+		cluster_broadcast_digest(cluster);
+	if (cluster_digest_tick_ms(cluster) < tick_ms)
+		uv_timer_start(&cluster->digest_timer, on_digest_timer, 0, 0);
 }
 
 int64_t
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -30,10 +30,12 @@
 	void (*on_newer_configuration)(void *data);
 	/*
 	 * A follower requests the store's changes: appends the response. An
-	 * empty one is not sent.
+	 * empty one is not sent. client_addresses (char *, borrowed): of the
+	 * active nodes, for the response.
 	 */
-	void (*on_relay_request)(
-	    const relay_request_t *request, GByteArray *response, void *data);
+	void (*on_relay_request)(const relay_request_t *request,
+	    const GPtrArray *client_addresses, GByteArray *response,
+	    void *data);
 	/* A relay has responded to this node; the response is borrowed. */
 	void (*on_relay_response)(const relay_response_t *response, void *data);
 	void *data;
@@ -55,25 +57,53 @@
 void cluster_remove_node(cluster_t *cluster, const char *name);
 
 /*
- * Divides the quotas among the registered nodes and sends them a digest, at
- * once instead of with the next periodic digest: until then a node that has
- * just started spends the quotas as if it were the only node.
+ * Divides the quotas among the registered nodes at once, instead of with the
+ * next periodic digest: until then a node that has just started spends the
+ * quotas as if it were the only node.
  */
 void cluster_apply_registrations(cluster_t *cluster);
 
-/* Sets the state of this node that its next digests report. */
+/* State of this node that its digests report. */
+typedef struct cluster_local_state {
+	bool ready;
+	bool leader;
+	int64_t configuration_version;
+} cluster_local_state_t;
+
+/*
+ * Sends a digest to every peer at once when the node becomes ready. A peer that
+ * receives the first digest of a process responds with its own.
+ */
 void cluster_set_local_state(
-    cluster_t *cluster, bool ready, int64_t configuration_version);
+    cluster_t *cluster, const cluster_local_state_t *state);
 
 /* Sends a digest to every registered peer now. */
-void cluster_send_digest(cluster_t *cluster);
+void cluster_broadcast_digest(cluster_t *cluster);
+
+/*
+ * True where this node exchanges digests often: it belongs to the active set
+ * (see active_set.h), or is the leader.
+ */
+bool cluster_is_active(const cluster_t *cluster);
+/*
+ * How long this node should wait until it campaigns as leader: the first of the
+ * active set least.
+ */
+int64_t cluster_campaign_delay_ms(const cluster_t *cluster);
+/* Nodes that are meant to carry client traffic. */
+unsigned cluster_active_count(const cluster_t *cluster);
 
 /*
  * True where this node should get the store's changes from relays. In a large
  * fleet only a few nodes, the relays, watch the store; all others are their
  * followers.
  */
-bool cluster_is_follower(const cluster_t *cluster);
+bool cluster_is_follower(cluster_t *cluster);
+/*
+ * Shortest time from one watch of the store to the next that this node should
+ * make: longer in a large fleet until its relays are known.
+ */
+int64_t cluster_min_watch_interval_ms(const cluster_t *cluster);
 /* Sends a request to one of the relays; does nothing where none is alive. */
 void cluster_send_relay_request(
     cluster_t *cluster, const relay_request_t *request);
@@ -82,10 +112,10 @@
 unsigned cluster_node_count(const cluster_t *cluster);
 
 /*
- * Client addresses (borrowed char *) of all nodes that are ready and alive,
- * this one included. The caller releases the array.
+ * Client addresses (borrowed char *) of the active nodes that are ready and
+ * alive, of this one where it is active. The caller releases the array.
  */
-GPtrArray *cluster_client_addresses(const cluster_t *cluster);
+GPtrArray *cluster_client_addresses(cluster_t *cluster);
 
 /*
  * Wall-clock time in milliseconds since 1970: the slewed clock of this host,
--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -3,16 +3,14 @@
 #include "clock.h"
 #include "log.h"
 
-#include <string.h>
-
-/* Selection of the relays, and the requests that followers send to them. */
+/* The relays, and the requests that followers send to them. */
 
 enum {
 	/* In smaller fleets every node watches the store. */
 	FOLLOWER_NODES_MIN = 12,
 	RELAYS_MAX = 4,
-	/* Interval after which a follower switches to the next relay. */
-	RELAY_ROTATION_MS = 5000,
+	RELAY_WATCH_INTERVAL_MS = 30,
+	WATCH_INTERVAL_PER_NODE_MS = 4,
 };
 
 static cluster_peer_t *
@@ -39,15 +37,37 @@
     const struct sockaddr *from)
 {
 	const cluster_peer_t *peer = find_peer_by_address(cluster, from);
-	GByteArray *response = g_byte_array_new();
+	GByteArray *response;
+	GPtrArray *addresses;
 
-	if (peer != NULL) {
-		cluster->options.on_relay_request(
-		    request, response, cluster->options.data);
-		if (response->len > 0)
-			cluster_send_datagram(cluster, peer, response);
-	}
+	if (peer == NULL)
+		return;
+	response = g_byte_array_new();
+	addresses = cluster->active ? cluster_client_addresses(cluster) : NULL;
+	cluster->options.on_relay_request(
+	    request, addresses, response, cluster->options.data);
+	if (response->len > 0)
+		cluster_send_datagram(cluster, peer, response);
 	g_byte_array_unref(response);
+	if (addresses != NULL)
+		g_ptr_array_unref(addresses);
+}
+
+/*
+ * A relay that has lost the store counts as one that does not respond: the next
+ * request goes to another one.
+ */
+static void
+handle_relay_response(cluster_t *cluster, relay_response_t *response)
+{
+	cluster->relay_responded = !response->store_unstable;
+	if (response->client_addresses->len > 0) {
+		g_ptr_array_unref(cluster->relayed_addresses);
+		cluster->relayed_addresses =
+		    g_ptr_array_ref(response->client_addresses);
+		cluster->relayed_ms = clock_boot_ms();
+	}
+	cluster->options.on_relay_response(response, cluster->options.data);
 }
 
 bool
@@ -65,8 +85,7 @@
 		break;
 	case RELAY_RESPONSE:
 		if (find_peer_by_address(cluster, from) != NULL)
-			cluster->options.on_relay_response(
-			    &message.response, cluster->options.data);
+			handle_relay_response(cluster, &message.response);
 		break;
 	case RELAY_MALFORMED:
 		log_event(
@@ -77,78 +96,50 @@
 	return true;
 }
 
-/*
- * Depends on the name alone, so that all nodes select the same relays without
- * coordination: those of the lowest rank.
- */
-static uint64_t
-node_rank(const char *name)
+/* The first active nodes are the relays: the number of them to choose from. */
+static unsigned
+relay_count(const cluster_t *cluster)
 {
-	return (uint64_t)g_str_hash(name) << 32 | strlen(name);
+	return MIN(cluster->active_peers->len, RELAYS_MAX);
 }
 
-/*
- * Writes the ready and alive peers of the lowest rank in ascending order, at
- * most RELAYS_MAX. Returns their number.
- */
-static unsigned
-find_relays(const cluster_t *cluster, const cluster_peer_t **relays)
+bool
+cluster_is_follower(cluster_t *cluster)
 {
-	int64_t now_ms = clock_boot_ms();
-	unsigned count = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, cluster->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const cluster_peer_t *peer = value;
-		unsigned position = count;
-
-		if (!peer->registered ||
-		    !cluster_is_peer_alive(cluster, peer, now_ms) ||
-		    !peer->digest->ready)
-			continue;
-		while (
-		    position > 0 && node_rank(peer->name) <
-					node_rank(relays[position - 1]->name)) {
-			if (position < RELAYS_MAX)
-				relays[position] = relays[position - 1];
-			position--;
-		}
-		if (position < RELAYS_MAX)
-			relays[position] = peer;
-		count = MIN(count + 1, RELAYS_MAX);
-	}
-	return count;
+	cluster_update_active(cluster, clock_boot_ms());
+	return cluster_node_count(cluster) >= FOLLOWER_NODES_MIN &&
+	       relay_count(cluster) == RELAYS_MAX &&
+	       cluster->own_position >= RELAYS_MAX;
 }
 
-bool
-cluster_is_follower(const cluster_t *cluster)
+int64_t
+cluster_min_watch_interval_ms(const cluster_t *cluster)
 {
-	const cluster_peer_t *relays[RELAYS_MAX];
-	unsigned count;
+	unsigned nodes = cluster_node_count(cluster);
 
-	if (cluster_node_count(cluster) < FOLLOWER_NODES_MIN)
-		return false;
-	count = find_relays(cluster, relays);
-	return count == RELAYS_MAX &&
-	       node_rank(cluster->options.config->name) >
-		   node_rank(relays[RELAYS_MAX - 1]->name);
+	if (nodes < FOLLOWER_NODES_MIN)
+		return 0;
+	if (relay_count(cluster) == RELAYS_MAX)
+		return RELAY_WATCH_INTERVAL_MS;
+	return (int64_t)nodes * WATCH_INTERVAL_PER_NODE_MS;
 }
 
 void
 cluster_send_relay_request(cluster_t *cluster, const relay_request_t *request)
 {
-	const cluster_peer_t *relays[RELAYS_MAX];
-	unsigned count = find_relays(cluster, relays);
-	uint64_t rotation = node_rank(cluster->options.config->name) >> 32;
+	unsigned count = relay_count(cluster);
+	guint choice = g_str_hash(cluster->options.config->name);
 	GByteArray *datagram;
 
 	if (count == 0)
 		return;
-	rotation += (uint64_t)(clock_boot_ms() / RELAY_ROTATION_MS);
+	if (!cluster->relay_responded)
+		cluster->relay_choice++;
+	cluster->relay_responded = false;
+	choice += cluster->relay_choice;
 	datagram = g_byte_array_new();
 	relay_encode_request(request, datagram);
-	cluster_send_datagram(cluster, relays[rotation % count], datagram);
+	cluster_send_datagram(
+	    cluster, cluster->active_peers->pdata[choice % count], datagram);
 	g_byte_array_unref(datagram);
 }
--- a/src/digest.c
+++ b/src/digest.c
@@ -3,11 +3,12 @@
 #include "message_scan.h"
 #include "msgpack_codec.h"
 
+#include <math.h>
 #include <string.h>
 
 enum {
-	FORMAT_VERSION = 4,
-	DIGEST_FIELDS = 12,
+	FORMAT_VERSION = 5,
+	DIGEST_FIELDS = 15,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
 	USAGE_FIELDS = 3,
@@ -74,7 +75,7 @@
 
 		mp_pack_string(packer, item->workspace);
 		msgpack_pack_double(packer, item->spent_units);
-		msgpack_pack_double(packer, item->bucket_level);
+		msgpack_pack_int64(packer, (int64_t)item->bucket_level);
 	}
 }
 
@@ -139,6 +140,9 @@
 	msgpack_pack_int(&packer, digest->ready);
 	msgpack_pack_int64(&packer, digest->wall_ms);
 	msgpack_pack_int64(&packer, digest->configuration_version);
+	msgpack_pack_int(&packer, digest->active);
+	msgpack_pack_int(&packer, digest->leader);
+	msgpack_pack_double(&packer, digest->processors);
 	pack_spending(&packer, digest->spending);
 	pack_loads(&packer, digest->loads);
 	pack_usage(&packer, digest->usage);
@@ -158,7 +162,8 @@
 	    object->type != MSGPACK_OBJECT_FLOAT32)
 		return false;
 	*value = object->via.f64;
-	return true;
+	/* Sums would never recover from another value. */
+	return isfinite(*value);
 }
 
 static bool
@@ -271,7 +276,7 @@
 static bool
 read_digest(const msgpack_object *fields, digest_t *digest)
 {
-	int64_t version, ready;
+	int64_t version, ready, active, leader;
 
 	if (!mp_read_int64(&fields[0], &version) || version != FORMAT_VERSION ||
 	    !mp_read_string(&fields[1], 1, NAME_MAX_BYTES, &digest->node) ||
@@ -281,13 +286,18 @@
 		&fields[4], 1, NAME_MAX_BYTES, &digest->client_address) ||
 	    !mp_read_int64(&fields[5], &ready) ||
 	    !mp_read_int64(&fields[6], &digest->wall_ms) ||
-	    !mp_read_int64(&fields[7], &digest->configuration_version))
+	    !mp_read_int64(&fields[7], &digest->configuration_version) ||
+	    !mp_read_int64(&fields[8], &active) ||
+	    !mp_read_int64(&fields[9], &leader) ||
+	    !read_double(&fields[10], &digest->processors))
 		return false;
 	digest->ready = ready != 0;
-	return read_spending(&fields[8], digest->spending) &&
-	       read_loads(&fields[9], digest->loads) &&
-	       read_usage(&fields[10], digest->usage) &&
-	       read_moves(&fields[11], digest->moves);
+	digest->active = active != 0;
+	digest->leader = leader != 0;
+	return read_spending(&fields[11], digest->spending) &&
+	       read_loads(&fields[12], digest->loads) &&
+	       read_usage(&fields[13], digest->usage) &&
+	       read_moves(&fields[14], digest->moves);
 }
 
 digest_t *
--- a/src/digest.h
+++ b/src/digest.h
@@ -45,7 +45,10 @@
 	int64_t sequence;    /* increases within an incarnation */
 	char *client_address;
 	bool ready;
-	int64_t wall_ms; /* slewed clock of the sender when it was sent */
+	bool active;	   /* receives digests often, see active_set.h */
+	bool leader;	   /* has the singleton duties */
+	double processors; /* that the sender may use */
+	int64_t wall_ms;   /* slewed clock of the sender when it was sent */
 	int64_t configuration_version;
 	GArray *spending; /* of digest_spending_t */
 	GArray *loads;	  /* of digest_load_t */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -22,7 +22,11 @@
 	/* Sockets reserved for connections to backend servers and platform. */
 	RESERVED_SOCKETS = 1500,
 	CONNECTIONS_MIN = 64,
-	ADDRESSES_MAX = 64, /* in one response */
+	/* Between the requests of a follower to its relay. */
+	RELAY_INTERVAL_MS = 200,
+	STANDBY_RELAY_INTERVAL_MS = 400,
+	/* From the first node that applies a change to the last one. */
+	CHANGE_DELIVERY_MAX_MS = 800,
 };
 
 /*
@@ -63,18 +67,21 @@
 static void
 on_newer_configuration(void *data)
 {
-	store_watch_refresh(((gateway_t *)data)->store_watch);
+	gateway_t *gateway = data;
+
+	if (gateway->newer_configuration_ms == 0)
+		gateway->newer_configuration_ms = clock_boot_ms();
 }
 
 static void
-on_relay_request(
-    const relay_request_t *request, GByteArray *response, void *data)
+on_relay_request(const relay_request_t *request,
+    const GPtrArray *client_addresses, GByteArray *response, void *data)
 {
 	const gateway_t *gateway = data;
 
 	if (gateway->store_watch != NULL)
 		store_watch_encode_response(
-		    gateway->store_watch, request, response);
+		    gateway->store_watch, request, client_addresses, response);
 }
 
 static void
@@ -93,14 +100,35 @@
 static void
 request_store_changes(gateway_t *gateway)
 {
+	int64_t interval_ms = 0;
 	relay_request_t request;
 
-	store_watch_set_follower(
-	    gateway->store_watch, cluster_is_follower(gateway->cluster));
+	if (cluster_is_follower(gateway->cluster))
+		interval_ms = cluster_is_active(gateway->cluster)
+				  ? RELAY_INTERVAL_MS
+				  : STANDBY_RELAY_INTERVAL_MS;
+	store_watch_set_relay_interval(gateway->store_watch, interval_ms);
+	store_watch_set_min_interval(gateway->store_watch,
+	    cluster_min_watch_interval_ms(gateway->cluster));
 	if (store_watch_next_request(gateway->store_watch, &request))
 		cluster_send_relay_request(gateway->cluster, &request);
 }
 
+/*
+ * Lists the store's keys again where a peer has a newer configuration that the
+ * watch or the relay has not delivered. Listing at once would make every node
+ * of a fleet list all keys on each change.
+ */
+static void
+check_newer_configuration(gateway_t *gateway, int64_t now_ms)
+{
+	if (gateway->newer_configuration_ms == 0 ||
+	    now_ms - gateway->newer_configuration_ms < CHANGE_DELIVERY_MAX_MS)
+		return;
+	gateway->newer_configuration_ms = 0;
+	store_watch_refresh(gateway->store_watch);
+}
+
 static void
 serve(gateway_t *gateway, exchange_t *exchange)
 {
@@ -149,8 +177,6 @@
 	int64_t ttl_ms =
 	    MIN(ADDRESS_TTL_MS, gateway->config->bounds.address_ttl_max_ms);
 
-	if (addresses->len > ADDRESSES_MAX)
-		g_ptr_array_set_size(addresses, ADDRESSES_MAX);
 	if (addresses->len == 0) {
 		exchange_reply(exchange, 503, NULL, "", 0);
 	} else {
@@ -196,6 +222,19 @@
 	exchange_unref(exchange);
 }
 
+static void
+report_local_state(gateway_t *gateway)
+{
+	const catalog_t *catalog = gateway->proxy.catalog;
+	cluster_local_state_t state = {.ready = gateway->ready,
+	    .leader = lease_fencing_token(gateway->lease) != 0,
+	    .configuration_version = catalog == NULL ? 0 : catalog->version};
+
+	cluster_set_local_state(gateway->cluster, &state);
+	lease_set_campaign_delay(
+	    gateway->lease, cluster_campaign_delay_ms(gateway->cluster));
+}
+
 static void
 update_ready(gateway_t *gateway, int64_t now_ms)
 {
@@ -214,9 +253,7 @@
 		    "proof_age_ms=%" G_GINT64_FORMAT " draining=%d",
 		    now_ms - confirmed_ms, gateway->drain_started_ms != 0);
 	gateway->ready = ready;
-	cluster_set_local_state(gateway->cluster, ready,
-	    gateway->proxy.catalog == NULL ? 0
-					   : gateway->proxy.catalog->version);
+	report_local_state(gateway);
 }
 
 static void
@@ -279,7 +316,7 @@
 		return;
 	log_event(active > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "front.drained",
 	    "interrupted=%u passed_ms=%" G_GINT64_FORMAT, active, elapsed_ms);
-	cluster_send_digest(gateway->cluster);
+	cluster_broadcast_digest(gateway->cluster);
 	uv_timer_stop(&gateway->timer);
 	gateway->on_drained(gateway->drain_data);
 }
@@ -289,7 +326,7 @@
 {
 	rollouts_set_time(gateway->proxy.rollouts,
 	    cluster_wall_ms(gateway->cluster),
-	    cluster_node_count(gateway->cluster));
+	    cluster_active_count(gateway->cluster));
 }
 
 static void
@@ -299,6 +336,7 @@
 	int64_t now_ms = clock_boot_ms();
 
 	request_store_changes(gateway);
+	check_newer_configuration(gateway, now_ms);
 	update_ready(gateway, now_ms);
 	if (!is_awaiting_configuration(gateway))
 		serve_waiting(gateway);
@@ -503,7 +541,7 @@
 	log_event(LOG_LEVEL_INFO, "front.draining", "active=%u",
 	    http1_server_active_requests(gateway->client_listener));
 	update_ready(gateway, gateway->drain_started_ms);
-	cluster_send_digest(gateway->cluster);
+	cluster_broadcast_digest(gateway->cluster);
 	http1_server_drain(gateway->client_listener);
 	lease_revoke(gateway->lease);
 }
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -39,7 +39,8 @@
 	int peer_port;		 /* UDP, for other gateway nodes */
 	int metrics_port;	 /* 0: metrics are not served */
 	char *store_url;
-	char *cloud_url; /* NULL: usage is not reported, nothing is scaled */
+	char *cloud_url;   /* NULL: usage is not reported, nothing is scaled */
+	double processors; /* that the process may use */
 	unsigned sockets_max; /* file descriptors available for sockets */
 	gateway_bounds_t bounds;
 } gateway_config_t;
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -38,6 +38,8 @@
 	int64_t last_sweep_ms;
 	/* exchange_t *: received before the first configuration was read */
 	GPtrArray *waiting_exchanges;
+	/* When a peer first reported a newer configuration; 0: none has. */
+	int64_t newer_configuration_ms;
 	bool initial_list_complete; /* of the store's keys */
 	bool ready;		    /* as reported to readiness checks */
 	int64_t drain_started_ms;   /* clock_boot_ms(); 0: not draining */
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -54,6 +54,7 @@
 	    " routes=%u",
 	    catalog->version, item->revision, catalog->route_count);
 	gateway->proxy.catalog = catalog;
+	gateway->newer_configuration_ms = 0;
 	catalog_unref(previous);
 	quota_configure(gateway->proxy.quota, catalog, clock_boot_ms());
 }
@@ -207,6 +208,8 @@
 		break;
 	case KEY_GATEWAY_NODE:
 		cluster_remove_node(gateway->cluster, name);
+		if (strcmp(name, gateway->config->name) == 0)
+			lease_check_registration(gateway->lease);
 		break;
 	case KEY_LEASE_HOLDER:
 		lease_update_leader(gateway->lease, NULL, 0, 0);
--- a/src/lease.c
+++ b/src/lease.c
@@ -7,7 +7,14 @@
 
 enum {
 	TICK_INTERVAL_MS = 250,
-	RENEW_INTERVAL_MS = 1000,
+	/*
+	 * The node's own lease: peers find a dead node by its digests, so its
+	 * key may outlive it for a while.
+	 */
+	NODE_TTL_MS = 12000,
+	NODE_RENEW_INTERVAL_MS = 4000,
+	LEADER_RENEW_INTERVAL_MS = 1000,
+
 	/* Leadership ends this long before the lease can expire. */
 	LEADER_MARGIN_MS = 500,
 	/* Upper bound of the random delay after the leader key is removed. */
@@ -18,19 +25,33 @@
 const char lease_node_prefix[] = "papaya/node/";
 const char lease_leader_key[] = "papaya/leader";
 
+/* A lease in the store and the calls that keep it. */
+typedef struct store_lease {
+	lease_t *owner;
+	int64_t ttl_wanted_ms;
+	int64_t renew_interval_ms;
+	void (*on_granted)(lease_t *owner);
+	void (*on_lost)(lease_t *owner);
+	int64_t id;	       /* 0: none */
+	int64_t ttl_ms;	       /* granted by the store */
+	int64_t call_sent_ms;  /* of the call in progress */
+	int64_t renewed_ms;    /* send time of the last successful call */
+	bool call_in_progress; /* grant or renewal */
+	bool renewal_due;      /* before the interval has passed */
+} store_lease_t;
+
 struct lease {
 	const gateway_config_t *config;
 	platform_store_t *store;
 	uv_timer_t timer;
-	int64_t id;	       /* 0: no lease */
-	int64_t call_sent_ms;  /* of the lease call in progress */
-	int64_t ttl_ms;	       /* granted by the store */
-	int64_t renewed_ms;    /* send time of the last successful lease call */
-	bool call_in_progress; /* grant or renewal */
+	store_lease_t node;   /* of the node's address key */
+	store_lease_t leader; /* of the leader key; only while needed */
 	bool registered;
 	bool registration_in_progress;
 	bool revoked;
 	bool campaign_enabled;
+	int64_t campaign_delay_ms;
+	bool campaigning;	   /* the leader lease is being kept */
 	bool campaign_in_progress; /* writing the leader key */
 	int64_t next_campaign_ms;
 	bool leader_exists; /* this node or another */
@@ -41,24 +62,74 @@
 };
 
 /*
- * Earliest time at which the lease can expire. The store counts the TTL from
- * the arrival of the grant or renewal, which is later than the time it was
- * sent.
+ * Earliest time at which a lease can expire. The store counts the TTL from the
+ * arrival of the grant or renewal, which is later than the time it was sent.
  */
 static int64_t
-valid_until_ms(const lease_t *lease)
+valid_until_ms(const store_lease_t *held)
 {
-	return lease->renewed_ms + lease->ttl_ms;
+	return held->renewed_ms + held->ttl_ms;
 }
 
 static void
-mark_lost(lease_t *lease)
+mark_lost(store_lease_t *held)
 {
 	log_event(
-	    LOG_LEVEL_WARN, "lease.lost", "lease=%" G_GINT64_FORMAT, lease->id);
-	lease->id = 0;
-	lease->registered = false;
-	lease->is_leader = false;
+	    LOG_LEVEL_WARN, "lease.lost", "lease=%" G_GINT64_FORMAT, held->id);
+	held->id = 0;
+	held->on_lost(held->owner);
+}
+
+static void
+on_granted(const platform_result_t *result, void *data)
+{
+	store_lease_t *held = data;
+
+	held->call_in_progress = false;
+	if (result->status != PLATFORM_OK || held->owner->revoked)
+		return;
+	held->id = result->lease_id;
+	held->ttl_ms = result->lease_ttl_ms;
+	held->renewed_ms = held->call_sent_ms;
+	held->on_granted(held->owner);
+}
+
+static void
+on_renewed(const platform_result_t *result, void *data)
+{
+	store_lease_t *held = data;
+
+	held->call_in_progress = false;
+	if (result->status == PLATFORM_ABSENT && held->id != 0)
+		mark_lost(held);
+	if (result->status == PLATFORM_OK)
+		held->renewed_ms = held->call_sent_ms;
+}
+
+/* Obtains the lease, or renews it where that is due. */
+static void
+keep_lease(store_lease_t *held, int64_t now_ms)
+{
+	platform_store_t *store = held->owner->store;
+
+	if (held->id != 0 &&
+	    now_ms > valid_until_ms(held) + held->renew_interval_ms) {
+		mark_lost(held);
+		return;
+	}
+	if (held->call_in_progress)
+		return;
+	if (held->id != 0 && !held->renewal_due &&
+	    now_ms - held->renewed_ms < held->renew_interval_ms)
+		return;
+	held->call_in_progress = true;
+	held->renewal_due = false;
+	held->call_sent_ms = now_ms;
+	if (held->id == 0)
+		platform_store_grant_lease(
+		    store, held->ttl_wanted_ms, on_granted, held);
+	else
+		platform_store_renew_lease(store, held->id, on_renewed, held);
 }
 
 static void
@@ -70,7 +141,7 @@
 	if (result->status == PLATFORM_OK)
 		lease->registered = true;
 	else if (result->status == PLATFORM_ABSENT)
-		mark_lost(lease);
+		mark_lost(&lease->node);
 }
 
 static void
@@ -82,7 +153,7 @@
 	platform_write_t write = {.key = key,
 	    .value = address,
 	    .length = strlen(address),
-	    .lease_id = lease->id};
+	    .lease_id = lease->node.id};
 
 	lease->registration_in_progress = true;
 	platform_store_commit(
@@ -92,41 +163,24 @@
 }
 
 static void
-on_granted(const platform_result_t *result, void *data)
+on_node_lease_lost(lease_t *lease)
 {
-	lease_t *lease = data;
-
-	lease->call_in_progress = false;
-	if (result->status != PLATFORM_OK || lease->revoked)
-		return;
-	lease->id = result->lease_id;
-	lease->ttl_ms = result->lease_ttl_ms;
-	lease->renewed_ms = lease->call_sent_ms;
-	register_node(lease);
+	lease->registered = false;
 }
 
 static void
-on_renewed(const platform_result_t *result, void *data)
+on_leader_lease_lost(lease_t *lease)
 {
-	lease_t *lease = data;
-
-	lease->call_in_progress = false;
-	if (result->status == PLATFORM_ABSENT) {
-		mark_lost(lease);
-		return;
-	}
-	if (result->status != PLATFORM_OK)
-		return;
-	lease->renewed_ms = lease->call_sent_ms;
+	lease->is_leader = false;
+	lease->campaigning = false;
 }
 
 static bool
 may_campaign(const lease_t *lease, int64_t now_ms)
 {
 	return lease->campaign_enabled && !lease->campaign_in_progress &&
-	       !lease->leader_exists && lease->id != 0 &&
-	       now_ms < valid_until_ms(lease) &&
-	       now_ms >= lease->next_campaign_ms;
+	       !lease->leader_exists &&
+	       now_ms >= lease->next_campaign_ms + lease->campaign_delay_ms;
 }
 
 static void
@@ -139,24 +193,43 @@
 		lease_update_leader(lease, lease->identity,
 		    strlen(lease->identity), result->revision);
 	else if (result->status == PLATFORM_ABSENT)
-		mark_lost(lease);
+		mark_lost(&lease->leader);
 }
 
 static void
-write_leader_key(lease_t *lease, int64_t now_ms)
+write_leader_key(lease_t *lease)
 {
 	platform_condition_t condition = {.key = lease_leader_key};
 	platform_write_t write = {.key = lease_leader_key,
 	    .value = lease->identity,
 	    .length = strlen(lease->identity),
-	    .lease_id = lease->id};
+	    .lease_id = lease->leader.id};
 
 	lease->campaign_in_progress = true;
-	lease->next_campaign_ms = now_ms + CAMPAIGN_RETRY_MS;
+	lease->next_campaign_ms = clock_boot_ms() + CAMPAIGN_RETRY_MS;
 	platform_store_commit(lease->store, &condition, 1, &write, 1,
 	    on_leader_key_written, lease);
 }
 
+/*
+ * Obtains a lease first, whose TTL bounds how long the duties stay with a dead
+ * leader; the leader key is written once it is granted.
+ */
+static void
+campaign(lease_t *lease, int64_t now_ms)
+{
+	lease->campaigning = true;
+	if (lease->leader.id != 0 && now_ms < valid_until_ms(&lease->leader))
+		write_leader_key(lease);
+}
+
+static void
+on_leader_lease_granted(lease_t *lease)
+{
+	if (may_campaign(lease, clock_boot_ms()))
+		write_leader_key(lease);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -165,26 +238,14 @@
 
 	if (lease->revoked)
 		return;
-	if (lease->id != 0 &&
-	    now_ms > valid_until_ms(lease) + RENEW_INTERVAL_MS)
-		mark_lost(lease);
-	if (!lease->call_in_progress && lease->id == 0) {
-		lease->call_in_progress = true;
-		lease->call_sent_ms = now_ms;
-		platform_store_grant_lease(lease->store,
-		    lease->config->bounds.lease_ms, on_granted, lease);
-	} else if (!lease->call_in_progress &&
-		   now_ms - lease->renewed_ms >= RENEW_INTERVAL_MS) {
-		lease->call_in_progress = true;
-		lease->call_sent_ms = now_ms;
-		platform_store_renew_lease(
-		    lease->store, lease->id, on_renewed, lease);
-	}
-	if (lease->id != 0 && !lease->registered &&
+	keep_lease(&lease->node, now_ms);
+	if (lease->node.id != 0 && !lease->registered &&
 	    !lease->registration_in_progress)
 		register_node(lease);
 	if (may_campaign(lease, now_ms))
-		write_leader_key(lease, now_ms);
+		campaign(lease, now_ms);
+	if (lease->campaigning)
+		keep_lease(&lease->leader, now_ms);
 }
 
 lease_t *
@@ -197,12 +258,30 @@
 	lease->store = store;
 	lease->identity = g_strdup_printf("%s/%" G_GINT64_FORMAT "/%08x",
 	    config->name, clock_wall_ms(), g_random_int());
+	lease->node = (store_lease_t){.owner = lease,
+	    .ttl_wanted_ms = NODE_TTL_MS,
+	    .renew_interval_ms = NODE_RENEW_INTERVAL_MS,
+	    .on_granted = register_node,
+	    .on_lost = on_node_lease_lost};
+	lease->leader = (store_lease_t){.owner = lease,
+	    .ttl_wanted_ms = config->bounds.lease_ms,
+	    .renew_interval_ms = LEADER_RENEW_INTERVAL_MS,
+	    .on_granted = on_leader_lease_granted,
+	    .on_lost = on_leader_lease_lost};
 	uv_timer_init(loop, &lease->timer);
 	lease->timer.data = lease;
 	uv_timer_start(&lease->timer, on_tick, 0, TICK_INTERVAL_MS);
 	return lease;
 }
 
+/* Another node is the leader: the lease is left to expire. */
+static void
+drop_leader_lease(lease_t *lease)
+{
+	lease->campaigning = false;
+	lease->leader.id = 0;
+}
+
 void
 lease_update_leader(
     lease_t *lease, const char *value, size_t length, int64_t revision)
@@ -214,6 +293,8 @@
 			   memcmp(value, lease->identity, length) == 0;
 	if (lease->is_leader)
 		lease->fencing_token = MAX(lease->fencing_token, revision);
+	else if (lease->leader_exists)
+		drop_leader_lease(lease);
 	if (value == NULL)
 		lease->next_campaign_ms =
 		    clock_boot_ms() + g_random_int_range(0, CAMPAIGN_JITTER_MS);
@@ -232,12 +313,25 @@
 	lease->campaign_enabled = true;
 }
 
+void
+lease_set_campaign_delay(lease_t *lease, int64_t delay_ms)
+{
+	lease->campaign_delay_ms = delay_ms;
+}
+
+void
+lease_check_registration(lease_t *lease)
+{
+	lease->node.renewal_due = true;
+}
+
 int64_t
 lease_fencing_token(const lease_t *lease)
 {
 	if (!lease->is_leader || lease->revoked ||
 	    lease->fencing_token == lease->invalid_token ||
-	    clock_boot_ms() >= valid_until_ms(lease) - LEADER_MARGIN_MS)
+	    clock_boot_ms() >=
+		valid_until_ms(&lease->leader) - LEADER_MARGIN_MS)
 		return 0;
 	return lease->fencing_token;
 }
@@ -258,11 +352,18 @@
 		    (int)result->status);
 }
 
+static void
+revoke_lease(lease_t *lease, const store_lease_t *held)
+{
+	if (held->id != 0)
+		platform_store_revoke_lease(
+		    lease->store, held->id, on_revoked, lease);
+}
+
 void
 lease_revoke(lease_t *lease)
 {
 	lease->revoked = true;
-	if (lease->id != 0)
-		platform_store_revoke_lease(
-		    lease->store, lease->id, on_revoked, lease);
+	revoke_lease(lease, &lease->leader);
+	revoke_lease(lease, &lease->node);
 }
--- a/src/lease.h
+++ b/src/lease.h
@@ -9,10 +9,10 @@
 #include <uv.h>
 
 /*
- * A node's lease in the store and the keys bound to it: the node's address, by
- * which other nodes find it, and the leader key while this node is the leader.
- * The leader alone performs the singleton duties, such as usage reports and
- * scale orders.
+ * A node's keys in the store, each bound to a lease: its address, by which
+ * other nodes find it, and the leader key while this node is the leader. The
+ * leader alone performs the singleton duties, such as usage reports and scale
+ * orders.
  */
 typedef struct lease lease_t;
 
@@ -29,6 +29,15 @@
 /* Lets the node campaign as leader; before that it only registers itself. */
 void lease_enable_campaign(lease_t *lease);
 
+/*
+ * Sets how long this node waits where there is no leader until it campaigns.
+ * Delays that differ keep the nodes of a large fleet from campaigning at once.
+ */
+void lease_set_campaign_delay(lease_t *lease, int64_t delay_ms);
+
+/* The node's address key has been removed: renews the lease, or registers. */
+void lease_check_registration(lease_t *lease);
+
 /*
  * Returns the leader's fencing token while this node is certain to be the
  * leader, otherwise 0. It turns 0 shortly before the lease can expire.
@@ -38,7 +47,7 @@
 /* Stops the use of the current token: a newer leader has acted. */
 void lease_invalidate_token(lease_t *lease);
 
-/* Revokes the lease at shutdown, which removes the keys bound to it. */
+/* Revokes the leases at shutdown, which removes the keys bound to them. */
 void lease_revoke(lease_t *lease);
 
 #endif
--- a/src/quota.c
+++ b/src/quota.c
@@ -36,6 +36,7 @@
 	double burst;	      /* configured */
 	double refill_per_ms; /* derived from the limit */
 	double capacity;
+	double unreported_max; /* that the tolerance covers */
 	double level; /* below zero after overdrafts and late reports */
 	double spent; /* by this node since its start */
 	int64_t refilled_ms;
@@ -124,30 +125,28 @@
 	return bucket;
 }
 
-/* Units that a workspace may spend in any window. */
-static double
-window_limit(const quota_options_t *options, const bucket_t *bucket)
-{
-	double window_s = (double)options->window_ms / MS_PER_S;
-	double limit = bucket->rate_per_s * window_s + bucket->burst;
-	double tolerance =
-	    options->tolerance_ratio * limit + options->tolerance_units;
-
-	return limit + usable_tolerance_share * MIN(tolerance, limit);
-}
-
-/* The capacity includes room for spending that is not reported yet. */
+/*
+ * The capacity includes room for spending that is not reported yet. A window
+ * spends the capacity and what is refilled in it.
+ */
 static void
 apply_limits(const quota_t *quota, bucket_t *bucket)
 {
+	const quota_options_t *options = &quota->options;
+	double window_s = (double)options->window_ms / MS_PER_S;
 	double report_age_s = (double)quota->report_age_ms / MS_PER_S;
+	double limit = bucket->rate_per_s * window_s + bucket->burst;
+	double tolerance = MIN(
+	    limit, options->tolerance_ratio * limit + options->tolerance_units);
+	double usable_tolerance = usable_tolerance_share * tolerance;
 	double base_capacity = MAX(bucket->burst * burst_capacity_share,
 	    bucket->rate_per_s * min_capacity_s);
 
-	bucket->capacity = base_capacity + bucket->rate_per_s * report_age_s;
-	bucket->refill_per_ms =
-	    (window_limit(&quota->options, bucket) - bucket->capacity) /
-	    (double)quota->options.window_ms;
+	bucket->capacity = MAX(usable_tolerance,
+	    base_capacity + bucket->rate_per_s * report_age_s);
+	bucket->refill_per_ms = (limit + usable_tolerance - bucket->capacity) /
+				(double)options->window_ms;
+	bucket->unreported_max = tolerance - usable_tolerance;
 	bucket->level = MIN(bucket->level, bucket->capacity);
 }
 
@@ -219,13 +218,13 @@
 {
 	bucket_t *bucket = find_bucket(quota, workspace, now_ms);
 	quota_decision_t decision = {.allowed = true};
-	double min_level;
+	double min_level, uncovered;
 
 	if (bucket == NULL)
 		return decision;
 	min_level = allow_overdraft ? -overdraft_share * bucket->capacity : 0;
-	decision.available_units =
-	    bucket->level - unreported_units(quota, bucket);
+	uncovered = unreported_units(quota, bucket) - bucket->unreported_max;
+	decision.available_units = bucket->level - MAX(uncovered, 0);
 	/*
 	 * The units themselves may take the level below zero, so that large
 	 * requests are not refused more often than small ones.
--- a/src/relay.c
+++ b/src/relay.c
@@ -10,15 +10,15 @@
 	REQUEST_TYPE = 100,
 	RESPONSE_TYPE = 101,
 	REQUEST_FIELDS = 3,
-	RESPONSE_FIELDS = 7,
+	RESPONSE_FIELDS = 8,
 	ITEM_FIELDS = 3,
 	LOG_MAX_ITEMS = 1024,
 	LOG_MAX_BYTES = 256 * 1024,
 	/* Limit of the changes in a response, which is one datagram. */
 	RESPONSE_MAX_BYTES = 8 * 1024,
 	KEY_MAX_BYTES = 200,
-	/* From the end of a relay's watch to the follower's confirmation. */
-	RELAY_DELAY_MAX_MS = 600,
+	CURRENT_WATCHES = 4,
+	ADDRESS_MAX_BYTES = 64,
 };
 
 typedef struct change {
@@ -45,7 +45,7 @@
 bool
 relay_is_current(int64_t confirmation_age_ms, int64_t watch_ms)
 {
-	return confirmation_age_ms < watch_ms + RELAY_DELAY_MAX_MS;
+	return confirmation_age_ms < CURRENT_WATCHES * watch_ms;
 }
 
 relay_log_t *
@@ -168,6 +168,16 @@
 	}
 }
 
+static void
+pack_addresses(msgpack_packer *packer, const GPtrArray *addresses)
+{
+	guint count = addresses == NULL ? 0 : addresses->len;
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++)
+		mp_pack_string(packer, addresses->pdata[i]);
+}
+
 void
 relay_encode_response(const relay_log_t *log, const relay_request_t *request,
     const relay_state_t *state, GByteArray *out)
@@ -193,6 +203,7 @@
 	msgpack_pack_int(&packer, state->store_unstable);
 	msgpack_pack_int(&packer, changes_missing);
 	pack_changes(&packer, changes);
+	pack_addresses(&packer, state->client_addresses);
 	g_ptr_array_unref(changes);
 }
 
@@ -231,6 +242,23 @@
 	return true;
 }
 
+static bool
+read_addresses(const msgpack_object *object, GPtrArray *addresses)
+{
+	const msgpack_object *member;
+	uint32_t count;
+	char *address;
+
+	if (!mp_read_array(object, 1, &member, &count))
+		return false;
+	for (; count > 0; count--, member++) {
+		if (!mp_read_string(member, 1, ADDRESS_MAX_BYTES, &address))
+			return false;
+		g_ptr_array_add(addresses, address);
+	}
+	return true;
+}
+
 static bool
 read_response(const msgpack_object *fields, relay_response_t *response)
 {
@@ -244,7 +272,9 @@
 		return false;
 	response->store_unstable = store_unstable != 0;
 	response->changes_missing = changes_missing != 0;
-	return read_items(&fields[6], response);
+	response->client_addresses = g_ptr_array_new_with_free_func(g_free);
+	return read_items(&fields[6], response) &&
+	       read_addresses(&fields[7], response->client_addresses);
 }
 
 static relay_kind_t
@@ -309,4 +339,6 @@
 		g_free((char *)message->response.items[i].value);
 	}
 	g_free(message->response.items);
+	if (message->response.client_addresses != NULL)
+		g_ptr_array_unref(message->response.client_addresses);
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -18,9 +18,11 @@
  */
 
 /*
- * Returns whether a confirmation of this age is recent enough for a relay whose
- * watches last watch_ms at most, with an allowance for the relaying. If not,
- * the relay may have lost its connection to the store.
+ * Returns whether a confirmation of this age is recent enough for relays whose
+ * watches last watch_ms at most. If not, the relay may have lost its connection
+ * to the store. A confirmation counts from the start of the watch that gave it,
+ * so it is as old as two watches before the next one; the rest is an allowance
+ * for the relaying, with one response lost.
  */
 bool relay_is_current(int64_t confirmation_age_ms, int64_t watch_ms);
 
@@ -49,6 +51,8 @@
 	bool changes_missing;	/* no longer in the log, or too large */
 	platform_item_t *items; /* owned, see relay_message_clear() */
 	size_t count;
+	/* char *, owned: of the active nodes; empty if the relay is none. */
+	GPtrArray *client_addresses;
 } relay_response_t;
 
 /* State of the responding relay. */
@@ -56,6 +60,7 @@
 	int64_t revision;
 	int64_t confirmation_age_ms;
 	bool store_unstable;
+	const GPtrArray *client_addresses; /* char *; may be NULL */
 } relay_state_t;
 
 void relay_encode_request(const relay_request_t *request, GByteArray *out);
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -6,13 +6,14 @@
 enum {
 	/* Longest watch without changes; bounds the age of a confirmation. */
 	WATCH_MAX_MS = 1200,
+	/* The same in a fleet with relays. */
+	RELAY_WATCH_MAX_MS = 450,
+	CONFIRM_WATCH_MS = 1,
 	RETRY_MIN_MS = 60,
 	RETRY_MAX_MS = 400,
 	/* The store counts as unavailable after failing for this long. */
 	UNAVAILABLE_AFTER_MS = 300,
 	REFRESH_INTERVAL_MS = 300,
-	/* Between two requests of a follower to a relay. */
-	REQUEST_INTERVAL_MS = 200,
 	RELAY_CHECK_MS = 100,
 	/* Entries removed in an outage may reappear this long after its end. */
 	RECOVERY_MS = 2500,
@@ -22,6 +23,8 @@
 
 /* A watch confirms the copy after this share of max_staleness_ms at most. */
 static const double watch_staleness_share = 0.3;
+/* The same in a fleet with relays, whose confirmations are passed on. */
+static const double relay_watch_staleness_share = 0.11;
 
 struct store_watch {
 	store_watch_options_t options;
@@ -30,7 +33,7 @@
 	GHashTable *listed_keys; /* keys of the list in progress; NULL: none */
 	/* Last key of the previous page of the list; NULL: first page. */
 	char *last_page_key;
-	int64_t list_revision; /* store revision of the first page */
+	int64_t list_revision; /* lowest store revision of the pages */
 	int64_t list_started_ms;
 	int64_t revision;     /* all changes up to it are applied */
 	int64_t call_sent_ms; /* start of the call in progress */
@@ -42,10 +45,13 @@
 	bool list_complete;
 	bool unavailable;
 	bool refresh_pending;
-	relay_log_t *change_log; /* for followers of this node */
-	bool follower;
-	int64_t last_request_ms; /* to a relay */
-	bool changes_missing;	 /* in a relay's response; cleared by a watch */
+	relay_log_t *change_log;   /* for followers of this node */
+	int64_t relay_interval_ms; /* 0: this node does not follow relays */
+	int64_t last_request_ms;   /* to a relay */
+	int64_t min_interval_ms;   /* between watches */
+	bool has_followers;	   /* one has sent a request */
+	bool listed_once;     /* a list has been completed since the start */
+	bool changes_missing; /* in a relay's response; cleared by a watch */
 };
 
 static void start_next_call(store_watch_t *watch);
@@ -156,11 +162,14 @@
 	g_hash_table_unref(listed_keys);
 	g_clear_pointer(&watch->last_page_key, g_free);
 	watch->revision = MAX(watch->revision, watch->list_revision);
-	watch->confirmed_ms = watch->list_started_ms;
 	relay_log_reset(watch->change_log, watch->revision);
 	watch->list_complete = true;
 	watch->options.on_list_complete(watch->options.data);
-	watch->options.on_confirmed(watch->options.data);
+	if (watch->listed_once) {
+		watch->confirmed_ms = watch->list_started_ms;
+		watch->options.on_confirmed(watch->options.data);
+	}
+	watch->listed_once = true;
 }
 
 static void
@@ -183,6 +192,7 @@
 	mark_available(watch);
 	if (watch->last_page_key == NULL)
 		watch->list_revision = result->revision;
+	watch->list_revision = MIN(watch->list_revision, result->revision);
 	apply_items(watch, result->items, result->count);
 	g_free(watch->last_page_key);
 	watch->last_page_key = NULL;
@@ -194,9 +204,20 @@
 	start_next_call(watch);
 }
 
+/* Longest watch without changes of a relay. */
+static int64_t
+relay_watch_ms(const store_watch_t *watch)
+{
+	return MIN(RELAY_WATCH_MAX_MS,
+	    (int64_t)(relay_watch_staleness_share *
+		      (double)watch->options.max_staleness_ms));
+}
+
 static int64_t
 watch_ms(const store_watch_t *watch)
 {
+	if (watch->relay_interval_ms > 0 || watch->has_followers)
+		return relay_watch_ms(watch);
 	return MIN(
 	    WATCH_MAX_MS, (int64_t)(watch_staleness_share *
 				    (double)watch->options.max_staleness_ms));
@@ -206,10 +227,10 @@
 static bool
 is_kept_current_by_relay(const store_watch_t *watch)
 {
-	return watch->follower && watch->list_complete &&
+	return watch->relay_interval_ms > 0 && watch->list_complete &&
 	       !watch->refresh_pending && !watch->changes_missing &&
-	       relay_is_current(
-		   clock_boot_ms() - watch->confirmed_ms, watch_ms(watch));
+	       relay_is_current(clock_boot_ms() - watch->confirmed_ms,
+		   relay_watch_ms(watch));
 }
 
 static void
@@ -230,6 +251,18 @@
 	    &watch->timer, on_relay_check, RELAY_CHECK_MS, RELAY_CHECK_MS);
 }
 
+static void
+start_call_after_interval(store_watch_t *watch)
+{
+	int64_t delay_ms =
+	    watch->call_sent_ms + watch->min_interval_ms - clock_boot_ms();
+
+	if (delay_ms <= 0)
+		start_next_call(watch);
+	else
+		uv_timer_start(&watch->timer, on_retry, (uint64_t)delay_ms, 0);
+}
+
 static void
 on_watch_result(const platform_result_t *result, void *data)
 {
@@ -254,7 +287,7 @@
 	if (is_kept_current_by_relay(watch))
 		start_relay_check(watch);
 	else
-		start_next_call(watch);
+		start_call_after_interval(watch);
 }
 
 /* Starts the next watch, or the next page of a list. */
@@ -271,8 +304,9 @@
 		watch->list_complete = false;
 	}
 	if (watch->list_complete) {
-		/* After a failure, a short watch confirms the copy at once. */
-		int64_t wait_ms = watch->failures > 0 ? 1 : watch_ms(watch);
+		/* A short watch confirms the copy at once. */
+		bool confirm = watch->failures > 0 || watch->confirmed_ms == 0;
+		int64_t wait_ms = confirm ? CONFIRM_WATCH_MS : watch_ms(watch);
 
 		platform_store_watch(watch->options.store, all_keys,
 		    watch->revision, wait_ms, on_watch_result, watch);
@@ -283,8 +317,9 @@
 		    g_str_hash, g_str_equal, g_free, NULL);
 		watch->list_started_ms = now_ms;
 	}
+	/* The first list may be stale: the watch after it confirms the copy. */
 	platform_store_list(watch->options.store, all_keys,
-	    watch->last_page_key, on_list_page, watch);
+	    watch->last_page_key, !watch->listed_once, on_list_page, watch);
 }
 
 store_watch_t *
@@ -324,9 +359,15 @@
 }
 
 void
-store_watch_set_follower(store_watch_t *watch, bool follower)
+store_watch_set_relay_interval(store_watch_t *watch, int64_t interval_ms)
+{
+	watch->relay_interval_ms = interval_ms;
+}
+
+void
+store_watch_set_min_interval(store_watch_t *watch, int64_t interval_ms)
 {
-	watch->follower = follower;
+	watch->min_interval_ms = interval_ms;
 }
 
 bool
@@ -334,8 +375,8 @@
 {
 	int64_t now_ms = clock_boot_ms();
 
-	if (!watch->follower || !watch->list_complete ||
-	    now_ms - watch->last_request_ms < REQUEST_INTERVAL_MS)
+	if (watch->relay_interval_ms == 0 || !watch->list_complete ||
+	    now_ms - watch->last_request_ms < watch->relay_interval_ms)
 		return false;
 	watch->last_request_ms = now_ms;
 	request->after_revision = watch->revision;
@@ -350,7 +391,7 @@
 	int64_t now_ms = clock_boot_ms();
 	int64_t confirmed_ms;
 
-	if (!watch->follower || !watch->list_complete ||
+	if (watch->relay_interval_ms == 0 || !watch->list_complete ||
 	    watch->listed_keys != NULL)
 		return;
 	if (response->changes_missing) {
@@ -365,7 +406,7 @@
 	confirmed_ms =
 	    response->request_sent_ms - response->confirmation_age_ms;
 	if (response->confirmation_age_ms < 0 ||
-	    !relay_is_current(now_ms - confirmed_ms, watch_ms(watch)))
+	    !relay_is_current(now_ms - confirmed_ms, relay_watch_ms(watch)))
 		return;
 	watch->confirmed_ms = MAX(watch->confirmed_ms, confirmed_ms);
 	mark_available(watch);
@@ -373,16 +414,19 @@
 }
 
 void
-store_watch_encode_response(
-    const store_watch_t *watch, const relay_request_t *request, GByteArray *out)
+store_watch_encode_response(store_watch_t *watch,
+    const relay_request_t *request, const GPtrArray *client_addresses,
+    GByteArray *out)
 {
 	int64_t now_ms = clock_boot_ms();
 	relay_state_t state = {
+	    .client_addresses = client_addresses,
 	    .revision = watch->revision,
 	    .confirmation_age_ms =
 		watch->confirmed_ms == 0 ? -1 : now_ms - watch->confirmed_ms,
 	    .store_unstable = store_watch_is_unstable(watch),
 	};
 
+	watch->has_followers = true;
 	relay_encode_response(watch->change_log, request, &state, out);
 }
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -47,17 +47,30 @@
  */
 bool store_watch_is_unstable(const store_watch_t *watch);
 
-/* Sets whether this node gets the changes from relays. */
-void store_watch_set_follower(store_watch_t *watch, bool follower);
+/*
+ * Sets the interval at which this node requests the changes from relays; 0: it
+ * watches the store itself.
+ */
+void store_watch_set_relay_interval(store_watch_t *watch, int64_t interval_ms);
+
+/*
+ * Sets the shortest time from one watch of the store to the next. In a fleet in
+ * which every node watches, each change ends all watches.
+ */
+void store_watch_set_min_interval(store_watch_t *watch, int64_t interval_ms);
 
 /* Fills in the request to send to a relay; false: no request is due. */
 bool store_watch_next_request(store_watch_t *watch, relay_request_t *request);
 /* Applies a relay's response; it and its items are borrowed. */
 void store_watch_apply_response(
     store_watch_t *watch, const relay_response_t *response);
-/* Encodes the response to a follower's request. */
-void store_watch_encode_response(const store_watch_t *watch,
-    const relay_request_t *request, GByteArray *out);
+/*
+ * Encodes the response to a follower's request. client_addresses: see
+ * relay_state_t.
+ */
+void store_watch_encode_response(store_watch_t *watch,
+    const relay_request_t *request, const GPtrArray *client_addresses,
+    GByteArray *out);
 
 /* Schedules a new list of all keys, as a change may have been missed. */
 void store_watch_refresh(store_watch_t *watch);
--- a/src/usage.c
+++ b/src/usage.c
@@ -109,11 +109,13 @@
 }
 
 void
-usage_each(const usage_t *usage,
+usage_each(const usage_t *usage, int64_t wall_ms,
     void (*callback)(
 	int64_t window, const char *workspace, double count, void *data),
     void *data)
 {
+	int64_t newest = usage_window(usage, wall_ms);
+
 	for (unsigned i = 0; i < USAGE_WINDOWS; i++) {
 		const window_counts_t *counts = &usage->windows[i];
 		GHashTable *table =
@@ -121,7 +123,8 @@
 		GHashTableIter iter;
 		gpointer name, count;
 
-		if (table == NULL)
+		if (table == NULL ||
+		    counts->window <= newest - USAGE_NEWEST_WINDOWS)
 			continue;
 		g_hash_table_iter_init(&iter, table);
 		while (g_hash_table_iter_next(&iter, &name, &count))
--- a/src/usage.h
+++ b/src/usage.h
@@ -11,7 +11,10 @@
  */
 typedef struct usage usage_t;
 
-enum { USAGE_WINDOWS = 6 }; /* newest windows that are kept */
+enum {
+	USAGE_WINDOWS = 6, /* newest windows that are kept */
+	USAGE_NEWEST_WINDOWS = 3,
+};
 
 usage_t *usage_new(int64_t window_ms);
 void usage_free(usage_t *usage);
@@ -22,8 +25,11 @@
 /* Counts a request of this node that began to run. */
 void usage_count(usage_t *usage, const char *workspace, int64_t wall_ms);
 
-/* Calls callback for each count of this node; the name is borrowed. */
-void usage_each(const usage_t *usage,
+/*
+ * Calls callback for each count of this node in the newest windows; the name is
+ * borrowed. Older windows are no longer reported.
+ */
+void usage_each(const usage_t *usage, int64_t wall_ms,
     void (*callback)(
 	int64_t window, const char *workspace, double count, void *data),
     void *data);
