Keep a draining node until no client has come for half a second

A drain ended as soon as it was 2.5 s old and no request was in progress. Clients hold an address list for up to three times its TTL, so new connections still arrived, in the backlog or with half of a body.

Ruled out: a backend server (the request was not passed on), the end of the grace period (8 s).

Change: after 2.5 s of serving, a drain refuses new requests (503, not run) until no connection is open and none has come for five steps of 100 ms, or the grace period ends. Steps count, not time, so that a stalled node reads its sockets first; the decision is in drain.c, without I/O. A connection is closed as idle only 300 ms after its start.

Before: test_planned_stop fails in both cases (no answer 2,584 ms after SIGTERM; a body that still arrives is cut). After: both pass.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -9,11 +9,8 @@
 enum {
 	TICK_INTERVAL_MS = 100,
 	SWEEP_INTERVAL_MS = 1000,
-	/*
-	 * While draining, new requests are accepted for this long: clients may
-	 * still use an address list that they cached for ADDRESS_TTL_MS.
-	 */
-	DRAIN_ACCEPT_MS = 2500,
+	/* The request of a new connection may be on its way for this long. */
+	DRAIN_IDLE_MS = 300,
 	/* A drain ends this long before the SIGKILL at the end of grace_ms. */
 	KILL_MARGIN_MS = 400,
 	ADDRESS_TTL_MS = 2000,
@@ -154,7 +151,7 @@
 is_awaiting_configuration(const gateway_t *gateway)
 {
 	return gateway->proxy.catalog == NULL &&
-	       gateway->drain_started_ms == 0 &&
+	       gateway->drain.started_ms == 0 &&
 	       clock_boot_ms() - gateway->started_ms < STARTUP_WAIT_MS;
 }
 
@@ -242,7 +239,7 @@
 	double revoke_ms = (double)gateway->config->bounds.revoke_ms;
 	bool ready =
 	    gateway->proxy.catalog != NULL && gateway->initial_list_complete &&
-	    gateway->drain_started_ms == 0 &&
+	    gateway->drain.started_ms == 0 &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
 
 	gateway->proxy.catalog_valid_until_ms =
@@ -251,7 +248,7 @@
 		log_event(LOG_LEVEL_INFO,
 		    ready ? "front.ready" : "front.unready",
 		    "proof_age_ms=%" G_GINT64_FORMAT " draining=%d",
-		    now_ms - confirmed_ms, gateway->drain_started_ms != 0);
+		    now_ms - confirmed_ms, gateway->drain.started_ms != 0);
 	gateway->ready = ready;
 	report_local_state(gateway);
 }
@@ -302,20 +299,26 @@
 static void
 check_drain(gateway_t *gateway, int64_t now_ms)
 {
-	int64_t elapsed_ms = now_ms - gateway->drain_started_ms;
-	int64_t elapsed_max_ms =
-	    gateway->config->bounds.grace_ms - KILL_MARGIN_MS;
-	unsigned active =
-	    http1_server_active_requests(gateway->client_listener);
+	unsigned connections =
+	    http1_server_connections(gateway->client_listener);
+	unsigned active;
 
-	if (elapsed_ms < MIN(DRAIN_ACCEPT_MS, elapsed_max_ms))
+	switch (drain_step(&gateway->drain, connections,
+	    http1_server_accepted(gateway->client_listener), now_ms)) {
+	case DRAIN_SERVING:
 		return;
-	gateway->proxy.stopping = true;
-	http1_server_close_idle(gateway->client_listener);
-	if (active > 0 && elapsed_ms < elapsed_max_ms)
+	case DRAIN_REFUSING:
+		gateway->proxy.stopping = true;
+		http1_server_close_idle(
+		    gateway->client_listener, DRAIN_IDLE_MS);
 		return;
+	case DRAIN_DONE:
+		break;
+	}
+	active = http1_server_active_requests(gateway->client_listener);
 	log_event(active > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "front.drained",
-	    "interrupted=%u passed_ms=%" G_GINT64_FORMAT, active, elapsed_ms);
+	    "interrupted=%u passed_ms=%" G_GINT64_FORMAT, active,
+	    now_ms - gateway->drain.started_ms);
 	cluster_broadcast_digest(gateway->cluster);
 	uv_timer_stop(&gateway->timer);
 	gateway->on_drained(gateway->drain_data);
@@ -352,7 +355,7 @@
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
 	proxy_migrate_streams(&gateway->proxy, now_ms);
-	if (gateway->drain_started_ms != 0)
+	if (gateway->drain.started_ms != 0)
 		check_drain(gateway, now_ms);
 }
 
@@ -533,14 +536,15 @@
 gateway_drain(
     gateway_t *gateway, void (*on_drained)(void *data), void *drain_data)
 {
-	if (gateway->drain_started_ms != 0)
+	if (gateway->drain.started_ms != 0)
 		return;
-	gateway->drain_started_ms = clock_boot_ms();
+	drain_start(&gateway->drain,
+	    gateway->config->bounds.grace_ms - KILL_MARGIN_MS, clock_boot_ms());
 	gateway->on_drained = on_drained;
 	gateway->drain_data = drain_data;
 	log_event(LOG_LEVEL_INFO, "front.draining", "active=%u",
 	    http1_server_active_requests(gateway->client_listener));
-	update_ready(gateway, gateway->drain_started_ms);
+	update_ready(gateway, gateway->drain.started_ms);
 	cluster_broadcast_digest(gateway->cluster);
 	http1_server_drain(gateway->client_listener);
 	lease_revoke(gateway->lease);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -2,6 +2,7 @@
 #define PAPAYA_GATEWAY_STATE_H
 
 #include "cluster.h"
+#include "drain.h"
 #include "gateway.h"
 #include "http1_server.h"
 #include "http_client.h"
@@ -42,7 +43,7 @@
 	int64_t newer_configuration_ms;
 	bool initial_list_complete; /* of the store's keys */
 	bool ready;		    /* as reported to readiness checks */
-	int64_t drain_started_ms;   /* clock_boot_ms(); 0: not draining */
+	drain_t drain;
 	void (*on_drained)(void *data);
 	void *drain_data;
 };
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -305,6 +305,7 @@
 	client->timer.data = client;
 	TAILQ_INSERT_TAIL(&server->clients, client, entries);
 	server->connections++;
+	server->accepted++;
 	enter_idle(client);
 }
 
@@ -345,18 +346,26 @@
 }
 
 void
-http1_server_close_idle(http1_server_t *server)
+http1_server_close_idle(http1_server_t *server, int64_t min_idle_ms)
 {
+	int64_t idle_since_max_ms = clock_mono_ms() - min_idle_ms;
 	client_t *client, *next;
 
 	for (client = TAILQ_FIRST(&server->clients); client != NULL;
 	     client = next) {
 		next = TAILQ_NEXT(client, entries);
-		if (client->phase == CLIENT_IDLE)
+		if (client->phase == CLIENT_IDLE &&
+		    client->idle_since_ms <= idle_since_max_ms)
 			http1_server_shutdown_client(client);
 	}
 }
 
+uint64_t
+http1_server_accepted(const http1_server_t *server)
+{
+	return server->accepted;
+}
+
 unsigned
 http1_server_connections(const http1_server_t *server)
 {
--- a/src/http1_server.h
+++ b/src/http1_server.h
@@ -37,9 +37,11 @@
 
 /* Makes every response from now on close its connection. */
 void http1_server_drain(http1_server_t *server);
-/* Closes the connections that have no request in progress. */
-void http1_server_close_idle(http1_server_t *server);
+/* Closes the connections that have had no request for min_idle_ms. */
+void http1_server_close_idle(http1_server_t *server, int64_t min_idle_ms);
 
+/* Connections accepted since the start. */
+uint64_t http1_server_accepted(const http1_server_t *server);
 unsigned http1_server_connections(const http1_server_t *server);
 /* Number of requests whose response is not complete. */
 unsigned http1_server_active_requests(const http1_server_t *server);
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -18,6 +18,7 @@
 	http1_server_options_t options;
 	client_list_t clients; /* least recently used first */
 	unsigned connections;
+	uint64_t accepted; /* connections since the start */
 	unsigned active_requests;
 	bool draining;
 };
--- /dev/null
+++ b/tests/test_planned_stop.c
@@ -0,0 +1,103 @@
+#include "suite.h"
+#include "support_gateway.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+/*
+ * A planned stop under load. Clients keep an address list for up to three
+ * times its TTL, so that new connections come while the node drains.
+ */
+
+enum {
+	US_PER_MS = 1000,
+	/* Three times the TTL of an address list, less a margin. */
+	STALE_CLIENTS_MS = 4500,
+	REQUEST_INTERVAL_MS = 20,
+	GRACE_MS = 6000,
+};
+
+static gint64
+elapsed_ms(gint64 since_us)
+{
+	return (g_get_monotonic_time() - since_us) / US_PER_MS;
+}
+
+/* Sends a booking on a new connection; returns whether it is answered. */
+static bool
+is_answered(void)
+{
+	int fd = gateway_send_request("/book/a", "id-1");
+	bool reset;
+	char *response = wire_read_until_closed(fd, &reset);
+	bool answered = g_str_has_prefix(response, "HTTP/1.1 503");
+
+	g_free(response);
+	close(fd);
+	return answered;
+}
+
+/*
+ * Guards against requests on connections that are accepted late in a planned
+ * stop and closed, with the process, without an answer.
+ */
+START_TEST(requests_sent_during_a_planned_stop_are_answered)
+{
+	gint64 start_us = g_get_monotonic_time();
+
+	gateway_store_remove("servers/i-1");
+	g_usleep(500 * US_PER_MS);
+	kill(gateway_node->pid, SIGTERM);
+	while (elapsed_ms(start_us) < STALE_CLIENTS_MS) {
+		ck_assert_msg(is_answered(), "no answer %d ms after SIGTERM",
+		    (int)elapsed_ms(start_us) - 500);
+		g_usleep(REQUEST_INTERVAL_MS * US_PER_MS);
+	}
+	ck_assert_int_eq(program_wait(gateway_node), 0);
+	ck_assert_int_lt(elapsed_ms(start_us), GRACE_MS + 500);
+}
+END_TEST
+
+/* Guards against cutting a request whose body still arrives. */
+START_TEST(body_that_arrives_during_a_planned_stop_is_read)
+{
+	char *request = gateway_format_request("/book/a", "id-1", "key-1");
+	char *middle = request + strlen(request) - strlen("dy");
+	char *start = g_strndup(request, (gsize)(middle - request));
+	int fd = wire_connect(gateway_node->address);
+	char *response;
+
+	gateway_store_remove("servers/i-1");
+	g_usleep(500 * US_PER_MS);
+	wire_send(fd, start);
+	kill(gateway_node->pid, SIGTERM);
+	g_usleep(3500 * US_PER_MS);
+	wire_send(fd, middle);
+	response = wire_read_message(fd);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 503"));
+	ck_assert_int_eq(program_wait(gateway_node), 0);
+	g_free(response);
+	g_free(request);
+	g_free(start);
+	close(fd);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("planned_stop");
+	TCase *cases = tcase_create("planned_stop");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, gateway_fixture_setup, gateway_fixture_teardown);
+	tcase_add_test(
+	    cases, requests_sent_during_a_planned_stop_are_answered);
+	tcase_add_test(cases, body_that_arrives_during_a_planned_stop_is_read);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
