Relay changes of up to 56 KB in fragments of a datagram

Change: a response is split into up to eight fragments and put together at the follower; where one is lost, the next request repeats it. test_relay uses larger values, since its cases are about the limit of a response: the checks are the same.

--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -32,6 +32,23 @@
 	return NULL;
 }
 
+static void
+send_response(
+    cluster_t *cluster, const cluster_peer_t *peer, const GByteArray *response)
+{
+	GPtrArray *fragments;
+
+	if (response->len <= RELAY_FRAGMENT_MAX_BYTES) {
+		if (response->len > 0)
+			cluster_send_datagram(cluster, peer, response);
+		return;
+	}
+	fragments = relay_split(response, ++cluster->response_id);
+	for (guint i = 0; i < fragments->len; i++)
+		cluster_send_datagram(cluster, peer, fragments->pdata[i]);
+	g_ptr_array_unref(fragments);
+}
+
 static void
 handle_relay_request(cluster_t *cluster, const relay_request_t *request,
     const struct sockaddr *from)
@@ -46,8 +63,7 @@
 	addresses = cluster->active ? cluster_client_addresses(cluster) : NULL;
 	cluster->options.on_relay_request(
 	    request, addresses, response, cluster->options.data);
-	if (response->len > 0)
-		cluster_send_datagram(cluster, peer, response);
+	send_response(cluster, peer, response);
 	g_byte_array_unref(response);
 	if (addresses != NULL)
 		g_ptr_array_unref(addresses);
@@ -70,9 +86,9 @@
 	cluster->options.on_relay_response(response, cluster->options.data);
 }
 
-bool
-cluster_handle_relay_datagram(cluster_t *cluster, const char *datagram,
-    size_t length, const struct sockaddr *from)
+static bool
+handle_relay_message(cluster_t *cluster, const char *datagram, size_t length,
+    const struct sockaddr *from)
 {
 	relay_message_t message;
 
@@ -96,6 +112,27 @@
 	return true;
 }
 
+bool
+cluster_handle_relay_datagram(cluster_t *cluster, const char *datagram,
+    size_t length, const struct sockaddr *from)
+{
+	GByteArray *response;
+
+	switch (relay_assemble(
+	    cluster->assembler, datagram, length, &response)) {
+	case RELAY_NOT_A_FRAGMENT:
+		return handle_relay_message(cluster, datagram, length, from);
+	case RELAY_INCOMPLETE:
+		return true;
+	case RELAY_COMPLETE:
+		break;
+	}
+	handle_relay_message(
+	    cluster, (const char *)response->data, response->len, from);
+	g_byte_array_unref(response);
+	return true;
+}
+
 /* The first active nodes are the relays: the number of them to choose from. */
 static unsigned
 relay_count(const cluster_t *cluster)
--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -4,6 +4,7 @@
 #include "active_set.h"
 #include "cluster.h"
 #include "digest.h"
+#include "relay_fragment.h"
 #include "slewed_clock.h"
 
 /*
@@ -52,6 +53,8 @@
 	int64_t relayed_ms;	 /* time of receipt; 0: none */
 	unsigned relay_choice;	 /* counts changes to another relay */
 	bool relay_responded;	 /* to the last request */
+	relay_assembler_t *assembler; /* of responses to this node */
+	int64_t response_id; /* of the last response in fragments */
 	int64_t clock_offset_ms; /* median of the nodes' clocks minus own */
 	int64_t started_ms;
 	int64_t incarnation; /* wall clock at the start */
--- a/src/relay.c
+++ b/src/relay.c
@@ -2,6 +2,7 @@
 
 #include "message_scan.h"
 #include "msgpack_codec.h"
+#include "relay_fragment.h"
 
 #include <string.h>
 
@@ -14,8 +15,9 @@
 	ITEM_FIELDS = 3,
 	LOG_MAX_ITEMS = 1024,
 	LOG_MAX_BYTES = 256 * 1024,
-	/* Limit of the changes in a response, which is one datagram. */
-	RESPONSE_MAX_BYTES = 8 * 1024,
+	/* Limit of the changes in a response; the rest is for the addresses. */
+	RESPONSE_MAX_BYTES =
+	    (RELAY_FRAGMENTS_MAX - 1) * RELAY_FRAGMENT_MAX_BYTES,
 	KEY_MAX_BYTES = 200,
 	CURRENT_WATCHES = 4,
 	ADDRESS_MAX_BYTES = 64,
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -66,7 +66,7 @@
 /* Guards against treating a truncated response as a complete one. */
 START_TEST(truncated_response_has_no_confirmation)
 {
-	relay_log_t *log = new_log(31, 40, 3000);
+	relay_log_t *log = new_log(31, 40, 20000);
 	relay_message_t message = request_changes(log, 30);
 	const relay_response_t *response = &message.response;
 
@@ -85,13 +85,13 @@
 START_TEST(changes_of_one_revision_stay_together)
 {
 	relay_log_t *log = new_log(31, 31, 10);
-	char *value = g_strnfill(5000, 'x');
+	char *value = g_strnfill(30000, 'x');
 	relay_message_t message;
 
 	for (int i = 0; i < 2; i++)
 		relay_log_add(log, &(platform_item_t){.key = "k",
 				       .value = value,
-				       .length = 5000,
+				       .length = 30000,
 				       .revision = 40});
 	message = request_changes(log, 30);
 	ck_assert_uint_eq(message.response.count, 1);
@@ -118,7 +118,7 @@
 /* Guards against an oversized change that blocks all later ones. */
 START_TEST(oversized_change_is_reported_missing)
 {
-	relay_log_t *log = new_log(40, 40, 20000);
+	relay_log_t *log = new_log(40, 40, 100000);
 	relay_message_t message = request_changes(log, 39);
 
 	ck_assert(message.response.changes_missing);
