Bound what a backend server in trouble may send; judge streams by events

Cause, shown by tests that failed first (test_endless, test_stream_moves): - the body of a refusal (not run) was buffered without a limit: 161 MB in 3 s; - an event without an end was buffered without a limit, and searched from its start again with each chunk, so that the process stopped serving; - a stalled stream whose engine sends comments or single bytes was taken for a sound one until its deadline.

Ruled out by the same test, where the limits held: heads, headers, interim responses, chunk extensions and trailers without end, responses to another request, bytes that are no response.

Change: a refusal needs no more than 64 KB of its body; an event has 256 KB at most, and each byte is searched once; only events that are more than a comment restart the timer of a stream. The response to a migration and those of the store and the cloud API are limited too.

Slow streams whose events come within the objective are not cut (test).

--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -4,9 +4,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+	EVENT_MAX_BYTES = 256 * 1024,
+	EVENT_END_MAX_BYTES = 4, /* CR LF CR LF */
+};
+
 struct event_stream {
 	GString *buffer;
+	size_t searched; /* no event ends within these bytes of the buffer */
 	char *last_id;
+	uint64_t event_count;
 	bool resumed;
 };
 
@@ -29,13 +36,16 @@
 	g_free(stream);
 }
 
-void
+bool
 event_stream_feed(event_stream_t *stream, const char *bytes, size_t length)
 {
+	if (stream->buffer->len > EVENT_MAX_BYTES)
+		return false;
 	g_string_append_len(stream->buffer, bytes, (gssize)length);
+	return true;
 }
 
-/* Offset after the first complete event that starts at from; 0 if none. */
+/* Offset after the first end of an event from an offset on; 0 if none. */
 static size_t
 event_end(const GString *buffer, size_t from)
 {
@@ -74,6 +84,25 @@
 	return NULL;
 }
 
+/* True where every line is empty or a comment. */
+static bool
+is_comment(const char *event, size_t length)
+{
+	const char *end = event + length;
+
+	while (event < end) {
+		const char *line_end =
+		    memchr(event, '\n', (size_t)(end - event));
+
+		if (*event != ':' && *event != '\r' && *event != '\n')
+			return false;
+		if (line_end == NULL)
+			return true;
+		event = line_end + 1;
+	}
+	return true;
+}
+
 /* True for an event that was forwarded before the stream was resumed. */
 static bool
 is_duplicate(const event_stream_t *stream, const char *id)
@@ -92,12 +121,15 @@
 event_stream_take_complete(event_stream_t *stream)
 {
 	GString *out = NULL;
-	size_t from = 0, end;
+	size_t from = 0, end, unsearched;
 
-	while ((end = event_end(stream->buffer, from)) != 0) {
+	while ((end = event_end(
+		    stream->buffer, MAX(from, stream->searched))) != 0) {
 		const char *event = stream->buffer->str + from;
 		char *id = event_id(event, end - from);
 
+		if (!is_comment(event, end - from))
+			stream->event_count++;
 		if (!is_duplicate(stream, id)) {
 			if (out == NULL)
 				out = g_string_sized_new(end - from + 1);
@@ -111,15 +143,25 @@
 		from = end;
 	}
 	g_string_erase(stream->buffer, 0, (gssize)from);
+	/* The buffer may end within the end of an event. */
+	unsearched = MIN(stream->buffer->len, EVENT_END_MAX_BYTES - 1);
+	stream->searched = stream->buffer->len - unsearched;
 	return out;
 }
 
+uint64_t
+event_stream_event_count(const event_stream_t *stream)
+{
+	return stream->event_count;
+}
+
 GString *
 event_stream_take_remainder(event_stream_t *stream)
 {
 	GString *remainder = stream->buffer;
 
 	stream->buffer = g_string_new(NULL);
+	stream->searched = 0;
 	return remainder;
 }
 
@@ -127,6 +169,7 @@
 event_stream_resume(event_stream_t *stream)
 {
 	g_string_truncate(stream->buffer, 0);
+	stream->searched = 0;
 	stream->resumed = stream->last_id != NULL;
 }
 
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -2,7 +2,9 @@
 #define PAPAYA_EVENT_STREAM_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 /*
  * Splits a stream of server-sent events into complete events for forwarding.
@@ -14,12 +16,22 @@
 event_stream_t *event_stream_new(void);
 void event_stream_free(event_stream_t *stream);
 
-void event_stream_feed(
+/*
+ * Adds bytes of the response. False where the event that is being read is
+ * larger than any that may be forwarded; the stream must not be used further.
+ */
+bool event_stream_feed(
     event_stream_t *stream, const char *bytes, size_t length);
 
 /* Removes the complete events; newly allocated, NULL if there are none. */
 GString *event_stream_take_complete(event_stream_t *stream);
 
+/*
+ * Events taken so far that are more than a comment. Comments keep a connection
+ * open, also that of a server that makes no progress.
+ */
+uint64_t event_stream_event_count(const event_stream_t *stream);
+
 /* Removes the bytes after the last complete event, newly allocated. */
 GString *event_stream_take_remainder(event_stream_t *stream);
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -7,6 +7,7 @@
 enum {
 	DEFAULT_CONNECT_TIMEOUT_MS = 2000,
 	CONNECTION_CACHE_MAX = 512,
+	BODY_MAX_BYTES = 32 * 1024 * 1024, /* of a response */
 };
 
 struct http_call {
@@ -282,6 +283,8 @@
 
 	if (call->cancelled)
 		return 0;
+	if (call->options.on_data == NULL && call->body->len > BODY_MAX_BYTES)
+		return 0;
 	if (call->options.on_data == NULL)
 		g_string_append_len(call->body, bytes, (gssize)length);
 	else
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -9,6 +9,7 @@
 	BEFORE_LEAVE_MS = 1000,
 	/* Wait for the source's last events after the copy is complete. */
 	LAST_EVENTS_WAIT_MS = 200,
+	MIGRATION_RESPONSE_MAX_BYTES = 16 * 1024,
 	STATUS_OK = 200,
 	STATUS_UNAVAILABLE = 503,
 };
@@ -72,8 +73,11 @@
 static void
 on_copy_body(const char *bytes, size_t length, void *data)
 {
-	g_string_append_len(((proxy_request_t *)data)->migration.response,
-	    bytes, (gssize)length);
+	GString *response = ((proxy_request_t *)data)->migration.response;
+
+	/* A longer one is malformed, which its truncated text shows. */
+	if (response->len < MIGRATION_RESPONSE_MAX_BYTES)
+		g_string_append_len(response, bytes, (gssize)length);
 }
 
 static void
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -167,15 +167,6 @@
 	req->response_head = head;
 }
 
-static void
-forward_stream(proxy_request_t *req, const char *bytes, size_t length)
-{
-	event_stream_feed(req->events, bytes, length);
-	forward_events(req);
-	proxy_start_idle_timer(
-	    req, GAP_OBJECTIVES * req->route->gap_objective_ms);
-}
-
 /* Starts to forward a response that is too large to buffer. */
 static void
 start_forwarding(proxy_request_t *req)
@@ -189,30 +180,6 @@
 	g_byte_array_set_size(req->buffered, 0);
 }
 
-void
-proxy_on_body(const char *bytes, size_t length, void *data)
-{
-	proxy_request_t *req = data;
-
-	if (req->events != NULL && req->status == 200) {
-		forward_stream(req, bytes, length);
-		return;
-	}
-	if (req->response_started && req->events != NULL)
-		return; /* an error body, not part of the stream */
-	if (req->response_started) {
-		exchange_write(req->exchange, bytes, length);
-		if (exchange_queued_bytes(req->exchange) >
-		    CLIENT_QUEUE_MAX_BYTES)
-			upstream_call_set_reading(req->call, false);
-		return;
-	}
-	g_byte_array_append(
-	    req->buffered, (const guint8 *)bytes, (guint)length);
-	if (req->buffered->len > BUFFERED_MAX_BYTES && !req->response.not_run)
-		start_forwarding(req);
-}
-
 static void
 log_attempt_failure(proxy_request_t *req, const char *reason, bool sent)
 {
@@ -373,6 +340,72 @@
 		proxy_respond(req, 502, -1, reason);
 }
 
+static void
+cancel_call(proxy_request_t *req)
+{
+	upstream_call_cancel(req->call);
+	req->call = NULL;
+}
+
+/* Ends the attempt at a server whose response cannot be used. */
+static void
+abandon_server(proxy_request_t *req, const char *reason)
+{
+	cancel_call(req);
+	proxy_migration_clear(req);
+	uv_timer_stop(&req->idle_timer);
+	handle_broken(req, SERVER_FAILED, reason);
+}
+
+/*
+ * Bytes that complete no event, and comments, are no progress: a server that
+ * sends some now and then may be stalled.
+ */
+static void
+forward_stream(proxy_request_t *req, const char *bytes, size_t length)
+{
+	uint64_t count = event_stream_event_count(req->events);
+
+	if (!event_stream_feed(req->events, bytes, length)) {
+		abandon_server(req, "oversized event");
+		return;
+	}
+	forward_events(req);
+	if (event_stream_event_count(req->events) > count)
+		proxy_start_idle_timer(
+		    req, GAP_OBJECTIVES * req->route->gap_objective_ms);
+}
+
+void
+proxy_on_body(const char *bytes, size_t length, void *data)
+{
+	proxy_request_t *req = data;
+
+	if (req->events != NULL && req->status == 200) {
+		forward_stream(req, bytes, length);
+		return;
+	}
+	if (req->response_started && req->events != NULL)
+		return; /* an error body, not part of the stream */
+	if (req->response_started) {
+		exchange_write(req->exchange, bytes, length);
+		if (exchange_queued_bytes(req->exchange) >
+		    CLIENT_QUEUE_MAX_BYTES)
+			upstream_call_set_reading(req->call, false);
+		return;
+	}
+	g_byte_array_append(
+	    req->buffered, (const guint8 *)bytes, (guint)length);
+	if (req->buffered->len <= BUFFERED_MAX_BYTES)
+		return;
+	if (req->response.not_run) {
+		cancel_call(req);
+		handle_not_run(req);
+	} else {
+		start_forwarding(req);
+	}
+}
+
 void
 proxy_handle_not_sent(
     proxy_request_t *req, server_outcome_t outcome, const char *reason)
--- /dev/null
+++ b/tests/test_endless.c
@@ -0,0 +1,170 @@
+#include "suite.h"
+#include "support_gateway.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Backend servers in trouble that send bytes without end, until the gateway
+ * closes the connection.
+ */
+
+enum {
+	US_PER_MS = 1000,
+	/* The requests have a deadline of 3 s. */
+	CLOSE_TIMEOUT_MS = 3500,
+	MEMORY_GROWTH_MAX_KB = 16 * 1024,
+	SENT_MAX_BYTES = 256 * 1024 * 1024,
+	PIECE_BYTES = 16 * 1024,
+};
+
+#define RESPONSE_HEAD                                                          \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Stamp: s\r\n"     \
+	"Transfer-Encoding: chunked\r\n\r\n"
+
+static const struct answer {
+	const char *what;
+	const char *path;
+	bool from_engine;
+	const char *start;  /* sent once */
+	const char *repeat; /* sent until the connection is closed */
+} answers[] = {
+    {"head", "/read/a", false, "HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n"},
+    {"header", "/read/a", false, "HTTP/1.1 200 OK\r\nX-Filler: ", "abcdefgh"},
+    {"interim responses", "/read/a", false, "",
+	"HTTP/1.1 100 Continue\r\n\r\n"},
+    {"body of a refusal", "/book/a", false,
+	"HTTP/1.1 503 Full\r\nX-Attempt-Id: id-1\r\nX-Not-Executed: 1\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n",
+	"8\r\nabcdefgh\r\n"},
+    {"event", "/talk/a", true, RESPONSE_HEAD, "8\r\nabcdefgh\r\n"},
+    {"comments", "/write/a", true, RESPONSE_HEAD, "4\r\n:a\n\n\r\n"},
+    {"chunk extension", "/read/a", false, RESPONSE_HEAD "8;", "abcdefgh"},
+    {"trailers", "/read/a", false, RESPONSE_HEAD "0\r\n", "X-T: abcdefgh\r\n"},
+    {"response to another request", "/read/a", false,
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-9\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n",
+	"8\r\nabcdefgh\r\n"},
+    {"bytes that are no response", "/read/a", false, "", "\x01\x02\x03\x04"},
+};
+
+static long
+memory_kb(const program_t *program)
+{
+	char *path = g_strdup_printf("/proc/%d/statm", (int)program->pid);
+	FILE *file = fopen(path, "r");
+	long total, resident = 0;
+
+	g_free(path);
+	ck_assert_ptr_nonnull(file);
+	ck_assert_int_eq(fscanf(file, "%ld %ld", &total, &resident), 2);
+	fclose(file);
+	return resident * sysconf(_SC_PAGESIZE) / 1024;
+}
+
+/* Reads and drops what a client has received. */
+static void
+drop_input(int fd)
+{
+	static char buffer[64 * 1024];
+
+	while (recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT) > 0)
+		;
+}
+
+/*
+ * Sends the repeated text until the connection is closed. Returns the largest
+ * growth of the gateway's memory.
+ */
+static long
+send_until_closed(int server_fd, int client_fd, const struct answer *answer)
+{
+	gint64 deadline_us =
+	    g_get_monotonic_time() + CLOSE_TIMEOUT_MS * US_PER_MS;
+	long memory_before_kb = memory_kb(gateway_node), growth_kb = 0;
+	GString *piece = g_string_new(NULL);
+	size_t sent = 0, offset = 0;
+
+	while (piece->len < PIECE_BYTES)
+		g_string_append(piece, answer->repeat);
+	for (;;) {
+		struct pollfd ready = {.fd = server_fd, .events = POLLOUT | POLLRDHUP};
+		ssize_t count;
+
+		ck_assert_msg(g_get_monotonic_time() < deadline_us,
+		    "the connection stays open (%s)", answer->what);
+		drop_input(client_fd);
+		growth_kb =
+		    MAX(growth_kb, memory_kb(gateway_node) - memory_before_kb);
+		poll(&ready, 1, 10);
+		if ((ready.revents & (POLLERR | POLLHUP | POLLRDHUP)) != 0)
+			break;
+		if ((ready.revents & POLLOUT) == 0 || sent > SENT_MAX_BYTES)
+			continue;
+		count = send(server_fd, piece->str + offset,
+		    piece->len - offset, MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (count < 0 && errno != EAGAIN)
+			break;
+		if (count < 0)
+			continue;
+		sent += (size_t)count;
+		offset = (offset + (size_t)count) % piece->len;
+	}
+	g_string_free(piece, TRUE);
+	return growth_kb;
+}
+
+/* Checks that the process still answers: here, that no route matches. */
+static void
+expect_service(void)
+{
+	int fd = gateway_send_request("/nowhere/", "id-2");
+	char *response = wire_read_message(fd);
+
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 404"));
+	g_free(response);
+	close(fd);
+}
+
+/*
+ * Guards against memory that grows with such an answer, and against requests
+ * and connections that outlive the deadline.
+ */
+START_TEST(endless_answer_is_cut_off)
+{
+	const struct answer *answer = &answers[_i];
+	gateway_exchange_t exchange = gateway_exchange_open(answer->path,
+	    answer->from_engine ? backend_listener_2 : backend_listener_1);
+	long growth_kb;
+
+	wire_send(exchange.server_fd, answer->start);
+	growth_kb = send_until_closed(
+	    exchange.server_fd, exchange.client_fd, answer);
+	ck_assert_msg(growth_kb <= MEMORY_GROWTH_MAX_KB,
+	    "memory grew by %ld kB (%s)", growth_kb, answer->what);
+	gateway_exchange_close(&exchange);
+	expect_service();
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("endless");
+	TCase *cases = tcase_create("endless");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, gateway_fixture_setup, gateway_fixture_teardown);
+	tcase_add_loop_test(
+	    cases, endless_answer_is_cut_off, 0, G_N_ELEMENTS(answers));
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
--- a/tests/test_event_stream.c
+++ b/tests/test_event_stream.c
@@ -9,7 +9,7 @@
 {
 	GString *out;
 
-	event_stream_feed(stream, text, strlen(text));
+	ck_assert(event_stream_feed(stream, text, strlen(text)));
 	out = event_stream_take_complete(stream);
 	return out == NULL ? g_strdup("") : g_string_free(out, FALSE);
 }
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -46,6 +46,83 @@
 }
 END_TEST
 
+/* Sends a comment now and then until another engine gets the request. */
+static void
+send_comments_until_resumed(int server, int other_listener)
+{
+	for (int i = 0; i < 14; i++) {
+		if (wire_wait_connection(other_listener, 200))
+			return;
+		wire_send(server, "3\r\n:\n\n\r\n");
+	}
+	ck_abort_msg("the stalled stream was not resumed");
+}
+
+/*
+ * Guards against a stalled stream that is taken for a sound one because its
+ * engine sends comments, which are no events.
+ */
+START_TEST(a_stalled_stream_with_comments_is_resumed)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+				   "X-Response-Stamp: s1\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	int client, server, port_3, server_3 = wire_listen(&port_3);
+	bool server_2_first;
+	char *request, *response;
+
+	gateway_register_server("e-2", "engine", port_3, "ready");
+	g_usleep(100000);
+	client = gateway_send_request("/talk/a", "id-1");
+	server_2_first = wire_wait_connection(backend_listener_2, 300);
+	server = wire_accept(server_2_first ? backend_listener_2 : server_3);
+	request = wire_read_message(server);
+	wire_send(server, head);
+	send_comments_until_resumed(
+	    server, server_2_first ? server_3 : backend_listener_2);
+	close(server);
+	server = wire_accept(server_2_first ? server_3 : backend_listener_2);
+	g_free(request);
+	request = wire_read_message(server);
+	wire_send(server, head);
+	wire_send(server, "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(client, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 1\ndata: a\n\n"));
+	g_free(response);
+	g_free(request);
+	close(client);
+	close(server);
+	close(server_3);
+}
+END_TEST
+
+/* Guards against cutting a stream whose events come slowly but in time. */
+START_TEST(a_slow_stream_is_not_cut)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/talk/a", backend_listener_2);
+	char *response;
+
+	wire_send(exchange.server_fd,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Stamp: s1\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n");
+	for (int id = 1; id <= 3; id++) {
+		char *event =
+		    g_strdup_printf("f\r\nid: %d\ndata: a\n\n\r\n", id);
+
+		g_usleep(900000);
+		wire_send(exchange.server_fd, event);
+		g_free(event);
+	}
+	wire_send(exchange.server_fd, "0\r\n\r\n");
+	response = wire_read_until(exchange.client_fd, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 1\n"));
+	ck_assert_ptr_nonnull(strstr(response, "id: 3\n"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /* Guards against a truncated stream that looks complete to the client. */
 START_TEST(a_stream_that_cannot_be_resumed_is_truncated)
 {
@@ -127,6 +204,8 @@
 	tcase_add_checked_fixture(
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, a_stream_resumes_at_another_server);
+	tcase_add_test(cases, a_stalled_stream_with_comments_is_resumed);
+	tcase_add_test(cases, a_slow_stream_is_not_cut);
 	tcase_add_test(cases, a_stream_that_cannot_be_resumed_is_truncated);
 	tcase_add_test(cases, a_stream_migrates_from_a_draining_engine);
 	suite_add_tcase(suite, cases);
