--- a/src/cluster.h
+++ b/src/cluster.h
@@ -108,6 +108,14 @@
 void cluster_send_relay_request(
     cluster_t *cluster, const relay_request_t *request);
 
+/*
+ * Number of nodes among which this one should divide what it may use of a limit
+ * of the whole fleet, such as connections to a server. In a large fleet, active
+ * nodes share half of the limit; the rest is for the others, which have few
+ * requests.
+ */
+unsigned cluster_share_count(const cluster_t *cluster);
+
 /* Registered nodes, including this one. */
 unsigned cluster_node_count(const cluster_t *cluster);
 
--- a/src/cluster_active.c
+++ b/src/cluster_active.c
@@ -33,6 +33,14 @@
 	return MIN(cluster_node_count(cluster), ACTIVE_SET_MAX);
 }
 
+unsigned
+cluster_share_count(const cluster_t *cluster)
+{
+	unsigned nodes = cluster_node_count(cluster);
+
+	return cluster->active ? MIN(nodes, 2 * ACTIVE_SET_MAX) : 2 * nodes;
+}
+
 bool
 cluster_is_active(const cluster_t *cluster)
 {
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -164,7 +164,7 @@
 	    proxy_remaining_ms(req) <= PROXY_ATTEMPT_MIN_MS)
 		return false;
 	allowed = retry_budget_take(req->context->budget, req->service_name,
-	    cluster_node_count(req->context->cluster), clock_boot_ms());
+	    cluster_share_count(req->context->cluster), clock_boot_ms());
 	counter_add(req->context->counters, 1,
 	    "retries_total{service=\"%s\",allowed=\"%d\"}", req->service_name,
 	    allowed);
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -62,7 +62,7 @@
 static unsigned
 node_connections_max(const proxy_request_t *req)
 {
-	unsigned nodes = cluster_node_count(req->context->cluster);
+	unsigned nodes = cluster_share_count(req->context->cluster);
 
 	if (req->service == NULL || req->service->max_connections == 0)
 		return 0;
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -25,8 +25,8 @@
 	PIECE_BYTES = 16 * 1024,
 };
 
-#define RESPONSE_HEAD                                                          \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Stamp: s\r\n"     \
+#define RESPONSE_HEAD                                                      \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Stamp: s\r\n" \
 	"Transfer-Encoding: chunked\r\n\r\n"
 
 static const struct answer {
@@ -95,7 +95,8 @@
 	while (piece->len < PIECE_BYTES)
 		g_string_append(piece, answer->repeat);
 	for (;;) {
-		struct pollfd ready = {.fd = server_fd, .events = POLLOUT | POLLRDHUP};
+		struct pollfd ready = {
+		    .fd = server_fd, .events = POLLOUT | POLLRDHUP};
 		ssize_t count;
 
 		ck_assert_msg(g_get_monotonic_time() < deadline_us,
@@ -145,8 +146,8 @@
 	long growth_kb;
 
 	wire_send(exchange.server_fd, answer->start);
-	growth_kb = send_until_closed(
-	    exchange.server_fd, exchange.client_fd, answer);
+	growth_kb =
+	    send_until_closed(exchange.server_fd, exchange.client_fd, answer);
 	ck_assert_msg(growth_kb <= MEMORY_GROWTH_MAX_KB,
 	    "memory grew by %ld kB (%s)", growth_kb, answer->what);
 	gateway_exchange_close(&exchange);
