Rename vague functions of the older daemon; let the restart of a rollout test happen

is_gone is has_left, tell_peers broadcast_leaving, mark_again restore_mark, apply_again retry_apply, the callback again retry.

test_rollout: the restart was due at 4,666 ms, between two steps of 100 ms, so it never happened; it is due at a step now.

--- a/src/ctl_fleet.c
+++ b/src/ctl_fleet.c
@@ -27,7 +27,7 @@
 }
 
 static bool
-is_gone(const json_t *node)
+has_left(const json_t *node)
 {
 	return strcmp(json_get_string(node, "state", ""), "gone") == 0;
 }
@@ -47,7 +47,7 @@
 	json_array_foreach (nodes, i, node) {
 		const json_t *revisions = json_object_get(node, "revisions");
 
-		if (is_gone(node))
+		if (has_left(node))
 			continue;
 		known_nodes++;
 		if (json_get_int(revisions, ctl->team, 0) >= revision)
@@ -146,7 +146,7 @@
 		return NULL;
 	}
 	json_array_foreach (reply_nodes(reply), i, node)
-		if (!is_gone(node) &&
+		if (!has_left(node) &&
 		    strcmp(json_get_string(node, "node", ""), name) == 0)
 			address = g_strdup(json_get_string(node, "http", ""));
 	if (address == NULL)
--- a/src/node_apply.c
+++ b/src/node_apply.c
@@ -87,7 +87,7 @@
 
 /* Starts over from reading, or gives up at the time limit. */
 static void
-apply_again(operation_t *operation)
+retry_apply(operation_t *operation)
 {
 	if (waited(
 		operation, operation->maybe_written ? RESOLVE_MS : GIVE_UP_MS))
@@ -132,7 +132,7 @@
 		operation->maybe_written = true;
 		break;
 	}
-	apply_again(operation);
+	retry_apply(operation);
 }
 
 static void
@@ -156,7 +156,7 @@
 	if (result->status == STORE_OK || result->status == STORE_CONFLICT)
 		swap_value(operation);
 	else
-		apply_again(operation);
+		retry_apply(operation);
 }
 
 /* Keeps the value that is about to be replaced. */
@@ -197,7 +197,7 @@
 
 	/* A replaced revision is in the history: absent is a stale read. */
 	if (result->status != STORE_OK) {
-		apply_again(operation);
+		retry_apply(operation);
 		return;
 	}
 	value =
@@ -249,7 +249,7 @@
 
 	/* The newer revision may be this apply's own; the store will tell. */
 	if (operation->maybe_written || operation->nonce_given)
-		apply_again(operation);
+		retry_apply(operation);
 	else
 		apply_conflict(
 		    operation, held->revision, held->author, held->message);
@@ -277,9 +277,9 @@
 		if (waited(operation, STALE_MS) && !operation->maybe_written)
 			apply_conflict_other(operation);
 		else
-			apply_again(operation);
+			retry_apply(operation);
 	} else if (operation->key_revision == operation->refused_key_revision) {
-		apply_again(operation);
+		retry_apply(operation);
 	} else {
 		archive_present(operation);
 	}
@@ -301,7 +301,7 @@
 	if (result->status == STORE_OK || result->status == STORE_NOT_FOUND)
 		decide(operation);
 	else
-		apply_again(operation);
+		retry_apply(operation);
 }
 
 static void
--- a/src/node_backend.c
+++ b/src/node_backend.c
@@ -35,7 +35,7 @@
 }
 
 static void
-tell_peers(node_t *node, const char *host, const leaving_t *leaving,
+broadcast_leaving(node_t *node, const char *host, const leaving_t *leaving,
     const char *source)
 {
 	message_t message;
@@ -83,7 +83,7 @@
 {
 	if (host->state != CLOUD_HOST_LIVE &&
 	    mark_host(part, host->host, host->leave_at_ms, source))
-		tell_peers(part->node, host->host,
+		broadcast_leaving(part->node, host->host,
 		    g_hash_table_lookup(part->leaving, host->host), source);
 }
 
@@ -142,7 +142,7 @@
 
 /* Settings that arrived after a mark may have declared its host again. */
 static void
-mark_again(backend_t *backend, void *data)
+restore_mark(backend_t *backend, void *data)
 {
 	node_backends_t *part = data;
 	const leaving_t *leaving;
@@ -173,7 +173,7 @@
 	poll_cloud(part);
 	g_hash_table_foreach_remove(part->leaving, is_over, &wall_ms);
 	if (g_hash_table_size(part->leaving) > 0)
-		backends_each(part->node->backends, mark_again, part);
+		backends_each(part->node->backends, restore_mark, part);
 	node_poll_tick(part);
 }
 
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -340,13 +340,13 @@
 {
 	operation_t *operation = timer->data;
 
-	operation->again(operation);
+	operation->retry(operation);
 }
 
 void
-operation_retry(operation_t *operation, void (*again)(operation_t *operation))
+operation_retry(operation_t *operation, void (*retry)(operation_t *operation))
 {
-	operation->again = again;
+	operation->retry = retry;
 	uv_timer_start(
 	    &operation->timer, on_operation_timer, OPERATION_RETRY_MS, 0);
 }
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -16,15 +16,15 @@
 	node_t *node;
 	http_request_t *request;
 	char *team;
-	uv_timer_t timer; /* for trying again */
-	void (*again)(struct operation *operation);
+	uv_timer_t timer; /* for retries */
+	void (*retry)(struct operation *operation);
 	int64_t started_ms; /* monotonic */
 
 	/* Of an apply. */
 	int64_t base;	       /* revision that the operator worked from */
 	settings_tree_t *tree; /* at revision base + 1 */
 	char *nonce;	       /* tells this apply's write from all others */
-	bool nonce_given;      /* by the client, which may be trying again */
+	bool nonce_given;      /* by the client, which may be retrying */
 	char *value;	       /* JSON text to write */
 	bool maybe_written;    /* a write was sent and not answered */
 	int64_t key_revision;  /* of the store's key, as read last */
@@ -51,9 +51,9 @@
 
 operation_t *operation_new(
     node_t *node, http_request_t *request, const char *team);
-/* Runs again(operation) after a short delay. */
+/* Runs retry(operation) after a short delay. */
 void operation_retry(
-    operation_t *operation, void (*again)(operation_t *operation));
+    operation_t *operation, void (*retry)(operation_t *operation));
 /* Replies with the error and ends; takes over error. */
 void operation_fail(operation_t *operation, GError *error, bool not_run);
 void operation_end(operation_t *operation);
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -164,7 +164,7 @@
 	    report->recording || report->sending ||
 	    clock_boot_ms() < report->retry_at_ms)
 		return;
-	/* A window is reported until usage_late_ms after its end. */
+	/* A window is reported until usage_deadline_ms after its end. */
 	if (report->recorded_counts != NULL &&
 	    report->recorded_window > report->sent_window &&
 	    (report->recorded_window + 1) * bounds->usage_window_ms +
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -12,6 +12,7 @@
 	TICK_MS = 100,
 	REQUESTS_PER_S = 160,
 	DURATION_MS = 14000,
+	RESTART_MS = DURATION_MS / 3 / TICK_MS * TICK_MS,
 	STARTED_MS = 1000000,
 	SERVERS = 18,
 	/* Duration of a request at an old server. */
@@ -144,7 +145,7 @@
 	for (int64_t elapsed_ms = 0; elapsed_ms <= DURATION_MS;
 	     elapsed_ms += TICK_MS) {
 		simulation.inputs.now_ms = STARTED_MS + elapsed_ms;
-		if (scenario->restart_midway && elapsed_ms == DURATION_MS / 3)
+		if (scenario->restart_midway && elapsed_ms == RESTART_MS)
 			restart_node(&simulation);
 		step(&simulation, scenario);
 	}
