Retry calls to the store less often while it refuses a node

Change: a node's lease is tried twice a second, a watch of a follower, whom relays keep current, at most every 1.6 s. The leader's lease is tried as before.

--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -118,8 +118,8 @@
 {
 	GByteArray *response;
 
-	switch (relay_assemble(
-	    cluster->assembler, datagram, length, &response)) {
+	switch (
+	    relay_assemble(cluster->assembler, datagram, length, &response)) {
 	case RELAY_NOT_A_FRAGMENT:
 		return handle_relay_message(cluster, datagram, length, from);
 	case RELAY_INCOMPLETE:
--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -49,12 +49,12 @@
 	unsigned quota_nodes; /* that share the quotas */
 	unsigned quota_unreachable;
 	GPtrArray
-	    *relayed_addresses;	 /* char *: of the active set, by a relay */
-	int64_t relayed_ms;	 /* time of receipt; 0: none */
-	unsigned relay_choice;	 /* counts changes to another relay */
-	bool relay_responded;	 /* to the last request */
+	    *relayed_addresses; /* char *: of the active set, by a relay */
+	int64_t relayed_ms;	/* time of receipt; 0: none */
+	unsigned relay_choice;	/* counts changes to another relay */
+	bool relay_responded;	/* to the last request */
 	relay_assembler_t *assembler; /* of responses to this node */
-	int64_t response_id; /* of the last response in fragments */
+	int64_t response_id;	      /* of the last response in fragments */
 	int64_t clock_offset_ms; /* median of the nodes' clocks minus own */
 	int64_t started_ms;
 	int64_t incarnation; /* wall clock at the start */
--- a/src/drain.c
+++ b/src/drain.c
@@ -16,8 +16,8 @@
 }
 
 drain_phase_t
-drain_step(drain_t *drain, unsigned connections, uint64_t accepted,
-    int64_t now_ms)
+drain_step(
+    drain_t *drain, unsigned connections, uint64_t accepted, int64_t now_ms)
 {
 	bool quiet = connections == 0 && accepted == drain->accepted;
 
--- a/src/drain.h
+++ b/src/drain.h
@@ -31,7 +31,7 @@
  * requests to read. connections: of clients at present; accepted: their number
  * since the start of the process.
  */
-drain_phase_t drain_step(drain_t *drain, unsigned connections,
-    uint64_t accepted, int64_t now_ms);
+drain_phase_t drain_step(
+    drain_t *drain, unsigned connections, uint64_t accepted, int64_t now_ms);
 
 #endif
--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -123,8 +123,8 @@
 	GString *out = NULL;
 	size_t from = 0, end, unsearched;
 
-	while ((end = event_end(
-		    stream->buffer, MAX(from, stream->searched))) != 0) {
+	while ((end = event_end(stream->buffer, MAX(from, stream->searched))) !=
+	       0) {
 		const char *event = stream->buffer->str + from;
 		char *id = event_id(event, end - from);
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -13,6 +13,7 @@
 	 */
 	NODE_TTL_MS = 12000,
 	NODE_RENEW_INTERVAL_MS = 4000,
+	NODE_RETRY_INTERVAL_MS = 500,
 	LEADER_RENEW_INTERVAL_MS = 1000,
 
 	/* Leadership ends this long before the lease can expire. */
@@ -30,6 +31,7 @@
 	lease_t *owner;
 	int64_t ttl_wanted_ms;
 	int64_t renew_interval_ms;
+	int64_t retry_interval_ms; /* after a call that failed */
 	void (*on_granted)(lease_t *owner);
 	void (*on_lost)(lease_t *owner);
 	int64_t id;	       /* 0: none */
@@ -119,6 +121,8 @@
 	}
 	if (held->call_in_progress)
 		return;
+	if (now_ms - held->call_sent_ms < held->retry_interval_ms)
+		return;
 	if (held->id != 0 && !held->renewal_due &&
 	    now_ms - held->renewed_ms < held->renew_interval_ms)
 		return;
@@ -261,11 +265,13 @@
 	lease->node = (store_lease_t){.owner = lease,
 	    .ttl_wanted_ms = NODE_TTL_MS,
 	    .renew_interval_ms = NODE_RENEW_INTERVAL_MS,
+	    .retry_interval_ms = NODE_RETRY_INTERVAL_MS,
 	    .on_granted = register_node,
 	    .on_lost = on_node_lease_lost};
 	lease->leader = (store_lease_t){.owner = lease,
 	    .ttl_wanted_ms = config->bounds.lease_ms,
 	    .renew_interval_ms = LEADER_RENEW_INTERVAL_MS,
+	    .retry_interval_ms = TICK_INTERVAL_MS,
 	    .on_granted = on_leader_lease_granted,
 	    .on_lost = on_leader_lease_lost};
 	uv_timer_init(loop, &lease->timer);
--- a/src/relay_fragment.h
+++ b/src/relay_fragment.h
@@ -39,7 +39,7 @@
  * whole response, which the caller owns. A fragment of another response drops
  * the ones received so far.
  */
-relay_assembly_t relay_assemble(relay_assembler_t *assembler,
-    const char *bytes, size_t length, GByteArray **response);
+relay_assembly_t relay_assemble(relay_assembler_t *assembler, const char *bytes,
+    size_t length, GByteArray **response);
 
 #endif
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -11,6 +11,8 @@
 	CONFIRM_WATCH_MS = 1,
 	RETRY_MIN_MS = 60,
 	RETRY_MAX_MS = 400,
+	/* The same where relays bring the changes. */
+	FOLLOWER_RETRY_MAX_MS = 1600,
 	/* The store counts as unavailable after failing for this long. */
 	UNAVAILABLE_AFTER_MS = 300,
 	REFRESH_INTERVAL_MS = 300,
@@ -130,8 +132,10 @@
 static void
 retry_later(store_watch_t *watch, platform_status_t status)
 {
+	int64_t delay_max_ms =
+	    watch->relay_interval_ms > 0 ? FOLLOWER_RETRY_MAX_MS : RETRY_MAX_MS;
 	int64_t delay_ms =
-	    MIN(RETRY_MIN_MS << MIN(watch->failures, 4u), RETRY_MAX_MS);
+	    MIN(RETRY_MIN_MS << MIN(watch->failures, 5u), delay_max_ms);
 
 	watch->failures++;
 	if (!watch->unavailable &&
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -12,8 +12,7 @@
 	int64_t now_ms = START_MS + from_ms;
 	uint64_t accepted = drain->accepted;
 
-	while (
-	    drain_step(drain, connections, accepted, now_ms) != DRAIN_DONE) {
+	while (drain_step(drain, connections, accepted, now_ms) != DRAIN_DONE) {
 		now_ms += STEP_MS;
 		ck_assert_int_le(now_ms, START_MS + MAX_MS);
 	}
@@ -30,8 +29,7 @@
 		ck_assert_int_eq(
 		    drain_step(&drain, 0, 0, START_MS + at), DRAIN_SERVING);
 	ck_assert_int_eq(
-	    drain_step(&drain, 0, 0, START_MS + SERVED_MS),
-	    DRAIN_REFUSING);
+	    drain_step(&drain, 0, 0, START_MS + SERVED_MS), DRAIN_REFUSING);
 }
 END_TEST
 
@@ -46,9 +44,9 @@
 
 	drain_start(&drain, MAX_MS, START_MS);
 	for (; at < 6000; at += STEP_MS)
-		ck_assert_int_eq(drain_step(&drain, 0,
-				     (uint64_t)(at / STEP_MS / 4),
-				     START_MS + at),
+		ck_assert_int_eq(
+		    drain_step(
+			&drain, 0, (uint64_t)(at / STEP_MS / 4), START_MS + at),
 		    DRAIN_REFUSING);
 	ck_assert_int_lt(run_until_done(&drain, at, 0), at + 1000);
 }
@@ -63,7 +61,8 @@
 	drain_t drain;
 
 	drain_start(&drain, MAX_MS, START_MS);
-	ck_assert_int_eq(drain_step(&drain, 0, 0, START_MS + 100), DRAIN_SERVING);
+	ck_assert_int_eq(
+	    drain_step(&drain, 0, 0, START_MS + 100), DRAIN_SERVING);
 	ck_assert_int_eq(
 	    drain_step(&drain, 0, 0, START_MS + 5000), DRAIN_REFUSING);
 	ck_assert_int_eq(
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -95,8 +95,7 @@
 	tcase_set_timeout(cases, 60);
 	tcase_add_checked_fixture(
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
-	tcase_add_test(
-	    cases, requests_sent_during_a_planned_stop_are_answered);
+	tcase_add_test(cases, requests_sent_during_a_planned_stop_are_answered);
 	tcase_add_test(cases, body_that_arrives_during_a_planned_stop_is_read);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_relay_fragment.c
+++ b/tests/test_relay_fragment.c
@@ -24,8 +24,8 @@
 assemble(relay_assembler_t *assembler, const GByteArray *datagram,
     GByteArray **response)
 {
-	return relay_assemble(assembler, (const char *)datagram->data,
-	    datagram->len, response);
+	return relay_assemble(
+	    assembler, (const char *)datagram->data, datagram->len, response);
 }
 
 /* Guards against responses of which bytes are lost, repeated or reordered. */
@@ -40,8 +40,8 @@
 	ck_assert_uint_eq(fragments->len, 3);
 	for (size_t i = 0; i < G_N_ELEMENTS(order); i++) {
 		ck_assert_int_eq(state, RELAY_INCOMPLETE);
-		state = assemble(
-		    assembler, fragments->pdata[order[i]], &received);
+		state =
+		    assemble(assembler, fragments->pdata[order[i]], &received);
 	}
 	ck_assert_int_eq(state, RELAY_COMPLETE);
 	ck_assert_uint_eq(received->len, sent->len);
@@ -57,12 +57,14 @@
 START_TEST(fragments_of_two_responses_are_not_mixed)
 {
 	relay_assembler_t *assembler = relay_assembler_new();
-	GByteArray *first = response_of(10000, 1), *second = response_of(10000, 2);
-	GPtrArray *early = relay_split(first, 5), *late = relay_split(second, 6);
+	GByteArray *first = response_of(10000, 1),
+		   *second = response_of(10000, 2);
+	GPtrArray *early = relay_split(first, 5),
+		  *late = relay_split(second, 6);
 	GByteArray *received = NULL;
 
-	ck_assert_int_eq(assemble(assembler, early->pdata[0], &received),
-	    RELAY_INCOMPLETE);
+	ck_assert_int_eq(
+	    assemble(assembler, early->pdata[0], &received), RELAY_INCOMPLETE);
 	ck_assert_int_eq(
 	    assemble(assembler, late->pdata[1], &received), RELAY_INCOMPLETE);
 	ck_assert_int_eq(
