--- a/src/upstream.c
+++ b/src/upstream.c
@@ -34,6 +34,7 @@
 	unsigned refs; /* held by the timer and by running callbacks */
 	bool connected;
 	bool idle;
+	bool reused;	 /* has carried an earlier request */
 	bool discarding; /* reading a response to another request */
 	bool no_reuse;	 /* close after the current response */
 } upstream_conn_t;
@@ -130,9 +131,12 @@
 		conn->no_reuse = true;
 		return true;
 	}
-	/* A success without an attempt id may belong to another request. */
+	/*
+	 * A success without an attempt id may belong to another request, and so
+	 * may any response on a connection that has carried one.
+	 */
 	if (call->attempt_id != NULL && facts.attempt_id == NULL &&
-	    head->status < 300)
+	    (conn->reused || head->status < 300))
 		return false;
 	if (call->request.is_head_request)
 		http1_reader_expect_no_body(conn->reader);
@@ -330,6 +334,7 @@
 		return NULL;
 	TAILQ_REMOVE(&upstream->idle, conn, entries);
 	conn->idle = false;
+	conn->reused = true;
 	return conn;
 }
 
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -10,7 +10,8 @@
  * Simulates the users' platform by its published API: the key-value store with
  * preconditions, leases and watches, and the endpoints that singleton duties
  * call. GET /calls lists the calls accepted there. With the fault "down" the
- * store replies 503.
+ * store replies 503; with "stale", lists that may be stale stay as they were at
+ * the first one since the fault was set.
  */
 
 enum {
@@ -51,6 +52,7 @@
 static int64_t last_lease = 100;
 static int64_t highest_fence_token;
 static json_t *duty_calls;
+static json_t *stale_list; /* response to stale lists; NULL: none kept */
 static uv_timer_t expiry_timer;
 
 static void
@@ -216,15 +218,27 @@
 	return value;
 }
 
+static json_t *
+list_response(const char *prefix)
+{
+	return json_pack("{s:o,s:b,s:I}", "items",
+	    list_items(prefix == NULL ? "" : prefix, 0, false), "has_more", 0,
+	    "as_of", (json_int_t)last_revision);
+}
+
 static void
 serve_range(http_request_t *request)
 {
 	char *prefix = http_request_query_param(request, "path_prefix");
+	bool stale = number_param(request, "serializable") != 0 &&
+		     standin_fault_value(&standin, "stale") > 0;
 
+	if (stale && stale_list == NULL)
+		stale_list = list_response(prefix);
+	if (!stale)
+		g_clear_pointer(&stale_list, json_decref);
 	http_reply_json(request, STATUS_OK,
-	    json_pack("{s:o,s:b,s:I}", "items",
-		list_items(prefix == NULL ? "" : prefix, 0, false), "has_more",
-		0, "as_of", (json_int_t)last_revision));
+	    stale ? json_incref(stale_list) : list_response(prefix));
 	g_free(prefix);
 }
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -530,6 +530,50 @@
 }
 END_TEST
 
+/* Checks that no holder acts after one with a higher token has acted. */
+static void
+assert_tokens_do_not_decrease(const json_t *calls)
+{
+	int64_t highest = 0;
+	json_t *call;
+	size_t i;
+
+	json_array_foreach (calls, i, call) {
+		int64_t token =
+		    json_integer_value(json_object_get(call, "token"));
+
+		ck_assert_int_ge(token, highest);
+		highest = token;
+	}
+}
+
+/*
+ * Guards against a holder that was paused for longer than its lease and acts
+ * when it wakes, after another node has taken over its duties.
+ */
+START_TEST(paused_holder_does_not_act_when_it_wakes)
+{
+	program_t *second_gateway = gateway_start("n2"), *paused;
+	json_t *calls_before, *calls_after;
+
+	g_usleep(4000000);
+	calls_before = read_recorded_calls("/usage");
+	ck_assert_uint_ge(json_array_size(calls_before), 1);
+	paused = strcmp(last_holder(calls_before), "n1") == 0 ? gateway_node
+							      : second_gateway;
+	kill(paused->pid, SIGSTOP);
+	g_usleep(6000000);
+	kill(paused->pid, SIGCONT);
+	g_usleep(3000000);
+	calls_after = read_recorded_calls("/usage");
+	ck_assert_str_ne(last_holder(calls_after), last_holder(calls_before));
+	assert_tokens_do_not_decrease(calls_after);
+	assert_same_report_per_window(calls_after);
+	json_decref(calls_before);
+	json_decref(calls_after);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -561,6 +605,7 @@
 	    cases, graceful_shutdown_delists_node_and_finishes_requests);
 	tcase_add_test(cases, usage_is_reported_once_per_window);
 	tcase_add_test(cases, duties_fail_over_after_their_holder_is_killed);
+	tcase_add_test(cases, paused_holder_does_not_act_when_it_wakes);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- /dev/null
+++ b/tests/test_restart.c
@@ -0,0 +1,96 @@
+#include "suite.h"
+#include "support_gateway.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/*
+ * A restart of one node while the store is up but serves stale lists, or is
+ * down: what was withdrawn before must not be in use again.
+ */
+
+/* Status of the response to a booking with the key. */
+static unsigned
+booking_status(const char *key)
+{
+	char *request = gateway_format_request("/book/", "id-1", key);
+	int fd = wire_connect(gateway_node->address);
+	char *response;
+	unsigned status;
+
+	wire_send(fd, request);
+	response = wire_read_message(fd);
+	status = (unsigned)strtoul(response + strlen("HTTP/1.1 "), NULL, 10);
+	g_free(response);
+	g_free(request);
+	close(fd);
+	return status;
+}
+
+/* Withdraws key-2 and the only server of the service. */
+static void
+withdraw(void)
+{
+	gateway_configure(2, "[\"key-1\"]");
+	gateway_store_remove("servers/i-1");
+	g_usleep(300000);
+}
+
+/*
+ * Guards against a node that serves by the list that it reads at its start,
+ * which may be seconds old, before the store has confirmed it.
+ */
+START_TEST(stale_list_after_a_restart_is_not_used)
+{
+	program_t *second_gateway;
+
+	faults_set(platform_standin, "{\"stale\": 1}");
+	second_gateway = gateway_start("n2"); /* its list is kept */
+	program_end(second_gateway, SIGKILL);
+	withdraw();
+	program_end(gateway_node, SIGKILL);
+	gateway_node = gateway_launch("n1");
+	for (int i = 0; i < 20; i++) {
+		unsigned status = booking_status("key-2");
+
+		/* 503: no confirmed configuration yet. */
+		ck_assert_msg(status == 401 || status == 503,
+		    "a withdrawn key gets %u", status);
+		ck_assert_uint_eq(booking_status("key-1"), 503);
+	}
+	ck_assert_uint_eq(booking_status("key-2"), 401);
+	ck_assert(!wire_wait_connection(backend_listener_1, 100));
+}
+END_TEST
+
+/* Guards against a node that serves without the store. */
+START_TEST(restart_without_the_store_serves_nothing)
+{
+	withdraw();
+	faults_set(platform_standin, "{\"down\": true}");
+	program_end(gateway_node, SIGKILL);
+	gateway_node = gateway_launch("n1");
+	ck_assert_uint_eq(booking_status("key-2"), 503);
+	ck_assert_uint_eq(booking_status("key-1"), 503);
+	ck_assert(!wire_wait_connection(backend_listener_1, 100));
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("restart");
+	TCase *cases = tcase_create("restart");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, gateway_fixture_setup, gateway_fixture_teardown);
+	tcase_add_test(cases, stale_list_after_a_restart_is_not_used);
+	tcase_add_test(cases, restart_without_the_store_serves_nothing);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
