--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -37,8 +37,8 @@
 	unsigned registered_peers; /* number of them */
 	/* Ready and alive peers in the active set, in its order; borrowed. */
 	GPtrArray *active_peers;
-	unsigned
-	    own_position; /* in the active set; ACTIVE_SET_MAX: not in it */
+	/* Of this node in the active set; ACTIVE_SET_MAX: not in it. */
+	unsigned own_position;
 	int64_t active_updated_ms;
 	bool active; /* this node is one that receives digests often */
 	int64_t active_since_ms;
@@ -48,11 +48,11 @@
 	bool active_in_majority;
 	unsigned quota_nodes; /* that share the quotas */
 	unsigned quota_unreachable;
-	GPtrArray
-	    *relayed_addresses; /* char *: of the active set, by a relay */
-	int64_t relayed_ms;	/* time of receipt; 0: none */
-	unsigned relay_choice;	/* counts changes to another relay */
-	bool relay_responded;	/* to the last request */
+	/* Client addresses of the active set (char *), by a relay. */
+	GPtrArray *relayed_addresses;
+	int64_t relayed_ms;	      /* time of receipt; 0: none */
+	unsigned relay_choice;	      /* counts changes to another relay */
+	bool relay_responded;	      /* to the last request */
 	relay_assembler_t *assembler; /* of responses to this node */
 	int64_t response_id;	      /* of the last response in fragments */
 	int64_t clock_offset_ms; /* median of the nodes' clocks minus own */
--- a/src/digest.c
+++ b/src/digest.c
@@ -17,6 +17,9 @@
 	NAME_MAX_BYTES = 256,
 };
 
+/* Largest count or number of units in a digest. */
+static const double number_max = 1e15;
+
 static void
 spending_clear(gpointer item)
 {
@@ -154,16 +157,15 @@
 {
 	int64_t integer;
 
-	if (mp_read_int64(object, &integer)) {
+	if (mp_read_int64(object, &integer))
 		*value = (double)integer;
-		return true;
-	}
-	if (object->type != MSGPACK_OBJECT_FLOAT64 &&
-	    object->type != MSGPACK_OBJECT_FLOAT32)
+	else if (object->type == MSGPACK_OBJECT_FLOAT64 ||
+		 object->type == MSGPACK_OBJECT_FLOAT32)
+		*value = object->via.f64;
+	else
 		return false;
-	*value = object->via.f64;
-	/* Sums would never recover from another value. */
-	return isfinite(*value);
+	/* Sums would not recover from any other value. */
+	return isfinite(*value) && fabs(*value) <= number_max;
 }
 
 static bool
--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -310,6 +310,23 @@
 	return fd;
 }
 
+unsigned
+gateway_booking_status(const program_t *gateway, const char *key)
+{
+	char *booking = gateway_format_request("/book/", "id-1", key);
+	int fd = wire_connect(gateway->address);
+	char *message;
+	unsigned status;
+
+	wire_send(fd, booking);
+	message = wire_read_message(fd);
+	status = (unsigned)strtoul(message + strlen("HTTP/1.1 "), NULL, 10);
+	g_free(message);
+	g_free(booking);
+	close(fd);
+	return status;
+}
+
 gateway_exchange_t
 gateway_exchange_open(const char *path, int listener)
 {
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -55,6 +55,12 @@
 /* Sends a request with "key-1" to gateway_node; returns the new connection. */
 int gateway_send_request(const char *path, const char *attempt_id);
 
+/*
+ * Sends a booking with the key to a gateway on a new connection; returns the
+ * status of the response.
+ */
+unsigned gateway_booking_status(const program_t *gateway, const char *key);
+
 /* A request in progress through gateway_node. */
 typedef struct gateway_exchange {
 	int client_fd; /* -1: closed by the test */
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -2,6 +2,7 @@
 #include "suite.h"
 
 #include <check.h>
+#include <math.h>
 
 static digest_t *
 sample_digest(void)
@@ -23,6 +24,9 @@
 	digest->sequence = 9;
 	digest->client_address = g_strdup("10.0.0.1:80");
 	digest->ready = true;
+	digest->active = true;
+	digest->leader = true;
+	digest->processors = 0.25;
 	digest->wall_ms = -5;
 	digest->configuration_version = 7;
 	g_array_append_val(digest->spending, spending);
@@ -43,6 +47,9 @@
 	ck_assert_int_eq(read->incarnation, 1234567890123);
 	ck_assert_int_eq(read->wall_ms, -5);
 	ck_assert(read->ready);
+	ck_assert(read->active);
+	ck_assert(read->leader);
+	ck_assert_double_eq(read->processors, 0.25);
 	ck_assert_str_eq(
 	    g_array_index(read->spending, digest_spending_t, 0).workspace,
 	    "depot");
@@ -79,6 +86,26 @@
 }
 END_TEST
 
+/* Guards against one datagram that makes a workspace's quota useless. */
+START_TEST(decode_rejects_numbers_that_sums_cannot_hold)
+{
+	static const double numbers[] = {INFINITY, -INFINITY, NAN, 1e300};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		digest_t *digest = sample_digest();
+		GByteArray *bytes = g_byte_array_new();
+
+		g_array_index(digest->spending, digest_spending_t, 0)
+		    .spent_units = numbers[i];
+		digest_encode(digest, bytes);
+		ck_assert_ptr_null(
+		    digest_decode((const char *)bytes->data, bytes->len));
+		digest_free(digest);
+		g_byte_array_unref(bytes);
+	}
+}
+END_TEST
+
 /* Guards against a crash on truncated or altered datagrams. */
 START_TEST(decode_handles_truncated_or_altered_bytes)
 {
@@ -112,6 +139,7 @@
 
 	tcase_add_test(cases, decode_restores_an_encoded_digest);
 	tcase_add_test(cases, decode_rejects_an_empty_node_name);
+	tcase_add_test(cases, decode_rejects_numbers_that_sums_cannot_hold);
 	tcase_add_test(cases, decode_handles_truncated_or_altered_bytes);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_followers.c
+++ b/tests/test_followers.c
@@ -1,6 +1,5 @@
 #include "suite.h"
 #include "support_gateway.h"
-#include "support_wire.h"
 
 #include <check.h>
 #include <signal.h>
@@ -53,24 +52,6 @@
 	g_usleep(STARTUP_MS * US_PER_MS);
 }
 
-/* Returns the status of a request with a key that may be withdrawn. */
-static unsigned
-request_status(const program_t *node, const char *key)
-{
-	char *booking = gateway_format_request("/book/", "id-1", key);
-	int fd = wire_connect(node->address);
-	char *message;
-	unsigned status;
-
-	wire_send(fd, booking);
-	message = wire_read_message(fd);
-	status = (unsigned)strtoul(message + strlen("HTTP/1.1 "), NULL, 10);
-	g_free(message);
-	g_free(booking);
-	close(fd);
-	return status;
-}
-
 /* Checks that every running node rejects a withdrawn key in time. */
 static void
 expect_key_rejected(const char *key)
@@ -81,7 +62,7 @@
 	for (int i = 0; i < NODES; i++) {
 		if (nodes[i] == NULL)
 			continue;
-		while (request_status(nodes[i], key) != 401) {
+		while (gateway_booking_status(nodes[i], key) != 401) {
 			ck_assert_msg(g_get_monotonic_time() < deadline_us,
 			    "node %d still accepts key %s", i, key);
 			g_usleep(POLL_MS * US_PER_MS);
--- a/tests/test_late_answer.c
+++ b/tests/test_late_answer.c
@@ -11,8 +11,8 @@
  * may be in use again. The next client must get its own answer or a failure.
  */
 
-#define ANSWER_TO(id, body)                                                    \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " id "\r\nX-Response-Stamp: s\r\n"   \
+#define ANSWER_TO(id, body)                                                  \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " id "\r\nX-Response-Stamp: s\r\n" \
 	"Content-Length: 5\r\n\r\n" body
 
 static const struct late_answer {
@@ -32,7 +32,8 @@
 	"first"},
     {"failure without an id", true,
 	"HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nfirst"},
-    {"half of a second copy", true, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"},
+    {"half of a second copy", true,
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"},
 };
 
 /* Serves the request of a client that leaves the connection open. */
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -147,7 +147,7 @@
 	int report_interval_ms;
 } fleets[] = {{7, 200}, {62, 930}};
 
-enum { NODES_MAX = 62 };
+enum { NODES_MAX = 62, TOLERANCE_UNITS = 140000 };
 
 /* Applies at the other nodes what one has spent since its last report. */
 static void
@@ -204,6 +204,23 @@
 }
 END_TEST
 
+/* Nodes that share a quota with a tolerance of a tenth and TOLERANCE_UNITS. */
+static void
+start_fleet(quota_t **quotas, unsigned nodes, const catalog_t *catalog,
+    int64_t report_interval_ms)
+{
+	quota_options_t options = {.window_ms = WINDOW_MS,
+	    .tolerance_ratio = 0.1,
+	    .tolerance_units = TOLERANCE_UNITS};
+
+	for (unsigned i = 0; i < nodes; i++) {
+		quotas[i] = quota_new(&options);
+		quota_configure(quotas[i], catalog, START_MS);
+		quota_set_nodes(
+		    quotas[i], nodes, 0, report_interval_ms / 2, START_MS);
+	}
+}
+
 /* Standard normal distribution, by the method of Box and Muller. */
 static double
 random_normal(GRand *random)
@@ -284,7 +301,6 @@
 		FLEET_NODES = 32,
 		SMALL_RATE = 60000,
 		SMALL_BURST = 86000,
-		TOLERANCE_UNITS = 140000,
 		UNITS_MAX = 54600,
 		LOAD_MS = 400000,
 		REQUESTS_PER_S = 7,
@@ -298,14 +314,7 @@
 	GRand *random = g_rand_new_with_seed(SEED);
 	catalog_t *catalog = catalog_with(SMALL_RATE, SMALL_BURST);
 
-	for (int i = 0; i < FLEET_NODES; i++) {
-		quotas[i] = quota_new(&(quota_options_t){.window_ms = WINDOW_MS,
-		    .tolerance_ratio = 0.1,
-		    .tolerance_units = TOLERANCE_UNITS});
-		quota_configure(quotas[i], catalog, START_MS);
-		quota_set_nodes(
-		    quotas[i], FLEET_NODES, 0, interval_ms / 2, START_MS);
-	}
+	start_fleet(quotas, FLEET_NODES, catalog, interval_ms);
 	for (int64_t now = START_MS + WINDOW_MS;
 	     now < START_MS + WINDOW_MS + LOAD_MS; now++) {
 		if (g_rand_double(random) * 1000 < REQUESTS_PER_S) {
@@ -386,7 +395,6 @@
 {
 	enum {
 		FLEET_NODES = 32,
-		TOLERANCE_UNITS = 140000,
 		PROMPT_UNITS = 3000,
 		FLOOD_MS = 2 * WINDOW_MS,
 	};
@@ -398,14 +406,7 @@
 	catalog_t *catalog = catalog_with(flood->rate_per_s, flood->burst);
 	GRand *random = g_rand_new_with_seed(5);
 
-	for (int i = 0; i < FLEET_NODES; i++) {
-		quotas[i] = quota_new(&(quota_options_t){.window_ms = WINDOW_MS,
-		    .tolerance_ratio = 0.1,
-		    .tolerance_units = TOLERANCE_UNITS});
-		quota_configure(quotas[i], catalog, START_MS);
-		quota_set_nodes(
-		    quotas[i], FLEET_NODES, 0, interval_ms / 2, START_MS);
-	}
+	start_fleet(quotas, FLEET_NODES, catalog, interval_ms);
 	for (int64_t step = 0; step < FLOOD_MS; step++) {
 		int64_t now = START_MS + WINDOW_MS + step;
 		/* Three times the limit. */
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -4,33 +4,12 @@
 
 #include <check.h>
 #include <signal.h>
-#include <stdlib.h>
-#include <string.h>
-#include <unistd.h>
 
 /*
  * A restart of one node while the store is up but serves stale lists, or is
  * down: what was withdrawn before must not be in use again.
  */
 
-/* Status of the response to a booking with the key. */
-static unsigned
-booking_status(const char *key)
-{
-	char *request = gateway_format_request("/book/", "id-1", key);
-	int fd = wire_connect(gateway_node->address);
-	char *response;
-	unsigned status;
-
-	wire_send(fd, request);
-	response = wire_read_message(fd);
-	status = (unsigned)strtoul(response + strlen("HTTP/1.1 "), NULL, 10);
-	g_free(response);
-	g_free(request);
-	close(fd);
-	return status;
-}
-
 /* Withdraws key-2 and the only server of the service. */
 static void
 withdraw(void)
@@ -55,14 +34,15 @@
 	program_end(gateway_node, SIGKILL);
 	gateway_node = gateway_launch("n1");
 	for (int i = 0; i < 20; i++) {
-		unsigned status = booking_status("key-2");
+		unsigned status = gateway_booking_status(gateway_node, "key-2");
 
 		/* 503: no confirmed configuration yet. */
 		ck_assert_msg(status == 401 || status == 503,
 		    "a withdrawn key gets %u", status);
-		ck_assert_uint_eq(booking_status("key-1"), 503);
+		ck_assert_uint_eq(
+		    gateway_booking_status(gateway_node, "key-1"), 503);
 	}
-	ck_assert_uint_eq(booking_status("key-2"), 401);
+	ck_assert_uint_eq(gateway_booking_status(gateway_node, "key-2"), 401);
 	ck_assert(!wire_wait_connection(backend_listener_1, 100));
 }
 END_TEST
@@ -74,8 +54,8 @@
 	faults_set(platform_standin, "{\"down\": true}");
 	program_end(gateway_node, SIGKILL);
 	gateway_node = gateway_launch("n1");
-	ck_assert_uint_eq(booking_status("key-2"), 503);
-	ck_assert_uint_eq(booking_status("key-1"), 503);
+	ck_assert_uint_eq(gateway_booking_status(gateway_node, "key-2"), 503);
+	ck_assert_uint_eq(gateway_booking_status(gateway_node, "key-1"), 503);
 	ck_assert(!wire_wait_connection(backend_listener_1, 100));
 }
 END_TEST
