--- a/src/cluster_active.c
+++ b/src/cluster_active.c
@@ -102,8 +102,8 @@
 }
 
 /*
- * A node on standby learns late that active nodes are lost. It takes the word
- * of a relay, which is active.
+ * A node on standby learns late that active nodes are lost, so the list of a
+ * relay, which is active, decides where there is one.
  */
 static bool
 should_be_active(const cluster_t *cluster, int64_t now_ms)
