Encode only digests that are sent; one function cancels a call to a server

Read-through of the change: each tick encoded a full and a brief digest, also in small fleets, which send no brief ones, and where no peer was due; each is encoded when the first peer is due now. The cancelling of a request's call stood in five places, the reports of a fleet's nodes in turn in three tests.

Behaviour is unchanged but for the gaps in a digest's sequence, which only has to increase. Tests keep their assertions.

--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -193,11 +193,20 @@
 		   : DIGEST_NONE;
 }
 
+/* Encodes the digest when the first peer is due to get it. */
+static void
+send_encoded(cluster_t *cluster, const cluster_peer_t *peer, bool brief,
+    GByteArray **datagram)
+{
+	if (*datagram == NULL)
+		*datagram = encode_digest(cluster, brief);
+	cluster_send_datagram(cluster, peer, *datagram);
+}
+
 void
 cluster_send_due_digests(cluster_t *cluster)
 {
-	GByteArray *full = encode_digest(cluster, false);
-	GByteArray *brief = encode_digest(cluster, true);
+	GByteArray *full = NULL, *brief = NULL;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -208,15 +217,15 @@
 		case DIGEST_NONE:
 			break;
 		case DIGEST_BRIEF:
-			cluster_send_datagram(cluster, value, brief);
+			send_encoded(cluster, value, true, &brief);
 			break;
 		case DIGEST_FULL:
-			cluster_send_datagram(cluster, value, full);
+			send_encoded(cluster, value, false, &full);
 			break;
 		}
 	}
-	g_byte_array_unref(full);
-	g_byte_array_unref(brief);
+	g_clear_pointer(&full, g_byte_array_unref);
+	g_clear_pointer(&brief, g_byte_array_unref);
 }
 
 void
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -57,15 +57,21 @@
 	req->server = NULL;
 }
 
+void
+proxy_cancel_call(proxy_request_t *req)
+{
+	if (req->call != NULL)
+		upstream_call_cancel(req->call);
+	req->call = NULL;
+}
+
 void
 proxy_finish(proxy_request_t *req)
 {
 	if (req->finished)
 		return;
 	req->finished = true;
-	if (req->call != NULL)
-		upstream_call_cancel(req->call);
-	req->call = NULL;
+	proxy_cancel_call(req);
 	proxy_migration_clear(req);
 	proxy_release_server(req);
 	TAILQ_REMOVE(&req->context->requests, req, entries);
@@ -132,9 +138,7 @@
 	if (retry_after_ms >= 0)
 		g_snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
 		    (double)MIN(retry_after_ms, RETRY_AFTER_MAX_MS) / MS_PER_S);
-	if (req->call != NULL)
-		upstream_call_cancel(req->call);
-	req->call = NULL;
+	proxy_cancel_call(req);
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	exchange_reply(req->exchange, status, extra, "", 0);
 	proxy_finish(req);
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -36,9 +36,7 @@
 switch_to_target(proxy_request_t *req)
 {
 	uv_timer_stop(&req->idle_timer);
-	if (req->call != NULL)
-		upstream_call_cancel(req->call);
-	req->call = NULL;
+	proxy_cancel_call(req);
 	proxy_release_server(req);
 	resume_at_target(req);
 }
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -202,9 +202,7 @@
 static void
 retry_request(proxy_request_t *req)
 {
-	if (req->call != NULL)
-		upstream_call_cancel(req->call);
-	req->call = NULL;
+	proxy_cancel_call(req);
 	proxy_release_server(req);
 	g_byte_array_set_size(req->buffered, 0);
 	if (req->events != NULL)
@@ -340,18 +338,11 @@
 		proxy_respond(req, 502, -1, reason);
 }
 
-static void
-cancel_call(proxy_request_t *req)
-{
-	upstream_call_cancel(req->call);
-	req->call = NULL;
-}
-
 /* Ends the attempt at a server whose response cannot be used. */
 static void
 abandon_server(proxy_request_t *req, const char *reason)
 {
-	cancel_call(req);
+	proxy_cancel_call(req);
 	proxy_migration_clear(req);
 	uv_timer_stop(&req->idle_timer);
 	handle_broken(req, SERVER_FAILED, reason);
@@ -399,7 +390,7 @@
 	if (req->buffered->len <= BUFFERED_MAX_BYTES)
 		return;
 	if (req->response.not_run) {
-		cancel_call(req);
+		proxy_cancel_call(req);
 		handle_not_run(req);
 	} else {
 		start_forwarding(req);
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -88,6 +88,8 @@
 } proxy_request_t;
 
 /* proxy.c: ends of a request. */
+/* Cancels the call to the backend server, if there is one. */
+void proxy_cancel_call(proxy_request_t *req);
 /* Cancels the call and releases the request; later calls do nothing. */
 void proxy_finish(proxy_request_t *req);
 /*
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -161,6 +161,16 @@
 	unreported[reporter] = 0;
 }
 
+/* Lets those report whose turn in the interval it is. */
+static void
+report_in_turn(quota_t **quotas, double *unreported, int nodes,
+    int64_t interval_ms, int64_t now_ms)
+{
+	for (int i = 0; i < nodes; i++)
+		if ((now_ms - interval_ms * i / nodes) % interval_ms == 0)
+			report_spending(quotas, unreported, nodes, i, now_ms);
+}
+
 static void
 exchange_reports(
     quota_t **quotas, double *unreported, int nodes, int64_t now_ms)
@@ -276,11 +286,8 @@
 			else
 				refused++;
 		}
-		/* The nodes report in turn. */
-		for (unsigned i = 0; i < nodes; i++)
-			if ((now - interval_ms * i / nodes) % interval_ms == 0)
-				report_spending(quotas, unreported, (int)nodes,
-				    (int)i, now);
+		report_in_turn(
+		    quotas, unreported, (int)nodes, interval_ms, now);
 	}
 	ck_assert_uint_le(refused, requests / 200);
 	for (unsigned i = 0; i < nodes; i++)
@@ -331,12 +338,8 @@
 			else
 				refused++;
 		}
-		for (int i = 0; i < FLEET_NODES; i++)
-			if ((now - interval_ms * i / FLEET_NODES) %
-				interval_ms ==
-			    0)
-				report_spending(
-				    quotas, unreported, FLEET_NODES, i, now);
+		report_in_turn(
+		    quotas, unreported, FLEET_NODES, interval_ms, now);
 	}
 	ck_assert_uint_le(refused, requests / 200);
 	for (int i = 0; i < FLEET_NODES; i++)
@@ -422,12 +425,8 @@
 			unreported[target] += PROMPT_UNITS;
 			spent[step] += PROMPT_UNITS;
 		}
-		for (int i = 0; i < FLEET_NODES; i++)
-			if ((now - interval_ms * i / FLEET_NODES) %
-				interval_ms ==
-			    0)
-				report_spending(
-				    quotas, unreported, FLEET_NODES, i, now);
+		report_in_turn(
+		    quotas, unreported, FLEET_NODES, interval_ms, now);
 		sum += spent[step];
 		if (step >= WINDOW_MS)
 			sum -= spent[step - WINDOW_MS];
