Log backend servers that say in a response that they leave

Users saw requests at a server that had said that it leaves. The logs could not tell whether a node knew of the leaving: the header Server-Leaving of a response was not read. The adapter reads it now; the first such response of a server and each later attempt at it are logged and counted. No decision changes.

--- a/src/pool.h
+++ b/src/pool.h
@@ -29,11 +29,12 @@
 	bool removed; /* from the pool */
 	/* End of the grace period of a deleted entry; 0: entry present. */
 	int64_t remove_at_ms;
-	int64_t listed_at_ms;	       /* when it was first listed */
-	int64_t shutdown_at_ms;	       /* expected; 0: not shutting down */
-	server_load_t local_load;      /* of this node's requests */
-	server_load_t peer_load;       /* sum over the digests of other nodes */
-	double failure_rate;	       /* of recent requests, 0 to 1 */
+	int64_t listed_at_ms;	  /* when it was first listed */
+	int64_t shutdown_at_ms;	  /* expected; 0: not shutting down */
+	int64_t leaving_since_ms; /* its first response to say so; 0: none */
+	server_load_t local_load; /* of this node's requests */
+	server_load_t peer_load;  /* sum over the digests of other nodes */
+	double failure_rate;	  /* of recent requests, 0 to 1 */
 	unsigned consecutive_failures; /* SERVER_UNREACHABLE */
 	int64_t backoff_until_ms;      /* gets no requests until then */
 	double latency_ms;	       /* moving average; 0: no sample yet */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "platform_request.h"
+#include "proxy_log.h"
 
 #include <string.h>
 
@@ -109,6 +110,10 @@
 	};
 
 	assign_server(req, choice);
+	if (choice->server->leaving_since_ms != 0)
+		proxy_log_leaving_attempt(req->context->counters,
+		    req->facts.attempt_id, choice->server,
+		    req->attempt_start_ms);
 	head_text = build_request_head(req, choice->server);
 	request.head = head_text->str;
 	request.head_length = head_text->len;
--- a/src/proxy_log.c
+++ b/src/proxy_log.c
@@ -45,3 +45,14 @@
 	    failure->reason, failure->sent, failure->elapsed_ms,
 	    failure->failure_rate, failure->in_flight);
 }
+
+void
+proxy_log_leaving_attempt(counters_t *counters, const char *attempt_id,
+    const server_t *server, int64_t now_ms)
+{
+	counter_add(counters, 1, "attempts_at_leaving_servers_total");
+	log_event(LOG_LEVEL_WARN, "attempt.leaving_server",
+	    "id=%s server=%s leaving_ms=%" G_GINT64_FORMAT " draining=%d",
+	    attempt_id, server->info->id, now_ms - server->leaving_since_ms,
+	    server->info->draining);
+}
--- a/src/proxy_log.h
+++ b/src/proxy_log.h
@@ -2,6 +2,7 @@
 #define PAPAYA_PROXY_LOG_H
 
 #include "counter.h"
+#include "pool.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -47,4 +48,8 @@
 void proxy_log_attempt_failure(
     counters_t *counters, const proxy_attempt_failure_t *failure);
 
+/* Logs and counts an attempt at a server that has said that it is leaving. */
+void proxy_log_leaving_attempt(counters_t *counters, const char *attempt_id,
+    const server_t *server, int64_t now_ms);
+
 #endif
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -1,6 +1,7 @@
 #include "proxy_state.h"
 
 #include "clock.h"
+#include "log.h"
 #include "proxy_log.h"
 
 enum {
@@ -156,6 +157,17 @@
 		    0);
 }
 
+static void
+note_leaving(server_t *server)
+{
+	if (server->leaving_since_ms != 0)
+		return;
+	server->leaving_since_ms = clock_boot_ms();
+	log_event(LOG_LEVEL_INFO, "server.leaving",
+	    "id=%s draining=%d removed=%d", server->info->id,
+	    server->info->draining, server->removed);
+}
+
 void
 proxy_on_head(
     const http1_head_t *head, const response_facts_t *facts, void *data)
@@ -165,6 +177,8 @@
 	req->response = *facts;
 	req->status = head->status;
 	req->response_head = head;
+	if (facts->leaving)
+		note_leaving(req->server);
 }
 
 /* Starts to forward a response that is too large to buffer. */
--- a/src/request_facts.h
+++ b/src/request_facts.h
@@ -34,6 +34,7 @@
 	const char *attempt_id; /* NULL where missing */
 	bool not_run;	   /* the server guarantees that it did not run it */
 	bool wrong_server; /* another server has the address now */
+	bool leaving;	   /* the server is about to shut down */
 	int64_t idle_timeout_ms; /* of the connection; -1: not given */
 } response_facts_t;
 
