Send no request to a server that has said in a response that it leaves

An entry that lapsed and was written again also made the server new to the node, which forgot all it knew.

pool_set_leaving() takes the server out of use at the first such response, of success or not; a removed server is remembered for 60 s and gets its state back if the same process is listed again.

--- a/src/pool.c
+++ b/src/pool.c
@@ -8,6 +8,8 @@
 	SERVER_BACKOFF_MAX_MS = 4000,
 	/* How long a server at capacity gets no requests. */
 	SERVER_FULL_BACKOFF_MS = 100,
+	/* How long a removed server is remembered in case its entry returns. */
+	REMOVED_MEMORY_MS = 60000,
 };
 
 /* Weights of the newest attempt in the moving averages. */
@@ -20,6 +22,7 @@
 	GHashTable *by_id;	/* id to server_t, holds a reference */
 	GHashTable *by_tag;	/* tag to server_t, borrowed */
 	GHashTable *by_service; /* service to GPtrArray of server_t, borrowed */
+	GHashTable *removed;	/* id to server_t, holds a reference */
 };
 
 uint32_t
@@ -69,6 +72,8 @@
 	pool->by_tag = g_hash_table_new(NULL, NULL);
 	pool->by_service =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_array);
+	pool->removed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_value);
 	return pool;
 }
 
@@ -80,6 +85,7 @@
 	g_hash_table_unref(pool->by_service);
 	g_hash_table_unref(pool->by_tag);
 	g_hash_table_unref(pool->by_id);
+	g_hash_table_unref(pool->removed);
 	g_free(pool);
 }
 
@@ -102,10 +108,13 @@
 	    g_hash_table_lookup(pool->by_service, server->info->service);
 
 	server->removed = true;
+	server->removed_at_ms = now_ms;
 	set_shutdown_time(pool, server, now_ms);
 	if (list != NULL)
 		g_ptr_array_remove(list, server);
 	g_hash_table_remove(pool->by_tag, GUINT_TO_POINTER(server->tag));
+	g_hash_table_replace(
+	    pool->removed, server->info->id, server_ref(server));
 	g_hash_table_remove(pool->by_id, server->info->id);
 }
 
@@ -134,33 +143,69 @@
 	       strcmp(a->service, b->service) == 0;
 }
 
+/* Replaces the entry of a server; the hash tables keep the old id string. */
+static void
+replace_info(server_t *server, server_info_t *info)
+{
+	server_info_t *old = server->info;
+	char *id = info->id;
+
+	info->id = old->id;
+	old->id = id;
+	server->info = info;
+	server_info_free(old);
+}
+
+static server_t *
+server_new(const pool_t *pool, server_info_t *info, int64_t now_ms)
+{
+	server_t *server = g_new0(server_t, 1);
+
+	server->refs = 1;
+	server->info = info;
+	server->tag = server_tag(info->id);
+	server->listed_at_ms = now_ms;
+	server->upstream = upstream_new(pool->loop, info->address);
+	return server;
+}
+
+/*
+ * Takes the removed server whose entry this is; NULL if there is none. The
+ * caller owns the reference, the server owns info.
+ */
+static server_t *
+take_removed(pool_t *pool, server_info_t *info)
+{
+	server_t *server = g_hash_table_lookup(pool->removed, info->id);
+
+	if (server == NULL || !same_server(server->info, info))
+		return NULL;
+	g_hash_table_steal(pool->removed, info->id);
+	replace_info(server, info);
+	server->removed = false;
+	server->remove_at_ms = 0;
+	if (server->leaving_since_ms == 0)
+		server->shutdown_at_ms = 0;
+	return server;
+}
+
 void
 pool_put(pool_t *pool, server_info_t *info, int64_t now_ms)
 {
 	server_t *server = g_hash_table_lookup(pool->by_id, info->id);
 
 	if (server != NULL && same_server(server->info, info)) {
-		/* The hash tables borrow the old id string: keep it. */
-		server_info_t *old = server->info;
-		char *id = info->id;
-
-		info->id = old->id;
-		old->id = id;
-		server->info = info;
+		replace_info(server, info);
 		server->remove_at_ms = 0;
-		server_info_free(old);
 		if (info->draining)
 			set_shutdown_time(pool, server, now_ms);
 		return;
 	}
 	if (server != NULL)
 		unlink_server(pool, server, now_ms);
-	server = g_new0(server_t, 1);
-	server->refs = 1;
-	server->info = info;
-	server->tag = server_tag(info->id);
-	server->listed_at_ms = now_ms;
-	server->upstream = upstream_new(pool->loop, info->address);
+	server = take_removed(pool, info);
+	if (server == NULL)
+		server = server_new(pool, info, now_ms);
 	if (info->draining)
 		set_shutdown_time(pool, server, now_ms);
 	link_server(pool, server);
@@ -179,6 +224,25 @@
 		unlink_server(pool, server, now_ms);
 }
 
+void
+pool_set_leaving(const pool_t *pool, server_t *server, int64_t now_ms)
+{
+	if (server->leaving_since_ms != 0)
+		return;
+	server->leaving_since_ms = now_ms;
+	set_shutdown_time(pool, server, now_ms);
+}
+
+static gboolean
+is_forgotten(gpointer id, gpointer data, gpointer now_ms)
+{
+	const server_t *server = data;
+
+	if (server->upstream != NULL)
+		upstream_close_expired(server->upstream, *(int64_t *)now_ms);
+	return *(int64_t *)now_ms - server->removed_at_ms > REMOVED_MEMORY_MS;
+}
+
 void
 pool_sweep(pool_t *pool, int64_t now_ms)
 {
@@ -193,6 +257,7 @@
 			upstream_close_expired(server->upstream, now_ms);
 	}
 	g_list_free(servers);
+	g_hash_table_foreach_remove(pool->removed, is_forgotten, &now_ms);
 }
 
 void
@@ -243,7 +308,8 @@
 server_usable(const server_t *server, int64_t now_ms)
 {
 	return !server->removed && !server->info->draining &&
-	       server->upstream != NULL && now_ms >= server->backoff_until_ms;
+	       server->leaving_since_ms == 0 && server->upstream != NULL &&
+	       now_ms >= server->backoff_until_ms;
 }
 
 bool
--- a/src/pool.h
+++ b/src/pool.h
@@ -21,7 +21,10 @@
 	double kv_tokens; /* prompt and output tokens in its KV cache */
 } server_load_t;
 
-/* Reference counted: a request holds a reference to its server. */
+/*
+ * One process of a backend server. Reference counted: a request holds a
+ * reference to its server.
+ */
 typedef struct server {
 	unsigned refs;
 	server_info_t *info;
@@ -29,6 +32,7 @@
 	bool removed; /* from the pool */
 	/* End of the grace period of a deleted entry; 0: entry present. */
 	int64_t remove_at_ms;
+	int64_t removed_at_ms;	  /* where removed */
 	int64_t listed_at_ms;	  /* when it was first listed */
 	int64_t shutdown_at_ms;	  /* expected; 0: not shutting down */
 	int64_t leaving_since_ms; /* its first response to say so; 0: none */
@@ -52,7 +56,8 @@
 
 /*
  * Adds a server, or updates it from its new entry; takes ownership of info. An
- * entry with another start time, address or service is a new server.
+ * entry with another start time, address or service is a new server. One that
+ * was removed a short while ago is added again with its state.
  */
 void pool_put(pool_t *pool, server_info_t *info, int64_t now_ms);
 
@@ -67,6 +72,12 @@
 /* Removes servers whose grace period is over; closes idle connections. */
 void pool_sweep(pool_t *pool, int64_t now_ms);
 
+/*
+ * A response of the server says that it is leaving: it gets no new requests,
+ * whatever its entry says.
+ */
+void pool_set_leaving(const pool_t *pool, server_t *server, int64_t now_ms);
+
 /* Calls callback for each server; it must not change the pool. */
 void pool_each(
     pool_t *pool, void (*callback)(server_t *server, void *data), void *data);
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -158,11 +158,13 @@
 }
 
 static void
-note_leaving(server_t *server)
+note_leaving(proxy_request_t *req)
 {
+	server_t *server = req->server;
+
 	if (server->leaving_since_ms != 0)
 		return;
-	server->leaving_since_ms = clock_boot_ms();
+	pool_set_leaving(req->context->pool, server, clock_boot_ms());
 	log_event(LOG_LEVEL_INFO, "server.leaving",
 	    "id=%s draining=%d removed=%d", server->info->id,
 	    server->info->draining, server->removed);
@@ -178,7 +180,7 @@
 	req->status = head->status;
 	req->response_head = head;
 	if (facts->leaving)
-		note_leaving(req->server);
+		note_leaving(req);
 }
 
 /* Starts to forward a response that is too large to buffer. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -96,6 +96,56 @@
 }
 END_TEST
 
+/*
+ * Guards against new requests to a server that has said in a response that it
+ * leaves, while its entry says that it is ready, lapses or is written again.
+ */
+START_TEST(a_server_that_said_it_leaves_is_not_usable)
+{
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS);
+	pool_set_leaving(pool, find_server(), NOW_MS);
+	ck_assert(!server_usable(find_server(), NOW_MS));
+	ck_assert_int_eq(find_server()->shutdown_at_ms, NOW_MS + DRAIN_MS);
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS + 10);
+	ck_assert(!server_usable(find_server(), NOW_MS + 10));
+	pool_remove(pool, "i-1", 0, NOW_MS + 20);
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS + 30000);
+	ck_assert(!server_usable(find_server(), NOW_MS + 30000));
+	/* A new process under the same id. */
+	put_server("127.0.0.1:1", 8, false, -1, NOW_MS + 30001);
+	ck_assert(server_usable(find_server(), NOW_MS + 30001));
+}
+END_TEST
+
+/* Guards against a removed server that is remembered for good. */
+START_TEST(a_removed_server_is_forgotten_after_a_while)
+{
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS);
+	pool_set_leaving(pool, find_server(), NOW_MS);
+	pool_remove(pool, "i-1", 0, NOW_MS);
+	pool_sweep(pool, NOW_MS + 60001);
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS + 60002);
+	ck_assert(server_usable(find_server(), NOW_MS + 60002));
+}
+END_TEST
+
+/* Guards against a server whose entry returned that is taken for leaving. */
+START_TEST(a_server_whose_entry_returns_keeps_its_state)
+{
+	server_t *server;
+
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS);
+	server = find_server();
+	server_record_outcome(server, SERVER_UNREACHABLE, 0, NOW_MS);
+	pool_remove(pool, "i-1", 0, NOW_MS);
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS + 100);
+	ck_assert_ptr_eq(find_server(), server);
+	ck_assert(!server_usable(server, NOW_MS + 100));
+	ck_assert(server_usable(server, NOW_MS + 1000));
+	ck_assert_int_eq(server->shutdown_at_ms, 0);
+}
+END_TEST
+
 /* Guards against a restarted server that inherits load and failures. */
 START_TEST(a_restart_under_the_same_id_is_a_new_server)
 {
@@ -154,6 +204,9 @@
 	tcase_add_test(cases, a_server_is_removed_after_the_grace_period);
 	tcase_add_test(cases, a_draining_server_has_no_grace_period);
 	tcase_add_test(cases, the_first_draining_entry_sets_the_shutdown_time);
+	tcase_add_test(cases, a_server_that_said_it_leaves_is_not_usable);
+	tcase_add_test(cases, a_removed_server_is_forgotten_after_a_while);
+	tcase_add_test(cases, a_server_whose_entry_returns_keeps_its_state);
 	tcase_add_test(cases, a_restart_under_the_same_id_is_a_new_server);
 	tcase_add_test(cases, consecutive_failures_increase_the_backoff);
 	tcase_add_test(cases, a_malformed_address_is_never_used);
