--- a/src/proxy_log.c
+++ b/src/proxy_log.c
@@ -31,19 +31,35 @@
 	    outcome->catalog_valid_ms);
 }
 
+/* The prompt's segments that other requests may have, as text. */
+static char *
+shared_segments(const request_facts_t *facts)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i + 1 < facts->segment_count; i++)
+		g_string_append_printf(text, "%s%" G_GINT64_MODIFIER "x",
+		    i == 0 ? "" : ",", facts->segments[i].id);
+	return g_string_free(text, FALSE);
+}
+
 void
 proxy_log_attempt_failure(
     counters_t *counters, const proxy_attempt_failure_t *failure)
 {
+	char *segments = shared_segments(failure->facts);
+
 	counter_add(counters, 1,
 	    "attempts_failed_total{why=\"%s\",sent=\"%d\"}", failure->reason,
 	    failure->sent);
 	log_event(LOG_LEVEL_WARN, "attempt.failed",
 	    "id=%s attempt=%u server=%s why=\"%s\" sent=%d "
-	    "took_ms=%" G_GINT64_FORMAT " failure_rate=%.2f in_flight=%u",
+	    "took_ms=%" G_GINT64_FORMAT
+	    " failure_rate=%.2f in_flight=%u segments=%s",
 	    failure->attempt_id, failure->attempt_number, failure->server,
 	    failure->reason, failure->sent, failure->elapsed_ms,
-	    failure->failure_rate, failure->in_flight);
+	    failure->failure_rate, failure->in_flight, segments);
+	g_free(segments);
 }
 
 void
--- a/src/proxy_log.h
+++ b/src/proxy_log.h
@@ -3,6 +3,7 @@
 
 #include "counter.h"
 #include "pool.h"
+#include "request_facts.h"
 
 #include <stdbool.h>
 #include <stdint.h>
@@ -42,6 +43,7 @@
 	int64_t elapsed_ms;	 /* since the attempt was started */
 	double failure_rate;	 /* of the server's recent requests, 0 to 1 */
 	unsigned in_flight;	 /* at the server */
+	const request_facts_t *facts;
 } proxy_attempt_failure_t;
 
 /* Counts the failure and writes its log line. */
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -209,6 +209,7 @@
 	    .elapsed_ms = clock_boot_ms() - req->attempt_start_ms,
 	    .failure_rate = server->failure_rate,
 	    .in_flight = server_in_flight(server),
+	    .facts = &req->facts,
 	};
 
 	proxy_log_attempt_failure(req->context->counters, &failure);
