Block prompt segments that crash one backend server after the other

Cause: a crash was booked on the server alone; nothing looked at what the broken prompts had in common.

crash_guard finds segments that broke several server processes one after the other with no prompt served in between; the nodes pool crashes and survivals in their digests (format 6). Requests are refused at once as not run.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -144,6 +144,8 @@
 	apply_spending(cluster, peer, digest, now_ms);
 	apply_usage(cluster, digest);
 	rollouts_merge_digest(cluster->options.rollouts, digest);
+	crash_guard_merge_digest(
+	    cluster->options.crash_guard, digest, cluster_wall_ms(cluster));
 	digest_free(peer->digest);
 	peer->digest = digest;
 	if (is_new_process && peer->registered)
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYA_CLUSTER_H
 #define PAPAYA_CLUSTER_H
 
+#include "crash_guard.h"
 #include "gateway_config.h"
 #include "pool.h"
 #include "quota.h"
@@ -16,16 +17,17 @@
 /*
  * The other nodes, called peers: registered by their keys in the store, with
  * the state that they report in their digests. Merges that state into this
- * node's pool (server loads), quota, usage counts and rollouts.
+ * node's pool (server loads), quota, usage counts, rollouts and crash guard.
  */
 typedef struct cluster cluster_t;
 
 typedef struct cluster_options {
 	const gateway_config_t *config; /* borrowed */
-	pool_t *pool;			/* borrowed, as the next three */
+	pool_t *pool;			/* borrowed, as the next four */
 	quota_t *quota;
 	usage_t *usage;
 	rollouts_t *rollouts;
+	crash_guard_t *crash_guard;
 	/* A peer reports a newer configuration than this node has. */
 	void (*on_newer_configuration)(void *data);
 	/*
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -125,6 +125,8 @@
 	digest->configuration_version = cluster->local.configuration_version;
 	quota_each(cluster->options.quota, now_ms, add_spending, digest);
 	rollouts_add_to_digest(cluster->options.rollouts, digest);
+	crash_guard_add_to_digest(
+	    cluster->options.crash_guard, digest, cluster_wall_ms(cluster));
 	if (brief)
 		return digest;
 	pool_each(cluster->options.pool, add_load, digest);
--- a/src/digest.c
+++ b/src/digest.c
@@ -7,12 +7,14 @@
 #include <string.h>
 
 enum {
-	FORMAT_VERSION = 5,
-	DIGEST_FIELDS = 15,
+	FORMAT_VERSION = 6,
+	DIGEST_FIELDS = 17,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
 	USAGE_FIELDS = 3,
 	MOVE_FIELDS = 4,
+	CRASH_FIELDS = 4,
+	SURVIVAL_FIELDS = 2,
 	EVIDENCE_MAX_BYTES = 8 * 1024,
 	NAME_MAX_BYTES = 256,
 };
@@ -48,6 +50,8 @@
 	digest->loads = g_array_new(FALSE, TRUE, sizeof(digest_load_t));
 	digest->usage = g_array_new(FALSE, TRUE, sizeof(digest_usage_t));
 	digest->moves = g_array_new(FALSE, TRUE, sizeof(digest_move_t));
+	digest->crashes = g_array_new(FALSE, TRUE, sizeof(digest_crash_t));
+	digest->survivals = g_array_new(FALSE, TRUE, sizeof(digest_survival_t));
 	g_array_set_clear_func(digest->moves, move_clear);
 	g_array_set_clear_func(digest->spending, spending_clear);
 	g_array_set_clear_func(digest->usage, usage_clear);
@@ -65,6 +69,8 @@
 	g_array_unref(digest->loads);
 	g_array_unref(digest->usage);
 	g_array_unref(digest->moves);
+	g_array_unref(digest->crashes);
+	g_array_unref(digest->survivals);
 	g_free(digest);
 }
 
@@ -128,6 +134,35 @@
 	}
 }
 
+/* Segment ids are sent as signed integers of the same bits. */
+static void
+pack_crashes(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * CRASH_FIELDS);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_crash_t *item =
+		    &g_array_index(list, digest_crash_t, i);
+
+		msgpack_pack_int64(packer, (int64_t)item->segment);
+		msgpack_pack_uint32(packer, item->process);
+		msgpack_pack_int64(packer, item->sent_ms);
+		msgpack_pack_int64(packer, item->crashed_ms);
+	}
+}
+
+static void
+pack_survivals(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * SURVIVAL_FIELDS);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_survival_t *item =
+		    &g_array_index(list, digest_survival_t, i);
+
+		msgpack_pack_int64(packer, (int64_t)item->segment);
+		msgpack_pack_int64(packer, item->began_ms);
+	}
+}
+
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -150,6 +185,8 @@
 	pack_loads(&packer, digest->loads);
 	pack_usage(&packer, digest->usage);
 	pack_moves(&packer, digest->moves);
+	pack_crashes(&packer, digest->crashes);
+	pack_survivals(&packer, digest->survivals);
 }
 
 static bool
@@ -275,6 +312,52 @@
 	return true;
 }
 
+static bool
+read_crashes(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, CRASH_FIELDS, &member, &count))
+		return false;
+	for (; count > 0; count--, member += CRASH_FIELDS) {
+		digest_crash_t item = {0};
+		int64_t segment, process;
+
+		if (!mp_read_int64(&member[0], &segment) ||
+		    !mp_read_int64(&member[1], &process) || process < 0 ||
+		    process > UINT32_MAX ||
+		    !mp_read_int64(&member[2], &item.sent_ms) ||
+		    !mp_read_int64(&member[3], &item.crashed_ms))
+			return false;
+		item.segment = (uint64_t)segment;
+		item.process = (uint32_t)process;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
+static bool
+read_survivals(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, SURVIVAL_FIELDS, &member, &count))
+		return false;
+	for (; count > 0; count--, member += SURVIVAL_FIELDS) {
+		digest_survival_t item = {0};
+		int64_t segment;
+
+		if (!mp_read_int64(&member[0], &segment) ||
+		    !mp_read_int64(&member[1], &item.began_ms))
+			return false;
+		item.segment = (uint64_t)segment;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
 static bool
 read_digest(const msgpack_object *fields, digest_t *digest)
 {
@@ -299,7 +382,9 @@
 	return read_spending(&fields[11], digest->spending) &&
 	       read_loads(&fields[12], digest->loads) &&
 	       read_usage(&fields[13], digest->usage) &&
-	       read_moves(&fields[14], digest->moves);
+	       read_moves(&fields[14], digest->moves) &&
+	       read_crashes(&fields[15], digest->crashes) &&
+	       read_survivals(&fields[16], digest->survivals);
 }
 
 digest_t *
--- a/src/digest.h
+++ b/src/digest.h
@@ -39,6 +39,19 @@
 	char *evidence;	  /* JSON text of evidence_to_json() */
 } digest_move_t;
 
+/* See crash_guard.h. Times are Unix milliseconds. */
+typedef struct digest_crash {
+	uint64_t segment;
+	uint32_t process; /* of a backend server */
+	int64_t sent_ms;
+	int64_t crashed_ms;
+} digest_crash_t;
+
+typedef struct digest_survival {
+	uint64_t segment;
+	int64_t began_ms;
+} digest_survival_t;
+
 typedef struct digest {
 	char *node;
 	int64_t incarnation; /* start of the sender's process, ms since 1970 */
@@ -50,10 +63,12 @@
 	double processors; /* that the sender may use */
 	int64_t wall_ms;   /* slewed clock of the sender when it was sent */
 	int64_t configuration_version;
-	GArray *spending; /* of digest_spending_t */
-	GArray *loads;	  /* of digest_load_t */
-	GArray *usage;	  /* of digest_usage_t */
-	GArray *moves;	  /* of digest_move_t, moves in progress */
+	GArray *spending;  /* of digest_spending_t */
+	GArray *loads;	   /* of digest_load_t */
+	GArray *usage;	   /* of digest_usage_t */
+	GArray *moves;	   /* of digest_move_t, moves in progress */
+	GArray *crashes;   /* of digest_crash_t */
+	GArray *survivals; /* of digest_survival_t */
 } digest_t;
 
 digest_t *digest_new(void);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -293,6 +293,9 @@
 	    log_dropped_count(LOG_LEVEL_WARN);
 	*counter_get(counters, "log_lines_dropped_total{level=\"error\"}") =
 	    log_dropped_count(LOG_LEVEL_ERROR);
+	*counter_get(counters, "blocked_prompt_segments") =
+	    crash_guard_blocked_count(
+		gateway->proxy.crash_guard, cluster_wall_ms(gateway->cluster));
 	quota_each(gateway->proxy.quota, now_ms, add_quota_gauge, counters);
 }
 
@@ -351,6 +354,8 @@
 	if (now_ms - gateway->last_sweep_ms >= SWEEP_INTERVAL_MS) {
 		gateway->last_sweep_ms = now_ms;
 		prefix_cache_sweep(gateway->proxy.prefixes, now_ms);
+		crash_guard_sweep(gateway->proxy.crash_guard,
+		    cluster_wall_ms(gateway->cluster));
 		update_gauges(gateway, now_ms);
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
@@ -436,6 +441,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 	    .counters = counters_new(),
 	};
+	gateway->proxy.crash_guard = crash_guard_new();
 	gateway->proxy.rollouts = rollouts_new(&(rollouts_options_t){
 	    .config = gateway->config, .pool = gateway->proxy.pool});
 	TAILQ_INIT(&gateway->proxy.requests);
@@ -450,6 +456,7 @@
 	    .quota = gateway->proxy.quota,
 	    .usage = gateway->proxy.usage,
 	    .rollouts = gateway->proxy.rollouts,
+	    .crash_guard = gateway->proxy.crash_guard,
 	    .on_newer_configuration = on_newer_configuration,
 	    .on_relay_request = on_relay_request,
 	    .on_relay_response = on_relay_response,
--- a/src/pool.c
+++ b/src/pool.c
@@ -31,6 +31,12 @@
 	return g_str_hash(id);
 }
 
+uint32_t
+server_process_hash(const server_info_t *info)
+{
+	return server_tag(info->id) ^ g_int64_hash(&info->started_ms);
+}
+
 server_t *
 server_ref(server_t *server)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -123,4 +123,7 @@
 /* Hash of a server's id. */
 uint32_t server_tag(const char *id);
 
+/* Hash of one process of a server: of its id and start time. */
+uint32_t server_process_hash(const server_info_t *info);
+
 #endif
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -35,6 +35,7 @@
 	GHashTable *ttft_models; /* name (char *) to ttft_model_t *, owns */
 	cluster_t *cluster;
 	rollouts_t *rollouts;
+	crash_guard_t *crash_guard;
 	counters_t *counters;
 	catalog_t *catalog; /* current configuration; NULL: none yet */
 	/* clock_boot_ms() from which the catalog must not be used. */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -81,6 +81,8 @@
 	req->expected_ttft_ms = choice->expected_ms;
 	req->awaiting_response = true;
 	req->attempt_start_ms = clock_boot_ms();
+	req->first_byte_ms = 0;
+	req->survival_recorded = false;
 	load->in_flight++;
 	load->kv_tokens += pick_request_tokens(&req->facts);
 	load->prefill_tokens += choice->uncached_tokens;
@@ -200,8 +202,15 @@
 void
 proxy_attempt(proxy_request_t *req)
 {
-	pick_choice_t choice = pick_version(req);
+	int64_t blocked_ms = crash_guard_blocked_ms(req->context->crash_guard,
+	    &req->facts, cluster_wall_ms(req->context->cluster));
+	pick_choice_t choice;
 
+	if (blocked_ms > 0) {
+		proxy_reject(req, blocked_ms, "blocked_segment");
+		return;
+	}
+	choice = pick_version(req);
 	if (choice.server == NULL)
 		proxy_reject(req, PROXY_RETRY_AFTER_MS, "no_server");
 	else if (!req->may_have_run &&
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -19,6 +19,8 @@
 	 */
 	GAP_OBJECTIVES = 2,
 	PERCENT = 100,
+	/* A server that has written for this long survives the prompt. */
+	SURVIVAL_MS = 500,
 };
 
 static void
@@ -87,6 +89,7 @@
 	req->may_have_run = true;
 	if (!req->awaiting_response)
 		return;
+	req->first_byte_ms = now_ms;
 	proxy_remove_waiting_prompt(req);
 	count_usage(req);
 	ttft_ms = (double)(now_ms - req->attempt_start_ms);
@@ -98,6 +101,42 @@
 	server_record_outcome(req->server, SERVER_SERVED, ttft_ms, now_ms);
 }
 
+/* Time on which the nodes agree, of a time of this node's clock. */
+static int64_t
+wall_time_ms(const proxy_request_t *req, int64_t boot_ms)
+{
+	return cluster_wall_ms(req->context->cluster) - clock_boot_ms() +
+	       boot_ms;
+}
+
+static void
+record_survival(proxy_request_t *req)
+{
+	if (req->survival_recorded || req->first_byte_ms == 0)
+		return;
+	req->survival_recorded = true;
+	crash_guard_add_survival(req->context->crash_guard, &req->facts,
+	    wall_time_ms(req, req->first_byte_ms));
+}
+
+/*
+ * The server closed the connection: it may have crashed as it began to write on
+ * the prompt.
+ */
+static void
+record_crash(proxy_request_t *req)
+{
+	crash_guard_attempt_t attempt = {
+	    .facts = &req->facts,
+	    .process = server_process_hash(req->server->info),
+	    .sent_ms = wall_time_ms(req, req->attempt_start_ms),
+	};
+
+	if (!req->survival_recorded)
+		crash_guard_add_crash(req->context->crash_guard, &attempt,
+		    cluster_wall_ms(req->context->cluster));
+}
+
 /*
  * Framing of the response to the client: length, which may be
  * EXCHANGE_CHUNKED, or EXCHANGE_CLOSE_DELIMITED where the server's response is
@@ -298,7 +337,6 @@
 static void
 handle_stream_complete(proxy_request_t *req)
 {
-	record_first_byte(req);
 	/*
 	 * The client expects a delimited end, but this response ends with its
 	 * connection and may be truncated.
@@ -318,6 +356,8 @@
 		return;
 	}
 	if (req->events != NULL && req->status == 200) {
+		record_first_byte(req);
+		record_survival(req);
 		handle_stream_complete(req);
 		return;
 	}
@@ -379,6 +419,9 @@
 		return;
 	}
 	forward_events(req);
+	if (req->first_byte_ms != 0 &&
+	    clock_boot_ms() - req->first_byte_ms >= SURVIVAL_MS)
+		record_survival(req);
 	if (event_stream_event_count(req->events) > count)
 		proxy_start_idle_timer(
 		    req, GAP_OBJECTIVES * req->route->gap_objective_ms);
@@ -443,9 +486,12 @@
 	case UPSTREAM_NOT_SENT:
 		proxy_handle_not_sent(req, SERVER_UNREACHABLE, reason);
 		return;
+	case UPSTREAM_CLOSED:
 	case UPSTREAM_INCOMPLETE:
 		if (proxy_migration_handle_close(req))
 			return;
+		if (end == UPSTREAM_CLOSED)
+			record_crash(req);
 		handle_broken(req, SERVER_FAILED, reason);
 		return;
 	}
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -69,6 +69,9 @@
 	int64_t retry_after_ms;	 /* Retry-After of the response; -1: none */
 	/* From receipt to the first event or the response; -1: none yet. */
 	int64_t ttft_ms;
+	/* clock_boot_ms() of the attempt's first event or response; 0: none. */
+	int64_t first_byte_ms;
+	bool survival_recorded; /* of the attempt, see crash_guard.h */
 	bool urgent; /* prefilled before prompts that are not urgent */
 	/* No event or response yet: counts in the server's waiting_tokens. */
 	bool awaiting_response;
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -248,9 +248,13 @@
 		http1_reader_feed_eof(conn->reader);
 	if (http1_reader_state(conn->reader) == HTTP1_COMPLETE)
 		call_end(conn, UPSTREAM_COMPLETE, "");
+	else if (error == 0)
+		call_end(conn, UPSTREAM_CLOSED, "connection closed");
 	else
-		call_end(conn, UPSTREAM_INCOMPLETE,
-		    error == 0 ? "connection closed" : uv_strerror(error));
+		call_end(conn,
+		    error == UV_ECONNRESET ? UPSTREAM_CLOSED
+					   : UPSTREAM_INCOMPLETE,
+		    uv_strerror(error));
 	upstream_conn_close(conn);
 	upstream_conn_unref(conn);
 }
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -19,9 +19,12 @@
 typedef struct upstream_call upstream_call_t;
 
 typedef enum upstream_result {
-	UPSTREAM_COMPLETE,   /* a complete response was read */
-	UPSTREAM_NOT_SENT,   /* connecting failed: nothing was sent */
-	UPSTREAM_INCOMPLETE, /* sent, but no complete response: may have run */
+	UPSTREAM_COMPLETE, /* a complete response was read */
+	UPSTREAM_NOT_SENT, /* connecting failed: nothing was sent */
+	/* Sent, but there is no complete response: it may have run. */
+	UPSTREAM_INCOMPLETE,
+	/* The same, as the server closed or reset the connection. */
+	UPSTREAM_CLOSED,
 } upstream_result_t;
 
 typedef struct upstream_request {
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -80,6 +80,7 @@
 		.pool = pool_new(&node->loop, WINDOW_MS),
 		.quota = node->quota,
 		.usage = usage_new(WINDOW_MS),
+		.crash_guard = crash_guard_new(),
 		.rollouts = rollouts_new(
 		    &(rollouts_options_t){.config = &node->config})},
 	    NULL);
