Reset the client's connection where a response without framing is cut

A client took a cut response for complete (MIXED): where the server's response had neither a length nor chunks, the client's has none either, and an aborted one was ended with an orderly close, which is how a complete one ends.

exchange_abort() resets such a connection. A response with framing is closed as before, since a reset would discard bytes that the client has not read.

--- a/src/conn.c
+++ b/src/conn.c
@@ -254,6 +254,18 @@
 	close_handles(conn);
 }
 
+void
+conn_reset(conn_t *conn)
+{
+	conn->closing = true;
+	if (uv_is_closing((uv_handle_t *)&conn->tcp) ||
+	    uv_tcp_close_reset(&conn->tcp, on_handle_closed) != 0) {
+		close_handles(conn);
+		return;
+	}
+	uv_close((uv_handle_t *)&conn->linger, on_handle_closed);
+}
+
 static void
 on_linger_timeout(uv_timer_t *timer)
 {
--- a/src/conn.h
+++ b/src/conn.h
@@ -53,6 +53,9 @@
 /* Closes at once; queued bytes are discarded. */
 void conn_close(conn_t *conn);
 
+/* The same, with a reset: the peer does not take it for the end of the data. */
+void conn_reset(conn_t *conn);
+
 /*
  * Sends the queued bytes and shuts down the sending side, then reads and
  * discards what the peer sends for a short time before closing. Closing with
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -163,7 +163,10 @@
 	if (client == NULL)
 		return;
 	exchange->on_disconnect = NULL;
-	http1_server_close_client(client);
+	if (exchange->close_delimited)
+		http1_server_reset_client(client);
+	else
+		http1_server_close_client(client);
 }
 
 size_t
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -65,6 +65,13 @@
 	client_remove(client);
 }
 
+void
+http1_server_reset_client(client_t *client)
+{
+	conn_reset(client->conn);
+	client_remove(client);
+}
+
 void
 http1_server_shutdown_client(client_t *client)
 {
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -62,7 +62,9 @@
 
 /* Closes the connection at once and frees the client. */
 void http1_server_close_client(client_t *client);
-/* The same, after sending the queued bytes: see conn_shutdown(). */
+/* The same with a reset, which no client takes for the end of a response. */
+void http1_server_reset_client(client_t *client);
+/* Closes and frees it after sending the queued bytes: see conn_shutdown(). */
 void http1_server_shutdown_client(client_t *client);
 
 /* Waits for the next request; parses the pipelined bytes first. */
--- /dev/null
+++ b/tests/test_unframed.c
@@ -0,0 +1,164 @@
+#include "suite.h"
+#include "support_gateway.h"
+#include "support_wire.h"
+
+#include <check.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Responses with neither a length nor chunks, which end with the server's
+ * connection. The client must be able to tell one that was cut from a complete
+ * one.
+ */
+
+#define HEAD                                                               \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\nX-Response-Stamp: s\r\n" \
+	"Connection: close\r\n\r\n"
+#define EVENT "id: 1\ndata: a\n\n"
+
+/* For the gateway to read the bytes before the connection ends. */
+enum { READ_US = 50000 };
+
+/* Closes a server's connection with a reset. */
+static void
+reset_connection(int fd)
+{
+	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+}
+
+static const struct ending {
+	const char *what;
+	const char *path;
+	const char *bytes;
+	bool server_resets;
+	bool is_cut;
+} endings[] = {
+    {"complete stream", "/write/a", HEAD EVENT, false, false},
+    {"ends inside an event", "/write/a", HEAD EVENT "id: 2\nda", false, true},
+    {"ends before the end of an event", "/write/a", HEAD EVENT "id: 2\n", false,
+	true},
+    {"reset after an event", "/write/a", HEAD EVENT, true, true},
+    {"reset inside an event", "/write/a", HEAD EVENT "id: 2\nda", true, true},
+};
+
+/* Guards against a cut stream that looks complete to the client. */
+START_TEST(a_cut_stream_without_framing_does_not_look_complete)
+{
+	const struct ending *ending = &endings[_i];
+	gateway_exchange_t exchange =
+	    gateway_exchange_open(ending->path, backend_listener_2);
+	char *response;
+	bool reset;
+
+	wire_send(exchange.server_fd, ending->bytes);
+	g_free(wire_read_until(exchange.client_fd, "data: a"));
+	g_usleep(READ_US);
+	if (ending->server_resets)
+		reset_connection(exchange.server_fd);
+	else
+		close(exchange.server_fd);
+	exchange.server_fd = -1;
+	response = wire_read_until_closed(exchange.client_fd, &reset);
+	ck_assert_msg(
+	    reset == ending->is_cut, "%s: reset=%d", ending->what, reset);
+	ck_assert_ptr_null(strstr(response, "id: 2"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
+/* Guards against a stream without an event that is taken for complete. */
+START_TEST(a_stream_that_ends_before_its_first_event_is_a_failure)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/write/a", backend_listener_2);
+	char *response;
+
+	wire_send(exchange.server_fd, HEAD);
+	g_usleep(READ_US);
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	response = wire_read_message(exchange.client_fd);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 502"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
+/* Guards against a large response that is reset and looks complete. */
+START_TEST(a_reset_response_without_framing_does_not_look_complete)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/book/a", backend_listener_1);
+	char *body = g_strnfill(100000, 'x');
+	bool reset;
+
+	wire_send(exchange.server_fd, HEAD);
+	wire_send(exchange.server_fd, body);
+	g_free(wire_read_until(exchange.client_fd, "xxx"));
+	g_usleep(READ_US);
+	reset_connection(exchange.server_fd);
+	exchange.server_fd = -1;
+	g_free(wire_read_until_closed(exchange.client_fd, &reset));
+	ck_assert(reset);
+	g_free(body);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
+/* Guards against a stream that could be resumed and is ended instead. */
+START_TEST(a_stream_that_ends_inside_an_event_is_resumed)
+{
+	gateway_exchange_t exchange;
+	int port, listener = wire_listen(&port), server;
+	char *response, *request;
+	bool reset;
+
+	exchange = gateway_exchange_open("/talk/a", backend_listener_2);
+	gateway_register_server("e-2", "engine", port, "ready");
+	g_usleep(600000);
+	wire_send(exchange.server_fd, HEAD EVENT "id: 2\nda");
+	g_free(wire_read_until(exchange.client_fd, "data: a"));
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	server = wire_accept(listener);
+	request = wire_read_message(server);
+	wire_assert_header(request, "Last-Event-Id", "1");
+	wire_send(server, HEAD "id: 2\ndata: b\n\n");
+	close(server);
+	response = wire_read_until_closed(exchange.client_fd, &reset);
+	ck_assert(!reset);
+	ck_assert(g_str_has_suffix(response, "id: 2\ndata: b\n\n"));
+	ck_assert_ptr_null(strstr(response, "HTTP/1.1"));
+	g_free(request);
+	g_free(response);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("unframed");
+	TCase *cases = tcase_create("unframed");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, gateway_fixture_setup, gateway_fixture_teardown);
+	tcase_add_loop_test(cases,
+	    a_cut_stream_without_framing_does_not_look_complete, 0,
+	    G_N_ELEMENTS(endings));
+	tcase_add_test(
+	    cases, a_stream_that_ends_before_its_first_event_is_a_failure);
+	tcase_add_test(
+	    cases, a_reset_response_without_framing_does_not_look_complete);
+	tcase_add_test(cases, a_stream_that_ends_inside_an_event_is_resumed);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
