Take a stream without framing that ends inside an event for broken off

Clients got half an event as the end of a complete stream (ORDER, MIXED), and a stream that could have been resumed was not: where a response has neither a length nor chunks, every orderly close of the server's connection was taken for its end. An engine that crashes closes its connections in just this way, so the crash also counted as proof that the prompt is sound.

A close before the first event or inside one is now a failed attempt: resumed where the route allows it, otherwise 502 or a reset. A close between two events cannot be told from the end and stays one.

--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -178,3 +178,9 @@
 {
 	return stream->last_id;
 }
+
+bool
+event_stream_has_partial_event(const event_stream_t *stream)
+{
+	return stream->buffer->len > 0;
+}
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -348,6 +348,53 @@
 		end_stream(req);
 }
 
+/* The request was sent, but no complete response was received. */
+static void
+handle_broken(
+    proxy_request_t *req, server_outcome_t outcome, const char *reason)
+{
+	bool is_truncated = req->response_started &&
+			    (req->events == NULL || req->status != 200);
+
+	if (req->awaiting_response)
+		count_usage(req);
+	req->may_have_run = true;
+	log_attempt_failure(req, reason, true);
+	proxy_record_rollout_attempt(req, false, 0);
+	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
+	if (!is_truncated && catalog_may_retry(req->route) &&
+	    proxy_take_retry(req))
+		retry_request(req);
+	else
+		proxy_respond(req, 502, -1, reason);
+}
+
+/*
+ * True for a stream that ends with its server's connection, which was closed
+ * before the first event or inside one.
+ */
+static bool
+is_cut_off(const proxy_request_t *req)
+{
+	return !req->response_head->has_length &&
+	       (req->first_byte_ms == 0 ||
+		   event_stream_has_partial_event(req->events));
+}
+
+/* The server has ended a stream. */
+static void
+handle_stream_end(proxy_request_t *req)
+{
+	if (is_cut_off(req)) {
+		record_crash(req);
+		handle_broken(req, SERVER_FAILED, "stream ended early");
+		return;
+	}
+	record_first_byte(req);
+	record_survival(req);
+	handle_stream_complete(req);
+}
+
 static void
 handle_complete(proxy_request_t *req)
 {
@@ -356,9 +403,7 @@
 		return;
 	}
 	if (req->events != NULL && req->status == 200) {
-		record_first_byte(req);
-		record_survival(req);
-		handle_stream_complete(req);
+		handle_stream_end(req);
 		return;
 	}
 	if (req->response_started) {
@@ -374,27 +419,6 @@
 	send_buffered(req);
 }
 
-/* The request was sent, but no complete response was received. */
-static void
-handle_broken(
-    proxy_request_t *req, server_outcome_t outcome, const char *reason)
-{
-	bool is_truncated = req->response_started &&
-			    (req->events == NULL || req->status != 200);
-
-	if (req->awaiting_response)
-		count_usage(req);
-	req->may_have_run = true;
-	log_attempt_failure(req, reason, true);
-	proxy_record_rollout_attempt(req, false, 0);
-	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
-	if (!is_truncated && catalog_may_retry(req->route) &&
-	    proxy_take_retry(req))
-		retry_request(req);
-	else
-		proxy_respond(req, 502, -1, reason);
-}
-
 /* Ends the attempt at a server whose response cannot be used. */
 static void
 abandon_server(proxy_request_t *req, const char *reason)
