Keep the pause that a server's 503 asks for with Retry-After

Found as the same cause as that of the leaving servers: what a server says of itself in a response was ignored.

server_pause() keeps the time, up to an hour, apart from the node's own pauses, so that neither a success nor a shorter pause ends it.

Test: a_server_gets_no_request_in_the_pause_that_it_asks_for failed before, and a case of test_pool.

--- a/src/pool.c
+++ b/src/pool.c
@@ -8,6 +8,8 @@
 	SERVER_BACKOFF_MAX_MS = 4000,
 	/* How long a server at capacity gets no requests. */
 	SERVER_FULL_BACKOFF_MS = 100,
+	/* Longest pause that a server may ask for. */
+	SERVER_PAUSE_MAX_MS = 60 * 60 * 1000,
 	/* How long a removed server is remembered in case its entry returns. */
 	REMOVED_MEMORY_MS = 60000,
 };
@@ -310,12 +312,44 @@
 	return g_hash_table_size(pool->by_id);
 }
 
+/* False where the server gets no more requests for good. */
+static bool
+server_stays(const server_t *server)
+{
+	return !server->removed && !server->info->draining &&
+	       server->leaving_since_ms == 0 && server->upstream != NULL;
+}
+
 bool
 server_usable(const server_t *server, int64_t now_ms)
 {
-	return !server->removed && !server->info->draining &&
-	       server->leaving_since_ms == 0 && server->upstream != NULL &&
-	       now_ms >= server->backoff_until_ms;
+	return server_stays(server) && now_ms >= server->backoff_until_ms &&
+	       now_ms >= server->paused_until_ms;
+}
+
+void
+server_pause(server_t *server, int64_t duration_ms, int64_t now_ms)
+{
+	server->paused_until_ms = MAX(server->paused_until_ms,
+	    now_ms + MIN(duration_ms, SERVER_PAUSE_MAX_MS));
+}
+
+int64_t
+pool_pause_ms(const GPtrArray *servers, int64_t now_ms)
+{
+	int64_t shortest_ms = SERVER_PAUSE_MAX_MS;
+	bool found = false;
+
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		const server_t *server = servers->pdata[i];
+
+		if (!server_stays(server))
+			continue;
+		found = true;
+		shortest_ms =
+		    MIN(shortest_ms, server->paused_until_ms - now_ms);
+	}
+	return found ? MAX(shortest_ms, 0) : 0;
 }
 
 bool
--- a/src/pool.h
+++ b/src/pool.h
@@ -41,8 +41,9 @@
 	double failure_rate;	  /* of recent requests, 0 to 1 */
 	unsigned consecutive_failures; /* SERVER_UNREACHABLE */
 	int64_t backoff_until_ms;      /* gets no requests until then */
-	double latency_ms;	       /* moving average; 0: no sample yet */
-	upstream_t *upstream;	       /* NULL where the address is malformed */
+	int64_t paused_until_ms; /* the server has asked for no requests */
+	double latency_ms;	 /* moving average; 0: no sample yet */
+	upstream_t *upstream;	 /* NULL where the address is malformed */
 } server_t;
 
 typedef struct pool pool_t;
@@ -103,6 +104,15 @@
 /* True if new requests may be sent to the server. */
 bool server_usable(const server_t *server, int64_t now_ms);
 
+/* The server has asked for no new requests for so long. */
+void server_pause(server_t *server, int64_t duration_ms, int64_t now_ms);
+
+/*
+ * Time until the first of the servers (server_t *, or NULL) that stay ends the
+ * pause that it has asked for; 0 where one has not, or none stays.
+ */
+int64_t pool_pause_ms(const GPtrArray *servers, int64_t now_ms);
+
 /* True while the server is still slow after its start. */
 bool server_is_warming_up(const server_t *server, int64_t now_ms);
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -199,6 +199,16 @@
 		   : 0;
 }
 
+int64_t
+proxy_no_server_retry_ms(const proxy_request_t *req)
+{
+	const GPtrArray *servers =
+	    pool_servers(req->context->pool, req->service_name);
+
+	return MAX(
+	    pool_pause_ms(servers, clock_boot_ms()), PROXY_RETRY_AFTER_MS);
+}
+
 void
 proxy_attempt(proxy_request_t *req)
 {
@@ -212,7 +222,7 @@
 	}
 	choice = pick_version(req);
 	if (choice.server == NULL)
-		proxy_reject(req, PROXY_RETRY_AFTER_MS, "no_server");
+		proxy_reject(req, proxy_no_server_retry_ms(req), "no_server");
 	else if (!req->may_have_run &&
 		 pick_should_shed(
 		     &choice, ttft_objective_ms(req), proxy_remaining_ms(req)))
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -218,6 +218,9 @@
 	req->response = *facts;
 	req->status = head->status;
 	req->response_head = head;
+	if (facts->retry_after_ms > 0)
+		server_pause(
+		    req->server, facts->retry_after_ms, clock_boot_ms());
 	if (facts->leaving)
 		note_leaving(req);
 }
@@ -277,7 +280,8 @@
 	if (proxy_take_retry(req))
 		retry_request(req);
 	else
-		proxy_reject(req, PROXY_RETRY_AFTER_MS, "server_refused");
+		proxy_reject(
+		    req, proxy_no_server_retry_ms(req), "server_refused");
 }
 
 static void
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -124,6 +124,11 @@
 /* proxy_attempt.c */
 /* Chooses a server and sends the request to it, or rejects the request. */
 void proxy_attempt(proxy_request_t *req);
+/*
+ * Retry-After of a request that no server can take: every one of them may have
+ * asked for a pause.
+ */
+int64_t proxy_no_server_retry_ms(const proxy_request_t *req);
 /* Chooses a server of the same version to migrate the stream to. */
 pick_choice_t proxy_pick_migration_target(proxy_request_t *req);
 /* Sends the request to choice->server, which is borrowed. */
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -98,6 +98,41 @@
 }
 END_TEST
 
+/* Guards against requests at a server that has asked for a pause. */
+START_TEST(a_server_gets_no_request_in_the_pause_that_it_asks_for)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/book/a", backend_listener_1);
+	char *retry_after;
+	char *response;
+	int client;
+
+	wire_send(exchange.server_fd,
+	    "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: id-1\r\n"
+	    "X-Not-Executed: 1\r\nRetry-After: 2.5\r\n"
+	    "Content-Length: 0\r\nConnection: close\r\n\r\n");
+	response = wire_read_message(exchange.client_fd);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 503"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+	g_usleep(1000 * US_PER_MS);
+	client = gateway_send_request("/book/a", "id-2");
+	ck_assert(!wire_wait_connection(backend_listener_1, NO_CONNECTION_MS));
+	response = wire_read_message(client);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 503"));
+	retry_after = wire_header(response, "Retry-After");
+	ck_assert_double_gt(g_ascii_strtod(retry_after, NULL), 1.0);
+	ck_assert_double_le(g_ascii_strtod(retry_after, NULL), 1.5);
+	g_free(retry_after);
+	g_free(response);
+	close(client);
+	g_usleep(1500 * US_PER_MS);
+	client = gateway_send_request("/book/a", "id-3");
+	ck_assert(wire_wait_connection(backend_listener_1, NO_CONNECTION_MS));
+	close(client);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -112,6 +147,8 @@
 	tcase_add_test(cases, a_refusal_may_say_that_the_server_leaves);
 	tcase_add_test(
 	    cases, a_leaving_server_whose_entry_returns_gets_no_request);
+	tcase_add_test(
+	    cases, a_server_gets_no_request_in_the_pause_that_it_asks_for);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -166,6 +166,32 @@
 }
 END_TEST
 
+/*
+ * Guards against requests in the pause that a server has asked for, after a
+ * shorter pause of our own or a success.
+ */
+START_TEST(a_pause_that_the_server_asks_for_is_kept)
+{
+	server_t *server;
+
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS);
+	server = find_server();
+	server_pause(server, 5000, NOW_MS);
+	server_record_outcome(server, SERVER_FULL, 0, NOW_MS);
+	server_record_outcome(server, SERVER_SERVED, 10, NOW_MS + 50);
+	server_pause(server, 1000, NOW_MS + 100);
+	ck_assert(!server_usable(server, NOW_MS + 4999));
+	ck_assert_int_eq(
+	    pool_pause_ms(pool_servers(pool, "s"), NOW_MS + 1000), 4000);
+	ck_assert(server_usable(server, NOW_MS + 5000));
+	ck_assert_int_eq(
+	    pool_pause_ms(pool_servers(pool, "s"), NOW_MS + 6000), 0);
+	pool_set_leaving(pool, server, NOW_MS);
+	ck_assert_int_eq(pool_pause_ms(pool_servers(pool, "s"), NOW_MS), 0);
+	ck_assert_int_eq(pool_pause_ms(NULL, NOW_MS), 0);
+}
+END_TEST
+
 /* Guards against trying an unreachable server at every request. */
 START_TEST(consecutive_failures_increase_the_backoff)
 {
@@ -204,6 +230,7 @@
 	tcase_add_test(cases, a_server_is_removed_after_the_grace_period);
 	tcase_add_test(cases, a_draining_server_has_no_grace_period);
 	tcase_add_test(cases, the_first_draining_entry_sets_the_shutdown_time);
+	tcase_add_test(cases, a_pause_that_the_server_asks_for_is_kept);
 	tcase_add_test(cases, a_server_that_said_it_leaves_is_not_usable);
 	tcase_add_test(cases, a_removed_server_is_forgotten_after_a_while);
 	tcase_add_test(cases, a_server_whose_entry_returns_keeps_its_state);
