--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -6,7 +6,8 @@
 
 /*
  * Simulates the rollout of a service with REQUESTS_PER_S requests per second,
- * in steps of TICK_MS, on a single node, which is the leader.
+ * in steps of TICK_MS, on one or more nodes. The first is the leader; they
+ * exchange their evidence in each step.
  */
 enum {
 	TICK_MS = 100,
@@ -18,6 +19,7 @@
 	/* Duration of a request at an old server. */
 	STREAM_MS = 1000,
 	LATENCY_MS = 100,
+	NODES_MAX = 8,
 };
 
 static const rollout_limits_t limits = {.share = 0.1, .extra_requests = 50};
@@ -32,10 +34,11 @@
 	const char *fault_route; /* the only faulty one; NULL: all */
 	unsigned requests_per_s; /* 0: REQUESTS_PER_S */
 	bool restart_midway;	 /* the node loses its state */
+	unsigned nodes;		 /* 0: 1 */
 } scenario_t;
 
 typedef struct simulation {
-	rollout_t *rollout;
+	rollout_t *rollouts[NODES_MAX]; /* views of the nodes */
 	GRand *random;
 	rollout_inputs_t inputs;
 	int64_t last_old_request_ms; /* when the last one was sent */
@@ -67,8 +70,13 @@
 static void
 send_request(simulation_t *simulation, const scenario_t *scenario)
 {
-	double share =
-	    rollout_traffic_share(simulation->rollout, &simulation->inputs);
+	unsigned nodes = simulation->inputs.node_count;
+	rollout_t *rollout =
+	    simulation
+		->rollouts[nodes == 1 ? 0
+				      : g_rand_int_range(simulation->random, 0,
+					    (gint32)nodes)];
+	double share = rollout_traffic_share(rollout, &simulation->inputs);
 	bool to_new = g_rand_double(simulation->random) < share;
 	const char *route =
 	    g_rand_int_range(simulation->random, 0, 5) == 0 ? "b" : "a";
@@ -90,19 +98,49 @@
 	simulation->requests_to_new += to_new;
 	if (!to_new)
 		simulation->last_old_request_ms = simulation->inputs.now_ms;
-	rollout_count_request(simulation->rollout, to_new);
-	rollout_add_attempt(simulation->rollout, &attempt);
+	rollout_count_request(rollout, to_new);
+	rollout_add_attempt(rollout, &attempt);
 }
 
 static void
 restart_node(simulation_t *simulation)
 {
-	rollout_stage_t stage = rollout_stage(simulation->rollout);
+	rollout_stage_t stage = rollout_stage(simulation->rollouts[0]);
 
-	rollout_free(simulation->rollout);
-	simulation->rollout = new_rollout();
-	rollout_set_stage(
-	    simulation->rollout, stage, STARTED_MS, simulation->inputs.now_ms);
+	rollout_free(simulation->rollouts[0]);
+	simulation->rollouts[0] = new_rollout();
+	rollout_set_stage(simulation->rollouts[0], stage, STARTED_MS,
+	    simulation->inputs.now_ms);
+}
+
+/* Every node receives the digests of all others. */
+static void
+exchange_evidence(simulation_t *simulation)
+{
+	unsigned nodes = simulation->inputs.node_count;
+
+	for (unsigned from = 0; nodes > 1 && from < nodes; from++) {
+		const rollout_t *sender = simulation->rollouts[from];
+		json_t *evidence = rollout_evidence_json(sender);
+		char *name = g_strdup_printf("n%u", from);
+
+		for (unsigned to = 0; to < nodes; to++)
+			if (to != from)
+				ck_assert(rollout_merge_evidence(
+				    simulation->rollouts[to], name, evidence,
+				    rollout_reason(sender)[0] != '\0'));
+		json_decref(evidence);
+		g_free(name);
+	}
+}
+
+/* Applies the stage that the leader writes on every node. */
+static void
+set_stage(simulation_t *simulation, rollout_stage_t stage)
+{
+	for (unsigned i = 0; i < simulation->inputs.node_count; i++)
+		rollout_set_stage(simulation->rollouts[i], stage, STARTED_MS,
+		    simulation->inputs.now_ms);
 }
 
 static void
@@ -118,10 +156,12 @@
 	simulation->inputs.old_requests_in_flight =
 	    simulation->inputs.now_ms - simulation->last_old_request_ms <
 	    STREAM_MS;
-	next = rollout_next_stage(simulation->rollout, &simulation->inputs);
-	if (next != rollout_stage(simulation->rollout))
-		rollout_set_stage(simulation->rollout, next, STARTED_MS,
-		    simulation->inputs.now_ms);
+	exchange_evidence(simulation);
+	for (unsigned i = 0; i < simulation->inputs.node_count; i++)
+		rollout_evaluate(simulation->rollouts[i]);
+	next = rollout_next_stage(simulation->rollouts[0], &simulation->inputs);
+	if (next != rollout_stage(simulation->rollouts[0]))
+		set_stage(simulation, next);
 	if (simulation->ended_after_ms < 0 &&
 	    (next == ROLLOUT_COMPLETED || next == ROLLOUT_REVERTED))
 		simulation->ended_after_ms =
@@ -133,15 +173,16 @@
 simulate(const scenario_t *scenario, guint32 seed)
 {
 	simulation_t simulation = {
-	    .rollout = new_rollout(),
 	    .random = g_rand_new_with_seed(seed),
-	    .inputs = {.node_count = 1,
+	    .inputs = {.node_count = MAX(scenario->nodes, 1),
 		.old_servers_listed = SERVERS,
 		.old_servers_usable = SERVERS,
 		.new_servers_usable = SERVERS},
 	    .ended_after_ms = -1,
 	};
 
+	for (unsigned i = 0; i < simulation.inputs.node_count; i++)
+		simulation.rollouts[i] = new_rollout();
 	for (int64_t elapsed_ms = 0; elapsed_ms <= DURATION_MS;
 	     elapsed_ms += TICK_MS) {
 		simulation.inputs.now_ms = STARTED_MS + elapsed_ms;
@@ -149,8 +190,9 @@
 			restart_node(&simulation);
 		step(&simulation, scenario);
 	}
-	simulation.final_stage = rollout_stage(simulation.rollout);
-	rollout_free(simulation.rollout);
+	simulation.final_stage = rollout_stage(simulation.rollouts[0]);
+	for (unsigned i = 0; i < simulation.inputs.node_count; i++)
+		rollout_free(simulation.rollouts[i]);
 	g_rand_free(simulation.random);
 	return simulation;
 }
@@ -313,6 +355,33 @@
 }
 END_TEST
 
+/*
+ * Guards against completing the rollout of a slow version, or sending too many
+ * requests to it, where each node sees a part of the requests: from the start,
+ * after a while, or as soon as the version has load.
+ */
+START_TEST(slow_version_is_reverted_by_several_nodes)
+{
+	const scenario_t scenarios[] = {
+	    {.latency_factor = 4},
+	    {.latency_factor = 4, .fault_after_ms = DURATION_MS / 2},
+	    {.latency_factor = 4, .fault_min_share = 0.5},
+	    {.latency_factor = 2.5},
+	};
+	scenario_t scenario = scenarios[_i];
+
+	scenario.nodes = 6;
+	check_outcome(&scenario, ROLLOUT_REVERTED);
+}
+END_TEST
+
+/* Guards against reverting a good version for what several nodes have seen. */
+START_TEST(good_version_completes_on_several_nodes)
+{
+	check_outcome(&(scenario_t){.nodes = 6}, ROLLOUT_COMPLETED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -329,6 +398,9 @@
 	tcase_add_test(cases, stop_by_a_peer_stops_this_node);
 	tcase_add_test(cases, rollout_without_old_servers_completes);
 	tcase_add_test(cases, final_stage_does_not_change);
+	tcase_add_loop_test(
+	    cases, slow_version_is_reverted_by_several_nodes, 0, 4);
+	tcase_add_test(cases, good_version_completes_on_several_nodes);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
