Judge a rollout by the latencies that all nodes have seen

Cause: nodes sent each other counts and scores without latencies, so each judged by its own sixth of the canaries.

In the ramp and the full stage the new version is compared since the stage was entered, with the old version's latencies since the last ramp; a second regression under full load reverts, and an outcome in doubt names its cause.

--- a/src/evidence.c
+++ b/src/evidence.c
@@ -81,7 +81,8 @@
 /* Smaller differences between the versions are not worth a rollback. */
 static const double ERROR_RATE_MIN_INCREASE = 0.01;
 static const double ERROR_RATE_MIN_RATIO = 1.5;
-static const double MEDIAN_MIN_RATIO = 1.3;
+/* The versions may have had different loads, unlike in a random choice. */
+static const double REGRESSION_MEDIAN_MIN_RATIO = 2;
 
 static evidence_stats_t *
 stats_new(const char *route)
@@ -201,17 +202,22 @@
 	return recent;
 }
 
+/* Attempts of which the latency is known. */
 static uint32_t
-successes(const evidence_counts_t *counts)
+latency_samples(const evidence_counts_t *counts)
 {
-	return counts->attempts - counts->errors;
+	uint32_t samples = 0;
+
+	for (unsigned i = 0; i < EVIDENCE_LATENCY_BUCKETS; i++)
+		samples += counts->latency[i];
+	return samples;
 }
 
 /* Latency at a quantile, interpolated within its bucket. */
 static double
 quantile_ms(const evidence_counts_t *counts, double quantile)
 {
-	double rank = quantile * successes(counts), below = 0;
+	double rank = quantile * latency_samples(counts), below = 0;
 
 	for (unsigned i = 0; i < EVIDENCE_LATENCY_BUCKETS; i++) {
 		double in_bucket = counts->latency[i];
@@ -251,7 +257,7 @@
 {
 	if (hypothesis->slow_quantile <= 0)
 		return !attempt->ok;
-	return attempt->ok && successes(old) >= MIN_LATENCY_SAMPLES &&
+	return attempt->ok && latency_samples(old) >= MIN_LATENCY_SAMPLES &&
 	       attempt->latency_ms > slow_threshold_ms(quantile_ms(
 					 old, hypothesis->slow_quantile));
 }
@@ -389,22 +395,41 @@
 	}
 }
 
+static const char *
+route_name(const evidence_stats_t *stats)
+{
+	return stats->route != NULL ? stats->route : "all routes";
+}
+
+static char *
+describe_errors(const evidence_stats_t *stats, const evidence_counts_t *old,
+    const evidence_counts_t *new)
+{
+	return g_strdup_printf("errors on %s: %u of %u, old version %u of %u",
+	    route_name(stats), new->errors, new->attempts, old->errors,
+	    old->attempts);
+}
+
+static char *
+describe_latency(const evidence_stats_t *stats, const evidence_counts_t *old,
+    const evidence_counts_t *new)
+{
+	return g_strdup_printf("latency on %s: median %.0f ms, p90 %.0f ms, "
+			       "old version %.0f ms, %.0f ms",
+	    route_name(stats), quantile_ms(new, 0.5), quantile_ms(new, 0.9),
+	    quantile_ms(old, 0.5), quantile_ms(old, 0.9));
+}
+
 static char *
 describe_finding(const finding_t *finding)
 {
 	const evidence_stats_t *stats = finding->stats;
-	const char *route = stats->route != NULL ? stats->route : "all routes";
 	evidence_counts_t old = recent_counts(stats, EVIDENCE_OLD_VERSION);
 	evidence_counts_t new = recent_counts(stats, EVIDENCE_NEW_VERSION);
 
-	if (finding->hypothesis->slow_quantile <= 0)
-		return g_strdup_printf(
-		    "errors on %s: %u of %u, old version %u of %u", route,
-		    new.errors, new.attempts, old.errors, old.attempts);
-	return g_strdup_printf("latency on %s: median %.0f ms, p90 %.0f ms, "
-			       "old version %.0f ms, %.0f ms",
-	    route, quantile_ms(&new, 0.5), quantile_ms(&new, 0.9),
-	    quantile_ms(&old, 0.5), quantile_ms(&old, 0.9));
+	return finding->hypothesis->slow_quantile <= 0
+		   ? describe_errors(stats, &old, &new)
+		   : describe_latency(stats, &old, &new);
 }
 
 evidence_verdict_t
@@ -462,38 +487,105 @@
 	double above_old, above_new;
 	unsigned bucket;
 
-	if (successes(old) < MIN_LATENCY_SAMPLES ||
-	    successes(new) < MIN_LATENCY_SAMPLES ||
-	    quantile_ms(new, 0.5) < quantile_ms(old, 0.5) * MEDIAN_MIN_RATIO ||
+	if (latency_samples(old) < MIN_LATENCY_SAMPLES ||
+	    latency_samples(new) < MIN_LATENCY_SAMPLES ||
+	    quantile_ms(new, 0.5) <
+		quantile_ms(old, 0.5) * REGRESSION_MEDIAN_MIN_RATIO ||
 	    quantile_ms(new, 0.5) < slow_threshold_ms(quantile_ms(old, 0.5)))
 		return false;
 	counts_add(&pooled, new);
 	bucket = latency_bucket(quantile_ms(&pooled, 0.5));
 	above_old = count_above(old, bucket);
 	above_new = count_above(new, bucket);
-	return above_new * successes(old) > above_old * successes(new) &&
-	       log_bayes_factor(above_new, successes(new), above_old,
-		   successes(old)) > LATENCY_LOG_FACTOR_MIN;
+	return above_new * latency_samples(old) >
+		   above_old * latency_samples(new) &&
+	       log_bayes_factor(above_new, latency_samples(new), above_old,
+		   latency_samples(old)) > LATENCY_LOG_FACTOR_MIN;
+}
+
+/* Counts of a version since the snapshot; NULL: since the start. */
+static evidence_counts_t
+counts_since(const evidence_stats_t *stats, const evidence_t *snapshot,
+    evidence_version_t version)
+{
+	evidence_counts_t since = stats->counts[EVIDENCE_WINDOW_ALL][version];
+	const evidence_stats_t *earlier_stats;
+	const evidence_counts_t *earlier;
+
+	if (snapshot == NULL)
+		return since;
+	earlier_stats = stats->route == NULL
+			    ? snapshot->stats[0]
+			    : evidence_stats_find(snapshot, stats->route);
+	if (earlier_stats == NULL)
+		return since;
+	earlier = &earlier_stats->counts[EVIDENCE_WINDOW_ALL][version];
+	since.attempts -= earlier->attempts;
+	since.errors -= earlier->errors;
+	for (unsigned i = 0; i < EVIDENCE_LATENCY_BUCKETS; i++)
+		since.latency[i] -= earlier->latency[i];
+	return since;
+}
+
+/*
+ * Counts of the old version since the snapshot, if they suffice. In total it is
+ * else compared by all its attempts, on a single route not at all.
+ */
+static evidence_counts_t
+baseline_counts(const evidence_stats_t *stats, const evidence_t *snapshot)
+{
+	evidence_counts_t since =
+	    counts_since(stats, snapshot, EVIDENCE_OLD_VERSION);
+
+	return stats->route == NULL &&
+		       latency_samples(&since) < MIN_LATENCY_SAMPLES
+		   ? stats->counts[EVIDENCE_WINDOW_ALL][EVIDENCE_OLD_VERSION]
+		   : since;
+}
+
+/* Why the statistics raise the suspicion, newly allocated; NULL: they do not.
+ */
+static char *
+describe_regression(const evidence_stats_t *stats, const evidence_t *old_since,
+    const evidence_t *new_since)
+{
+	const evidence_counts_t *all_old =
+	    &stats->counts[EVIDENCE_WINDOW_ALL][EVIDENCE_OLD_VERSION];
+	evidence_counts_t old = baseline_counts(stats, old_since);
+	evidence_counts_t recent = recent_counts(stats, EVIDENCE_NEW_VERSION);
+	evidence_counts_t new =
+	    new_since == NULL
+		? recent
+		: counts_since(stats, new_since, EVIDENCE_NEW_VERSION);
+
+	/* The first attempts after a snapshot are too few, the recent ones may
+	 * all be older than it. */
+	if (error_rate_worse(all_old, &new, MIN_ERRORS_SUSPECT) &&
+	    error_rate_worse(all_old, &recent, MIN_ERRORS_SUSPECT) &&
+	    log_bayes_factor(recent.errors, recent.attempts, all_old->errors,
+		all_old->attempts) > ERROR_LOG_FACTOR_MIN)
+		return describe_errors(stats, all_old, &recent);
+	if (latency_regression_suspected(&old, &new))
+		return describe_latency(stats, &old, &new);
+	return NULL;
 }
 
 bool
-evidence_regression_suspected(const evidence_t *evidence)
+evidence_regression_suspected(const evidence_t *evidence,
+    const evidence_t *old_since, const evidence_t *new_since, char **reason)
 {
-	for (unsigned i = 0; i < evidence->stats_count; i++) {
-		const evidence_stats_t *stats = evidence->stats[i];
-		const evidence_counts_t *old =
-		    &stats->counts[EVIDENCE_WINDOW_ALL][EVIDENCE_OLD_VERSION];
-		evidence_counts_t new =
-		    recent_counts(stats, EVIDENCE_NEW_VERSION);
-
-		if (error_rate_worse(old, &new, MIN_ERRORS_SUSPECT) &&
-		    log_bayes_factor(new.errors, new.attempts, old->errors,
-			old->attempts) > ERROR_LOG_FACTOR_MIN)
-			return true;
-		if (latency_regression_suspected(old, &new))
-			return true;
-	}
-	return false;
+	char *found = NULL;
+
+	for (unsigned i = 0; i < evidence->stats_count && found == NULL; i++)
+		found = describe_regression(
+		    evidence->stats[i], old_since, new_since);
+	if (found == NULL)
+		return false;
+	if (reason != NULL)
+		*reason = found;
+	else
+		g_free(found);
+	return true;
 }
 
 static unsigned
--- a/src/evidence.h
+++ b/src/evidence.h
@@ -64,11 +64,15 @@
     const evidence_t *evidence, const char *route, char **reason);
 
 /*
- * Compares the new version's recent attempts with all attempts at the old
- * version. True is only a reason to send requests to both versions again and
- * compare them: a fault may have hit both since the old version's attempts.
+ * Compares the new version's attempts since the snapshot new_since (an earlier
+ * copy; NULL: its recent ones) with the failures of all attempts at the old
+ * version and with its latencies since old_since (NULL: the start), which are
+ * those under the same load. If true, *reason is set as by evidence_evaluate().
+ * True is only a reason to send requests to both versions again and compare
+ * them: a fault may have hit both since the old version's attempts.
  */
-bool evidence_regression_suspected(const evidence_t *evidence);
+bool evidence_regression_suspected(const evidence_t *evidence,
+    const evidence_t *old_since, const evidence_t *new_since, char **reason);
 
 /*
  * True if the new version has had at least min_attempts attempts since the
--- a/src/move.c
+++ b/src/move.c
@@ -371,7 +371,8 @@
 {
 	if (move->record->policy != MOVE_EVIDENCE || move->comparing ||
 	    !in_last_stage(move) ||
-	    !evidence_regression_suspected(move->own_evidence))
+	    !evidence_regression_suspected(
+		move->own_evidence, NULL, NULL, NULL))
 		return;
 	move->comparing = true;
 	move->comparing_since_ms = now_ms;
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -12,6 +12,8 @@
 	FULL_MIN_MS = 1000,
 	/* Fewer attempts at the new version are no basis for an outcome. */
 	MIN_ATTEMPTS = 10,
+	/* The full stage is entered again after so many regressions in it. */
+	REGRESSIONS_MAX = 1,
 };
 
 /* The canary stage lasts at least this fraction of the rollout. */
@@ -24,6 +26,8 @@
  */
 static const double canary_budget_fraction = 0.25;
 static const double canary_traffic_share_max = 0.3;
+/* Fraction of them up to which requests are sent to compare the versions. */
+static const double trial_budget_fraction = 0.8;
 static const double ramp_traffic_share = 0.2;
 
 static const char *const stage_names[ROLLOUT_STAGES] = {
@@ -47,8 +51,13 @@
 	evidence_t *own_evidence;
 	evidence_t *all_evidence;  /* own and peers' */
 	GHashTable *peer_evidence; /* node to json_t: the last one merged */
-	bool stopped;		   /* to be reverted */
-	char *reason;		   /* NULL: none */
+	/* all_evidence when the stage and the last ramp were entered; NULL: at
+	 * the start. */
+	evidence_t *stage_evidence;
+	evidence_t *ramp_evidence;
+	unsigned regressions; /* times that the full stage was left for them */
+	bool stopped;	      /* to be reverted */
+	char *reason;	      /* NULL: none */
 };
 
 static void
@@ -85,6 +94,8 @@
 	g_free(rollout->reason);
 	evidence_free(rollout->own_evidence);
 	evidence_free(rollout->all_evidence);
+	evidence_free(rollout->stage_evidence);
+	evidence_free(rollout->ramp_evidence);
 	g_hash_table_unref(rollout->peer_evidence);
 	g_free(rollout);
 }
@@ -135,31 +146,63 @@
 	rollout->started_ms = started_ms;
 	if (stage == rollout->stage)
 		return;
+	if (rollout->stage == ROLLOUT_FULL && stage == ROLLOUT_RAMP)
+		rollout->regressions++;
+	evidence_free(rollout->stage_evidence);
+	rollout->stage_evidence = evidence_copy(rollout->all_evidence);
+	if (stage == ROLLOUT_RAMP) {
+		evidence_free(rollout->ramp_evidence);
+		rollout->ramp_evidence = evidence_copy(rollout->all_evidence);
+	}
 	rollout->stage = stage;
 	rollout->stage_entered_ms = now_ms;
 }
 
-/* Requests that this node may still send to the new version as canaries. */
-static double
-canary_requests_left(const rollout_t *rollout, unsigned node_count)
+/*
+ * True where this node may send another request to the new version within a
+ * fraction of those that the limits allow.
+ */
+static bool
+has_budget(const rollout_t *rollout, double fraction, unsigned node_count)
 {
 	double allowed = rollout->limits.share * rollout->requests +
 			 rollout->limits.extra_requests / MAX(node_count, 1);
 
-	return canary_budget_fraction * allowed - rollout->requests_to_new;
+	return fraction * allowed - rollout->requests_to_new >= 1;
 }
 
 /* Gives each new server as many requests as an old one, up to a maximum. */
 static double
 canary_traffic_share(const rollout_t *rollout, const rollout_inputs_t *inputs)
 {
-	if (canary_requests_left(rollout, inputs->node_count) < 1)
+	if (!has_budget(rollout, canary_budget_fraction, inputs->node_count))
 		return 0;
 	return MIN((double)inputs->new_servers_usable /
 		       MAX(inputs->old_servers_usable, 1),
 	    canary_traffic_share_max);
 }
 
+/*
+ * True where the new version seems worse since the stage was entered than the
+ * old one since the last ramp, when it had the same load. Sets *reason, newly
+ * allocated, unless reason is NULL.
+ */
+static bool
+regression_suspected(const rollout_t *rollout, char **reason)
+{
+	return evidence_regression_suspected(rollout->all_evidence,
+	    rollout->ramp_evidence, rollout->stage_evidence, reason);
+}
+
+/* Share for a comparison of the versions, once there have been canaries. */
+static double
+trial_traffic_share(const rollout_t *rollout, const rollout_inputs_t *inputs)
+{
+	return has_budget(rollout, trial_budget_fraction, inputs->node_count)
+		   ? ramp_traffic_share
+		   : 0;
+}
+
 double
 rollout_traffic_share(const rollout_t *rollout, const rollout_inputs_t *inputs)
 {
@@ -172,11 +215,11 @@
 	case ROLLOUT_CANARY:
 		return canary_traffic_share(rollout, inputs);
 	case ROLLOUT_RAMP:
-		return ramp_traffic_share;
+		return trial_traffic_share(rollout, inputs);
 	case ROLLOUT_FULL:
 		/* A suspicion can only be tested with attempts at both. */
-		return evidence_regression_suspected(rollout->all_evidence)
-			   ? ramp_traffic_share
+		return regression_suspected(rollout, NULL)
+			   ? trial_traffic_share(rollout, inputs)
 			   : 1;
 	case ROLLOUT_COMPLETED:
 	case ROLLOUT_REVERTED:
@@ -274,11 +317,22 @@
 	       MIN_ATTEMPTS;
 }
 
+/* Like regression_suspected(), for both kinds of suspicion. */
 static bool
-has_no_suspicion(const rollout_t *rollout)
+is_suspect(const rollout_t *rollout, char **reason)
 {
-	return evidence_evaluate(rollout->all_evidence, NULL, NULL) ==
-	       EVIDENCE_CLEAR;
+	return evidence_evaluate(rollout->all_evidence, NULL, reason) !=
+		   EVIDENCE_CLEAR ||
+	       regression_suspected(rollout, reason);
+}
+
+static void
+stop_with_details(rollout_t *rollout, const char *summary, const char *details)
+{
+	char *reason = g_strdup_printf("%s: %s", summary, details);
+
+	stop(rollout, reason);
+	g_free(reason);
 }
 
 /* The outcome once it is due: reverted unless the evidence is sufficient and
@@ -286,15 +340,47 @@
 static rollout_stage_t
 outcome_at_deadline(rollout_t *rollout)
 {
-	if (has_enough_attempts(rollout) && has_no_suspicion(rollout) &&
-	    !evidence_regression_suspected(rollout->all_evidence))
+	char *suspicion = NULL;
+
+	if (!has_enough_attempts(rollout)) {
+		stop(rollout, "too few requests to judge");
+		return ROLLOUT_REVERTED;
+	}
+	if (!is_suspect(rollout, &suspicion))
 		return ROLLOUT_COMPLETED;
-	stop(rollout, has_enough_attempts(rollout)
-			  ? "in doubt until the end"
-			  : "too few requests to judge");
+	stop_with_details(rollout, "in doubt until the end", suspicion);
+	g_free(suspicion);
 	return ROLLOUT_REVERTED;
 }
 
+/* A fault that appears each time under full load cannot be seen in the ramp. */
+static rollout_stage_t
+after_regression(rollout_t *rollout, const char *suspicion)
+{
+	if (rollout->regressions < REGRESSIONS_MAX)
+		return ROLLOUT_RAMP;
+	stop_with_details(
+	    rollout, "worse under full load, repeatedly", suspicion);
+	return ROLLOUT_REVERTED;
+}
+
+static rollout_stage_t
+after_full(rollout_t *rollout, const rollout_inputs_t *inputs)
+{
+	int64_t in_stage_ms = inputs->now_ms - rollout->stage_entered_ms;
+	char *suspicion = NULL;
+	rollout_stage_t next;
+
+	if (!regression_suspected(rollout, &suspicion))
+		return in_stage_ms >= FULL_MIN_MS &&
+			       inputs->old_requests_in_flight == 0
+			   ? ROLLOUT_COMPLETED
+			   : ROLLOUT_FULL;
+	next = after_regression(rollout, suspicion);
+	g_free(suspicion);
+	return next;
+}
+
 rollout_stage_t
 rollout_next_stage(rollout_t *rollout, const rollout_inputs_t *inputs)
 {
@@ -312,20 +398,16 @@
 	case ROLLOUT_CANARY:
 		return inputs->now_ms >= canary_end_ms(rollout) &&
 			       has_enough_attempts(rollout) &&
-			       has_no_suspicion(rollout)
+			       evidence_evaluate(rollout->all_evidence, NULL,
+				   NULL) == EVIDENCE_CLEAR
 			   ? ROLLOUT_RAMP
 			   : ROLLOUT_CANARY;
 	case ROLLOUT_RAMP:
-		return in_stage_ms >= RAMP_MIN_MS && has_no_suspicion(rollout)
+		return in_stage_ms >= RAMP_MIN_MS && !is_suspect(rollout, NULL)
 			   ? ROLLOUT_FULL
 			   : ROLLOUT_RAMP;
 	case ROLLOUT_FULL:
-		if (evidence_regression_suspected(rollout->all_evidence))
-			return ROLLOUT_RAMP;
-		return in_stage_ms >= FULL_MIN_MS &&
-			       inputs->old_requests_in_flight == 0
-			   ? ROLLOUT_COMPLETED
-			   : ROLLOUT_FULL;
+		return after_full(rollout, inputs);
 	case ROLLOUT_COMPLETED:
 	case ROLLOUT_REVERTED:
 	case ROLLOUT_STAGES:
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -1,4 +1,5 @@
 #include "digest.h"
+#include "evidence.h"
 #include "suite.h"
 
 #include <check.h>
@@ -106,6 +107,57 @@
 }
 END_TEST
 
+/* Evidence of the most routes, with latencies in every bucket. */
+static char *
+largest_evidence(void)
+{
+	evidence_t *evidence = evidence_new();
+	json_t *json;
+	char *text;
+
+	for (int i = 0; i < EVIDENCE_ROUTES_MAX * 10000; i++) {
+		char *route =
+		    g_strdup_printf("/%0100d", i % EVIDENCE_ROUTES_MAX);
+
+		evidence_add(
+		    evidence, &(evidence_attempt_t){.version = i / 16 % 2,
+				  .new_version_share = 0.3,
+				  .route = route,
+				  .ok = i % 7 != 0,
+				  .latency_ms = exp2(i / 32 % 20)});
+		g_free(route);
+	}
+	json = evidence_to_json(evidence);
+	text = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	evidence_free(evidence);
+	return text;
+}
+
+/*
+ * Guards against a node whose digests are all rejected during a rollout, since
+ * its evidence is larger than a digest may hold.
+ */
+START_TEST(the_largest_evidence_fits_a_digest)
+{
+	digest_t *digest = sample_digest(), *read;
+	GByteArray *bytes = g_byte_array_new();
+	digest_move_t move = {.service = g_strdup("rooms"),
+	    .revision = 1,
+	    .evidence = largest_evidence()};
+
+	g_array_append_val(digest->moves, move);
+	digest_encode(digest, bytes);
+	read = digest_decode((const char *)bytes->data, bytes->len);
+	ck_assert_ptr_nonnull(read);
+	ck_assert_str_eq(g_array_index(read->moves, digest_move_t, 0).evidence,
+	    move.evidence);
+	digest_free(read);
+	digest_free(digest);
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
 /* Guards against a crash on truncated or altered datagrams. */
 START_TEST(decode_handles_truncated_or_altered_bytes)
 {
@@ -138,6 +190,7 @@
 	TCase *cases = tcase_create("digest");
 
 	tcase_add_test(cases, decode_restores_an_encoded_digest);
+	tcase_add_test(cases, the_largest_evidence_fits_a_digest);
 	tcase_add_test(cases, decode_rejects_an_empty_node_name);
 	tcase_add_test(cases, decode_rejects_numbers_that_sums_cannot_hold);
 	tcase_add_test(cases, decode_handles_truncated_or_altered_bytes);
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -35,6 +35,9 @@
 	unsigned requests_per_s; /* 0: REQUESTS_PER_S */
 	bool restart_midway;	 /* the node loses its state */
 	unsigned nodes;		 /* 0: 1 */
+	/* Both versions are slower by this factor from burst_after_ms on. */
+	double burst_latency_factor; /* 0: 1 */
+	int64_t burst_after_ms;
 } scenario_t;
 
 typedef struct simulation {
@@ -45,6 +48,7 @@
 	unsigned requests;
 	unsigned requests_to_new;
 	rollout_stage_t final_stage;
+	char reason[256];	/* why it was reverted */
 	int64_t ended_after_ms; /* since the start; -1: not yet */
 } simulation_t;
 
@@ -67,6 +71,16 @@
 		   strcmp(scenario->fault_route, route) == 0);
 }
 
+/* Factor of the latency of both versions. */
+static double
+load_factor(const scenario_t *scenario, int64_t elapsed_ms)
+{
+	return scenario->burst_latency_factor > 0 &&
+		       elapsed_ms >= scenario->burst_after_ms
+		   ? scenario->burst_latency_factor
+		   : 1;
+}
+
 static void
 send_request(simulation_t *simulation, const scenario_t *scenario)
 {
@@ -80,8 +94,8 @@
 	bool to_new = g_rand_double(simulation->random) < share;
 	const char *route =
 	    g_rand_int_range(simulation->random, 0, 5) == 0 ? "b" : "a";
-	bool faulty = to_new && is_faulty(scenario, route, share,
-				    simulation->inputs.now_ms - STARTED_MS);
+	int64_t elapsed_ms = simulation->inputs.now_ms - STARTED_MS;
+	bool faulty = to_new && is_faulty(scenario, route, share, elapsed_ms);
 	double failure_rate =
 	    faulty ? scenario->new_failure_rate : scenario->old_failure_rate;
 	double latency_factor = faulty && scenario->latency_factor > 0
@@ -92,6 +106,7 @@
 	    .route = route,
 	    .ok = g_rand_double(simulation->random) >= failure_rate,
 	    .latency_ms = LATENCY_MS * latency_factor *
+			  load_factor(scenario, elapsed_ms) *
 			  g_rand_double_range(simulation->random, 0.7, 1.6)};
 
 	simulation->requests++;
@@ -191,6 +206,8 @@
 		step(&simulation, scenario);
 	}
 	simulation.final_stage = rollout_stage(simulation.rollouts[0]);
+	g_strlcpy(simulation.reason, rollout_reason(simulation.rollouts[0]),
+	    sizeof(simulation.reason));
 	for (unsigned i = 0; i < simulation.inputs.node_count; i++)
 		rollout_free(simulation.rollouts[i]);
 	g_rand_free(simulation.random);
@@ -208,8 +225,9 @@
 		simulation_t simulation = simulate(scenario, seed);
 
 		ck_assert_msg(simulation.final_stage == expected_stage,
-		    "seed %u: %s", seed,
-		    rollout_stage_name(simulation.final_stage));
+		    "seed %u: %s, %s", seed,
+		    rollout_stage_name(simulation.final_stage),
+		    simulation.reason);
 		ck_assert_int_lt(simulation.ended_after_ms, DURATION_MS);
 		if (expected_stage == ROLLOUT_REVERTED)
 			ck_assert_double_le(simulation.requests_to_new,
@@ -382,6 +400,22 @@
 }
 END_TEST
 
+/*
+ * Guards against reverting a good version because both versions get slower
+ * under a burst that begins in the ramp or in the full stage: the new version's
+ * latencies are then compared with those that the old one had in calm times.
+ */
+START_TEST(burst_does_not_revert_a_good_version)
+{
+	const int64_t burst_after_ms[] = {6000, 8000, 8600};
+
+	check_outcome(&(scenario_t){.nodes = 6,
+			  .burst_latency_factor = 3,
+			  .burst_after_ms = burst_after_ms[_i]},
+	    ROLLOUT_COMPLETED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -401,6 +435,7 @@
 	tcase_add_loop_test(
 	    cases, slow_version_is_reverted_by_several_nodes, 0, 4);
 	tcase_add_test(cases, good_version_completes_on_several_nodes);
+	tcase_add_loop_test(cases, burst_does_not_revert_a_good_version, 0, 3);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
