Add failing tests: repeated refusals, errors in the middle of a stream

A refusal that a server writes once more on a kept connection is taken for the response to the next request where that request has the same attempt id, or is the gateway's own order to copy memory, which has none. And where a stream has broken off, a server that answers with status 200 and no events has its text forwarded to the client, with a complete end.

The other cases hold: repeated refusals with another id or without one; errors of the next server with a failure status, with and without framing.

--- a/tests/test_late_answer.c
+++ b/tests/test_late_answer.c
@@ -93,6 +93,69 @@
 }
 END_TEST
 
+#define REFUSAL(status, id)                                          \
+	"HTTP/1.1 " status "\r\n" id                                 \
+	"X-Not-Executed: 1\r\nX-Response-Stamp: s\r\nRetry-After: 0" \
+	"\r\nContent-Length: 0\r\n\r\n"
+#define ID(id) "X-Attempt-Id: " id "\r\n"
+
+/* A refusal that the server writes once more, after the second request. */
+static const struct repeated_refusal {
+	const char *what;
+	const char *refusal;
+	const char *second_id; /* of the second request */
+} repeated_refusals[] = {
+    {"other id", REFUSAL("503 Service Unavailable", ID("id-1")), "id-2"},
+    {"other id, 429", REFUSAL("429 Too Many Requests", ID("id-1")), "id-2"},
+    {"without an id", REFUSAL("503 Service Unavailable", ""), "id-2"},
+    {"same id", REFUSAL("503 Service Unavailable", ID("id-1")), "id-1"},
+    {"same id, 421", REFUSAL("421 Misdirected Request", ID("id-1")), "id-1"},
+};
+
+/* For the pause after a refusal to end. */
+enum { PAUSE_US = 700000, NEW_CONNECTION_MS = 300 };
+
+/*
+ * Guards against a refusal, written once more on a kept connection, that is
+ * taken for the response to the next request: its client is told that the
+ * request has not run, though the server runs it.
+ */
+START_TEST(repeated_refusal_is_no_answer_to_the_next_request)
+{
+	const struct repeated_refusal *refusal = &repeated_refusals[_i];
+	int client = gateway_send_request("/book/a", "id-1");
+	int server = wire_accept(backend_listener_1);
+	char *response;
+
+	g_free(wire_read_message(server));
+	wire_send(server, refusal->refusal);
+	response = wire_read_message(client);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 503"));
+	g_free(response);
+	close(client);
+	g_usleep(PAUSE_US);
+	client = gateway_send_request("/book/a", refusal->second_id);
+	if (wire_wait_connection(backend_listener_1, NEW_CONNECTION_MS)) {
+		close(server);
+		server = wire_accept(backend_listener_1);
+		g_free(wire_read_message(server));
+	} else {
+		g_free(wire_read_message(server));
+		wire_send(server, refusal->refusal);
+	}
+	wire_send(server, strcmp(refusal->second_id, "id-1") == 0
+			      ? ANSWER_TO("id-1", "other")
+			      : ANSWER_TO("id-2", "other"));
+	response = wire_read_message(client);
+	ck_assert_msg(g_str_has_suffix(response, "other") ||
+			  g_str_has_prefix(response, "HTTP/1.1 502"),
+	    "%s: %s", refusal->what, response);
+	g_free(response);
+	close(client);
+	close(server);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -104,6 +167,9 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_loop_test(cases, late_answer_reaches_no_other_client, 0,
 	    G_N_ELEMENTS(late_answers));
+	tcase_add_loop_test(cases,
+	    repeated_refusal_is_no_answer_to_the_next_request, 0,
+	    G_N_ELEMENTS(repeated_refusals));
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -145,6 +145,86 @@
 }
 END_TEST
 
+#define RESUMED(status, headers)                        \
+	"HTTP/1.1 " status "\r\nX-Attempt-Id: id-1\r\n" \
+	"X-Response-Stamp: s2\r\n" headers "\r\n"
+#define STREAM_HEAD RESUMED("200 OK", "Transfer-Encoding: chunked\r\n")
+
+/* What the next server answers after a stream has begun and broken off. */
+static const struct bad_resume {
+	const char *what;
+	const char *bytes;
+	bool closes;
+} bad_resumes[] = {
+    {"failure", RESUMED("500 Error", "Content-Length: 5\r\n") "FAULT", false},
+    {"failure without framing",
+	RESUMED("500 Error", "Connection: close\r\n") "FAULT", true},
+    {"failure with events",
+	RESUMED(
+	    "500 Error", "Content-Length: 22\r\n") "id: 2\ndata: FAULT\n\nxxx",
+	false},
+    {"refusal",
+	RESUMED(
+	    "503 Busy", "X-Not-Executed: 1\r\nContent-Length: 5\r\n") "FAULT",
+	false},
+    {"other server",
+	RESUMED("421 Misdirected", "Content-Length: 5\r\n") "FAULT", false},
+    {"not found", RESUMED("404 None", "Content-Length: 5\r\n") "FAULT", false},
+    {"redirect",
+	RESUMED("302 Found", "Location: /FAULT\r\nContent-Length: 0\r\n"),
+	false},
+    {"no content", RESUMED("204 FAULT", ""), false},
+    {"success that is no stream",
+	RESUMED("200 OK",
+	    "Content-Type: text/plain\r\nContent-Length: 5\r\n") "FAULT",
+	false},
+    {"text in a stream", STREAM_HEAD "5\r\nFAULT\r\n0\r\n\r\n", false},
+    {"half an event", STREAM_HEAD "b\r\nid: 2\nFAULT\r\n0\r\n\r\n", false},
+    {"half an event without framing",
+	RESUMED("200 OK", "Connection: close\r\n") "id: 2\nFAULT", true},
+    {"malformed head", "FAULT FAULT\r\n\r\n", false},
+};
+
+/*
+ * Guards against an error in the middle of a stream, or a stream that looks
+ * complete: the stream has begun and broken off, and the server that was to
+ * resume it answers with an error.
+ */
+START_TEST(error_of_the_next_server_is_no_part_of_the_stream)
+{
+	const struct bad_resume *resume = &bad_resumes[_i];
+	gateway_exchange_t exchange;
+	int port, listener = wire_listen(&port), server;
+	char *response;
+	bool reset;
+
+	exchange = gateway_exchange_open("/talk/a", backend_listener_2);
+	gateway_register_server("e-2", "engine", port, "ready");
+	g_usleep(300000);
+	wire_send(exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"
+						  "3\r\nid:\r\n");
+	g_free(wire_read_until(exchange.client_fd, "data: a\n\n"));
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	server = wire_accept(listener);
+	g_free(wire_read_message(server));
+	wire_send(server, resume->bytes);
+	if (resume->closes)
+		close(server);
+	response = wire_read_until_closed(exchange.client_fd, &reset);
+	ck_assert_msg(strstr(response, "FAULT") == NULL &&
+			  strstr(response, "HTTP/1.1") == NULL &&
+			  strstr(response, "id") == NULL &&
+			  strstr(response, "0\r\n\r\n") == NULL,
+	    "%s: \"%s\"", resume->what, response);
+	g_free(response);
+	if (!resume->closes)
+		close(server);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /* Guards against a stream truncated because its engine is reclaimed. */
 START_TEST(a_stream_migrates_from_a_draining_engine)
 {
@@ -194,6 +274,67 @@
 }
 END_TEST
 
+/* Serves one of two simultaneous streams; keeps the connection open. */
+static void
+end_stream_of(int server, const char *id)
+{
+	char *text = g_strdup_printf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
+				     "Content-Length: 15\r\n\r\n"
+				     "id: 1\ndata: a\n\n",
+	    id);
+
+	g_free(wire_read_message(server));
+	wire_send(server, text);
+	g_free(text);
+}
+
+/*
+ * Guards against a stream truncated because a late response to an earlier
+ * request is taken for the engine's response to the order to copy its memory.
+ */
+START_TEST(late_response_does_not_end_a_migration)
+{
+	int client_1 = gateway_send_request("/write/a", "id-1");
+	int kept = wire_accept(backend_listener_2);
+	int client_2 = gateway_send_request("/write/a", "id-2");
+	int source = wire_accept(backend_listener_2);
+	int port_3, server_3 = wire_listen(&port_3), target, client;
+	char *request;
+
+	end_stream_of(kept, "id-1");
+	g_free(wire_read_until(client_1, "data: a"));
+	end_stream_of(source, "id-2");
+	g_free(wire_read_until(client_2, "data: a"));
+	client = gateway_send_request("/write/a", "id-3");
+	g_free(wire_read_message(source));
+	wire_send(source, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-3\r\n"
+			  "Transfer-Encoding: chunked\r\n\r\n"
+			  "f\r\nid: 1\ndata: a\n\n\r\n");
+	gateway_register_server("e-2", "engine", port_3, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	request = wire_read_message(kept);
+	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
+	g_free(request);
+	wire_send(kept, "HTTP/1.1 503 Busy\r\nX-Attempt-Id: id-1\r\n"
+			"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+			"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			"{\"handle\": 7,\"created\": 1}");
+	g_usleep(50000);
+	close(source);
+	target = wire_accept(server_3);
+	request = wire_read_message(target);
+	wire_assert_header(request, "X-Attempt-Id", "id-3");
+	wire_assert_header(request, "Last-Event-Id", "1");
+	g_free(request);
+	close(client);
+	close(client_1);
+	close(client_2);
+	close(kept);
+	close(target);
+	close(server_3);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -207,7 +348,11 @@
 	tcase_add_test(cases, a_stalled_stream_with_comments_is_resumed);
 	tcase_add_test(cases, a_slow_stream_is_not_cut);
 	tcase_add_test(cases, a_stream_that_cannot_be_resumed_is_truncated);
+	tcase_add_loop_test(cases,
+	    error_of_the_next_server_is_no_part_of_the_stream, 0,
+	    G_N_ELEMENTS(bad_resumes));
 	tcase_add_test(cases, a_stream_migrates_from_a_draining_engine);
+	tcase_add_test(cases, late_response_does_not_end_a_migration);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
