Match a response to its request also where the attempt id repeats or is absent

Clients were told that a booking had not run while the server ran it (REFUSED), where the server wrote an earlier refusal once more on a kept connection and the client had repeated its attempt id; a stream was cut where such a refusal was taken for the response to the gateway's order to copy its memory. Cause: the id was taken for unique on a connection, and calls without one accepted anything. Ruled out: refusals with another id or none, which were passed over before.

A connection remembers the ids refused on it, and requests with one of them use another one.

--- a/src/upstream.c
+++ b/src/upstream.c
@@ -17,6 +17,8 @@
 	/* Idle limit until the server states its timeout in Keep-Alive. */
 	IDLE_DEFAULT_MS = 8000,
 	HEAD_MAX_BYTES = 64 * 1024,
+	/* A connection that has carried more refusals is closed. */
+	REFUSED_IDS_MAX = 16,
 };
 
 typedef TAILQ_HEAD(conn_list, upstream_conn) conn_list_t;
@@ -31,6 +33,9 @@
 	upstream_call_t *call; /* NULL if idle or cancelled */
 	int64_t idle_since_ms;
 	int64_t idle_limit_ms;
+	/* Hashes of the attempt ids that the server refused here. */
+	guint refused_ids[REFUSED_IDS_MAX];
+	unsigned refused_count;
 	unsigned refs; /* held by the timer and by running callbacks */
 	bool connected;
 	bool idle;
@@ -115,6 +120,45 @@
 	call_free(call);
 }
 
+/*
+ * True for a response to an earlier request on the connection, by its id. A
+ * call without an id gets no id back.
+ */
+static bool
+is_foreign(const upstream_call_t *call, const response_facts_t *facts)
+{
+	return facts->attempt_id != NULL &&
+	       (call->attempt_id == NULL ||
+		   strcmp(facts->attempt_id, call->attempt_id) != 0);
+}
+
+static void
+note_refusal(upstream_conn_t *conn)
+{
+	if (conn->call->attempt_id == NULL)
+		return;
+	conn->refused_ids[conn->refused_count++] =
+	    g_str_hash(conn->call->attempt_id);
+	if (conn->refused_count == REFUSED_IDS_MAX)
+		conn->no_reuse = true;
+}
+
+/*
+ * True where the server has refused the attempt id on the connection. If the
+ * client repeats the id, a second copy of that refusal could not be told from
+ * the response.
+ */
+static bool
+has_refused(const upstream_conn_t *conn, const char *attempt_id)
+{
+	guint hash = attempt_id == NULL ? 0 : g_str_hash(attempt_id);
+
+	for (unsigned i = 0; attempt_id != NULL && i < conn->refused_count; i++)
+		if (conn->refused_ids[i] == hash)
+			return true;
+	return false;
+}
+
 static bool
 on_head(const http1_head_t *head, void *data)
 {
@@ -125,8 +169,7 @@
 	if (call == NULL)
 		return false;
 	platform_read_response(head, &facts);
-	if (call->attempt_id != NULL && facts.attempt_id != NULL &&
-	    strcmp(facts.attempt_id, call->attempt_id) != 0) {
+	if (is_foreign(call, &facts)) {
 		conn->discarding = true;
 		conn->no_reuse = true;
 		return true;
@@ -138,6 +181,8 @@
 	if (call->attempt_id != NULL && facts.attempt_id == NULL &&
 	    (conn->reused || head->status < 300))
 		return false;
+	if (facts.not_run)
+		note_refusal(conn);
 	if (call->request.is_head_request)
 		http1_reader_expect_no_body(conn->reader);
 	if (!head->keep_alive)
@@ -324,9 +369,12 @@
 	return conn;
 }
 
-/* Takes the most recently used idle connection; NULL if it is too old. */
+/*
+ * Takes the most recently used idle connection; NULL if it is too old, or the
+ * response on it might be mistaken.
+ */
 static upstream_conn_t *
-take_idle(upstream_t *upstream, int64_t reuse_idle_max_ms)
+take_idle(upstream_t *upstream, const upstream_request_t *request)
 {
 	upstream_conn_t *conn = TAILQ_LAST(&upstream->idle, conn_list);
 	int64_t idle_ms;
@@ -334,7 +382,9 @@
 	if (conn == NULL)
 		return NULL;
 	idle_ms = clock_boot_ms() - conn->idle_since_ms;
-	if (idle_ms > reuse_idle_max_ms || idle_ms >= conn->idle_limit_ms)
+	if (idle_ms > request->reuse_idle_max_ms ||
+	    idle_ms >= conn->idle_limit_ms ||
+	    has_refused(conn, request->attempt_id))
 		return NULL;
 	TAILQ_REMOVE(&upstream->idle, conn, entries);
 	conn->idle = false;
@@ -373,7 +423,7 @@
 upstream_call_start(upstream_t *upstream, unsigned connections_max,
     const upstream_request_t *request)
 {
-	upstream_conn_t *conn = take_idle(upstream, request->reuse_idle_max_ms);
+	upstream_conn_t *conn = take_idle(upstream, request);
 	upstream_call_t *call;
 
 	if (conn == NULL && connections_max > 0 &&
