Keep errors of the next server out of a stream that has begun

Cause: the status alone decided whether a body is part of the stream, and a proper end of the framing was taken for the end of the stream. Ruled out: failure statuses and second heads, which eleven cases of the test show to be kept out.

A stream that ends inside an event has broken off, whatever its framing; a response of another media type is no stream. A failed resume is not read to its end but tried at the next server, or the client's stream is cut.

--- a/src/event_stream.c
+++ b/src/event_stream.c
@@ -182,5 +182,5 @@
 bool
 event_stream_has_partial_event(const event_stream_t *stream)
 {
-	return stream->buffer->len > 0;
+	return !is_comment(stream->buffer->str, stream->buffer->len);
 }
--- a/src/event_stream.h
+++ b/src/event_stream.h
@@ -45,7 +45,7 @@
 /* Id of the last event taken that had one; borrowed, NULL if there was none. */
 const char *event_stream_last_id(const event_stream_t *stream);
 
-/* True where bytes after the last complete event have been fed. */
+/* True where more than a comment has been fed after the last whole event. */
 bool event_stream_has_partial_event(const event_stream_t *stream);
 
 #endif
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -46,9 +46,8 @@
 	    .priority = req->service != NULL && req->service->is_engine
 			    ? engine_priority(req)
 			    : -1,
-	    .last_event_id = req->response_started
-				 ? event_stream_last_id(req->events)
-				 : NULL,
+	    .last_event_id =
+		req->stream_started ? event_stream_last_id(req->events) : NULL,
 	    .moved_from = req->migration.kv_location,
 	    .body_length = body->len,
 	    .has_body = body->len > 0 || head->has_length,
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -164,6 +164,14 @@
 	proxy_finish(req);
 }
 
+/* True where the response to the current attempt is a stream of events. */
+static bool
+is_event_stream(const proxy_request_t *req)
+{
+	return req->events != NULL && req->status == 200 &&
+	       !req->response.no_events;
+}
+
 /* Forwards the events that are complete. */
 static void
 forward_events(proxy_request_t *req)
@@ -177,6 +185,7 @@
 		exchange_start(req->exchange, req->response_head,
 		    client_length(req, EXCHANGE_CHUNKED));
 		req->response_started = true;
+		req->stream_started = true;
 		req->self_delimited = req->response_head->has_length;
 	}
 	exchange_write(req->exchange, out->str, out->len);
@@ -328,10 +337,6 @@
 static void
 handle_started_complete(proxy_request_t *req)
 {
-	if (req->events != NULL) {
-		proxy_respond(req, 502, -1, "resume_failed");
-		return;
-	}
 	proxy_log_end(req, req->status, "served");
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	exchange_end(req->exchange);
@@ -345,7 +350,7 @@
 	 * The client expects a delimited end, but this response ends with its
 	 * connection and may be truncated.
 	 */
-	if (req->response_started && req->self_delimited &&
+	if (req->stream_started && req->self_delimited &&
 	    !req->response_head->has_length)
 		proxy_respond(req, 502, -1, "unframed_resume");
 	else
@@ -357,8 +362,7 @@
 handle_broken(
     proxy_request_t *req, server_outcome_t outcome, const char *reason)
 {
-	bool is_truncated = req->response_started &&
-			    (req->events == NULL || req->status != 200);
+	bool is_truncated = req->response_started && !req->stream_started;
 
 	if (req->awaiting_response)
 		count_usage(req);
@@ -374,15 +378,14 @@
 }
 
 /*
- * True for a stream that ends with its server's connection, which was closed
- * before the first event or inside one.
+ * True for a stream that has ended inside an event or, where it ends with its
+ * server's connection, before the first one.
  */
 static bool
 is_cut_off(const proxy_request_t *req)
 {
-	return !req->response_head->has_length &&
-	       (req->first_byte_ms == 0 ||
-		   event_stream_has_partial_event(req->events));
+	return event_stream_has_partial_event(req->events) ||
+	       (!req->response_head->has_length && req->first_byte_ms == 0);
 }
 
 /* The server has ended a stream. */
@@ -390,7 +393,8 @@
 handle_stream_end(proxy_request_t *req)
 {
 	if (is_cut_off(req)) {
-		record_crash(req);
+		if (!req->response_head->has_length)
+			record_crash(req);
 		handle_broken(req, SERVER_FAILED, "stream ended early");
 		return;
 	}
@@ -402,14 +406,19 @@
 static void
 handle_complete(proxy_request_t *req)
 {
-	if (req->response.not_run && !req->response_started) {
+	if (req->response.not_run &&
+	    (!req->response_started || req->stream_started)) {
 		handle_not_run(req);
 		return;
 	}
-	if (req->events != NULL && req->status == 200) {
+	if (is_event_stream(req)) {
 		handle_stream_end(req);
 		return;
 	}
+	if (req->stream_started) {
+		handle_broken(req, SERVER_FAILED, "resume failed");
+		return;
+	}
 	if (req->response_started) {
 		handle_started_complete(req);
 		return;
@@ -433,6 +442,27 @@
 	handle_broken(req, SERVER_FAILED, reason);
 }
 
+/* Does not wait for the end of a refusal's body. */
+static void
+abandon_refusal(proxy_request_t *req)
+{
+	proxy_cancel_call(req);
+	handle_not_run(req);
+}
+
+/*
+ * The server that is to resume a stream sends another body. It is not waited
+ * for, as it may have no end.
+ */
+static void
+handle_failed_resume(proxy_request_t *req)
+{
+	if (req->response.not_run)
+		abandon_refusal(req);
+	else
+		abandon_server(req, "resume failed");
+}
+
 /*
  * Bytes that complete no event, and comments, are no progress: a server that
  * sends some now and then may be stalled.
@@ -460,12 +490,14 @@
 {
 	proxy_request_t *req = data;
 
-	if (req->events != NULL && req->status == 200) {
+	if (is_event_stream(req)) {
 		forward_stream(req, bytes, length);
 		return;
 	}
-	if (req->response_started && req->events != NULL)
-		return; /* an error body, not part of the stream */
+	if (req->stream_started) {
+		handle_failed_resume(req);
+		return;
+	}
 	if (req->response_started) {
 		exchange_write(req->exchange, bytes, length);
 		if (exchange_queued_bytes(req->exchange) >
@@ -477,12 +509,10 @@
 	    req->buffered, (const guint8 *)bytes, (guint)length);
 	if (req->buffered->len <= BUFFERED_MAX_BYTES)
 		return;
-	if (req->response.not_run) {
-		proxy_cancel_call(req);
-		handle_not_run(req);
-	} else {
+	if (req->response.not_run)
+		abandon_refusal(req);
+	else
 		start_forwarding(req);
-	}
 }
 
 void
@@ -532,7 +562,7 @@
 
 	if (req->call == NULL ||
 	    req->migration.state == PROXY_MIGRATION_COPYING ||
-	    (req->response_started && req->events == NULL) ||
+	    (req->response_started && !req->stream_started) ||
 	    !proxy_take_retry(req))
 		return;
 	if (req->awaiting_response)
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -85,6 +85,7 @@
 	unsigned connect_failures; /* attempts of which nothing was sent */
 	bool may_have_run;	   /* a server may have run the request */
 	bool response_started;	   /* its head was sent to the client */
+	bool stream_started;	   /* and the response is a stream of events */
 	bool self_delimited; /* the client can detect a truncated response */
 	bool finished;
 	event_stream_t *events; /* NULL: not a stream route */
--- a/src/request_facts.h
+++ b/src/request_facts.h
@@ -35,6 +35,7 @@
 	bool not_run;	   /* the server guarantees that it did not run it */
 	bool wrong_server; /* another server has the address now */
 	bool leaving;	   /* the server is about to shut down */
+	bool no_events;	   /* its media type is not that of an event stream */
 	int64_t retry_after_ms; /* of a 503: pause that it asks for; -1: none */
 	int64_t idle_timeout_ms; /* of the connection; -1: not given */
 } response_facts_t;
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -163,6 +163,9 @@
 	RESUMED(
 	    "500 Error", "Content-Length: 22\r\n") "id: 2\ndata: FAULT\n\nxxx",
 	false},
+    {"failure without an end",
+	RESUMED("500 Error", "Transfer-Encoding: chunked\r\n") "5\r\nFAULT\r\n",
+	false},
     {"refusal",
 	RESUMED(
 	    "503 Busy", "X-Not-Executed: 1\r\nContent-Length: 5\r\n") "FAULT",
