--- /dev/null
+++ b/tests/test_http_client.c
@@ -0,0 +1,311 @@
+#include "http_client.h"
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+/*
+ * Calls on a clock that the test advances: clock_gettime() of this program
+ * takes precedence over the C library's, for libuv and libcurl too. Each
+ * reading takes READ_NS, and no time passes in the network.
+ */
+
+enum {
+	READ_NS = 10,
+	NS_PER_MS = 1000000,
+	NS_PER_S = 1000000000,
+	/* A call ends this long after its own timeout at the latest. */
+	OVERDUE_MAX_MS = 150,
+	STEPS_MAX = 20000,
+	CALLS = 300,
+};
+
+static int64_t clock_ns = 1000LL * NS_PER_S;
+/* Each timer expires late by this. */
+static int64_t lateness_ns;
+
+int
+clock_gettime(clockid_t clock, struct timespec *time)
+{
+	(void)clock;
+	clock_ns += READ_NS;
+	time->tv_sec = clock_ns / NS_PER_S;
+	time->tv_nsec = clock_ns % NS_PER_S;
+	return 0;
+}
+
+typedef enum server_kind {
+	SERVER_SILENT,	/* accepts connections and never answers */
+	SERVER_FULL,	/* its queue of connections is full */
+	SERVER_ANSWERS, /* answers each request */
+} server_kind_t;
+
+typedef struct fixture {
+	uv_loop_t loop;
+	http_client_t *client;
+	server_kind_t server;
+	char url[64];
+	int listener;
+	int filler;   /* fills the queue; -1: none */
+	int accepted; /* the last connection; -1: none */
+} fixture_t;
+
+typedef struct call_end {
+	bool ended;
+	int64_t started_ns;
+	int64_t ended_ns;
+	http_outcome_t outcome;
+	unsigned *order; /* ends so far; NULL: not counted */
+	unsigned position;
+} call_end_t;
+
+static fixture_t fixture;
+
+static void
+open_server(server_kind_t server)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+
+	fixture.server = server;
+	fixture.filler = -1;
+	fixture.accepted = -1;
+	fixture.listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	(void)bind(
+	    fixture.listener, (struct sockaddr *)&address, sizeof(address));
+	(void)listen(fixture.listener, server == SERVER_FULL ? 0 : SOMAXCONN);
+	(void)getsockname(
+	    fixture.listener, (struct sockaddr *)&address, &length);
+	g_snprintf(fixture.url, sizeof(fixture.url), "http://127.0.0.1:%d/",
+	    ntohs(address.sin_port));
+	if (server != SERVER_FULL)
+		return;
+	fixture.filler = socket(AF_INET, SOCK_STREAM, 0);
+	(void)connect(
+	    fixture.filler, (struct sockaddr *)&address, sizeof(address));
+}
+
+static void
+setup(server_kind_t server)
+{
+	open_server(server);
+	uv_loop_init(&fixture.loop);
+	fixture.client = http_client_new(&fixture.loop);
+}
+
+static void
+teardown(void)
+{
+	http_client_free(fixture.client);
+	uv_run(&fixture.loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&fixture.loop), 0);
+	close(fixture.listener);
+	if (fixture.filler >= 0)
+		close(fixture.filler);
+	if (fixture.accepted >= 0)
+		close(fixture.accepted);
+}
+
+static void
+on_complete(http_call_t *call, const http_result_t *result, void *data)
+{
+	call_end_t *end = data;
+
+	ck_assert(!end->ended);
+	end->ended = true;
+	end->ended_ns = clock_ns;
+	end->outcome = result->outcome;
+	if (end->order != NULL)
+		end->position = (*end->order)++;
+}
+
+static http_call_t *
+start_call(call_end_t *end, int64_t timeout_ms, int64_t connect_timeout_ms)
+{
+	end->started_ns = clock_ns;
+	return http_call_start(
+	    fixture.client, &(http_call_options_t){.url = fixture.url,
+				.timeout_ms = timeout_ms,
+				.connect_timeout_ms = connect_timeout_ms,
+				.on_complete = on_complete,
+				.data = end});
+}
+
+static void
+answer_requests(void)
+{
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	char request[4096];
+	int fd = accept(fixture.listener, NULL, NULL);
+
+	if (fd >= 0) {
+		if (fixture.accepted >= 0)
+			close(fixture.accepted);
+		fixture.accepted = fd;
+	}
+	if (fixture.accepted >= 0 &&
+	    recv(fixture.accepted, request, sizeof(request), MSG_DONTWAIT) > 0)
+		(void)send(
+		    fixture.accepted, answer, strlen(answer), MSG_NOSIGNAL);
+}
+
+/* Runs the loop once and moves the clock to its next timer. */
+static void
+step(void)
+{
+	int wait_ms;
+
+	uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	if (fixture.server == SERVER_ANSWERS)
+		answer_requests();
+	wait_ms = uv_backend_timeout(&fixture.loop);
+	if (wait_ms != 0 && fixture.server == SERVER_ANSWERS)
+		wait_ms = 1;
+	if (wait_ms != 0)
+		clock_ns += (int64_t)(wait_ms < 0 ? 1 : wait_ms) * NS_PER_MS +
+			    lateness_ns;
+}
+
+static void
+run_until_ended(const call_end_t *end)
+{
+	for (int i = 0; i < STEPS_MAX && !end->ended; i++)
+		step();
+}
+
+static int64_t
+duration_ms(const call_end_t *end)
+{
+	return (end->ended_ns - end->started_ns) / NS_PER_MS;
+}
+
+/*
+ * Guards against a call that never ends: the server is silent, and libcurl
+ * drops the timer of the whole call when that of the connect phase expires less
+ * than 1 ms before it.
+ */
+START_TEST(call_to_a_silent_server_ends)
+{
+	enum { TRIALS = 200, TIMEOUT_MS = 701, CONNECT_MS = 700 };
+
+	setup(SERVER_SILENT);
+	for (int trial = 0; trial < TRIALS; trial++) {
+		call_end_t end = {0};
+
+		lateness_ns = trial * NS_PER_MS / TRIALS;
+		start_call(&end, TIMEOUT_MS, CONNECT_MS);
+		run_until_ended(&end);
+		ck_assert_msg(end.ended, "late by %d us: no end",
+		    (int)(lateness_ns / 1000));
+		ck_assert_int_eq(end.outcome, HTTP_OUTCOME_TIMEOUT);
+		ck_assert_int_ge(duration_ms(&end), TIMEOUT_MS - 1);
+		ck_assert_int_le(
+		    duration_ms(&end), TIMEOUT_MS + OVERDUE_MAX_MS);
+	}
+	teardown();
+}
+END_TEST
+
+/* Guards against a request reported as sent that no connection carried. */
+START_TEST(call_that_cannot_connect_is_not_sent)
+{
+	call_end_t end = {0};
+
+	setup(SERVER_FULL);
+	start_call(&end, 701, 700);
+	run_until_ended(&end);
+	ck_assert(end.ended);
+	ck_assert_int_eq(end.outcome, HTTP_OUTCOME_NOT_SENT);
+	ck_assert_int_le(duration_ms(&end), 701 + OVERDUE_MAX_MS);
+	teardown();
+}
+END_TEST
+
+/* Guards against calls that wait for the deadline of another one. */
+START_TEST(each_call_ends_at_its_own_deadline)
+{
+	static call_end_t ends[CALLS];
+	unsigned ended = 0;
+
+	setup(SERVER_SILENT);
+	for (int i = 0; i < CALLS; i++) {
+		/* Timeouts in no order, each with the one 1 ms below it. */
+		int64_t timeout_ms = 300 + i * 7919 % 1000;
+
+		ends[i] = (call_end_t){.order = &ended};
+		start_call(&ends[i], timeout_ms, timeout_ms - 1);
+	}
+	for (int i = 0; i < STEPS_MAX && ended < CALLS; i++)
+		step();
+	for (int i = 0; i < CALLS; i++) {
+		int64_t timeout_ms = 300 + i * 7919 % 1000;
+
+		ck_assert_msg(ends[i].ended, "call %d: no end", i);
+		ck_assert_int_ge(duration_ms(&ends[i]), timeout_ms - 1);
+		ck_assert_int_le(
+		    duration_ms(&ends[i]), timeout_ms + OVERDUE_MAX_MS);
+	}
+	teardown();
+}
+END_TEST
+
+/* Guards against a deadline that ends a call twice, or a later one. */
+START_TEST(answered_call_is_not_ended_by_its_deadline)
+{
+	enum { ANSWERED = 20 };
+
+	setup(SERVER_ANSWERS);
+	for (int i = 0; i < ANSWERED; i++) {
+		call_end_t end = {0};
+
+		start_call(&end, 50, 49);
+		run_until_ended(&end);
+		ck_assert_int_eq(end.outcome, HTTP_OUTCOME_COMPLETE);
+		/* Past the deadline of an ended call. */
+		for (int n = 0; n < 200; n++)
+			step();
+	}
+	teardown();
+}
+END_TEST
+
+/* Guards against the use of a cancelled call when its deadline passes. */
+START_TEST(cancelled_call_has_no_deadline)
+{
+	call_end_t cancelled = {0}, other = {0};
+	http_call_t *call;
+
+	setup(SERVER_SILENT);
+	call = start_call(&cancelled, 100, 99);
+	start_call(&other, 200, 199);
+	step();
+	step();
+	http_call_cancel(call);
+	run_until_ended(&other);
+	ck_assert(other.ended);
+	ck_assert(!cancelled.ended);
+	teardown();
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("http_client");
+	TCase *cases = tcase_create("http_client");
+
+	tcase_set_timeout(cases, 60);
+	tcase_add_test(cases, call_to_a_silent_server_ends);
+	tcase_add_test(cases, call_that_cannot_connect_is_not_sent);
+	tcase_add_test(cases, each_call_ends_at_its_own_deadline);
+	tcase_add_test(cases, answered_call_is_not_ended_by_its_deadline);
+	tcase_add_test(cases, cancelled_call_has_no_deadline);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
