End each call of the HTTP client by a deadline of our own

Cause, in libcurl 7.88.1: as it handles an expired timer of a call, it drops the call's next timer if less than 1 ms is left of it. Ruled out: a timer of libuv that is lost or stale (trials in the evidence of the issue), and our choice of timeouts: 699 and 701 ms, or 201 ms alone, hang as well where a timer fires late.

Each call has one deadline 100 ms after its timeout, in an ordered list with one timer; what passes it ends as a timeout, with the truth on what was sent, is logged and counted.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -293,6 +293,8 @@
 	    log_dropped_count(LOG_LEVEL_WARN);
 	*counter_get(counters, "log_lines_dropped_total{level=\"error\"}") =
 	    log_dropped_count(LOG_LEVEL_ERROR);
+	*counter_get(counters, "platform_calls_overdue_total") =
+	    http_client_overdue_calls(gateway->http);
 	*counter_get(counters, "blocked_prompt_segments") =
 	    crash_guard_blocked_count(
 		gateway->proxy.crash_guard, cluster_wall_ms(gateway->cluster));
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,5 +1,7 @@
 #include "http_client.h"
 
+#include "log.h"
+
 #include <curl/curl.h>
 #include <string.h>
 #include <sys/queue.h>
@@ -8,10 +10,19 @@
 	DEFAULT_CONNECT_TIMEOUT_MS = 2000,
 	CONNECTION_CACHE_MAX = 512,
 	BODY_MAX_BYTES = 32 * 1024 * 1024, /* of a response */
+	/*
+	 * A call that libcurl has not ended this long after its timeout is
+	 * ended here: as libcurl handles one timer of a call, it drops another
+	 * one that has less than 1 ms left.
+	 */
+	OVERDUE_MS = 100,
+	NS_PER_MS = 1000000,
 };
 
 struct http_call {
-	TAILQ_ENTRY(http_call) entries;
+	TAILQ_ENTRY(http_call) entries; /* in client's pending or running */
+	TAILQ_ENTRY(http_call) deadline_entries; /* in client's deadlines */
+	int64_t deadline_ms;			 /* now_ms(); 0: none */
 	http_client_t *client;
 	CURL *easy;
 	struct curl_slist *headers;
@@ -30,6 +41,10 @@
 	CURLM *multi;
 	TAILQ_HEAD(, http_call) pending;
 	TAILQ_HEAD(, http_call) running;
+	/* Running calls with a timeout, the first to end first. */
+	TAILQ_HEAD(http_call_list, http_call) deadlines;
+	uv_timer_t deadline_timer; /* active while there are deadlines */
+	uint64_t overdue_calls;
 	unsigned open_handles;
 	bool closing;
 };
@@ -53,9 +68,29 @@
 	release_client(handle->data);
 }
 
+static int64_t
+now_ms(void)
+{
+	return (int64_t)(uv_hrtime() / NS_PER_MS);
+}
+
+static void
+clear_deadline(http_call_t *call)
+{
+	http_client_t *client = call->client;
+
+	if (call->deadline_ms == 0)
+		return;
+	TAILQ_REMOVE(&client->deadlines, call, deadline_entries);
+	call->deadline_ms = 0;
+	if (TAILQ_EMPTY(&client->deadlines))
+		uv_timer_stop(&client->deadline_timer);
+}
+
 static void
 call_free(http_call_t *call)
 {
+	clear_deadline(call);
 	if (call->in_multi) {
 		curl_multi_remove_handle(call->client->multi, call->easy);
 		TAILQ_REMOVE(&call->client->running, call, entries);
@@ -216,6 +251,67 @@
 	return 0;
 }
 
+static void on_deadline(uv_timer_t *timer);
+
+/* Sets the timer to the first deadline. */
+static void
+start_deadline_timer(http_client_t *client)
+{
+	int64_t loop_ms = (int64_t)uv_now(client->loop);
+	const http_call_t *first = TAILQ_FIRST(&client->deadlines);
+
+	if (first != NULL)
+		uv_timer_start(&client->deadline_timer, on_deadline,
+		    (uint64_t)MAX(first->deadline_ms - loop_ms, 0), 0);
+}
+
+static void
+end_overdue_call(http_call_t *call)
+{
+	char *url = NULL;
+
+	call->client->overdue_calls++;
+	curl_easy_getinfo(call->easy, CURLINFO_EFFECTIVE_URL, &url);
+	log_event(LOG_LEVEL_WARN, "http.call_overdue",
+	    "url=\"%s\" timeout_ms=%" G_GINT64_FORMAT, url == NULL ? "" : url,
+	    call->options.timeout_ms);
+	finish_call(call, CURLE_OPERATION_TIMEDOUT);
+}
+
+static void
+on_deadline(uv_timer_t *timer)
+{
+	http_client_t *client = timer->data;
+	http_call_t *call;
+
+	while (!client->closing &&
+	       (call = TAILQ_FIRST(&client->deadlines)) != NULL &&
+	       call->deadline_ms <= (int64_t)uv_now(client->loop))
+		end_overdue_call(call);
+	start_deadline_timer(client);
+}
+
+static void
+set_deadline(http_call_t *call)
+{
+	http_client_t *client = call->client;
+	http_call_t *before;
+
+	if (call->options.timeout_ms <= 0)
+		return;
+	call->deadline_ms = now_ms() + call->options.timeout_ms + OVERDUE_MS;
+	before = TAILQ_LAST(&client->deadlines, http_call_list);
+	while (before != NULL && before->deadline_ms > call->deadline_ms)
+		before = TAILQ_PREV(before, http_call_list, deadline_entries);
+	if (before != NULL) {
+		TAILQ_INSERT_AFTER(
+		    &client->deadlines, before, call, deadline_entries);
+		return;
+	}
+	TAILQ_INSERT_HEAD(&client->deadlines, call, deadline_entries);
+	start_deadline_timer(client);
+}
+
 static void
 start_pending_calls(uv_idle_t *idle)
 {
@@ -227,6 +323,7 @@
 		TAILQ_REMOVE(&client->pending, call, entries);
 		TAILQ_INSERT_TAIL(&client->running, call, entries);
 		call->in_multi = true;
+		set_deadline(call);
 		curl_multi_add_handle(client->multi, call->easy);
 	}
 	finish_completed_calls(client);
@@ -242,11 +339,14 @@
 	client->multi = curl_multi_init();
 	TAILQ_INIT(&client->pending);
 	TAILQ_INIT(&client->running);
+	TAILQ_INIT(&client->deadlines);
 	uv_timer_init(loop, &client->timer);
+	uv_timer_init(loop, &client->deadline_timer);
 	uv_idle_init(loop, &client->start_idle);
 	client->timer.data = client;
+	client->deadline_timer.data = client;
 	client->start_idle.data = client;
-	client->open_handles = 2;
+	client->open_handles = 3;
 	curl_multi_setopt(
 	    client->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
@@ -271,9 +371,17 @@
 		call_free(call);
 	curl_multi_cleanup(client->multi);
 	uv_close((uv_handle_t *)&client->timer, on_client_handle_closed);
+	uv_close(
+	    (uv_handle_t *)&client->deadline_timer, on_client_handle_closed);
 	uv_close((uv_handle_t *)&client->start_idle, on_client_handle_closed);
 }
 
+uint64_t
+http_client_overdue_calls(const http_client_t *client)
+{
+	return client->overdue_calls;
+}
+
 static size_t
 on_body(char *bytes, size_t size, size_t count, void *data)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -62,6 +62,9 @@
 /* Cancels all calls; their on_complete is not called. */
 void http_client_free(http_client_t *client);
 
+/* Calls that libcurl had not ended some time after their timeout, so far. */
+uint64_t http_client_overdue_calls(const http_client_t *client);
+
 /*
  * Queues a call, which the event loop starts; on_complete is never called from
  * within this function. The URL, headers and body of the options are copied.
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -185,28 +185,35 @@
 	return (end->ended_ns - end->started_ns) / NS_PER_MS;
 }
 
+static const struct timeouts {
+	int64_t timeout_ms;
+	int64_t connect_timeout_ms;
+} timeouts[] = {{701, 700}, {701, 699}, {201, 2000}, {202, 2000}};
+
 /*
  * Guards against a call that never ends: the server is silent, and libcurl
- * drops the timer of the whole call when that of the connect phase expires less
- * than 1 ms before it.
+ * drops the timer of the whole call if less than 1 ms is left as it handles
+ * another one, here that of the connect phase or of the wait for a second
+ * address (200 ms).
  */
 START_TEST(call_to_a_silent_server_ends)
 {
-	enum { TRIALS = 200, TIMEOUT_MS = 701, CONNECT_MS = 700 };
+	enum { TRIALS = 200 };
+	const struct timeouts *pair = &timeouts[_i];
 
 	setup(SERVER_SILENT);
 	for (int trial = 0; trial < TRIALS; trial++) {
 		call_end_t end = {0};
 
 		lateness_ns = trial * NS_PER_MS / TRIALS;
-		start_call(&end, TIMEOUT_MS, CONNECT_MS);
+		start_call(&end, pair->timeout_ms, pair->connect_timeout_ms);
 		run_until_ended(&end);
 		ck_assert_msg(end.ended, "late by %d us: no end",
 		    (int)(lateness_ns / 1000));
 		ck_assert_int_eq(end.outcome, HTTP_OUTCOME_TIMEOUT);
-		ck_assert_int_ge(duration_ms(&end), TIMEOUT_MS - 1);
+		ck_assert_int_ge(duration_ms(&end), pair->timeout_ms - 1);
 		ck_assert_int_le(
-		    duration_ms(&end), TIMEOUT_MS + OVERDUE_MAX_MS);
+		    duration_ms(&end), pair->timeout_ms + OVERDUE_MAX_MS);
 	}
 	teardown();
 }
@@ -301,7 +308,8 @@
 	TCase *cases = tcase_create("http_client");
 
 	tcase_set_timeout(cases, 60);
-	tcase_add_test(cases, call_to_a_silent_server_ends);
+	tcase_add_loop_test(
+	    cases, call_to_a_silent_server_ends, 0, G_N_ELEMENTS(timeouts));
 	tcase_add_test(cases, call_that_cannot_connect_is_not_sent);
 	tcase_add_test(cases, each_call_ends_at_its_own_deadline);
 	tcase_add_test(cases, answered_call_is_not_ended_by_its_deadline);
