Close a client's connection only after what is queued for it

A client that reads slowly got the beginning of a response without framing and an orderly end (MIXED): 2,809,856 of 3,000,000 bytes. Cause: the connection was closed 1 s after the end of the response, whether or not the client had taken what was queued. Ruled out: an early close of the server's connection.

Such a connection stays open until its queue is empty, and counts as open in a planned stop; a client that takes nothing for 5 s is reset.

a_slow_client_gets_the_whole_response failed before.

--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -12,6 +12,8 @@
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
+	/* A client that reads none of the queued bytes for so long is reset. */
+	STALL_MS = 5000,
 	STATUS_BAD_REQUEST = 400,
 	STATUS_TIMEOUT = 408,
 	STATUS_TOO_LARGE = 413,
@@ -73,17 +75,31 @@
 }
 
 void
-http1_server_shutdown_client(client_t *client)
+http1_server_add_status_line(GString *out, unsigned status)
 {
-	conn_shutdown(client->conn);
-	client_remove(client);
+	g_string_append_printf(
+	    out, "HTTP/1.1 %u %s\r\n", status, http1_reason_phrase(status));
+}
+
+static void on_timeout(uv_timer_t *timer);
+
+static void
+start_timer(client_t *client, int64_t timeout_ms)
+{
+	uv_timer_start(&client->timer, on_timeout, (uint64_t)timeout_ms, 0);
 }
 
 void
-http1_server_add_status_line(GString *out, unsigned status)
+http1_server_shutdown_client(client_t *client)
 {
-	g_string_append_printf(
-	    out, "HTTP/1.1 %u %s\r\n", status, http1_reason_phrase(status));
+	client->queued_bytes = conn_queued_bytes(client->conn);
+	if (client->queued_bytes > 0) {
+		client->phase = CLIENT_CLOSING;
+		start_timer(client, STALL_MS);
+		return;
+	}
+	conn_shutdown(client->conn);
+	client_remove(client);
 }
 
 /* Sends an error response to an unreadable request, then closes. */
@@ -99,12 +115,21 @@
 	http1_server_shutdown_client(client);
 }
 
-static void on_timeout(uv_timer_t *timer);
-
+/*
+ * Resets a client that does not read, so that it cannot take what it has for a
+ * complete response.
+ */
 static void
-start_timer(client_t *client, int64_t timeout_ms)
+on_closing_timeout(client_t *client)
 {
-	uv_timer_start(&client->timer, on_timeout, (uint64_t)timeout_ms, 0);
+	size_t queued_bytes = conn_queued_bytes(client->conn);
+
+	if (queued_bytes == client->queued_bytes) {
+		http1_server_reset_client(client);
+		return;
+	}
+	client->queued_bytes = queued_bytes;
+	start_timer(client, STALL_MS);
 }
 
 /* Restarts the timer if the limit was raised while it ran. */
@@ -133,6 +158,9 @@
 	case CLIENT_READING:
 		client_reject(client, STATUS_TIMEOUT);
 		return;
+	case CLIENT_CLOSING:
+		on_closing_timeout(client);
+		return;
 	case CLIENT_BUSY:
 		return;
 	}
@@ -245,6 +273,8 @@
 {
 	client_t *client = data;
 
+	if (client->phase == CLIENT_CLOSING)
+		return;
 	if (client->phase != CLIENT_BUSY) {
 		client_read(client, bytes, length);
 		return;
@@ -266,8 +296,10 @@
 {
 	client_t *client = data;
 
-	if (client->exchange != NULL &&
-	    client->exchange->on_write_queue_empty != NULL)
+	if (client->phase == CLIENT_CLOSING)
+		http1_server_shutdown_client(client);
+	else if (client->exchange != NULL &&
+		 client->exchange->on_write_queue_empty != NULL)
 		client->exchange->on_write_queue_empty(client->exchange->data);
 }
 
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -27,6 +27,7 @@
 	CLIENT_IDLE,	/* no request in progress */
 	CLIENT_READING, /* a request has been read in part */
 	CLIENT_BUSY,	/* the response is not complete */
+	CLIENT_CLOSING, /* to be closed once the queued bytes are sent */
 } client_phase_t;
 
 /* One connection of a client. Freed when its timer handle has been closed. */
@@ -42,6 +43,7 @@
 	GByteArray *pipelined; /* bytes read after the current request */
 	int64_t received_ms;   /* as exchange_received_ms() */
 	int64_t idle_since_ms;
+	size_t queued_bytes; /* while closing, at the last look for a stall */
 	bool body_too_large;
 } client_t;
 
@@ -64,7 +66,10 @@
 void http1_server_close_client(client_t *client);
 /* The same with a reset, which no client takes for the end of a response. */
 void http1_server_reset_client(client_t *client);
-/* Closes and frees it after sending the queued bytes: see conn_shutdown(). */
+/*
+ * Closes and frees it after sending the queued bytes, for as long as the client
+ * reads them: see conn_shutdown().
+ */
 void http1_server_shutdown_client(client_t *client);
 
 /* Waits for the next request; parses the pipelined bytes first. */
--- a/tests/support_wire.c
+++ b/tests/support_wire.c
@@ -56,11 +56,21 @@
 
 int
 wire_connect(const char *address)
+{
+	return wire_connect_slow(address, 0);
+}
+
+int
+wire_connect_slow(const char *address, int receive_bytes)
 {
 	char **host_and_port = g_strsplit(address, ":", 2);
 	struct sockaddr_in socket_address = {.sin_family = AF_INET};
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
+	if (receive_bytes > 0)
+		ck_assert_int_eq(setsockopt(fd, SOL_SOCKET, SO_RCVBUF,
+				     &receive_bytes, sizeof(receive_bytes)),
+		    0);
 	socket_address.sin_port = htons((uint16_t)atoi(host_and_port[1]));
 	ck_assert_int_eq(
 	    inet_pton(AF_INET, host_and_port[0], &socket_address.sin_addr), 1);
--- a/tests/support_wire.h
+++ b/tests/support_wire.h
@@ -24,6 +24,9 @@
 /* Connects to IP:PORT. Returns the socket. */
 int wire_connect(const char *address);
 
+/* The same with a receive buffer of about so many bytes; 0: the default. */
+int wire_connect_slow(const char *address, int receive_bytes);
+
 void wire_send(int fd, const char *text);
 
 /*
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 /*
@@ -21,6 +22,14 @@
 /* For the gateway to read the bytes before the connection ends. */
 enum { READ_US = 50000 };
 
+/* Clients that read nothing for some time. */
+enum {
+	SLOW_US = 1500000,
+	STALLED_US = 6500000,
+	SLOW_CLIENTS = 30,
+	SLOW_STEP_BYTES = 200000,
+};
+
 /* Closes a server's connection with a reset. */
 static void
 reset_connection(int fd)
@@ -142,6 +151,86 @@
 }
 END_TEST
 
+/* Sends a response of so many bytes from a process of its own. */
+static pid_t
+send_from_process(int server, size_t length)
+{
+	char *body;
+	pid_t sender = fork();
+
+	if (sender != 0)
+		return sender;
+	body = g_strnfill(length, 'x');
+	wire_send(server, HEAD);
+	wire_send(server, body);
+	_exit(0);
+}
+
+/* Reads a response and checks that it is whole or was reset; returns which. */
+static bool
+is_reset(int client, size_t length)
+{
+	bool reset;
+	char *response = wire_read_until_closed(client, &reset);
+
+	if (!reset)
+		ck_assert_uint_eq(
+		    strlen(strstr(response, "\r\n\r\n") + 4), length);
+	g_free(response);
+	return reset;
+}
+
+/* Clients that read nothing for a while; returns how many were reset. */
+static unsigned
+run_slow_clients(unsigned long slow_us)
+{
+	char *text = gateway_format_request("/book/a", "id-1", "key-1");
+	int clients[SLOW_CLIENTS];
+	pid_t senders[SLOW_CLIENTS];
+	unsigned resets = 0;
+
+	for (size_t i = 0; i < SLOW_CLIENTS; i++) {
+		int server;
+
+		clients[i] = wire_connect_slow(gateway_node->address, 4096);
+		wire_send(clients[i], text);
+		server = wire_accept(backend_listener_1);
+		g_free(wire_read_message(server));
+		senders[i] =
+		    send_from_process(server, SLOW_STEP_BYTES * (i + 1));
+		close(server);
+	}
+	g_usleep(slow_us);
+	for (size_t i = 0; i < SLOW_CLIENTS; i++) {
+		resets += is_reset(clients[i], SLOW_STEP_BYTES * (i + 1));
+		ck_assert_int_eq(waitpid(senders[i], NULL, 0), senders[i]);
+		close(clients[i]);
+	}
+	g_free(text);
+	return resets;
+}
+
+/*
+ * Guards against a response that is cut, and looks complete, since its client
+ * reads the last part later than the time for which a connection lingers. With
+ * one of the lengths that part is more than the kernel's buffers hold.
+ */
+START_TEST(a_slow_client_gets_the_whole_response)
+{
+	ck_assert_uint_eq(run_slow_clients(SLOW_US), 0);
+}
+END_TEST
+
+/*
+ * Guards against a connection that is kept for ever, or a response that looks
+ * complete, where the client stops reading.
+ */
+START_TEST(a_client_that_does_not_read_is_reset)
+{
+	ck_assert_uint_gt(run_slow_clients(STALLED_US), 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -159,6 +248,8 @@
 	tcase_add_test(
 	    cases, a_reset_response_without_framing_does_not_look_complete);
 	tcase_add_test(cases, a_stream_that_ends_inside_an_event_is_resumed);
+	tcase_add_test(cases, a_slow_client_gets_the_whole_response);
+	tcase_add_test(cases, a_client_that_does_not_read_is_reset);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
