--- a/src/http_client.c
+++ b/src/http_client.c
@@ -43,7 +43,9 @@
 	TAILQ_HEAD(, http_call) running;
 	/* Running calls with a timeout, the first to end first. */
 	TAILQ_HEAD(http_call_list, http_call) deadlines;
-	uv_timer_t deadline_timer; /* active while there are deadlines */
+	/* Does not keep the loop running; may expire before a deadline. */
+	uv_timer_t deadline_timer;
+	int64_t deadline_timer_ms; /* uv_now() at which it expires */
 	uint64_t overdue_calls;
 	unsigned open_handles;
 	bool closing;
@@ -77,14 +79,10 @@
 static void
 clear_deadline(http_call_t *call)
 {
-	http_client_t *client = call->client;
-
 	if (call->deadline_ms == 0)
 		return;
-	TAILQ_REMOVE(&client->deadlines, call, deadline_entries);
+	TAILQ_REMOVE(&call->client->deadlines, call, deadline_entries);
 	call->deadline_ms = 0;
-	if (TAILQ_EMPTY(&client->deadlines))
-		uv_timer_stop(&client->deadline_timer);
 }
 
 static void
@@ -253,16 +251,20 @@
 
 static void on_deadline(uv_timer_t *timer);
 
-/* Sets the timer to the first deadline. */
+/* Lets the timer expire at the first deadline, or earlier if it does so. */
 static void
 start_deadline_timer(http_client_t *client)
 {
-	int64_t loop_ms = (int64_t)uv_now(client->loop);
 	const http_call_t *first = TAILQ_FIRST(&client->deadlines);
+	int64_t loop_ms = (int64_t)uv_now(client->loop);
 
-	if (first != NULL)
-		uv_timer_start(&client->deadline_timer, on_deadline,
-		    (uint64_t)MAX(first->deadline_ms - loop_ms, 0), 0);
+	if (first == NULL ||
+	    (uv_is_active((uv_handle_t *)&client->deadline_timer) &&
+		client->deadline_timer_ms <= first->deadline_ms))
+		return;
+	client->deadline_timer_ms = MAX(first->deadline_ms, loop_ms);
+	uv_timer_start(&client->deadline_timer, on_deadline,
+	    (uint64_t)(client->deadline_timer_ms - loop_ms), 0);
 }
 
 static void
@@ -342,6 +344,7 @@
 	TAILQ_INIT(&client->deadlines);
 	uv_timer_init(loop, &client->timer);
 	uv_timer_init(loop, &client->deadline_timer);
+	uv_unref((uv_handle_t *)&client->deadline_timer);
 	uv_idle_init(loop, &client->start_idle);
 	client->timer.data = client;
 	client->deadline_timer.data = client;
