--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -2,7 +2,6 @@
 
 #include "clock.h"
 #include "log.h"
-#include "proxy_log.h"
 
 enum {
 	/* Responses up to this size are buffered until they are complete. */
@@ -18,125 +17,10 @@
 	 * more than the time to the first event.
 	 */
 	GAP_OBJECTIVES = 2,
-	PERCENT = 100,
 	/* A server that has written for this long survives the prompt. */
 	SURVIVAL_MS = 500,
 };
 
-static void
-count_usage(proxy_request_t *req)
-{
-	if (req->workspace != NULL)
-		usage_count(req->context->usage, req->workspace->name,
-		    cluster_wall_ms(req->context->cluster));
-}
-
-ttft_model_t *
-proxy_ttft_model(const proxy_request_t *req)
-{
-	GHashTable *models = req->context->ttft_models;
-	ttft_model_t *model = g_hash_table_lookup(models, req->service_name);
-
-	if (model == NULL) {
-		model = g_new0(ttft_model_t, 1);
-		g_hash_table_insert(models, g_strdup(req->service_name), model);
-	}
-	return model;
-}
-
-/*
- * Latency recorded for a rollout. For engines it is the percentage of the time
- * expected for the tokens to prefill, so that the empty cache of a new server
- * does not count against its version; for plain services it is ttft_ms.
- */
-static double
-rollout_latency(const proxy_request_t *req, double ttft_ms)
-{
-	double expected_ms;
-
-	if (req->service == NULL || !req->service->is_engine)
-		return ttft_ms;
-	expected_ms =
-	    ttft_model_predict_ms(proxy_ttft_model(req), req->prefill_tokens);
-	return PERCENT * ttft_ms / MAX(expected_ms, 1);
-}
-
-void
-proxy_record_rollout_attempt(proxy_request_t *req, bool ok, double ttft_ms)
-{
-	evidence_attempt_t attempt = {
-	    .version = req->trial.to_new_version ? EVIDENCE_NEW_VERSION
-						 : EVIDENCE_OLD_VERSION,
-	    .new_version_share = req->trial.new_version_share,
-	    .route = req->route->name,
-	    .ok = ok,
-	    .latency_ms = ok ? rollout_latency(req, ttft_ms) : 0,
-	};
-
-	if (req->trial.revision != 0 &&
-	    !(ok && server_is_warming_up(req->server, clock_boot_ms())))
-		rollouts_add_attempt(req->context->rollouts, req->service_name,
-		    req->trial.revision, &attempt);
-}
-
-/* Records the first event of a stream, or the start of a response. */
-static void
-record_first_byte(proxy_request_t *req)
-{
-	int64_t now_ms = clock_boot_ms();
-	double ttft_ms;
-
-	req->may_have_run = true;
-	if (!req->awaiting_response)
-		return;
-	req->first_byte_ms = now_ms;
-	proxy_remove_waiting_prompt(req);
-	count_usage(req);
-	ttft_ms = (double)(now_ms - req->attempt_start_ms);
-	proxy_record_rollout_attempt(req, true, ttft_ms);
-	req->ttft_ms = now_ms - req->received_ms;
-	if (req->service != NULL && req->service->is_engine)
-		ttft_model_add(
-		    proxy_ttft_model(req), req->prefill_tokens, ttft_ms);
-	server_record_outcome(req->server, SERVER_SERVED, ttft_ms, now_ms);
-}
-
-/* Time on which the nodes agree, of a time of this node's clock. */
-static int64_t
-wall_time_ms(const proxy_request_t *req, int64_t boot_ms)
-{
-	return cluster_wall_ms(req->context->cluster) - clock_boot_ms() +
-	       boot_ms;
-}
-
-static void
-record_survival(proxy_request_t *req)
-{
-	if (req->survival_recorded || req->first_byte_ms == 0)
-		return;
-	req->survival_recorded = true;
-	crash_guard_add_survival(req->context->crash_guard, &req->facts,
-	    wall_time_ms(req, req->first_byte_ms));
-}
-
-/*
- * The server closed the connection: it may have crashed as it began to write on
- * the prompt.
- */
-static void
-record_crash(proxy_request_t *req)
-{
-	crash_guard_attempt_t attempt = {
-	    .facts = &req->facts,
-	    .process = server_process_hash(req->server->info),
-	    .sent_ms = wall_time_ms(req, req->attempt_start_ms),
-	};
-
-	if (!req->survival_recorded)
-		crash_guard_add_crash(req->context->crash_guard, &attempt,
-		    cluster_wall_ms(req->context->cluster));
-}
-
 /*
  * Framing of the response to the client: length, which may be
  * EXCHANGE_CHUNKED, or EXCHANGE_CLOSE_DELIMITED where the server's response is
@@ -180,7 +64,7 @@
 
 	if (out == NULL)
 		return;
-	record_first_byte(req);
+	proxy_record_first_byte(req);
 	if (!req->response_started) {
 		exchange_start(req->exchange, req->response_head,
 		    client_length(req, EXCHANGE_CHUNKED));
@@ -238,7 +122,7 @@
 static void
 start_forwarding(proxy_request_t *req)
 {
-	record_first_byte(req);
+	proxy_record_first_byte(req);
 	exchange_start(req->exchange, req->response_head,
 	    client_length(req, EXCHANGE_CHUNKED));
 	req->response_started = true;
@@ -247,25 +131,6 @@
 	g_byte_array_set_size(req->buffered, 0);
 }
 
-static void
-log_attempt_failure(proxy_request_t *req, const char *reason, bool sent)
-{
-	const server_t *server = req->server;
-	proxy_attempt_failure_t failure = {
-	    .attempt_id = req->facts.attempt_id,
-	    .server = server->info->id,
-	    .reason = reason,
-	    .attempt_number = req->tried->len,
-	    .sent = sent,
-	    .elapsed_ms = clock_boot_ms() - req->attempt_start_ms,
-	    .failure_rate = server->failure_rate,
-	    .in_flight = server_in_flight(server),
-	    .facts = &req->facts,
-	};
-
-	proxy_log_attempt_failure(req->context->counters, &failure);
-}
-
 /* Retries at another server; drops what this one sent. */
 static void
 retry_request(proxy_request_t *req)
@@ -282,7 +147,7 @@
 static void
 handle_not_run(proxy_request_t *req)
 {
-	log_attempt_failure(req, "refused as not run", true);
+	proxy_record_failure(req, "refused as not run", true);
 	server_record_outcome(req->server,
 	    req->response.wrong_server ? SERVER_UNREACHABLE : SERVER_FULL, 0,
 	    clock_boot_ms());
@@ -321,8 +186,8 @@
 handle_server_error(proxy_request_t *req)
 {
 	if (req->awaiting_response)
-		count_usage(req);
-	log_attempt_failure(req, "server error", true);
+		proxy_count_usage(req);
+	proxy_record_failure(req, "server error", true);
 	proxy_record_rollout_attempt(req, false, 0);
 	server_record_outcome(req->server, SERVER_FAILED, 0, clock_boot_ms());
 	if (catalog_may_retry(req->route) && proxy_take_retry(req))
@@ -365,9 +230,9 @@
 	bool is_truncated = req->response_started && !req->stream_started;
 
 	if (req->awaiting_response)
-		count_usage(req);
+		proxy_count_usage(req);
 	req->may_have_run = true;
-	log_attempt_failure(req, reason, true);
+	proxy_record_failure(req, reason, true);
 	proxy_record_rollout_attempt(req, false, 0);
 	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
 	if (!is_truncated && catalog_may_retry(req->route) &&
@@ -394,12 +259,12 @@
 {
 	if (is_cut_off(req)) {
 		if (!req->response_head->has_length)
-			record_crash(req);
+			proxy_record_crash(req);
 		handle_broken(req, SERVER_FAILED, "stream ended early");
 		return;
 	}
-	record_first_byte(req);
-	record_survival(req);
+	proxy_record_first_byte(req);
+	proxy_record_survival(req);
 	handle_stream_complete(req);
 }
 
@@ -428,7 +293,7 @@
 		handle_server_error(req);
 		return;
 	}
-	record_first_byte(req);
+	proxy_record_first_byte(req);
 	send_buffered(req);
 }
 
@@ -479,7 +344,7 @@
 	forward_events(req);
 	if (req->first_byte_ms != 0 &&
 	    clock_boot_ms() - req->first_byte_ms >= SURVIVAL_MS)
-		record_survival(req);
+		proxy_record_survival(req);
 	if (event_stream_event_count(req->events) > count)
 		proxy_start_idle_timer(
 		    req, GAP_OBJECTIVES * req->route->gap_objective_ms);
@@ -519,7 +384,7 @@
 proxy_handle_not_sent(
     proxy_request_t *req, server_outcome_t outcome, const char *reason)
 {
-	log_attempt_failure(req, reason, false);
+	proxy_record_failure(req, reason, false);
 	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
 	proxy_release_server(req);
 	g_ptr_array_set_size(req->tried, (gint)req->tried->len - 1);
@@ -549,7 +414,7 @@
 		if (proxy_migration_handle_close(req))
 			return;
 		if (end == UPSTREAM_CLOSED)
-			record_crash(req);
+			proxy_record_crash(req);
 		handle_broken(req, SERVER_FAILED, reason);
 		return;
 	}
@@ -566,9 +431,9 @@
 	    !proxy_take_retry(req))
 		return;
 	if (req->awaiting_response)
-		count_usage(req);
+		proxy_count_usage(req);
 	req->may_have_run = true;
-	log_attempt_failure(req, "silent", true);
+	proxy_record_failure(req, "silent", true);
 	proxy_record_rollout_attempt(req, false, 0);
 	server_record_outcome(
 	    req->server, SERVER_UNREACHABLE, 0, clock_boot_ms());
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -9,8 +9,8 @@
 /*
  * State of a request being proxied, shared by the files that implement it:
  * proxy.c accepts and ends requests, proxy_attempt.c sends them to backend
- * servers, proxy_response.c forwards the responses, proxy_migrate.c migrates
- * running streams to other engines.
+ * servers, proxy_response.c forwards the responses, proxy_record.c records what
+ * they show, proxy_migrate.c migrates running streams to other engines.
  */
 
 enum {
@@ -135,7 +135,9 @@
 /* Sends the request to choice->server, which is borrowed. */
 void proxy_send(proxy_request_t *req, const pick_choice_t *choice);
 
-/* proxy_response.c */
+/* proxy_record.c: what an attempt shows of its server and its prompt. */
+/* Counts the request as use of its workspace. */
+void proxy_count_usage(proxy_request_t *req);
 /* The service's model of the time to first token; created on first use. */
 ttft_model_t *proxy_ttft_model(const proxy_request_t *req);
 /*
@@ -144,6 +146,19 @@
  */
 void proxy_record_rollout_attempt(
     proxy_request_t *req, bool ok, double ttft_ms);
+/* Records the first event of a stream, or the start of a response. */
+void proxy_record_first_byte(proxy_request_t *req);
+/* The server has written on the prompt for a while. */
+void proxy_record_survival(proxy_request_t *req);
+/*
+ * The server closed the connection: it may have crashed as it began to write on
+ * the prompt.
+ */
+void proxy_record_crash(proxy_request_t *req);
+/* Logs and counts a failed attempt; sent: the server may have received it. */
+void proxy_record_failure(proxy_request_t *req, const char *reason, bool sent);
+
+/* proxy_response.c */
 /*
  * Starts the timer that retries the request at another server when this one
  * has sent nothing for a multiple of objective_ms. 0: no timer. Does nothing
