Keep the first crashes of a segment where many servers crash a second

Each node blocked and unblocked the segment some nine times in 5 s. Cause: of each segment the latest 32 crashes are kept; at 60 a second they span half a second, and a block needs crashes over 1.5 s. Ruled out: survivals of deadly prompts (both segments of the prompts flip together, without a survival between).

A full list now drops crashes that no longer count, else the last but one, so that the first ones stay and show for how long servers have crashed.

many_crashes_a_second_block_the_segment failed before (not blocked 2,010 ms after the first crash).

--- a/src/crash_guard.c
+++ b/src/crash_guard.c
@@ -14,7 +14,7 @@
 	/* Crashes of a segment that is not blocked are forgotten after this. */
 	CRASH_MEMORY_MS = 2 * 60 * 1000,
 	SEGMENTS_MAX = 2048,
-	CRASHES_MAX = 32, /* latest ones kept of each segment */
+	CRASHES_MAX = 32, /* kept of each segment */
 	/* Of a digest, which has to fit into one datagram. */
 	DIGEST_CRASHES_MAX = 48,
 	DIGEST_SURVIVALS_MAX = 24,
@@ -59,10 +59,8 @@
 }
 
 static void
-remove_oldest_crash(segment_t *segment)
+remove_crash(segment_t *segment, crash_t *crash)
 {
-	crash_t *crash = TAILQ_FIRST(&segment->crashes);
-
 	TAILQ_REMOVE(&segment->crashes, crash, entries);
 	segment->crash_count--;
 	g_free(crash);
@@ -72,7 +70,7 @@
 remove_segment(crash_guard_t *guard, segment_t *segment)
 {
 	while (segment->crash_count > 0)
-		remove_oldest_crash(segment);
+		remove_crash(segment, TAILQ_FIRST(&segment->crashes));
 	g_hash_table_remove(guard->by_id, &segment->id);
 	TAILQ_REMOVE(&guard->segments, segment, entries);
 	g_free(segment);
@@ -164,6 +162,23 @@
 		TAILQ_INSERT_AFTER(&segment->crashes, after, crash, entries);
 }
 
+/*
+ * Makes room for further crashes: removes the oldest one if it no longer
+ * counts, else the last but one, since the others show for how long servers
+ * have crashed.
+ */
+static void
+thin_out_crashes(segment_t *segment)
+{
+	crash_t *oldest = TAILQ_FIRST(&segment->crashes);
+	crash_t *newest = TAILQ_LAST(&segment->crashes, crash_list);
+
+	if (oldest->crashed_ms <= segment->survived_ms)
+		remove_crash(segment, oldest);
+	else
+		remove_crash(segment, TAILQ_PREV(newest, crash_list, entries));
+}
+
 /*
  * Keeps the latest crash of each process: every node reports the same one, and
  * a process that resets connections without a crash counts once. False where
@@ -185,7 +200,7 @@
 	*crash = *values;
 	insert_crash(segment, crash);
 	if (segment->crash_count > CRASHES_MAX)
-		remove_oldest_crash(segment);
+		thin_out_crashes(segment);
 	return true;
 }
 
--- a/tests/test_crash_guard.c
+++ b/tests/test_crash_guard.c
@@ -263,6 +263,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a block that never comes, or ends, in a large fleet: so many
+ * servers crash a second that the list of the latest crashes is shorter than
+ * the time which a block needs.
+ */
+START_TEST(many_crashes_a_second_block_the_segment)
+{
+	enum { CRASH_MS = 15, SERVERS = 400 };
+	request_facts_t deadly = prompt(FIRST, DEADLY, 0);
+
+	for (uint32_t i = 0; i < SERVERS; i++) {
+		int64_t now_ms = NOW_MS + (int64_t)i * CRASH_MS;
+
+		crash(guard, &deadly, i + 1, now_ms - FLIGHT_MS, now_ms);
+		if (now_ms - NOW_MS > 2000)
+			ck_assert_msg(is_blocked(&deadly, now_ms),
+			    "not blocked %d ms after the first crash",
+			    (int)(now_ms - NOW_MS));
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -283,6 +305,7 @@
 	tcase_add_test(cases, nodes_pool_the_crashes_that_they_see);
 	tcase_add_test(cases, a_node_that_starts_learns_of_blocked_segments);
 	tcase_add_test(cases, old_crashes_and_blocks_end);
+	tcase_add_test(cases, many_crashes_a_second_block_the_segment);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
