End a stream's migration with the attempt that it belongs to

A resumed stream was torn from its server and sent on without need: its source had broken off inside an event while it copied the stream's memory, the stream was resumed elsewhere, and the copy, complete later, moved it once more, with an address that is not the source's.

retry_request() ends the migration, the call and the idle timer for all paths; two functions that did parts of it are gone. A refusal is no event stream.

copy_of_a_broken_source_does_not_move_the_resumed_stream failed before. The other cases of test_stream_moves, test_unframed, test_endless and test_late_answer pass.

--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -206,4 +206,6 @@
 	if (migration->response != NULL)
 		g_string_free(migration->response, TRUE);
 	migration->response = NULL;
+	if (migration->state != PROXY_MIGRATION_NONE)
+		migration->state = PROXY_MIGRATION_ENDED;
 }
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -53,7 +53,7 @@
 is_event_stream(const proxy_request_t *req)
 {
 	return req->events != NULL && req->status == 200 &&
-	       !req->response.no_events;
+	       !req->response.no_events && !req->response.not_run;
 }
 
 /* Forwards the events that are complete. */
@@ -131,11 +131,13 @@
 	g_byte_array_set_size(req->buffered, 0);
 }
 
-/* Retries at another server; drops what this one sent. */
+/* Retries at another server; drops what this one sent, and its migration. */
 static void
 retry_request(proxy_request_t *req)
 {
 	proxy_cancel_call(req);
+	proxy_migration_clear(req);
+	uv_timer_stop(&req->idle_timer);
 	proxy_release_server(req);
 	g_byte_array_set_size(req->buffered, 0);
 	if (req->events != NULL)
@@ -268,26 +270,38 @@
 	handle_stream_complete(req);
 }
 
+/*
+ * The server that is to resume a stream sends another body. It is not waited
+ * for, as it may have no end.
+ */
 static void
-handle_complete(proxy_request_t *req)
+handle_failed_resume(proxy_request_t *req)
 {
-	if (req->response.not_run &&
-	    (!req->response_started || req->stream_started)) {
+	if (req->response.not_run)
 		handle_not_run(req);
-		return;
-	}
+	else
+		handle_broken(req, SERVER_FAILED, "resume failed");
+}
+
+static void
+handle_complete(proxy_request_t *req)
+{
 	if (is_event_stream(req)) {
 		handle_stream_end(req);
 		return;
 	}
 	if (req->stream_started) {
-		handle_broken(req, SERVER_FAILED, "resume failed");
+		handle_failed_resume(req);
 		return;
 	}
 	if (req->response_started) {
 		handle_started_complete(req);
 		return;
 	}
+	if (req->response.not_run) {
+		handle_not_run(req);
+		return;
+	}
 	req->may_have_run = true;
 	if (req->status >= 500 || implies_not_run(req->status)) {
 		handle_server_error(req);
@@ -297,37 +311,6 @@
 	send_buffered(req);
 }
 
-/* Ends the attempt at a server whose response cannot be used. */
-static void
-abandon_server(proxy_request_t *req, const char *reason)
-{
-	proxy_cancel_call(req);
-	proxy_migration_clear(req);
-	uv_timer_stop(&req->idle_timer);
-	handle_broken(req, SERVER_FAILED, reason);
-}
-
-/* Does not wait for the end of a refusal's body. */
-static void
-abandon_refusal(proxy_request_t *req)
-{
-	proxy_cancel_call(req);
-	handle_not_run(req);
-}
-
-/*
- * The server that is to resume a stream sends another body. It is not waited
- * for, as it may have no end.
- */
-static void
-handle_failed_resume(proxy_request_t *req)
-{
-	if (req->response.not_run)
-		abandon_refusal(req);
-	else
-		abandon_server(req, "resume failed");
-}
-
 /*
  * Bytes that complete no event, and comments, are no progress: a server that
  * sends some now and then may be stalled.
@@ -338,7 +321,7 @@
 	uint64_t count = event_stream_event_count(req->events);
 
 	if (!event_stream_feed(req->events, bytes, length)) {
-		abandon_server(req, "oversized event");
+		handle_broken(req, SERVER_FAILED, "oversized event");
 		return;
 	}
 	forward_events(req);
@@ -375,7 +358,7 @@
 	if (req->buffered->len <= BUFFERED_MAX_BYTES)
 		return;
 	if (req->response.not_run)
-		abandon_refusal(req);
+		handle_not_run(req);
 	else
 		start_forwarding(req);
 }
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -180,7 +180,8 @@
  * progress and continues the stream.
  */
 bool proxy_migration_handle_close(proxy_request_t *req);
-/* Cancels a migration in progress and frees its members. */
+/* Ends a migration in progress, which is not repeated, and frees its members.
+ */
 void proxy_migration_clear(proxy_request_t *req);
 
 #endif
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -338,6 +338,47 @@
 }
 END_TEST
 
+/*
+ * Guards against a stream that is torn from the server which resumes it: its
+ * source broke off inside an event while it copied the stream's memory, and the
+ * copy is complete after another server has taken over.
+ */
+START_TEST(copy_of_a_broken_source_does_not_move_the_resumed_stream)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/talk/a", backend_listener_2);
+	int port, listener = wire_listen(&port), copy, server;
+	char *request, *response;
+
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "data: a\n\n"));
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	request = wire_read_message(copy);
+	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
+	g_free(request);
+	wire_send(exchange.server_fd, "5\r\nid: 2\r\n0\r\n\r\n");
+	server = wire_accept(listener);
+	request = wire_read_message(server);
+	wire_assert_header(request, "Last-Event-Id", "1");
+	wire_assert_header(request, "Kv-From", NULL);
+	g_free(request);
+	wire_send(copy, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			"{\"handle\": 7,\"created\": 1}");
+	ck_assert(!wire_wait_connection(listener, 500));
+	wire_send(server, STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(exchange.client_fd, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	g_free(response);
+	close(copy);
+	close(server);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -356,6 +397,8 @@
 	    G_N_ELEMENTS(bad_resumes));
 	tcase_add_test(cases, a_stream_migrates_from_a_draining_engine);
 	tcase_add_test(cases, late_response_does_not_end_a_migration);
+	tcase_add_test(
+	    cases, copy_of_a_broken_source_does_not_move_the_resumed_stream);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
