--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -144,8 +144,7 @@
 {
 	return req->migration.state == PROXY_MIGRATION_NONE &&
 	       req->server != NULL && req->call != NULL &&
-	       req->response_started && req->self_delimited &&
-	       req->events != NULL && req->service != NULL &&
+	       req->self_delimited && req->service != NULL &&
 	       req->service->can_migrate && req->server->shutdown_at_ms != 0 &&
 	       now_ms >= req->server->shutdown_at_ms - BEFORE_LEAVE_MS;
 }
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -5,8 +5,8 @@
 
 enum { PERCENT = 100 };
 
-void
-proxy_count_usage(proxy_request_t *req)
+static void
+count_usage(proxy_request_t *req)
 {
 	if (req->workspace != NULL)
 		usage_count(req->context->usage, req->workspace->name,
@@ -72,7 +72,7 @@
 		return;
 	req->first_byte_ms = now_ms;
 	proxy_remove_waiting_prompt(req);
-	proxy_count_usage(req);
+	count_usage(req);
 	ttft_ms = (double)(now_ms - req->attempt_start_ms);
 	proxy_record_rollout_attempt(req, true, ttft_ms);
 	req->ttft_ms = now_ms - req->received_ms;
@@ -132,3 +132,15 @@
 
 	proxy_log_attempt_failure(req->context->counters, &failure);
 }
+
+void
+proxy_record_failed_attempt(
+    proxy_request_t *req, server_outcome_t outcome, const char *reason)
+{
+	if (req->awaiting_response)
+		count_usage(req);
+	req->may_have_run = true;
+	proxy_record_failure(req, reason, true);
+	proxy_record_rollout_attempt(req, false, 0);
+	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
+}
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -187,11 +187,7 @@
 static void
 handle_server_error(proxy_request_t *req)
 {
-	if (req->awaiting_response)
-		proxy_count_usage(req);
-	proxy_record_failure(req, "server error", true);
-	proxy_record_rollout_attempt(req, false, 0);
-	server_record_outcome(req->server, SERVER_FAILED, 0, clock_boot_ms());
+	proxy_record_failed_attempt(req, SERVER_FAILED, "server error");
 	if (catalog_may_retry(req->route) && proxy_take_retry(req))
 		retry_request(req);
 	else if (implies_not_run(req->status) && !catalog_may_retry(req->route))
@@ -217,8 +213,7 @@
 	 * The client expects a delimited end, but this response ends with its
 	 * connection and may be truncated.
 	 */
-	if (req->stream_started && req->self_delimited &&
-	    !req->response_head->has_length)
+	if (req->self_delimited && !req->response_head->has_length)
 		proxy_respond(req, 502, -1, "unframed_resume");
 	else
 		end_stream(req);
@@ -231,12 +226,7 @@
 {
 	bool is_truncated = req->response_started && !req->stream_started;
 
-	if (req->awaiting_response)
-		proxy_count_usage(req);
-	req->may_have_run = true;
-	proxy_record_failure(req, reason, true);
-	proxy_record_rollout_attempt(req, false, 0);
-	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
+	proxy_record_failed_attempt(req, outcome, reason);
 	if (!is_truncated && catalog_may_retry(req->route) &&
 	    proxy_take_retry(req))
 		retry_request(req);
@@ -413,12 +403,6 @@
 	    (req->response_started && !req->stream_started) ||
 	    !proxy_take_retry(req))
 		return;
-	if (req->awaiting_response)
-		proxy_count_usage(req);
-	req->may_have_run = true;
-	proxy_record_failure(req, "silent", true);
-	proxy_record_rollout_attempt(req, false, 0);
-	server_record_outcome(
-	    req->server, SERVER_UNREACHABLE, 0, clock_boot_ms());
+	proxy_record_failed_attempt(req, SERVER_UNREACHABLE, "silent");
 	retry_request(req);
 }
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -86,7 +86,7 @@
 	bool may_have_run;	   /* a server may have run the request */
 	bool response_started;	   /* its head was sent to the client */
 	bool stream_started;	   /* and the response is a stream of events */
-	bool self_delimited; /* the client can detect a truncated response */
+	bool self_delimited; /* the client can detect a truncated stream */
 	bool finished;
 	event_stream_t *events; /* NULL: not a stream route */
 } proxy_request_t;
@@ -136,8 +136,6 @@
 void proxy_send(proxy_request_t *req, const pick_choice_t *choice);
 
 /* proxy_record.c: what an attempt shows of its server and its prompt. */
-/* Counts the request as use of its workspace. */
-void proxy_count_usage(proxy_request_t *req);
 /* The service's model of the time to first token; created on first use. */
 ttft_model_t *proxy_ttft_model(const proxy_request_t *req);
 /*
@@ -157,6 +155,9 @@
 void proxy_record_crash(proxy_request_t *req);
 /* Logs and counts a failed attempt; sent: the server may have received it. */
 void proxy_record_failure(proxy_request_t *req, const char *reason, bool sent);
+/* The same for an attempt that may have run, with its outcome at the server. */
+void proxy_record_failed_attempt(
+    proxy_request_t *req, server_outcome_t outcome, const char *reason);
 
 /* proxy_response.c */
 /*
