Test that a client which does not read is closed by the bound itself

a_client_that_does_not_read_is_reset also passed without the bound of 5 s, as the deadline of the unfinished requests resets some clients before. It reads the gateway's connections now: 0 with the bound, 1 with a bound of 500 s (failed as wanted). The test of slow clients checks that some were slow enough.

--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -14,6 +14,7 @@
 	PORTS_FIRST = 20000,
 	PORTS_LAST = 32000,
 	PORTS_PER_NODE = 5,
+	METRICS_PORT_OFFSET = 4,
 	READY_POLL_INTERVAL_US = 20000,
 	READY_POLLS_MAX = 500,
 };
@@ -175,7 +176,7 @@
 		"listen_addrs", "front", json_sprintf("127.0.0.1:%d", port),
 		"ready", json_sprintf("127.0.0.1:%d", port + 1), "directory",
 		json_sprintf("127.0.0.1:%d", port + 2), "internal_ports",
-		port + 3, port + 4, "platform", "address",
+		port + 3, port + METRICS_PORT_OFFSET, "platform", "address",
 		json_string(platform_standin->address), "cloud_api", "address",
 		json_string(platform_standin->address), "bounds", "revoke_ms",
 		2000, "window_s", 1, "usage_late_s", 10, "grace_s", 6,
@@ -280,6 +281,18 @@
 	    path, attempt_id, key);
 }
 
+double
+gateway_metric(const program_t *gateway, const char *name)
+{
+	int port = atoi(strchr(gateway->address, ':') + 1);
+	program_t metrics = {.address = g_strdup_printf(
+				 "127.0.0.1:%d", port + METRICS_PORT_OFFSET)};
+	double value = metric_read(&metrics, name);
+
+	g_free(metrics.address);
+	return value;
+}
+
 void
 gateway_fixture_setup(void)
 {
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -30,6 +30,9 @@
 /* IP:PORT at which the node serves address lists and readiness. */
 const char *gateway_directory_address(const program_t *gateway);
 
+/* Value of a metric of the node; 0 if it is absent. */
+double gateway_metric(const program_t *gateway, const char *name);
+
 /* Writes a configuration; keys_json: array of the workspace's API keys. */
 void gateway_configure(int version, const char *keys_json);
 
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -180,9 +180,12 @@
 	return reset;
 }
 
-/* Clients that read nothing for a while; returns how many were reset. */
+/*
+ * Clients that read nothing for a while; returns how many were reset.
+ * *connections: those that the gateway has at the end of that time.
+ */
 static unsigned
-run_slow_clients(unsigned long slow_us)
+run_slow_clients(unsigned long slow_us, double *connections)
 {
 	char *text = gateway_format_request("/book/a", "id-1", "key-1");
 	int clients[SLOW_CLIENTS];
@@ -201,6 +204,7 @@
 		close(server);
 	}
 	g_usleep(slow_us);
+	*connections = gateway_metric(gateway_node, "client_connections");
 	for (size_t i = 0; i < SLOW_CLIENTS; i++) {
 		resets += is_reset(clients[i], SLOW_STEP_BYTES * (i + 1));
 		ck_assert_int_eq(waitpid(senders[i], NULL, 0), senders[i]);
@@ -217,7 +221,11 @@
  */
 START_TEST(a_slow_client_gets_the_whole_response)
 {
-	ck_assert_uint_eq(run_slow_clients(SLOW_US), 0);
+	double connections;
+
+	ck_assert_uint_eq(run_slow_clients(SLOW_US, &connections), 0);
+	/* Some must be open: else the clients were not slow enough. */
+	ck_assert_double_gt(connections, 0);
 }
 END_TEST
 
@@ -227,7 +235,10 @@
  */
 START_TEST(a_client_that_does_not_read_is_reset)
 {
-	ck_assert_uint_gt(run_slow_clients(STALLED_US), 0);
+	double connections;
+
+	ck_assert_uint_gt(run_slow_clients(STALLED_US, &connections), 0);
+	ck_assert_double_eq(connections, 0);
 }
 END_TEST
 
