--- a/bench/bench_calls.c
+++ b/bench/bench_calls.c
@@ -9,7 +9,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -27,7 +26,6 @@
 	unsigned started;
 	unsigned ended;
 	unsigned failed;
-	unsigned calls;
 } run_t;
 
 static void
@@ -109,7 +107,7 @@
 
 	run->ended++;
 	run->failed += result->outcome != HTTP_OUTCOME_COMPLETE;
-	if (run->started < run->calls)
+	if (run->started < CALLS)
 		start_call(run);
 }
 
@@ -138,7 +136,7 @@
 measure(unsigned in_flight)
 {
 	uv_loop_t loop;
-	run_t run = {.calls = CALLS};
+	run_t run = {0};
 	double processor = processor_us();
 	uint64_t start_ns = uv_hrtime();
 	double elapsed_s;
@@ -147,14 +145,13 @@
 	run.client = http_client_new(&loop);
 	for (unsigned i = 0; i < in_flight; i++)
 		start_call(&run);
-	while (run.ended < run.calls)
+	while (run.ended < CALLS)
 		uv_run(&loop, UV_RUN_ONCE);
 	elapsed_s = (double)(uv_hrtime() - start_ns) / 1e9;
 	processor = processor_us() - processor;
 	printf("{\"in_flight\": %u, \"calls_per_s\": %.0f, "
 	       "\"processor_us_per_call\": %.2f, \"failed\": %u}\n",
-	    in_flight, run.calls / elapsed_s, processor / run.calls,
-	    run.failed);
+	    in_flight, CALLS / elapsed_s, processor / CALLS, run.failed);
 	http_client_free(run.client);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	uv_loop_close(&loop);
--- a/src/evidence.c
+++ b/src/evidence.c
@@ -483,24 +483,27 @@
 latency_regression_suspected(
     const evidence_counts_t *old, const evidence_counts_t *new)
 {
+	uint32_t old_samples = latency_samples(old);
+	uint32_t new_samples = latency_samples(new);
 	evidence_counts_t pooled = *old;
-	double above_old, above_new;
+	double old_ms, new_ms, above_old, above_new;
 	unsigned bucket;
 
-	if (latency_samples(old) < MIN_LATENCY_SAMPLES ||
-	    latency_samples(new) < MIN_LATENCY_SAMPLES ||
-	    quantile_ms(new, 0.5) <
-		quantile_ms(old, 0.5) * REGRESSION_MEDIAN_MIN_RATIO ||
-	    quantile_ms(new, 0.5) < slow_threshold_ms(quantile_ms(old, 0.5)))
+	if (old_samples < MIN_LATENCY_SAMPLES ||
+	    new_samples < MIN_LATENCY_SAMPLES)
+		return false;
+	old_ms = quantile_ms(old, 0.5);
+	new_ms = quantile_ms(new, 0.5);
+	if (new_ms < old_ms * REGRESSION_MEDIAN_MIN_RATIO ||
+	    new_ms < slow_threshold_ms(old_ms))
 		return false;
 	counts_add(&pooled, new);
 	bucket = latency_bucket(quantile_ms(&pooled, 0.5));
 	above_old = count_above(old, bucket);
 	above_new = count_above(new, bucket);
-	return above_new * latency_samples(old) >
-		   above_old * latency_samples(new) &&
-	       log_bayes_factor(above_new, latency_samples(new), above_old,
-		   latency_samples(old)) > LATENCY_LOG_FACTOR_MIN;
+	return above_new * old_samples > above_old * new_samples &&
+	       log_bayes_factor(above_new, new_samples, above_old,
+		   old_samples) > LATENCY_LOG_FACTOR_MIN;
 }
 
 /* Counts of a version since the snapshot; NULL: since the start. */
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -51,10 +51,8 @@
 	evidence_t *own_evidence;
 	evidence_t *all_evidence;  /* own and peers' */
 	GHashTable *peer_evidence; /* node to json_t: the last one merged */
-	/* all_evidence when the stage and the last ramp were entered; NULL: at
-	 * the start. */
-	evidence_t *stage_evidence;
-	evidence_t *ramp_evidence;
+	/* all_evidence when each stage was last entered; NULL: not yet. */
+	evidence_t *entry_evidence[ROLLOUT_STAGES];
 	unsigned regressions; /* times that the full stage was left for them */
 	bool stopped;	      /* to be reverted */
 	char *reason;	      /* NULL: none */
@@ -94,8 +92,8 @@
 	g_free(rollout->reason);
 	evidence_free(rollout->own_evidence);
 	evidence_free(rollout->all_evidence);
-	evidence_free(rollout->stage_evidence);
-	evidence_free(rollout->ramp_evidence);
+	for (int stage = 0; stage < ROLLOUT_STAGES; stage++)
+		evidence_free(rollout->entry_evidence[stage]);
 	g_hash_table_unref(rollout->peer_evidence);
 	g_free(rollout);
 }
@@ -148,12 +146,8 @@
 		return;
 	if (rollout->stage == ROLLOUT_FULL && stage == ROLLOUT_RAMP)
 		rollout->regressions++;
-	evidence_free(rollout->stage_evidence);
-	rollout->stage_evidence = evidence_copy(rollout->all_evidence);
-	if (stage == ROLLOUT_RAMP) {
-		evidence_free(rollout->ramp_evidence);
-		rollout->ramp_evidence = evidence_copy(rollout->all_evidence);
-	}
+	evidence_free(rollout->entry_evidence[stage]);
+	rollout->entry_evidence[stage] = evidence_copy(rollout->all_evidence);
 	rollout->stage = stage;
 	rollout->stage_entered_ms = now_ms;
 }
@@ -191,7 +185,8 @@
 regression_suspected(const rollout_t *rollout, char **reason)
 {
 	return evidence_regression_suspected(rollout->all_evidence,
-	    rollout->ramp_evidence, rollout->stage_evidence, reason);
+	    rollout->entry_evidence[ROLLOUT_RAMP],
+	    rollout->entry_evidence[rollout->stage], reason);
 }
 
 /* Share for a comparison of the versions, once there have been canaries. */
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -151,10 +151,10 @@
 static bool
 has_refused(const upstream_conn_t *conn, const char *attempt_id)
 {
-	guint hash = attempt_id == NULL ? 0 : g_str_hash(attempt_id);
-
-	for (unsigned i = 0; attempt_id != NULL && i < conn->refused_count; i++)
-		if (conn->refused_ids[i] == hash)
+	if (attempt_id == NULL)
+		return false;
+	for (unsigned i = 0; i < conn->refused_count; i++)
+		if (conn->refused_ids[i] == g_str_hash(attempt_id))
 			return true;
 	return false;
 }
