--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,14 +9,15 @@
 # shellcheck source=review/lib.sh
 source "$here/../lib.sh"
 
-# One of three servers resets every third answer.
-reset_every=0
-[ "$trouble" = 0 ] || reset_every=3
+# For 4 s one of three servers resets every third answer.
+every=0
+[ "$trouble" = 0 ] || every=3
 
 start_platform
 start_backend app-1 app --kind unframed
 start_backend app-2 app --kind unframed
-start_backend app-3 app --kind unframed --reset-every "$reset_every"
+start_backend app-3 app --kind unframed --trouble-every "$every" \
+    --trouble-ms 4000
 configure '[{"name": "book", "host": "t.example", "path_prefix": "/book/",
     "route_type": "non_idempotent", "timeout_ms": 1500, "priority": 2,
     "target_latency_ms": 300, "max_attempts": 1, "service": "app"}]' \
@@ -25,8 +26,8 @@
 
 "$bin/caller" --address "${front_addresses[0]}" \
     --address "${front_addresses[1]}" --address "${front_addresses[2]}" \
-    --path /book/a --prefix "book" --callers 61 --requests 80 \
-    --pause-ms 250 >>"$record" || give_up "the callers failed"
+    --path /book/a --prefix "book" --callers 61 --requests 7 \
+    --pause-ms 1400 >>"$record" || give_up "the callers failed"
 record_backends
 
 sent=$(grep -c '^answer ' "$record")
