Report a reset that libuv takes for the end of the data

Cause: libuv reports an end of file for a socket that is hung up after a read that did not fill its buffer, without reading again or asking for the error. conn took an end of file for an orderly end, and upstream completed the response. The bytes and the reset must be seen in one round of the loop, as after a pause of the process; the tests left 50 ms between them.

Ruled out: the kernel (recv() returns the error after the bytes); libcurl, which reads until the error comes (call_whose_response_is_reset_fails passed before).

Change: conn asks for SO_ERROR at an end of file. EPIPE stays an orderly end: the peer had closed its side before the reset, so that all of its data is there. An error that a write has consumed is kept for the end.

--- a/src/conn.c
+++ b/src/conn.c
@@ -1,5 +1,6 @@
 #include "conn.h"
 
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -21,6 +22,7 @@
 	conn_callbacks_t callbacks;
 	void *data;
 	unsigned open_handles;
+	int write_error; /* libuv code of a failed conn_write(), or 0 */
 	bool reading;
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
@@ -106,6 +108,29 @@
 	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/*
+ * The error behind an end of file from libuv, 0 if the peer closed its side.
+ * libuv reports an end of file for a connection that it finds failed after it
+ * has read the last bytes, and does not ask for the error.
+ */
+static int
+end_error(const conn_t *conn)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+	uv_os_fd_t fd;
+	int rc = uv_fileno((const uv_handle_t *)&conn->tcp, &fd);
+
+	if (conn->write_error != 0)
+		return conn->write_error;
+	if (rc != 0)
+		return rc;
+	if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0)
+		error = errno;
+	/* EPIPE: a reset that came after the end of the peer's data. */
+	return error == EPIPE ? 0 : uv_translate_sys_error(error);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -114,7 +139,8 @@
 	if (length < 0) {
 		uv_read_stop(stream);
 		conn->reading = false;
-		report_end(conn, length == UV_EOF ? 0 : (int)length);
+		report_end(
+		    conn, length == UV_EOF ? end_error(conn) : (int)length);
 		return;
 	}
 	if (length > 0 && !conn->closing)
@@ -228,8 +254,13 @@
 		return;
 	if (conn_queued_bytes(conn) == 0)
 		sent = uv_try_write(stream, &buffer, 1);
-	if (sent < 0)
-		sent = 0; /* the queued write reports the error */
+	if (sent < 0) {
+		/* The queued write reports the error, but maybe after an end of
+		 * file that it causes. */
+		if (sent != UV_EAGAIN && sent != UV_EPIPE)
+			conn->write_error = sent;
+		sent = 0;
+	}
 	if ((size_t)sent == length)
 		return;
 	write = g_malloc(sizeof(*write) + length - (size_t)sent);
--- a/src/conn.h
+++ b/src/conn.h
@@ -19,8 +19,8 @@
 	void (*on_connect)(conn_t *conn, int error, void *data);
 	void (*on_data)(
 	    conn_t *conn, const char *bytes, size_t length, void *data);
-	/* The peer closed its side (error 0), or the connection failed (libuv
-	 * error code). Called once. */
+	/* The peer closed its side (error 0), or the connection failed or was
+	 * reset (libuv error code). Called once. */
 	void (*on_end)(conn_t *conn, int error, void *data);
 	/* Optional. All queued bytes have been handed to the kernel. */
 	void (*on_write_queue_empty)(conn_t *conn, void *data);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -42,6 +42,8 @@
 	SERVER_SILENT,	/* accepts connections and never answers */
 	SERVER_FULL,	/* its queue of connections is full */
 	SERVER_ANSWERS, /* answers each request */
+	/* Resets its connection in a response that has no length. */
+	SERVER_RESETS,
 } server_kind_t;
 
 typedef struct fixture {
@@ -136,11 +138,24 @@
 				.data = end});
 }
 
+static void
+reset_accepted(void)
+{
+	struct linger linger = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(
+	    fixture.accepted, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fixture.accepted);
+	fixture.accepted = -1;
+}
+
 static void
 answer_requests(void)
 {
-	static const char answer[] =
-	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	const char *answer =
+	    fixture.server == SERVER_ANSWERS
+		? "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+		: "HTTP/1.1 200 OK\r\n\r\npart";
 	char request[4096];
 	int fd = accept(fixture.listener, NULL, NULL);
 
@@ -149,10 +164,19 @@
 			close(fixture.accepted);
 		fixture.accepted = fd;
 	}
-	if (fixture.accepted >= 0 &&
-	    recv(fixture.accepted, request, sizeof(request), MSG_DONTWAIT) > 0)
-		(void)send(
-		    fixture.accepted, answer, strlen(answer), MSG_NOSIGNAL);
+	if (fixture.accepted < 0 ||
+	    recv(fixture.accepted, request, sizeof(request), MSG_DONTWAIT) <= 0)
+		return;
+	(void)send(fixture.accepted, answer, strlen(answer), MSG_NOSIGNAL);
+	if (fixture.server == SERVER_RESETS)
+		reset_accepted();
+}
+
+static bool
+server_answers(void)
+{
+	return fixture.server == SERVER_ANSWERS ||
+	       fixture.server == SERVER_RESETS;
 }
 
 /* Runs the loop once and moves the clock to its next timer. */
@@ -162,10 +186,10 @@
 	int wait_ms;
 
 	uv_run(&fixture.loop, UV_RUN_NOWAIT);
-	if (fixture.server == SERVER_ANSWERS)
+	if (server_answers())
 		answer_requests();
 	wait_ms = uv_backend_timeout(&fixture.loop);
-	if (wait_ms != 0 && fixture.server == SERVER_ANSWERS)
+	if (wait_ms != 0 && server_answers())
 		wait_ms = 1;
 	if (wait_ms != 0)
 		clock_ns += (int64_t)(wait_ms < 0 ? 1 : wait_ms) * NS_PER_MS +
@@ -282,6 +306,20 @@
 }
 END_TEST
 
+/* Guards against a reset response that is taken for complete. */
+START_TEST(call_whose_response_is_reset_fails)
+{
+	call_end_t end = {0};
+
+	setup(SERVER_RESETS);
+	start_call(&end, 500, 499);
+	run_until_ended(&end);
+	ck_assert(end.ended);
+	ck_assert_int_eq(end.outcome, HTTP_OUTCOME_FAILED);
+	teardown();
+}
+END_TEST
+
 /* Guards against the use of a cancelled call when its deadline passes. */
 START_TEST(cancelled_call_has_no_deadline)
 {
@@ -313,6 +351,7 @@
 	tcase_add_test(cases, call_that_cannot_connect_is_not_sent);
 	tcase_add_test(cases, each_call_ends_at_its_own_deadline);
 	tcase_add_test(cases, answered_call_is_not_ended_by_its_deadline);
+	tcase_add_test(cases, call_whose_response_is_reset_fails);
 	tcase_add_test(cases, cancelled_call_has_no_deadline);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -3,6 +3,7 @@
 #include "support_wire.h"
 
 #include <check.h>
+#include <signal.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -99,6 +100,28 @@
 }
 END_TEST
 
+/*
+ * Guards against a response that is reset and looks complete since the gateway
+ * finds its last bytes and the reset at once: here after a pause.
+ */
+START_TEST(a_response_that_is_reset_with_its_last_bytes_is_a_failure)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/book/a", backend_listener_1);
+	char *response;
+
+	kill(gateway_node->pid, SIGSTOP);
+	wire_send(exchange.server_fd, HEAD "part");
+	reset_connection(exchange.server_fd);
+	exchange.server_fd = -1;
+	kill(gateway_node->pid, SIGCONT);
+	response = wire_read_message(exchange.client_fd);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 502"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /* Guards against a large response that is reset and looks complete. */
 START_TEST(a_reset_response_without_framing_does_not_look_complete)
 {
@@ -256,6 +279,8 @@
 	    G_N_ELEMENTS(endings));
 	tcase_add_test(
 	    cases, a_stream_that_ends_before_its_first_event_is_a_failure);
+	tcase_add_test(
+	    cases, a_response_that_is_reset_with_its_last_bytes_is_a_failure);
 	tcase_add_test(
 	    cases, a_reset_response_without_framing_does_not_look_complete);
 	tcase_add_test(cases, a_stream_that_ends_inside_an_event_is_resumed);
