Frame each response for the client, so that a cut shows

Cause: such a response was given to the client without framing as well, and the kernel closes the connections of a killed process in order. Ruled out: that the host passes on an end of its server's connection (nothing of it runs any more).

Change: a response has its length where all of it is buffered, else chunks; the last one is sent when the server has closed in order. A response to HEAD, 204 and 304 have no framing. The bound on migration (no stream without framing) is tied to the current attempt; a resumed stream may end with its server's connection.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+enum { STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
+
 const http1_head_t *
 exchange_request_head(const exchange_t *exchange)
 {
@@ -53,14 +55,24 @@
 	       exchange->close_delimited;
 }
 
+/* True for a response that has no body, whatever its headers say. */
+static bool
+is_without_body(const exchange_t *exchange, unsigned status)
+{
+	return exchange->is_head_request || status == STATUS_NO_CONTENT ||
+	       status == STATUS_NOT_MODIFIED;
+}
+
 static void
-add_framing(exchange_t *exchange, GString *out, int64_t length)
+add_framing(exchange_t *exchange, GString *out, unsigned status, int64_t length)
 {
+	bool has_body = !is_without_body(exchange, status);
 	bool http_1_0 = exchange_request_head(exchange)->http_1_0;
+	bool unknown_length = has_body && length == EXCHANGE_CHUNKED;
 
-	exchange->chunked = length == EXCHANGE_CHUNKED && !http_1_0;
-	exchange->close_delimited = length < 0 && !exchange->chunked;
-	if (length >= 0)
+	exchange->chunked = unknown_length && !http_1_0;
+	exchange->close_delimited = unknown_length && http_1_0;
+	if (has_body && length >= 0)
 		g_string_append_printf(
 		    out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
 	else if (exchange->chunked)
@@ -89,7 +101,7 @@
 	http1_server_add_status_line(out, status);
 	if (extra_headers != NULL)
 		g_string_append(out, extra_headers);
-	add_framing(exchange, out, (int64_t)length);
+	add_framing(exchange, out, status, (int64_t)length);
 	if (!exchange->is_head_request)
 		g_string_append_len(out, body, (gssize)length);
 	write_and_free(exchange, out);
@@ -110,7 +122,7 @@
 		if (!http1_head_is_hop_by_hop(source, source->headers[i].name))
 			http1_add_header(out, source->headers[i].name,
 			    source->headers[i].value);
-	add_framing(exchange, out, length);
+	add_framing(exchange, out, source->status, length);
 	write_and_free(exchange, out);
 }
 
@@ -142,7 +154,7 @@
 
 	if (client == NULL)
 		return;
-	if (exchange->chunked && !exchange->is_head_request)
+	if (exchange->chunked)
 		conn_write(client->conn, last_chunk, strlen(last_chunk));
 	close = closes_connection(exchange);
 	client->exchange = NULL;
--- a/src/http1_server.h
+++ b/src/http1_server.h
@@ -75,16 +75,17 @@
 void exchange_reply(exchange_t *exchange, unsigned status,
     const char *extra_headers, const char *body, size_t length);
 
-enum {
-	EXCHANGE_CHUNKED = -1,
-	/* Closing the connection ends the body, so that the client cannot tell
-	 * a truncated body from a complete one. */
-	EXCHANGE_CLOSE_DELIMITED = -2,
-};
+/*
+ * Length of a body that is not known in advance: it is sent in chunks, so that
+ * the client can tell a truncated body from a complete one, also where this
+ * process is killed. Clients of HTTP/1.0 cannot: closing their connection ends
+ * the body.
+ */
+enum { EXCHANGE_CHUNKED = -1 };
 
 /*
  * Starts a response with the status and end-to-end headers of a backend
- * server's response. length is the body's in bytes, or a value from above.
+ * server's response. length is the body's in bytes, or EXCHANGE_CHUNKED.
  */
 void exchange_start(
     exchange_t *exchange, const http1_head_t *source, int64_t length);
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -120,6 +120,7 @@
 	request.head_length = head_text->len;
 	req->response = (response_facts_t){0};
 	req->status = 0;
+	req->has_framing = false;
 	req->call = upstream_call_start(
 	    choice->server->upstream, node_connections_max(req), &request);
 	g_string_free(head_text, TRUE);
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -138,14 +138,19 @@
 		fail_migration(req);
 }
 
-/* True for a stream that can migrate and whose server is about to leave. */
+/*
+ * True for a stream that can migrate and whose server is about to leave. The
+ * source closes a stream that it has handed over, which without framing would
+ * look like the stream's end.
+ */
 static bool
 should_migrate(const proxy_request_t *req, int64_t now_ms)
 {
 	return req->migration.state == PROXY_MIGRATION_NONE &&
 	       req->server != NULL && req->call != NULL &&
-	       req->self_delimited && req->service != NULL &&
-	       req->service->can_migrate && req->server->shutdown_at_ms != 0 &&
+	       req->stream_started && req->has_framing &&
+	       req->service != NULL && req->service->can_migrate &&
+	       req->server->shutdown_at_ms != 0 &&
 	       now_ms >= req->server->shutdown_at_ms - BEFORE_LEAVE_MS;
 }
 
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -21,27 +21,14 @@
 	SURVIVAL_MS = 500,
 };
 
-/*
- * Framing of the response to the client: length, which may be
- * EXCHANGE_CHUNKED, or EXCHANGE_CLOSE_DELIMITED where the server's response is
- * delimited by the close of its connection. Such a response may be truncated,
- * so it must not be framed as complete.
- */
-static int64_t
-client_length(const proxy_request_t *req, int64_t length)
-{
-	return req->response_head->has_length ? length
-					      : EXCHANGE_CLOSE_DELIMITED;
-}
-
 /* Sends the complete, buffered response and ends the request. */
 static void
 send_buffered(proxy_request_t *req)
 {
 	proxy_log_end(req, req->response_head->status, "served");
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
-	exchange_start(req->exchange, req->response_head,
-	    client_length(req, (int64_t)req->buffered->len));
+	exchange_start(
+	    req->exchange, req->response_head, (int64_t)req->buffered->len);
 	exchange_write(req->exchange, (const char *)req->buffered->data,
 	    req->buffered->len);
 	exchange_end(req->exchange);
@@ -66,11 +53,10 @@
 		return;
 	proxy_record_first_byte(req);
 	if (!req->response_started) {
-		exchange_start(req->exchange, req->response_head,
-		    client_length(req, EXCHANGE_CHUNKED));
+		exchange_start(
+		    req->exchange, req->response_head, EXCHANGE_CHUNKED);
 		req->response_started = true;
 		req->stream_started = true;
-		req->self_delimited = req->response_head->has_length;
 	}
 	exchange_write(req->exchange, out->str, out->len);
 	g_string_free(out, TRUE);
@@ -111,6 +97,7 @@
 	req->response = *facts;
 	req->status = head->status;
 	req->response_head = head;
+	req->has_framing = head->has_length;
 	if (facts->retry_after_ms > 0)
 		server_pause(
 		    req->server, facts->retry_after_ms, clock_boot_ms());
@@ -123,8 +110,7 @@
 start_forwarding(proxy_request_t *req)
 {
 	proxy_record_first_byte(req);
-	exchange_start(req->exchange, req->response_head,
-	    client_length(req, EXCHANGE_CHUNKED));
+	exchange_start(req->exchange, req->response_head, EXCHANGE_CHUNKED);
 	req->response_started = true;
 	exchange_write(req->exchange, (const char *)req->buffered->data,
 	    req->buffered->len);
@@ -168,8 +154,8 @@
 	proxy_log_end(req, 200, "served");
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	if (!req->response_started)
-		exchange_start(req->exchange, req->response_head,
-		    client_length(req, EXCHANGE_CHUNKED));
+		exchange_start(
+		    req->exchange, req->response_head, EXCHANGE_CHUNKED);
 	exchange_write(req->exchange, remainder->str, remainder->len);
 	g_string_free(remainder, TRUE);
 	exchange_end(req->exchange);
@@ -206,19 +192,6 @@
 	proxy_finish(req);
 }
 
-static void
-handle_stream_complete(proxy_request_t *req)
-{
-	/*
-	 * The client expects a delimited end, but this response ends with its
-	 * connection and may be truncated.
-	 */
-	if (req->self_delimited && !req->response_head->has_length)
-		proxy_respond(req, 502, -1, "unframed_resume");
-	else
-		end_stream(req);
-}
-
 /* The request was sent, but no complete response was received. */
 static void
 handle_broken(
@@ -257,7 +230,7 @@
 	}
 	proxy_record_first_byte(req);
 	proxy_record_survival(req);
-	handle_stream_complete(req);
+	end_stream(req);
 }
 
 /*
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -78,7 +78,8 @@
 	response_facts_t response;
 	unsigned status;		   /* of the response; 0: none yet */
 	const http1_head_t *response_head; /* borrowed from the call */
-	GByteArray *buffered;		   /* body not yet forwarded */
+	bool has_framing;     /* the response has a length or is chunked */
+	GByteArray *buffered; /* body not yet forwarded */
 	proxy_migration_t migration;
 	/* State across all attempts. */
 	GPtrArray *tried;	   /* server_t *, each sent the request */
@@ -86,7 +87,6 @@
 	bool may_have_run;	   /* a server may have run the request */
 	bool response_started;	   /* its head was sent to the client */
 	bool stream_started;	   /* and the response is a stream of events */
-	bool self_delimited; /* the client can detect a truncated stream */
 	bool finished;
 	event_stream_t *events; /* NULL: not a stream route */
 } proxy_request_t;
--- a/tests/support_wire.c
+++ b/tests/support_wire.c
@@ -167,6 +167,77 @@
 	return g_string_free(text, FALSE);
 }
 
+/* Appends the data of a chunked body; true if the last chunk is there. */
+static bool
+decode_chunks(const char *chunks, size_t length, GString *body)
+{
+	const char *end = chunks + length;
+
+	while (chunks < end) {
+		char *data;
+		size_t size = strtoul(chunks, &data, 16);
+
+		if (!g_str_has_prefix(data, "\r\n"))
+			return false;
+		data += strlen("\r\n");
+		if (size == 0)
+			return g_str_has_prefix(data, "\r\n");
+		g_string_append_len(
+		    body, data, (gssize)MIN(size, (size_t)(end - data)));
+		if ((size_t)(end - data) < size + strlen("\r\n"))
+			return false;
+		chunks = data + size + strlen("\r\n");
+	}
+	return false;
+}
+
+/* True if no more of the body is expected, as far as its framing tells. */
+static bool
+has_last_byte(const GString *text)
+{
+	static const char last_chunk[] = "\r\n0\r\n\r\n";
+	const size_t last_length = strlen(last_chunk);
+	char *length = wire_header(text->str, "Content-Length");
+	bool is_framed = length != NULL;
+
+	g_free(length);
+	if (is_framed)
+		return is_complete(text->str);
+	return text->len >= last_length &&
+	       memcmp(text->str + text->len - last_length, last_chunk,
+		   last_length) == 0;
+}
+
+char *
+wire_read_body(int fd, bool *is_whole)
+{
+	GString *text = g_string_new(NULL), *body = g_string_new(NULL);
+	bool reset = false;
+	const char *start;
+	char *length, *encoding;
+
+	while (!has_last_byte(text) && read_more(fd, text, &reset))
+		;
+	start = strstr(text->str, "\r\n\r\n");
+	ck_assert_msg(start != NULL, "no head in \"%s\"", text->str);
+	start += strlen("\r\n\r\n");
+	length = wire_header(text->str, "Content-Length");
+	encoding = wire_header(text->str, "Transfer-Encoding");
+	if (encoding != NULL) {
+		*is_whole = decode_chunks(
+		    start, text->len - (size_t)(start - text->str), body);
+	} else {
+		g_string_append(body, start);
+		*is_whole = length != NULL
+				? body->len == strtoul(length, NULL, 10)
+				: !reset;
+	}
+	g_free(length);
+	g_free(encoding);
+	g_string_free(text, TRUE);
+	return g_string_free(body, FALSE);
+}
+
 char *
 wire_read_until(int fd, const char *wanted)
 {
--- a/tests/support_wire.h
+++ b/tests/support_wire.h
@@ -41,6 +41,13 @@
  */
 char *wire_read_until_closed(int fd, bool *reset);
 
+/*
+ * Reads the response to a request other than HEAD, until it is complete or the
+ * connection ends, and returns its body. *is_whole is false where a client of
+ * HTTP/1.1 sees that the response is cut. Free with g_free().
+ */
+char *wire_read_body(int fd, bool *is_whole);
+
 /* Reads until the data contains the wanted text. Free with g_free(). */
 char *wire_read_until(int fd, const char *wanted);
 
