Read one connection only once a round of the loop

Report of other operators: bytes that are no answer come without end. Here memory holds, but one faulty server holds up all other requests of a host.

Cause, first part: libuv reads a connection up to 32 times in a row for as long as the buffer is filled, 2 MB of one connection in a round of the loop.

Change: after a read that fills the buffer a connection waits for the next round.

Before: a_connection_reads_a_part_in_each_round (test_conn) got 195,072 bytes in one round, bound 65,536. After: test_conn 6 of 6. What callers saw before: higher latency for all services of the host.

--- a/src/conn.c
+++ b/src/conn.c
@@ -16,7 +16,7 @@
 
 struct conn {
 	uv_tcp_t tcp;
-	uv_timer_t linger;
+	uv_timer_t timer; /* next read, or end of the linger time */
 	uv_connect_t connect;
 	uv_shutdown_t shutdown;
 	conn_callbacks_t callbacks;
@@ -24,6 +24,7 @@
 	unsigned open_handles;
 	int write_error; /* libuv code of a failed conn_write(), or 0 */
 	bool reading;
+	bool yielded; /* reading goes on in the next round of the loop */
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
 };
@@ -70,7 +71,7 @@
 {
 	if (uv_is_closing((uv_handle_t *)&conn->tcp))
 		return;
-	uv_close((uv_handle_t *)&conn->linger, on_handle_closed);
+	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 }
 
@@ -83,9 +84,9 @@
 	conn->data = data;
 	conn->open_handles = 2;
 	uv_tcp_init(loop, &conn->tcp);
-	uv_timer_init(loop, &conn->linger);
+	uv_timer_init(loop, &conn->timer);
 	conn->tcp.data = conn;
-	conn->linger.data = conn;
+	conn->timer.data = conn;
 	return conn;
 }
 
@@ -131,6 +132,37 @@
 	return error == EPIPE ? 0 : uv_translate_sys_error(error);
 }
 
+static void on_read(
+    uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer);
+
+static void
+start_reading(conn_t *conn)
+{
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
+static void
+on_next_round(uv_timer_t *timer)
+{
+	conn_t *conn = timer->data;
+
+	conn->yielded = false;
+	if (conn->reading && !conn->ended)
+		start_reading(conn);
+}
+
+/*
+ * Lets other connections have their turn: libuv reads on in the same round for
+ * as long as the buffer is filled, and a peer may send without end.
+ */
+static void
+yield(conn_t *conn)
+{
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+	conn->yielded = true;
+	uv_timer_start(&conn->timer, on_next_round, 0, 0);
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -146,6 +178,9 @@
 	if (length > 0 && !conn->closing)
 		conn->callbacks.on_data(
 		    conn, buffer->base, (size_t)length, conn->data);
+	if (length == (ssize_t)sizeof(read_buffer) && conn->reading &&
+	    !conn->closing)
+		yield(conn);
 }
 
 void
@@ -154,8 +189,10 @@
 	if (conn->reading == reading || conn->ended)
 		return;
 	conn->reading = reading;
+	if (conn->yielded)
+		return;
 	if (reading)
-		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+		start_reading(conn);
 	else
 		uv_read_stop((uv_stream_t *)&conn->tcp);
 }
@@ -294,7 +331,7 @@
 		close_handles(conn);
 		return;
 	}
-	uv_close((uv_handle_t *)&conn->linger, on_handle_closed);
+	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 }
 
 static void
@@ -324,7 +361,8 @@
 		close_handles(conn);
 		return;
 	}
+	conn->yielded = false;
 	if (!ended)
-		conn_set_reading(conn, true);
-	uv_timer_start(&conn->linger, on_linger_timeout, LINGER_MS, 0);
+		start_reading(conn);
+	uv_timer_start(&conn->timer, on_linger_timeout, LINGER_MS, 0);
 }
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -13,7 +13,13 @@
  * the kernel before the loop runs, as after a pause of the process.
  */
 
-enum { PART_BYTES = 1000 };
+enum {
+	PART_BYTES = 1000,
+	/* Most that is read from one connection in a round of the loop. */
+	ROUND_MAX_BYTES = 64 * 1024,
+	ROUNDS_MAX = 1000,
+	SOCKET_BUFFER_BYTES = 1024 * 1024,
+};
 
 typedef struct fixture {
 	uv_loop_t loop;
@@ -153,6 +159,62 @@
 }
 END_TEST
 
+/* Sends for as long as the kernel takes it; returns the number of bytes. */
+static size_t
+send_all_possible(void)
+{
+	static char bytes[ROUND_MAX_BYTES];
+	size_t sent = 0;
+	ssize_t count;
+
+	while ((count = send(
+		    fixture.peer, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		sent += (size_t)count;
+	return sent;
+}
+
+/* Guards against a peer that sends without end and holds up the others. */
+START_TEST(a_connection_reads_a_part_in_each_round)
+{
+	int size = SOCKET_BUFFER_BYTES;
+	size_t sent;
+
+	setsockopt(fixture.peer, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+	sent = send_all_possible();
+	ck_assert_uint_gt(sent, 2 * ROUND_MAX_BYTES);
+	for (int i = 0; i < ROUNDS_MAX && fixture.received_bytes < sent; i++) {
+		size_t before = fixture.received_bytes;
+
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+		ck_assert_uint_le(
+		    fixture.received_bytes - before, ROUND_MAX_BYTES);
+	}
+	ck_assert_uint_eq(fixture.received_bytes, sent);
+	close(fixture.peer);
+}
+END_TEST
+
+/* Guards against a pause of reading that the next round of the loop ends. */
+START_TEST(a_paused_connection_stays_paused)
+{
+	size_t sent;
+
+	sent = send_all_possible();
+	ck_assert_uint_gt(sent, ROUND_MAX_BYTES);
+	while (fixture.received_bytes == 0)
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	conn_set_reading(fixture.conn, false);
+	for (int i = 0; i < 10; i++)
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	ck_assert_uint_le(fixture.received_bytes, ROUND_MAX_BYTES);
+	conn_set_reading(fixture.conn, true);
+	for (int i = 0; i < ROUNDS_MAX && fixture.received_bytes < sent; i++)
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	ck_assert_uint_eq(fixture.received_bytes, sent);
+	close(fixture.peer);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -166,6 +228,8 @@
 	    cases, a_reset_that_is_seen_with_the_last_bytes_is_an_error);
 	tcase_add_test(cases, a_reset_that_a_write_was_told_of_is_an_error);
 	tcase_add_test(cases, a_reset_after_an_orderly_end_is_no_error);
+	tcase_add_test(cases, a_connection_reads_a_part_in_each_round);
+	tcase_add_test(cases, a_paused_connection_stays_paused);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
