Pass on the chunks of one read at once

A faulty server that sends one-byte chunks, with eight callers, stopped the host for all others: bookings at a sound server got 503 or no answer within their time limit.

Cause: each chunk was passed on by itself: a call through the layers, a chunk towards the client, and a write to its socket, or an allocation of its own where the client was slow (11 MB for each such caller). Ruled out: the parser itself, which takes the same input in a fraction of the time once the pieces are joined.

Change: the reader joins the body bytes of one feed; a single piece stays in the input.

--- a/src/http1.c
+++ b/src/http1.c
@@ -23,9 +23,16 @@
 	bool in_value;
 	bool head_complete; /* later fields are trailers, which are dropped */
 	bool started;
-	bool interim; /* reading a 1xx response, which is skipped */
+	bool interim;		/* reading a 1xx response, which is skipped */
 	bool head_too_large;
 	bool no_body;
+	/*
+	 * Body bytes of the current feed. While there is only one piece of
+	 * them, they stay in the input; more are joined.
+	 */
+	const char *piece;
+	size_t piece_length;
+	GString *joined; /* NULL: at most one piece */
 };
 
 static int
@@ -159,7 +166,35 @@
 {
 	http1_reader_t *reader = parser->data;
 
-	return reader->callbacks.on_body(bytes, length, reader->data) ? 0 : 1;
+	if (reader->piece == NULL) {
+		reader->piece = bytes;
+		reader->piece_length = length;
+		return 0;
+	}
+	if (reader->joined == NULL)
+		reader->joined = g_string_new_len(
+		    reader->piece, (gssize)reader->piece_length);
+	g_string_append_len(reader->joined, bytes, (gssize)length);
+	return 0;
+}
+
+/* Passes on the body bytes of the current feed; false if they are refused. */
+static bool
+flush_body(http1_reader_t *reader)
+{
+	GString *joined = reader->joined;
+	const char *bytes = joined == NULL ? reader->piece : joined->str;
+	size_t length = joined == NULL ? reader->piece_length : joined->len;
+	bool accepted = true;
+
+	reader->piece = NULL;
+	reader->joined = NULL;
+	if (bytes != NULL)
+		accepted =
+		    reader->callbacks.on_body(bytes, length, reader->data);
+	if (joined != NULL)
+		g_string_free(joined, TRUE);
+	return accepted;
 }
 
 static void
@@ -243,8 +278,9 @@
 		return 0;
 	consumed = http_parser_execute(
 	    &reader->parser, &parser_settings, bytes, length);
-	if (reader->state == HTTP1_READING &&
-	    HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK)
+	if (!flush_body(reader) ||
+	    (reader->state == HTTP1_READING &&
+		HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK))
 		reader->state = HTTP1_FAILED;
 	return consumed;
 }
--- a/src/http1.h
+++ b/src/http1.h
@@ -35,7 +35,10 @@
 typedef struct http1_callbacks {
 	/* Return false to make the reader fail. */
 	bool (*on_head)(const http1_head_t *head, void *data);
-	/* Return false to make the reader fail. */
+	/*
+	 * All body bytes of one http1_reader_feed(), however many chunks they
+	 * came in. Return false to make the reader fail.
+	 */
 	bool (*on_body)(const char *bytes, size_t length, void *data);
 } http1_callbacks_t;
 
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -6,9 +6,11 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 /*
@@ -23,6 +25,11 @@
 	MEMORY_GROWTH_MAX_KB = 16 * 1024,
 	SENT_MAX_BYTES = 256 * 1024 * 1024,
 	PIECE_BYTES = 16 * 1024,
+	/* Callers of a faulty server, and requests beside them. */
+	CALLERS = 8,
+	REQUESTS_BESIDE = 10,
+	/* Objective of the routes. */
+	OBJECTIVE_MS = 1000,
 };
 
 #define RESPONSE_HEAD                                                      \
@@ -155,6 +162,84 @@
 }
 END_TEST
 
+/* A faulty server's process: one response of tiny chunks without end. */
+static pid_t
+start_faulty_server(void)
+{
+	GString *piece = g_string_new(NULL);
+	pid_t pid = fork();
+	int fd;
+
+	while (pid == 0 && piece->len < PIECE_BYTES)
+		g_string_append(piece, "1\r\na\r\n");
+	if (pid != 0) {
+		g_string_free(piece, TRUE);
+		return pid;
+	}
+	fd = wire_accept(backend_listener_1);
+	g_free(wire_read_message(fd));
+	wire_send(fd, RESPONSE_HEAD);
+	while (send(fd, piece->str, piece->len, MSG_NOSIGNAL) > 0)
+		;
+	_exit(0);
+}
+
+/* A caller's process: reads whatever comes. */
+static pid_t
+start_caller(void)
+{
+	static char buffer[PIECE_BYTES];
+	pid_t pid = fork();
+	int fd;
+
+	if (pid != 0)
+		return pid;
+	fd = gateway_send_request("/read/a", "id-1");
+	while (recv(fd, buffer, sizeof(buffer), 0) > 0)
+		;
+	_exit(0);
+}
+
+/* Time of a request to a sound server that responds at once. */
+static int64_t
+request_ms(void)
+{
+	gint64 start_us = g_get_monotonic_time();
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/write/a", backend_listener_2);
+
+	wire_send(exchange.server_fd,
+	    RESPONSE_HEAD "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "\r\n0\r\n\r\n"));
+	gateway_exchange_close(&exchange);
+	return (g_get_monotonic_time() - start_us) / US_PER_MS;
+}
+
+/*
+ * Guards against a process that is busy with the tiny chunks of one faulty
+ * server, and answers no other client in time.
+ */
+START_TEST(a_faulty_server_does_not_hold_up_requests_to_others)
+{
+	pid_t children[2 * CALLERS];
+
+	for (int i = 0; i < CALLERS; i++) {
+		children[2 * i] = start_faulty_server();
+		children[2 * i + 1] = start_caller();
+	}
+	g_usleep(300 * US_PER_MS);
+	for (int i = 0; i < REQUESTS_BESIDE; i++) {
+		int64_t elapsed_ms = request_ms();
+
+		ck_assert_int_le(elapsed_ms, OBJECTIVE_MS);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(children); i++) {
+		kill(children[i], SIGKILL);
+		waitpid(children[i], NULL, 0);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -166,6 +251,8 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_loop_test(
 	    cases, endless_answer_is_cut_off, 0, G_N_ELEMENTS(answers));
+	tcase_add_test(
+	    cases, a_faulty_server_does_not_hold_up_requests_to_others);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_http1.c
+++ b/tests/test_http1.c
@@ -8,6 +8,7 @@
 	http1_head_t head;
 	bool has_head;
 	GString *body;
+	unsigned body_calls;
 } parsed_message_t;
 
 static bool
@@ -23,8 +24,10 @@
 static bool
 on_body(const char *bytes, size_t length, void *data)
 {
-	g_string_append_len(
-	    ((parsed_message_t *)data)->body, bytes, (gssize)length);
+	parsed_message_t *parsed = data;
+
+	g_string_append_len(parsed->body, bytes, (gssize)length);
+	parsed->body_calls++;
 	return true;
 }
 
@@ -172,6 +175,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a server of tiny chunks that keeps the process busy with a
+ * call, and a write to the client, for each of them.
+ */
+START_TEST(chunks_of_one_read_are_passed_on_at_once)
+{
+	parsed_message_t parsed = {.body = g_string_new(NULL)};
+	GString *text = g_string_new(
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+
+	for (int i = 0; i < 1000; i++)
+		g_string_append(text, "1\r\na\r\n");
+	ck_assert_int_eq(
+	    read_response(text->str, false, &parsed), HTTP1_READING);
+	ck_assert_uint_eq(parsed.body->len, 1000);
+	ck_assert_uint_eq(parsed.body_calls, 1);
+	g_string_free(text, TRUE);
+	g_string_free(parsed.body, TRUE);
+}
+END_TEST
+
 START_TEST(interim_responses_are_skipped)
 {
 	parsed_message_t parsed = {.body = g_string_new(NULL)};
@@ -207,6 +231,7 @@
 	tcase_add_test(cases, ambiguous_requests_fail);
 	tcase_add_test(cases, a_long_head_fails_as_too_large);
 	tcase_add_test(cases, eof_completes_only_a_response_without_a_length);
+	tcase_add_test(cases, chunks_of_one_read_are_passed_on_at_once);
 	tcase_add_test(cases, interim_responses_are_skipped);
 	tcase_add_test(cases, hop_by_hop_headers_are_recognized);
 	suite_add_tcase(suite, cases);
