Limit the interim responses before a response

A faulty server that sends 1xx responses without end kept the host busy until the deadline of its caller: bookings beside it took up to 335 ms, and 433 ms after pieces of a body were joined (beside_faulty_server.sh, i103, 8 callers).

Cause: each interim response is skipped and the next one read, without a limit. Ruled out: memory, as the head is cleared each time.

Change: after 16 interim responses the response is malformed.

Before: interim_responses_without_end_fail (test_http1) read on.

--- a/src/http1.c
+++ b/src/http1.c
@@ -4,6 +4,9 @@
 #include <string.h>
 #include <strings.h>
 
+/* Most 1xx responses that may precede a response. */
+enum { INTERIM_MAX = 16 };
+
 /* Offsets into the reader's text, whose buffer moves as it grows. */
 typedef struct header_offsets {
 	size_t name;
@@ -24,6 +27,7 @@
 	bool head_complete; /* later fields are trailers, which are dropped */
 	bool started;
 	bool interim;		/* reading a 1xx response, which is skipped */
+	unsigned interim_count; /* before the response */
 	bool head_too_large;
 	bool no_body;
 	/*
@@ -154,7 +158,7 @@
 		return -1;
 	if (reader->kind == HTTP1_RESPONSE && reader->head.status < 200) {
 		reader->interim = true;
-		return 0;
+		return ++reader->interim_count > INTERIM_MAX ? -1 : 0;
 	}
 	if (!reader->callbacks.on_head(&reader->head, reader->data))
 		return -1;
@@ -264,6 +268,7 @@
 	reader->state = HTTP1_READING;
 	reader->started = false;
 	reader->interim = false;
+	reader->interim_count = 0;
 	reader->head_too_large = false;
 	reader->no_body = false;
 	clear_head(reader);
--- a/tests/test_http1.c
+++ b/tests/test_http1.c
@@ -210,6 +210,22 @@
 }
 END_TEST
 
+/* Guards against a server that keeps the process busy with such responses. */
+START_TEST(interim_responses_without_end_fail)
+{
+	parsed_message_t parsed = {.body = g_string_new(NULL)};
+	GString *text = g_string_new(NULL);
+
+	for (int i = 0; i < 100; i++)
+		g_string_append(text, "HTTP/1.1 103 Early Hints\r\n\r\n");
+	ck_assert_int_eq(
+	    read_response(text->str, false, &parsed), HTTP1_FAILED);
+	ck_assert(!parsed.has_head);
+	g_string_free(text, TRUE);
+	g_string_free(parsed.body, TRUE);
+}
+END_TEST
+
 START_TEST(hop_by_hop_headers_are_recognized)
 {
 	http1_head_t head = {.header_count = 2,
@@ -233,6 +249,7 @@
 	tcase_add_test(cases, eof_completes_only_a_response_without_a_length);
 	tcase_add_test(cases, chunks_of_one_read_are_passed_on_at_once);
 	tcase_add_test(cases, interim_responses_are_skipped);
+	tcase_add_test(cases, interim_responses_without_end_fail);
 	tcase_add_test(cases, hop_by_hop_headers_are_recognized);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
