End a move whose response has no end

Report of other operators, bytes without end, on a related path: a server that answers the order to copy a stream's memory without end was read until the stream's deadline, and the stream waited for the copy as long.

Cause: the bytes above the limit were dropped and the call went on. Ruled out: memory, which the limit kept.

Change: the call ends at the limit, and the stream goes on at its source.

Before: endless_response_to_a_move_is_cut_off (test_stream_moves) found the connection open after 1 s.

--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -71,11 +71,16 @@
 static void
 on_copy_body(const char *bytes, size_t length, void *data)
 {
-	GString *response = ((proxy_request_t *)data)->migration.response;
+	proxy_request_t *req = data;
+	proxy_migration_t *migration = &req->migration;
 
-	/* A longer one is malformed, which its truncated text shows. */
-	if (response->len < MIGRATION_RESPONSE_MAX_BYTES)
-		g_string_append_len(response, bytes, (gssize)length);
+	if (migration->response->len + length <= MIGRATION_RESPONSE_MAX_BYTES) {
+		g_string_append_len(migration->response, bytes, (gssize)length);
+		return;
+	}
+	upstream_call_cancel(migration->call);
+	migration->call = NULL;
+	fail_migration(req);
 }
 
 static void
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -8,6 +8,9 @@
 
 /* Streams whose engine closes the connection, drains or crashes. */
 
+/* Well before the deadline of the requests, 3 s. */
+enum { CUT_OFF_MS = 1000 };
+
 /* Guards against events lost, repeated or merged when a stream resumes. */
 START_TEST(a_stream_resumes_at_another_server)
 {
@@ -277,6 +280,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that reads an endless response to the order to copy
+ * a stream's memory for as long as the stream lasts.
+ */
+START_TEST(endless_response_to_a_move_is_cut_off)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/write/a", backend_listener_2);
+	int port, listener = wire_listen(&port), copy;
+	char *piece = g_strnfill(100000, 'x'), *response;
+
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	g_free(wire_read_message(copy));
+	wire_send(copy, "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n");
+	wire_send(copy, piece);
+	ck_assert(wire_wait_closed(copy, CUT_OFF_MS));
+	wire_send(exchange.server_fd, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(exchange.client_fd, "\r\n0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	g_free(response);
+	g_free(piece);
+	close(copy);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /* Serves one of two simultaneous streams; keeps the connection open. */
 static void
 end_stream_of(int server, const char *id)
@@ -396,6 +430,7 @@
 	    error_of_the_next_server_is_no_part_of_the_stream, 0,
 	    G_N_ELEMENTS(bad_resumes));
 	tcase_add_test(cases, a_stream_migrates_from_a_draining_engine);
+	tcase_add_test(cases, endless_response_to_a_move_is_cut_off);
 	tcase_add_test(cases, late_response_does_not_end_a_migration);
 	tcase_add_test(
 	    cases, copy_of_a_broken_source_does_not_move_the_resumed_stream);
