Bound the responses of the platform

Report of other operators, bytes without end, on a related path: a faulty store or cloud API could make a host keep 32 MiB for each of its calls, and trailers without any limit, until the calls' timeouts; a host has 260 MB.

Cause: the limit of a body was meant for one call at a time, and libcurl limits heads (300 KB) but no trailers. Ruled out: heads and interim responses, which the new cases show to be limited already.

Before: two of six cases of endless_response_ends_its_call (test_http_client), body and trailers, read on after 20 MB.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,7 +9,9 @@
 enum {
 	DEFAULT_CONNECT_TIMEOUT_MS = 2000,
 	CONNECTION_CACHE_MAX = 512,
-	BODY_MAX_BYTES = 32 * 1024 * 1024, /* of a response */
+	BODY_MAX_BYTES = 32 * 1024 * 1024,   /* of a response, by default */
+	BODIES_MAX_BYTES = 64 * 1024 * 1024, /* of all running calls */
+	HEADERS_MAX_BYTES = 64 * 1024,	     /* and trailers of a response */
 	/*
 	 * A call that libcurl has not ended this long after its timeout is
 	 * ended here: as libcurl handles one timer of a call, it drops another
@@ -27,6 +29,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	GString *body;
+	size_t headers_bytes;
 	http_call_options_t options;
 	char error[CURL_ERROR_SIZE];
 	bool in_multi;
@@ -47,6 +50,7 @@
 	uv_timer_t deadline_timer;
 	int64_t deadline_timer_ms; /* uv_now() at which it expires */
 	uint64_t overdue_calls;
+	size_t bodies_bytes; /* of all calls */
 	unsigned open_handles;
 	bool closing;
 };
@@ -97,6 +101,7 @@
 	}
 	curl_easy_cleanup(call->easy);
 	curl_slist_free_all(call->headers);
+	call->client->bodies_bytes -= call->body->len;
 	g_string_free(call->body, TRUE);
 	g_free(call);
 }
@@ -385,19 +390,44 @@
 	return client->overdue_calls;
 }
 
+/* Counts the bytes of a response's headers, interim heads and trailers. */
+static size_t
+on_header(char *bytes, size_t size, size_t count, void *data)
+{
+	http_call_t *call = data;
+	size_t length = size * count;
+
+	call->headers_bytes += length;
+	return call->headers_bytes <= HEADERS_MAX_BYTES ? length : 0;
+}
+
+/* False where the body, or those of all calls together, are too long. */
+static bool
+append_body(http_call_t *call, const char *bytes, size_t length)
+{
+	size_t body_max = call->options.body_max_bytes > 0
+			      ? call->options.body_max_bytes
+			      : BODY_MAX_BYTES;
+
+	if (call->body->len + length > body_max ||
+	    call->client->bodies_bytes + length > BODIES_MAX_BYTES)
+		return false;
+	g_string_append_len(call->body, bytes, (gssize)length);
+	call->client->bodies_bytes += length;
+	return true;
+}
+
 static size_t
 on_body(char *bytes, size_t size, size_t count, void *data)
 {
 	http_call_t *call = data;
 	size_t length = size * count;
-	bool keep_reading = true;
+	bool keep_reading;
 
 	if (call->cancelled)
 		return 0;
-	if (call->options.on_data == NULL && call->body->len > BODY_MAX_BYTES)
-		return 0;
 	if (call->options.on_data == NULL)
-		g_string_append_len(call->body, bytes, (gssize)length);
+		keep_reading = append_body(call, bytes, length);
 	else
 		keep_reading = call->options.on_data(
 		    call, bytes, length, call->options.data);
@@ -443,6 +473,8 @@
 	curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, call->error);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -39,6 +39,8 @@
 	size_t body_length;
 	int64_t timeout_ms;	    /* of the whole call; 0: no timeout */
 	int64_t connect_timeout_ms; /* 0: 2000 */
+	/* A longer response body ends the call as failed; 0: 32 MiB. */
+	size_t body_max_bytes;
 	/*
 	 * Uses a new connection, closed afterwards. For a call that must not
 	 * run twice: libcurl sends a request again if a reused connection
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -22,6 +22,11 @@
 	OVERDUE_MAX_MS = 150,
 	STEPS_MAX = 20000,
 	CALLS = 300,
+	PIECE_BYTES = 64 * 1024,
+	BODY_MAX_BYTES = 1024 * 1024,
+	/* Limits of a response, and what is on the way when they are reached.
+	 */
+	ENDLESS_MAX_BYTES = BODY_MAX_BYTES + 16 * 1024 * 1024,
 };
 
 static int64_t clock_ns = 1000LL * NS_PER_S;
@@ -44,6 +49,7 @@
 	SERVER_ANSWERS, /* answers each request */
 	/* Resets its connection in a response that has no length. */
 	SERVER_RESETS,
+	SERVER_ENDLESS, /* sends fixture.endless until the call ends */
 } server_kind_t;
 
 typedef struct fixture {
@@ -54,6 +60,11 @@
 	int listener;
 	int filler;   /* fills the queue; -1: none */
 	int accepted; /* the last connection; -1: none */
+	/* The response of SERVER_ENDLESS. */
+	const char *start;
+	const char *repeat;
+	bool is_started;
+	size_t sent_bytes;
 } fixture_t;
 
 typedef struct call_end {
@@ -134,6 +145,7 @@
 	    fixture.client, &(http_call_options_t){.url = fixture.url,
 				.timeout_ms = timeout_ms,
 				.connect_timeout_ms = connect_timeout_ms,
+				.body_max_bytes = BODY_MAX_BYTES,
 				.on_complete = on_complete,
 				.data = end});
 }
@@ -172,24 +184,61 @@
 		reset_accepted();
 }
 
+/* Sends for as long as the kernel takes it. */
+static void
+send_endless(void)
+{
+	static GString *piece;
+	ssize_t count;
+
+	if (fixture.accepted < 0)
+		fixture.accepted = accept(fixture.listener, NULL, NULL);
+	if (fixture.accepted < 0)
+		return;
+	if (!fixture.is_started)
+		(void)send(fixture.accepted, fixture.start,
+		    strlen(fixture.start), MSG_NOSIGNAL);
+	fixture.is_started = true;
+	if (piece == NULL)
+		piece = g_string_new(NULL);
+	g_string_truncate(piece, 0);
+	while (piece->len < PIECE_BYTES)
+		g_string_append(piece, fixture.repeat);
+	while ((count = send(fixture.accepted, piece->str, piece->len,
+		    MSG_NOSIGNAL | MSG_DONTWAIT)) == (ssize_t)piece->len)
+		fixture.sent_bytes += (size_t)count;
+}
+
+/* Plays the server; false if it does nothing. */
 static bool
-server_answers(void)
+play_server(void)
 {
-	return fixture.server == SERVER_ANSWERS ||
-	       fixture.server == SERVER_RESETS;
+	switch (fixture.server) {
+	case SERVER_SILENT:
+	case SERVER_FULL:
+		return false;
+	case SERVER_ANSWERS:
+	case SERVER_RESETS:
+		answer_requests();
+		return true;
+	case SERVER_ENDLESS:
+		send_endless();
+		return true;
+	}
+	return false;
 }
 
 /* Runs the loop once and moves the clock to its next timer. */
 static void
 step(void)
 {
+	bool server_acts;
 	int wait_ms;
 
 	uv_run(&fixture.loop, UV_RUN_NOWAIT);
-	if (server_answers())
-		answer_requests();
+	server_acts = play_server();
 	wait_ms = uv_backend_timeout(&fixture.loop);
-	if (wait_ms != 0 && server_answers())
+	if (wait_ms != 0 && server_acts)
 		wait_ms = 1;
 	if (wait_ms != 0)
 		clock_ns += (int64_t)(wait_ms < 0 ? 1 : wait_ms) * NS_PER_MS +
@@ -306,6 +355,42 @@
 }
 END_TEST
 
+static const struct endless {
+	const char *what;
+	const char *start;
+	const char *repeat;
+} endless[] = {
+    {"head", "HTTP/1.1 200 OK\r\n", "X-Filler: abcdefgh\r\n"},
+    {"header", "HTTP/1.1 200 OK\r\nX-Filler: ", "abcdefgh"},
+    {"interim responses", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+    {"body", "HTTP/1.1 200 OK\r\n\r\n", "abcdefgh"},
+    {"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+	"X-Filler: abcdefgh\r\n"},
+    {"no response", "", "abcdefgh"},
+};
+
+/* Guards against a response that is kept, or read, until the call's timeout. */
+START_TEST(endless_response_ends_its_call)
+{
+	call_end_t end = {0};
+
+	setup(SERVER_ENDLESS);
+	fixture.start = endless[_i].start;
+	fixture.repeat = endless[_i].repeat;
+	fixture.is_started = false;
+	fixture.sent_bytes = 0;
+	start_call(&end, 20000, 500);
+	for (int i = 0; i < STEPS_MAX && !end.ended &&
+			fixture.sent_bytes <= ENDLESS_MAX_BYTES;
+	     i++)
+		step();
+	ck_assert_msg(end.ended, "%s: no end after %zu bytes", endless[_i].what,
+	    fixture.sent_bytes);
+	ck_assert_int_eq(end.outcome, HTTP_OUTCOME_FAILED);
+	teardown();
+}
+END_TEST
+
 /* Guards against a reset response that is taken for complete. */
 START_TEST(call_whose_response_is_reset_fails)
 {
@@ -351,6 +436,8 @@
 	tcase_add_test(cases, call_that_cannot_connect_is_not_sent);
 	tcase_add_test(cases, each_call_ends_at_its_own_deadline);
 	tcase_add_test(cases, answered_call_is_not_ended_by_its_deadline);
+	tcase_add_loop_test(
+	    cases, endless_response_ends_its_call, 0, G_N_ELEMENTS(endless));
 	tcase_add_test(cases, call_whose_response_is_reset_fails);
 	tcase_add_test(cases, cancelled_call_has_no_deadline);
 	suite_add_tcase(suite, cases);
