Answer what is in flight at the end of a planned stop

Here new requests are refused from 2.5 s after SIGTERM, so that only those whose server is still at work 5 s later are in flight at the end. They were cut: the loop was stopped and the kernel closed their connections.

Cause: the end of the drain ended the process, not the requests.

Change: requests without a response get 504 where a server may have run them, 503 where none has; streams are cut as before, without their last chunk. The process ends at the next tick, 100 ms later, before the SIGKILL.

Before: request_in_flight_at_the_end_of_the_grace_period_is_answered (test_planned_stop) read the end of its connection.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -301,12 +301,22 @@
 	quota_each(gateway->proxy.quota, now_ms, add_quota_gauge, counters);
 }
 
+/* Ends the requests in flight; returns their number. */
+static unsigned
+end_requests(gateway_t *gateway)
+{
+	unsigned active =
+	    http1_server_active_requests(gateway->client_listener);
+
+	proxy_end_all(&gateway->proxy);
+	return active;
+}
+
 static void
 check_drain(gateway_t *gateway, int64_t now_ms)
 {
 	unsigned connections =
 	    http1_server_connections(gateway->client_listener);
-	unsigned active;
 
 	switch (drain_step(&gateway->drain, connections,
 	    http1_server_accepted(gateway->client_listener), now_ms)) {
@@ -320,10 +330,14 @@
 	case DRAIN_DONE:
 		break;
 	}
-	active = http1_server_active_requests(gateway->client_listener);
-	log_event(active > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "front.drained",
-	    "interrupted=%u passed_ms=%" G_GINT64_FORMAT, active,
-	    now_ms - gateway->drain.started_ms);
+	if (http1_server_active_requests(gateway->client_listener) > 0) {
+		/* The process ends at the next tick, after their responses. */
+		gateway->interrupted += end_requests(gateway);
+		return;
+	}
+	log_event(gateway->interrupted > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+	    "front.drained", "interrupted=%u passed_ms=%" G_GINT64_FORMAT,
+	    gateway->interrupted, now_ms - gateway->drain.started_ms);
 	cluster_broadcast_digest(gateway->cluster);
 	uv_timer_stop(&gateway->timer);
 	gateway->on_drained(gateway->drain_data);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -44,6 +44,7 @@
 	bool initial_list_complete; /* of the store's keys */
 	bool ready;		    /* as reported to readiness checks */
 	drain_t drain;
+	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
 	void *drain_data;
 };
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -193,6 +193,16 @@
 		upstream_call_set_reading(req->call, true);
 }
 
+/* Ends a request that no longer waits for its server. */
+static void
+give_up(proxy_request_t *req, const char *cause, const char *cause_not_run)
+{
+	if (req->may_have_run || req->tried->len > 0)
+		proxy_respond(req, 504, -1, cause);
+	else
+		proxy_respond(req, 503, 0, cause_not_run);
+}
+
 static void
 on_deadline(uv_timer_t *timer)
 {
@@ -200,10 +210,16 @@
 
 	if (req->server != NULL && req->awaiting_response)
 		proxy_record_rollout_attempt(req, false, 0);
-	if (req->may_have_run || req->tried->len > 0)
-		proxy_respond(req, 504, -1, "deadline");
-	else
-		proxy_respond(req, 503, 0, "deadline_not_run");
+	give_up(req, "deadline", "deadline_not_run");
+}
+
+void
+proxy_end_all(proxy_context_t *context)
+{
+	proxy_request_t *req;
+
+	while ((req = TAILQ_FIRST(&context->requests)) != NULL)
+		give_up(req, "stopped", "stopping");
 }
 
 static bool
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -48,6 +48,12 @@
 /* Starts to proxy a request; owns the caller's reference to exchange. */
 void proxy_start(proxy_context_t *context, exchange_t *exchange);
 
+/*
+ * Ends all requests in flight, as the process is about to end: those whose
+ * response has not started get one, the others are cut.
+ */
+void proxy_end_all(proxy_context_t *context);
+
 /* Migrates streams from engines that are about to leave. */
 void proxy_migrate_streams(proxy_context_t *context, int64_t now_ms);
 
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -18,6 +18,10 @@
 	STALE_CLIENTS_MS = 4500,
 	REQUEST_INTERVAL_MS = 20,
 	GRACE_MS = 6000,
+	/* Requests are taken for so long after SIGTERM. Their route allows 4 s:
+	 * the server of a late one is at work at the end of the grace period.
+	 */
+	LATE_MS = 1900,
 };
 
 static gint64
@@ -86,6 +90,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that is cut without an answer at the end of the
+ * grace period, as its server is still at work.
+ */
+START_TEST(request_in_flight_at_the_end_of_the_grace_period_is_answered)
+{
+	char *request = gateway_format_request("/book/a", "id-1", "key-1");
+	char **parts = g_strsplit(request, "3000", 2);
+	int fd = wire_connect(gateway_node->address), server;
+	char *response;
+
+	kill(gateway_node->pid, SIGTERM);
+	g_usleep(LATE_MS * US_PER_MS);
+	g_free(request);
+	request = g_strjoinv("9000", parts);
+	wire_send(fd, request);
+	server = wire_accept(backend_listener_1);
+	g_free(wire_read_message(server));
+	response = wire_read_message(fd);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 504"));
+	ck_assert_int_eq(program_wait(gateway_node), 0);
+	g_free(response);
+	g_free(request);
+	g_strfreev(parts);
+	close(fd);
+	close(server);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -97,6 +130,8 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, requests_sent_during_a_planned_stop_are_answered);
 	tcase_add_test(cases, body_that_arrives_during_a_planned_stop_is_read);
+	tcase_add_test(cases,
+	    request_in_flight_at_the_end_of_the_grace_period_is_answered);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
