Fit a planned stop to a short grace period

With a grace period of 2 s new requests were taken until the end of the drain at 1.6 s and cut there; with 1 s until 0.6 s. Callers of bookings got no answer and may not repeat them.

Cause: the time in which new requests are taken (2.5 s) and the margin before the SIGKILL (400 ms) did not depend on the grace period.

Change: a third and an eighth of the grace period, where these are shorter. Nothing changes from 7.5 s on.

--- a/src/drain.h
+++ b/src/drain.h
@@ -11,6 +11,7 @@
  */
 typedef struct drain {
 	int64_t started_ms; /* 0: not draining */
+	int64_t refuse_ms;  /* new requests are refused from then on */
 	int64_t end_ms;	    /* the latest end */
 	unsigned quiet_steps;
 	uint64_t accepted; /* at the previous step */
@@ -22,8 +23,8 @@
 	DRAIN_DONE,
 } drain_phase_t;
 
-/* max_ms: time from now_ms after which the drain ends in any case. */
-void drain_start(drain_t *drain, int64_t max_ms, int64_t now_ms);
+/* grace_ms: time from now_ms after which the process is killed. */
+void drain_start(drain_t *drain, int64_t grace_ms, int64_t now_ms);
 
 /*
  * Returns the phase at now_ms. To be called at regular intervals, with the
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -11,8 +11,6 @@
 	SWEEP_INTERVAL_MS = 1000,
 	/* The request of a new connection may be on its way for this long. */
 	DRAIN_IDLE_MS = 300,
-	/* A drain ends this long before the SIGKILL at the end of grace_ms. */
-	KILL_MARGIN_MS = 400,
 	ADDRESS_TTL_MS = 2000,
 	/* Requests wait this long after the start for a configuration. */
 	STARTUP_WAIT_MS = 500,
@@ -561,8 +559,8 @@
 {
 	if (gateway->drain.started_ms != 0)
 		return;
-	drain_start(&gateway->drain,
-	    gateway->config->bounds.grace_ms - KILL_MARGIN_MS, clock_boot_ms());
+	drain_start(
+	    &gateway->drain, gateway->config->bounds.grace_ms, clock_boot_ms());
 	gateway->on_drained = on_drained;
 	gateway->drain_data = drain_data;
 	log_event(LOG_LEVEL_INFO, "front.draining", "active=%u",
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -119,6 +119,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a second SIGTERM, or a reload, that ends a planned stop and
+ * cuts what is in flight.
+ */
+START_TEST(signals_during_a_planned_stop_do_not_end_it)
+{
+	static const int signals[] = {SIGTERM, SIGHUP, SIGINT, SIGTERM, SIGHUP};
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/book/a", backend_listener_1);
+	char *response;
+
+	kill(gateway_node->pid, SIGTERM);
+	for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+		g_usleep(REQUEST_INTERVAL_MS * US_PER_MS);
+		kill(gateway_node->pid, signals[i]);
+	}
+	g_usleep(REQUEST_INTERVAL_MS * US_PER_MS);
+	wire_send(exchange.server_fd,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+	    "Content-Length: 5\r\n\r\nwhole");
+	response = wire_read_message(exchange.client_fd);
+	ck_assert(g_str_has_suffix(response, "whole"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+	ck_assert_int_eq(program_wait(gateway_node), 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -132,6 +160,7 @@
 	tcase_add_test(cases, body_that_arrives_during_a_planned_stop_is_read);
 	tcase_add_test(cases,
 	    request_in_flight_at_the_end_of_the_grace_period_is_answered);
+	tcase_add_test(cases, signals_during_a_planned_stop_do_not_end_it);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
