Handle signals before the settings are read

Cause: the handlers were installed after the listeners had started.

Change: they are installed first; the first round of the loop handles what came meanwhile.

Before: reload_signal_during_the_start_does_not_end_the_process (test_restart) saw the process end by the signal.

--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -135,9 +135,14 @@
 {
 	uv_loop_t *loop = uv_default_loop();
 	uv_signal_t term, interrupt, hangup;
-	gateway_config_t *config = load_gateway_config();
+	gateway_config_t *config;
 	GError *error = NULL;
 
+	/* A signal that comes before the loop runs is handled by the loop. */
+	start_signal_handler(&term, on_gateway_signal, SIGTERM);
+	start_signal_handler(&interrupt, on_gateway_signal, SIGINT);
+	start_signal_handler(&hangup, on_reload_signal, SIGHUP);
+	config = load_gateway_config();
 	if (config == NULL)
 		return 2;
 	gateway = gateway_start(loop, config, &error);
@@ -148,9 +153,6 @@
 	}
 	printf("listening %s\n", config->client_address);
 	fflush(stdout);
-	start_signal_handler(&term, on_gateway_signal, SIGTERM);
-	start_signal_handler(&interrupt, on_gateway_signal, SIGINT);
-	start_signal_handler(&hangup, on_reload_signal, SIGHUP);
 	uv_run(loop, UV_RUN_DEFAULT);
 	return 0;
 }
--- a/tests/support.c
+++ b/tests/support.c
@@ -24,7 +24,7 @@
 
 static GPtrArray *running_programs;
 
-static char *
+char *
 program_path(const char *name)
 {
 	const char *folder = g_getenv("PAPAYA_BIN");
--- a/tests/support.h
+++ b/tests/support.h
@@ -16,6 +16,9 @@
 	int stdout_fd; /* read end of its stdout */
 } program_t;
 
+/* Path of a program of the build directory (PAPAYA_BIN). Free with g_free(). */
+char *program_path(const char *name);
+
 /*
  * Starts a program of the build directory (PAPAYA_BIN) with a NULL-terminated
  * list of arguments and waits until it prints its line "listening". Fails the
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -3,7 +3,11 @@
 #include "support_wire.h"
 
 #include <check.h>
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 /*
  * A restart of one node while the store is up but serves stale lists, or is
@@ -60,6 +64,36 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that ends by a signal to reload its settings, sent
+ * while it reads them at its start: here from a pipe without data.
+ */
+START_TEST(reload_signal_during_the_start_does_not_end_the_process)
+{
+	char *program = program_path("papayad");
+	char *arguments[] = {program, "--platform", NULL};
+	char *path = g_strdup_printf("/tmp/papayad-settings-%d", getpid());
+	int fd, status;
+	GPid pid;
+
+	ck_assert_int_eq(mkfifo(path, S_IRUSR | S_IWUSR), 0);
+	g_setenv("PAPAYAWHARF_NODE_FILE", path, TRUE);
+	ck_assert(g_spawn_async(NULL, arguments, NULL,
+	    G_SPAWN_DO_NOT_REAP_CHILD | G_SPAWN_STDERR_TO_DEV_NULL, NULL, NULL,
+	    &pid, NULL));
+	fd = open(path, O_WRONLY); /* waits for the reader */
+	kill(pid, SIGHUP);
+	ck_assert_int_eq(write(fd, "{}", 2), 2);
+	close(fd);
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	/* The settings are incomplete, which ends it in order. */
+	ck_assert(WIFEXITED(status));
+	unlink(path);
+	g_free(path);
+	g_free(program);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -71,6 +105,8 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, stale_list_after_a_restart_is_not_used);
 	tcase_add_test(cases, restart_without_the_store_serves_nothing);
+	tcase_add_test(
+	    cases, reload_signal_during_the_start_does_not_end_the_process);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
