Pass over server entries with values out of range

Here no process ended, but such entries were used: slots became 0, the conversion of 1e300 ms is undefined in C, and an id with a line break added a header to the requests to its server.

Cause: values of other writers were checked for their type, not for their range.

Change: numbers in range, an address that can be connected to and a printable id are conditions of an entry; numbers of configurations, rollouts, records and headers are limited to their types. There is one parser of IP:PORT now, the strict one of the two.

--- a/src/conn.c
+++ b/src/conn.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -44,16 +43,14 @@
 {
 	const char *colon = strrchr(text, ':');
 	char host[INET_ADDRSTRLEN];
-	char *end;
-	long port;
+	guint64 port;
 
-	if (colon == NULL || (size_t)(colon - text) >= sizeof(host))
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(host) ||
+	    !g_ascii_string_to_unsigned(
+		colon + 1, 10, 1, G_MAXUINT16, &port, NULL))
 		return false;
 	memcpy(host, text, (size_t)(colon - text));
 	host[colon - text] = '\0';
-	port = strtol(colon + 1, &end, 10);
-	if (end == colon + 1 || *end != '\0' || port < 1 || port > UINT16_MAX)
-		return false;
 	return uv_ip4_addr(host, (int)port, address) == 0;
 }
 
--- a/src/json.c
+++ b/src/json.c
@@ -70,6 +70,36 @@
 	return json_is_boolean(value) ? json_is_true(value) : fallback;
 }
 
+int64_t
+json_get_clamped(const json_t *object, const char *name, int64_t fallback,
+    int64_t min, int64_t max)
+{
+	const json_t *value = json_object_get(object, name);
+
+	if (json_is_integer(value))
+		return CLAMP(json_integer_value(value), min, max);
+	if (!json_is_real(value))
+		return fallback;
+	if (json_real_value(value) <= (double)min)
+		return min;
+	if (json_real_value(value) >= (double)max)
+		return max;
+	return (int64_t)json_real_value(value);
+}
+
+bool
+json_is_in_range(
+    const json_t *object, const char *name, int64_t min, int64_t max)
+{
+	const json_t *value = json_object_get(object, name);
+
+	if (value == NULL || json_is_null(value))
+		return true;
+	return json_is_number(value) &&
+	       json_number_value(value) >= (double)min &&
+	       json_number_value(value) <= (double)max;
+}
+
 char *
 json_text(const json_t *value)
 {
--- a/src/json.h
+++ b/src/json.h
@@ -31,6 +31,17 @@
 double json_get_double(const json_t *object, const char *name, double fallback);
 bool json_get_bool(const json_t *object, const char *name, bool fallback);
 
+/*
+ * Whole part of a number, limited to min..max; fallback if the member is absent
+ * or of another type. For values of other writers, which may not fit.
+ */
+int64_t json_get_clamped(const json_t *object, const char *name,
+    int64_t fallback, int64_t min, int64_t max);
+
+/* True where the member is absent, null, or a number from min to max. */
+bool json_is_in_range(
+    const json_t *object, const char *name, int64_t min, int64_t max);
+
 /*
  * New object with the entries of a table of char * to double *; fractions are
  * cut off.
--- a/src/node_peer.c
+++ b/src/node_peer.c
@@ -1,6 +1,7 @@
 #include "node_peer.h"
 
 #include "clock.h"
+#include "conn.h"
 #include "log.h"
 
 #include <string.h>
@@ -361,7 +362,7 @@
 	     peer != NULL && *peer != NULL; peer++) {
 		if (strcmp(*peer, own_address) == 0)
 			continue;
-		if (!peer_address_parse(*peer, &parsed)) {
+		if (!conn_parse_address(*peer, &parsed)) {
 			log_event(LOG_LEVEL_ERROR, "peer.bad_address",
 			    "peer=%s remedy=give IP:PORT", *peer);
 			continue;
--- a/src/peer.h
+++ b/src/peer.h
@@ -87,7 +87,4 @@
  */
 bool peer_link_send(peer_link_t *link, GBytes *frame);
 
-/* Parses IP:PORT with an IPv4 address; false if malformed. */
-bool peer_address_parse(const char *text, struct sockaddr_in *address);
-
 #endif
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -1,6 +1,7 @@
 #include "peer_hub.h"
 
 #include "clock.h"
+#include "conn.h"
 
 #include <string.h>
 
@@ -34,23 +35,6 @@
 	char read_byte;
 };
 
-bool
-peer_address_parse(const char *text, struct sockaddr_in *address)
-{
-	const char *colon = strrchr(text, ':');
-	guint64 port;
-	char *ip;
-	int rc;
-
-	if (colon == NULL || !g_ascii_string_to_unsigned(
-				 colon + 1, 10, 1, G_MAXUINT16, &port, NULL))
-		return false;
-	ip = g_strndup(text, (gsize)(colon - text));
-	rc = uv_ip4_addr(ip, (int)port, address);
-	g_free(ip);
-	return rc == 0;
-}
-
 static GPtrArray *
 frame_array_new(void)
 {
@@ -189,7 +173,7 @@
 	uv_timer_init(hub->options.loop, &link->timer);
 	link->timer.data = link;
 	LIST_INSERT_HEAD(&hub->links, link, entries);
-	if (peer_address_parse(address, &link->socket_address))
+	if (conn_parse_address(address, &link->socket_address))
 		link_connect(link);
 	return link;
 }
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -106,7 +106,8 @@
 	    rollout_target(state->rollout), rollout_stage_name(stage),
 	    json_get_string(record, "reason", ""));
 	rollout_set_stage(state->rollout, stage,
-	    json_get_int(record, "started_ms", rollouts->wall_ms),
+	    json_get_clamped(
+		record, "started_ms", rollouts->wall_ms, 0, G_MAXINT64 / 2),
 	    rollouts->wall_ms);
 }
 
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -1,10 +1,14 @@
 #include "catalog.h"
+#include "json.h"
 #include "platform_catalog.h"
 #include "suite.h"
 
 #include <check.h>
 #include <string.h>
 
+/* Depth of a value; the parser's limit is 2,048. */
+enum { NESTING = 100000 };
+
 static const char configuration[] =
     "{\"version\": 7, \"routes\": ["
     "{\"name\": \"r1\", \"host\": \"a.example\", \"path_prefix\": \"/x/\","
@@ -153,6 +157,123 @@
 }
 END_TEST
 
+/* An entry with one field replaced, or added. Free with g_free(). */
+static char *
+make_entry(const char *name, const char *value)
+{
+	json_t *entry = json_loads(
+	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
+	    " \"state\": \"ready\", \"slots\": 4}",
+	    0, NULL);
+	char *text;
+
+	json_object_set_new(
+	    entry, name, json_loads(value, JSON_DECODE_ANY, NULL));
+	text = json_text(entry);
+	json_decref(entry);
+	return text;
+}
+
+static const struct odd_field {
+	const char *name;
+	const char *value;
+} odd_fields[] = {
+    {"slots", "0"},
+    {"slots", "-1"},
+    {"slots", "4294967296"},
+    {"slots", "9223372036854775807"},
+    {"slots", "1e300"},
+    {"address", "\"1.2.3.4\""},
+    {"address", "\"1.2.3.4:\""},
+    {"address", "\"1.2.3.4:0\""},
+    {"address", "\"1.2.3.4:-1\""},
+    {"address", "\"1.2.3.4:+5\""},
+    {"address", "\"1.2.3.4: 5\""},
+    {"address", "\"1.2.3.4:70000\""},
+    {"address", "\"1.2.3.4:99999999999999999999\""},
+    {"address", "\"1.2.3.4.5.6.7.8:5\""},
+    {"address", "\"host:5\""},
+    {"address", "\"\""},
+    {"leaves_ms", "1e300"},
+    {"leaves_ms", "-1e300"},
+    {"leaves_ms", "9223372036854775807"},
+    {"leaves_ms", "\"1\""},
+    {"cold_remaining_ms", "1e300"},
+    {"cold_remaining_ms", "9223372036854775807"},
+    {"cold_remaining_ms", "[]"},
+    {"born", "1e300"},
+    {"born", "-1"},
+    {"born", "9223372036854775807"},
+    {"born", "\"1\""},
+};
+
+/*
+ * Guards against a server that is called by an entry of another writer with a
+ * value that is out of range, or changed by its conversion.
+ */
+START_TEST(an_entry_with_an_odd_value_is_rejected)
+{
+	const struct odd_field *field = &odd_fields[_i];
+	char *text = make_entry(field->name, field->value);
+
+	ck_assert_msg(read_entry(text) == NULL, "%s is accepted", text);
+	g_free(text);
+}
+END_TEST
+
+/* Guards against an entry whose id adds headers to the requests. */
+START_TEST(an_entry_with_an_odd_id_is_rejected)
+{
+	static const char *const ids[] = {
+	    "", "a b", "a\r\nX-Tenant: t", "a\tb", "\xc3\xa4"};
+	char *text = make_entry("slots", "4");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		GError *error = NULL;
+
+		ck_assert_ptr_null(
+		    platform_read_server(ids[i], text, strlen(text), &error));
+		ck_assert_ptr_nonnull(error);
+		g_error_free(error);
+	}
+	g_free(text);
+}
+END_TEST
+
+/* Guards against a process that ends, or hangs, by a deeply nested entry. */
+START_TEST(a_deeply_nested_entry_is_rejected)
+{
+	char *brackets = g_strnfill(NESTING, '[');
+	char *entry = g_strconcat("{\"service\": ", brackets, NULL);
+
+	ck_assert_ptr_null(read_entry(brackets));
+	ck_assert_ptr_null(read_entry(entry));
+	g_free(brackets);
+	g_free(entry);
+}
+END_TEST
+
+/* Guards against a configuration whose numbers do not fit their types. */
+START_TEST(numbers_of_a_configuration_are_limited)
+{
+	catalog_t *catalog = read_configuration(
+	    "{\"version\": 1, \"routes\": [{\"name\": \"r\","
+	    " \"host\": \"h\", \"path_prefix\": \"/\","
+	    " \"route_type\": \"streaming\", \"timeout_ms\": 1e300,"
+	    " \"target_latency_ms\": -1e300, \"service\": \"s\","
+	    " \"max_attempts\": 9223372036854775807}]}");
+	const catalog_route_t *route;
+
+	ck_assert_ptr_nonnull(catalog);
+	route = catalog_find_route(catalog, "h", "/");
+	ck_assert_int_gt(route->timeout_ms, 0);
+	ck_assert_int_le(route->timeout_ms, INT32_MAX);
+	ck_assert_int_eq(route->objective_ms, 0);
+	ck_assert_uint_eq(route->max_attempts, INT32_MAX);
+	catalog_unref(catalog);
+}
+END_TEST
+
 START_TEST(an_entry_is_read)
 {
 	server_info_t *info = read_entry(
@@ -181,6 +302,11 @@
 	tcase_add_test(cases, a_split_follows_its_weights);
 	tcase_add_test(cases, a_malformed_configuration_is_rejected_entirely);
 	tcase_add_test(cases, a_malformed_entry_is_rejected);
+	tcase_add_loop_test(cases, an_entry_with_an_odd_value_is_rejected, 0,
+	    G_N_ELEMENTS(odd_fields));
+	tcase_add_test(cases, an_entry_with_an_odd_id_is_rejected);
+	tcase_add_test(cases, a_deeply_nested_entry_is_rejected);
+	tcase_add_test(cases, numbers_of_a_configuration_are_limited);
 	tcase_add_test(cases, an_entry_is_read);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -8,6 +8,12 @@
 #include <string.h>
 #include <unistd.h>
 
+enum {
+	NESTING = 10000,
+	/* For the gateway to receive changes of the store. */
+	SETTLE_US = 500000,
+};
+
 static unsigned
 parse_status(const char *message)
 {
@@ -573,6 +579,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a process that ends, or stops following the store, by one odd
+ * entry of another writer; under the keys of the system too.
+ */
+START_TEST(odd_entries_in_the_store_are_passed_over)
+{
+	static const char *const keys[] = {"servers/odd", "servers/a b",
+	    "servers/", "op/rollout/plain", "op/other", "status/rollout/plain",
+	    "papaya/node/odd", "papaya/rollout/plain", "papaya/scale/plain",
+	    "papaya/usage", "odd"};
+	char *nested = g_strnfill(NESTING, '[');
+	const char *const values[] = {"", "{", "null", "7", "\xff\xfe", nested,
+	    "{\"window\": 1e300, \"counts\": {\"depot\": -1e300}}",
+	    "{\"target\": \"v9\", \"duration_s\": 1e300}"};
+	gateway_exchange_t exchange;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		for (size_t j = 0; j < G_N_ELEMENTS(values); j++)
+			gateway_store_put(keys[i], values[j]);
+	/* An odd update of a server in use: it gets no more requests. */
+	gateway_store_put("servers/i-1", nested);
+	gateway_register_server("i-2", "plain", backend_port_2, "ready");
+	g_usleep(SETTLE_US);
+	exchange = gateway_exchange_open("/book/a", backend_listener_2);
+	gateway_exchange_close(&exchange);
+	g_free(nested);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -604,6 +639,7 @@
 	tcase_add_test(cases, usage_is_reported_once_per_window);
 	tcase_add_test(cases, duties_fail_over_after_their_holder_is_killed);
 	tcase_add_test(cases, paused_holder_does_not_act_when_it_wakes);
+	tcase_add_test(cases, odd_entries_in_the_store_are_passed_over);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
