Judge a large failure of a server as a small one

Cause: the status was judged once the response was complete; a larger one was forwarded before that. It was also recorded as a success of the server and of a rollout's version, and not retried. Ruled out: a lost X-Not-Executed (the server sends none).

Change: a response that outgrows the buffer is judged as a complete one is.

Before: large_error_of_a_server_is_no_refusal (test_gateway) got 503, 429 and 408; large_error_of_a_server_is_retried_where_allowed saw no retry.

--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -109,7 +109,6 @@
 static void
 start_forwarding(proxy_request_t *req)
 {
-	proxy_record_first_byte(req);
 	exchange_start(req->exchange, req->response_head, EXCHANGE_CHUNKED);
 	req->response_started = true;
 	exchange_write(req->exchange, (const char *)req->buffered->data,
@@ -169,17 +168,26 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* The server ran the request and responded with an error. */
+/* True for a response of a server that ran the request and failed. */
+static bool
+is_server_error(const proxy_request_t *req)
+{
+	return req->status >= 500 || implies_not_run(req->status);
+}
+
+/* is_complete: all of the response is buffered. */
 static void
-handle_server_error(proxy_request_t *req)
+handle_server_error(proxy_request_t *req, bool is_complete)
 {
 	proxy_record_failed_attempt(req, SERVER_FAILED, "server error");
 	if (catalog_may_retry(req->route) && proxy_take_retry(req))
 		retry_request(req);
 	else if (implies_not_run(req->status) && !catalog_may_retry(req->route))
 		proxy_respond(req, 502, -1, "server_failed");
-	else
+	else if (is_complete)
 		send_buffered(req);
+	else
+		start_forwarding(req);
 }
 
 /* Ends a complete response whose body has already been forwarded. */
@@ -266,8 +274,8 @@
 		return;
 	}
 	req->may_have_run = true;
-	if (req->status >= 500 || implies_not_run(req->status)) {
-		handle_server_error(req);
+	if (is_server_error(req)) {
+		handle_server_error(req, true);
 		return;
 	}
 	proxy_record_first_byte(req);
@@ -320,10 +328,14 @@
 	    req->buffered, (const guint8 *)bytes, (guint)length);
 	if (req->buffered->len <= BUFFERED_MAX_BYTES)
 		return;
-	if (req->response.not_run)
+	if (req->response.not_run) {
 		handle_not_run(req);
-	else
+	} else if (is_server_error(req)) {
+		handle_server_error(req, false);
+	} else {
+		proxy_record_first_byte(req);
 		start_forwarding(req);
+	}
 }
 
 void
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -10,6 +10,8 @@
 
 enum {
 	NESTING = 10000,
+	/* More than is buffered before a response is forwarded. */
+	ERROR_PAGE_BYTES = 100 * 1000,
 	/* For the gateway to receive changes of the store. */
 	SETTLE_US = 500000,
 };
@@ -579,6 +581,47 @@
 }
 END_TEST
 
+static const char *const refusal_statuses[] = {
+    "503 Unavailable", "429 Busy", "408 Late"};
+
+/*
+ * Guards against a booking that is made twice: its server has run it and
+ * responds with a status that means "not run", and with a large body.
+ */
+START_TEST(large_error_of_a_server_is_no_refusal)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/book/a", backend_listener_1);
+	char *page = g_strnfill(ERROR_PAGE_BYTES, 'x');
+
+	send_response(exchange.server_fd, refusal_statuses[_i], "id-1", page);
+	ck_assert_uint_eq(read_status(exchange.client_fd), 502);
+	g_free(page);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
+/* Guards against a large error that is not tried at another server. */
+START_TEST(large_error_of_a_server_is_retried_where_allowed)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/read/a", backend_listener_1);
+	char *page = g_strnfill(ERROR_PAGE_BYTES, 'x');
+	int server;
+
+	gateway_register_server("i-2", "plain", backend_port_2, "ready");
+	g_usleep(SETTLE_US);
+	send_response(exchange.server_fd, "500 Error", "id-1", page);
+	server = wire_accept(backend_listener_2);
+	g_free(wire_read_message(server));
+	send_response(server, "200 OK", "id-1", "good");
+	ck_assert_uint_eq(read_status(exchange.client_fd), 200);
+	close(server);
+	g_free(page);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /*
  * Guards against a process that ends, or stops following the store, by one odd
  * entry of another writer; under the keys of the system too.
@@ -639,6 +682,9 @@
 	tcase_add_test(cases, usage_is_reported_once_per_window);
 	tcase_add_test(cases, duties_fail_over_after_their_holder_is_killed);
 	tcase_add_test(cases, paused_holder_does_not_act_when_it_wakes);
+	tcase_add_loop_test(cases, large_error_of_a_server_is_no_refusal, 0,
+	    G_N_ELEMENTS(refusal_statuses));
+	tcase_add_test(cases, large_error_of_a_server_is_retried_where_allowed);
 	tcase_add_test(cases, odd_entries_in_the_store_are_passed_over);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
