Keep a request charged that times out at its server

A workspace could run more than its quota with requests that time out: they were refunded at the deadline although a server may be at work on them.

Cause: the deadline did not note that the current attempt may run.

Before: request_that_times_out_at_a_server_stays_charged (test_gateway): the next request was admitted (504 in place of 429). After: test_gateway 28 of 28.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -197,6 +197,9 @@
 static void
 give_up(proxy_request_t *req, const char *cause, const char *cause_not_run)
 {
+	/* A server may be at work on it, so that it stays charged. */
+	if (req->call != NULL)
+		req->may_have_run = true;
 	if (req->may_have_run || req->tried->len > 0)
 		proxy_respond(req, 504, -1, cause);
 	else
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -10,12 +10,17 @@
 
 enum {
 	NESTING = 10000,
+	/* For the first request of a workspace. */
+	REFILL_US = 2000000,
 	/* More than is buffered before a response is forwarded. */
 	ERROR_PAGE_BYTES = 100 * 1000,
 	/* For the gateway to receive changes of the store. */
 	SETTLE_US = 500000,
 };
 
+/* Less than a request in the deadline of one, 3 s. */
+static const double slow_rate_per_s = 0.2;
+
 static unsigned
 parse_status(const char *message)
 {
@@ -581,6 +586,23 @@
 }
 END_TEST
 
+/*
+ * Guards against a quota that is refunded for a request at which a server may
+ * be at work.
+ */
+START_TEST(request_that_times_out_at_a_server_stays_charged)
+{
+	gateway_exchange_t exchange;
+
+	gateway_configure_rate(2, slow_rate_per_s);
+	g_usleep(REFILL_US);
+	exchange = gateway_exchange_open("/book/a", backend_listener_1);
+	ck_assert_uint_eq(read_status(exchange.client_fd), 504);
+	ck_assert_uint_eq(gateway_booking_status(gateway_node, "key-1"), 429);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 static const char *const refusal_statuses[] = {
     "503 Unavailable", "429 Busy", "408 Late"};
 
@@ -685,6 +707,7 @@
 	tcase_add_loop_test(cases, large_error_of_a_server_is_no_refusal, 0,
 	    G_N_ELEMENTS(refusal_statuses));
 	tcase_add_test(cases, large_error_of_a_server_is_retried_where_allowed);
+	tcase_add_test(cases, request_that_times_out_at_a_server_stays_charged);
 	tcase_add_test(cases, odd_entries_in_the_store_are_passed_over);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
