--- a/src/node_attempt.c
+++ b/src/node_attempt.c
@@ -189,3 +189,18 @@
 	http_call_cancel(attempt->http);
 	attempt_free(attempt);
 }
+
+size_t
+attempt_read_headers(const http_call_t *http, const char *const *names,
+    size_t name_count, http_header_t *headers)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < name_count; i++) {
+		const char *value = http_call_header(http, names[i]);
+
+		if (value != NULL)
+			headers[count++] = (http_header_t){names[i], value};
+	}
+	return count;
+}
--- a/src/node_call.h
+++ b/src/node_call.h
@@ -214,6 +214,13 @@
 void attempt_cancel(attempt_t *attempt, attempt_result_t result);
 /* Frees an attempt whose HTTP call is done. */
 void attempt_free(attempt_t *attempt);
+/*
+ * Writes those of the names that the response has, with their values, into
+ * headers, which has room for all. Returns their number. Values are valid as
+ * http_call_header() is.
+ */
+size_t attempt_read_headers(const http_call_t *http, const char *const *names,
+    size_t name_count, http_header_t *headers);
 
 /* node_model.c */
 void model_run(call_t *call);
--- a/src/node_forward.c
+++ b/src/node_forward.c
@@ -36,15 +36,9 @@
 begin(forward_t *forward, http_call_t *http)
 {
 	http_header_t headers[G_N_ELEMENTS(passed_headers) + 1];
-	size_t count = 0;
+	size_t count = attempt_read_headers(
+	    http, passed_headers, G_N_ELEMENTS(passed_headers), headers);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(passed_headers); i++) {
-		const char *value = http_call_header(http, passed_headers[i]);
-
-		if (value != NULL)
-			headers[count++] =
-			    (http_header_t){passed_headers[i], value};
-	}
 	headers[count++] = (http_header_t){"papaya-attempt", forward->id};
 	forward->begun = true;
 	http_stream_begin(
--- a/src/node_plain.c
+++ b/src/node_plain.c
@@ -31,15 +31,9 @@
 {
 	http_header_t headers[G_N_ELEMENTS(passed_headers) + 2];
 	listener_t *listener;
-	size_t count = 0;
+	size_t count = attempt_read_headers(
+	    http, passed_headers, G_N_ELEMENTS(passed_headers), headers);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(passed_headers); i++) {
-		const char *value = http_call_header(http, passed_headers[i]);
-
-		if (value != NULL)
-			headers[count++] =
-			    (http_header_t){passed_headers[i], value};
-	}
 	headers[count++] = (http_header_t){"papaya-version", call->version};
 	while ((listener = call_take_listener(call)) != NULL) {
 		headers[count] =
