--- a/src/pick.c
+++ b/src/pick.c
@@ -244,6 +244,13 @@
 	return is_preferred ? penalty - PREFERRED_BONUS_MS : penalty;
 }
 
+/* Whether a rule keeps this request from a server that may get requests. */
+static pick_exclusion_t
+find_exclusion(const pick_query_t *query, const server_t *server)
+{
+	return PICK_NOT_EXCLUDED;
+}
+
 pick_choice_t
 pick_server(const pick_query_t *query)
 {
@@ -262,10 +269,16 @@
 		    query->servers->pdata[(start + i) % query->servers->len];
 		bool is_preferred = preferred != NULL && server == preferred;
 		double uncached, prefill, expected, cost;
+		pick_exclusion_t exclusion;
 
 		if (!server_usable(server, query->now_ms) ||
 		    was_tried(query, server))
 			continue;
+		exclusion = find_exclusion(query, server);
+		if (exclusion != PICK_NOT_EXCLUDED) {
+			choice.excluded[exclusion]++;
+			continue;
+		}
 		uncached = is_engine
 			       ? uncached_tokens(query, server, is_preferred)
 			       : 0;
--- a/src/pick.h
+++ b/src/pick.h
@@ -25,8 +25,19 @@
 	uint64_t random;  /* spreads requests over equal servers */
 } pick_query_t;
 
+/* Why a server that may get requests is not used for this one. */
+typedef enum pick_exclusion {
+	PICK_NOT_EXCLUDED,
+	PICK_EXCLUDED_REGION,	 /* the request may not go to its region */
+	PICK_EXCLUDED_EVACUATED, /* its availability zone is evacuated */
+	PICK_EXCLUDED_COLD,	 /* this node may send it nothing now */
+	PICK_EXCLUSIONS,
+} pick_exclusion_t;
+
 typedef struct pick_choice {
 	server_t *server; /* borrowed; NULL: none is usable */
+	/* Servers that were excluded, by reason. */
+	unsigned excluded[PICK_EXCLUSIONS];
 	/* Estimated time to an engine's first token or a plain response. */
 	double expected_ms;
 	double unloaded_ms;	/* at an idle engine; 0 for plain services */
