Leave quota to urgent requests, and follow the level on standby

Change: quota_take() knows three classes. Deferrable requests (token requests of routes that are not urgent) leave 0.3 of the capacity to urgent ones seen in the last 10 s and keep a fifth of the refill. A node on standby takes over the level that an active node reports.

quota_take()'s flag became an enum; the calls in tests are the same cases under the new names.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -64,6 +64,8 @@
 {
 	quota_t *quota = cluster->options.quota;
 	bool adopt = should_adopt_levels(cluster, digest, now_ms);
+	/* Reports to a node on standby cover seconds. */
+	bool follow = !cluster->active && digest->active;
 
 	for (guint i = 0; i < digest->spending->len; i++) {
 		const digest_spending_t *item =
@@ -81,9 +83,13 @@
 				quota_adopt_level(quota, item->workspace,
 				    item->bucket_level, now_ms);
 		}
-		quota_apply_remote(quota, item->workspace,
-		    item->spent_units - *applied_units, peer->share_reserved_ms,
-		    now_ms);
+		if (follow)
+			quota_follow_level(
+			    quota, item->workspace, item->bucket_level, now_ms);
+		else
+			quota_apply_remote(quota, item->workspace,
+			    item->spent_units - *applied_units,
+			    peer->share_reserved_ms, now_ms);
 		*applied_units = item->spent_units;
 	}
 	peer->share_reserved_ms = 0;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -237,6 +237,14 @@
 	return req->workspace != NULL;
 }
 
+static quota_class_t
+quota_class(const proxy_request_t *req)
+{
+	if (req->workspace->counts_tokens && !req->facts.has_tokens)
+		return QUOTA_OVERDRAFT;
+	return req->urgent ? QUOTA_URGENT : QUOTA_DEFERRABLE;
+}
+
 /* False where the workspace is over its quota; has responded 429 then. */
 static bool
 take_quota(proxy_request_t *req)
@@ -248,8 +256,7 @@
 		return true;
 	units = request_units(req);
 	verdict = quota_take(req->context->quota, req->workspace->name, units,
-	    req->workspace->counts_tokens && !req->facts.has_tokens,
-	    clock_boot_ms());
+	    quota_class(req), clock_boot_ms());
 	req->quota_available = verdict.available_units;
 	if (verdict.allowed) {
 		req->quota_units = units;
--- a/src/quota.c
+++ b/src/quota.c
@@ -5,6 +5,9 @@
 #include <math.h>
 
 enum {
+	/* Nothing is reserved for urgent requests when none came for so long.
+	 */
+	URGENT_MEMORY_MS = 10000,
 	/* Span over which spending is averaged. */
 	SMOOTHING_MS = 1000,
 	SMOOTHING_SLOTS = 10,
@@ -26,6 +29,15 @@
 static const double burst_capacity_share = 0.5;
 /* Share of the capacity by which an overdraft may go below zero. */
 static const double overdraft_share = 0.25;
+/*
+ * Share of the capacity that deferrable requests leave to urgent ones, and
+ * share of the refill that they get nevertheless: urgent requests that use up
+ * the quota must not starve them.
+ */
+static const double urgent_reserve_share = 0.3;
+static const double deferrable_refill_share = 0.2;
+/* Share of the capacity by which they may take it below zero for that. */
+static const double deferrable_overdraft_share = 0.1;
 /* Capacity in seconds of the rate where the burst is smaller than that. */
 static const double min_capacity_s = 0.25;
 
@@ -57,8 +69,12 @@
 	double own_units[SMOOTHING_SLOTS];	/* spent by this node */
 	unsigned own_requests[SMOOTHING_SLOTS]; /* of own_units */
 	double remote_units[SMOOTHING_SLOTS];	/* by time of the report */
+	/* Deferrable requests may spend it while urgent ones take all. */
+	double deferrable_level;
 	demand_t demand;
-	int64_t next_return_ms; /* of the clients refused so far, the last */
+	double share;		 /* of the demand, at the last request */
+	int64_t urgent_until_ms; /* end of the reserve for urgent requests */
+	int64_t next_return_ms;	 /* of the clients refused so far, the last */
 } bucket_t;
 
 struct quota {
@@ -118,6 +134,12 @@
 	bucket->level +=
 	    bucket->refill_per_ms * passed_ms * (1 - unreachable_share(quota));
 	bucket->level = MIN(bucket->level, bucket->capacity);
+	bucket->deferrable_level += deferrable_refill_share *
+				    bucket->refill_per_ms * passed_ms *
+				    bucket->share;
+	bucket->deferrable_level = MIN(bucket->deferrable_level,
+	    deferrable_refill_share * bucket->refill_per_ms * SMOOTHING_MS *
+		bucket->share);
 	bucket->newest_slot = MAX(bucket->newest_slot, slot - SMOOTHING_SLOTS);
 	while (bucket->newest_slot < slot) {
 		size_t next = (size_t)(++bucket->newest_slot % SMOOTHING_SLOTS);
@@ -209,12 +231,9 @@
 	quota->unreachable = MIN(unreachable, nodes - 1);
 }
 
-/*
- * Estimates what other nodes have spent since their last reports. share: of the
- * demand, that this node has.
- */
+/* Estimates what other nodes have spent since their last reports. */
 static double
-unreported_units(const quota_t *quota, const bucket_t *bucket, double share)
+unreported_units(const quota_t *quota, const bucket_t *bucket)
 {
 	double own_sum = 0, remote_sum = 0, own_estimate, estimate;
 	double reachable =
@@ -226,7 +245,7 @@
 		requests += bucket->own_requests[i];
 		remote_sum += bucket->remote_units[i];
 	}
-	own_estimate = own_sum * MAX(reachable / share - 1, 0);
+	own_estimate = own_sum * MAX(reachable / bucket->share - 1, 0);
 	estimate = (own_estimate * requests + remote_sum * SAMPLE_REQUESTS) /
 		   (requests + SAMPLE_REQUESTS);
 	return estimate * (double)quota->report_age_ms / SMOOTHING_MS;
@@ -259,14 +278,13 @@
  * bucket is full, so that one node may serve all of a workspace.
  */
 static double
-part_units(const quota_t *quota, const bucket_t *bucket, double share,
-    double available_units)
+part_units(const quota_t *quota, const bucket_t *bucket, double available_units)
 {
 	double fill = CLAMP(available_units / bucket->capacity, 0, 1);
 	double refill = least_part * bucket->refill_per_ms *
 			(double)part_interval_ms(quota);
 
-	return MAX(refill, available_units) * pow(share, 1 - fill);
+	return MAX(refill, available_units) * pow(bucket->share, 1 - fill);
 }
 
 /* Time until this node has spent no more than its part; 0: it has not. */
@@ -304,43 +322,95 @@
 	return return_ms - now_ms;
 }
 
+/*
+ * Whether a request may spend when so many units are available. Its units may
+ * take the level below zero, so that large requests are not refused more often
+ * than small ones. min_units: how far others may have taken it before.
+ */
+static bool
+may_spend(const quota_t *quota, const bucket_t *bucket, double available_units,
+    double min_units)
+{
+	double part = part_units(quota, bucket, available_units);
+
+	return available_units > min_units &&
+	       part_wait_ms(quota, bucket, part) == 0;
+}
+
+/* Whether a request may spend what its class may use beyond the others. */
+static bool
+may_overdraw(const quota_t *quota, const bucket_t *bucket, quota_class_t class,
+    double available_units)
+{
+	switch (class) {
+	case QUOTA_URGENT:
+		return false;
+	case QUOTA_DEFERRABLE:
+		return bucket->deferrable_level > 0 &&
+		       may_spend(quota, bucket, available_units,
+			   -deferrable_overdraft_share * bucket->capacity);
+	case QUOTA_OVERDRAFT:
+		return available_units > -overdraft_share * bucket->capacity;
+	}
+	return false;
+}
+
+static void
+spend(bucket_t *bucket, double units)
+{
+	size_t slot = (size_t)(bucket->newest_slot % SMOOTHING_SLOTS);
+
+	bucket->level -= units;
+	bucket->own_units[slot] += units;
+	bucket->own_requests[slot]++;
+	bucket->spent += units;
+}
+
+/* Retry-After of a request for which usable_units were available. */
+static int64_t
+retry_after_ms(
+    const quota_t *quota, bucket_t *bucket, double units, double usable_units)
+{
+	double part = part_units(quota, bucket, usable_units);
+	double missing = MAX(units - usable_units, 0);
+	int64_t units_ms = 1 + (int64_t)(missing / bucket->refill_per_ms);
+
+	return book_return_ms(quota, bucket, part, units,
+	    MAX(part_wait_ms(quota, bucket, part), units_ms));
+}
+
 quota_decision_t
 quota_take(quota_t *quota, const char *workspace, double units,
-    bool allow_overdraft, int64_t now_ms)
+    quota_class_t class, int64_t now_ms)
 {
 	bucket_t *bucket = find_bucket(quota, workspace, now_ms);
 	quota_decision_t decision = {.allowed = true};
-	double min_level, uncovered, share, part, missing;
-	int64_t part_ms, units_ms;
+	double uncovered, usable;
 
 	if (bucket == NULL)
 		return decision;
 	demand_add(&bucket->demand, units, now_ms);
-	share = demand_share(
+	bucket->share = demand_share(
 	    &bucket->demand, quota->nodes, quota->report_age_ms, now_ms);
-	min_level = allow_overdraft ? -overdraft_share * bucket->capacity : 0;
-	uncovered =
-	    unreported_units(quota, bucket, share) - bucket->unreported_max;
+	uncovered = unreported_units(quota, bucket) - bucket->unreported_max;
 	decision.available_units = bucket->level - MAX(uncovered, 0);
-	part = part_units(quota, bucket, share, decision.available_units);
-	part_ms = part_wait_ms(quota, bucket, part);
-	/*
-	 * The units themselves may take the level below zero, so that large
-	 * requests are not refused more often than small ones.
-	 */
-	if (decision.available_units <= min_level ||
-	    (!allow_overdraft && part_ms > 0)) {
-		missing = MAX(units - decision.available_units, 0);
-		units_ms = 1 + (int64_t)(missing / bucket->refill_per_ms);
-		decision.allowed = false;
-		decision.retry_after_ms = book_return_ms(
-		    quota, bucket, part, units, MAX(part_ms, units_ms));
+	usable = decision.available_units;
+	if (class == QUOTA_URGENT)
+		bucket->urgent_until_ms = now_ms + URGENT_MEMORY_MS;
+	if (class == QUOTA_DEFERRABLE && now_ms < bucket->urgent_until_ms)
+		usable -= urgent_reserve_share * bucket->capacity;
+	if (may_spend(quota, bucket, usable, 0)) {
+		spend(bucket, units);
 		return decision;
 	}
-	bucket->level -= units;
-	bucket->own_units[bucket->newest_slot % SMOOTHING_SLOTS] += units;
-	bucket->own_requests[bucket->newest_slot % SMOOTHING_SLOTS]++;
-	bucket->spent += units;
+	if (may_overdraw(quota, bucket, class, decision.available_units)) {
+		if (class == QUOTA_DEFERRABLE)
+			bucket->deferrable_level -= units;
+		spend(bucket, units);
+		return decision;
+	}
+	decision.allowed = false;
+	decision.retry_after_ms = retry_after_ms(quota, bucket, units, usable);
 	return decision;
 }
 
@@ -384,6 +454,16 @@
 		demand_set_remote(&bucket->demand, units_per_s, now_ms);
 }
 
+void
+quota_follow_level(
+    quota_t *quota, const char *workspace, double level, int64_t now_ms)
+{
+	bucket_t *bucket = find_bucket(quota, workspace, now_ms);
+
+	if (bucket != NULL)
+		bucket->level = MIN(level, bucket->capacity);
+}
+
 void
 quota_adopt_level(
     quota_t *quota, const char *workspace, double level, int64_t now_ms)
--- a/src/quota.h
+++ b/src/quota.h
@@ -54,13 +54,19 @@
 	double available_units; /* before the request; may be negative */
 } quota_decision_t;
 
-/*
- * Spends units of a workspace, or refuses them. allow_overdraft: for requests
- * of negligible cost, which may take the bucket below zero where others have
- * emptied it.
- */
+/* How far a request may use up what others of its workspace need. */
+typedef enum quota_class {
+	QUOTA_URGENT,
+	/* Leaves a reserve to urgent requests while they use up the quota. */
+	QUOTA_DEFERRABLE,
+	/* Of negligible cost: may overdraw the quota where others used it up.
+	 */
+	QUOTA_OVERDRAFT,
+} quota_class_t;
+
+/* Spends units of a workspace, or refuses them. */
 quota_decision_t quota_take(quota_t *quota, const char *workspace, double units,
-    bool allow_overdraft, int64_t now_ms);
+    quota_class_t class, int64_t now_ms);
 
 /* Refunds the units of a request that was not run. */
 void quota_refund(
@@ -81,6 +87,15 @@
 void quota_set_remote_demand(
     quota_t *quota, const char *workspace, double units_per_s, int64_t now_ms);
 
+/*
+ * Sets the bucket of a node on standby, which spends little and gets reports of
+ * several seconds at a time, to the level of a node that gets them often.
+ * Charging such a report at once would ignore what the full bucket did not
+ * take meanwhile.
+ */
+void quota_follow_level(
+    quota_t *quota, const char *workspace, double level, int64_t now_ms);
+
 /* Raises the bucket of a node that has just started to another node's level. */
 void quota_adopt_level(
     quota_t *quota, const char *workspace, double level, int64_t now_ms);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -103,7 +103,8 @@
 	double spent = 0;
 
 	while (
-	    quota_take(node->quota, "depot", 1, false, clock_boot_ms()).allowed)
+	    quota_take(node->quota, "depot", 1, QUOTA_URGENT, clock_boot_ms())
+		.allowed)
 		spent++;
 	return spent;
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -50,8 +50,8 @@
 
 	for (int64_t now = from_ms; now < to_ms; now += STEP_MS)
 		for (int i = 0; i < 10; i++)
-			if (quota_take(
-				quota, "depot", REQUEST_UNITS, false, now)
+			if (quota_take(quota, "depot", REQUEST_UNITS,
+				QUOTA_URGENT, now)
 				.allowed)
 				sum += REQUEST_UNITS;
 	return sum;
@@ -88,7 +88,8 @@
 	for (int64_t now = START_MS + WINDOW_MS;
 	     now < START_MS + WINDOWS * WINDOW_MS; now += STEP_MS) {
 		requested += DEMAND_STEP;
-		if (quota_take(quota, "depot", DEMAND_STEP, false, now).allowed)
+		if (quota_take(quota, "depot", DEMAND_STEP, QUOTA_URGENT, now)
+			.allowed)
 			served += DEMAND_STEP;
 	}
 	ck_assert_double_ge(served, requested * 0.98);
@@ -198,8 +199,8 @@
 	}
 	for (int64_t now = START_MS; now < START_MS + 4 * WINDOW_MS; now++) {
 		for (int i = 0; i < fleet->nodes; i++) {
-			if (!quota_take(
-				quotas[i], "depot", REQUEST_UNITS, false, now)
+			if (!quota_take(quotas[i], "depot", REQUEST_UNITS,
+				QUOTA_URGENT, now)
 				 .allowed)
 				continue;
 			unreported[i] += REQUEST_UNITS;
@@ -281,8 +282,8 @@
 			    PROMPT_UNITS_MEAN * -log(1 - g_rand_double(random));
 
 			requests++;
-			if (quota_take(
-				quotas[target], "depot", units, false, now)
+			if (quota_take(quotas[target], "depot", units,
+				QUOTA_URGENT, now)
 				.allowed)
 				unreported[target] += units;
 			else
@@ -333,8 +334,8 @@
 
 			units = MIN(units, UNITS_MAX);
 			requests++;
-			if (quota_take(
-				quotas[target], "depot", units, false, now)
+			if (quota_take(quotas[target], "depot", units,
+				QUOTA_URGENT, now)
 				.allowed)
 				unreported[target] += units;
 			else
@@ -370,8 +371,8 @@
 	}
 	for (int64_t now = spike_ms; now < spike_ms + WINDOW_MS; now++) {
 		for (int i = 0; i < fleet->nodes; i++) {
-			if (!quota_take(
-				quotas[i], "depot", SPIKE_UNITS, false, now)
+			if (!quota_take(quotas[i], "depot", SPIKE_UNITS,
+				QUOTA_URGENT, now)
 				 .allowed)
 				continue;
 			unreported[i] += SPIKE_UNITS;
@@ -421,7 +422,7 @@
 			int target = g_rand_int_range(random, 0, FLEET_NODES);
 
 			if (!quota_take(quotas[target], "depot", PROMPT_UNITS,
-				false, now)
+				QUOTA_URGENT, now)
 				 .allowed)
 				continue;
 			unreported[target] += PROMPT_UNITS;
@@ -526,8 +527,8 @@
 			prompt_t prompt =
 			    g_array_index(arrivals[step], prompt_t, i);
 			int target = g_rand_int_range(random, 0, FLEET_NODES);
-			quota_decision_t decision = quota_take(
-			    quotas[target], "depot", prompt.units, false, now);
+			quota_decision_t decision = quota_take(quotas[target],
+			    "depot", prompt.units, QUOTA_URGENT, now);
 
 			if (!decision.allowed) {
 				add_return(&clients, &prompt,
@@ -587,9 +588,11 @@
 
 	for (int64_t now = START_MS + WINDOW_MS; now < START_MS + 2 * WINDOW_MS;
 	     now += STEP_MS) {
-		if (quota_take(quota, "depot", PROMPT, false, now).allowed)
+		if (quota_take(quota, "depot", PROMPT, QUOTA_URGENT, now)
+			.allowed)
 			sum += PROMPT;
-		if (quota_take(quota, "depot", SMALL, true, now).allowed)
+		if (quota_take(quota, "depot", SMALL, QUOTA_OVERDRAFT, now)
+			.allowed)
 			sum += SMALL;
 		else
 			refused++;
@@ -609,7 +612,8 @@
 	for (int64_t now = START_MS + WINDOW_MS; now < START_MS + 2 * WINDOW_MS;
 	     now += STEP_MS)
 		for (int i = 0; i < 10; i++)
-			if (quota_take(quota, "depot", REQUEST_UNITS, true, now)
+			if (quota_take(quota, "depot", REQUEST_UNITS,
+				QUOTA_OVERDRAFT, now)
 				.allowed)
 				sum += REQUEST_UNITS;
 	ck_assert_double_le(sum, WINDOW_LIMIT * 1.1);
@@ -625,15 +629,16 @@
 	quota_decision_t decision;
 
 	ck_assert(
-	    quota_take(quota, "depot", WINDOW_LIMIT, false, later_ms).allowed);
-	decision =
-	    quota_take(quota, "depot", REQUEST_UNITS, false, later_ms + 300);
+	    quota_take(quota, "depot", WINDOW_LIMIT, QUOTA_URGENT, later_ms)
+		.allowed);
+	decision = quota_take(
+	    quota, "depot", REQUEST_UNITS, QUOTA_URGENT, later_ms + 300);
 	ck_assert(!decision.allowed);
 	ck_assert_int_gt(decision.retry_after_ms, 0);
 	quota_refund(quota, "depot", WINDOW_LIMIT, later_ms + 300);
-	ck_assert(
-	    quota_take(quota, "depot", REQUEST_UNITS, false, later_ms + 600)
-		.allowed);
+	ck_assert(quota_take(
+	    quota, "depot", REQUEST_UNITS, QUOTA_URGENT, later_ms + 600)
+		      .allowed);
 	quota_free(quota);
 }
 END_TEST
@@ -655,8 +660,10 @@
 {
 	quota_t *quota = quota_with(0, 0, START_MS);
 
-	ck_assert(quota_take(quota, "depot", 1e9, false, START_MS).allowed);
-	ck_assert(quota_take(quota, "other", 1e9, false, START_MS).allowed);
+	ck_assert(
+	    quota_take(quota, "depot", 1e9, QUOTA_URGENT, START_MS).allowed);
+	ck_assert(
+	    quota_take(quota, "other", 1e9, QUOTA_URGENT, START_MS).allowed);
 	quota_free(quota);
 }
 END_TEST
--- a/tests/test_quota_demand.c
+++ b/tests/test_quota_demand.c
@@ -105,7 +105,7 @@
 send_prompt(fleet_t *fleet, int node, int64_t now_ms)
 {
 	quota_decision_t decision = quota_take(
-	    fleet->quotas[node], "depot", PROMPT_UNITS, false, now_ms);
+	    fleet->quotas[node], "depot", PROMPT_UNITS, QUOTA_URGENT, now_ms);
 
 	if (decision.allowed)
 		fleet->unreported[node] += PROMPT_UNITS;
@@ -230,6 +230,85 @@
 }
 END_TEST
 
+/* Units that one node spends for each class in the last window of a flood. */
+static void
+flood_one_node(bool has_urgent, double *urgent_units, double *deferrable_units)
+{
+	quota_t *quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS});
+	catalog_t *catalog = catalog_new();
+	catalog_workspace_t *workspace = g_new0(catalog_workspace_t, 1);
+
+	workspace->name = g_strdup("depot");
+	workspace->rate_per_s = RATE;
+	catalog_add_workspace(catalog, workspace);
+	quota_configure(quota, catalog, START_MS);
+	*urgent_units = 0;
+	*deferrable_units = 0;
+	for (int64_t step = 0; step < DEMAND_MS; step++) {
+		int64_t now = DEMAND_START_MS + step;
+		bool counts = step >= WINDOW_MS;
+
+		if (has_urgent &&
+		    quota_take(quota, "depot", PROMPT_UNITS, QUOTA_URGENT, now)
+			.allowed &&
+		    counts)
+			*urgent_units += PROMPT_UNITS;
+		if (quota_take(
+			quota, "depot", PROMPT_UNITS, QUOTA_DEFERRABLE, now)
+			.allowed &&
+		    counts)
+			*deferrable_units += PROMPT_UNITS;
+	}
+	catalog_unref(catalog);
+	quota_free(quota);
+}
+
+/*
+ * Guards against a flood of requests that can wait, which use up the quota that
+ * urgent requests of their workspace need, and against starving them in turn.
+ */
+START_TEST(urgent_requests_come_first)
+{
+	const double limit = RATE * (WINDOW_MS / 1000.0);
+	double urgent, deferrable;
+
+	flood_one_node(true, &urgent, &deferrable);
+	ck_assert_double_ge(urgent, 0.7 * limit);
+	ck_assert_double_ge(deferrable, 0.1 * limit);
+	ck_assert_double_le(urgent + deferrable, limit + 2 * PROMPT_UNITS);
+}
+END_TEST
+
+/* Guards against reserving quota for urgent requests that never come. */
+START_TEST(deferrable_requests_alone_get_the_quota)
+{
+	const double limit = RATE * (WINDOW_MS / 1000.0);
+	double urgent, deferrable;
+
+	flood_one_node(false, &urgent, &deferrable);
+	ck_assert_double_ge(deferrable, 0.9 * limit);
+}
+END_TEST
+
+/*
+ * Guards against a node that becomes active and refuses a workspace within its
+ * quota: on standby it got reports of 3 s at a time, while its full bucket took
+ * no refill.
+ */
+START_TEST(node_on_standby_follows_the_level)
+{
+	enum { REPORT_INTERVAL_MS = 3000 };
+	fleet_t fleet;
+	int64_t now = DEMAND_START_MS;
+
+	fleet_start(&fleet);
+	for (int i = 0; i < 4; i++, now += REPORT_INTERVAL_MS)
+		quota_follow_level(fleet.quotas[0], "depot", BURST / 4.0, now);
+	ck_assert(send_prompt(&fleet, 0, now).allowed);
+	fleet_stop(&fleet);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -240,6 +319,9 @@
 	tcase_add_test(cases, flood_at_one_node_keeps_the_limit);
 	tcase_add_test(cases, refusals_in_a_flood_tell_when_to_return);
 	tcase_add_test(cases, part_follows_clients_to_another_node);
+	tcase_add_test(cases, urgent_requests_come_first);
+	tcase_add_test(cases, deferrable_requests_alone_get_the_quota);
+	tcase_add_test(cases, node_on_standby_follows_the_level);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
