Follow evacuations of zones, and limit requests to cold servers

Cause: the daemon did not read op/evacuate/ZONE, so that servers of an evacuated zone got requests, and a cold server only had a penalty on its cost, so that every node sent to it.

Change: module evacuation holds the set of zones from the store's keys; module cold_limit tells whether this node may send to a cold server now. A server has at most cold_per_s owners among the active nodes, by rendezvous hashing, each with one request a second; fewer nodes share the rate. pick_server() excludes servers by reason, also as preferred ones, and tells when a cold one may be used. A server is cold by its newest entry, counted from the time at which it was read, by the X-Cold-Ms header of its responses, and for cold_start_s after its zone's evacuation has ended, unless a later entry says otherwise. A migration target is checked again when the stream is sent there.

Ruled out: counting only reachable nodes as active.

--- a/src/catalog.h
+++ b/src/catalog.h
@@ -52,9 +52,12 @@
 	char *name;
 	unsigned max_connections; /* to one server, of all nodes; 0: no limit */
 	bool is_engine;
-	unsigned batch_size;	    /* engines: concurrent requests */
-	double kv_capacity_tokens;  /* engines: size of the KV cache */
-	bool can_migrate;	    /* engines: running streams can be moved */
+	unsigned batch_size;	   /* engines: concurrent requests */
+	double kv_capacity_tokens; /* engines: size of the KV cache */
+	bool can_migrate;	   /* engines: running streams can be moved */
+	int64_t cold_start_ms;	   /* for which a new server is cold */
+	/* Requests to a cold server in any second, of all nodes; 0: no limit */
+	double cold_per_s;
 	catalog_scaling_t *scaling; /* NULL: fixed size */
 } catalog_service_t;
 
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -87,6 +87,14 @@
  * (see active_set.h), or is the leader.
  */
 bool cluster_is_active(const cluster_t *cluster);
+/*
+ * Names (borrowed char *) of the nodes that count as active, this one included.
+ * A registered node that is unreachable still counts where it was active, so
+ * that both sides of a fleet that is split agree on who sends what. Empty where
+ * this node is on standby, has just become ready, or reaches fewer than half of
+ * the registered nodes: it cannot tell then. The caller releases the array.
+ */
+GPtrArray *cluster_active_names(const cluster_t *cluster);
 /*
  * How long this node should wait until it campaigns as leader: the first of the
  * active set least.
--- a/src/cluster_active.c
+++ b/src/cluster_active.c
@@ -182,6 +182,42 @@
 	return addresses;
 }
 
+/* True for a registered peer that carries traffic, or did when last heard. */
+static bool
+counts_as_active(const cluster_t *cluster, const cluster_peer_t *peer)
+{
+	return cluster_is_small(cluster) ||
+	       (peer->digest != NULL && peer->digest->active) ||
+	       g_ptr_array_find(cluster->active_peers, peer, NULL);
+}
+
+GPtrArray *
+cluster_active_names(const cluster_t *cluster)
+{
+	GPtrArray *names = g_ptr_array_new();
+	int64_t now_ms = clock_boot_ms();
+	unsigned reached = 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_ptr_array_add(names, cluster->options.config->name);
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cluster_peer_t *peer = value;
+
+		if (!peer->registered)
+			continue;
+		if (cluster_is_peer_alive(cluster, peer, now_ms))
+			reached++;
+		if (counts_as_active(cluster, peer))
+			g_ptr_array_add(names, peer->name);
+	}
+	if (!cluster->active || !has_settled_view(cluster, now_ms) ||
+	    2 * reached < cluster_node_count(cluster))
+		g_ptr_array_set_size(names, 0);
+	return names;
+}
+
 /* Peers that share the quotas with this node. */
 typedef struct sharing_peers {
 	unsigned count; /* may carry traffic */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -271,9 +271,26 @@
 	g_free(name);
 }
 
+/* Number of cold servers, as counted by pool_each(). */
+typedef struct cold_count {
+	unsigned servers;
+	int64_t now_ms;
+} cold_count_t;
+
+static void
+count_cold(server_t *server, void *data)
+{
+	cold_count_t *count = data;
+
+	if (server_is_cold(server, count->now_ms))
+		count->servers++;
+}
+
 static void
 update_gauges(gateway_t *gateway, int64_t now_ms)
 {
+	cold_count_t cold = {.now_ms = now_ms};
+
 	counters_t *counters = gateway->proxy.counters;
 
 	*counter_get(counters, "client_connections") =
@@ -296,6 +313,10 @@
 	*counter_get(counters, "blocked_prompt_segments") =
 	    crash_guard_blocked_count(
 		gateway->proxy.crash_guard, cluster_wall_ms(gateway->cluster));
+	*counter_get(counters, "evacuated_zones") =
+	    evacuation_count(gateway->proxy.evacuation);
+	pool_each(gateway->proxy.pool, count_cold, &cold);
+	*counter_get(counters, "cold_servers") = cold.servers;
 	quota_each(gateway->proxy.quota, now_ms, add_quota_gauge, counters);
 }
 
@@ -349,6 +370,16 @@
 	    cluster_active_count(gateway->cluster));
 }
 
+/* Tells the limit of cold servers which nodes share it. */
+static void
+update_cold_limit(gateway_t *gateway)
+{
+	GPtrArray *nodes = cluster_active_names(gateway->cluster);
+
+	cold_limit_set_nodes(gateway->proxy.cold_limit, nodes);
+	g_ptr_array_unref(nodes);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -358,6 +389,7 @@
 	request_store_changes(gateway);
 	check_newer_configuration(gateway, now_ms);
 	update_ready(gateway, now_ms);
+	update_cold_limit(gateway);
 	if (!is_awaiting_configuration(gateway))
 		serve_waiting(gateway);
 	usage_report_tick(
@@ -456,6 +488,8 @@
 	    .counters = counters_new(),
 	};
 	gateway->proxy.crash_guard = crash_guard_new();
+	gateway->proxy.evacuation = evacuation_new();
+	gateway->proxy.cold_limit = cold_limit_new(gateway->config->name);
 	gateway->proxy.rollouts = rollouts_new(&(rollouts_options_t){
 	    .config = gateway->config, .pool = gateway->proxy.pool});
 	TAILQ_INIT(&gateway->proxy.requests);
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -62,6 +62,9 @@
 static void
 put_server(gateway_t *gateway, const char *id, const platform_item_t *item)
 {
+	const server_t *server = pool_find(gateway->proxy.pool, server_tag(id));
+	int64_t now_ms = clock_boot_ms();
+	bool was_cold = server != NULL && server_is_cold(server, now_ms);
 	GError *error = NULL;
 	server_info_t *info =
 	    platform_read_server(id, item->value, item->length, &error);
@@ -70,7 +73,7 @@
 		log_event(LOG_LEVEL_WARN, "server.malformed",
 		    "id=%s error=\"%s\"", id, error->message);
 		g_error_free(error);
-		pool_remove(gateway->proxy.pool, id, 0, clock_boot_ms());
+		pool_remove(gateway->proxy.pool, id, 0, now_ms);
 		return;
 	}
 	log_event(LOG_LEVEL_INFO, "server.listed",
@@ -78,7 +81,62 @@
 	    "spot=%d leaves_ms=%" G_GINT64_FORMAT,
 	    id, info->service, info->address, info->zone, info->version,
 	    info->draining, info->spot, info->shutdown_in_ms);
-	pool_put(gateway->proxy.pool, info, clock_boot_ms());
+	if (!was_cold && info->warmup_ms > 0)
+		log_event(LOG_LEVEL_INFO, "server.cold",
+		    "id=%s cold_ms=%" G_GINT64_FORMAT " source=entry", id,
+		    info->warmup_ms);
+	pool_put(gateway->proxy.pool, info, now_ms);
+}
+
+static void
+begin_evacuation(gateway_t *gateway, const char *zone)
+{
+	if (evacuation_begin(gateway->proxy.evacuation, zone))
+		log_event(
+		    LOG_LEVEL_INFO, "zone.evacuation_begun", "zone=%s", zone);
+}
+
+/* The end of an evacuation, for the servers of its zone. */
+typedef struct evacuation_end {
+	const char *zone;
+	const catalog_t *catalog; /* NULL: none */
+	unsigned servers;	  /* that are taken to be cold */
+	int64_t now_ms;
+} evacuation_end_t;
+
+static void
+assume_cold(server_t *server, void *data)
+{
+	evacuation_end_t *end = data;
+	const catalog_service_t *service;
+
+	if (end->catalog == NULL || strcmp(server->info->zone, end->zone) != 0)
+		return;
+	service = catalog_find_service(end->catalog, server->info->service);
+	if (service == NULL || service->cold_start_ms == 0)
+		return;
+	server_assume_cold(server, service->cold_start_ms, end->now_ms);
+	end->servers++;
+}
+
+/*
+ * A zone's servers may be cold when its evacuation ends, and their entries of
+ * the time before do not show it.
+ */
+static void
+end_evacuation(gateway_t *gateway, const char *zone)
+{
+	evacuation_end_t end = {
+	    .zone = zone,
+	    .catalog = gateway->proxy.catalog,
+	    .now_ms = clock_boot_ms(),
+	};
+
+	if (!evacuation_end(gateway->proxy.evacuation, zone))
+		return;
+	pool_each(gateway->proxy.pool, assume_cold, &end);
+	log_event(LOG_LEVEL_INFO, "zone.evacuation_ended",
+	    "zone=%s servers_taken_for_cold=%u", zone, end.servers);
 }
 
 typedef enum key_kind {
@@ -90,6 +148,7 @@
 	KEY_SCALE_ORDER,
 	KEY_ROLLOUT,
 	KEY_ROLLOUT_RECORD,
+	KEY_EVACUATION,
 	KEY_OTHER,
 } key_kind_t;
 
@@ -109,6 +168,7 @@
 	    {scaler_baseline_prefix, KEY_SCALE_ORDER},
 	    {platform_rollout_prefix, KEY_ROLLOUT},
 	    {rollouts_record_prefix, KEY_ROLLOUT_RECORD},
+	    {platform_evacuation_prefix, KEY_EVACUATION},
 	};
 
 	*name = key;
@@ -174,6 +234,9 @@
 		rollouts_set_record(
 		    gateway->proxy.rollouts, name, item->value, item->length);
 		break;
+	case KEY_EVACUATION:
+		begin_evacuation(gateway, name);
+		break;
 	case KEY_OTHER:
 		break;
 	}
@@ -226,6 +289,9 @@
 	case KEY_ROLLOUT_RECORD:
 		rollouts_set_record(gateway->proxy.rollouts, name, NULL, 0);
 		break;
+	case KEY_EVACUATION:
+		end_evacuation(gateway, name);
+		break;
 	case KEY_CONFIGURATION:
 	case KEY_OTHER:
 		break;
--- a/src/pick.c
+++ b/src/pick.c
@@ -17,6 +17,8 @@
 	OTHER_ZONE_PENALTY_MS = 1,
 	/* Makes all nodes choose the same server for a new prompt. */
 	PREFERRED_BONUS_MS = 4,
+	/* Retry time of a request that has left its turn to urgent ones. */
+	COLD_YIELD_MS = 1000,
 };
 
 /* Share of its token capacity beyond which an engine is avoided. */
@@ -75,6 +77,72 @@
 	return false;
 }
 
+const char *
+pick_exclusion_name(pick_exclusion_t exclusion)
+{
+	switch (exclusion) {
+	case PICK_EXCLUDED_REGION:
+		return "region";
+	case PICK_EXCLUDED_EVACUATED:
+		return "evacuated";
+	case PICK_EXCLUDED_COLD:
+		return "cold";
+	case PICK_NOT_EXCLUDED:
+	case PICK_EXCLUSIONS:
+		break;
+	}
+	return "";
+}
+
+/* True where cold servers of the service have a limit. */
+static bool
+has_cold_limit(const pick_query_t *query)
+{
+	return query->cold_limit != NULL && query->service != NULL &&
+	       query->service->cold_per_s > 0;
+}
+
+/* True for a server that may get a few requests a second only. */
+static bool
+is_limited(const pick_query_t *query, const server_t *server)
+{
+	return has_cold_limit(query) && server_is_cold(server, query->now_ms);
+}
+
+/* Requests that this node may send to a cold server now. */
+static unsigned
+cold_turns_left(const pick_query_t *query, const server_t *server)
+{
+	return cold_limit_turns_left(query->cold_limit, server->tag,
+	    &server->cold_turns, query->service->cold_per_s, query->now_ms);
+}
+
+pick_exclusion_t
+pick_find_exclusion(const pick_query_t *query, const server_t *server)
+{
+	if (query->evacuation != NULL &&
+	    evacuation_has(query->evacuation, server->info->zone))
+		return PICK_EXCLUDED_EVACUATED;
+	if (is_limited(query, server) &&
+	    (query->warm_only || cold_turns_left(query, server) == 0))
+		return PICK_EXCLUDED_COLD;
+	return PICK_NOT_EXCLUDED;
+}
+
+/* Time until a cold server is warm, or has a turn for this node. */
+static int64_t
+cold_wait_ms(const pick_query_t *query, const server_t *server)
+{
+	int64_t turn_ms =
+	    cold_limit_next_turn_ms(query->cold_limit, server->tag,
+		&server->cold_turns, query->service->cold_per_s, query->now_ms);
+
+	/* A turn that is left now is kept for more urgent requests. */
+	if (turn_ms <= query->now_ms)
+		turn_ms = query->now_ms + COLD_YIELD_MS;
+	return MIN(turn_ms, server_cold_until_ms(server)) - query->now_ms;
+}
+
 /* Hash of a shared prompt segment and a server, for rendezvous hashing. */
 static uint64_t
 rendezvous_weight(uint64_t segment, uint32_t tag)
@@ -108,6 +176,7 @@
 		uint64_t weight = rendezvous_weight(last_shared, server->tag);
 
 		if (server_usable(server, query->now_ms) &&
+		    pick_find_exclusion(query, server) == PICK_NOT_EXCLUDED &&
 		    (preferred == NULL || weight > best_weight)) {
 			preferred = server;
 			best_weight = weight;
@@ -239,16 +308,79 @@
 
 	if (strcmp(server->info->zone, query->zone) != 0)
 		penalty += OTHER_ZONE_PENALTY_MS;
-	if (server->info->warmup_ms > 0)
+	if (server->info->warmup_ms > 0 || is_limited(query, server))
 		penalty += server->latency_ms;
 	return is_preferred ? penalty - PREFERRED_BONUS_MS : penalty;
 }
 
-/* Whether a rule keeps this request from a server that may get requests. */
-static pick_exclusion_t
-find_exclusion(const pick_query_t *query, const server_t *server)
+/* True for a server that may get requests and has not had this one. */
+static bool
+is_candidate(const pick_query_t *query, const server_t *server)
 {
-	return PICK_NOT_EXCLUDED;
+	return server_usable(server, query->now_ms) &&
+	       !was_tried(query, server);
+}
+
+/* The cold servers that a request might use. */
+typedef struct cold_candidates {
+	bool only;	/* there are no other ones */
+	unsigned turns; /* that this node has left at them */
+} cold_candidates_t;
+
+static cold_candidates_t
+find_cold_candidates(const pick_query_t *query)
+{
+	cold_candidates_t cold = {0};
+	bool some_warm = false, some_cold = false;
+
+	if (!has_cold_limit(query))
+		return cold;
+	for (guint i = 0; i < query->servers->len; i++) {
+		const server_t *server = query->servers->pdata[i];
+		pick_exclusion_t exclusion;
+
+		if (!is_candidate(query, server))
+			continue;
+		exclusion = pick_find_exclusion(query, server);
+		if (exclusion != PICK_NOT_EXCLUDED &&
+		    exclusion != PICK_EXCLUDED_COLD)
+			continue;
+		if (!is_limited(query, server)) {
+			some_warm = true;
+			continue;
+		}
+		some_cold = true;
+		cold.turns += cold_turns_left(query, server);
+	}
+	cold.only = some_cold && !some_warm;
+	return cold;
+}
+
+/*
+ * True where the request must leave the turns at the cold servers, which are
+ * the only ones, to more urgent requests.
+ */
+static bool
+yields_to_urgent(const pick_query_t *query, const cold_candidates_t *cold)
+{
+	return cold->only && !query->urgent &&
+	       cold_limit_yields(query->cold_limit, query->service->name,
+		   cold->turns, query->now_ms);
+}
+
+/* Counts an excluded server in the choice. */
+static void
+count_exclusion(const pick_query_t *query, const server_t *server,
+    pick_exclusion_t exclusion, pick_choice_t *choice)
+{
+	int64_t wait_ms;
+
+	choice->excluded[exclusion]++;
+	if (exclusion != PICK_EXCLUDED_COLD)
+		return;
+	wait_ms = cold_wait_ms(query, server);
+	if (choice->excluded[exclusion] == 1 || wait_ms < choice->cold_wait_ms)
+		choice->cold_wait_ms = wait_ms;
 }
 
 pick_choice_t
@@ -258,10 +390,15 @@
 	bool is_engine = query->service != NULL && query->service->is_engine;
 	double best_cost = DBL_MAX;
 	const server_t *preferred;
+	cold_candidates_t cold;
+	bool yields;
 	guint start;
 
 	if (query->servers == NULL || query->servers->len == 0)
 		return choice;
+	cold = find_cold_candidates(query);
+	yields = yields_to_urgent(query, &cold);
+	choice.only_cold = cold.only;
 	preferred = is_engine ? preferred_server(query) : NULL;
 	start = (guint)(query->random % query->servers->len);
 	for (guint i = 0; i < query->servers->len; i++) {
@@ -271,12 +408,13 @@
 		double uncached, prefill, expected, cost;
 		pick_exclusion_t exclusion;
 
-		if (!server_usable(server, query->now_ms) ||
-		    was_tried(query, server))
+		if (!is_candidate(query, server))
 			continue;
-		exclusion = find_exclusion(query, server);
+		exclusion = pick_find_exclusion(query, server);
+		if (exclusion == PICK_NOT_EXCLUDED && yields)
+			exclusion = PICK_EXCLUDED_COLD;
 		if (exclusion != PICK_NOT_EXCLUDED) {
-			choice.excluded[exclusion]++;
+			count_exclusion(query, server, exclusion, &choice);
 			continue;
 		}
 		uncached = is_engine
--- a/src/pick.h
+++ b/src/pick.h
@@ -2,6 +2,8 @@
 #define PAPAYA_PICK_H
 
 #include "catalog.h"
+#include "cold_limit.h"
+#include "evacuation.h"
 #include "pool.h"
 #include "prefix.h"
 #include "ttft_model.h"
@@ -21,8 +23,12 @@
 	const ttft_model_t *ttft_model; /* NULL: not an engine */
 	bool urgent;	  /* engines read its prompt before others */
 	const char *zone; /* of this node */
-	int64_t now_ms;	  /* clock_boot_ms() */
-	uint64_t random;  /* spreads requests over equal servers */
+	const evacuation_t *evacuation; /* NULL: no zone is evacuated */
+	const cold_limit_t *cold_limit; /* NULL: cold servers have no limit */
+	/* The request is sent later, so that no turn at a cold server helps. */
+	bool warm_only;
+	int64_t now_ms;	 /* clock_boot_ms() */
+	uint64_t random; /* spreads requests over equal servers */
 } pick_query_t;
 
 /* Why a server that may get requests is not used for this one. */
@@ -38,6 +44,10 @@
 	server_t *server; /* borrowed; NULL: none is usable */
 	/* Servers that were excluded, by reason. */
 	unsigned excluded[PICK_EXCLUSIONS];
+	/* All servers that might have been used are cold. */
+	bool only_cold;
+	/* Time until a server that is excluded as cold may be used. */
+	int64_t cold_wait_ms;
 	/* Estimated time to an engine's first token or a plain response. */
 	double expected_ms;
 	double unloaded_ms;	/* at an idle engine; 0 for plain services */
@@ -47,6 +57,16 @@
 
 pick_choice_t pick_server(const pick_query_t *query);
 
+/*
+ * Whether a rule keeps the request from a server that may get requests. For a
+ * server that was picked some time ago.
+ */
+pick_exclusion_t pick_find_exclusion(
+    const pick_query_t *query, const server_t *server);
+
+/* Name of a reason, as a label of metrics. */
+const char *pick_exclusion_name(pick_exclusion_t exclusion);
+
 /*
  * True where a request should be refused: it would miss its deadline in
  * remaining_ms, or the queue delays it so much that its server's time is
--- a/src/pool.c
+++ b/src/pool.c
@@ -12,6 +12,8 @@
 	SERVER_PAUSE_MAX_MS = 60 * 60 * 1000,
 	/* How long a removed server is remembered in case its entry returns. */
 	REMOVED_MEMORY_MS = 60000,
+	/* Longest time for which a server may say that it is cold. */
+	COLD_MAX_MS = 60 * 60 * 1000,
 };
 
 /* Weights of the newest attempt in the moving averages. */
@@ -164,6 +166,14 @@
 	server_info_free(old);
 }
 
+/* An entry counts from the time at which it was read. */
+static void
+set_cold_until(server_t *server, int64_t now_ms)
+{
+	server->cold_until_ms =
+	    now_ms + CLAMP(server->info->warmup_ms, 0, COLD_MAX_MS);
+}
+
 static server_t *
 server_new(const pool_t *pool, server_info_t *info, int64_t now_ms)
 {
@@ -204,6 +214,7 @@
 
 	if (server != NULL && same_server(server->info, info)) {
 		replace_info(server, info);
+		set_cold_until(server, now_ms);
 		server->remove_at_ms = 0;
 		if (info->draining)
 			set_shutdown_time(pool, server, now_ms);
@@ -214,6 +225,7 @@
 	server = take_removed(pool, info);
 	if (server == NULL)
 		server = server_new(pool, info, now_ms);
+	set_cold_until(server, now_ms);
 	if (info->draining)
 		set_shutdown_time(pool, server, now_ms);
 	link_server(pool, server);
@@ -352,10 +364,29 @@
 	return found ? MAX(shortest_ms, 0) : 0;
 }
 
+int64_t
+server_cold_until_ms(const server_t *server)
+{
+	return MAX(server->cold_until_ms, server->reported_cold_until_ms);
+}
+
 bool
-server_is_warming_up(const server_t *server, int64_t now_ms)
+server_is_cold(const server_t *server, int64_t now_ms)
+{
+	return now_ms < server_cold_until_ms(server);
+}
+
+void
+server_report_cold(server_t *server, int64_t cold_ms, int64_t now_ms)
+{
+	server->reported_cold_until_ms = MAX(
+	    server->reported_cold_until_ms, now_ms + MIN(cold_ms, COLD_MAX_MS));
+}
+
+void
+server_assume_cold(server_t *server, int64_t cold_ms, int64_t now_ms)
 {
-	return now_ms < server->listed_at_ms + server->info->warmup_ms;
+	server->cold_until_ms = MAX(server->cold_until_ms, now_ms + cold_ms);
 }
 
 unsigned
--- a/src/pool.h
+++ b/src/pool.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYA_POOL_H
 #define PAPAYA_POOL_H
 
+#include "cold_limit.h"
 #include "server.h"
 #include "upstream.h"
 
@@ -42,6 +43,11 @@
 	unsigned consecutive_failures; /* SERVER_UNREACHABLE */
 	int64_t backoff_until_ms;      /* gets no requests until then */
 	int64_t paused_until_ms; /* the server has asked for no requests */
+	/* Until when it is cold, by its newest entry or an assumption. */
+	int64_t cold_until_ms;
+	/* The same by its responses. */
+	int64_t reported_cold_until_ms;
+	cold_turns_t cold_turns; /* requests of this node, see cold_limit.h */
 	double latency_ms;	 /* moving average; 0: no sample yet */
 	upstream_t *upstream;	 /* NULL where the address is malformed */
 } server_t;
@@ -113,8 +119,21 @@
  */
 int64_t pool_pause_ms(const GPtrArray *servers, int64_t now_ms);
 
-/* True while the server is still slow after its start. */
-bool server_is_warming_up(const server_t *server, int64_t now_ms);
+/*
+ * Until when the server is cold: still slow after its start, or again. A time
+ * in the past where it is warm.
+ */
+int64_t server_cold_until_ms(const server_t *server);
+bool server_is_cold(const server_t *server, int64_t now_ms);
+
+/*
+ * A response of the server says for how long it will be cold. An entry does not
+ * shorten that time, as it may have been written before the response.
+ */
+void server_report_cold(server_t *server, int64_t cold_ms, int64_t now_ms);
+
+/* The server may be cold for so long, unless its next entry says otherwise. */
+void server_assume_cold(server_t *server, int64_t cold_ms, int64_t now_ms);
 
 /* Requests of all nodes in flight at the server. */
 unsigned server_in_flight(const server_t *server);
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -3,7 +3,9 @@
 
 #include "catalog.h"
 #include "cluster.h"
+#include "cold_limit.h"
 #include "counter.h"
+#include "evacuation.h"
 #include "http1_server.h"
 #include "pool.h"
 #include "prefix.h"
@@ -36,6 +38,8 @@
 	cluster_t *cluster;
 	rollouts_t *rollouts;
 	crash_guard_t *crash_guard;
+	evacuation_t *evacuation;
+	cold_limit_t *cold_limit;
 	counters_t *counters;
 	catalog_t *catalog; /* current configuration; NULL: none yet */
 	/* clock_boot_ms() from which the catalog must not be used. */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -128,6 +128,7 @@
 		proxy_handle_not_sent(req, SERVER_FULL, "no_connection");
 		return;
 	}
+	cold_turns_count(&choice->server->cold_turns, req->attempt_start_ms);
 	rollouts_count_request(req->context->rollouts, req->service_name,
 	    req->trial.revision, req->trial.to_new_version);
 	prefix_cache_record(req->context->prefixes, choice->server->tag,
@@ -135,11 +136,13 @@
 	proxy_start_idle_timer(req, req->route->objective_ms);
 }
 
-static pick_choice_t
-pick_among(proxy_request_t *req, const GPtrArray *servers)
+/* servers: NULL where none is to be selected. */
+static pick_query_t
+make_query(proxy_request_t *req, const GPtrArray *servers)
 {
-	proxy_context_t *context = req->context;
-	pick_query_t query = {
+	const proxy_context_t *context = req->context;
+
+	return (pick_query_t){
 	    .facts = &req->facts,
 	    .service = req->service,
 	    .servers = servers,
@@ -148,11 +151,54 @@
 	    .ttft_model = proxy_ttft_model(req),
 	    .urgent = req->urgent,
 	    .zone = context->zone,
+	    .evacuation = context->evacuation,
+	    .cold_limit = context->cold_limit,
 	    .now_ms = clock_boot_ms(),
 	    .random = g_random_int(),
 	};
+}
+
+static void
+count_exclusions(const proxy_request_t *req, const pick_choice_t *choice)
+{
+	for (int i = PICK_NOT_EXCLUDED + 1; i < PICK_EXCLUSIONS; i++)
+		if (choice->excluded[i] > 0)
+			counter_add(req->context->counters, choice->excluded[i],
+			    "servers_excluded_total{service=\"%s\","
+			    "reason=\"%s\"}",
+			    req->service_name,
+			    pick_exclusion_name((pick_exclusion_t)i));
+}
 
-	return pick_server(&query);
+static pick_choice_t
+pick_among(proxy_request_t *req, const GPtrArray *servers)
+{
+	pick_query_t query = make_query(req, servers);
+	pick_choice_t choice = pick_server(&query);
+
+	count_exclusions(req, &choice);
+	return choice;
+}
+
+bool
+proxy_may_send_to(proxy_request_t *req, const server_t *server)
+{
+	pick_query_t query = make_query(req, NULL);
+
+	return pick_find_exclusion(&query, server) == PICK_NOT_EXCLUDED;
+}
+
+/* Adds the exclusions of an earlier choice to one that found no server. */
+static void
+add_exclusions(pick_choice_t *choice, const pick_choice_t *earlier)
+{
+	bool had_cold = choice->excluded[PICK_EXCLUDED_COLD] > 0;
+
+	if (earlier->excluded[PICK_EXCLUDED_COLD] > 0 &&
+	    (!had_cold || earlier->cold_wait_ms < choice->cold_wait_ms))
+		choice->cold_wait_ms = earlier->cold_wait_ms;
+	for (int i = 0; i < PICK_EXCLUSIONS; i++)
+		choice->excluded[i] += earlier->excluded[i];
 }
 
 /* Chooses a version by the service's rollout, and one of its servers. */
@@ -166,7 +212,10 @@
 
 	req->trial = route.assignment;
 	if (choice.server == NULL && route.fallback_servers != NULL) {
+		pick_choice_t earlier = choice;
+
 		choice = pick_among(req, route.fallback_servers);
+		add_exclusions(&choice, &earlier);
 		/*
 		 * The version was not assigned at random: the attempt is
 		 * counted, but with share 0 it is no evidence.
@@ -184,8 +233,12 @@
 	GPtrArray *same_version = pool_filter_version(
 	    pool_servers(req->context->pool, req->service_name),
 	    req->server->info->version, true);
-	pick_choice_t choice = pick_among(req, same_version);
+	pick_query_t query = make_query(req, same_version);
+	pick_choice_t choice;
 
+	query.warm_only = true;
+	choice = pick_server(&query);
+	count_exclusions(req, &choice);
 	g_ptr_array_unref(same_version);
 	return choice;
 }
@@ -209,6 +262,23 @@
 	    pool_pause_ms(servers, clock_boot_ms()), PROXY_RETRY_AFTER_MS);
 }
 
+/* Refuses the request, with the Retry-After that the exclusions give. */
+static void
+reject_without_server(proxy_request_t *req, const pick_choice_t *choice)
+{
+	int64_t retry_ms = proxy_no_server_retry_ms(req);
+
+	if (choice->excluded[PICK_EXCLUDED_COLD] > 0)
+		proxy_reject(req,
+		    MAX(choice->cold_wait_ms, PROXY_RETRY_AFTER_MS),
+		    "cold_servers");
+	else if (choice->excluded[PICK_EXCLUDED_EVACUATED] > 0)
+		proxy_reject(
+		    req, MAX(retry_ms, PROXY_EVACUATED_RETRY_MS), "evacuated");
+	else
+		proxy_reject(req, retry_ms, "no_server");
+}
+
 void
 proxy_attempt(proxy_request_t *req)
 {
@@ -221,8 +291,11 @@
 		return;
 	}
 	choice = pick_version(req);
+	if (choice.only_cold && req->urgent)
+		cold_limit_count_urgent(req->context->cold_limit,
+		    req->service_name, clock_boot_ms());
 	if (choice.server == NULL)
-		proxy_reject(req, proxy_no_server_retry_ms(req), "no_server");
+		reject_without_server(req, &choice);
 	else if (!req->may_have_run &&
 		 pick_should_shed(
 		     &choice, ttft_objective_ms(req), proxy_remaining_ms(req)))
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -14,12 +14,35 @@
 	STATUS_UNAVAILABLE = 503,
 };
 
+/*
+ * The target may not get the stream: its zone has been evacuated since, or it
+ * has become cold. Only the target has the copy, so that another engine reads
+ * the prompt again.
+ */
+static void
+resume_elsewhere(proxy_request_t *req)
+{
+	log_event(LOG_LEVEL_WARN, "stream.target_excluded", "id=%s to=%s",
+	    req->facts.attempt_id, req->migration.target->info->id);
+	proxy_migration_clear(req);
+	if (!catalog_may_retry(req->route)) {
+		proxy_respond(req, 502, -1, "move_failed");
+		return;
+	}
+	event_stream_resume(req->events);
+	proxy_attempt(req);
+}
+
 static void
 resume_at_target(proxy_request_t *req)
 {
 	pick_choice_t choice = {.server = req->migration.target};
 
 	req->migration.state = PROXY_MIGRATION_ENDED;
+	if (!proxy_may_send_to(req, choice.server)) {
+		resume_elsewhere(req);
+		return;
+	}
 	event_stream_resume(req->events);
 	proxy_send(req, &choice);
 	if (req->call == NULL)
@@ -65,7 +88,12 @@
 on_copy_head(
     const http1_head_t *head, const response_facts_t *facts, void *data)
 {
-	((proxy_request_t *)data)->migration.status = head->status;
+	proxy_request_t *req = data;
+
+	req->migration.status = head->status;
+	if (facts->cold_ms > 0)
+		server_report_cold(
+		    req->server, facts->cold_ms, clock_boot_ms());
 }
 
 static void
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -1,6 +1,7 @@
 #include "proxy_state.h"
 
 #include "clock.h"
+#include "log.h"
 #include "proxy_log.h"
 
 enum { PERCENT = 100 };
@@ -56,7 +57,7 @@
 	};
 
 	if (req->trial.revision != 0 &&
-	    !(ok && server_is_warming_up(req->server, clock_boot_ms())))
+	    !(ok && server_is_cold(req->server, clock_boot_ms())))
 		rollouts_add_attempt(req->context->rollouts, req->service_name,
 		    req->trial.revision, &attempt);
 }
@@ -144,3 +145,41 @@
 	proxy_record_rollout_attempt(req, false, 0);
 	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
 }
+
+static void
+note_leaving(proxy_request_t *req)
+{
+	server_t *server = req->server;
+
+	if (server->leaving_since_ms != 0)
+		return;
+	pool_set_leaving(req->context->pool, server, clock_boot_ms());
+	log_event(LOG_LEVEL_INFO, "server.leaving",
+	    "id=%s draining=%d removed=%d", server->info->id,
+	    server->info->draining, server->removed);
+}
+
+static void
+note_cold(server_t *server, int64_t cold_ms, int64_t now_ms)
+{
+	bool was_cold = server_is_cold(server, now_ms);
+
+	server_report_cold(server, cold_ms, now_ms);
+	if (!was_cold && server_is_cold(server, now_ms))
+		log_event(LOG_LEVEL_INFO, "server.cold",
+		    "id=%s cold_ms=%" G_GINT64_FORMAT " source=response",
+		    server->info->id, cold_ms);
+}
+
+void
+proxy_record_server_facts(proxy_request_t *req, const response_facts_t *facts)
+{
+	int64_t now_ms = clock_boot_ms();
+
+	if (facts->retry_after_ms > 0)
+		server_pause(req->server, facts->retry_after_ms, now_ms);
+	if (facts->cold_ms > 0)
+		note_cold(req->server, facts->cold_ms, now_ms);
+	if (facts->leaving)
+		note_leaving(req);
+}
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -75,19 +75,6 @@
 		    0);
 }
 
-static void
-note_leaving(proxy_request_t *req)
-{
-	server_t *server = req->server;
-
-	if (server->leaving_since_ms != 0)
-		return;
-	pool_set_leaving(req->context->pool, server, clock_boot_ms());
-	log_event(LOG_LEVEL_INFO, "server.leaving",
-	    "id=%s draining=%d removed=%d", server->info->id,
-	    server->info->draining, server->removed);
-}
-
 void
 proxy_on_head(
     const http1_head_t *head, const response_facts_t *facts, void *data)
@@ -98,11 +85,7 @@
 	req->status = head->status;
 	req->response_head = head;
 	req->has_framing = head->has_length;
-	if (facts->retry_after_ms > 0)
-		server_pause(
-		    req->server, facts->retry_after_ms, clock_boot_ms());
-	if (facts->leaving)
-		note_leaving(req);
+	proxy_record_server_facts(req, facts);
 }
 
 /* Starts to forward a response that is too large to buffer. */
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -18,6 +18,8 @@
 	PROXY_ATTEMPT_MIN_MS = 50,
 	/* Default Retry-After, and its minimum under overload. */
 	PROXY_RETRY_AFTER_MS = 250,
+	/* The same where the only servers are in evacuated zones. */
+	PROXY_EVACUATED_RETRY_MS = 1000,
 };
 
 typedef enum proxy_migration_state {
@@ -132,6 +134,8 @@
 int64_t proxy_no_server_retry_ms(const proxy_request_t *req);
 /* Chooses a server of the same version to migrate the stream to. */
 pick_choice_t proxy_pick_migration_target(proxy_request_t *req);
+/* True where the rules of the choice allow a server that was chosen before. */
+bool proxy_may_send_to(proxy_request_t *req, const server_t *server);
 /* Sends the request to choice->server, which is borrowed. */
 void proxy_send(proxy_request_t *req, const pick_choice_t *choice);
 
@@ -146,6 +150,9 @@
     proxy_request_t *req, bool ok, double ttft_ms);
 /* Records the first event of a stream, or the start of a response. */
 void proxy_record_first_byte(proxy_request_t *req);
+/* Records what a response says of its server, other than its outcome. */
+void proxy_record_server_facts(
+    proxy_request_t *req, const response_facts_t *facts);
 /* The server has written on the prompt for a while. */
 void proxy_record_survival(proxy_request_t *req);
 /*
--- a/src/request_facts.h
+++ b/src/request_facts.h
@@ -37,6 +37,7 @@
 	bool leaving;	   /* the server is about to shut down */
 	bool no_events;	   /* its media type is not that of an event stream */
 	int64_t retry_after_ms; /* of a 503: pause that it asks for; -1: none */
+	int64_t cold_ms; /* for which the server is still cold; -1: not given */
 	int64_t idle_timeout_ms; /* of the connection; -1: not given */
 } response_facts_t;
 
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -274,6 +274,31 @@
 }
 END_TEST
 
+/* Guards against a limit of cold servers that is not read, or out of range. */
+START_TEST(the_limit_of_cold_servers_is_read)
+{
+	catalog_t *catalog = read_configuration(
+	    "{\"version\": 1, \"services\": ["
+	    "{\"name\": \"a\", \"cold_start_s\": 2.5, \"cold_per_s\": 16},"
+	    "{\"name\": \"b\", \"cold_start_s\": -1, \"cold_per_s\": -1},"
+	    "{\"name\": \"c\", \"cold_start_s\": 1e300,"
+	    " \"cold_per_s\": \"x\"}]}");
+	const catalog_service_t *service;
+
+	ck_assert_ptr_nonnull(catalog);
+	service = catalog_find_service(catalog, "a");
+	ck_assert_int_eq(service->cold_start_ms, 2500);
+	ck_assert_double_eq(service->cold_per_s, 16);
+	service = catalog_find_service(catalog, "b");
+	ck_assert_int_eq(service->cold_start_ms, 0);
+	ck_assert_double_eq(service->cold_per_s, 0);
+	service = catalog_find_service(catalog, "c");
+	ck_assert_int_le(service->cold_start_ms, 60 * 60 * 1000);
+	ck_assert_double_eq(service->cold_per_s, 0);
+	catalog_unref(catalog);
+}
+END_TEST
+
 START_TEST(an_entry_is_read)
 {
 	server_info_t *info = read_entry(
@@ -307,6 +332,7 @@
 	tcase_add_test(cases, an_entry_with_an_odd_id_is_rejected);
 	tcase_add_test(cases, a_deeply_nested_entry_is_rejected);
 	tcase_add_test(cases, numbers_of_a_configuration_are_limited);
+	tcase_add_test(cases, the_limit_of_cold_servers_is_read);
 	tcase_add_test(cases, an_entry_is_read);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -13,12 +13,14 @@
 /* A node whose peers are digests sent by the test over the loopback. */
 
 enum {
-	TESTS = 3,
+	TESTS = 5,
 	NODES = 7,
 	RATE = 10000,
 	BURST = 10000,
 	WINDOW_MS = 8000,
 	WAIT_MS = 100,
+	/* From ready until a node's view of the fleet counts. */
+	SETTLED_MS = 1100,
 	US_PER_MS = 1000,
 	MINUTE_MS = 60000,
 };
@@ -191,6 +193,54 @@
 }
 END_TEST
 
+static unsigned
+count_active_names(void)
+{
+	GPtrArray *names = cluster_active_names(node->cluster);
+	unsigned count = names->len;
+
+	g_ptr_array_unref(names);
+	return count;
+}
+
+/* Makes the node ready and waits until its view of the fleet counts. */
+static void
+become_ready(void)
+{
+	cluster_local_state_t state = {.ready = true};
+
+	cluster_set_local_state(node->cluster, &state);
+	ck_assert_uint_eq(count_active_names(), 0);
+	g_usleep(SETTLED_MS * US_PER_MS);
+	cluster_set_local_state(node->cluster, &state);
+}
+
+/*
+ * Guards against a node that has lost contact and takes the other nodes' turns
+ * at cold servers.
+ */
+START_TEST(a_node_that_reaches_few_nodes_names_no_active_ones)
+{
+	cluster_put_node(node->cluster, "n1", "127.0.0.1:9");
+	cluster_put_node(node->cluster, "n2", "127.0.0.1:9");
+	become_ready();
+	ck_assert_uint_eq(count_active_names(), 0);
+	send_digest(0, 0, 0);
+	/* The unreachable one still counts. */
+	ck_assert_uint_eq(count_active_names(), 3);
+	cluster_remove_node(node->cluster, "n2");
+	ck_assert_uint_eq(count_active_names(), 2);
+}
+END_TEST
+
+/* Guards against a single node that takes itself for cut off. */
+START_TEST(a_single_node_is_active)
+{
+	become_ready();
+	ck_assert_uint_eq(count_active_names(), 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -202,6 +252,9 @@
 	    cases, registered_nodes_reduce_the_quota_share_at_startup);
 	tcase_add_test(cases, spending_of_a_peer_started_together_is_applied);
 	tcase_add_test(cases, bucket_level_of_an_older_peer_is_adopted);
+	tcase_add_test(
+	    cases, a_node_that_reaches_few_nodes_names_no_active_ones);
+	tcase_add_test(cases, a_single_node_is_active);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -4,15 +4,18 @@
 #include <check.h>
 #include <string.h>
 
-enum { SERVERS = 6, BATCH = 24, NOW_MS = 1000000 };
+enum { SERVERS = 6, BATCH = 24, NOW_MS = 1000000, COLD_PER_S = 4 };
 
 static pool_t *pool;
 static prefix_cache_t *prefixes;
 static ttft_model_t ttft_model;
+static evacuation_t *evacuation;
+static cold_limit_t *cold_limit;
 static catalog_service_t engine = {.name = "s",
     .is_engine = true,
     .batch_size = BATCH,
-    .kv_capacity_tokens = 400000};
+    .kv_capacity_tokens = 400000,
+    .cold_per_s = COLD_PER_S};
 
 static void
 add_server(const char *id, const char *zone)
@@ -34,6 +37,8 @@
 {
 	pool = pool_new(uv_default_loop(), 2000);
 	prefixes = prefix_cache_new();
+	evacuation = evacuation_new();
+	cold_limit = cold_limit_new("n1");
 	memset(&ttft_model, 0, sizeof(ttft_model));
 	for (int i = 0; i < SERVERS; i++) {
 		char id[16];
@@ -48,6 +53,8 @@
 {
 	pool_free(pool);
 	prefix_cache_free(prefixes);
+	evacuation_free(evacuation);
+	cold_limit_free(cold_limit);
 }
 
 /* A prompt of a shared segment and one that no other request has. */
@@ -76,6 +83,8 @@
 	    .ttft_model = &ttft_model,
 	    .urgent = urgent,
 	    .zone = "z",
+	    .evacuation = evacuation,
+	    .cold_limit = cold_limit,
 	    .now_ms = NOW_MS,
 	    .random = 3,
 	};
@@ -205,6 +214,209 @@
 }
 END_TEST
 
+/* Adds three servers in zone "y" to those in zone "z". */
+static void
+add_other_zone(void)
+{
+	add_server("i-7", "y");
+	add_server("i-8", "y");
+	add_server("i-9", "y");
+}
+
+/*
+ * Sends a request to one server after the other until none is left, as by
+ * retries, and returns how many of them are in the zone. The zone is evacuated
+ * after the first attempt; with ignores set the retries do not follow it.
+ */
+static unsigned
+retries_in_zone(const char *zone, bool ignores)
+{
+	request_facts_t facts = prompt(7, 5000, 1000);
+	GPtrArray *tried = g_ptr_array_new();
+	unsigned in_zone = 0;
+	server_t *server = pick(&facts, false, NULL).server;
+
+	g_ptr_array_add(tried, server);
+	if (!ignores)
+		evacuation_begin(evacuation, zone);
+	while ((server = pick(&facts, false, tried).server) != NULL) {
+		g_ptr_array_add(tried, server);
+		if (strcmp(server->info->zone, zone) == 0)
+			in_zone++;
+	}
+	g_ptr_array_unref(tried);
+	return in_zone;
+}
+
+/*
+ * Guards against a retry at a server of a zone that was evacuated after the
+ * first attempt. The check finds a retry that ignores the evacuation.
+ */
+START_TEST(a_retry_follows_an_evacuation)
+{
+	add_other_zone();
+	ck_assert_uint_gt(retries_in_zone("z", true), 0);
+	ck_assert_uint_eq(retries_in_zone("z", false), 0);
+}
+END_TEST
+
+/*
+ * Guards against requests to an evacuated zone, and against prompts that are
+ * spread because their preferred server is in that zone.
+ */
+START_TEST(servers_of_an_evacuated_zone_are_not_picked)
+{
+	add_other_zone();
+	evacuation_begin(evacuation, "z");
+	for (uint64_t id = 1; id < 50; id++) {
+		request_facts_t facts = prompt(id, 5000, 1000);
+		pick_choice_t choice = pick(&facts, false, NULL);
+
+		ck_assert_str_eq(choice.server->info->zone, "y");
+		/* Its shared segments count as cached where it is preferred. */
+		ck_assert_double_le(choice.uncached_tokens, 1000);
+		ck_assert_uint_eq(
+		    choice.excluded[PICK_EXCLUDED_EVACUATED], SERVERS);
+	}
+	evacuation_begin(evacuation, "y");
+	ck_assert_ptr_null(pick(&(request_facts_t){0}, false, NULL).server);
+	evacuation_end(evacuation, "z");
+	ck_assert_str_eq(
+	    pick(&(request_facts_t){0}, false, NULL).server->info->zone, "z");
+}
+END_TEST
+
+static void
+set_all_cold(int64_t cold_ms)
+{
+	for (int i = 0; i < SERVERS; i++)
+		server_report_cold(
+		    pool_servers(pool, "s")->pdata[i], cold_ms, NOW_MS);
+}
+
+/* Makes this node the only one that sends requests to cold servers. */
+static void
+own_cold_servers(void)
+{
+	GPtrArray *nodes = g_ptr_array_new();
+
+	g_ptr_array_add(nodes, "n1");
+	cold_limit_set_nodes(cold_limit, nodes);
+	g_ptr_array_unref(nodes);
+}
+
+/* Sends requests until one is refused; returns the number that are sent. */
+static unsigned
+send_until_refused(bool urgent)
+{
+	request_facts_t facts = prompt(7, 0, 10);
+	unsigned sent = 0;
+	server_t *server;
+
+	while ((server = pick(&facts, urgent, NULL).server) != NULL) {
+		cold_turns_count(&server->cold_turns, NOW_MS);
+		sent++;
+	}
+	return sent;
+}
+
+/* Guards against more requests than the cold servers' turns. */
+START_TEST(cold_servers_get_their_turns_only)
+{
+	set_all_cold(3000);
+	ck_assert_uint_eq(send_until_refused(true), 0);
+	own_cold_servers();
+	ck_assert_uint_eq(send_until_refused(false), SERVERS * COLD_PER_S);
+}
+END_TEST
+
+/* Guards against a retry time at which no server can take the request. */
+START_TEST(a_refusal_tells_when_a_cold_server_may_be_used)
+{
+	request_facts_t facts = prompt(7, 0, 10);
+	pick_choice_t choice;
+
+	set_all_cold(3000);
+	choice = pick(&facts, false, NULL);
+	ck_assert_uint_eq(choice.excluded[PICK_EXCLUDED_COLD], SERVERS);
+	ck_assert_int_eq(choice.cold_wait_ms, 3000);
+	own_cold_servers();
+	send_until_refused(false);
+	choice = pick(&facts, false, NULL);
+	ck_assert_int_gt(choice.cold_wait_ms, 1000);
+	ck_assert_int_le(choice.cold_wait_ms, 1100);
+}
+END_TEST
+
+/*
+ * Guards against a warm server that is not used, and a limit of servers that
+ * have become warm.
+ */
+START_TEST(warm_servers_have_no_limit)
+{
+	server_t *warm = pool_servers(pool, "s")->pdata[2];
+	request_facts_t facts = prompt(7, 0, 10);
+
+	set_all_cold(3000);
+	warm->reported_cold_until_ms = NOW_MS;
+	for (int i = 0; i < 3 * COLD_PER_S; i++) {
+		pick_choice_t choice = pick(&facts, false, NULL);
+
+		ck_assert_ptr_eq(choice.server, warm);
+		ck_assert(!choice.only_cold);
+		cold_turns_count(&warm->cold_turns, NOW_MS);
+	}
+}
+END_TEST
+
+/*
+ * Guards against less urgent requests that take the turns of urgent ones where
+ * all servers are cold.
+ */
+START_TEST(urgent_requests_go_first_where_all_servers_are_cold)
+{
+	request_facts_t facts = prompt(7, 0, 10);
+	pick_choice_t choice;
+
+	set_all_cold(3000);
+	own_cold_servers();
+	for (int i = 0; i < SERVERS * COLD_PER_S; i++)
+		cold_limit_count_urgent(cold_limit, "s", NOW_MS);
+	choice = pick(&facts, false, NULL);
+	ck_assert_ptr_null(choice.server);
+	ck_assert_int_le(choice.cold_wait_ms, 1000);
+	ck_assert(pick(&facts, true, NULL).only_cold);
+	ck_assert_uint_eq(send_until_refused(true), SERVERS * COLD_PER_S);
+}
+END_TEST
+
+/*
+ * Guards against a server that is chosen now for a request that is sent later,
+ * when its turn may have passed.
+ */
+START_TEST(a_later_request_goes_to_warm_servers_only)
+{
+	request_facts_t facts = prompt(7, 0, 10);
+	pick_query_t query = {
+	    .facts = &facts,
+	    .service = &engine,
+	    .servers = pool_servers(pool, "s"),
+	    .prefixes = prefixes,
+	    .ttft_model = &ttft_model,
+	    .zone = "z",
+	    .evacuation = evacuation,
+	    .cold_limit = cold_limit,
+	    .warm_only = true,
+	    .now_ms = NOW_MS,
+	};
+
+	own_cold_servers();
+	ck_assert_ptr_nonnull(pick_server(&query).server);
+	set_all_cold(3000);
+	ck_assert_ptr_null(pick_server(&query).server);
+}
+END_TEST
+
 /* An engine that reads one prompt at a time, at a constant rate. */
 typedef struct engine_sim {
 	double busy_until_ms;
@@ -326,6 +538,14 @@
 	tcase_add_test(cases, load_within_capacity_is_not_shed);
 	tcase_add_test(cases, shed_request_gets_a_retry_time);
 	tcase_add_test(cases, ttft_model_fits_linear_times);
+	tcase_add_test(cases, a_retry_follows_an_evacuation);
+	tcase_add_test(cases, servers_of_an_evacuated_zone_are_not_picked);
+	tcase_add_test(cases, cold_servers_get_their_turns_only);
+	tcase_add_test(cases, a_refusal_tells_when_a_cold_server_may_be_used);
+	tcase_add_test(cases, warm_servers_have_no_limit);
+	tcase_add_test(
+	    cases, urgent_requests_go_first_where_all_servers_are_cold);
+	tcase_add_test(cases, a_later_request_goes_to_warm_servers_only);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -211,6 +211,85 @@
 }
 END_TEST
 
+/* Puts an entry that says for how long the server is still cold. */
+static void
+put_cold_server(int64_t started_ms, int64_t warmup_ms, int64_t now_ms)
+{
+	server_info_t *info = g_new0(server_info_t, 1);
+
+	info->id = g_strdup("i-1");
+	info->service = g_strdup("s");
+	info->address = g_strdup("127.0.0.1:1");
+	info->zone = g_strdup("z");
+	info->version = g_strdup("v1");
+	info->started_ms = started_ms;
+	info->warmup_ms = warmup_ms;
+	pool_put(pool, info, now_ms);
+}
+
+/*
+ * Guards against a server that is taken for warm, or for cold, by the time of
+ * its first listing: it may become cold again at any moment.
+ */
+START_TEST(an_entry_counts_from_the_time_at_which_it_was_read)
+{
+	put_cold_server(7, 3000, NOW_MS);
+	ck_assert(server_is_cold(find_server(), NOW_MS + 2999));
+	ck_assert(!server_is_cold(find_server(), NOW_MS + 3000));
+	put_cold_server(7, 0, NOW_MS + 1000);
+	ck_assert(!server_is_cold(find_server(), NOW_MS + 1000));
+	put_cold_server(7, 2500, NOW_MS + 60000);
+	ck_assert(server_is_cold(find_server(), NOW_MS + 62499));
+	ck_assert(!server_is_cold(find_server(), NOW_MS + 62500));
+}
+END_TEST
+
+/*
+ * Guards against an entry that was written before the server became cold, and
+ * is read after a response that shows it.
+ */
+START_TEST(a_response_that_says_cold_outlives_an_entry)
+{
+	put_cold_server(7, 0, NOW_MS);
+	server_report_cold(find_server(), 2000, NOW_MS);
+	server_report_cold(find_server(), 500, NOW_MS + 10);
+	put_cold_server(7, 0, NOW_MS + 100);
+	ck_assert(server_is_cold(find_server(), NOW_MS + 1999));
+	ck_assert(!server_is_cold(find_server(), NOW_MS + 2000));
+}
+END_TEST
+
+/*
+ * Guards against a server that is taken for warm by an entry of the time before
+ * the end of its zone's evacuation, and against one that stays cold although a
+ * later entry says otherwise.
+ */
+START_TEST(an_assumption_holds_until_the_next_entry)
+{
+	put_cold_server(7, 0, NOW_MS);
+	server_assume_cold(find_server(), 3000, NOW_MS + 100);
+	ck_assert(server_is_cold(find_server(), NOW_MS + 3099));
+	put_cold_server(7, 0, NOW_MS + 1000);
+	ck_assert(!server_is_cold(find_server(), NOW_MS + 1000));
+	put_cold_server(7, 5000, NOW_MS + 2000);
+	server_assume_cold(find_server(), 3000, NOW_MS + 2000);
+	ck_assert(server_is_cold(find_server(), NOW_MS + 6999));
+}
+END_TEST
+
+/* Guards against turns and cold times of a process that has been replaced. */
+START_TEST(a_replaced_server_has_its_own_cold_time)
+{
+	put_cold_server(7, 0, NOW_MS);
+	server_report_cold(find_server(), 60000, NOW_MS);
+	cold_turns_count(&find_server()->cold_turns, NOW_MS);
+	put_cold_server(8, 3000, NOW_MS + 1);
+	ck_assert(!server_is_cold(find_server(), NOW_MS + 3001));
+	ck_assert_uint_eq(
+	    cold_turns_sum(&find_server()->cold_turns, NOW_MS + 1), 0);
+}
+END_TEST
+
 START_TEST(a_malformed_address_is_never_used)
 {
 	put_server("nowhere", 7, false, -1, NOW_MS);
@@ -237,6 +316,11 @@
 	tcase_add_test(cases, a_restart_under_the_same_id_is_a_new_server);
 	tcase_add_test(cases, consecutive_failures_increase_the_backoff);
 	tcase_add_test(cases, a_malformed_address_is_never_used);
+	tcase_add_test(
+	    cases, an_entry_counts_from_the_time_at_which_it_was_read);
+	tcase_add_test(cases, a_response_that_says_cold_outlives_an_entry);
+	tcase_add_test(cases, an_assumption_holds_until_the_next_entry);
+	tcase_add_test(cases, a_replaced_server_has_its_own_cold_time);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
