Order on-demand servers for those of an evacuated zone

Cause: the listed servers of an evacuated zone counted as capacity, so that nothing replaced them while they got no requests.

Change: they count as missing. The other zones get on-demand servers up to the existing share of the deployed ones, also where no spot servers are used. The evacuated zone gets no orders, so that its own stay as they are until the evacuation ends.

--- a/src/autoscale.c
+++ b/src/autoscale.c
@@ -13,10 +13,18 @@
 
 typedef struct zone_totals {
 	unsigned baseline;
-	unsigned spot;
+	unsigned spot; /* except in evacuated zones, as the next member */
 	unsigned zones_with_servers;
+	unsigned evacuated; /* zones */
 } zone_totals_t;
 
+/* True for a zone whose orders are decided here. */
+static bool
+takes_orders(const autoscale_zone_t *zone)
+{
+	return zone->baseline > 0 && !zone->evacuated;
+}
+
 static zone_totals_t
 sum_zones(const autoscale_zone_t *zones, size_t count)
 {
@@ -24,8 +32,10 @@
 
 	for (size_t i = 0; i < count; i++) {
 		totals.baseline += zones[i].baseline;
-		totals.spot += zones[i].spot;
-		totals.zones_with_servers += zones[i].baseline > 0;
+		totals.zones_with_servers += takes_orders(&zones[i]);
+		totals.evacuated += zones[i].evacuated;
+		if (!zones[i].evacuated)
+			totals.spot += zones[i].spot;
 	}
 	return totals;
 }
@@ -61,7 +71,7 @@
 	unsigned rank = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		if (zones[i].baseline == 0 || &zones[i] == zone)
+		if (!takes_orders(&zones[i]) || &zones[i] == zone)
 			continue;
 		if (zones[i].on_demand_price < zone->on_demand_price ||
 		    (zones[i].on_demand_price == zone->on_demand_price &&
@@ -84,6 +94,18 @@
 	    max_servers - MIN(max_servers, zone->desired_on_demand));
 }
 
+/* Servers of a zone where no spot servers are used. */
+static unsigned
+fixed_count(const catalog_scaling_t *scaling, const autoscale_zone_t *zone,
+    const zone_totals_t *totals, unsigned on_demand)
+{
+	unsigned max_servers = MAX(scaling->max_size, zone->baseline);
+
+	if (totals->evacuated == 0)
+		return zone->baseline;
+	return CLAMP(on_demand, zone->baseline, max_servers);
+}
+
 void
 autoscale_decide(
     const catalog_scaling_t *scaling, autoscale_zone_t *zones, size_t count)
@@ -93,15 +115,16 @@
 
 	for (size_t i = 0; i < count; i++) {
 		autoscale_zone_t *zone = &zones[i];
+		unsigned on_demand;
 
-		if (zone->baseline == 0)
-			continue;
-		if (!spot) {
-			zone->desired_on_demand = zone->baseline;
+		if (!takes_orders(zone))
 			continue;
-		}
-		set_desired_counts(scaling, zone,
-		    zone_share(total_on_demand(&totals), zone, zones, count,
-			totals.zones_with_servers));
+		on_demand = zone_share(total_on_demand(&totals), zone, zones,
+		    count, totals.zones_with_servers);
+		if (spot)
+			set_desired_counts(scaling, zone, on_demand);
+		else
+			zone->desired_on_demand =
+			    fixed_count(scaling, zone, &totals, on_demand);
 	}
 }
--- a/src/autoscale.h
+++ b/src/autoscale.h
@@ -13,16 +13,24 @@
  * Spot servers carry the load if they are sufficiently cheaper. A base of
  * on-demand servers is kept in every zone, since all spot servers of a zone may
  * be reclaimed at once. On-demand servers replace missing spot servers.
+ *
+ * The servers of an evacuated zone count as missing: on-demand servers of the
+ * other zones replace them up to the same total. The evacuated zone itself gets
+ * no new order, so that its servers are there when the evacuation ends.
  */
 
 typedef struct autoscale_zone {
 	const char *name;
 	double on_demand_price;
 	unsigned baseline; /* servers deployed by the operators */
+	bool evacuated;	   /* its servers get no requests */
 	/* Servers that are listed and not draining. */
 	unsigned on_demand;
 	unsigned spot;
-	/* Set by autoscale_decide(), but not in a zone with a baseline of 0. */
+	/*
+	 * Set by autoscale_decide(), but not in a zone that is evacuated or has
+	 * a baseline of 0.
+	 */
 	unsigned desired_on_demand;
 	unsigned desired_spot;
 } autoscale_zone_t;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -550,6 +550,7 @@
 	    .lease = gateway->lease,
 	    .pool = gateway->proxy.pool,
 	    .rollouts = gateway->proxy.rollouts,
+	    .evacuation = gateway->proxy.evacuation,
 	});
 	watch_options.store = gateway->store;
 	gateway->store_watch = store_watch_start(gateway->loop, &watch_options);
--- a/src/scaler.c
+++ b/src/scaler.c
@@ -295,7 +295,9 @@
 		    g_hash_table_lookup(service->scaling->zone_prices, name);
 		autoscale_zone_t zone = {.name = name,
 		    .on_demand_price = price == NULL ? 1 : *price,
-		    .baseline = GPOINTER_TO_UINT(baseline)};
+		    .baseline = GPOINTER_TO_UINT(baseline),
+		    .evacuated =
+			evacuation_has(scaler->options.evacuation, name)};
 
 		count_zone(scaler->options.rollouts, servers, &zone);
 		g_array_append_val(zones, zone);
@@ -306,6 +308,8 @@
 		const autoscale_zone_t *zone =
 		    &g_array_index(zones, autoscale_zone_t, i);
 
+		if (zone->evacuated)
+			continue;
 		request_resize(
 		    scaler, state, service, zone, true, fencing_token);
 		request_resize(
--- a/src/scaler.h
+++ b/src/scaler.h
@@ -2,6 +2,7 @@
 #define PAPAYA_SCALER_H
 
 #include "catalog.h"
+#include "evacuation.h"
 #include "gateway_config.h"
 #include "http_client.h"
 #include "lease.h"
@@ -32,6 +33,7 @@
 	lease_t *lease;
 	pool_t *pool;
 	rollouts_t *rollouts;
+	const evacuation_t *evacuation;
 } scaler_options_t;
 
 scaler_t *scaler_new(const scaler_options_t *options);
--- a/tests/test_autoscale.c
+++ b/tests/test_autoscale.c
@@ -89,6 +89,75 @@
 }
 END_TEST
 
+/* Servers that the zones which are not evacuated are to have. */
+static unsigned
+count_usable(const autoscale_zone_t *zones)
+{
+	unsigned count = 0;
+
+	for (int i = 0; i < ZONES; i++)
+		if (!zones[i].evacuated)
+			count += zones[i].desired_on_demand +
+				 MIN(zones[i].spot, zones[i].desired_spot);
+	return count;
+}
+
+/*
+ * Guards against too few servers while a zone is evacuated, whose servers are
+ * listed but get no requests, and against orders for that zone.
+ */
+START_TEST(other_zones_replace_an_evacuated_one)
+{
+	autoscale_zone_t zones[ZONES];
+	unsigned before;
+
+	fill_zones(zones, 2, BASELINE - 1);
+	autoscale_decide(&scaling, zones, ZONES);
+	before = sum_desired_on_demand(zones);
+	zones[1].evacuated = true;
+	ck_assert_uint_lt(count_usable(zones), ZONES * BASELINE * 9 / 10);
+	zones[1].desired_on_demand = zones[1].desired_spot = 77;
+	autoscale_decide(&scaling, zones, ZONES);
+	ck_assert_uint_ge(count_usable(zones), ZONES * BASELINE * 9 / 10);
+	ck_assert_uint_eq(zones[1].desired_on_demand, 77);
+	ck_assert_uint_eq(zones[1].desired_spot, 77);
+	zones[1].evacuated = false;
+	autoscale_decide(&scaling, zones, ZONES);
+	ck_assert_uint_eq(sum_desired_on_demand(zones), before);
+}
+END_TEST
+
+/* Guards against an evacuation without effect where there are no spot servers.
+ */
+START_TEST(an_evacuated_zone_is_replaced_without_spot_servers)
+{
+	catalog_scaling_t fixed = scaling;
+	autoscale_zone_t zones[ZONES];
+
+	fixed.spot_price = 0;
+	fill_zones(zones, BASELINE, 0);
+	zones[0].evacuated = true;
+	autoscale_decide(&fixed, zones, ZONES);
+	ck_assert_uint_ge(count_usable(zones), ZONES * BASELINE * 9 / 10);
+	fixed.max_size = BASELINE + 1;
+	autoscale_decide(&fixed, zones, ZONES);
+	ck_assert_uint_eq(zones[1].desired_on_demand, BASELINE + 1);
+}
+END_TEST
+
+/* Guards against a division by zero where every zone is evacuated. */
+START_TEST(nothing_is_ordered_where_all_zones_are_evacuated)
+{
+	autoscale_zone_t zones[ZONES];
+
+	fill_zones(zones, 2, BASELINE);
+	for (int i = 0; i < ZONES; i++)
+		zones[i].evacuated = true;
+	autoscale_decide(&scaling, zones, ZONES);
+	ck_assert_uint_eq(sum_desired_on_demand(zones), 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -99,6 +168,10 @@
 	tcase_add_test(cases, on_demand_servers_replace_missing_spot_servers);
 	tcase_add_test(cases, without_spot_servers_the_baseline_is_kept);
 	tcase_add_test(cases, zone_maximum_is_respected);
+	tcase_add_test(cases, other_zones_replace_an_evacuated_one);
+	tcase_add_test(
+	    cases, an_evacuated_zone_is_replaced_without_spot_servers);
+	tcase_add_test(cases, nothing_is_ordered_where_all_zones_are_evacuated);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
