--- a/src/autoscale.c
+++ b/src/autoscale.c
@@ -113,6 +113,8 @@
 	zone_totals_t totals = sum_zones(zones, count);
 	bool spot = uses_spot(scaling);
 
+	if (totals.zones_with_servers == 0)
+		return;
 	for (size_t i = 0; i < count; i++) {
 		autoscale_zone_t *zone = &zones[i];
 		unsigned on_demand;
