Fill an engine gradually after it has become warm

Cause: at the end of its cold time an engine has an empty prompt cache and no load, so that every node sends to it until the load reports show it.

Change: for cold_start_s requests beyond a part of its batch, which grows from a quarter to all of it, have a penalty in the choice. Nothing is refused for it. In the unit test, where the other engines have half a batch, the engine gets fewer requests of a burst just after it has become warm than later. Not measured under load.

--- a/src/pick.c
+++ b/src/pick.c
@@ -37,6 +37,12 @@
  */
 static const double started_prefill_share = 0.6;
 
+/*
+ * Part of its batch up to which an engine that has just become warm is filled
+ * before others. Its prompt cache is empty, and each node sees it idle.
+ */
+static const double warm_batch_share = 0.25;
+
 /* Share of its objective that any request may wait in the queue. */
 static const double min_wait_share = 0.3;
 
@@ -299,12 +305,34 @@
 	       ttft_model_predict_ms(query->ttft_model, prefill);
 }
 
+/*
+ * Penalty of the requests at an engine beyond a part of its batch. The part
+ * grows to all of it in cold_start_ms from the time at which it became warm.
+ */
+static double
+fill_gradually_ms(const pick_query_t *query, const server_t *server)
+{
+	const catalog_service_t *service = query->service;
+	int64_t warm_ms = query->now_ms - server_cold_until_ms(server);
+	unsigned batch;
+
+	if (service == NULL || !service->is_engine || warm_ms < 0 ||
+	    warm_ms >= service->cold_start_ms)
+		return 0;
+	batch = (unsigned)(service->batch_size *
+			   (warm_batch_share +
+			       (1 - warm_batch_share) * (double)warm_ms /
+				   (double)service->cold_start_ms));
+	return queue_ms(server, batch) - queue_ms(server, service->batch_size);
+}
+
 /* Costs of a server that are not part of its estimated time. */
 static double
 penalty_ms(const pick_query_t *query, const server_t *server, bool is_preferred)
 {
 	double penalty = server->failure_rate * FAILURE_PENALTY_MS +
-			 duplicate_prefill_ms(query, server, is_preferred);
+			 duplicate_prefill_ms(query, server, is_preferred) +
+			 fill_gradually_ms(query, server);
 
 	if (strcmp(server->info->zone, query->zone) != 0)
 		penalty += OTHER_ZONE_PENALTY_MS;
--- a/src/pool.c
+++ b/src/pool.c
@@ -170,8 +170,12 @@
 static void
 set_cold_until(server_t *server, int64_t now_ms)
 {
-	server->cold_until_ms =
-	    now_ms + CLAMP(server->info->warmup_ms, 0, COLD_MAX_MS);
+	int64_t cold_ms = server->info->warmup_ms;
+
+	/* A warm server keeps the time at which it became warm. */
+	server->cold_until_ms = cold_ms > 0
+				    ? now_ms + MIN(cold_ms, COLD_MAX_MS)
+				    : MIN(server->cold_until_ms, now_ms);
 }
 
 static server_t *
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -390,6 +390,50 @@
 }
 END_TEST
 
+/* Sends a burst of prompts; returns how many the server gets. */
+static unsigned
+count_in_burst(const server_t *server)
+{
+	enum { PROMPTS = 100 };
+	unsigned before = server->local_load.in_flight;
+
+	for (uint64_t id = 1; id <= PROMPTS; id++) {
+		request_facts_t facts = prompt(id, 0, 10);
+
+		pick(&facts, false, NULL).server->local_load.in_flight++;
+	}
+	return server->local_load.in_flight - before;
+}
+
+/*
+ * Guards against all nodes filling an engine at once when it becomes warm,
+ * since it is idle, while the others have work.
+ */
+START_TEST(an_engine_that_becomes_warm_is_filled_gradually)
+{
+	server_t *server = pool_servers(pool, "s")->pdata[2];
+	unsigned counts[3];
+
+	engine.cold_start_ms = 3000;
+	for (int i = 0; i < 3; i++) {
+		for (int j = 0; j < SERVERS; j++) {
+			server_t *other = pool_servers(pool, "s")->pdata[j];
+
+			other->local_load.in_flight =
+			    other == server ? 0 : BATCH / 2;
+		}
+		server->reported_cold_until_ms = NOW_MS - 1500 * i;
+		counts[i] = count_in_burst(server);
+	}
+	engine.cold_start_ms = 0;
+	ck_assert_uint_gt(counts[0], 0);
+	ck_assert_uint_lt(counts[0], counts[1]);
+	ck_assert_uint_lt(counts[1], counts[2]);
+	ck_assert_uint_le(counts[0], BATCH * 3 / 4);
+	ck_assert_uint_ge(counts[2], BATCH);
+}
+END_TEST
+
 /*
  * Guards against a server that is chosen now for a request that is sent later,
  * when its turn may have passed.
@@ -545,6 +589,7 @@
 	tcase_add_test(cases, warm_servers_have_no_limit);
 	tcase_add_test(
 	    cases, urgent_requests_go_first_where_all_servers_are_cold);
+	tcase_add_test(cases, an_engine_that_becomes_warm_is_filled_gradually);
 	tcase_add_test(cases, a_later_request_goes_to_warm_servers_only);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
