--- a/tests/test_evacuated_zone.c
+++ b/tests/test_evacuated_zone.c
@@ -285,6 +285,24 @@
 }
 END_TEST
 
+/* Guards against a limit that each node applies alone. */
+START_TEST(two_nodes_share_the_limit_of_a_cold_server)
+{
+	program_t *first = gateway_node;
+	unsigned count;
+
+	configure_cold_limit();
+	gateway_node = gateway_start("n2");
+	g_usleep(SETTLED_MS * US_PER_MS);
+	register_cold_server(COLD_START_MS);
+	g_usleep(CHANGE_DELIVERY_MS * US_PER_MS);
+	count = count_served();
+	gateway_node = first;
+	ck_assert_uint_eq(count, COLD_PER_S / 2);
+	ck_assert_uint_eq(count_served(), COLD_PER_S / 2);
+}
+END_TEST
+
 /* Guards against ignoring that a server has become cold again. */
 START_TEST(a_response_may_say_that_its_server_is_cold)
 {
@@ -334,6 +352,7 @@
 	tcase_add_test(cases, a_stream_in_an_evacuated_zone_ends_by_itself);
 	tcase_add_test(cases, a_moved_stream_does_not_go_to_an_evacuated_zone);
 	tcase_add_test(cases, a_cold_server_gets_its_limit_only);
+	tcase_add_test(cases, two_nodes_share_the_limit_of_a_cold_server);
 	tcase_add_test(cases, a_response_may_say_that_its_server_is_cold);
 	tcase_add_test(cases, the_servers_are_cold_after_an_evacuation);
 	suite_add_tcase(suite, cases);
