Keep requests in the regions that their route and workspace allow

The configuration may give routes and workspaces allowed_regions, and the settings of a node the region of each availability zone. pick_server() excludes servers elsewhere, by the rule of the configuration that is current at each attempt. The directory names hosts in the caller's region or an allowed one; digests carry the zone of their sender, in deployments with more than one region only. An address key of two words was ruled out: nodes of earlier versions cannot read it and would not know the node.

--- a/src/catalog.c
+++ b/src/catalog.c
@@ -97,6 +97,7 @@
 	g_free(route->name);
 	g_free(route->host);
 	g_free(route->path_prefix);
+	g_strfreev(route->allowed_regions);
 	g_array_unref(route->splits);
 	g_free(route);
 }
@@ -125,6 +126,7 @@
 	if (workspace == NULL)
 		return;
 	g_free(workspace->name);
+	g_strfreev(workspace->allowed_regions);
 	g_free(workspace);
 }
 
@@ -210,17 +212,23 @@
 	return true;
 }
 
+const GPtrArray *
+catalog_find_host_routes(const catalog_t *catalog, const char *host)
+{
+	char name[HOST_MAX];
+
+	if (!normalize_host(host, name, sizeof(name)))
+		return NULL;
+	return g_hash_table_lookup(catalog->routes_by_host, name);
+}
+
 const catalog_route_t *
 catalog_find_route(
     const catalog_t *catalog, const char *host, const char *target)
 {
+	const GPtrArray *routes = catalog_find_host_routes(catalog, host);
 	size_t path_length = strcspn(target, "?");
-	char name[HOST_MAX];
-	GPtrArray *routes;
 
-	if (!normalize_host(host, name, sizeof(name)))
-		return NULL;
-	routes = g_hash_table_lookup(catalog->routes_by_host, name);
 	for (guint i = 0; routes != NULL && i < routes->len; i++) {
 		const catalog_route_t *route = routes->pdata[i];
 
@@ -232,6 +240,52 @@
 	return NULL;
 }
 
+static bool
+is_same_route(const catalog_route_t *left, const catalog_route_t *right)
+{
+	return strcmp(left->name, right->name) == 0 &&
+	       strcmp(left->host, right->host) == 0 &&
+	       strcmp(left->path_prefix, right->path_prefix) == 0;
+}
+
+const catalog_route_t *
+catalog_find_same_route(const catalog_t *catalog, const catalog_route_t *route)
+{
+	const catalog_route_t *same_name = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, catalog->routes_by_host);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const GPtrArray *routes = value;
+
+		for (guint i = 0; i < routes->len; i++) {
+			const catalog_route_t *other = routes->pdata[i];
+
+			if (is_same_route(other, route))
+				return other;
+			if (route->name[0] != '\0' &&
+			    strcmp(other->name, route->name) == 0)
+				same_name = other;
+		}
+	}
+	return same_name;
+}
+
+const catalog_workspace_t *
+catalog_find_same_workspace(
+    const catalog_t *catalog, const catalog_workspace_t *workspace)
+{
+	for (guint i = 0; i < catalog->workspaces->len; i++) {
+		const catalog_workspace_t *other =
+		    catalog->workspaces->pdata[i];
+
+		if (strcmp(other->name, workspace->name) == 0)
+			return other;
+	}
+	return NULL;
+}
+
 const catalog_service_t *
 catalog_find_service(const catalog_t *catalog, const char *name)
 {
--- a/src/catalog.h
+++ b/src/catalog.h
@@ -37,6 +37,7 @@
 	int64_t objective_ms;	  /* until the response or its first event */
 	int64_t gap_objective_ms; /* between events; 0: no objective */
 	GArray *splits;		  /* of catalog_split_t */
+	char **allowed_regions;	  /* see region.h; NULL: all */
 } catalog_route_t;
 
 /* Limits and prices for ordering servers of a service. */
@@ -60,11 +61,12 @@
 
 typedef struct catalog_workspace {
 	char *name;
-	int priority;	       /* ranks before the route's; -1: none */
-	bool counts_tokens;    /* units of the rate: tokens, not requests */
-	double default_tokens; /* for a request without a token count */
-	double rate_per_s;     /* in units; 0: no limit */
-	double burst;	       /* in units */
+	int priority;		/* ranks before the route's; -1: none */
+	bool counts_tokens;	/* units of the rate: tokens, not requests */
+	double default_tokens;	/* for a request without a token count */
+	double rate_per_s;	/* in units; 0: no limit */
+	double burst;		/* in units */
+	char **allowed_regions; /* see region.h; NULL: all */
 } catalog_workspace_t;
 
 typedef struct catalog_limits {
@@ -119,6 +121,20 @@
 const catalog_route_t *catalog_find_route(
     const catalog_t *catalog, const char *host, const char *target);
 
+/* Routes of the host (catalog_route_t); NULL if none. */
+const GPtrArray *catalog_find_host_routes(
+    const catalog_t *catalog, const char *host);
+
+/*
+ * The same route, or workspace, as that of another version: the route with its
+ * name, host and path prefix, otherwise one with its name. NULL if this version
+ * no longer has it.
+ */
+const catalog_route_t *catalog_find_same_route(
+    const catalog_t *catalog, const catalog_route_t *route);
+const catalog_workspace_t *catalog_find_same_workspace(
+    const catalog_t *catalog, const catalog_workspace_t *workspace);
+
 const catalog_service_t *catalog_find_service(
     const catalog_t *catalog, const char *name);
 const catalog_workspace_t *catalog_find_workspace(
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -127,6 +127,15 @@
  */
 GPtrArray *cluster_client_addresses(cluster_t *cluster);
 
+/*
+ * The hosts (region_host_t) that the directory may name in a deployment with
+ * more than one region: the active nodes, as cluster_client_addresses() returns
+ * them, and other nodes that this one has lately heard from. The strings belong
+ * to the cluster and stay valid until control returns to the loop. The caller
+ * releases the array.
+ */
+GArray *cluster_find_hosts(cluster_t *cluster);
+
 /*
  * Wall-clock time in milliseconds since 1970: the slewed clock of this host,
  * corrected by the median offset of the peers' clocks.
--- a/src/cluster_active.c
+++ b/src/cluster_active.c
@@ -74,9 +74,12 @@
 	    g_array_new(FALSE, FALSE, sizeof(active_candidate_t));
 	active_candidate_t self = {.name = cluster->options.config->name,
 	    .processors = cluster->options.config->processors};
+	const region_map_t *regions = cluster->options.config->regions;
 	GHashTableIter iter;
 	gpointer value;
 
+	if (region_map_has_many(regions))
+		self.region = cluster->options.config->region;
 	g_array_append_val(candidates, self);
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -89,6 +92,7 @@
 		    !peer->digest->ready)
 			continue;
 		candidate.processors = peer->digest->processors;
+		candidate.region = region_map_find(regions, peer->digest->zone);
 		g_array_append_val(candidates, candidate);
 	}
 	return candidates;
@@ -123,10 +127,10 @@
 {
 	GArray *candidates = find_candidates(cluster, now_ms);
 
-	active_set_sort(candidates);
+	active_set_select(candidates);
 	g_ptr_array_set_size(cluster->active_peers, 0);
 	cluster->own_position = ACTIVE_SET_MAX;
-	for (guint i = 0; i < MIN(candidates->len, ACTIVE_SET_MAX); i++) {
+	for (guint i = 0; i < candidates->len; i++) {
 		const active_candidate_t *candidate =
 		    &g_array_index(candidates, active_candidate_t, i);
 
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -118,6 +118,8 @@
 	digest->incarnation = cluster->incarnation;
 	digest->sequence = ++cluster->sequence;
 	digest->client_address = g_strdup(config->client_address);
+	if (region_map_has_many(config->regions))
+		digest->zone = g_strdup(config->zone);
 	digest->ready = cluster->local.ready;
 	digest->active = cluster->active;
 	digest->leader = cluster->local.leader;
--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -10,8 +10,9 @@
 /*
  * Internals shared by cluster.c, which keeps the peers and applies their
  * digests, cluster_digest.c, which sends this node's, cluster_active.c, which
- * selects the active nodes, and cluster_relay.c, which sends and handles
- * requests for the store's changes.
+ * selects the active nodes, cluster_hosts.c, which lists them for the
+ * directory, and cluster_relay.c, which sends and handles requests for the
+ * store's changes.
  */
 
 enum { CLUSTER_DATAGRAM_MAX_BYTES = 16 * 1024 };
--- a/src/digest.c
+++ b/src/digest.c
@@ -11,6 +11,8 @@
 	/* Fields of the first release; later ones follow and are optional. */
 	DIGEST_FIELDS_MIN = 17,
 	DIGEST_DEMAND_INDEX = DIGEST_FIELDS_MIN,
+	/* The last one, since digests without a zone leave it out. */
+	DIGEST_ZONE_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -68,6 +70,7 @@
 		return;
 	g_free(digest->node);
 	g_free(digest->client_address);
+	g_free(digest->zone);
 	g_array_unref(digest->spending);
 	g_array_unref(digest->loads);
 	g_array_unref(digest->usage);
@@ -183,7 +186,8 @@
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, mp_append_bytes);
-	msgpack_pack_array(&packer, DIGEST_FIELDS);
+	msgpack_pack_array(
+	    &packer, digest->zone == NULL ? DIGEST_ZONE_INDEX : DIGEST_FIELDS);
 	msgpack_pack_int(&packer, FORMAT_VERSION);
 	mp_pack_string(&packer, digest->node);
 	msgpack_pack_int64(&packer, digest->incarnation);
@@ -202,6 +206,8 @@
 	pack_crashes(&packer, digest->crashes);
 	pack_survivals(&packer, digest->survivals);
 	pack_demand(&packer, digest->spending);
+	if (digest->zone != NULL)
+		mp_pack_string(&packer, digest->zone);
 }
 
 static bool
@@ -399,8 +405,12 @@
 	const msgpack_object *fields = array->via.array.ptr;
 	uint32_t count = array->via.array.size;
 
-	return count <= DIGEST_DEMAND_INDEX ||
-	       read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending);
+	if (count > DIGEST_DEMAND_INDEX &&
+	    !read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending))
+		return false;
+	return count <= DIGEST_ZONE_INDEX ||
+	       mp_read_string(&fields[DIGEST_ZONE_INDEX], 1, NAME_MAX_BYTES,
+		   &digest->zone);
 }
 
 static bool
--- a/src/digest.h
+++ b/src/digest.h
@@ -65,6 +65,8 @@
 	double processors; /* that the sender may use */
 	int64_t wall_ms;   /* slewed clock of the sender when it was sent */
 	int64_t configuration_version;
+	/* Of the sender; NULL: unknown, or the deployment has one region. */
+	char *zone;
 	GArray *spending;  /* of digest_spending_t */
 	GArray *loads;	   /* of digest_load_t */
 	GArray *usage;	   /* of digest_usage_t */
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -1,6 +1,8 @@
 #ifndef PAPAYA_GATEWAY_CONFIG_H
 #define PAPAYA_GATEWAY_CONFIG_H
 
+#include "region.h"
+
 #include <glib.h>
 #include <stdint.h>
 
@@ -32,6 +34,8 @@
 typedef struct gateway_config {
 	char *name;
 	char *zone;
+	char *region;	       /* of the zone; NULL: unknown */
+	region_map_t *regions; /* of the zones; NULL: unknown */
 	char *ip;
 	char *client_address;	 /* IP:PORT for client requests */
 	char *ready_address;	 /* IP:PORT for readiness checks; may be NULL */
--- a/src/pick.c
+++ b/src/pick.c
@@ -88,6 +88,16 @@
 	return x ^ x >> 33;
 }
 
+/* Whether a rule keeps this request from a server that may get requests. */
+static pick_exclusion_t
+find_exclusion(const pick_query_t *query, const server_t *server)
+{
+	if (!region_rule_allows_zone(
+		&query->region_rule, query->regions, server->info->zone))
+		return PICK_EXCLUDED_REGION;
+	return PICK_NOT_EXCLUDED;
+}
+
 /*
  * The usable server to which all nodes prefer to send prompts with the same
  * shared segments; NULL where a prompt has none.
@@ -108,6 +118,7 @@
 		uint64_t weight = rendezvous_weight(last_shared, server->tag);
 
 		if (server_usable(server, query->now_ms) &&
+		    find_exclusion(query, server) == PICK_NOT_EXCLUDED &&
 		    (preferred == NULL || weight > best_weight)) {
 			preferred = server;
 			best_weight = weight;
@@ -244,13 +255,6 @@
 	return is_preferred ? penalty - PREFERRED_BONUS_MS : penalty;
 }
 
-/* Whether a rule keeps this request from a server that may get requests. */
-static pick_exclusion_t
-find_exclusion(const pick_query_t *query, const server_t *server)
-{
-	return PICK_NOT_EXCLUDED;
-}
-
 pick_choice_t
 pick_server(const pick_query_t *query)
 {
--- a/src/pick.h
+++ b/src/pick.h
@@ -4,6 +4,7 @@
 #include "catalog.h"
 #include "pool.h"
 #include "prefix.h"
+#include "region.h"
 #include "ttft_model.h"
 
 #include <glib.h>
@@ -19,10 +20,12 @@
 	const GPtrArray *tried;		  /* by this request before; or NULL */
 	const prefix_cache_t *prefixes;
 	const ttft_model_t *ttft_model; /* NULL: not an engine */
-	bool urgent;	  /* engines read its prompt before others */
-	const char *zone; /* of this node */
-	int64_t now_ms;	  /* clock_boot_ms() */
-	uint64_t random;  /* spreads requests over equal servers */
+	bool urgent;		     /* engines read its prompt before others */
+	const char *zone;	     /* of this node */
+	region_rule_t region_rule;   /* of the request */
+	const region_map_t *regions; /* of the zones; NULL: unknown */
+	int64_t now_ms;		     /* clock_boot_ms() */
+	uint64_t random;	     /* spreads requests over equal servers */
 } pick_query_t;
 
 /* Why a server that may get requests is not used for this one. */
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -8,6 +8,7 @@
 #include "pool.h"
 #include "prefix.h"
 #include "quota.h"
+#include "region.h"
 #include "retry_budget.h"
 #include "rollouts.h"
 #include "usage.h"
@@ -27,6 +28,7 @@
 typedef struct proxy_context {
 	uv_loop_t *loop;
 	const char *zone;
+	const region_map_t *regions; /* of the zones; NULL: unknown */
 	pool_t *pool;
 	quota_t *quota;
 	retry_budget_t *budget;
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -16,6 +16,11 @@
 	/* Route priorities distinguished within one workspace priority. */
 	ROUTE_PRIORITIES = 3,
 	PRIORITY_LOWEST = 9,
+	/*
+	 * Where no server in an allowed region is listed: one that registers is
+	 * listed about a heartbeat later, 1.2 s.
+	 */
+	NO_SERVER_IN_REGION_RETRY_MS = 1000,
 };
 
 /* Combines both priorities; the workspace's ranks first. 0: most urgent. */
@@ -135,6 +140,48 @@
 	proxy_start_idle_timer(req, req->route->objective_ms);
 }
 
+/*
+ * The regions that the request may use now: by the current configuration, also
+ * where the request was accepted under an earlier one. What the current one no
+ * longer has keeps its last rule.
+ */
+static region_rule_t
+current_region_rule(const proxy_request_t *req)
+{
+	const catalog_t *current = req->context->catalog;
+	const catalog_route_t *route = req->route;
+	const catalog_workspace_t *workspace = req->workspace;
+	const catalog_route_t *current_route = NULL;
+	const catalog_workspace_t *current_workspace = NULL;
+
+	if (current != req->catalog) {
+		current_route = catalog_find_same_route(current, route);
+		if (workspace != NULL)
+			current_workspace =
+			    catalog_find_same_workspace(current, workspace);
+	}
+	if (current_route != NULL)
+		route = current_route;
+	if (current_workspace != NULL)
+		workspace = current_workspace;
+	return (region_rule_t){
+	    .by_route = (const char *const *)route->allowed_regions,
+	    .by_workspace =
+		workspace == NULL
+		    ? NULL
+		    : (const char *const *)workspace->allowed_regions,
+	};
+}
+
+bool
+proxy_is_region_allowed(const proxy_request_t *req, const server_t *server)
+{
+	region_rule_t rule = current_region_rule(req);
+
+	return region_rule_allows_zone(
+	    &rule, req->context->regions, server->info->zone);
+}
+
 static pick_choice_t
 pick_among(proxy_request_t *req, const GPtrArray *servers)
 {
@@ -148,6 +195,8 @@
 	    .ttft_model = proxy_ttft_model(req),
 	    .urgent = req->urgent,
 	    .zone = context->zone,
+	    .region_rule = current_region_rule(req),
+	    .regions = context->regions,
 	    .now_ms = clock_boot_ms(),
 	    .random = g_random_int(),
 	};
@@ -199,14 +248,49 @@
 		   : 0;
 }
 
-int64_t
-proxy_no_server_retry_ms(const proxy_request_t *req)
+/* The listed servers of the service in regions that the request may use. */
+static GPtrArray *
+allowed_servers(const proxy_request_t *req)
 {
 	const GPtrArray *servers =
 	    pool_servers(req->context->pool, req->service_name);
+	region_rule_t rule = current_region_rule(req);
+	GPtrArray *allowed = g_ptr_array_new();
+
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		server_t *server = servers->pdata[i];
 
-	return MAX(
-	    pool_pause_ms(servers, clock_boot_ms()), PROXY_RETRY_AFTER_MS);
+		if (region_rule_allows_zone(
+			&rule, req->context->regions, server->info->zone))
+			g_ptr_array_add(allowed, server);
+	}
+	return allowed;
+}
+
+int64_t
+proxy_no_server_retry_ms(const proxy_request_t *req)
+{
+	GPtrArray *servers = allowed_servers(req);
+	int64_t pause_ms = pool_pause_ms(servers, clock_boot_ms());
+
+	g_ptr_array_unref(servers);
+	return MAX(pause_ms, PROXY_RETRY_AFTER_MS);
+}
+
+static void
+reject_without_server(proxy_request_t *req)
+{
+	region_rule_t rule = current_region_rule(req);
+	GPtrArray *servers = allowed_servers(req);
+	bool none_in_region =
+	    region_rule_is_limited(&rule) && servers->len == 0;
+
+	g_ptr_array_unref(servers);
+	if (none_in_region)
+		proxy_reject(
+		    req, NO_SERVER_IN_REGION_RETRY_MS, "no_server_in_region");
+	else
+		proxy_reject(req, proxy_no_server_retry_ms(req), "no_server");
 }
 
 void
@@ -222,7 +306,7 @@
 	}
 	choice = pick_version(req);
 	if (choice.server == NULL)
-		proxy_reject(req, proxy_no_server_retry_ms(req), "no_server");
+		reject_without_server(req);
 	else if (!req->may_have_run &&
 		 pick_should_shed(
 		     &choice, ttft_objective_ms(req), proxy_remaining_ms(req)))
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -14,11 +14,33 @@
 	STATUS_UNAVAILABLE = 503,
 };
 
+/*
+ * Since the copy began, the configuration no longer allows the target's region.
+ * The source has stopped the run.
+ */
+static void
+abandon_target(proxy_request_t *req)
+{
+	log_event(LOG_LEVEL_WARN, "stream.not_moved", "id=%s why=region",
+	    req->facts.attempt_id);
+	proxy_migration_clear(req);
+	if (!catalog_may_retry(req->route) || !proxy_take_retry(req)) {
+		proxy_respond(req, 502, -1, "move_failed");
+		return;
+	}
+	event_stream_resume(req->events);
+	proxy_attempt(req);
+}
+
 static void
 resume_at_target(proxy_request_t *req)
 {
 	pick_choice_t choice = {.server = req->migration.target};
 
+	if (!proxy_is_region_allowed(req, choice.server)) {
+		abandon_target(req);
+		return;
+	}
 	req->migration.state = PROXY_MIGRATION_ENDED;
 	event_stream_resume(req->events);
 	proxy_send(req, &choice);
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -132,6 +132,12 @@
 int64_t proxy_no_server_retry_ms(const proxy_request_t *req);
 /* Chooses a server of the same version to migrate the stream to. */
 pick_choice_t proxy_pick_migration_target(proxy_request_t *req);
+/*
+ * True where the current configuration allows the request to use the server's
+ * region.
+ */
+bool proxy_is_region_allowed(
+    const proxy_request_t *req, const server_t *server);
 /* Sends the request to choice->server, which is borrowed. */
 void proxy_send(proxy_request_t *req, const pick_choice_t *choice);
 
