--- a/tests/test_active_set.c
+++ b/tests/test_active_set.c
@@ -2,6 +2,7 @@
 #include "suite.h"
 
 #include <check.h>
+#include <stdbool.h>
 #include <string.h>
 
 /* A fleet of 295 hosts in five zones, three large ones in each. */
@@ -149,6 +150,67 @@
 }
 END_TEST
 
+/*
+ * Guards against a region without an active node, whose callers then have no
+ * host: its hosts are the smallest ones.
+ */
+START_TEST(each_region_has_active_nodes)
+{
+	char **names;
+	GArray *candidates = fleet(&names), *again;
+	unsigned in_south = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		active_candidate_t *candidate =
+		    &g_array_index(candidates, active_candidate_t, i);
+		bool in_region = strstr(candidate->name, "south") != NULL;
+
+		candidate->region = in_region ? "south" : "rest";
+		if (in_region)
+			candidate->processors = small / 2;
+	}
+	again = g_array_copy(candidates);
+	shuffle(again, 4);
+	active_set_select(candidates);
+	active_set_select(again);
+	ck_assert_uint_eq(candidates->len, ACTIVE_SET_MAX);
+	for (guint i = 0; i < ACTIVE_SET_MAX; i++) {
+		const active_candidate_t *candidate =
+		    candidate_at(candidates, i);
+
+		ck_assert_str_eq(candidate->name, candidate_at(again, i)->name);
+		in_south += strcmp(candidate->region, "south") == 0;
+	}
+	/* Half of the set, in equal shares. */
+	ck_assert_uint_eq(in_south, ACTIVE_SET_MAX / 2 / 2);
+	ck_assert_double_eq(candidate_at(candidates, 0)->processors, large);
+	g_array_unref(candidates);
+	g_array_unref(again);
+	g_strfreev(names);
+}
+END_TEST
+
+/* Guards against another set than before in deployments with one region. */
+START_TEST(without_regions_the_first_are_selected)
+{
+	char **names;
+	GArray *sorted = fleet(&names), *selected = g_array_copy(sorted);
+
+	active_set_sort(sorted);
+	for (guint i = 0; i < selected->len; i++)
+		g_array_index(selected, active_candidate_t, i).region =
+		    i % 2 == 0 ? "one" : NULL;
+	active_set_select(selected);
+	ck_assert_uint_eq(selected->len, ACTIVE_SET_MAX);
+	for (guint i = 0; i < ACTIVE_SET_MAX; i++)
+		ck_assert_str_eq(candidate_at(selected, i)->name,
+		    candidate_at(sorted, i)->name);
+	g_array_unref(sorted);
+	g_array_unref(selected);
+	g_strfreev(names);
+}
+END_TEST
+
 /* Guards against digests whose number grows with the square of the nodes. */
 START_TEST(received_digests_are_bounded)
 {
@@ -171,6 +233,8 @@
 	tcase_add_test(cases, large_hosts_come_first);
 	tcase_add_test(cases, no_zone_has_half_of_the_set);
 	tcase_add_test(cases, survivors_of_a_kill_stay_selected);
+	tcase_add_test(cases, each_region_has_active_nodes);
+	tcase_add_test(cases, without_regions_the_first_are_selected);
 	tcase_add_test(cases, received_digests_are_bounded);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -111,6 +111,76 @@
 }
 END_TEST
 
+static const char regional_configuration[] =
+    "{\"version\": %d, \"routes\": ["
+    "{\"name\": \"r1\", \"host\": \"a\", \"path_prefix\": \"/1\","
+    " \"route_type\": \"idempotent\", \"allowed_regions\": %s},"
+    "{\"host\": \"a\", \"path_prefix\": \"/2\","
+    " \"route_type\": \"idempotent\", \"allowed_regions\": %s}],"
+    "\"tenants\": [{\"name\": \"t\", \"api_keys\": [\"k\"],"
+    " \"allowed_regions\": %s}]}";
+
+static catalog_t *
+read_regional(
+    int version, const char *route, const char *other, const char *workspace)
+{
+	char *text = g_strdup_printf(
+	    regional_configuration, version, route, other, workspace);
+	catalog_t *catalog = read_configuration(text);
+
+	g_free(text);
+	return catalog;
+}
+
+/* Guards against a list of regions that is taken for all of them. */
+START_TEST(allowed_regions_are_read)
+{
+	static const char *const bad[] = {
+	    "\"r\"", "{}", "[1]", "[\"r\", null]"};
+	catalog_t *catalog =
+	    read_regional(1, "[\"home\", \"far\"]", "[]", "[\"home\"]");
+	const catalog_route_t *route = catalog_find_route(catalog, "a", "/1");
+
+	ck_assert_uint_eq(g_strv_length(route->allowed_regions), 2);
+	ck_assert_str_eq(route->allowed_regions[1], "far");
+	route = catalog_find_route(catalog, "a", "/2");
+	ck_assert_ptr_null(route->allowed_regions);
+	ck_assert_str_eq(
+	    catalog_find_workspace(catalog, "k")->allowed_regions[0], "home");
+	catalog_unref(catalog);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		ck_assert_ptr_null(read_regional(1, bad[i], "[]", "[]"));
+		ck_assert_ptr_null(read_regional(1, "[]", "[]", bad[i]));
+	}
+}
+END_TEST
+
+/* Guards against the rule of an earlier version, or of another route. */
+START_TEST(a_route_is_found_in_another_version)
+{
+	catalog_t *old = read_regional(1, "[\"home\"]", "[]", "[]");
+	catalog_t *new = read_regional(2, "[]", "[\"far\"]", "[\"home\"]");
+	catalog_t *other = read_configuration(configuration);
+	const catalog_route_t *named = catalog_find_route(old, "a", "/1");
+	const catalog_route_t *unnamed = catalog_find_route(old, "a", "/2");
+	const catalog_workspace_t *workspace = catalog_find_workspace(old, "k");
+
+	ck_assert_ptr_eq(catalog_find_same_route(new, named),
+	    catalog_find_route(new, "a", "/1"));
+	ck_assert_ptr_eq(catalog_find_same_route(new, unnamed),
+	    catalog_find_route(new, "a", "/2"));
+	ck_assert_ptr_eq(catalog_find_same_workspace(new, workspace),
+	    catalog_find_workspace(new, "k"));
+	/* By its name, after it has got another host and path. */
+	ck_assert_ptr_eq(catalog_find_same_route(other, named),
+	    catalog_find_route(other, "a.example", "/x/"));
+	ck_assert_ptr_null(catalog_find_same_route(other, unnamed));
+	catalog_unref(old);
+	catalog_unref(new);
+	catalog_unref(other);
+}
+END_TEST
+
 /* Guards against a crash on a malformed configuration, or using part of it. */
 START_TEST(a_malformed_configuration_is_rejected_entirely)
 {
@@ -300,6 +370,8 @@
 	tcase_add_test(cases, retries_follow_the_route_type);
 	tcase_add_test(cases, every_field_is_read);
 	tcase_add_test(cases, a_split_follows_its_weights);
+	tcase_add_test(cases, allowed_regions_are_read);
+	tcase_add_test(cases, a_route_is_found_in_another_version);
 	tcase_add_test(cases, a_malformed_configuration_is_rejected_entirely);
 	tcase_add_test(cases, a_malformed_entry_is_rejected);
 	tcase_add_loop_test(cases, an_entry_with_an_odd_value_is_rejected, 0,
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -87,6 +87,34 @@
 }
 END_TEST
 
+/*
+ * Guards against digests that change in deployments with one region, and a zone
+ * that peers do not learn in others.
+ */
+START_TEST(a_zone_is_the_last_field_and_optional)
+{
+	digest_t *digest = sample_digest(), *read;
+	GByteArray *without = g_byte_array_new(), *with = g_byte_array_new();
+
+	digest_encode(digest, without);
+	digest->zone = g_strdup("z1");
+	digest_encode(digest, with);
+	/* Only the number of fields in the third byte, and the zone, differ. */
+	ck_assert_uint_eq(with->len, without->len + strlen("z1") + 1);
+	ck_assert_uint_eq(with->data[2], without->data[2] + 1);
+	ck_assert_mem_eq(with->data + 3, without->data + 3, without->len - 3);
+	read = digest_decode((const char *)with->data, with->len);
+	ck_assert_str_eq(read->zone, "z1");
+	digest_free(read);
+	read = digest_decode((const char *)without->data, without->len);
+	ck_assert_ptr_null(read->zone);
+	digest_free(read);
+	digest_free(digest);
+	g_byte_array_unref(with);
+	g_byte_array_unref(without);
+}
+END_TEST
+
 /* Guards against one datagram that makes a workspace's quota useless. */
 START_TEST(decode_rejects_numbers_that_sums_cannot_hold)
 {
@@ -191,6 +219,7 @@
 
 	tcase_add_test(cases, decode_restores_an_encoded_digest);
 	tcase_add_test(cases, the_largest_evidence_fits_a_digest);
+	tcase_add_test(cases, a_zone_is_the_last_field_and_optional);
 	tcase_add_test(cases, decode_rejects_an_empty_node_name);
 	tcase_add_test(cases, decode_rejects_numbers_that_sums_cannot_hold);
 	tcase_add_test(cases, decode_handles_truncated_or_altered_bytes);
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -64,6 +64,9 @@
 	};
 }
 
+static region_rule_t region_rule;
+static region_map_t *regions;
+
 static pick_choice_t
 pick(const request_facts_t *facts, bool urgent, const GPtrArray *tried)
 {
@@ -76,6 +79,8 @@
 	    .ttft_model = &ttft_model,
 	    .urgent = urgent,
 	    .zone = "z",
+	    .region_rule = region_rule,
+	    .regions = regions,
 	    .now_ms = NOW_MS,
 	    .random = 3,
 	};
@@ -150,6 +155,43 @@
 }
 END_TEST
 
+/*
+ * Guards against requests in a region that is not allowed, also those whose
+ * preferred engine is there, and against a retry that ignores the rule.
+ */
+START_TEST(servers_in_other_regions_are_excluded)
+{
+	static const char *const allowed[] = {"home", NULL};
+	GPtrArray *tried = g_ptr_array_new();
+
+	regions = region_map_new();
+	region_map_add(regions, "z", "abroad");
+	region_map_add(regions, "z-home", "home");
+	add_server("h-1", "z-home");
+	add_server("h-2", "z-home");
+	region_rule.by_route = allowed;
+	for (uint64_t id = 1; id < 50; id++) {
+		request_facts_t facts = prompt(id, 5000, 1000);
+		pick_choice_t first = pick(&facts, false, NULL), second;
+
+		ck_assert_str_eq(first.server->info->zone, "z-home");
+		ck_assert_uint_eq(
+		    first.excluded[PICK_EXCLUDED_REGION], SERVERS);
+		/* The preferred engine is one that may be used. */
+		ck_assert_double_eq(first.uncached_tokens, 1000);
+		g_ptr_array_add(tried, first.server);
+		second = pick(&facts, false, tried);
+		ck_assert_str_eq(second.server->info->zone, "z-home");
+		g_ptr_array_add(tried, second.server);
+		ck_assert_ptr_null(pick(&facts, false, tried).server);
+		g_ptr_array_set_size(tried, 0);
+	}
+	region_rule = (region_rule_t){0};
+	g_clear_pointer(&regions, region_map_free);
+	g_ptr_array_unref(tried);
+}
+END_TEST
+
 /* Guards against counting prompts that are read after the urgent one. */
 START_TEST(urgent_estimate_counts_urgent_prompts_only)
 {
@@ -318,6 +360,7 @@
 	tcase_add_test(cases, popular_segment_is_spread_under_load);
 	tcase_add_test(cases, draining_and_unreachable_servers_are_not_picked);
 	tcase_add_test(cases, tried_server_is_not_picked_again);
+	tcase_add_test(cases, servers_in_other_regions_are_excluded);
 	tcase_add_test(cases, urgent_estimate_counts_urgent_prompts_only);
 	tcase_add_test(cases, urgent_requests_avoid_engines_with_long_prompts);
 	tcase_add_test(cases, failing_server_is_not_picked);
