--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -81,18 +81,16 @@
 	    "service", service, "max_attempts", attempts, "gap_aim_ms", 1000);
 }
 
-static void
-write_configuration(int version, const char *keys_json, double rate_per_s)
+static json_t *
+make_configuration(int version, const char *keys_json, double rate_per_s)
 {
 	json_t *keys = json_loads(keys_json, 0, NULL);
 	json_t *talk = make_route("/talk/", "streaming", 2, "engine");
 	json_t *open = make_route("/open/", "idempotent", 2, "plain");
-	json_t *json;
-	char *text;
 
 	json_object_set_new(talk, "can_resume", json_true());
 	json_object_set_new(open, "public", json_true());
-	json = json_pack("{s:i,s:[o,o,o,o,o],s:[{s:s},{s:s,s:{s:i,s:i,s:b}}],"
+	return json_pack("{s:i,s:[o,o,o,o,o],s:[{s:s},{s:s,s:{s:i,s:i,s:b}}],"
 			 "s:{s:i,s:i,s:i,s:i},s:[{s:s,s:o,s:i,s:f,s:f}]}",
 	    "version", version, "routes",
 	    make_route("/book/", "non_idempotent", 1, "plain"),
@@ -104,7 +102,14 @@
 	    "header_timeout_ms", 500, "idle_timeout_ms", 5000, "tenants",
 	    "name", "depot", "api_keys", keys, "priority", 1, "rate_per_s",
 	    rate_per_s, "burst", 0.0);
-	text = json_dumps(json, 0);
+}
+
+/* Steals the reference to json. */
+static void
+write_configuration(json_t *json)
+{
+	char *text = json_dumps(json, 0);
+
 	gateway_store_put("op/config", text);
 	free(text);
 	json_decref(json);
@@ -113,13 +118,45 @@
 void
 gateway_configure(int version, const char *keys_json)
 {
-	write_configuration(version, keys_json, 0);
+	write_configuration(make_configuration(version, keys_json, 0));
 }
 
 void
 gateway_configure_rate(int version, double rate_per_s)
 {
-	write_configuration(version, "[\"key-1\"]", rate_per_s);
+	write_configuration(
+	    make_configuration(version, "[\"key-1\"]", rate_per_s));
+}
+
+/* The member of the array whose string member name has the value. */
+static json_t *
+find_member(json_t *array, const char *name, const char *value)
+{
+	json_t *member;
+	size_t i;
+
+	json_array_foreach (array, i, member)
+		if (g_str_equal(
+			json_string_value(json_object_get(member, name)),
+			value))
+			return member;
+	return NULL;
+}
+
+void
+gateway_configure_regions(
+    int version, const char *path_prefix, const char *regions_json)
+{
+	json_t *json = make_configuration(version, "[\"key-1\"]", 0);
+	json_t *routes = json_object_get(json, "routes");
+	json_t *workspaces = json_object_get(json, "tenants");
+	json_t *owner = path_prefix == NULL
+			    ? json_array_get(workspaces, 0)
+			    : find_member(routes, "path_prefix", path_prefix);
+
+	json_object_set_new(
+	    owner, "allowed_regions", json_loads(regions_json, 0, NULL));
+	write_configuration(json);
 }
 
 void
@@ -129,22 +166,36 @@
 	gateway_register_server_version(id, service, port, state, "v1");
 }
 
-void
-gateway_register_server_version(const char *id, const char *service, int port,
-    const char *state, const char *version)
+static void
+register_server(const char *id, const char *service, int port,
+    const char *state, const char *version, const char *zone)
 {
 	char *key = g_strconcat("servers/", id, NULL);
 	char *text = g_strdup_printf(
 	    "{\"service\": \"%s\", \"address\": \"127.0.0.1:%d\","
-	    " \"zone\": \"z\", \"version\": \"%s\", \"slots\": 4,"
+	    " \"zone\": \"%s\", \"version\": \"%s\", \"slots\": 4,"
 	    " \"state\": \"%s\", \"sequence\": 1}",
-	    service, port, version, state);
+	    service, port, zone, version, state);
 
 	gateway_store_put(key, text);
 	g_free(text);
 	g_free(key);
 }
 
+void
+gateway_register_server_version(const char *id, const char *service, int port,
+    const char *state, const char *version)
+{
+	register_server(id, service, port, state, version, "z");
+}
+
+void
+gateway_register_server_in_zone(
+    const char *id, const char *service, int port, const char *zone)
+{
+	register_server(id, service, port, "ready", "v1", zone);
+}
+
 void
 gateway_setup(void)
 {
@@ -164,15 +215,19 @@
 	g_hash_table_unref(directory_addresses);
 }
 
-/* Writes a node's settings file; returns its path, to be freed. */
+/*
+ * Writes a node's settings file; returns its path, to be freed. zones_json: see
+ * gateway_start_in_zone(); NULL: none.
+ */
 static char *
-write_settings(const char *name, int port)
+write_settings(
+    const char *name, int port, const char *zone, const char *zones_json)
 {
 	char *path = g_strdup("/tmp/papaya-front-XXXXXX");
 	json_t *json =
 	    json_pack("{s:s,s:s,s:s,s:{s:o,s:o,s:o},s:[i,i],s:{s:o},s:{s:o},"
 		      "s:{s:i,s:i,s:i,s:i,s:i}}",
-		"node_name", name, "zone", "z", "ip", "127.0.0.1",
+		"node_name", name, "zone", zone, "ip", "127.0.0.1",
 		"listen_addrs", "front", json_sprintf("127.0.0.1:%d", port),
 		"ready", json_sprintf("127.0.0.1:%d", port + 1), "directory",
 		json_sprintf("127.0.0.1:%d", port + 2), "internal_ports",
@@ -182,6 +237,12 @@
 		2000, "window_s", 1, "usage_late_s", 10, "grace_s", 6,
 		"expose_slack", 200);
 
+	if (zones_json != NULL) {
+		json_t *zones = json_loads(zones_json, 0, NULL);
+
+		json_object_set(json, "region", json_object_get(zones, zone));
+		json_object_set_new(json, "zones", zones);
+	}
 	close(mkstemp(path));
 	ck_assert_int_eq(json_dump_file(json, path, 0), 0);
 	json_decref(json);
@@ -239,11 +300,11 @@
 	ck_abort_msg("the node at %s was not ready in time", address);
 }
 
-program_t *
-gateway_launch(const char *name)
+static program_t *
+launch(const char *name, const char *zone, const char *zones_json)
 {
 	int port = find_free_ports();
-	char *path = write_settings(name, port);
+	char *path = write_settings(name, port, zone, zones_json);
 	program_t *program;
 
 	g_setenv("PAPAYAWHARF_NODE_FILE", path, TRUE);
@@ -255,6 +316,22 @@
 	return program;
 }
 
+program_t *
+gateway_launch(const char *name)
+{
+	return launch(name, "z", NULL);
+}
+
+program_t *
+gateway_start_in_zone(
+    const char *name, const char *zone, const char *zones_json)
+{
+	program_t *program = launch(name, zone, zones_json);
+
+	wait_ready(gateway_directory_address(program));
+	return program;
+}
+
 program_t *
 gateway_start(const char *name)
 {
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -30,6 +30,14 @@
 /* IP:PORT at which the node serves address lists and readiness. */
 const char *gateway_directory_address(const program_t *gateway);
 
+/*
+ * Starts the gateway of an entry host in an availability zone of a deployment
+ * with several regions; zones_json: the region of each zone. The other
+ * functions start nodes in zone "z", without regions.
+ */
+program_t *gateway_start_in_zone(
+    const char *name, const char *zone, const char *zones_json);
+
 /* Value of a metric of the node; 0 if it is absent. */
 double gateway_metric(const program_t *gateway, const char *name);
 
@@ -39,6 +47,13 @@
 /* Writes a configuration with "key-1" and a rate limit of the workspace. */
 void gateway_configure_rate(int version, double rate_per_s);
 
+/*
+ * Writes a configuration with "key-1" in which the route with the path prefix,
+ * or the workspace if that is NULL, has these allowed regions.
+ */
+void gateway_configure_regions(
+    int version, const char *path_prefix, const char *regions_json);
+
 /* Writes, or removes, a key of the store. */
 void gateway_store_put(const char *key, const char *value);
 void gateway_store_remove(const char *key);
@@ -81,6 +96,10 @@
 void gateway_register_server_version(const char *id, const char *service,
     int port, const char *state, const char *version);
 
+/* Writes the entry of a ready backend server in an availability zone. */
+void gateway_register_server_in_zone(
+    const char *id, const char *service, int port, const char *zone);
+
 /* Value of a key of the store; NULL if it is absent. Free with g_free(). */
 char *gateway_store_get(const char *key);
 
