--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -1,6 +1,7 @@
 #include "clock.h"
 #include "cluster.h"
 #include "digest.h"
+#include "relay.h"
 #include "suite.h"
 
 #include <arpa/inet.h>
@@ -13,7 +14,7 @@
 /* A node whose peers are digests sent by the test over the loopback. */
 
 enum {
-	TESTS = 3,
+	TESTS = 5,
 	NODES = 7,
 	RATE = 10000,
 	BURST = 10000,
@@ -21,6 +22,8 @@
 	WAIT_MS = 100,
 	US_PER_MS = 1000,
 	MINUTE_MS = 60000,
+	/* More than can be active. */
+	LARGE_FLEET = 40,
 };
 
 /* A cluster cannot be stopped, so each test starts another one. */
@@ -31,7 +34,8 @@
 	cluster_t *cluster;
 } nodes_under_test[TESTS], *node = nodes_under_test;
 
-static int peer_socket; /* sends the digests of peer n1 */
+static int peer_socket; /* sends the digests of the peers */
+static int peer_port;
 
 static int
 bind_udp_socket(int *port)
@@ -63,6 +67,11 @@
 	catalog_unref(catalog);
 }
 
+static void
+ignore_response(const relay_response_t *response, void *data)
+{
+}
+
 static void
 setup(void)
 {
@@ -81,13 +90,14 @@
 		.quota = node->quota,
 		.usage = usage_new(WINDOW_MS),
 		.crash_guard = crash_guard_new(),
+		.on_relay_response = ignore_response,
 		.rollouts = rollouts_new(
 		    &(rollouts_options_t){.config = &node->config})},
 	    NULL);
 	ck_assert_ptr_nonnull(node->cluster);
 	uv_run(&node->loop, UV_RUN_NOWAIT);
 	configure_quota();
-	peer_socket = bind_udp_socket(&port);
+	peer_socket = bind_udp_socket(&peer_port);
 }
 
 static void
@@ -129,12 +139,22 @@
 }
 END_TEST
 
-/* Sends a digest of a peer that started uptime_ms ago. */
 static void
-send_digest(double spent_units, double peer_level, int64_t uptime_ms)
+send_datagram(const GByteArray *bytes)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET,
 	    .sin_port = htons((uint16_t)node->config.peer_port)};
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	ck_assert_int_eq(sendto(peer_socket, bytes->data, bytes->len, 0,
+			     (struct sockaddr *)&address, sizeof(address)),
+	    (int)bytes->len);
+}
+
+/* Sends a digest of a peer that started uptime_ms ago. */
+static void
+send_digest(double spent_units, double peer_level, int64_t uptime_ms)
+{
 	digest_spending_t spending = {.workspace = g_strdup("depot"),
 	    .spent_units = spent_units,
 	    .bucket_level = peer_level};
@@ -147,10 +167,7 @@
 	digest->sequence = 1;
 	g_array_append_val(digest->spending, spending);
 	digest_encode(digest, bytes);
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	ck_assert_int_eq(sendto(peer_socket, bytes->data, bytes->len, 0,
-			     (struct sockaddr *)&address, sizeof(address)),
-	    (int)bytes->len);
+	send_datagram(bytes);
 	g_usleep(WAIT_MS * US_PER_MS);
 	uv_run(&node->loop, UV_RUN_NOWAIT);
 	g_byte_array_unref(bytes);
@@ -191,6 +208,110 @@
 }
 END_TEST
 
+/*
+ * Registers a large fleet that is ready, and applies a digest of each peer:
+ * p1 to p4 in region "abroad", the others at home as this node.
+ */
+static void
+start_large_fleet(void)
+{
+	char *address = g_strdup_printf("127.0.0.1:%d", peer_port);
+
+	node->config.zone = (char *)"z";
+	node->config.region = (char *)"home";
+	node->config.regions = region_map_new();
+	region_map_add(node->config.regions, "z", "home");
+	region_map_add(node->config.regions, "y", "abroad");
+	for (int i = 1; i < LARGE_FLEET; i++) {
+		digest_t *digest = digest_new();
+		GByteArray *bytes = g_byte_array_new();
+
+		digest->node = g_strdup_printf("p%d", i);
+		digest->client_address = g_strdup_printf("127.0.0.2:%d", i);
+		digest->incarnation = clock_wall_ms();
+		digest->sequence = 1;
+		digest->ready = true;
+		/* Large, but in one region those abroad are too small. */
+		digest->processors = i <= 4 ? 0.1 : 1;
+		digest->zone = g_strdup(i <= 4 ? "y" : "z");
+		cluster_put_node(node->cluster, digest->node, address);
+		digest_encode(digest, bytes);
+		send_datagram(bytes);
+		g_byte_array_unref(bytes);
+		digest_free(digest);
+	}
+	g_free(address);
+	cluster_set_local_state(
+	    node->cluster, &(cluster_local_state_t){.ready = true});
+	/* The loop reads 32 datagrams at a time. */
+	for (int i = 0; i < 2; i++) {
+		g_usleep(WAIT_MS * US_PER_MS);
+		uv_run(&node->loop, UV_RUN_NOWAIT);
+	}
+}
+
+static unsigned
+count_hosts(const char *region, bool active)
+{
+	GArray *hosts = cluster_find_hosts(node->cluster);
+	unsigned count = 0;
+
+	for (guint i = 0; i < hosts->len; i++) {
+		const region_host_t *host =
+		    &g_array_index(hosts, region_host_t, i);
+
+		ck_assert(host->ready);
+		if (g_strcmp0(host->region, region) == 0 &&
+		    host->active == active)
+			count++;
+	}
+	g_array_unref(hosts);
+	return count;
+}
+
+/*
+ * Guards against a large fleet in which no host of a region is active or known,
+ * as all of them are smaller than the others.
+ */
+START_TEST(a_large_fleet_has_active_hosts_in_each_region)
+{
+	start_large_fleet();
+	ck_assert_uint_eq(count_hosts("abroad", true), 4);
+	ck_assert_uint_eq(count_hosts("home", true), 28);
+	ck_assert_uint_eq(count_hosts("home", false), LARGE_FLEET - 32);
+}
+END_TEST
+
+/*
+ * Guards against a node on standby that does not know the regions of the active
+ * nodes, whose addresses it gets from a relay: none of them is abroad.
+ */
+START_TEST(a_node_on_standby_knows_the_regions_of_relayed_hosts)
+{
+	GPtrArray *addresses = g_ptr_array_new();
+	relay_state_t state = {.client_addresses = addresses};
+	relay_request_t request = {0};
+	relay_log_t *log = relay_log_new();
+	GByteArray *bytes = g_byte_array_new();
+
+	start_large_fleet();
+	g_ptr_array_add(addresses, (char *)"127.0.0.2:5");
+	g_ptr_array_add(addresses, (char *)"127.0.0.2:6");
+	relay_encode_response(log, &request, &state, bytes);
+	send_datagram(bytes);
+	g_usleep(WAIT_MS * US_PER_MS);
+	uv_run(&node->loop, UV_RUN_NOWAIT);
+	ck_assert_uint_eq(count_hosts("home", true), 2);
+	ck_assert_uint_eq(count_hosts("abroad", true), 0);
+	ck_assert_uint_eq(count_hosts("abroad", false), 4);
+	/* With itself. */
+	ck_assert_uint_eq(count_hosts("home", false), LARGE_FLEET - 2 - 4);
+	relay_log_free(log);
+	g_ptr_array_unref(addresses);
+	g_byte_array_unref(bytes);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -202,6 +323,9 @@
 	    cases, registered_nodes_reduce_the_quota_share_at_startup);
 	tcase_add_test(cases, spending_of_a_peer_started_together_is_applied);
 	tcase_add_test(cases, bucket_level_of_an_older_peer_is_adopted);
+	tcase_add_test(cases, a_large_fleet_has_active_hosts_in_each_region);
+	tcase_add_test(
+	    cases, a_node_on_standby_knows_the_regions_of_relayed_hosts);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -43,9 +43,14 @@
 	}
 }
 
+static region_rule_t region_rule;
+static region_map_t *regions;
+
 static void
 teardown(void)
 {
+	region_rule = (region_rule_t){0};
+	g_clear_pointer(&regions, region_map_free);
 	pool_free(pool);
 	prefix_cache_free(prefixes);
 }
@@ -64,9 +69,6 @@
 	};
 }
 
-static region_rule_t region_rule;
-static region_map_t *regions;
-
 static pick_choice_t
 pick(const request_facts_t *facts, bool urgent, const GPtrArray *tried)
 {
@@ -186,8 +188,6 @@
 		ck_assert_ptr_null(pick(&facts, false, tried).server);
 		g_ptr_array_set_size(tried, 0);
 	}
-	region_rule = (region_rule_t){0};
-	g_clear_pointer(&regions, region_map_free);
 	g_ptr_array_unref(tried);
 }
 END_TEST
--- a/tests/test_regions.c
+++ b/tests/test_regions.c
@@ -16,6 +16,7 @@
 
 enum {
 	US_PER_MS = 1000,
+	MS_PER_S = 1000,
 	/* For a change of the store to reach a node; its watch is at once. */
 	CHANGE_MS = 300,
 	/* A retry follows a failure at once. */
@@ -30,24 +31,27 @@
 
 static program_t *node_abroad;
 static int plain_home, plain_abroad, engine_home, engine_abroad;
+static int engine_home_port;
 
 static int
-start_server(const char *id, const char *service, const char *zone)
+start_server(const char *id, const char *service, const char *zone, int *port)
 {
-	int port, listener = wire_listen(&port);
+	int listener = wire_listen(port);
 
-	gateway_register_server_in_zone(id, service, port, zone);
+	gateway_register_server_in_zone(id, service, *port, zone);
 	return listener;
 }
 
 static void
 setup(void)
 {
+	int port;
+
 	gateway_setup();
-	plain_home = start_server("i-1", "plain", "z");
-	plain_abroad = start_server("i-2", "plain", "y");
-	engine_home = start_server("e-1", "engine", "z");
-	engine_abroad = start_server("e-2", "engine", "y");
+	plain_home = start_server("i-1", "plain", "z", &port);
+	plain_abroad = start_server("i-2", "plain", "y", &port);
+	engine_home = start_server("e-1", "engine", "z", &engine_home_port);
+	engine_abroad = start_server("e-2", "engine", "y", &port);
 	gateway_node = gateway_start_in_zone("n1", "z", zones);
 	node_abroad = gateway_start_in_zone("n2", "y", zones);
 }
@@ -137,6 +141,54 @@
 }
 END_TEST
 
+/* Starts a stream that cannot be resumed at the engine at home, which leaves.
+ */
+static gateway_exchange_t
+start_leaving_stream(void)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/write/a", engine_home);
+
+	wire_send(exchange.server_fd,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+	gateway_register_server("e-1", "engine", engine_home_port, "draining");
+	return exchange;
+}
+
+/* Guards against a stream that is moved to a region that is not allowed. */
+START_TEST(a_stream_is_not_moved_to_another_region)
+{
+	gateway_exchange_t exchange;
+
+	configure(2, "/write/", "[\"home\"]");
+	exchange = start_leaving_stream();
+	/* The order to copy comes a second before the engine leaves, in 2 s. */
+	ck_assert(!wire_wait_connection(engine_home, 2 * MS_PER_S));
+	ck_assert(!wire_wait_connection(engine_abroad, 0));
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
+/* Guards against the same where the rule changes while the copy is made. */
+START_TEST(a_move_follows_the_current_rule)
+{
+	gateway_exchange_t exchange = start_leaving_stream();
+	int copy = wire_accept(engine_home);
+	bool reset;
+
+	g_free(wire_read_message(copy));
+	configure(2, "/write/", "[\"home\"]");
+	break_off(&exchange);
+	wire_send(copy, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			"{\"handle\": 7,\"created\": 2}");
+	g_free(wire_read_until_closed(exchange.client_fd, &reset));
+	ck_assert(!wire_wait_connection(engine_abroad, NO_RETRY_MS));
+	close(copy);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /*
  * Guards against a retry by the rule under which the request was accepted: the
  * rule becomes narrower, or wider, while the first attempt runs.
@@ -269,6 +321,8 @@
 	tcase_add_test(cases, a_retry_stays_in_the_allowed_region);
 	tcase_add_test(cases, a_stream_is_resumed_in_the_allowed_region);
 	tcase_add_test(cases, a_retry_follows_the_current_rule);
+	tcase_add_test(cases, a_stream_is_not_moved_to_another_region);
+	tcase_add_test(cases, a_move_follows_the_current_rule);
 	tcase_add_test(
 	    cases, without_a_server_in_an_allowed_region_it_is_refused_at_once);
 	tcase_add_test(cases, the_directory_names_hosts_of_allowed_regions);
