--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -231,7 +231,7 @@
 		digest->incarnation = clock_wall_ms();
 		digest->sequence = 1;
 		digest->ready = true;
-		/* Large, but in one region those abroad are too small. */
+		/* Those abroad are the last ones by size. */
 		digest->processors = i <= 4 ? 0.1 : 1;
 		digest->zone = g_strdup(i <= 4 ? "y" : "z");
 		cluster_put_node(node->cluster, digest->node, address);
@@ -243,8 +243,11 @@
 	g_free(address);
 	cluster_set_local_state(
 	    node->cluster, &(cluster_local_state_t){.ready = true});
-	/* The loop reads 32 datagrams at a time. */
-	for (int i = 0; i < 2; i++) {
+	/*
+	 * The loop reads 32 datagrams at a time, and the active nodes are
+	 * selected again once they are all known.
+	 */
+	for (int i = 0; i < 4; i++) {
 		g_usleep(WAIT_MS * US_PER_MS);
 		uv_run(&node->loop, UV_RUN_NOWAIT);
 	}
