--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -14,7 +14,7 @@
 /* A node whose peers are digests sent by the test over the loopback. */
 
 enum {
-	TESTS = 5,
+	TESTS = 6,
 	NODES = 7,
 	RATE = 10000,
 	BURST = 10000,
@@ -315,6 +315,45 @@
 }
 END_TEST
 
+/* Zone in the digest that this node sends to a peer. Free with g_free(). */
+static char *
+sent_zone(void)
+{
+	char bytes[4096];
+	ssize_t length;
+	digest_t *digest;
+	char *zone;
+
+	cluster_broadcast_digest(node->cluster);
+	length = recv(peer_socket, bytes, sizeof(bytes), 0);
+	ck_assert_int_gt(length, 0);
+	digest = digest_decode(bytes, (size_t)length);
+	ck_assert_ptr_nonnull(digest);
+	zone = g_strdup(digest->zone);
+	digest_free(digest);
+	return zone;
+}
+
+/* Guards against other digests than before where there is one region. */
+START_TEST(digests_have_a_zone_with_several_regions_only)
+{
+	char *address = g_strdup_printf("127.0.0.1:%d", peer_port);
+	char *zone;
+
+	cluster_put_node(node->cluster, "n1", address);
+	node->config.zone = (char *)"z1";
+	node->config.regions = region_map_new();
+	region_map_add(node->config.regions, "z1", "home");
+	region_map_add(node->config.regions, "z2", "home");
+	ck_assert_ptr_null(sent_zone());
+	region_map_add(node->config.regions, "z3", "abroad");
+	zone = sent_zone();
+	ck_assert_str_eq(zone, "z1");
+	g_free(zone);
+	g_free(address);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -326,6 +365,7 @@
 	    cases, registered_nodes_reduce_the_quota_share_at_startup);
 	tcase_add_test(cases, spending_of_a_peer_started_together_is_applied);
 	tcase_add_test(cases, bucket_level_of_an_older_peer_is_adopted);
+	tcase_add_test(cases, digests_have_a_zone_with_several_regions_only);
 	tcase_add_test(cases, a_large_fleet_has_active_hosts_in_each_region);
 	tcase_add_test(
 	    cases, a_node_on_standby_knows_the_regions_of_relayed_hosts);
--- a/tests/test_region.c
+++ b/tests/test_region.c
@@ -1,9 +1,12 @@
 #include "platform_request.h"
+#include "platform_settings.h"
 #include "region.h"
 #include "suite.h"
 
 #include <check.h>
+#include <glib/gstdio.h>
 #include <string.h>
+#include <unistd.h>
 
 static const char *const home_only[] = {"home", NULL};
 static const char *const home_and_abroad[] = {"home", "abroad", NULL};
@@ -202,6 +205,53 @@
 }
 END_TEST
 
+/* Loads settings with these members besides the required ones. */
+static gateway_config_t *
+load_settings(const char *members)
+{
+	char path[] = "/tmp/papaya-region-XXXXXX";
+	GError *error = NULL;
+	gateway_config_t *config;
+	char *text = g_strdup_printf(
+	    "{\"node_name\": \"n\", \"zone\": \"z1\", \"ip\": \"127.0.0.1\","
+	    " \"listen_addrs\": {\"front\": \"127.0.0.1:1\"},"
+	    " \"platform\": {\"address\": \"127.0.0.1:2\"},"
+	    " \"internal_ports\": [3, 4]%s}",
+	    members);
+
+	close(mkstemp(path));
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	config = platform_settings_load(path, &error);
+	ck_assert((config == NULL) == (error != NULL));
+	g_clear_error(&error);
+	g_unlink(path);
+	g_free(text);
+	return config;
+}
+
+/* Guards against a node that does not know its region, or starts without. */
+START_TEST(regions_are_read_from_the_settings)
+{
+	static const char *const bad[] = {", \"region\": 1", ", \"zones\": []",
+	    ", \"zones\": {\"z1\": null}"};
+	gateway_config_t *config = load_settings("");
+
+	ck_assert_ptr_null(config->region);
+	ck_assert(!region_map_has_many(config->regions));
+	gateway_config_free(config);
+	config = load_settings(
+	    ", \"zones\": {\"z1\": \"home\", \"z3\": \"abroad\"}");
+	ck_assert_str_eq(config->region, "home");
+	ck_assert_str_eq(region_map_find(config->regions, "z3"), "abroad");
+	gateway_config_free(config);
+	config = load_settings(", \"region\": \"home\"");
+	ck_assert_str_eq(region_map_find(config->regions, "z1"), "home");
+	gateway_config_free(config);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert_ptr_null(load_settings(bad[i]));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -219,6 +269,7 @@
 	tcase_add_test(
 	    cases, standby_hosts_are_named_where_no_active_one_qualifies);
 	tcase_add_test(cases, the_query_of_a_caller_is_read);
+	tcase_add_test(cases, regions_are_read_from_the_settings);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
