--- a/src/pick.c
+++ b/src/pick.c
@@ -126,6 +126,9 @@
 pick_exclusion_t
 pick_find_exclusion(const pick_query_t *query, const server_t *server)
 {
+	if (!region_rule_allows_zone(
+		&query->region_rule, query->regions, server->info->zone))
+		return PICK_EXCLUDED_REGION;
 	if (query->evacuation != NULL &&
 	    evacuation_has(query->evacuation, server->info->zone))
 		return PICK_EXCLUDED_EVACUATED;
--- a/src/pick.h
+++ b/src/pick.h
@@ -6,6 +6,7 @@
 #include "evacuation.h"
 #include "pool.h"
 #include "prefix.h"
+#include "region.h"
 #include "ttft_model.h"
 
 #include <glib.h>
@@ -21,8 +22,10 @@
 	const GPtrArray *tried;		  /* by this request before; or NULL */
 	const prefix_cache_t *prefixes;
 	const ttft_model_t *ttft_model; /* NULL: not an engine */
-	bool urgent;	  /* engines read its prompt before others */
-	const char *zone; /* of this node */
+	bool urgent;		     /* engines read its prompt before others */
+	const char *zone;	     /* of this node */
+	region_rule_t region_rule;   /* of the request */
+	const region_map_t *regions; /* of the zones; NULL: unknown */
 	const evacuation_t *evacuation; /* NULL: no zone is evacuated */
 	const cold_limit_t *cold_limit; /* NULL: cold servers have no limit */
 	/* The request is sent later, so that no turn at a cold server helps. */
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -15,9 +15,9 @@
 };
 
 /*
- * The target may not get the stream: its zone has been evacuated since, or it
- * has become cold. Only the target has the copy, so that another engine reads
- * the prompt again.
+ * The target may not get the stream: its zone has been evacuated since, its
+ * region is no longer allowed, or it has become cold. Only the target has the
+ * copy, so that another engine reads the prompt again.
  */
 static void
 resume_elsewhere(proxy_request_t *req)
@@ -25,7 +25,8 @@
 	log_event(LOG_LEVEL_WARN, "stream.target_excluded", "id=%s to=%s",
 	    req->facts.attempt_id, req->migration.target->info->id);
 	proxy_migration_clear(req);
-	if (!catalog_may_retry(req->route)) {
+	if (!catalog_may_retry(req->route) ||
+	    req->tried->len >= req->route->max_attempts) {
 		proxy_respond(req, 502, -1, "move_failed");
 		return;
 	}
