Bring followers up to date from the list of a relay

Cause: after a compaction of the store a relay reset its change log, so each follower called the store, got 410 and listed all keys at the same time as the others. A list started anew at each page that failed. Followers whose proofs were so old that nodes were not ready knew no relays and listed at once.

Change: a list goes into the change log as one step that is sent whole or not at all.

--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -50,7 +50,9 @@
 	unsigned quota_unreachable;
 	/* Client addresses of the active set (char *), by a relay. */
 	GPtrArray *relayed_addresses;
-	int64_t relayed_ms;	      /* time of receipt; 0: none */
+	int64_t relayed_ms; /* time of receipt; 0: none */
+	/* Node names (char *) of the relays when this node last followed. */
+	GPtrArray *relays;
 	unsigned relay_choice;	      /* counts changes to another relay */
 	bool relay_responded;	      /* to the last request */
 	relay_assembler_t *assembler; /* of responses to this node */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -127,6 +127,151 @@
 }
 END_TEST
 
+/* A log up to 35, and a list at 40 that shows a put of 38 and a removal. */
+static relay_log_t *
+new_log_with_list(size_t value_length)
+{
+	relay_log_t *log = new_log(31, 35, 10);
+	char *value = g_strnfill(value_length, 'y');
+	platform_item_t items[] = {
+	    {.key = "b", .revision = 40, .removed = true},
+	    {.key = "a",
+		.value = value,
+		.length = value_length,
+		.revision = 38},
+	};
+
+	relay_log_add_list(log, 35, 40, items, G_N_ELEMENTS(items));
+	g_free(value);
+	return log;
+}
+
+/* Guards against followers that list all keys after their relay has. */
+START_TEST(list_brings_earlier_followers_up_to_date)
+{
+	relay_log_t *log = new_log_with_list(10);
+	relay_message_t message = request_changes(log, 33);
+	const relay_response_t *response = &message.response;
+
+	ck_assert(!response->changes_missing);
+	ck_assert(response->listed);
+	ck_assert_uint_eq(response->count, 4);
+	ck_assert_int_eq(response->items[2].revision, 38);
+	ck_assert(response->items[3].removed);
+	ck_assert_int_eq(response->revision, 40);
+	ck_assert_int_eq(response->confirmation_age_ms, 300);
+	relay_message_clear(&message);
+	relay_log_free(log);
+}
+END_TEST
+
+/*
+ * Guards against a follower that keeps a key for ever: it was written and
+ * removed between the revisions of the list, and the follower knows it.
+ */
+START_TEST(follower_between_a_lists_revisions_misses_changes)
+{
+	relay_log_t *log = new_log_with_list(10);
+
+	for (int revision = 36; revision < 40; revision++) {
+		relay_message_t message = request_changes(log, revision);
+
+		ck_assert(message.response.changes_missing);
+		ck_assert_int_eq(message.response.confirmation_age_ms, -1);
+		relay_message_clear(&message);
+	}
+	relay_log_free(log);
+}
+END_TEST
+
+/* Guards against a list without changes that hides what it skipped. */
+START_TEST(list_without_changes_is_marked)
+{
+	relay_log_t *log = new_log(31, 35, 10);
+	relay_message_t message;
+
+	relay_log_add_list(log, 35, 40, NULL, 0);
+	message = request_changes(log, 35);
+	ck_assert(message.response.listed);
+	ck_assert_int_eq(message.response.revision, 40);
+	relay_message_clear(&message);
+	message = request_changes(log, 37);
+	ck_assert(message.response.changes_missing);
+	relay_message_clear(&message);
+	message = request_changes(log, 40);
+	ck_assert(!message.response.changes_missing);
+	ck_assert(!message.response.listed);
+	relay_message_clear(&message);
+	relay_log_free(log);
+}
+END_TEST
+
+/*
+ * Guards against a part of a list that leaves the follower between its
+ * revisions: what fits ends before the list.
+ */
+START_TEST(list_that_does_not_fit_is_not_divided)
+{
+	relay_log_t *log = new_log_with_list(100000);
+	relay_message_t message = request_changes(log, 33);
+
+	ck_assert(!message.response.listed);
+	ck_assert_uint_eq(message.response.count, 2);
+	ck_assert_int_eq(message.response.revision, 35);
+	ck_assert_int_eq(message.response.confirmation_age_ms, -1);
+	relay_message_clear(&message);
+	message = request_changes(log, 35);
+	ck_assert(message.response.changes_missing);
+	relay_message_clear(&message);
+	relay_log_free(log);
+}
+END_TEST
+
+/* Guards against a part of a list after the log has dropped the rest. */
+START_TEST(list_that_is_partly_dropped_is_missing)
+{
+	relay_log_t *log = new_log_with_list(10);
+	relay_message_t message;
+
+	/* The log holds 1024 entries: this drops all up to the put of 38. */
+	for (int revision = 41; revision < 41 + 1022; revision++)
+		relay_log_add(log,
+		    &(platform_item_t){
+			.key = "c", .revision = revision, .removed = true});
+	message = request_changes(log, 35);
+	ck_assert(message.response.changes_missing);
+	relay_message_clear(&message);
+	message = request_changes(log, 40);
+	ck_assert(!message.response.changes_missing);
+	relay_message_clear(&message);
+	relay_log_free(log);
+}
+END_TEST
+
+/* Guards against requests that avoid a relay which has the store again. */
+START_TEST(lost_store_differs_from_a_regained_one)
+{
+	const relay_state_t states[] = {{.store_unstable = true},
+	    {.store_unstable = true, .store_lost = true}};
+	relay_log_t *log = new_log(31, 40, 10);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(states); i++) {
+		GByteArray *bytes = g_byte_array_new();
+		relay_message_t message;
+
+		relay_encode_response(log,
+		    &(relay_request_t){.after_revision = 40}, &states[i],
+		    bytes);
+		relay_decode((const char *)bytes->data, bytes->len, &message);
+		ck_assert(message.response.store_unstable);
+		ck_assert(message.response.store_lost == states[i].store_lost);
+		relay_message_clear(&message);
+		g_byte_array_unref(bytes);
+	}
+	relay_log_free(log);
+}
+END_TEST
+
 /* Guards against decoding a removal as an empty value. */
 START_TEST(removal_is_preserved)
 {
@@ -197,6 +342,13 @@
 	tcase_add_test(cases, changes_of_one_revision_stay_together);
 	tcase_add_test(cases, dropped_changes_are_reported_missing);
 	tcase_add_test(cases, oversized_change_is_reported_missing);
+	tcase_add_test(cases, list_brings_earlier_followers_up_to_date);
+	tcase_add_test(
+	    cases, follower_between_a_lists_revisions_misses_changes);
+	tcase_add_test(cases, list_without_changes_is_marked);
+	tcase_add_test(cases, list_that_does_not_fit_is_not_divided);
+	tcase_add_test(cases, list_that_is_partly_dropped_is_missing);
+	tcase_add_test(cases, lost_store_differs_from_a_regained_one);
 	tcase_add_test(cases, removal_is_preserved);
 	tcase_add_test(cases, relay_without_store_is_not_followed);
 	tcase_add_test(cases, altered_messages_do_not_crash_the_decoder);
