--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -15,6 +15,11 @@
 	STORE_SPREAD_PER_NODE_MS = 10,
 	/* From when a node is ready until it knows which others are. */
 	READY_SETTLED_MS = 2000,
+	/*
+	 * In an outage of the store the proofs of relays and followers, and so
+	 * their readiness, end within two watches and a digest's interval.
+	 */
+	RELAYS_KEPT_MS = 1000,
 };
 
 static cluster_peer_t *
@@ -161,13 +166,16 @@
 /*
  * A follower that is not ready, or has just become so, keeps the relays that it
  * had. While the store is out, the nodes are not ready, so none knows four
- * relays; if each called the store itself then, all would do so at once.
+ * relays, and those that are ready for longer than the relays would become
+ * relays for a moment; if each called the store itself then, all would do so at
+ * once.
  */
 static bool
 keeps_relays(const cluster_t *cluster, int64_t now_ms)
 {
 	return cluster->relays->len > 0 &&
 	       (!cluster->local.ready ||
+		   now_ms - cluster->followed_ms < RELAYS_KEPT_MS ||
 		   now_ms - cluster->ready_since_ms < READY_SETTLED_MS);
 }
 
@@ -182,6 +190,7 @@
 	if (relay_count(cluster) == RELAYS_MAX &&
 	    cluster->own_position >= RELAYS_MAX) {
 		remember_relays(cluster);
+		cluster->followed_ms = now_ms;
 		return true;
 	}
 	if (keeps_relays(cluster, now_ms))
--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -53,8 +53,9 @@
 	int64_t relayed_ms; /* time of receipt; 0: none */
 	/* Node names (char *) of the relays when this node last followed. */
 	GPtrArray *relays;
-	unsigned relay_choice;	      /* counts changes to another relay */
-	bool relay_responded;	      /* to the last request */
+	int64_t followed_ms;   /* when this node last saw itself as follower */
+	unsigned relay_choice; /* counts changes to another relay */
+	bool relay_responded;  /* to the last request */
 	relay_assembler_t *assembler; /* of responses to this node */
 	int64_t response_id;	      /* of the last response in fragments */
 	int64_t clock_offset_ms; /* median of the nodes' clocks minus own */
