--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -19,8 +19,11 @@
 	READY_POLLS_MAX = 500,
 };
 
+static const gateway_limits_t default_limits = {.body_bytes = 2000};
+
 program_t *platform_standin;
 program_t *gateway_node;
+gateway_limits_t gateway_limits = {.body_bytes = 2000};
 int backend_listener_1, backend_listener_2;
 int backend_port_1, backend_port_2;
 static GHashTable *directory_addresses; /* program_t * to IP:PORT */
@@ -100,10 +103,10 @@
 	    make_route("/write/", "streaming", 1, "engine"), open, "services",
 	    "name", "plain", "name", "engine", "engine", "slots", 8,
 	    "kv_capacity_tokens", 100000, "moves", 1, "limits",
-	    "max_header_bytes", 4000, "max_body_bytes", 2000,
-	    "header_timeout_ms", 500, "idle_timeout_ms", 5000, "tenants",
-	    "name", "depot", "api_keys", keys, "priority", 1, "rate_per_s",
-	    rate_per_s, "burst", 0.0);
+	    "max_header_bytes", 4000, "max_body_bytes",
+	    gateway_limits.body_bytes, "header_timeout_ms", 500,
+	    "idle_timeout_ms", 5000, "tenants", "name", "depot", "api_keys",
+	    keys, "priority", 1, "rate_per_s", rate_per_s, "burst", 0.0);
 	text = json_dumps(json, 0);
 	gateway_store_put("op/config", text);
 	free(text);
@@ -162,6 +165,24 @@
 {
 	programs_end();
 	g_hash_table_unref(directory_addresses);
+	gateway_limits = default_limits;
+}
+
+/* Adds the limits that a test has set to a node's settings. */
+static void
+add_limits(json_t *settings)
+{
+	json_t *limits = json_object();
+
+	if (gateway_limits.memory_mb != 0)
+		json_object_set_new(limits, "memory_mb",
+		    json_integer(gateway_limits.memory_mb));
+	if (gateway_limits.fds_max != 0)
+		json_object_set_new(
+		    limits, "max_fds", json_integer(gateway_limits.fds_max));
+	if (json_object_size(limits) > 0)
+		json_object_set(settings, "limits", limits);
+	json_decref(limits);
 }
 
 /* Writes a node's settings file; returns its path, to be freed. */
@@ -182,6 +203,7 @@
 		2000, "window_s", 1, "usage_late_s", 10, "grace_s", 6,
 		"expose_slack", 200);
 
+	add_limits(json);
 	close(mkstemp(path));
 	ck_assert_int_eq(json_dump_file(json, path, 0), 0);
 	json_decref(json);
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -17,6 +17,18 @@
 
 extern program_t *platform_standin;
 
+/*
+ * Limits of the configuration and of the nodes' settings. Set before
+ * gateway_setup(); gateway_teardown() restores the defaults.
+ */
+typedef struct gateway_limits {
+	int body_bytes; /* limits.max_body_bytes of the configuration */
+	int memory_mb;	/* limits.memory_mb of the settings; 0: not set */
+	int fds_max;	/* limits.max_fds of the settings; 0: not set */
+} gateway_limits_t;
+
+extern gateway_limits_t gateway_limits;
+
 /* Starts the stand-in and writes the configuration. */
 void gateway_setup(void);
 void gateway_teardown(void);
