--- a/src/conn.c
+++ b/src/conn.c
@@ -3,17 +3,21 @@
 #include <errno.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/queue.h>
 
 enum {
 	READ_BUFFER_BYTES = 64 * 1024,
 	/* Time for the peer to read the last response before the close. */
 	LINGER_MS = 1000,
+	/* Most that is read and discarded in a round of the loop meanwhile. */
+	LINGER_READ_BYTES = 16 * 1024,
 	KEEPALIVE_IDLE_S = 1,
 	KEEPALIVE_INTERVAL_S = 1,
 	KEEPALIVE_PROBES = 2,
 };
 
 struct conn {
+	TAILQ_ENTRY(conn) lingering_entries;
 	uv_tcp_t tcp;
 	uv_timer_t timer; /* next read, or end of the linger time */
 	uv_connect_t connect;
@@ -21,16 +25,22 @@
 	conn_callbacks_t callbacks;
 	void *data;
 	unsigned open_handles;
-	int write_error; /* libuv code of a failed conn_write(), or 0 */
+	int64_t linger_end_ms; /* uv_now() */
+	size_t read_max;
+	size_t queue_memory; /* allocated for the writes in progress */
+	int write_error;     /* libuv code of a failed conn_write(), or 0 */
 	bool reading;
 	bool yielded; /* reading goes on in the next round of the loop */
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
+	bool lingering;
 };
 
 typedef struct write {
 	uv_write_t request;
 	conn_t *conn;
+	GByteArray *shared; /* holds the bytes instead; NULL: none */
+	size_t length;	    /* of bytes */
 	char bytes[];
 } write_t;
 
@@ -38,6 +48,11 @@
  * the bytes before the next read. */
 static char read_buffer[READ_BUFFER_BYTES];
 
+/* Those that conn_shutdown() keeps open, in order of its calls. */
+static TAILQ_HEAD(conn_list, conn) lingering = TAILQ_HEAD_INITIALIZER(
+    lingering);
+static unsigned lingering_count;
+
 bool
 conn_parse_address(const char *text, struct sockaddr_in *address)
 {
@@ -63,9 +78,20 @@
 		g_free(conn);
 }
 
+static void
+end_linger(conn_t *conn)
+{
+	if (!conn->lingering)
+		return;
+	conn->lingering = false;
+	TAILQ_REMOVE(&lingering, conn, lingering_entries);
+	lingering_count--;
+}
+
 static void
 close_handles(conn_t *conn)
 {
+	end_linger(conn);
 	if (uv_is_closing((uv_handle_t *)&conn->tcp))
 		return;
 	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
@@ -80,6 +106,7 @@
 	conn->callbacks = *callbacks;
 	conn->data = data;
 	conn->open_handles = 2;
+	conn->read_max = sizeof(read_buffer);
 	uv_tcp_init(loop, &conn->tcp);
 	uv_timer_init(loop, &conn->timer);
 	conn->tcp.data = conn;
@@ -103,7 +130,9 @@
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-	*buffer = uv_buf_init(read_buffer, sizeof(read_buffer));
+	const conn_t *conn = handle->data;
+
+	*buffer = uv_buf_init(read_buffer, (unsigned)conn->read_max);
 }
 
 /*
@@ -138,12 +167,26 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+static void
+on_linger_timeout(uv_timer_t *timer)
+{
+	close_handles(timer->data);
+}
+
 static void
 on_next_round(uv_timer_t *timer)
 {
 	conn_t *conn = timer->data;
 
 	conn->yielded = false;
+	if (conn->lingering) {
+		start_reading(conn);
+		uv_timer_start(timer, on_linger_timeout,
+		    (uint64_t)MAX(
+			conn->linger_end_ms - (int64_t)uv_now(timer->loop), 0),
+		    0);
+		return;
+	}
 	if (conn->reading && !conn->ended)
 		start_reading(conn);
 }
@@ -175,11 +218,18 @@
 	if (length > 0 && !conn->closing)
 		conn->callbacks.on_data(
 		    conn, buffer->base, (size_t)length, conn->data);
-	if (length == (ssize_t)sizeof(read_buffer) && conn->reading &&
-	    !conn->closing)
+	if (length == (ssize_t)buffer->len &&
+	    (conn->lingering || (conn->reading && !conn->closing)))
 		yield(conn);
 }
 
+void
+conn_set_read_max(conn_t *conn, size_t bytes)
+{
+	conn->read_max =
+	    bytes == 0 ? sizeof(read_buffer) : MIN(bytes, sizeof(read_buffer));
+}
+
 void
 conn_set_reading(conn_t *conn, bool reading)
 {
@@ -259,51 +309,109 @@
 	return conn;
 }
 
+static void
+write_free(write_t *write)
+{
+	write->conn->queue_memory -= sizeof(*write) + write->length;
+	if (write->shared != NULL)
+		g_byte_array_unref(write->shared);
+	g_free(write);
+}
+
 static void
 on_written(uv_write_t *request, int status)
 {
 	write_t *write = request->data;
 	conn_t *conn = write->conn;
 
-	g_free(write);
+	write_free(write);
 	if (status < 0) {
 		if (status != UV_ECANCELED)
 			report_end(conn, status);
 		return;
 	}
+	if (conn->closing)
+		return;
+	if (conn->callbacks.on_write_progress != NULL)
+		conn->callbacks.on_write_progress(conn, conn->data);
 	if (!conn->closing && conn_queued_bytes(conn) == 0 &&
 	    conn->callbacks.on_write_queue_empty != NULL)
 		conn->callbacks.on_write_queue_empty(conn, conn->data);
 }
 
+/* Sends what the kernel takes at once; returns the number of bytes. */
+static size_t
+write_at_once(conn_t *conn, const char *bytes, size_t length)
+{
+	uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)length);
+	int sent = 0;
+
+	if (conn_queued_bytes(conn) == 0)
+		sent = uv_try_write((uv_stream_t *)&conn->tcp, &buffer, 1);
+	if (sent >= 0)
+		return (size_t)sent;
+	/* The queued write reports the error, but maybe after an end of file
+	 * that it causes. */
+	if (sent != UV_EAGAIN && sent != UV_EPIPE)
+		conn->write_error = sent;
+	return 0;
+}
+
+/* copied: bytes to be copied into the write; 0 where they are shared. */
+static write_t *
+write_new(conn_t *conn, size_t copied)
+{
+	write_t *write = g_malloc(sizeof(*write) + copied);
+
+	write->conn = conn;
+	write->request.data = write;
+	write->shared = NULL;
+	write->length = copied;
+	conn->queue_memory += sizeof(*write) + copied;
+	return write;
+}
+
+static void
+write_queue(write_t *write, const char *bytes, size_t length)
+{
+	uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)length);
+
+	if (uv_write(&write->request, (uv_stream_t *)&write->conn->tcp, &buffer,
+		1, on_written) != 0)
+		write_free(write); /* the reading side reports the failure */
+}
+
 void
 conn_write(conn_t *conn, const char *bytes, size_t length)
 {
-	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
-	uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned)length);
 	write_t *write;
-	int sent = 0;
+	size_t sent;
 
 	if (conn->ended || length == 0)
 		return;
-	if (conn_queued_bytes(conn) == 0)
-		sent = uv_try_write(stream, &buffer, 1);
-	if (sent < 0) {
-		/* The queued write reports the error, but maybe after an end of
-		 * file that it causes. */
-		if (sent != UV_EAGAIN && sent != UV_EPIPE)
-			conn->write_error = sent;
-		sent = 0;
-	}
-	if ((size_t)sent == length)
+	sent = write_at_once(conn, bytes, length);
+	if (sent == length)
 		return;
-	write = g_malloc(sizeof(*write) + length - (size_t)sent);
-	write->conn = conn;
-	write->request.data = write;
-	memcpy(write->bytes, bytes + sent, length - (size_t)sent);
-	buffer = uv_buf_init(write->bytes, (unsigned)(length - (size_t)sent));
-	if (uv_write(&write->request, stream, &buffer, 1, on_written) != 0)
-		g_free(write); /* the reading side reports the failure */
+	write = write_new(conn, length - sent);
+	memcpy(write->bytes, bytes + sent, length - sent);
+	write_queue(write, write->bytes, length - sent);
+}
+
+void
+conn_write_shared(conn_t *conn, GByteArray *bytes)
+{
+	const char *start = (const char *)bytes->data;
+	write_t *write;
+	size_t sent;
+
+	if (conn->ended || bytes->len == 0)
+		return;
+	sent = write_at_once(conn, start, bytes->len);
+	if (sent == bytes->len)
+		return;
+	write = write_new(conn, 0);
+	write->shared = g_byte_array_ref(bytes);
+	write_queue(write, start + sent, bytes->len - sent);
 }
 
 size_t
@@ -312,6 +420,12 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
+size_t
+conn_queue_memory(const conn_t *conn)
+{
+	return conn->queue_memory;
+}
+
 void
 conn_close(conn_t *conn)
 {
@@ -331,12 +445,6 @@
 	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 }
 
-static void
-on_linger_timeout(uv_timer_t *timer)
-{
-	close_handles(timer->data);
-}
-
 static void
 on_shutdown(uv_shutdown_t *request, int status)
 {
@@ -359,7 +467,27 @@
 		return;
 	}
 	conn->yielded = false;
+	conn->lingering = true;
+	conn->read_max = LINGER_READ_BYTES;
+	TAILQ_INSERT_TAIL(&lingering, conn, lingering_entries);
+	lingering_count++;
+	conn->linger_end_ms = (int64_t)uv_now(conn->timer.loop) + LINGER_MS;
 	if (!ended)
 		start_reading(conn);
 	uv_timer_start(&conn->timer, on_linger_timeout, LINGER_MS, 0);
 }
+
+unsigned
+conn_lingering_count(void)
+{
+	return lingering_count;
+}
+
+void
+conn_close_oldest_lingering(void)
+{
+	conn_t *conn = TAILQ_FIRST(&lingering);
+
+	if (conn != NULL)
+		close_handles(conn);
+}
--- a/src/conn.h
+++ b/src/conn.h
@@ -22,6 +22,8 @@
 	/* The peer closed its side (error 0), or the connection failed or was
 	 * reset (libuv error code). Called once. */
 	void (*on_end)(conn_t *conn, int error, void *data);
+	/* Optional. Some queued bytes have been handed to the kernel. */
+	void (*on_write_progress)(conn_t *conn, void *data);
 	/* Optional. All queued bytes have been handed to the kernel. */
 	void (*on_write_queue_empty)(conn_t *conn, void *data);
 } conn_callbacks_t;
@@ -44,12 +46,21 @@
 /* Sends the bytes; copies what cannot be sent at once. */
 void conn_write(conn_t *conn, const char *bytes, size_t length);
 
+/* The same without a copy: refers to the bytes, which must not change. */
+void conn_write_shared(conn_t *conn, GByteArray *bytes);
+
 /* Number of bytes not yet handed to the kernel. */
 size_t conn_queued_bytes(const conn_t *conn);
 
+/* Memory that is allocated for them; shared bytes do not count. */
+size_t conn_queue_memory(const conn_t *conn);
+
 /* Pauses or resumes reading; a new connection is reading. */
 void conn_set_reading(conn_t *conn, bool reading);
 
+/* Most bytes that one read takes; 0: the default of 64 KiB. */
+void conn_set_read_max(conn_t *conn, size_t bytes);
+
 /* Closes at once; queued bytes are discarded. */
 void conn_close(conn_t *conn);
 
@@ -64,4 +75,9 @@
  */
 void conn_shutdown(conn_t *conn);
 
+/* Connections of the process that conn_shutdown() has not closed yet. */
+unsigned conn_lingering_count(void);
+/* Closes the one that has waited longest. */
+void conn_close_oldest_lingering(void);
+
 #endif
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -2,7 +2,12 @@
 
 #include <string.h>
 
-enum { STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
+enum {
+	STATUS_NO_CONTENT = 204,
+	STATUS_NOT_MODIFIED = 304,
+	/* Most bytes queued to a client before its response's source pauses. */
+	QUEUE_MAX_BYTES = 256 * 1024,
+};
 
 const http1_head_t *
 exchange_request_head(const exchange_t *exchange)
@@ -10,7 +15,7 @@
 	return http1_reader_head(exchange->request_reader);
 }
 
-const GByteArray *
+GByteArray *
 exchange_request_body(const exchange_t *exchange)
 {
 	return exchange->request_body;
@@ -33,6 +38,8 @@
 {
 	if (exchange == NULL || --exchange->refs > 0)
 		return;
+	memory_charge_release(&exchange->request);
+	memory_charge_release(&exchange->response);
 	http1_reader_free(exchange->request_reader);
 	g_byte_array_unref(exchange->request_body);
 	g_free(exchange);
@@ -85,7 +92,7 @@
 static void
 write_and_free(exchange_t *exchange, GString *out)
 {
-	conn_write(exchange->client->conn, out->str, out->len);
+	http1_server_write(exchange->client, out->str, out->len);
 	g_string_free(out, TRUE);
 }
 
@@ -135,7 +142,7 @@
 	    length == 0)
 		return;
 	if (!exchange->chunked) {
-		conn_write(exchange->client->conn, bytes, length);
+		http1_server_write(exchange->client, bytes, length);
 		return;
 	}
 	out = g_string_sized_new(length + 16);
@@ -155,7 +162,7 @@
 	if (client == NULL)
 		return;
 	if (exchange->chunked)
-		conn_write(client->conn, last_chunk, strlen(last_chunk));
+		http1_server_write(client, last_chunk, strlen(last_chunk));
 	close = closes_connection(exchange);
 	client->exchange = NULL;
 	exchange->client = NULL;
@@ -182,9 +189,22 @@
 }
 
 size_t
-exchange_queued_bytes(const exchange_t *exchange)
+exchange_queue_max(const exchange_t *exchange)
 {
-	return exchange->client == NULL
-		   ? 0
-		   : conn_queued_bytes(exchange->client->conn);
+	return memory_budget_queue_max(
+	    exchange->memory->queued, QUEUE_MAX_BYTES);
+}
+
+bool
+exchange_is_queue_full(const exchange_t *exchange)
+{
+	return exchange->client != NULL &&
+	       conn_queued_bytes(exchange->client->conn) >
+		   exchange_queue_max(exchange);
+}
+
+void
+exchange_charge_response(exchange_t *exchange, size_t length)
+{
+	memory_charge_set(&exchange->response, memory_array_capacity(length));
 }
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "platform_request.h"
 
+#include <malloc.h>
 #include <string.h>
 
 enum {
@@ -17,9 +18,23 @@
 	/* Sockets reserved for connections to backend servers and platform. */
 	RESERVED_SOCKETS = 1500,
 	CONNECTIONS_MIN = 64,
+	/* Parts of the sockets that clients of requests may not use, so that
+	 * the directory can be asked, and those that both may not use. */
+	SOCKET_PARTS = 16,
+	DIRECTORY_SOCKET_PARTS = 1,
+	READINESS_SOCKET_PARTS = 2,
 	/* Between the requests of a follower to its relay. */
 	RELAY_INTERVAL_MS = 200,
 	STANDBY_RELAY_INTERVAL_MS = 400,
+	/* Shares of the process's memory that data of clients and data for them
+	 * may take; the rest is for the process itself and its connections. */
+	RECEIVED_MEMORY_PARTS = 3,
+	QUEUED_MEMORY_PARTS = 8,
+	/* Blocks of this size are mapped, so that they go back to the system
+	 * when they are freed; the C library would raise its threshold. */
+	MAPPED_BLOCK_BYTES = 128 * 1024,
+	/* Free memory goes back once so much less is held than before. */
+	RETURN_BYTES = 8 * 1024 * 1024,
 	/* From the first node that applies a change to the last one. */
 	CHANGE_DELIVERY_MAX_MS = 800,
 };
@@ -271,11 +286,73 @@
 	g_free(name);
 }
 
+static uint64_t
+count_refusals(const gateway_t *gateway, http1_refusal_t reason)
+{
+	const http1_server_t *const servers[] = {gateway->client_listener,
+	    gateway->directory_listener, gateway->readiness_listener,
+	    gateway->metrics_listener};
+	uint64_t count = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+		if (servers[i] != NULL)
+			count += http1_server_refusals(servers[i], reason);
+	return count;
+}
+
+/* Logs what clients were refused since the last report. */
+static void
+report_refusals(gateway_t *gateway)
+{
+	GString *fields = g_string_new(NULL);
+
+	for (int i = 0; i < HTTP1_REFUSAL_COUNT; i++) {
+		const char *reason = http1_refusal_name((http1_refusal_t)i);
+		uint64_t count = count_refusals(gateway, (http1_refusal_t)i);
+
+		if (count == gateway->refusals[i])
+			continue;
+		g_string_append_printf(fields, " %s=%" G_GUINT64_FORMAT, reason,
+		    count - gateway->refusals[i]);
+		counter_add(gateway->proxy.counters,
+		    count - gateway->refusals[i],
+		    "client_refusals_total{reason=\"%s\"}", reason);
+		gateway->refusals[i] = count;
+	}
+	if (fields->len > 0)
+		log_event(LOG_LEVEL_WARN, "clients.refused",
+		    "connections_open=%u received_bytes=%zu queued_bytes=%zu%s",
+		    gateway->memory.connections,
+		    memory_budget_held(gateway->memory.received),
+		    memory_budget_held(gateway->memory.queued), fields->str);
+	g_string_free(fields, TRUE);
+}
+
+/* Returns free memory to the system after a crowd of clients. */
+static void
+return_memory(gateway_t *gateway)
+{
+	size_t held = memory_budget_held(gateway->memory.received) +
+		      memory_budget_held(gateway->memory.queued);
+
+	gateway->memory_peak = MAX(gateway->memory_peak, held);
+	if (gateway->config->memory_max == 0 ||
+	    gateway->memory_peak - held < RETURN_BYTES)
+		return;
+	gateway->memory_peak = held;
+	malloc_trim(0);
+}
+
 static void
 update_gauges(gateway_t *gateway, int64_t now_ms)
 {
 	counters_t *counters = gateway->proxy.counters;
 
+	*counter_get(counters, "client_bytes_received") =
+	    memory_budget_held(gateway->memory.received);
+	*counter_get(counters, "client_bytes_queued") =
+	    memory_budget_held(gateway->memory.queued);
+
 	*counter_get(counters, "client_connections") =
 	    http1_server_connections(gateway->client_listener);
 	*counter_get(counters, "requests_in_progress") =
@@ -371,6 +448,8 @@
 		crash_guard_sweep(gateway->proxy.crash_guard,
 		    cluster_wall_ms(gateway->cluster));
 		update_gauges(gateway, now_ms);
+		report_refusals(gateway);
+		return_memory(gateway);
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
 	proxy_migrate_streams(&gateway->proxy, now_ms);
@@ -378,14 +457,46 @@
 		check_drain(gateway, now_ms);
 }
 
+static unsigned
+max_client_connections(const gateway_config_t *config)
+{
+	return config->sockets_max > RESERVED_SOCKETS + CONNECTIONS_MIN
+		   ? config->sockets_max - RESERVED_SOCKETS
+		   : CONNECTIONS_MIN;
+}
+
+static void
+init_memory(gateway_t *gateway)
+{
+	size_t memory_max = gateway->config->memory_max;
+
+	gateway->memory.received =
+	    memory_budget_new(memory_max / RECEIVED_MEMORY_PARTS);
+	gateway->memory.queued =
+	    memory_budget_new(memory_max / QUEUED_MEMORY_PARTS);
+	if (memory_max == 0)
+		return;
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BLOCK_BYTES);
+	mallopt(M_TRIM_THRESHOLD, RETURN_BYTES);
+}
+
+/*
+ * reserved_parts: of the sockets, in SOCKET_PARTS, that only this listener and
+ * those with more parts may use.
+ */
 static http1_server_t *
 start_listener(gateway_t *gateway, const char *address,
-    unsigned connections_max, void (*handler)(exchange_t *exchange, void *data),
-    GError **error)
+    unsigned connections_max, unsigned reserved_parts,
+    void (*handler)(exchange_t *exchange, void *data), GError **error)
 {
+	unsigned sockets_max = gateway->config->sockets_max;
 	http1_server_options_t options = {
 	    .address = address,
 	    .connections_max = connections_max,
+	    .sockets_max =
+		MAX(max_client_connections(gateway->config), sockets_max / 2) +
+		sockets_max * reserved_parts / SOCKET_PARTS,
+	    .memory = &gateway->memory,
 	    .on_request = handler,
 	    .limits = current_limits,
 	    .data = gateway,
@@ -398,33 +509,32 @@
 start_listeners(gateway_t *gateway, GError **error)
 {
 	const gateway_config_t *config = gateway->config;
-	unsigned connections_max =
-	    config->sockets_max > RESERVED_SOCKETS + CONNECTIONS_MIN
-		? config->sockets_max - RESERVED_SOCKETS
-		: CONNECTIONS_MIN;
+	unsigned connections_max = max_client_connections(config);
 	char *metrics_address =
 	    g_strdup_printf("%s:%d", config->ip, config->metrics_port);
 	bool ok;
 
-	gateway->client_listener = start_listener(gateway,
-	    config->client_address, connections_max, on_client_request, error);
+	gateway->client_listener =
+	    start_listener(gateway, config->client_address, connections_max, 0,
+		on_client_request, error);
 	ok = gateway->client_listener != NULL;
 	if (ok && config->ready_address != NULL) {
-		gateway->readiness_listener =
-		    start_listener(gateway, config->ready_address,
-			CONNECTIONS_MIN, on_directory_request, error);
+		gateway->readiness_listener = start_listener(gateway,
+		    config->ready_address, CONNECTIONS_MIN,
+		    READINESS_SOCKET_PARTS, on_directory_request, error);
 		ok = gateway->readiness_listener != NULL;
 	}
 	if (ok && config->directory_address != NULL) {
 		gateway->directory_listener =
 		    start_listener(gateway, config->directory_address,
 			connections_max / 4 + CONNECTIONS_MIN,
-			on_directory_request, error);
+			DIRECTORY_SOCKET_PARTS, on_directory_request, error);
 		ok = gateway->directory_listener != NULL;
 	}
 	if (ok && config->metrics_port != 0) {
-		gateway->metrics_listener = start_listener(gateway,
-		    metrics_address, CONNECTIONS_MIN, on_metrics, error);
+		gateway->metrics_listener =
+		    start_listener(gateway, metrics_address, CONNECTIONS_MIN,
+			READINESS_SOCKET_PARTS, on_metrics, error);
 		ok = gateway->metrics_listener != NULL;
 	}
 	g_free(metrics_address);
@@ -530,6 +640,7 @@
 	gateway->config = config;
 	gateway->started_ms = clock_boot_ms();
 	gateway->waiting_exchanges = g_ptr_array_new();
+	init_memory(gateway);
 	init_proxy(gateway);
 	if (!start_cluster(gateway, error) || !start_listeners(gateway, error))
 		return NULL; /* the process ends */
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -42,6 +42,7 @@
 	char *cloud_url;   /* NULL: usage is not reported, nothing is scaled */
 	double processors; /* that the process may use */
 	unsigned sockets_max; /* file descriptors available for sockets */
+	size_t memory_max;    /* of the process, in bytes; 0: no limit */
 	gateway_bounds_t bounds;
 } gateway_config_t;
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -30,6 +30,9 @@
 	usage_report_t *usage_report;
 	scaler_t *scale_orders;
 	proxy_context_t proxy;
+	http1_memory_t memory; /* of the connections of all listeners */
+	size_t memory_peak;    /* held by them since memory was returned */
+	uint64_t refusals[HTTP1_REFUSAL_COUNT]; /* at the last report */
 	http1_server_t *client_listener;
 	http1_server_t *directory_listener; /* address lists, readiness */
 	http1_server_t *readiness_listener;
--- a/src/http1.c
+++ b/src/http1.c
@@ -139,6 +139,10 @@
 	head->keep_alive = http_should_keep_alive(parser) != 0;
 	head->has_length = (parser->flags & F_CHUNKED) != 0 ||
 			   parser->content_length != ULLONG_MAX;
+	head->body_length = (parser->flags & F_CHUNKED) != 0 ||
+				    parser->content_length > INT64_MAX
+				? -1
+				: (int64_t)parser->content_length;
 	head->bytes = reader->text->len;
 }
 
@@ -324,6 +328,12 @@
 	return reader->started;
 }
 
+size_t
+http1_reader_memory(const http1_reader_t *reader)
+{
+	return sizeof(*reader) + reader->text->allocated_len;
+}
+
 bool
 http1_reader_head_too_large(const http1_reader_t *reader)
 {
--- a/src/http1.h
+++ b/src/http1.h
@@ -24,7 +24,8 @@
 	unsigned status;    /* responses */
 	bool http_1_0;
 	bool keep_alive;
-	bool has_length; /* has Content-Length or is chunked */
+	bool has_length;     /* has Content-Length or is chunked */
+	int64_t body_length; /* by Content-Length; -1: not announced */
 	http1_header_t headers[HTTP1_HEADERS_MAX];
 	size_t header_count;
 	size_t bytes; /* of target, names and values, with terminators */
@@ -77,6 +78,9 @@
 /* True once a byte of the message has been read, until the reader is reset. */
 bool http1_reader_started(const http1_reader_t *reader);
 
+/* Memory that the reader and the text of its head take. */
+size_t http1_reader_memory(const http1_reader_t *reader);
+
 /* True if the reader failed because the head was too long. */
 bool http1_reader_head_too_large(const http1_reader_t *reader);
 
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -9,6 +9,15 @@
 	LISTEN_BACKLOG = 1024,
 	/* Reading stops when more pipelined bytes than this are buffered. */
 	PIPELINED_MAX_BYTES = 64 * 1024,
+	/* Most that is read at once while a request is in progress. */
+	PIPELINED_READ_BYTES = 4 * 1024,
+	/* Pipelined requests wait while more than this is queued. */
+	UNREAD_MAX_BYTES = 64 * 1024,
+	/* Pipelined requests of a connection in a round of the loop: without a
+	 * limit, 64 KiB of small ones keep the loop for 10 ms. */
+	REQUESTS_PER_ROUND = 16,
+	/* A timer that starts itself with 0 ms would not let the loop go on. */
+	RESUME_MS = 1,
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
@@ -18,6 +27,21 @@
 	STATUS_TIMEOUT = 408,
 	STATUS_TOO_LARGE = 413,
 	STATUS_HEAD_TOO_LARGE = 431,
+	STATUS_UNAVAILABLE = 503,
+};
+
+static const struct refusal_kind {
+	const char *name;
+	unsigned status; /* 0: none can be sent */
+} refusal_kinds[HTTP1_REFUSAL_COUNT] = {
+    [HTTP1_REFUSED_ANNOUNCED] = {"announced", STATUS_TOO_LARGE},
+    [HTTP1_REFUSED_BODY] = {"body", STATUS_TOO_LARGE},
+    [HTTP1_REFUSED_HEAD] = {"head", STATUS_HEAD_TOO_LARGE},
+    [HTTP1_REFUSED_MALFORMED] = {"malformed", STATUS_BAD_REQUEST},
+    [HTTP1_REFUSED_TIMEOUT] = {"timeout", STATUS_TIMEOUT},
+    [HTTP1_REFUSED_MEMORY] = {"memory", STATUS_UNAVAILABLE},
+    [HTTP1_REFUSED_UNREAD] = {"unread", 0},
+    [HTTP1_REFUSED_CONNECTIONS] = {"connections", STATUS_UNAVAILABLE},
 };
 
 static const catalog_limits_t *
@@ -31,10 +55,95 @@
 {
 	client_t *client = handle->data;
 
+	g_free(client);
+}
+
+static void
+set_phase(client_t *client, client_phase_t phase)
+{
+	client->phase = phase;
+	/* A request in progress may run, and cannot be refused. */
+	memory_charge_set_evictable(&client->received, phase != CLIENT_BUSY);
+}
+
+/* Frees what was received and has not been passed on. */
+static void
+drop_received(client_t *client)
+{
 	http1_reader_free(client->reader);
+	client->reader = NULL;
 	g_byte_array_unref(client->body);
 	g_byte_array_unref(client->pipelined);
-	g_free(client);
+	client->body = g_byte_array_new();
+	client->pipelined = g_byte_array_new();
+	memory_charge_set(&client->received, 0);
+	if (client->resumable)
+		TAILQ_REMOVE(
+		    &client->server->resumable, client, resumable_entries);
+	client->resumable = false;
+}
+
+/* Memory held for a client, when the body grows by so many bytes. */
+static size_t
+received_memory(const client_t *client, size_t added)
+{
+	return (client->reader == NULL ? 0
+				       : http1_reader_memory(client->reader)) +
+	       memory_array_capacity(client->body->len + added) +
+	       memory_array_capacity(client->pipelined->len);
+}
+
+static void
+update_received(client_t *client)
+{
+	memory_charge_set(&client->received, received_memory(client, 0));
+}
+
+static void
+on_eviction(uv_timer_t *timer)
+{
+	http1_server_t *server = timer->data;
+	memory_budget_t *queued = server->options.memory->queued;
+	memory_charge_t *charge;
+
+	while (
+	    (charge = memory_budget_excess(queued, clock_mono_ms())) != NULL) {
+		client_t *client = charge->holder;
+
+		client->server->refusals[HTTP1_REFUSED_UNREAD]++;
+		http1_server_reset_client(client);
+	}
+}
+
+/*
+ * Charges what is queued to the client. Clients that must be reset for it are
+ * reset in the next round of the loop, since this one may be forwarding a
+ * response to one of them.
+ */
+static void
+update_queued(client_t *client)
+{
+	http1_server_t *server = client->server;
+	size_t bytes = conn_queue_memory(client->conn);
+	int64_t now_ms;
+
+	if (bytes == client->queued.bytes)
+		return;
+	now_ms = clock_mono_ms();
+	if (bytes < client->queued.bytes)
+		memory_charge_add_progress(
+		    &client->queued, client->queued.bytes - bytes, now_ms);
+	memory_charge_set(&client->queued, bytes);
+	if (memory_budget_excess(server->options.memory->queued, now_ms) !=
+	    NULL)
+		uv_timer_start(&server->eviction_timer, on_eviction, 0, 0);
+}
+
+void
+http1_server_write(client_t *client, const char *bytes, size_t length)
+{
+	conn_write(client->conn, bytes, length);
+	update_queued(client);
 }
 
 /* Removes the client from the server; its connection must be closed already. */
@@ -45,8 +154,14 @@
 	exchange_t *exchange = client->exchange;
 
 	client->conn = NULL;
+	drop_received(client);
+	g_byte_array_unref(client->body);
+	g_byte_array_unref(client->pipelined);
+	memory_charge_release(&client->received);
+	memory_charge_release(&client->queued);
 	TAILQ_REMOVE(&server->clients, client, entries);
 	server->connections--;
+	server->options.memory->connections--;
 	if (exchange != NULL) {
 		client->exchange = NULL;
 		exchange->client = NULL;
@@ -94,7 +209,8 @@
 {
 	client->queued_bytes = conn_queued_bytes(client->conn);
 	if (client->queued_bytes > 0) {
-		client->phase = CLIENT_CLOSING;
+		set_phase(client, CLIENT_CLOSING);
+		drop_received(client);
 		start_timer(client, STALL_MS);
 		return;
 	}
@@ -102,19 +218,47 @@
 	client_remove(client);
 }
 
-/* Sends an error response to an unreadable request, then closes. */
+/*
+ * Refuses a request that has not been passed to the handler, then closes. What
+ * was received of it is freed at once.
+ */
 static void
-client_reject(client_t *client, unsigned status)
+client_refuse(client_t *client, http1_refusal_t reason)
 {
+	unsigned status = refusal_kinds[reason].status;
 	GString *out = g_string_new(NULL);
 
+	client->server->refusals[reason]++;
+	drop_received(client);
 	http1_server_add_status_line(out, status);
+	if (status == STATUS_UNAVAILABLE)
+		g_string_append(out, "Retry-After: 1\r\n");
 	g_string_append(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
-	conn_write(client->conn, out->str, out->len);
+	http1_server_write(client, out->str, out->len);
 	g_string_free(out, TRUE);
 	http1_server_shutdown_client(client);
 }
 
+/*
+ * Charges what the client holds, and added bytes of body. Refuses the clients
+ * that must go for it; false where this one must.
+ */
+static bool
+charge_received(client_t *client, size_t added)
+{
+	memory_budget_t *budget = client->server->options.memory->received;
+	memory_charge_t *charge;
+
+	memory_charge_set(&client->received, received_memory(client, added));
+	while (
+	    (charge = memory_budget_excess(budget, clock_mono_ms())) != NULL) {
+		if (charge == &client->received)
+			return false;
+		client_refuse(charge->holder, HTTP1_REFUSED_MEMORY);
+	}
+	return true;
+}
+
 /*
  * Resets a client that does not read, so that it cannot take what it has for a
  * complete response.
@@ -156,7 +300,7 @@
 		on_idle_timeout(client);
 		return;
 	case CLIENT_READING:
-		client_reject(client, STATUS_TIMEOUT);
+		client_refuse(client, HTTP1_REFUSED_TIMEOUT);
 		return;
 	case CLIENT_CLOSING:
 		on_closing_timeout(client);
@@ -169,21 +313,36 @@
 static void
 enter_idle(client_t *client)
 {
-	client->phase = CLIENT_IDLE;
+	set_phase(client, CLIENT_IDLE);
 	client->idle_since_ms = clock_mono_ms();
 	start_timer(client, limits(client->server)->idle_timeout_ms);
 }
 
+/*
+ * Largest body that is accepted: by the configuration, and by the memory of
+ * this host where that is less than one body of that size.
+ */
+static size_t
+body_max(const http1_server_t *server)
+{
+	return MIN(limits(server)->body_bytes,
+	    memory_budget_largest(server->options.memory->received) / 2);
+}
+
 static bool
 on_head(const http1_head_t *head, void *data)
 {
 	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	client_t *client = data;
 
+	if (head->body_length > (int64_t)body_max(client->server)) {
+		client->refusal = HTTP1_REFUSED_ANNOUNCED;
+		return false;
+	}
 	start_timer(client, limits(client->server)->idle_timeout_ms);
 	if (http1_head_get(head, "expect") != NULL)
-		conn_write(
-		    client->conn, continue_response, strlen(continue_response));
+		http1_server_write(
+		    client, continue_response, strlen(continue_response));
 	return true;
 }
 
@@ -191,10 +350,14 @@
 on_body(const char *bytes, size_t length, void *data)
 {
 	client_t *client = data;
-	size_t body_max = limits(client->server)->body_bytes;
 
-	if (client->body->len + length > body_max) {
-		client->body_too_large = true;
+	if (client->body->len + length > body_max(client->server)) {
+		client->refusal = HTTP1_REFUSED_BODY;
+		return false;
+	}
+	memory_charge_add_progress(&client->received, length, clock_mono_ms());
+	if (!charge_received(client, length)) {
+		client->refusal = HTTP1_REFUSED_MEMORY;
 		return false;
 	}
 	g_byte_array_append(client->body, (const guint8 *)bytes, (guint)length);
@@ -222,50 +385,157 @@
 
 	exchange->refs = 2; /* the connection's and the handler's */
 	exchange->client = client;
+	exchange->memory = server->options.memory;
+	memory_charge_init(
+	    &exchange->request, exchange->memory->received, NULL);
+	memory_charge_init(&exchange->response, exchange->memory->queued, NULL);
+	memory_charge_set(&exchange->request,
+	    received_memory(client, 0) -
+		memory_array_capacity(client->pipelined->len));
 	exchange->request_reader = client->reader;
 	exchange->request_body = client->body;
 	exchange->received_ms = client->received_ms;
-	client->reader = reader_new(client);
+	client->reader = NULL;
 	client->body = g_byte_array_new();
+	update_received(client);
 	head = exchange_request_head(exchange);
 	exchange->keep_alive = head->keep_alive;
 	exchange->is_head_request = strcmp(head->method, "HEAD") == 0;
 	client->exchange = exchange;
-	client->phase = CLIENT_BUSY;
+	set_phase(client, CLIENT_BUSY);
 	uv_timer_stop(&client->timer);
 	server->active_requests++;
 	server->options.on_request(exchange, server->options.data);
 }
 
 static void
-client_read(client_t *client, const char *bytes, size_t length)
+start_request(client_t *client)
+{
+	set_phase(client, CLIENT_READING);
+	client->refusal = HTTP1_REFUSED_MALFORMED;
+	client->received_ms = clock_boot_ms();
+	client->reader = reader_new(client);
+	start_timer(client, limits(client->server)->head_timeout_ms);
+}
+
+/* Reads at most to the end of one request; returns the bytes consumed. */
+static size_t
+read_request(client_t *client, const char *bytes, size_t length)
 {
 	size_t consumed;
 
-	if (client->phase == CLIENT_IDLE) {
-		client->phase = CLIENT_READING;
-		client->received_ms = clock_boot_ms();
-		start_timer(client, limits(client->server)->head_timeout_ms);
-	}
+	if (client->phase == CLIENT_IDLE)
+		start_request(client);
 	consumed = http1_reader_feed(client->reader, bytes, length);
 	switch (http1_reader_state(client->reader)) {
 	case HTTP1_READING:
-		return;
+		if (!charge_received(client, 0))
+			client_refuse(client, HTTP1_REFUSED_MEMORY);
+		return consumed;
 	case HTTP1_COMPLETE:
-		g_byte_array_append(client->pipelined,
-		    (const guint8 *)bytes + consumed,
-		    (guint)(length - consumed));
 		client_dispatch(client);
-		return;
+		return consumed;
 	case HTTP1_FAILED:
 		break;
 	}
-	if (client->body_too_large)
-		client_reject(client, STATUS_TOO_LARGE);
-	else if (http1_reader_head_too_large(client->reader))
-		client_reject(client, STATUS_HEAD_TOO_LARGE);
-	else
-		client_reject(client, STATUS_BAD_REQUEST);
+	if (client->refusal == HTTP1_REFUSED_MALFORMED &&
+	    http1_reader_head_too_large(client->reader))
+		client->refusal = HTTP1_REFUSED_HEAD;
+	client_refuse(client, client->refusal);
+	return consumed;
+}
+
+/* True where the next request may be read. */
+static bool
+may_read(const client_t *client)
+{
+	return client->conn != NULL &&
+	       (client->phase == CLIENT_IDLE ||
+		   client->phase == CLIENT_READING) &&
+	       conn_queued_bytes(client->conn) <= UNREAD_MAX_BYTES;
+}
+
+static void on_resume(uv_timer_t *timer);
+
+/* Parses the client's pipelined bytes in the next round of the loop. */
+static void
+resume_later(client_t *client)
+{
+	http1_server_t *server = client->server;
+
+	if (client->resumable)
+		return;
+	client->resumable = true;
+	TAILQ_INSERT_TAIL(&server->resumable, client, resumable_entries);
+	uv_timer_start(&server->resume_timer, on_resume, RESUME_MS, 0);
+}
+
+/*
+ * Keeps bytes that are read later, and stops reading more of them where there
+ * are enough.
+ */
+static void
+keep_pipelined(client_t *client, const char *bytes, size_t length)
+{
+	GByteArray *pipelined = client->pipelined;
+	bool busy = client->phase == CLIENT_BUSY;
+	size_t pipelined_max = memory_budget_queue_max(
+	    client->server->options.memory->received, PIPELINED_MAX_BYTES);
+
+	g_byte_array_append(pipelined, (const guint8 *)bytes, (guint)length);
+	conn_set_read_max(client->conn, busy ? PIPELINED_READ_BYTES : 0);
+	conn_set_reading(client->conn,
+	    busy ? pipelined->len <= pipelined_max : pipelined->len == 0);
+	if (pipelined->len > 0 && may_read(client))
+		resume_later(client);
+	if (!charge_received(client, 0))
+		client_refuse(client, HTTP1_REFUSED_MEMORY);
+}
+
+static void
+client_read(client_t *client, const char *bytes, size_t length)
+{
+	client->parsing = true;
+	for (int i = 0;
+	     i < REQUESTS_PER_ROUND && length > 0 && may_read(client); i++) {
+		size_t consumed = read_request(client, bytes, length);
+
+		bytes += consumed;
+		length -= consumed;
+	}
+	client->parsing = false;
+	if (client->conn != NULL && client->phase != CLIENT_CLOSING)
+		keep_pipelined(client, bytes, length);
+}
+
+/* Parses bytes that were kept. */
+static void
+read_pipelined(client_t *client)
+{
+	GByteArray *pipelined = client->pipelined;
+
+	client->pipelined = g_byte_array_new();
+	client_read(client, (const char *)pipelined->data, pipelined->len);
+	g_byte_array_unref(pipelined);
+}
+
+static void
+on_resume(uv_timer_t *timer)
+{
+	http1_server_t *server = timer->data;
+	client_t *client;
+	unsigned count = 0;
+
+	/* Those that are added meanwhile wait for the next round. */
+	TAILQ_FOREACH (client, &server->resumable, resumable_entries)
+		count++;
+	while (
+	    count-- > 0 && (client = TAILQ_FIRST(&server->resumable)) != NULL) {
+		TAILQ_REMOVE(&server->resumable, client, resumable_entries);
+		client->resumable = false;
+		if (may_read(client))
+			read_pipelined(client);
+	}
 }
 
 static void
@@ -275,14 +545,10 @@
 
 	if (client->phase == CLIENT_CLOSING)
 		return;
-	if (client->phase != CLIENT_BUSY) {
+	if (client->phase == CLIENT_BUSY || client->pipelined->len > 0)
+		keep_pipelined(client, bytes, length);
+	else
 		client_read(client, bytes, length);
-		return;
-	}
-	g_byte_array_append(
-	    client->pipelined, (const guint8 *)bytes, (guint)length);
-	if (client->pipelined->len > PIPELINED_MAX_BYTES)
-		conn_set_reading(conn, false);
 }
 
 static void
@@ -291,11 +557,19 @@
 	http1_server_close_client(data);
 }
 
+static void
+on_write_progress(conn_t *conn, void *data)
+{
+	update_queued(data);
+}
+
 static void
 on_write_queue_empty(conn_t *conn, void *data)
 {
 	client_t *client = data;
 
+	if (client->pipelined->len > 0 && may_read(client))
+		resume_later(client);
 	if (client->phase == CLIENT_CLOSING)
 		http1_server_shutdown_client(client);
 	else if (client->exchange != NULL &&
@@ -317,19 +591,68 @@
 	}
 }
 
+static unsigned
+open_sockets(const http1_server_t *server)
+{
+	return server->options.memory->connections + conn_lingering_count();
+}
+
+/* Refuses the oldest request that is not complete; false if there is none. */
+static bool
+refuse_oldest_reading(http1_server_t *server)
+{
+	client_t *client;
+
+	TAILQ_FOREACH (client, &server->clients, entries) {
+		if (client->phase != CLIENT_READING)
+			continue;
+		client_refuse(client, HTTP1_REFUSED_CONNECTIONS);
+		return true;
+	}
+	return false;
+}
+
+/* Makes a descriptor free for a new connection; false if that is impossible. */
+static bool
+make_room(http1_server_t *server)
+{
+	if (server->connections >= server->options.connections_max)
+		close_oldest_idle(server);
+	if (open_sockets(server) < server->options.sockets_max)
+		return true;
+	if (conn_lingering_count() == 0 && !refuse_oldest_reading(server))
+		return false;
+	conn_close_oldest_lingering();
+	return open_sockets(server) < server->options.sockets_max;
+}
+
+static void
+refuse_connection(http1_server_t *server, uv_stream_t *listener)
+{
+	static const conn_callbacks_t callbacks = {0};
+	conn_t *conn = conn_accept(listener, &callbacks, NULL);
+
+	server->refusals[HTTP1_REFUSED_CONNECTIONS]++;
+	if (conn != NULL)
+		conn_close(conn);
+}
+
 static void
 on_connection(uv_stream_t *listener, int status)
 {
 	static const conn_callbacks_t callbacks = {.on_data = on_data,
 	    .on_end = on_end,
+	    .on_write_progress = on_write_progress,
 	    .on_write_queue_empty = on_write_queue_empty};
 	http1_server_t *server = listener->data;
 	client_t *client;
 
 	if (status != 0)
 		return;
-	if (server->connections >= server->options.connections_max)
-		close_oldest_idle(server);
+	if (!make_room(server)) {
+		refuse_connection(server, listener);
+		return;
+	}
 	client = g_new0(client_t, 1);
 	client->conn = conn_accept(listener, &callbacks, client);
 	if (client->conn == NULL) {
@@ -339,11 +662,16 @@
 	client->server = server;
 	client->body = g_byte_array_new();
 	client->pipelined = g_byte_array_new();
-	client->reader = reader_new(client);
+	memory_charge_init(
+	    &client->received, server->options.memory->received, client);
+	memory_charge_init(
+	    &client->queued, server->options.memory->queued, client);
+	memory_charge_set_evictable(&client->queued, true);
 	uv_timer_init(listener->loop, &client->timer);
 	client->timer.data = client;
 	TAILQ_INSERT_TAIL(&server->clients, client, entries);
 	server->connections++;
+	server->options.memory->connections++;
 	server->accepted++;
 	enter_idle(client);
 }
@@ -358,6 +686,7 @@
 
 	server->options = *options;
 	TAILQ_INIT(&server->clients);
+	TAILQ_INIT(&server->resumable);
 	server->listener.data = server;
 	if (!conn_parse_address(options->address, &address)) {
 		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
@@ -365,6 +694,10 @@
 		g_free(server);
 		return NULL;
 	}
+	uv_timer_init(loop, &server->resume_timer);
+	server->resume_timer.data = server;
+	uv_timer_init(loop, &server->eviction_timer);
+	server->eviction_timer.data = server;
 	uv_tcp_init(loop, &server->listener);
 	rc = uv_tcp_bind(
 	    &server->listener, (const struct sockaddr *)&address, 0);
@@ -417,18 +750,28 @@
 	return server->active_requests;
 }
 
+uint64_t
+http1_server_refusals(const http1_server_t *server, http1_refusal_t reason)
+{
+	return server->refusals[reason];
+}
+
+const char *
+http1_refusal_name(http1_refusal_t reason)
+{
+	return refusal_kinds[reason].name;
+}
+
 void
 http1_server_await_request(client_t *client)
 {
-	GByteArray *pipelined = client->pipelined;
-
 	TAILQ_REMOVE(&client->server->clients, client, entries);
 	TAILQ_INSERT_TAIL(&client->server->clients, client, entries);
-	conn_set_reading(client->conn, true);
 	enter_idle(client);
-	if (pipelined->len == 0)
-		return;
-	client->pipelined = g_byte_array_new();
-	client_read(client, (const char *)pipelined->data, pipelined->len);
-	g_byte_array_unref(pipelined);
+	if (client->parsing)
+		return; /* client_read() goes on with the rest */
+	if (client->pipelined->len > 0)
+		read_pipelined(client);
+	else
+		keep_pipelined(client, "", 0);
 }
--- a/src/http1_server.h
+++ b/src/http1_server.h
@@ -3,6 +3,7 @@
 
 #include "catalog.h"
 #include "http1.h"
+#include "memory_budget.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -20,11 +21,37 @@
  * reference with exchange_unref(). */
 typedef struct exchange exchange_t;
 
+/* Limits of what connections hold, shared by the servers of a process. */
+typedef struct http1_memory {
+	memory_budget_t *received; /* from clients, and not passed on yet */
+	memory_budget_t *queued;   /* waits to be read by clients */
+	unsigned connections;	   /* open at all servers */
+} http1_memory_t;
+
+/* Why a client's request was refused, or its connection closed. */
+typedef enum http1_refusal {
+	HTTP1_REFUSED_ANNOUNCED, /* the head announces too large a body */
+	HTTP1_REFUSED_BODY,	 /* the body is too large */
+	HTTP1_REFUSED_HEAD,	 /* the head is too large */
+	HTTP1_REFUSED_MALFORMED,
+	HTTP1_REFUSED_TIMEOUT,	   /* the request was not complete in time */
+	HTTP1_REFUSED_MEMORY,	   /* the budget of received bytes is full */
+	HTTP1_REFUSED_UNREAD,	   /* the budget of queued bytes is full */
+	HTTP1_REFUSED_CONNECTIONS, /* too many connections are open */
+	HTTP1_REFUSAL_COUNT,
+} http1_refusal_t;
+
 typedef struct http1_server_options {
 	const char *address; /* IP:PORT */
 	/* At this limit, a new connection closes the one idle longest; it is
 	 * accepted even if none is idle. */
 	unsigned connections_max;
+	/* Connections of all servers that may be open when one is accepted,
+	 * with those that are being closed. It takes the place of the oldest
+	 * that has no complete request; it is closed at once if there is none.
+	 */
+	unsigned sockets_max;
+	http1_memory_t *memory; /* borrowed */
 	/* A complete request has been read; the handler owns a reference. */
 	void (*on_request)(exchange_t *exchange, void *data);
 	/* Returns the limits currently in effect; borrowed. */
@@ -46,8 +73,15 @@
 /* Number of requests whose response is not complete. */
 unsigned http1_server_active_requests(const http1_server_t *server);
 
+/* Refusals since the start. */
+uint64_t http1_server_refusals(
+    const http1_server_t *server, http1_refusal_t reason);
+/* Label of a reason in metrics and logs. */
+const char *http1_refusal_name(http1_refusal_t reason);
+
 const http1_head_t *exchange_request_head(const exchange_t *exchange);
-const GByteArray *exchange_request_body(const exchange_t *exchange);
+/* Borrowed; must not be changed. */
+GByteArray *exchange_request_body(const exchange_t *exchange);
 /*
  * clock_boot_ms() when reading of the request began; for a pipelined request,
  * when its buffered bytes were parsed.
@@ -96,7 +130,16 @@
  * for complete. */
 void exchange_abort(exchange_t *exchange);
 
-/* Bytes of the response that have not been handed to the kernel. */
-size_t exchange_queued_bytes(const exchange_t *exchange);
+/*
+ * Most bytes of the response that should wait for the client; less than usual
+ * where the clients of this process leave much unread.
+ */
+size_t exchange_queue_max(const exchange_t *exchange);
+
+/* Charges a response of this length that the handler gathers in an array. */
+void exchange_charge_response(exchange_t *exchange, size_t length);
+
+/* True where so much of the response is queued that its source must pause. */
+bool exchange_is_queue_full(const exchange_t *exchange);
 
 #endif
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -16,7 +16,11 @@
 struct http1_server {
 	uv_tcp_t listener;
 	http1_server_options_t options;
-	client_list_t clients; /* least recently used first */
+	client_list_t clients;	   /* least recently used first */
+	client_list_t resumable;   /* with pipelined bytes to be parsed */
+	uv_timer_t resume_timer;   /* parses them */
+	uv_timer_t eviction_timer; /* resets clients that do not read */
+	uint64_t refusals[HTTP1_REFUSAL_COUNT];
 	unsigned connections;
 	uint64_t accepted; /* connections since the start */
 	unsigned active_requests;
@@ -33,18 +37,24 @@
 /* One connection of a client. Freed when its timer handle has been closed. */
 typedef struct client {
 	TAILQ_ENTRY(client) entries; /* in http1_server_t.clients */
+	TAILQ_ENTRY(client) resumable_entries;
+	bool resumable; /* is in http1_server_t.resumable */
+	bool parsing;	/* client_read() is running */
 	http1_server_t *server;
 	conn_t *conn; /* NULL once closed */
 	uv_timer_t timer;
-	http1_reader_t *reader;
+	http1_reader_t *reader; /* NULL: between requests */
 	client_phase_t phase;
+	memory_charge_t received; /* reader, body and pipelined */
+	memory_charge_t queued;	  /* bytes of responses */
 	exchange_t *exchange;
 	GByteArray *body;      /* of the request being read */
 	GByteArray *pipelined; /* bytes read after the current request */
 	int64_t received_ms;   /* as exchange_received_ms() */
 	int64_t idle_since_ms;
 	size_t queued_bytes; /* while closing, at the last look for a stall */
-	bool body_too_large;
+	/* Why the reader failed; HTTP1_REFUSAL_COUNT: malformed. */
+	http1_refusal_t refusal;
 } client_t;
 
 struct exchange {
@@ -52,6 +62,9 @@
 	client_t *client; /* NULL once disconnected or the response ended */
 	http1_reader_t *request_reader; /* owns the request's head */
 	GByteArray *request_body;
+	http1_memory_t *memory;	  /* borrowed */
+	memory_charge_t request;  /* head and body */
+	memory_charge_t response; /* what the handler gathers of it */
 	int64_t received_ms;
 	bool keep_alive;
 	bool is_head_request;
@@ -72,6 +85,9 @@
  */
 void http1_server_shutdown_client(client_t *client);
 
+/* Sends the bytes, or queues and charges what cannot be sent at once. */
+void http1_server_write(client_t *client, const char *bytes, size_t length);
+
 /* Waits for the next request; parses the pipelined bytes first. */
 void http1_server_await_request(client_t *client);
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -93,13 +93,11 @@
 void
 proxy_send(proxy_request_t *req, const pick_choice_t *choice)
 {
-	const GByteArray *body = exchange_request_body(req->exchange);
 	const http1_head_t *head = exchange_request_head(req->exchange);
 	GString *head_text;
 	upstream_request_t request = {
 	    .attempt_id = req->facts.attempt_id,
-	    .body = (const char *)body->data,
-	    .body_length = body->len,
+	    .body = exchange_request_body(req->exchange),
 	    .is_head_request = strcmp(head->method, "HEAD") == 0,
 	    .reuse_idle_max_ms = catalog_may_retry(req->route)
 				     ? ANY_CONNECTION_MS
@@ -128,6 +126,8 @@
 		proxy_handle_not_sent(req, SERVER_FULL, "no_connection");
 		return;
 	}
+	upstream_call_set_read_max(
+	    req->call, exchange_queue_max(req->exchange));
 	rollouts_count_request(req->context->rollouts, req->service_name,
 	    req->trial.revision, req->trial.to_new_version);
 	prefix_cache_record(req->context->prefixes, choice->server->tag,
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -6,8 +6,6 @@
 enum {
 	/* Responses up to this size are buffered until they are complete. */
 	BUFFERED_MAX_BYTES = 64 * 1024,
-	/* Bytes queued to a slow client at which reading its server pauses. */
-	CLIENT_QUEUE_MAX_BYTES = 256 * 1024,
 	CONNECT_FAILURES_MAX = 3,
 	/* A server that sends nothing for this many objectives is abandoned. */
 	IDLE_OBJECTIVES = 2,
@@ -43,6 +41,34 @@
 	       !req->response.no_events && !req->response.not_run;
 }
 
+/* Stops or slows the reading of a response that its client does not read. */
+static void
+limit_queue(proxy_request_t *req)
+{
+	upstream_call_set_read_max(
+	    req->call, exchange_queue_max(req->exchange));
+	if (exchange_is_queue_full(req->exchange))
+		upstream_call_set_reading(req->call, false);
+}
+
+/* Empties the buffer, and frees the memory of what it held. */
+static void
+clear_buffered(proxy_request_t *req)
+{
+	if (req->buffered->len == 0)
+		return;
+	g_byte_array_unref(req->buffered);
+	req->buffered = g_byte_array_new();
+	exchange_charge_response(req->exchange, 0);
+}
+
+/* Most bytes of a response that are gathered before it is forwarded. */
+static size_t
+buffered_max(const proxy_request_t *req)
+{
+	return MIN(BUFFERED_MAX_BYTES, exchange_queue_max(req->exchange));
+}
+
 /* Forwards the events that are complete. */
 static void
 forward_events(proxy_request_t *req)
@@ -60,8 +86,7 @@
 	}
 	exchange_write(req->exchange, out->str, out->len);
 	g_string_free(out, TRUE);
-	if (exchange_queued_bytes(req->exchange) > CLIENT_QUEUE_MAX_BYTES)
-		upstream_call_set_reading(req->call, false);
+	limit_queue(req);
 }
 
 static void on_idle(uv_timer_t *timer);
@@ -113,7 +138,7 @@
 	req->response_started = true;
 	exchange_write(req->exchange, (const char *)req->buffered->data,
 	    req->buffered->len);
-	g_byte_array_set_size(req->buffered, 0);
+	clear_buffered(req);
 }
 
 /* Retries at another server; drops what this one sent, and its migration. */
@@ -124,7 +149,7 @@
 	proxy_migration_clear(req);
 	uv_timer_stop(&req->idle_timer);
 	proxy_release_server(req);
-	g_byte_array_set_size(req->buffered, 0);
+	clear_buffered(req);
 	if (req->events != NULL)
 		event_stream_resume(req->events);
 	proxy_attempt(req);
@@ -319,14 +344,13 @@
 	}
 	if (req->response_started) {
 		exchange_write(req->exchange, bytes, length);
-		if (exchange_queued_bytes(req->exchange) >
-		    CLIENT_QUEUE_MAX_BYTES)
-			upstream_call_set_reading(req->call, false);
+		limit_queue(req);
 		return;
 	}
 	g_byte_array_append(
 	    req->buffered, (const guint8 *)bytes, (guint)length);
-	if (req->buffered->len <= BUFFERED_MAX_BYTES)
+	exchange_charge_response(req->exchange, req->buffered->len);
+	if (req->buffered->len <= buffered_max(req))
 		return;
 	if (req->response.not_run) {
 		handle_not_run(req);
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -17,6 +17,9 @@
 	/* Idle limit until the server states its timeout in Keep-Alive. */
 	IDLE_DEFAULT_MS = 8000,
 	HEAD_MAX_BYTES = 64 * 1024,
+	/* Bodies up to this size are copied and sent along with the head;
+	 * larger ones are not, as many may be in progress. */
+	COPIED_BODY_MAX_BYTES = 16 * 1024,
 	/* A connection that has carried more refusals is closed. */
 	REFUSED_IDS_MAX = 16,
 };
@@ -48,7 +51,8 @@
 	upstream_conn_t *conn;
 	upstream_request_t request;
 	char *attempt_id;
-	GString *unsent; /* head and body, until connected */
+	GString *unsent;	/* head and a small body, until connected */
+	GByteArray *large_body; /* sent after it; NULL: none */
 };
 
 struct upstream {
@@ -102,6 +106,8 @@
 call_free(upstream_call_t *call)
 {
 	g_string_free(call->unsent, TRUE);
+	if (call->large_body != NULL)
+		g_byte_array_unref(call->large_body);
 	g_free(call->attempt_id);
 	g_free(call);
 }
@@ -219,6 +225,7 @@
 		return;
 	}
 	http1_reader_reset(conn->reader);
+	conn_set_read_max(conn->tcp, 0);
 	conn_set_reading(conn->tcp, true);
 	conn->idle = true;
 	conn->idle_since_ms = clock_boot_ms();
@@ -311,6 +318,10 @@
 
 	conn_write(conn->tcp, call->unsent->str, call->unsent->len);
 	g_string_truncate(call->unsent, 0);
+	if (call->large_body == NULL)
+		return;
+	conn_write_shared(conn->tcp, call->large_body);
+	g_clear_pointer(&call->large_body, g_byte_array_unref);
 }
 
 static void
@@ -419,6 +430,21 @@
 	upstream_free_if_unused(upstream);
 }
 
+static void
+set_unsent(upstream_call_t *call, const upstream_request_t *request)
+{
+	call->unsent =
+	    g_string_new_len(request->head, (gssize)request->head_length);
+	if (request->body == NULL)
+		return;
+	if (request->body->len > COPIED_BODY_MAX_BYTES)
+		call->large_body = g_byte_array_ref(request->body);
+	else
+		g_string_append_len(call->unsent,
+		    (const char *)request->body->data,
+		    (gssize)request->body->len);
+}
+
 upstream_call_t *
 upstream_call_start(upstream_t *upstream, unsigned connections_max,
     const upstream_request_t *request)
@@ -441,12 +467,7 @@
 	call->conn = conn;
 	call->request = *request;
 	call->attempt_id = g_strdup(request->attempt_id);
-	call->unsent =
-	    g_string_sized_new(request->head_length + request->body_length + 1);
-	g_string_append_len(
-	    call->unsent, request->head, (gssize)request->head_length);
-	g_string_append_len(
-	    call->unsent, request->body, (gssize)request->body_length);
+	set_unsent(call, request);
 	conn->call = call;
 	if (conn->connected)
 		send_request(conn);
@@ -470,6 +491,13 @@
 		conn_set_reading(call->conn->tcp, reading);
 }
 
+void
+upstream_call_set_read_max(upstream_call_t *call, size_t bytes)
+{
+	if (call->conn->tcp != NULL)
+		conn_set_read_max(call->conn->tcp, bytes);
+}
+
 void
 upstream_close_expired(upstream_t *upstream, int64_t now_ms)
 {
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -31,8 +31,8 @@
 	const char *attempt_id; /* copied; echoed by the response, or NULL */
 	const char *head;	/* copied */
 	size_t head_length;
-	const char *body; /* copied */
-	size_t body_length;
+	/* Referred to until it is sent; must not change. NULL: none. */
+	GByteArray *body;
 	bool is_head_request;
 	/* Connections idle for longer than this are not reused. */
 	int64_t reuse_idle_max_ms;
@@ -65,6 +65,9 @@
 /* Pauses or resumes reading the response. */
 void upstream_call_set_reading(upstream_call_t *call, bool reading);
 
+/* Most bytes of the response that one read takes. */
+void upstream_call_set_read_max(upstream_call_t *call, size_t bytes);
+
 /* Closes idle connections shortly before the server would. now_ms is
  * clock_boot_ms(). */
 void upstream_close_expired(upstream_t *upstream, int64_t now_ms);
