--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -13,9 +13,17 @@
 	PIPELINED_READ_BYTES = 4 * 1024,
 	/* Pipelined requests wait while more than this is queued. */
 	UNREAD_MAX_BYTES = 64 * 1024,
-	/* Pipelined requests of a connection in a round of the loop: without a
-	 * limit, 64 KiB of small ones keep the loop for 10 ms. */
-	REQUESTS_PER_ROUND = 16,
+	/*
+	 * Most that all connections together should take of a round of the
+	 * loop: 1,000 connections that are read 64 KiB each in chunks of one
+	 * byte, or have 16 requests answered, keep it for most of a second.
+	 */
+	ROUND_BYTES = 4 * 1024 * 1024,
+	ROUND_REQUESTS = 1024,
+	/* Of it, the parts of one connection. */
+	READ_MIN_BYTES = 4 * 1024,
+	READ_MAX_BYTES = 64 * 1024,
+	REQUESTS_MAX = 16,
 	/* A timer that starts itself with 0 ms would not let the loop go on. */
 	RESUME_MS = 1,
 	/* Allowance for the request target and terminators: the limit in the
@@ -408,6 +416,25 @@
 	server->options.on_request(exchange, server->options.data);
 }
 
+/* What a connection may have of something that all share in a round. */
+static unsigned
+round_part(const client_t *client, unsigned all, unsigned min, unsigned max)
+{
+	unsigned part = all / client->server->options.memory->connections;
+
+	return CLAMP(part, min, max);
+}
+
+/* Most bytes that are read from the client in a round of the loop. */
+static size_t
+read_max(const client_t *client)
+{
+	return client->phase == CLIENT_BUSY
+		   ? PIPELINED_READ_BYTES
+		   : round_part(
+			 client, ROUND_BYTES, READ_MIN_BYTES, READ_MAX_BYTES);
+}
+
 static void
 start_request(client_t *client)
 {
@@ -483,7 +510,7 @@
 	    client->server->options.memory->received, PIPELINED_MAX_BYTES);
 
 	g_byte_array_append(pipelined, (const guint8 *)bytes, (guint)length);
-	conn_set_read_max(client->conn, busy ? PIPELINED_READ_BYTES : 0);
+	conn_set_read_max(client->conn, read_max(client));
 	conn_set_reading(client->conn,
 	    busy ? pipelined->len <= pipelined_max : pipelined->len == 0);
 	if (pipelined->len > 0 && may_read(client))
@@ -495,9 +522,10 @@
 static void
 client_read(client_t *client, const char *bytes, size_t length)
 {
+	unsigned requests = round_part(client, ROUND_REQUESTS, 1, REQUESTS_MAX);
+
 	client->parsing = true;
-	for (int i = 0;
-	     i < REQUESTS_PER_ROUND && length > 0 && may_read(client); i++) {
+	for (; requests > 0 && length > 0 && may_read(client); requests--) {
 		size_t consumed = read_request(client, bytes, length);
 
 		bytes += consumed;
@@ -674,6 +702,7 @@
 	server->options.memory->connections++;
 	server->accepted++;
 	enter_idle(client);
+	conn_set_read_max(client->conn, read_max(client));
 }
 
 http1_server_t *
