--- a/src/gateway.c
+++ b/src/gateway.c
@@ -368,6 +368,7 @@
 	if (now_ms - gateway->last_sweep_ms >= SWEEP_INTERVAL_MS) {
 		gateway->last_sweep_ms = now_ms;
 		prefix_cache_sweep(gateway->proxy.prefixes, now_ms);
+		hedge_sweep(gateway->proxy.hedge, now_ms);
 		crash_guard_sweep(gateway->proxy.crash_guard,
 		    cluster_wall_ms(gateway->cluster));
 		update_gauges(gateway, now_ms);
@@ -449,6 +450,7 @@
 	    .pool = pool_new(gateway->loop, bounds->drain_ms),
 	    .quota = quota_new(&quota_options),
 	    .budget = retry_budget_new(&retry_limits),
+	    .hedge = hedge_new(gateway->config->hedge_share),
 	    .usage = usage_new(bounds->usage_window_ms),
 	    .prefixes = prefix_cache_new(),
 	    .ttft_models =
@@ -539,8 +541,9 @@
 	gateway->timer.data = gateway;
 	uv_timer_start(
 	    &gateway->timer, on_tick, TICK_INTERVAL_MS, TICK_INTERVAL_MS);
-	log_event(LOG_LEVEL_INFO, "front.started", "node=%s zone=%s address=%s",
-	    config->name, config->zone, config->client_address);
+	log_event(LOG_LEVEL_INFO, "front.started",
+	    "node=%s zone=%s address=%s hedge_share=%.3f", config->name,
+	    config->zone, config->client_address, config->hedge_share);
 	return gateway;
 }
 
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -42,6 +42,11 @@
 	char *cloud_url;   /* NULL: usage is not reported, nothing is scaled */
 	double processors; /* that the process may use */
 	unsigned sockets_max; /* file descriptors available for sockets */
+	/*
+	 * Hedges per request of a service, see hedge.h. Set by the process's
+	 * environment or options; 0: none.
+	 */
+	double hedge_share;
 	gateway_bounds_t bounds;
 } gateway_config_t;
 
--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -1,5 +1,6 @@
 #include "error.h"
 #include "gateway.h"
+#include "hedge.h"
 #include "log.h"
 #include "node.h"
 #include "platform_settings.h"
@@ -70,6 +71,9 @@
 	return 0;
 }
 
+static const char hedge_share_variable[] = "PAPAYA_HEDGE_SHARE";
+static const char hedge_share_option[] = "hedge-share";
+
 static gateway_t *gateway;
 
 static void
@@ -107,10 +111,28 @@
 	uv_signal_start(signal, handler, number);
 }
 
-/* Loads the platform's node file. Prints an error and returns NULL on failure.
+/*
+ * Sets the share of hedges from the option, or else from the environment; off
+ * without both. option: its text, or NULL.
+ */
+static bool
+read_hedge_share(const char *option, double *share, GError **error)
+{
+	const char *variable = g_getenv(hedge_share_variable);
+
+	if (option != NULL)
+		return hedge_parse_share(
+		    option, hedge_share_option, share, error);
+	return variable == NULL ||
+	       hedge_parse_share(variable, hedge_share_variable, share, error);
+}
+
+/*
+ * Loads the platform's node file. hedge_share: text of the option, or NULL.
+ * Prints an error and returns NULL on failure.
  */
 static gateway_config_t *
-load_gateway_config(void)
+load_gateway_config(const char *hedge_share)
 {
 	const char *file = g_getenv(platform_settings_variable);
 	GError *error = NULL;
@@ -123,15 +145,17 @@
 		return NULL;
 	}
 	config = platform_settings_load(file, &error);
-	if (config == NULL) {
-		fprintf(stderr, "papayad: %s\n", error->message);
-		g_error_free(error);
-	}
-	return config;
+	if (config != NULL &&
+	    read_hedge_share(hedge_share, &config->hedge_share, &error))
+		return config;
+	gateway_config_free(config);
+	fprintf(stderr, "papayad: %s\n", error->message);
+	g_error_free(error);
+	return NULL;
 }
 
 static int
-run_gateway(void)
+run_gateway(const char *hedge_share)
 {
 	uv_loop_t *loop = uv_default_loop();
 	uv_signal_t term, interrupt, hangup;
@@ -142,7 +166,7 @@
 	start_signal_handler(&term, on_gateway_signal, SIGTERM);
 	start_signal_handler(&interrupt, on_gateway_signal, SIGINT);
 	start_signal_handler(&hangup, on_reload_signal, SIGHUP);
-	config = load_gateway_config();
+	config = load_gateway_config(hedge_share);
 	if (config == NULL)
 		return 2;
 	gateway = gateway_start(loop, config, &error);
@@ -169,9 +193,15 @@
 	    "environment names");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the configuration and exit");
+	struct arg_str *hedge_share =
+	    arg_str0(NULL, hedge_share_option, "SHARE",
+		"with --platform: share of the requests that may be sent to a "
+		"second backend server when they are late, 0 to 0.2");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {help, version, platform, config, check, end};
+	void *table[] = {
+	    help, version, platform, config, check, hedge_share, end};
 	int errors = arg_parse(argc, argv, table);
+	const char *share_text;
 	int rc;
 
 	if (help->count > 0 || version->count > 0) {
@@ -186,8 +216,14 @@
 		    "papayad: give --config FILE or --platform; see --help\n");
 		return 2;
 	}
+	if (hedge_share->count > 0 && platform->count == 0) {
+		fprintf(stderr, "papayad: --%s needs --platform\n",
+		    hedge_share_option);
+		return 2;
+	}
+	share_text = hedge_share->count > 0 ? hedge_share->sval[0] : NULL;
 	if (check->count > 0 && platform->count > 0) {
-		gateway_config_t *parsed = load_gateway_config();
+		gateway_config_t *parsed = load_gateway_config(share_text);
 
 		rc = parsed == NULL ? 2 : 0;
 		gateway_config_free(parsed);
@@ -209,7 +245,7 @@
 	if (platform->count > 0) {
 		log_start("papayad", STDOUT_FILENO);
 		log_use_loop(uv_default_loop());
-		rc = run_gateway();
+		rc = run_gateway(share_text);
 	} else {
 		log_start("papayad", STDERR_FILENO);
 		log_use_loop(uv_default_loop());
--- a/src/pool.c
+++ b/src/pool.c
@@ -377,6 +377,20 @@
 	    now_ms + MIN(pause_ms, SERVER_BACKOFF_MAX_MS);
 }
 
+static void
+add_latency(server_t *server, double latency_ms)
+{
+	server->latency_ms += (server->latency_ms == 0 ? 1 : latency_weight) *
+			      (latency_ms - server->latency_ms);
+}
+
+void
+server_record_no_answer(server_t *server, double latency_ms)
+{
+	if (latency_ms > server->latency_ms)
+		add_latency(server, latency_ms);
+}
+
 void
 server_record_outcome(server_t *server, server_outcome_t outcome,
     double latency_ms, int64_t now_ms)
@@ -398,7 +412,5 @@
 	}
 	server->consecutive_failures = 0;
 	if (outcome == SERVER_SERVED)
-		server->latency_ms +=
-		    (server->latency_ms == 0 ? 1 : latency_weight) *
-		    (latency_ms - server->latency_ms);
+		add_latency(server, latency_ms);
 }
--- a/src/pool.h
+++ b/src/pool.h
@@ -43,7 +43,9 @@
 	int64_t backoff_until_ms;      /* gets no requests until then */
 	int64_t paused_until_ms; /* the server has asked for no requests */
 	double latency_ms;	 /* moving average; 0: no sample yet */
-	upstream_t *upstream;	 /* NULL where the address is malformed */
+	/* This node's attempts that are late (hedge.h) and have no answer. */
+	unsigned late_attempts;
+	upstream_t *upstream; /* NULL where the address is malformed */
 } server_t;
 
 typedef struct pool pool_t;
@@ -130,6 +132,12 @@
 void server_record_outcome(server_t *server, server_outcome_t outcome,
     double latency_ms, int64_t now_ms);
 
+/*
+ * Records that an attempt was cancelled after latency_ms without an answer,
+ * which is a lower bound: it can only raise the server's average.
+ */
+void server_record_no_answer(server_t *server, double latency_ms);
+
 /* Hash of a server's id. */
 uint32_t server_tag(const char *id);
 
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -17,9 +17,9 @@
 		return;
 	exchange_unref(req->exchange);
 	catalog_unref(req->catalog);
-	g_byte_array_unref(req->buffered);
+	proxy_attempt_clear(req->attempt);
+	proxy_attempt_clear(req->other_attempt);
 	g_ptr_array_unref(req->tried);
-	event_stream_free(req->events);
 	g_free(req);
 }
 
@@ -30,39 +30,50 @@
 }
 
 void
-proxy_remove_waiting_prompt(proxy_request_t *req)
+proxy_remove_waiting_prompt(proxy_attempt_t *attempt)
 {
-	server_load_t *load = &req->server->local_load;
+	server_load_t *load = &attempt->server->local_load;
 
-	if (!req->awaiting_response)
+	if (!attempt->awaiting_response)
 		return;
-	req->awaiting_response = false;
-	load->prefill_tokens -= req->uncached_tokens;
-	if (req->urgent)
-		load->urgent_prefill_tokens -= req->uncached_tokens;
+	attempt->awaiting_response = false;
+	load->prefill_tokens -= attempt->uncached_tokens;
+	if (attempt->request->urgent)
+		load->urgent_prefill_tokens -= attempt->uncached_tokens;
+	if (attempt->late_since_ms != 0)
+		attempt->server->late_attempts--;
 }
 
 void
-proxy_release_server(proxy_request_t *req)
+proxy_release_server(proxy_attempt_t *attempt)
 {
 	server_load_t *load;
 
-	if (req->server == NULL)
+	if (attempt->server == NULL)
 		return;
-	load = &req->server->local_load;
+	load = &attempt->server->local_load;
 	load->in_flight--;
-	load->kv_tokens -= pick_request_tokens(&req->facts);
-	proxy_remove_waiting_prompt(req);
-	server_unref(req->server);
-	req->server = NULL;
+	load->kv_tokens -= pick_request_tokens(&attempt->request->facts);
+	proxy_remove_waiting_prompt(attempt);
+	server_unref(attempt->server);
+	attempt->server = NULL;
 }
 
 void
-proxy_cancel_call(proxy_request_t *req)
+proxy_cancel_call(proxy_attempt_t *attempt)
 {
-	if (req->call != NULL)
-		upstream_call_cancel(req->call);
-	req->call = NULL;
+	if (attempt->call != NULL)
+		upstream_call_cancel(attempt->call);
+	attempt->call = NULL;
+}
+
+void
+proxy_attempt_clear(proxy_attempt_t *attempt)
+{
+	proxy_cancel_call(attempt);
+	proxy_release_server(attempt);
+	g_clear_pointer(&attempt->buffered, g_byte_array_unref);
+	g_clear_pointer(&attempt->events, event_stream_free);
 }
 
 void
@@ -71,13 +82,17 @@
 	if (req->finished)
 		return;
 	req->finished = true;
-	proxy_cancel_call(req);
+	proxy_end_race(req);
+	proxy_cancel_call(req->attempt);
+	proxy_cancel_call(req->other_attempt);
 	proxy_migration_clear(req);
-	proxy_release_server(req);
+	proxy_release_server(req->attempt);
+	proxy_release_server(req->other_attempt);
 	TAILQ_REMOVE(&req->context->requests, req, entries);
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	uv_close((uv_handle_t *)&req->deadline_timer, on_timer_closed);
 	uv_close((uv_handle_t *)&req->idle_timer, on_timer_closed);
+	uv_close((uv_handle_t *)&req->hedge_timer, on_timer_closed);
 	proxy_unref(req);
 }
 
@@ -93,12 +108,13 @@
 void
 proxy_log_end(proxy_request_t *req, unsigned status, const char *cause)
 {
+	const proxy_attempt_t *attempt = req->attempt;
 	proxy_outcome_t outcome = {
 	    .attempt_id = req->facts.attempt_id,
 	    .route = req->route == NULL ? "" : req->route->name,
 	    .workspace = req->workspace == NULL ? "" : req->workspace->name,
 	    .service = req->service_name == NULL ? "" : req->service_name,
-	    .server = req->server == NULL ? "" : req->server->info->id,
+	    .server = attempt->server == NULL ? "" : attempt->server->info->id,
 	    .status = status,
 	    .cause = cause,
 	    .retry_after_ms = req->retry_after_ms,
@@ -108,8 +124,8 @@
 	    .may_have_run = req->may_have_run,
 	    .elapsed_ms = clock_boot_ms() - req->received_ms,
 	    .ttft_ms = req->ttft_ms,
-	    .expected_ttft_ms = req->expected_ttft_ms,
-	    .prefill_tokens = req->prefill_tokens,
+	    .expected_ttft_ms = attempt->expected_ttft_ms,
+	    .prefill_tokens = attempt->prefill_tokens,
 	    .catalog_version = req->catalog == NULL ? 0 : req->catalog->version,
 	    .catalog_valid_ms =
 		req->context->catalog_valid_until_ms - clock_boot_ms(),
@@ -138,7 +154,7 @@
 	if (retry_after_ms >= 0)
 		g_snprintf(extra, sizeof(extra), "Retry-After: %.3f\r\n",
 		    (double)MIN(retry_after_ms, RETRY_AFTER_MAX_MS) / MS_PER_S);
-	proxy_cancel_call(req);
+	proxy_cancel_call(req->attempt);
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	exchange_reply(req->exchange, status, extra, "", 0);
 	proxy_finish(req);
@@ -189,8 +205,8 @@
 {
 	proxy_request_t *req = data;
 
-	if (req->call != NULL)
-		upstream_call_set_reading(req->call, true);
+	if (req->attempt->call != NULL)
+		upstream_call_set_reading(req->attempt->call, true);
 }
 
 /* Ends a request that no longer waits for its server. */
@@ -198,7 +214,7 @@
 give_up(proxy_request_t *req, const char *cause, const char *cause_not_run)
 {
 	/* A server may be at work on it, so that it stays charged. */
-	if (req->call != NULL)
+	if (req->attempt->call != NULL || req->other_attempt->call != NULL)
 		req->may_have_run = true;
 	if (req->may_have_run || req->tried->len > 0)
 		proxy_respond(req, 504, -1, cause);
@@ -211,8 +227,8 @@
 {
 	proxy_request_t *req = timer->data;
 
-	if (req->server != NULL && req->awaiting_response)
-		proxy_record_rollout_attempt(req, false, 0);
+	if (req->attempt->server != NULL && req->attempt->awaiting_response)
+		proxy_record_rollout_attempt(req->attempt, false, 0);
 	give_up(req, "deadline", "deadline_not_run");
 }
 
@@ -279,21 +295,28 @@
 {
 	proxy_request_t *req = g_new0(proxy_request_t, 1);
 
-	req->refs = 3; /* the request's, and one per timer */
+	req->refs = 4; /* the request's, and one per timer */
 	req->context = context;
 	req->exchange = exchange;
 	req->received_ms = exchange_received_ms(exchange);
 	req->ttft_ms = -1;
 	req->retry_after_ms = -1;
-	req->buffered = g_byte_array_new();
+	for (hedge_side_t side = HEDGE_FIRST; side < HEDGE_SIDES; side++) {
+		req->attempts[side].request = req;
+		req->attempts[side].side = side;
+	}
+	req->attempt = &req->attempts[HEDGE_FIRST];
+	req->other_attempt = &req->attempts[HEDGE_SECOND];
 	req->tried = g_ptr_array_new();
 	if (context->catalog != NULL)
 		req->catalog = catalog_ref(context->catalog);
 	platform_read_request(exchange_request_head(exchange), &req->facts);
 	uv_timer_init(context->loop, &req->deadline_timer);
 	uv_timer_init(context->loop, &req->idle_timer);
+	uv_timer_init(context->loop, &req->hedge_timer);
 	req->deadline_timer.data = req;
 	req->idle_timer.data = req;
+	req->hedge_timer.data = req;
 	TAILQ_INSERT_TAIL(&context->requests, req, entries);
 	exchange_set_callbacks(
 	    exchange, on_client_closed, on_client_drained, req);
@@ -322,12 +345,6 @@
 	return true;
 }
 
-static bool
-is_stream(const proxy_request_t *req)
-{
-	return req->route->type == CATALOG_STREAM;
-}
-
 void
 proxy_start(proxy_context_t *context, exchange_t *exchange)
 {
@@ -360,9 +377,8 @@
 		return;
 	}
 	req->service = catalog_find_service(req->catalog, req->service_name);
-	if (is_stream(req))
-		req->events = event_stream_new();
 	retry_budget_count_request(
 	    context->budget, req->service_name, clock_boot_ms());
+	hedge_count_request(context->hedge, req->service_name);
 	proxy_attempt(req);
 }
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -4,6 +4,7 @@
 #include "catalog.h"
 #include "cluster.h"
 #include "counter.h"
+#include "hedge.h"
 #include "http1_server.h"
 #include "pool.h"
 #include "prefix.h"
@@ -30,6 +31,7 @@
 	pool_t *pool;
 	quota_t *quota;
 	retry_budget_t *budget;
+	hedge_t *hedge;
 	usage_t *usage;
 	prefix_cache_t *prefixes;
 	GHashTable *ttft_models; /* name (char *) to ttft_model_t *, owns */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -34,20 +34,22 @@
 }
 
 static GString *
-build_request_head(proxy_request_t *req, const server_t *server)
+build_request_head(const proxy_attempt_t *attempt)
 {
+	const proxy_request_t *req = attempt->request;
 	const GByteArray *body = exchange_request_body(req->exchange);
 	const http1_head_t *head = exchange_request_head(req->exchange);
 	forward_options_t options = {
-	    .server_id = server->info->id,
+	    .server_id = attempt->server->info->id,
 	    .workspace = req->workspace == NULL ? NULL : req->workspace->name,
 	    .drop_api_key = req->catalog->workspaces->len > 0,
 	    .remaining_ms = proxy_remaining_ms(req),
 	    .priority = req->service != NULL && req->service->is_engine
 			    ? engine_priority(req)
 			    : -1,
-	    .last_event_id =
-		req->stream_started ? event_stream_last_id(req->events) : NULL,
+	    .last_event_id = req->stream_started
+				 ? event_stream_last_id(attempt->events)
+				 : NULL,
 	    .moved_from = req->migration.kv_location,
 	    .body_length = body->len,
 	    .has_body = body->len > 0 || head->has_length,
@@ -70,18 +72,28 @@
 }
 
 static void
-assign_server(proxy_request_t *req, const pick_choice_t *choice)
+assign_server(proxy_attempt_t *attempt, const pick_choice_t *choice)
 {
+	proxy_request_t *req = attempt->request;
 	server_load_t *load = &choice->server->local_load;
 
-	req->server = server_ref(choice->server);
-	req->uncached_tokens = choice->uncached_tokens;
-	req->prefill_tokens = choice->prefill_tokens;
-	req->expected_ttft_ms = choice->expected_ms;
-	req->awaiting_response = true;
-	req->attempt_start_ms = clock_boot_ms();
-	req->first_byte_ms = 0;
-	req->survival_recorded = false;
+	attempt->server = server_ref(choice->server);
+	attempt->uncached_tokens = choice->uncached_tokens;
+	attempt->prefill_tokens = choice->prefill_tokens;
+	attempt->expected_ttft_ms = choice->expected_ms;
+	attempt->awaiting_response = true;
+	attempt->start_ms = clock_boot_ms();
+	attempt->late_since_ms = 0;
+	attempt->first_byte_ms = 0;
+	attempt->survival_recorded = false;
+	attempt->usage_counted = false;
+	attempt->response = (response_facts_t){0};
+	attempt->status = 0;
+	attempt->has_framing = false;
+	if (attempt->buffered == NULL)
+		attempt->buffered = g_byte_array_new();
+	if (attempt->events == NULL && req->route->type == CATALOG_STREAM)
+		attempt->events = event_stream_new();
 	load->in_flight++;
 	load->kv_tokens += pick_request_tokens(&req->facts);
 	load->prefill_tokens += choice->uncached_tokens;
@@ -90,9 +102,10 @@
 	g_ptr_array_add(req->tried, choice->server);
 }
 
-void
-proxy_send(proxy_request_t *req, const pick_choice_t *choice)
+bool
+proxy_start_attempt(proxy_attempt_t *attempt, const pick_choice_t *choice)
 {
+	proxy_request_t *req = attempt->request;
 	const GByteArray *body = exchange_request_body(req->exchange);
 	const http1_head_t *head = exchange_request_head(req->exchange);
 	GString *head_text;
@@ -107,32 +120,39 @@
 	    .on_head = proxy_on_head,
 	    .on_body = proxy_on_body,
 	    .on_end = proxy_on_end,
-	    .data = req,
+	    .data = attempt,
 	};
 
-	assign_server(req, choice);
+	assign_server(attempt, choice);
 	if (choice->server->leaving_since_ms != 0)
 		proxy_log_leaving_attempt(req->context->counters,
-		    req->facts.attempt_id, choice->server,
-		    req->attempt_start_ms);
-	head_text = build_request_head(req, choice->server);
+		    req->facts.attempt_id, choice->server, attempt->start_ms);
+	head_text = build_request_head(attempt);
 	request.head = head_text->str;
 	request.head_length = head_text->len;
-	req->response = (response_facts_t){0};
-	req->status = 0;
-	req->has_framing = false;
-	req->call = upstream_call_start(
+	attempt->call = upstream_call_start(
 	    choice->server->upstream, node_connections_max(req), &request);
 	g_string_free(head_text, TRUE);
-	if (req->call == NULL) {
-		proxy_handle_not_sent(req, SERVER_FULL, "no_connection");
+	if (attempt->call == NULL)
+		return false;
+	prefix_cache_record(req->context->prefixes, choice->server->tag,
+	    &req->facts, attempt->start_ms);
+	return true;
+}
+
+void
+proxy_send(proxy_request_t *req, const pick_choice_t *choice)
+{
+	proxy_attempt_t *attempt = req->attempt;
+
+	if (!proxy_start_attempt(attempt, choice)) {
+		proxy_handle_not_sent(attempt, SERVER_FULL, "no_connection");
 		return;
 	}
 	rollouts_count_request(req->context->rollouts, req->service_name,
-	    req->trial.revision, req->trial.to_new_version);
-	prefix_cache_record(req->context->prefixes, choice->server->tag,
-	    &req->facts, req->attempt_start_ms);
+	    attempt->trial.revision, attempt->trial.to_new_version);
 	proxy_start_idle_timer(req, req->route->objective_ms);
+	proxy_start_hedge_timer(req);
 }
 
 static pick_choice_t
@@ -164,15 +184,15 @@
 	    req->service_name, is_first_attempt, g_random_double());
 	pick_choice_t choice = pick_among(req, route.servers);
 
-	req->trial = route.assignment;
+	req->attempt->trial = route.assignment;
 	if (choice.server == NULL && route.fallback_servers != NULL) {
 		choice = pick_among(req, route.fallback_servers);
 		/*
 		 * The version was not assigned at random: the attempt is
 		 * counted, but with share 0 it is no evidence.
 		 */
-		req->trial.to_new_version = false;
-		req->trial.new_version_share = 0;
+		req->attempt->trial.to_new_version = false;
+		req->attempt->trial.new_version_share = 0;
 	}
 	rollouts_candidates_clear(&route);
 	return choice;
@@ -183,13 +203,76 @@
 {
 	GPtrArray *same_version = pool_filter_version(
 	    pool_servers(req->context->pool, req->service_name),
-	    req->server->info->version, true);
+	    req->attempt->server->info->version, true);
 	pick_choice_t choice = pick_among(req, same_version);
 
 	g_ptr_array_unref(same_version);
 	return choice;
 }
 
+/* True where all places at the server are taken. */
+static bool
+is_full(const proxy_request_t *req, const server_t *server)
+{
+	bool is_engine = req->service != NULL && req->service->is_engine;
+	unsigned places =
+	    is_engine ? req->service->batch_size : server->info->slots;
+
+	return server_in_flight(server) >= places;
+}
+
+/* True where a hedge may go to the server: it has room and is not slow. */
+static bool
+is_clearly_free(
+    const proxy_request_t *req, const server_t *server, int64_t now_ms)
+{
+	return !is_full(req, server) && server->late_attempts == 0 &&
+	       server->consecutive_failures == 0 &&
+	       !server_is_warming_up(server, now_ms);
+}
+
+/*
+ * Servers that stay, with their numbers in *situation; the caller owns the
+ * array of those that are clearly free.
+ */
+static GPtrArray *
+find_free_servers(const proxy_request_t *req, const GPtrArray *servers,
+    hedge_situation_t *situation)
+{
+	GPtrArray *free_servers = g_ptr_array_new();
+	int64_t now_ms = clock_boot_ms();
+
+	for (guint i = 0; servers != NULL && i < servers->len; i++) {
+		server_t *server = servers->pdata[i];
+
+		if (server->info->draining || server->leaving_since_ms != 0)
+			continue;
+		situation->staying++;
+		if (!server_usable(server, now_ms))
+			continue;
+		situation->usable++;
+		situation->full += is_full(req, server);
+		if (is_clearly_free(req, server, now_ms))
+			g_ptr_array_add(free_servers, server);
+	}
+	return free_servers;
+}
+
+pick_choice_t
+proxy_pick_hedge(
+    proxy_request_t *req, bool *to_new_version, hedge_situation_t *situation)
+{
+	rollouts_candidates_t route = rollouts_select(req->context->rollouts,
+	    req->service_name, false, g_random_double());
+	GPtrArray *servers = find_free_servers(req, route.servers, situation);
+	pick_choice_t choice = pick_among(req, servers);
+
+	*to_new_version = route.assignment.to_new_version;
+	g_ptr_array_unref(servers);
+	rollouts_candidates_clear(&route);
+	return choice;
+}
+
 /* 0 for plain services: their response times are estimated less precisely. */
 static int64_t
 ttft_objective_ms(const proxy_request_t *req)
--- a/src/proxy_log.c
+++ b/src/proxy_log.c
@@ -72,3 +72,46 @@
 	    attempt_id, server->info->id, now_ms - server->leaving_since_ms,
 	    server->info->draining);
 }
+
+void
+proxy_log_hedge_sent(counters_t *counters, const proxy_hedge_t *sent)
+{
+	counter_add(
+	    counters, 1, "hedges_sent_total{service=\"%s\"}", sent->service);
+	log_event(LOG_LEVEL_INFO, "hedge.sent",
+	    "id=%s service=%s route=%s first=%s second=%s "
+	    "elapsed_ms=%" G_GINT64_FORMAT " late_after_ms=%" G_GINT64_FORMAT
+	    " expected_ms=%.0f",
+	    sent->attempt_id, sent->service, sent->route, sent->first_server,
+	    sent->second_server, sent->elapsed_ms, sent->delay_ms,
+	    sent->target_ms);
+}
+
+void
+proxy_log_race_end(counters_t *counters, const char *attempt_id,
+    const char *service, proxy_race_end_t end, int64_t elapsed_ms)
+{
+	static const char *const names[] = {
+	    [PROXY_RACE_WON] = "won",
+	    [PROXY_RACE_LOST] = "lost",
+	    [PROXY_RACE_HEDGE_FAILED] = "hedge_failed",
+	    [PROXY_RACE_FIRST_FAILED] = "first_failed",
+	    [PROXY_RACE_ABANDONED] = "abandoned",
+	};
+
+	counter_add(counters, 1,
+	    "hedges_ended_total{service=\"%s\",outcome=\"%s\"}", service,
+	    names[end]);
+	log_event(LOG_LEVEL_INFO, "hedge.ended",
+	    "id=%s service=%s outcome=%s elapsed_ms=%" G_GINT64_FORMAT,
+	    attempt_id, service, names[end], elapsed_ms);
+}
+
+void
+proxy_log_hedge_refused(
+    counters_t *counters, const char *service, hedge_verdict_t verdict)
+{
+	counter_add(counters, 1,
+	    "hedges_refused_total{service=\"%s\",reason=\"%s\"}", service,
+	    hedge_verdict_name(verdict));
+}
--- a/src/proxy_log.h
+++ b/src/proxy_log.h
@@ -2,6 +2,7 @@
 #define PAPAYA_PROXY_LOG_H
 
 #include "counter.h"
+#include "hedge.h"
 #include "pool.h"
 #include "request_facts.h"
 
@@ -54,4 +55,36 @@
 void proxy_log_leaving_attempt(counters_t *counters, const char *attempt_id,
     const server_t *server, int64_t now_ms);
 
+/* A hedge that was sent. Strings are borrowed. */
+typedef struct proxy_hedge {
+	const char *attempt_id;
+	const char *service;
+	const char *route;
+	const char *first_server;  /* id */
+	const char *second_server; /* id */
+	int64_t elapsed_ms;	   /* since the first attempt was sent */
+	int64_t delay_ms;	   /* after which that was late */
+	double target_ms;	   /* estimate for the second attempt */
+} proxy_hedge_t;
+
+/* Logs and counts a hedge when it is sent. */
+void proxy_log_hedge_sent(counters_t *counters, const proxy_hedge_t *sent);
+
+/* How the race of a hedged request ended. */
+typedef enum proxy_race_end {
+	PROXY_RACE_WON,		 /* the hedge gave the answer */
+	PROXY_RACE_LOST,	 /* the first attempt did */
+	PROXY_RACE_HEDGE_FAILED, /* the first attempt goes on */
+	PROXY_RACE_FIRST_FAILED, /* the hedge goes on */
+	PROXY_RACE_ABANDONED,	 /* the request ended without an answer */
+} proxy_race_end_t;
+
+/* Logs and counts that; elapsed_ms: since the hedge was sent. */
+void proxy_log_race_end(counters_t *counters, const char *attempt_id,
+    const char *service, proxy_race_end_t end, int64_t elapsed_ms);
+
+/* Counts a late attempt that is not hedged. */
+void proxy_log_hedge_refused(
+    counters_t *counters, const char *service, hedge_verdict_t verdict);
+
 #endif
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -20,12 +20,12 @@
 	pick_choice_t choice = {.server = req->migration.target};
 
 	req->migration.state = PROXY_MIGRATION_ENDED;
-	event_stream_resume(req->events);
+	event_stream_resume(req->attempt->events);
 	proxy_send(req, &choice);
-	if (req->call == NULL)
+	if (req->attempt->call == NULL)
 		return; /* not sent, and the request has ended */
 	/* The source has prefilled the prompt and its usage is counted. */
-	proxy_remove_waiting_prompt(req);
+	proxy_remove_waiting_prompt(req->attempt);
 	/* The copy can be used once: a retry resumes by the last event id. */
 	if (catalog_may_retry(req->route))
 		g_clear_pointer(&req->migration.kv_location, g_free);
@@ -36,8 +36,8 @@
 switch_to_target(proxy_request_t *req)
 {
 	uv_timer_stop(&req->idle_timer);
-	proxy_cancel_call(req);
-	proxy_release_server(req);
+	proxy_cancel_call(req->attempt);
+	proxy_release_server(req->attempt);
 	resume_at_target(req);
 }
 
@@ -88,7 +88,7 @@
 {
 	proxy_request_t *req = data;
 	proxy_migration_t *migration = &req->migration;
-	const char *source = req->server->info->address;
+	const char *source = req->attempt->server->info->address;
 
 	migration->call = NULL;
 	if (end == UPSTREAM_COMPLETE &&
@@ -103,7 +103,7 @@
 	if (migration->status == STATUS_UNAVAILABLE) {
 		/* The source stopped the run but keeps its KV cache. */
 		server_unref(migration->target);
-		migration->target = server_ref(req->server);
+		migration->target = server_ref(req->attempt->server);
 	}
 	log_event(LOG_LEVEL_INFO, "stream.moved", "id=%s from=%s to=%s",
 	    req->facts.attempt_id, migration->kv_location,
@@ -128,7 +128,7 @@
 	    .data = req,
 	};
 
-	platform_write_migration(text, req->server->info->address,
+	platform_write_migration(text, req->attempt->server->info->address,
 	    req->facts.attempt_id, target->info->address);
 	request.head = text->str;
 	request.head_length = text->len;
@@ -137,7 +137,7 @@
 	req->migration.state = PROXY_MIGRATION_COPYING;
 	uv_timer_stop(&req->idle_timer);
 	req->migration.call =
-	    upstream_call_start(req->server->upstream, 0, &request);
+	    upstream_call_start(req->attempt->server->upstream, 0, &request);
 	g_string_free(text, TRUE);
 	if (req->migration.call == NULL)
 		fail_migration(req);
@@ -152,11 +152,11 @@
 should_migrate(const proxy_request_t *req, int64_t now_ms)
 {
 	return req->migration.state == PROXY_MIGRATION_NONE &&
-	       req->server != NULL && req->call != NULL &&
-	       req->stream_started && req->has_framing &&
+	       req->attempt->server != NULL && req->attempt->call != NULL &&
+	       req->stream_started && req->attempt->has_framing &&
 	       req->service != NULL && req->service->can_migrate &&
-	       req->server->shutdown_at_ms != 0 &&
-	       now_ms >= req->server->shutdown_at_ms - BEFORE_LEAVE_MS;
+	       req->attempt->server->shutdown_at_ms != 0 &&
+	       now_ms >= req->attempt->server->shutdown_at_ms - BEFORE_LEAVE_MS;
 }
 
 static void
@@ -165,7 +165,7 @@
 	pick_choice_t choice = proxy_pick_migration_target(req);
 
 	req->migration.state = PROXY_MIGRATION_ENDED;
-	if (choice.server == NULL || choice.server == req->server ||
+	if (choice.server == NULL || choice.server == req->attempt->server ||
 	    !retry_budget_take(req->context->budget, req->service_name,
 		cluster_node_count(req->context->cluster), clock_boot_ms()))
 		return;
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -6,11 +6,15 @@
 enum { PERCENT = 100 };
 
 static void
-count_usage(proxy_request_t *req)
+count_usage(proxy_attempt_t *attempt)
 {
-	if (req->workspace != NULL)
-		usage_count(req->context->usage, req->workspace->name,
-		    cluster_wall_ms(req->context->cluster));
+	const proxy_request_t *req = attempt->request;
+
+	if (req->workspace == NULL || attempt->usage_counted)
+		return;
+	attempt->usage_counted = true;
+	usage_count(req->context->usage, req->workspace->name,
+	    cluster_wall_ms(req->context->cluster));
 }
 
 ttft_model_t *
@@ -32,54 +36,73 @@
  * does not count against its version; for plain services it is ttft_ms.
  */
 static double
-rollout_latency(const proxy_request_t *req, double ttft_ms)
+rollout_latency(const proxy_attempt_t *attempt, double ttft_ms)
 {
+	const proxy_request_t *req = attempt->request;
 	double expected_ms;
 
 	if (req->service == NULL || !req->service->is_engine)
 		return ttft_ms;
-	expected_ms =
-	    ttft_model_predict_ms(proxy_ttft_model(req), req->prefill_tokens);
+	expected_ms = ttft_model_predict_ms(
+	    proxy_ttft_model(req), attempt->prefill_tokens);
 	return PERCENT * ttft_ms / MAX(expected_ms, 1);
 }
 
 void
-proxy_record_rollout_attempt(proxy_request_t *req, bool ok, double ttft_ms)
+proxy_record_rollout_attempt(proxy_attempt_t *attempt, bool ok, double ttft_ms)
 {
-	evidence_attempt_t attempt = {
-	    .version = req->trial.to_new_version ? EVIDENCE_NEW_VERSION
-						 : EVIDENCE_OLD_VERSION,
-	    .new_version_share = req->trial.new_version_share,
+	const proxy_request_t *req = attempt->request;
+	const rollouts_assignment_t *trial = &attempt->trial;
+	evidence_attempt_t evidence = {
+	    .version = trial->to_new_version ? EVIDENCE_NEW_VERSION
+					     : EVIDENCE_OLD_VERSION,
+	    .new_version_share = trial->new_version_share,
 	    .route = req->route->name,
 	    .ok = ok,
-	    .latency_ms = ok ? rollout_latency(req, ttft_ms) : 0,
+	    .latency_ms = ok ? rollout_latency(attempt, ttft_ms) : 0,
 	};
 
-	if (req->trial.revision != 0 &&
-	    !(ok && server_is_warming_up(req->server, clock_boot_ms())))
+	if (trial->revision != 0 &&
+	    !(ok && server_is_warming_up(attempt->server, clock_boot_ms())))
 		rollouts_add_attempt(req->context->rollouts, req->service_name,
-		    req->trial.revision, &attempt);
+		    trial->revision, &evidence);
 }
 
 void
-proxy_record_first_byte(proxy_request_t *req)
+proxy_record_first_byte(proxy_attempt_t *attempt)
 {
+	proxy_request_t *req = attempt->request;
 	int64_t now_ms = clock_boot_ms();
 	double ttft_ms;
 
 	req->may_have_run = true;
-	if (!req->awaiting_response)
+	if (!attempt->awaiting_response)
 		return;
-	req->first_byte_ms = now_ms;
-	proxy_remove_waiting_prompt(req);
-	count_usage(req);
-	ttft_ms = (double)(now_ms - req->attempt_start_ms);
-	proxy_record_rollout_attempt(req, true, ttft_ms);
+	attempt->first_byte_ms = now_ms;
+	proxy_record_hedge_time(attempt, true);
+	proxy_remove_waiting_prompt(attempt);
+	count_usage(attempt);
+	ttft_ms = (double)(now_ms - attempt->start_ms);
+	proxy_record_rollout_attempt(attempt, true, ttft_ms);
 	req->ttft_ms = now_ms - req->received_ms;
 	if (req->service != NULL && req->service->is_engine)
 		ttft_model_add(
-		    proxy_ttft_model(req), req->prefill_tokens, ttft_ms);
-	server_record_outcome(req->server, SERVER_SERVED, ttft_ms, now_ms);
+		    proxy_ttft_model(req), attempt->prefill_tokens, ttft_ms);
+	server_record_outcome(attempt->server, SERVER_SERVED, ttft_ms, now_ms);
+}
+
+void
+proxy_record_lost_race(proxy_attempt_t *attempt)
+{
+	double elapsed_ms = (double)(clock_boot_ms() - attempt->start_ms);
+
+	proxy_record_hedge_time(attempt, false);
+	server_record_no_answer(attempt->server, elapsed_ms);
+	/*
+	 * Without the slow attempts that a hedge has replaced, a slow version
+	 * would look like a fast one.
+	 */
+	proxy_record_rollout_attempt(attempt, true, elapsed_ms);
 }
 
 /* Time on which the nodes agree, of a time of this node's clock. */
@@ -91,40 +114,44 @@
 }
 
 void
-proxy_record_survival(proxy_request_t *req)
+proxy_record_survival(proxy_attempt_t *attempt)
 {
-	if (req->survival_recorded || req->first_byte_ms == 0)
+	const proxy_request_t *req = attempt->request;
+
+	if (attempt->survival_recorded || attempt->first_byte_ms == 0)
 		return;
-	req->survival_recorded = true;
+	attempt->survival_recorded = true;
 	crash_guard_add_survival(req->context->crash_guard, &req->facts,
-	    wall_time_ms(req, req->first_byte_ms));
+	    wall_time_ms(req, attempt->first_byte_ms));
 }
 
 void
-proxy_record_crash(proxy_request_t *req)
+proxy_record_crash(proxy_attempt_t *attempt)
 {
-	crash_guard_attempt_t attempt = {
+	const proxy_request_t *req = attempt->request;
+	crash_guard_attempt_t crashed = {
 	    .facts = &req->facts,
-	    .process = server_process_hash(req->server->info),
-	    .sent_ms = wall_time_ms(req, req->attempt_start_ms),
+	    .process = server_process_hash(attempt->server->info),
+	    .sent_ms = wall_time_ms(req, attempt->start_ms),
 	};
 
-	if (!req->survival_recorded)
-		crash_guard_add_crash(req->context->crash_guard, &attempt,
+	if (!attempt->survival_recorded)
+		crash_guard_add_crash(req->context->crash_guard, &crashed,
 		    cluster_wall_ms(req->context->cluster));
 }
 
 void
-proxy_record_failure(proxy_request_t *req, const char *reason, bool sent)
+proxy_record_failure(proxy_attempt_t *attempt, const char *reason, bool sent)
 {
-	const server_t *server = req->server;
+	const proxy_request_t *req = attempt->request;
+	const server_t *server = attempt->server;
 	proxy_attempt_failure_t failure = {
 	    .attempt_id = req->facts.attempt_id,
 	    .server = server->info->id,
 	    .reason = reason,
 	    .attempt_number = req->tried->len,
 	    .sent = sent,
-	    .elapsed_ms = clock_boot_ms() - req->attempt_start_ms,
+	    .elapsed_ms = clock_boot_ms() - attempt->start_ms,
 	    .failure_rate = server->failure_rate,
 	    .in_flight = server_in_flight(server),
 	    .facts = &req->facts,
@@ -135,12 +162,13 @@
 
 void
 proxy_record_failed_attempt(
-    proxy_request_t *req, server_outcome_t outcome, const char *reason)
+    proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason)
 {
-	if (req->awaiting_response)
-		count_usage(req);
-	req->may_have_run = true;
-	proxy_record_failure(req, reason, true);
-	proxy_record_rollout_attempt(req, false, 0);
-	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
+	if (attempt->awaiting_response)
+		count_usage(attempt);
+	attempt->request->may_have_run = true;
+	proxy_record_hedge_time(attempt, false);
+	proxy_record_failure(attempt, reason, true);
+	proxy_record_rollout_attempt(attempt, false, 0);
+	server_record_outcome(attempt->server, outcome, 0, clock_boot_ms());
 }
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -25,43 +25,64 @@
 static void
 send_buffered(proxy_request_t *req)
 {
-	proxy_log_end(req, req->response_head->status, "served");
+	const proxy_attempt_t *attempt = req->attempt;
+	const GByteArray *body = attempt->buffered;
+
+	proxy_log_end(req, attempt->response_head->status, "served");
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	exchange_start(
-	    req->exchange, req->response_head, (int64_t)req->buffered->len);
-	exchange_write(req->exchange, (const char *)req->buffered->data,
-	    req->buffered->len);
+	    req->exchange, attempt->response_head, (int64_t)body->len);
+	exchange_write(req->exchange, (const char *)body->data, body->len);
 	exchange_end(req->exchange);
 	proxy_finish(req);
 }
 
-/* True where the response to the current attempt is a stream of events. */
+/* True where the response to the attempt is a stream of events. */
 static bool
-is_event_stream(const proxy_request_t *req)
+is_event_stream(const proxy_attempt_t *attempt)
 {
-	return req->events != NULL && req->status == 200 &&
-	       !req->response.no_events && !req->response.not_run;
+	return attempt->events != NULL && attempt->status == 200 &&
+	       !attempt->response.no_events && !attempt->response.not_run;
+}
+
+/*
+ * Removes the events that are complete and are to be forwarded; NULL: none.
+ * Comments, which are no answer, are dropped while another attempt may give it.
+ */
+static GString *
+take_events(proxy_attempt_t *attempt)
+{
+	uint64_t count = event_stream_event_count(attempt->events);
+	GString *out = event_stream_take_complete(attempt->events);
+	bool has_events = event_stream_event_count(attempt->events) > count;
+
+	if (out == NULL || !hedge_race_is_open(&attempt->request->race) ||
+	    (has_events && proxy_win_race(attempt)))
+		return out;
+	g_string_free(out, TRUE);
+	return NULL;
 }
 
 /* Forwards the events that are complete. */
 static void
-forward_events(proxy_request_t *req)
+forward_events(proxy_attempt_t *attempt)
 {
-	GString *out = event_stream_take_complete(req->events);
+	proxy_request_t *req = attempt->request;
+	GString *out = take_events(attempt);
 
 	if (out == NULL)
 		return;
-	proxy_record_first_byte(req);
+	proxy_record_first_byte(attempt);
 	if (!req->response_started) {
 		exchange_start(
-		    req->exchange, req->response_head, EXCHANGE_CHUNKED);
+		    req->exchange, attempt->response_head, EXCHANGE_CHUNKED);
 		req->response_started = true;
 		req->stream_started = true;
 	}
 	exchange_write(req->exchange, out->str, out->len);
 	g_string_free(out, TRUE);
 	if (exchange_queued_bytes(req->exchange) > CLIENT_QUEUE_MAX_BYTES)
-		upstream_call_set_reading(req->call, false);
+		upstream_call_set_reading(attempt->call, false);
 }
 
 static void on_idle(uv_timer_t *timer);
@@ -76,13 +97,14 @@
 }
 
 static void
-note_leaving(proxy_request_t *req)
+note_leaving(const proxy_attempt_t *attempt)
 {
-	server_t *server = req->server;
+	server_t *server = attempt->server;
 
 	if (server->leaving_since_ms != 0)
 		return;
-	pool_set_leaving(req->context->pool, server, clock_boot_ms());
+	pool_set_leaving(
+	    attempt->request->context->pool, server, clock_boot_ms());
 	log_event(LOG_LEVEL_INFO, "server.leaving",
 	    "id=%s draining=%d removed=%d", server->info->id,
 	    server->info->draining, server->removed);
@@ -92,52 +114,61 @@
 proxy_on_head(
     const http1_head_t *head, const response_facts_t *facts, void *data)
 {
-	proxy_request_t *req = data;
+	proxy_attempt_t *attempt = data;
 
-	req->response = *facts;
-	req->status = head->status;
-	req->response_head = head;
-	req->has_framing = head->has_length;
+	attempt->response = *facts;
+	attempt->status = head->status;
+	attempt->response_head = head;
+	attempt->has_framing = head->has_length;
 	if (facts->retry_after_ms > 0)
 		server_pause(
-		    req->server, facts->retry_after_ms, clock_boot_ms());
+		    attempt->server, facts->retry_after_ms, clock_boot_ms());
 	if (facts->leaving)
-		note_leaving(req);
+		note_leaving(attempt);
 }
 
 /* Starts to forward a response that is too large to buffer. */
 static void
 start_forwarding(proxy_request_t *req)
 {
-	exchange_start(req->exchange, req->response_head, EXCHANGE_CHUNKED);
+	const proxy_attempt_t *attempt = req->attempt;
+	GByteArray *body = attempt->buffered;
+
+	exchange_start(req->exchange, attempt->response_head, EXCHANGE_CHUNKED);
 	req->response_started = true;
-	exchange_write(req->exchange, (const char *)req->buffered->data,
-	    req->buffered->len);
-	g_byte_array_set_size(req->buffered, 0);
+	exchange_write(req->exchange, (const char *)body->data, body->len);
+	g_byte_array_set_size(body, 0);
 }
 
 /* Retries at another server; drops what this one sent, and its migration. */
 static void
 retry_request(proxy_request_t *req)
 {
-	proxy_cancel_call(req);
+	proxy_attempt_t *attempt = req->attempt;
+
+	proxy_cancel_call(attempt);
 	proxy_migration_clear(req);
 	uv_timer_stop(&req->idle_timer);
-	proxy_release_server(req);
-	g_byte_array_set_size(req->buffered, 0);
-	if (req->events != NULL)
-		event_stream_resume(req->events);
+	uv_timer_stop(&req->hedge_timer);
+	proxy_release_server(attempt);
+	g_byte_array_set_size(attempt->buffered, 0);
+	if (attempt->events != NULL)
+		event_stream_resume(attempt->events);
 	proxy_attempt(req);
 }
 
 /* The server rejected the request without running it. */
 static void
-handle_not_run(proxy_request_t *req)
+handle_not_run(proxy_attempt_t *attempt)
 {
-	proxy_record_failure(req, "refused as not run", true);
-	server_record_outcome(req->server,
-	    req->response.wrong_server ? SERVER_UNREACHABLE : SERVER_FULL, 0,
-	    clock_boot_ms());
+	proxy_request_t *req = attempt->request;
+
+	proxy_record_failure(attempt, "refused as not run", true);
+	server_record_outcome(attempt->server,
+	    attempt->response.wrong_server ? SERVER_UNREACHABLE : SERVER_FULL,
+	    0, clock_boot_ms());
+	if (proxy_leave_race(attempt))
+		return;
 	if (proxy_take_retry(req))
 		retry_request(req);
 	else
@@ -148,13 +179,14 @@
 static void
 end_stream(proxy_request_t *req)
 {
-	GString *remainder = event_stream_take_remainder(req->events);
+	const proxy_attempt_t *attempt = req->attempt;
+	GString *remainder = event_stream_take_remainder(attempt->events);
 
 	proxy_log_end(req, 200, "served");
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	if (!req->response_started)
 		exchange_start(
-		    req->exchange, req->response_head, EXCHANGE_CHUNKED);
+		    req->exchange, attempt->response_head, EXCHANGE_CHUNKED);
 	exchange_write(req->exchange, remainder->str, remainder->len);
 	g_string_free(remainder, TRUE);
 	exchange_end(req->exchange);
@@ -170,19 +202,24 @@
 
 /* True for a response of a server that ran the request and failed. */
 static bool
-is_server_error(const proxy_request_t *req)
+is_server_error(const proxy_attempt_t *attempt)
 {
-	return req->status >= 500 || implies_not_run(req->status);
+	return attempt->status >= 500 || implies_not_run(attempt->status);
 }
 
 /* is_complete: all of the response is buffered. */
 static void
-handle_server_error(proxy_request_t *req, bool is_complete)
+handle_server_error(proxy_attempt_t *attempt, bool is_complete)
 {
-	proxy_record_failed_attempt(req, SERVER_FAILED, "server error");
+	proxy_request_t *req = attempt->request;
+
+	proxy_record_failed_attempt(attempt, SERVER_FAILED, "server error");
+	if (proxy_leave_race(attempt))
+		return;
 	if (catalog_may_retry(req->route) && proxy_take_retry(req))
 		retry_request(req);
-	else if (implies_not_run(req->status) && !catalog_may_retry(req->route))
+	else if (implies_not_run(attempt->status) &&
+		 !catalog_may_retry(req->route))
 		proxy_respond(req, 502, -1, "server_failed");
 	else if (is_complete)
 		send_buffered(req);
@@ -194,7 +231,7 @@
 static void
 handle_started_complete(proxy_request_t *req)
 {
-	proxy_log_end(req, req->status, "served");
+	proxy_log_end(req, req->attempt->status, "served");
 	exchange_set_callbacks(req->exchange, NULL, NULL, NULL);
 	exchange_end(req->exchange);
 	proxy_finish(req);
@@ -203,11 +240,14 @@
 /* The request was sent, but no complete response was received. */
 static void
 handle_broken(
-    proxy_request_t *req, server_outcome_t outcome, const char *reason)
+    proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason)
 {
+	proxy_request_t *req = attempt->request;
 	bool is_truncated = req->response_started && !req->stream_started;
 
-	proxy_record_failed_attempt(req, outcome, reason);
+	proxy_record_failed_attempt(attempt, outcome, reason);
+	if (proxy_leave_race(attempt))
+		return;
 	if (!is_truncated && catalog_may_retry(req->route) &&
 	    proxy_take_retry(req))
 		retry_request(req);
@@ -220,25 +260,28 @@
  * server's connection, before the first one.
  */
 static bool
-is_cut_off(const proxy_request_t *req)
+is_cut_off(const proxy_attempt_t *attempt)
 {
-	return event_stream_has_partial_event(req->events) ||
-	       (!req->response_head->has_length && req->first_byte_ms == 0);
+	return event_stream_has_partial_event(attempt->events) ||
+	       (!attempt->response_head->has_length &&
+		   attempt->first_byte_ms == 0);
 }
 
 /* The server has ended a stream. */
 static void
-handle_stream_end(proxy_request_t *req)
+handle_stream_end(proxy_attempt_t *attempt)
 {
-	if (is_cut_off(req)) {
-		if (!req->response_head->has_length)
-			proxy_record_crash(req);
-		handle_broken(req, SERVER_FAILED, "stream ended early");
+	if (is_cut_off(attempt)) {
+		if (!attempt->response_head->has_length)
+			proxy_record_crash(attempt);
+		handle_broken(attempt, SERVER_FAILED, "stream ended early");
 		return;
 	}
-	proxy_record_first_byte(req);
-	proxy_record_survival(req);
-	end_stream(req);
+	if (!proxy_win_race(attempt))
+		return;
+	proxy_record_first_byte(attempt);
+	proxy_record_survival(attempt);
+	end_stream(attempt->request);
 }
 
 /*
@@ -246,39 +289,43 @@
  * for, as it may have no end.
  */
 static void
-handle_failed_resume(proxy_request_t *req)
+handle_failed_resume(proxy_attempt_t *attempt)
 {
-	if (req->response.not_run)
-		handle_not_run(req);
+	if (attempt->response.not_run)
+		handle_not_run(attempt);
 	else
-		handle_broken(req, SERVER_FAILED, "resume failed");
+		handle_broken(attempt, SERVER_FAILED, "resume failed");
 }
 
 static void
-handle_complete(proxy_request_t *req)
+handle_complete(proxy_attempt_t *attempt)
 {
-	if (is_event_stream(req)) {
-		handle_stream_end(req);
+	proxy_request_t *req = attempt->request;
+
+	if (is_event_stream(attempt)) {
+		handle_stream_end(attempt);
 		return;
 	}
 	if (req->stream_started) {
-		handle_failed_resume(req);
+		handle_failed_resume(attempt);
 		return;
 	}
 	if (req->response_started) {
 		handle_started_complete(req);
 		return;
 	}
-	if (req->response.not_run) {
-		handle_not_run(req);
+	if (attempt->response.not_run) {
+		handle_not_run(attempt);
 		return;
 	}
 	req->may_have_run = true;
-	if (is_server_error(req)) {
-		handle_server_error(req, true);
+	if (is_server_error(attempt)) {
+		handle_server_error(attempt, true);
 		return;
 	}
-	proxy_record_first_byte(req);
+	if (!proxy_win_race(attempt))
+		return;
+	proxy_record_first_byte(attempt);
 	send_buffered(req);
 }
 
@@ -287,65 +334,78 @@
  * sends some now and then may be stalled.
  */
 static void
-forward_stream(proxy_request_t *req, const char *bytes, size_t length)
+forward_stream(proxy_attempt_t *attempt, const char *bytes, size_t length)
 {
-	uint64_t count = event_stream_event_count(req->events);
+	uint64_t count = event_stream_event_count(attempt->events);
 
-	if (!event_stream_feed(req->events, bytes, length)) {
-		handle_broken(req, SERVER_FAILED, "oversized event");
+	if (!event_stream_feed(attempt->events, bytes, length)) {
+		handle_broken(attempt, SERVER_FAILED, "oversized event");
 		return;
 	}
-	forward_events(req);
-	if (req->first_byte_ms != 0 &&
-	    clock_boot_ms() - req->first_byte_ms >= SURVIVAL_MS)
-		proxy_record_survival(req);
-	if (event_stream_event_count(req->events) > count)
-		proxy_start_idle_timer(
-		    req, GAP_OBJECTIVES * req->route->gap_objective_ms);
+	forward_events(attempt);
+	if (attempt->first_byte_ms != 0 &&
+	    clock_boot_ms() - attempt->first_byte_ms >= SURVIVAL_MS)
+		proxy_record_survival(attempt);
+	if (event_stream_event_count(attempt->events) > count)
+		proxy_start_idle_timer(attempt->request,
+		    GAP_OBJECTIVES * attempt->request->route->gap_objective_ms);
+}
+
+/* Passes on a part of a response whose head was sent to the client. */
+static void
+forward_body(proxy_attempt_t *attempt, const char *bytes, size_t length)
+{
+	exchange_t *exchange = attempt->request->exchange;
+
+	exchange_write(exchange, bytes, length);
+	if (exchange_queued_bytes(exchange) > CLIENT_QUEUE_MAX_BYTES)
+		upstream_call_set_reading(attempt->call, false);
 }
 
 void
 proxy_on_body(const char *bytes, size_t length, void *data)
 {
-	proxy_request_t *req = data;
+	proxy_attempt_t *attempt = data;
+	proxy_request_t *req = attempt->request;
 
-	if (is_event_stream(req)) {
-		forward_stream(req, bytes, length);
+	if (is_event_stream(attempt)) {
+		forward_stream(attempt, bytes, length);
 		return;
 	}
 	if (req->stream_started) {
-		handle_failed_resume(req);
+		handle_failed_resume(attempt);
 		return;
 	}
 	if (req->response_started) {
-		exchange_write(req->exchange, bytes, length);
-		if (exchange_queued_bytes(req->exchange) >
-		    CLIENT_QUEUE_MAX_BYTES)
-			upstream_call_set_reading(req->call, false);
+		forward_body(attempt, bytes, length);
 		return;
 	}
 	g_byte_array_append(
-	    req->buffered, (const guint8 *)bytes, (guint)length);
-	if (req->buffered->len <= BUFFERED_MAX_BYTES)
+	    attempt->buffered, (const guint8 *)bytes, (guint)length);
+	if (attempt->buffered->len <= BUFFERED_MAX_BYTES)
 		return;
-	if (req->response.not_run) {
-		handle_not_run(req);
-	} else if (is_server_error(req)) {
-		handle_server_error(req, false);
-	} else {
-		proxy_record_first_byte(req);
+	if (attempt->response.not_run) {
+		handle_not_run(attempt);
+	} else if (is_server_error(attempt)) {
+		handle_server_error(attempt, false);
+	} else if (proxy_win_race(attempt)) {
+		proxy_record_first_byte(attempt);
 		start_forwarding(req);
 	}
 }
 
 void
 proxy_handle_not_sent(
-    proxy_request_t *req, server_outcome_t outcome, const char *reason)
+    proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason)
 {
-	proxy_record_failure(req, reason, false);
-	server_record_outcome(req->server, outcome, 0, clock_boot_ms());
-	proxy_release_server(req);
-	g_ptr_array_set_size(req->tried, (gint)req->tried->len - 1);
+	proxy_request_t *req = attempt->request;
+
+	proxy_record_failure(attempt, reason, false);
+	server_record_outcome(attempt->server, outcome, 0, clock_boot_ms());
+	g_ptr_array_remove(req->tried, attempt->server);
+	if (proxy_leave_race(attempt))
+		return;
+	proxy_release_server(attempt);
 	if (++req->connect_failures < CONNECT_FAILURES_MAX &&
 	    proxy_remaining_ms(req) > PROXY_ATTEMPT_MIN_MS)
 		proxy_attempt(req);
@@ -356,24 +416,26 @@
 void
 proxy_on_end(upstream_result_t end, const char *reason, void *data)
 {
-	proxy_request_t *req = data;
+	proxy_attempt_t *attempt = data;
+	proxy_request_t *req = attempt->request;
 
-	req->call = NULL;
-	uv_timer_stop(&req->idle_timer);
+	attempt->call = NULL;
+	if (attempt == req->attempt)
+		uv_timer_stop(&req->idle_timer);
 	switch (end) {
 	case UPSTREAM_COMPLETE:
-		handle_complete(req);
+		handle_complete(attempt);
 		return;
 	case UPSTREAM_NOT_SENT:
-		proxy_handle_not_sent(req, SERVER_UNREACHABLE, reason);
+		proxy_handle_not_sent(attempt, SERVER_UNREACHABLE, reason);
 		return;
 	case UPSTREAM_CLOSED:
 	case UPSTREAM_INCOMPLETE:
 		if (proxy_migration_handle_close(req))
 			return;
 		if (end == UPSTREAM_CLOSED)
-			proxy_record_crash(req);
-		handle_broken(req, SERVER_FAILED, reason);
+			proxy_record_crash(attempt);
+		handle_broken(attempt, SERVER_FAILED, reason);
 		return;
 	}
 }
@@ -382,12 +444,17 @@
 on_idle(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
+	proxy_attempt_t *attempt = req->attempt;
+	bool is_race = hedge_race_is_open(&req->race);
 
-	if (req->call == NULL ||
+	if (attempt->call == NULL ||
 	    req->migration.state == PROXY_MIGRATION_COPYING ||
-	    (req->response_started && !req->stream_started) ||
-	    !proxy_take_retry(req))
+	    (req->response_started && !req->stream_started))
+		return;
+	/* The request is at a second server already where it is hedged. */
+	if (!is_race && !proxy_take_retry(req))
 		return;
-	proxy_record_failed_attempt(req, SERVER_UNREACHABLE, "silent");
-	retry_request(req);
+	proxy_record_failed_attempt(attempt, SERVER_UNREACHABLE, "silent");
+	if (!proxy_leave_race(attempt))
+		retry_request(req);
 }
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -2,6 +2,7 @@
 #define PAPAYA_PROXY_STATE_H
 
 #include "event_stream.h"
+#include "hedge.h"
 #include "pick.h"
 #include "proxy.h"
 #include "upstream.h"
@@ -10,7 +11,8 @@
  * State of a request being proxied, shared by the files that implement it:
  * proxy.c accepts and ends requests, proxy_attempt.c sends them to backend
  * servers, proxy_response.c forwards the responses, proxy_record.c records what
- * they show, proxy_migrate.c migrates running streams to other engines.
+ * they show, proxy_hedge.c sends late requests to a second server,
+ * proxy_migrate.c migrates running streams to other engines.
  */
 
 enum {
@@ -41,6 +43,38 @@
 	bool source_closed;    /* the source has closed the client's stream */
 } proxy_migration_t;
 
+struct proxy_request;
+
+/*
+ * One sending of a request to a backend server. Its response is kept here until
+ * it is known that it is the request's answer.
+ */
+typedef struct proxy_attempt {
+	struct proxy_request *request;
+	hedge_side_t side;	     /* in the request's race */
+	server_t *server;	     /* NULL: none */
+	upstream_call_t *call;	     /* NULL: none */
+	int64_t start_ms;	     /* clock_boot_ms() */
+	int64_t late_since_ms;	     /* see hedge_delay_ms(); 0: not late */
+	rollouts_assignment_t trial; /* assignment to a rollout's version */
+	double uncached_tokens;	 /* of the prompt, not in the server's cache */
+	double prefill_tokens;	 /* to prefill before the first token */
+	double expected_ttft_ms; /* estimate when the request was sent */
+	/* clock_boot_ms() of the first event or response; 0: none. */
+	int64_t first_byte_ms;
+	bool survival_recorded; /* see crash_guard.h */
+	/* No event or response yet: counts in the server's waiting_tokens. */
+	bool awaiting_response;
+	/* The workspace's usage has this attempt, or the one that it raced. */
+	bool usage_counted;
+	response_facts_t response;
+	unsigned status;		   /* of the response; 0: none yet */
+	const http1_head_t *response_head; /* borrowed from the call */
+	bool has_framing;	/* the response has a length or is chunked */
+	GByteArray *buffered;	/* body not yet forwarded; NULL: not used yet */
+	event_stream_t *events; /* NULL: not a stream route, or not used yet */
+} proxy_attempt_t;
+
 typedef struct proxy_request {
 	TAILQ_ENTRY(proxy_request) entries; /* in the context's list */
 	unsigned refs; /* one for the request, one for each open timer */
@@ -58,43 +92,35 @@
 	int64_t deadline_ms;	/* clock_boot_ms() */
 	uv_timer_t deadline_timer;
 	uv_timer_t idle_timer;
-	/* The current attempt. */
-	server_t *server;	     /* NULL: none */
-	upstream_call_t *call;	     /* NULL: none */
-	int64_t attempt_start_ms;    /* clock_boot_ms() */
-	rollouts_assignment_t trial; /* assignment to a rollout's version */
-	double uncached_tokens;	 /* of the prompt, not in the server's cache */
-	double prefill_tokens;	 /* to prefill before the first token */
-	double expected_ttft_ms; /* estimate when the request was sent */
-	int64_t retry_after_ms;	 /* Retry-After of the response; -1: none */
-	/* From receipt to the first event or the response; -1: none yet. */
-	int64_t ttft_ms;
-	/* clock_boot_ms() of the attempt's first event or response; 0: none. */
-	int64_t first_byte_ms;
-	bool survival_recorded; /* of the attempt, see crash_guard.h */
+	uv_timer_t hedge_timer;
 	bool urgent; /* prefilled before prompts that are not urgent */
-	/* No event or response yet: counts in the server's waiting_tokens. */
-	bool awaiting_response;
-	response_facts_t response;
-	unsigned status;		   /* of the response; 0: none yet */
-	const http1_head_t *response_head; /* borrowed from the call */
-	bool has_framing;     /* the response has a length or is chunked */
-	GByteArray *buffered; /* body not yet forwarded */
+	/*
+	 * The current attempt, and the one that races it while the race is
+	 * open; the winner, or the one that is left, is the current one.
+	 */
+	proxy_attempt_t *attempt;
+	proxy_attempt_t *other_attempt;
+	proxy_attempt_t attempts[HEDGE_SIDES];
+	hedge_race_t race;
+	bool hedged;		       /* at most once */
+	hedge_verdict_t hedge_verdict; /* the latest */
 	proxy_migration_t migration;
 	/* State across all attempts. */
+	int64_t retry_after_ms; /* Retry-After of the response; -1: none */
+	/* From receipt to the first event or the response; -1: none yet. */
+	int64_t ttft_ms;
 	GPtrArray *tried;	   /* server_t *, each sent the request */
 	unsigned connect_failures; /* attempts of which nothing was sent */
 	bool may_have_run;	   /* a server may have run the request */
 	bool response_started;	   /* its head was sent to the client */
 	bool stream_started;	   /* and the response is a stream of events */
 	bool finished;
-	event_stream_t *events; /* NULL: not a stream route */
 } proxy_request_t;
 
 /* proxy.c: ends of a request. */
 /* Cancels the call to the backend server, if there is one. */
-void proxy_cancel_call(proxy_request_t *req);
-/* Cancels the call and releases the request; later calls do nothing. */
+void proxy_cancel_call(proxy_attempt_t *attempt);
+/* Cancels all calls and releases the request; later calls do nothing. */
 void proxy_finish(proxy_request_t *req);
 /*
  * Ends the request with a response generated here, with an empty body. Where
@@ -118,9 +144,11 @@
  */
 bool proxy_take_retry(proxy_request_t *req);
 /* Removes the request's prompt from the server's waiting tokens. */
-void proxy_remove_waiting_prompt(proxy_request_t *req);
+void proxy_remove_waiting_prompt(proxy_attempt_t *attempt);
 /* Removes the request from the server's load and drops the reference. */
-void proxy_release_server(proxy_request_t *req);
+void proxy_release_server(proxy_attempt_t *attempt);
+/* Cancels and releases an attempt, and frees what it has received. */
+void proxy_attempt_clear(proxy_attempt_t *attempt);
 
 /* proxy_attempt.c */
 /* Chooses a server and sends the request to it, or rejects the request. */
@@ -132,32 +160,46 @@
 int64_t proxy_no_server_retry_ms(const proxy_request_t *req);
 /* Chooses a server of the same version to migrate the stream to. */
 pick_choice_t proxy_pick_migration_target(proxy_request_t *req);
+/*
+ * Chooses a server that is clearly free for a hedge, which is no evidence for a
+ * rollout. Sets the servers' numbers in *situation.
+ */
+pick_choice_t proxy_pick_hedge(
+    proxy_request_t *req, bool *to_new_version, hedge_situation_t *situation);
 /* Sends the request to choice->server, which is borrowed. */
 void proxy_send(proxy_request_t *req, const pick_choice_t *choice);
+/* The same for an attempt; false where nothing was sent. */
+bool proxy_start_attempt(proxy_attempt_t *attempt, const pick_choice_t *choice);
 
 /* proxy_record.c: what an attempt shows of its server and its prompt. */
 /* The service's model of the time to first token; created on first use. */
 ttft_model_t *proxy_ttft_model(const proxy_request_t *req);
 /*
- * Records the outcome of the current attempt as evidence for the service's
+ * Records the outcome of an attempt as evidence for the service's
  * rollout, if one runs. ttft_ms is used where ok is true.
  */
 void proxy_record_rollout_attempt(
-    proxy_request_t *req, bool ok, double ttft_ms);
+    proxy_attempt_t *attempt, bool ok, double ttft_ms);
 /* Records the first event of a stream, or the start of a response. */
-void proxy_record_first_byte(proxy_request_t *req);
+void proxy_record_first_byte(proxy_attempt_t *attempt);
+/*
+ * The attempt is about to be cancelled as the other one has the answer: no
+ * failure, but it has had no answer for so long.
+ */
+void proxy_record_lost_race(proxy_attempt_t *attempt);
 /* The server has written on the prompt for a while. */
-void proxy_record_survival(proxy_request_t *req);
+void proxy_record_survival(proxy_attempt_t *attempt);
 /*
  * The server closed the connection: it may have crashed as it began to write on
  * the prompt.
  */
-void proxy_record_crash(proxy_request_t *req);
+void proxy_record_crash(proxy_attempt_t *attempt);
 /* Logs and counts a failed attempt; sent: the server may have received it. */
-void proxy_record_failure(proxy_request_t *req, const char *reason, bool sent);
+void proxy_record_failure(
+    proxy_attempt_t *attempt, const char *reason, bool sent);
 /* The same for an attempt that may have run, with its outcome at the server. */
 void proxy_record_failed_attempt(
-    proxy_request_t *req, server_outcome_t outcome, const char *reason);
+    proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason);
 
 /* proxy_response.c */
 /*
@@ -168,13 +210,37 @@
 void proxy_start_idle_timer(proxy_request_t *req, int64_t objective_ms);
 /* Handles an attempt of which the server received nothing. */
 void proxy_handle_not_sent(
-    proxy_request_t *req, server_outcome_t outcome, const char *reason);
-/* Callbacks of the upstream call; data is the proxy_request_t. */
+    proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason);
+/* Callbacks of the upstream call; data is the proxy_attempt_t. */
 void proxy_on_head(
     const http1_head_t *head, const response_facts_t *facts, void *data);
 void proxy_on_body(const char *bytes, size_t length, void *data);
 void proxy_on_end(upstream_result_t end, const char *reason, void *data);
 
+/* proxy_hedge.c */
+/*
+ * Starts the timer that sends the request to a second server as well when the
+ * current attempt is late. Does nothing where the request may not be hedged.
+ */
+void proxy_start_hedge_timer(proxy_request_t *req);
+/*
+ * Adds the time of an attempt that is answered, or about to end, to those that
+ * later ones are compared with.
+ */
+void proxy_record_hedge_time(proxy_attempt_t *attempt, bool answered);
+/*
+ * The attempt has its first whole answer: it becomes the current one, and the
+ * attempt that it races is cancelled. False where the answer must be dropped.
+ */
+bool proxy_win_race(proxy_attempt_t *attempt);
+/*
+ * The attempt has failed, which has been recorded. True where another attempt
+ * goes on, which becomes the current one; this one is released.
+ */
+bool proxy_leave_race(proxy_attempt_t *attempt);
+/* The request ends: counts a hedge that is still in flight. */
+void proxy_end_race(proxy_request_t *req);
+
 /* proxy_migrate.c */
 /*
  * Handles a stream that its source has closed. True where a migration is in
--- a/src/quota.c
+++ b/src/quota.c
@@ -344,6 +344,24 @@
 	return decision;
 }
 
+bool
+quota_is_spent(quota_t *quota, const char *workspace, int64_t now_ms)
+{
+	bucket_t *bucket = find_bucket(quota, workspace, now_ms);
+	double share, uncovered, available;
+
+	if (bucket == NULL)
+		return false;
+	share = demand_share(
+	    &bucket->demand, quota->nodes, quota->report_age_ms, now_ms);
+	uncovered =
+	    unreported_units(quota, bucket, share) - bucket->unreported_max;
+	available = bucket->level - MAX(uncovered, 0);
+	return available <= 0 ||
+	       part_wait_ms(quota, bucket,
+		   part_units(quota, bucket, share, available)) > 0;
+}
+
 void
 quota_refund(
     quota_t *quota, const char *workspace, double units, int64_t now_ms)
--- a/src/quota.h
+++ b/src/quota.h
@@ -62,6 +62,9 @@
 quota_decision_t quota_take(quota_t *quota, const char *workspace, double units,
     bool allow_overdraft, int64_t now_ms);
 
+/* True where this node would refuse the workspace's next units. */
+bool quota_is_spent(quota_t *quota, const char *workspace, int64_t now_ms);
+
 /* Refunds the units of a request that was not run. */
 void quota_refund(
     quota_t *quota, const char *workspace, double units, int64_t now_ms);
--- a/src/retry_budget.c
+++ b/src/retry_budget.c
@@ -6,12 +6,17 @@
 
 /* Share of the limit that is used; nodes join, leave and restart. */
 static const double safety_factor = 0.75;
+/*
+ * Part of that up to which hedges may use the budget. A failed request needs
+ * its retry; one that is only late may still be answered.
+ */
+static const double hedge_part = 0.5;
 
 /* Counts of one service, by slots of the window. */
 typedef struct counts {
 	int64_t newest_slot; /* number of the slot since time 0 */
 	unsigned requests[SLOTS];
-	unsigned retries[SLOTS];
+	unsigned retries[SLOTS]; /* and hedges */
 } counts_t;
 
 struct retry_budget {
@@ -90,13 +95,14 @@
 	counts->requests[counts->newest_slot % SLOTS]++;
 }
 
-bool
-retry_budget_take(
-    retry_budget_t *budget, const char *service, unsigned nodes, int64_t now_ms)
+/* part: of this node's share, that may be used. */
+static bool
+take(retry_budget_t *budget, const char *service, unsigned nodes, double part,
+    int64_t now_ms)
 {
 	counts_t *counts = service_counts(budget, service, now_ms);
 	double max_retries =
-	    safety_factor *
+	    part * safety_factor *
 	    (budget->limits.retries_per_request * sum(counts->requests) +
 		budget->limits.extra_retries / MAX(nodes, 1));
 
@@ -105,3 +111,17 @@
 	counts->retries[counts->newest_slot % SLOTS]++;
 	return true;
 }
+
+bool
+retry_budget_take(
+    retry_budget_t *budget, const char *service, unsigned nodes, int64_t now_ms)
+{
+	return take(budget, service, nodes, 1, now_ms);
+}
+
+bool
+retry_budget_take_hedge(
+    retry_budget_t *budget, const char *service, unsigned nodes, int64_t now_ms)
+{
+	return take(budget, service, nodes, hedge_part, now_ms);
+}
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -8,7 +8,8 @@
 /*
  * Limits how often requests are retried at another backend server. The limit
  * holds for each service over all nodes and any window; each node uses its
- * share.
+ * share. Hedges (hedge.h) count within the same limit, of which they leave a
+ * part to retries.
  */
 typedef struct retry_budget retry_budget_t;
 
@@ -29,4 +30,10 @@
 bool retry_budget_take(retry_budget_t *budget, const char *service,
     unsigned nodes, int64_t now_ms);
 
+/*
+ * The same for a hedge; false also where what is left is reserved for retries.
+ */
+bool retry_budget_take_hedge(retry_budget_t *budget, const char *service,
+    unsigned nodes, int64_t now_ms);
+
 #endif
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -232,6 +232,12 @@
 		rollout->requests_to_new++;
 }
 
+void
+rollout_count_extra(rollout_t *rollout)
+{
+	rollout->requests_to_new++;
+}
+
 void
 rollout_add_attempt(rollout_t *rollout, const evidence_attempt_t *attempt)
 {
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -75,6 +75,8 @@
 
 /* Counts a request when its first attempt is sent. */
 void rollout_count_request(rollout_t *rollout, bool to_new_version);
+/* Counts an attempt at the new version that is no request's first one. */
+void rollout_count_extra(rollout_t *rollout);
 /* Adds the outcome of a request's first attempt to the evidence. */
 void rollout_add_attempt(rollout_t *rollout, const evidence_attempt_t *attempt);
 
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -386,6 +386,18 @@
 		rollout_count_request(rollout, to_new_version);
 }
 
+void
+rollouts_count_hedge(
+    rollouts_t *rollouts, const char *service, bool to_new_version)
+{
+	const service_state_t *state =
+	    g_hash_table_lookup(rollouts->services, service);
+
+	/* A hedge at the old version is no further request to compare with. */
+	if (state != NULL && to_new_version && is_running(state))
+		rollout_count_extra(state->rollout);
+}
+
 void
 rollouts_add_attempt(rollouts_t *rollouts, const char *service,
     int64_t revision, const evidence_attempt_t *attempt)
--- a/src/rollouts.h
+++ b/src/rollouts.h
@@ -82,6 +82,12 @@
 /* Counts a request when its first attempt is sent. */
 void rollouts_count_request(rollouts_t *rollouts, const char *service,
     int64_t revision, bool to_new_version);
+/*
+ * Counts a hedge, which is no evidence: another request that the new version
+ * gets while a rollout runs.
+ */
+void rollouts_count_hedge(
+    rollouts_t *rollouts, const char *service, bool to_new_version);
 /* Adds the outcome of a request's first attempt to the evidence. */
 void rollouts_add_attempt(rollouts_t *rollouts, const char *service,
     int64_t revision, const evidence_attempt_t *attempt);
