--- a/src/proxy_hedge.c
+++ b/src/proxy_hedge.c
@@ -224,8 +224,8 @@
 	if (verdict == HEDGE_SEND)
 		return;
 	if (verdict != req->hedge_verdict)
-		proxy_log_hedge_refused(
-		    req->context->counters, req->service_name, verdict);
+		proxy_log_hedge_refused(req->context->counters,
+		    req->facts.attempt_id, req->service_name, verdict);
 	req->hedge_verdict = verdict;
 	uv_timer_start(timer, on_late,
 	    (uint64_t)hedge_recheck_ms(
--- a/src/proxy_log.c
+++ b/src/proxy_log.c
@@ -108,10 +108,14 @@
 }
 
 void
-proxy_log_hedge_refused(
-    counters_t *counters, const char *service, hedge_verdict_t verdict)
+proxy_log_hedge_refused(counters_t *counters, const char *attempt_id,
+    const char *service, hedge_verdict_t verdict)
 {
 	counter_add(counters, 1,
 	    "hedges_refused_total{service=\"%s\",reason=\"%s\"}", service,
 	    hedge_verdict_name(verdict));
+	if (verdict == HEDGE_LIMIT || verdict == HEDGE_BUDGET)
+		log_event(LOG_LEVEL_INFO, "hedge.refused",
+		    "id=%s service=%s reason=%s", attempt_id, service,
+		    hedge_verdict_name(verdict));
 }
--- a/src/proxy_log.h
+++ b/src/proxy_log.h
@@ -83,8 +83,11 @@
 void proxy_log_race_end(counters_t *counters, const char *attempt_id,
     const char *service, proxy_race_end_t end, int64_t elapsed_ms);
 
-/* Counts a late attempt that is not hedged. */
-void proxy_log_hedge_refused(
-    counters_t *counters, const char *service, hedge_verdict_t verdict);
+/*
+ * Counts a late attempt that is not hedged, and logs it where the reason is the
+ * limit.
+ */
+void proxy_log_hedge_refused(counters_t *counters, const char *attempt_id,
+    const char *service, hedge_verdict_t verdict);
 
 #endif
--- a/tests/test_hedge_process.c
+++ b/tests/test_hedge_process.c
@@ -73,13 +73,13 @@
 
 /* Lists the second server, in another availability zone. */
 static void
-add_second_server(const char *service)
+add_second_server(const char *service, int slots, const char *state)
 {
 	char *text = g_strdup_printf(
 	    "{\"service\": \"%s\", \"address\": \"127.0.0.1:%d\","
-	    " \"zone\": \"y\", \"version\": \"v1\", \"slots\": 4,"
-	    " \"state\": \"ready\", \"sequence\": 1}",
-	    service, second_port);
+	    " \"zone\": \"y\", \"version\": \"v1\", \"slots\": %d,"
+	    " \"state\": \"%s\", \"sequence\": 1}",
+	    service, second_port, slots, state);
 
 	gateway_store_put("servers/second", text);
 	g_free(text);
@@ -108,9 +108,12 @@
 	return server;
 }
 
-/* Sends a request of which the first server has had quick ones. */
+/*
+ * Sends a request of which the first server has had quick ones, beside a second
+ * server with these slots in this state.
+ */
 static hedged_t
-send_late(const char *path)
+send_late_beside(const char *path, int slots, const char *state)
 {
 	bool is_plain =
 	    strcmp(path, "/read/a") == 0 || strcmp(path, "/book/a") == 0;
@@ -120,12 +123,18 @@
 			   ? warm_up(path, backend_listener_1, ANSWER("quick"))
 			   : warm_up(path, backend_listener_2,
 				 STREAM_HEAD EVENT_A LAST_CHUNK);
-	add_second_server(is_plain ? "plain" : "engine");
+	add_second_server(is_plain ? "plain" : "engine", slots, state);
 	hedged.client = gateway_send_request(path, "id-1");
 	g_free(wire_read_message(hedged.first));
 	return hedged;
 }
 
+static hedged_t
+send_late(const char *path)
+{
+	return send_late_beside(path, 4, "ready");
+}
+
 /* The same, until the second server has the request too. */
 static hedged_t
 send_hedged(const char *path)
@@ -206,6 +215,21 @@
 }
 END_TEST
 
+/* Guards against a request that counts twice as its first server failed. */
+START_TEST(a_failed_and_a_sound_attempt_count_once)
+{
+	hedged_t hedged = send_hedged("/read/a");
+
+	wire_send(hedged.first, FAILURE);
+	g_usleep(50000);
+	wire_send(hedged.second, ANSWER("other"));
+	assert_response(hedged.client, "HTTP/1.1 200", "other");
+	g_usleep(USAGE_REPORT_US);
+	ck_assert_int_eq(reported_usage(), WARM_UP_REQUESTS + 1);
+	hedged_close(&hedged);
+}
+END_TEST
+
 /* Guards against a second attempt that goes on though the first answered. */
 START_TEST(the_second_attempt_is_cancelled)
 {
@@ -360,6 +384,26 @@
 }
 END_TEST
 
+/* A second server that gets no hedges. */
+static const struct unfit_server {
+	int slots;
+	const char *state;
+} unfit_servers[] = {{0, "ready"}, {4, "draining"}};
+
+/* Guards against more work for a server that is full or leaves. */
+START_TEST(an_unfit_server_gets_no_hedge)
+{
+	hedged_t hedged = send_late_beside(
+	    "/read/a", unfit_servers[_i].slots, unfit_servers[_i].state);
+
+	ck_assert(!wire_wait_connection(second_listener, HEDGE_WAIT_MS));
+	assert_metric("hedges_refused_total{service=\"plain\","
+		      "reason=\"no_server\"}",
+	    1);
+	hedged_close(&hedged);
+}
+END_TEST
+
 static const char *const never_hedged[] = {"/book/a", "/write/a"};
 
 /* Guards against a booking, or a stream that cannot be resumed, run twice. */
@@ -429,6 +473,7 @@
 	tcase_set_timeout(hedging, 60);
 	tcase_add_checked_fixture(hedging, setup, teardown);
 	tcase_add_test(hedging, the_second_server_answers_for_a_silent_one);
+	tcase_add_test(hedging, a_failed_and_a_sound_attempt_count_once);
 	tcase_add_test(hedging, the_second_attempt_is_cancelled);
 	tcase_add_test(hedging, of_two_answers_one_is_forwarded);
 	tcase_add_loop_test(hedging, an_attempt_that_fails_leaves_the_other, 0,
@@ -439,6 +484,8 @@
 	tcase_add_test(
 	    hedging, a_stream_comes_from_the_first_engine_with_an_event);
 	tcase_add_test(hedging, a_stream_that_has_begun_is_not_hedged);
+	tcase_add_loop_test(hedging, an_unfit_server_gets_no_hedge, 0,
+	    G_N_ELEMENTS(unfit_servers));
 	tcase_add_loop_test(hedging, what_may_not_be_repeated_is_not_hedged, 0,
 	    G_N_ELEMENTS(never_hedged));
 	tcase_set_timeout(by_default, 60);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -218,6 +218,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a slow server that looks fast as its slow attempts are
+ * cancelled, and against one that looks faster than it is by a cancelled one.
+ */
+START_TEST(an_attempt_without_an_answer_only_raises_the_latency)
+{
+	server_t *server;
+
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS);
+	server = find_server();
+	server_record_outcome(server, SERVER_SERVED, 50, NOW_MS);
+	server_record_no_answer(server, 20);
+	ck_assert_double_eq(server->latency_ms, 50);
+	server_record_no_answer(server, 500);
+	ck_assert_double_gt(server->latency_ms, 50);
+	ck_assert_double_lt(server->latency_ms, 500);
+	ck_assert_double_eq(server->failure_rate, 0);
+	ck_assert(server_usable(server, NOW_MS));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -237,6 +258,8 @@
 	tcase_add_test(cases, a_restart_under_the_same_id_is_a_new_server);
 	tcase_add_test(cases, consecutive_failures_increase_the_backoff);
 	tcase_add_test(cases, a_malformed_address_is_never_used);
+	tcase_add_test(
+	    cases, an_attempt_without_an_answer_only_raises_the_latency);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -57,6 +57,27 @@
 	return sum;
 }
 
+/*
+ * Guards against extra work for a workspace that is over its quota, and against
+ * spending units by asking.
+ */
+START_TEST(spent_quota_is_told_without_spending)
+{
+	quota_t *quota = quota_with(RATE, BURST, START_MS);
+	int64_t later_ms = START_MS + WINDOW_MS;
+
+	ck_assert(quota_is_spent(quota, "depot", START_MS));
+	for (int i = 0; i < 1000; i++)
+		ck_assert(!quota_is_spent(quota, "depot", later_ms));
+	ck_assert(!quota_is_spent(quota, "unlimited", later_ms));
+	while (
+	    quota_take(quota, "depot", REQUEST_UNITS, false, later_ms).allowed)
+		continue;
+	ck_assert(quota_is_spent(quota, "depot", later_ms));
+	quota_free(quota);
+}
+END_TEST
+
 /* Guards against refusing units that the window's limit allows. */
 START_TEST(steady_demand_gets_the_whole_limit)
 {
@@ -667,6 +688,7 @@
 	Suite *suite = suite_create("quota");
 	TCase *cases = tcase_create("quota");
 
+	tcase_add_test(cases, spent_quota_is_told_without_spending);
 	tcase_add_test(cases, steady_demand_gets_the_whole_limit);
 	tcase_add_test(cases, demand_at_the_limit_is_served);
 	tcase_add_test(cases, no_window_exceeds_the_limit);
--- a/tests/test_retry_budget.c
+++ b/tests/test_retry_budget.c
@@ -62,6 +62,23 @@
 }
 END_TEST
 
+/* Guards against hedges that leave no retry for a request that fails. */
+START_TEST(a_part_is_reserved_for_retries)
+{
+	retry_budget_t *budget = retry_budget_new(&limits);
+	unsigned hedges = 0;
+
+	for (int i = 0; i < 100; i++)
+		retry_budget_count_request(budget, "s", START_MS);
+	while (retry_budget_take_hedge(budget, "s", NODES, START_MS))
+		hedges++;
+	ck_assert_uint_gt(hedges, 0);
+	ck_assert_uint_ge(take_all(budget, START_MS), hedges);
+	ck_assert(!retry_budget_take_hedge(budget, "s", NODES, START_MS));
+	retry_budget_free(budget);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -71,6 +88,7 @@
 	tcase_add_test(cases, all_nodes_together_keep_the_limit);
 	tcase_add_test(cases, sliding_window_keeps_the_limit);
 	tcase_add_test(cases, services_have_separate_budgets);
+	tcase_add_test(cases, a_part_is_reserved_for_retries);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -311,6 +311,26 @@
 }
 END_TEST
 
+/* Guards against hedges at the new version beside its share of the requests. */
+START_TEST(hedges_at_the_new_version_use_up_its_share)
+{
+	rollout_t *rollout = new_rollout();
+	rollout_inputs_t inputs = {.now_ms = STARTED_MS,
+	    .node_count = 1,
+	    .old_servers_listed = 3,
+	    .old_servers_usable = 3,
+	    .new_servers_usable = 3};
+
+	for (int i = 0; i < 1000; i++)
+		rollout_count_request(rollout, false);
+	ck_assert_double_gt(rollout_traffic_share(rollout, &inputs), 0);
+	for (int i = 0; i < 1000; i++)
+		rollout_count_extra(rollout);
+	ck_assert_double_eq(rollout_traffic_share(rollout, &inputs), 0);
+	rollout_free(rollout);
+}
+END_TEST
+
 /* Guards against nodes that still send requests to a version which another node
  * has found bad. */
 START_TEST(stop_by_a_peer_stops_this_node)
@@ -429,6 +449,7 @@
 	    G_N_ELEMENTS(bad_scenarios));
 	tcase_add_test(cases, rollout_without_requests_is_reverted);
 	tcase_add_test(cases, completes_only_after_old_requests_ended);
+	tcase_add_test(cases, hedges_at_the_new_version_use_up_its_share);
 	tcase_add_test(cases, stop_by_a_peer_stops_this_node);
 	tcase_add_test(cases, rollout_without_old_servers_completes);
 	tcase_add_test(cases, final_stage_does_not_change);
