--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -181,6 +181,54 @@
 	return 0;
 }
 
+/* What the command line asks for; strings are borrowed. */
+typedef struct command {
+	const char *config_file; /* NULL: on the users' platform */
+	const char *hedge_share; /* NULL: not given */
+} command_t;
+
+/* Checks the settings; returns the exit status. */
+static int
+check_settings(const command_t *command)
+{
+	GError *error = NULL;
+	bool ok;
+
+	if (command->config_file == NULL) {
+		gateway_config_t *config =
+		    load_gateway_config(command->hedge_share);
+
+		ok = config != NULL;
+		gateway_config_free(config);
+	} else {
+		node_config_t *config =
+		    node_config_load(command->config_file, &error);
+
+		ok = config != NULL;
+		node_config_free(config);
+	}
+	if (error != NULL)
+		fprintf(stderr, "papayad: %s\n", error->message);
+	g_clear_error(&error);
+	return ok ? 0 : 2;
+}
+
+/* Runs the daemon until it has drained; returns the exit status. */
+static int
+run(const command_t *command)
+{
+	bool is_gateway = command->config_file == NULL;
+	int rc;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_start("papayad", is_gateway ? STDOUT_FILENO : STDERR_FILENO);
+	log_use_loop(uv_default_loop());
+	rc = is_gateway ? run_gateway(command->hedge_share)
+			: run_node(command->config_file);
+	log_stop();
+	return rc;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -201,57 +249,31 @@
 	void *table[] = {
 	    help, version, platform, config, check, hedge_share, end};
 	int errors = arg_parse(argc, argv, table);
-	const char *share_text;
-	int rc;
+	int rc = 2;
 
 	if (help->count > 0 || version->count > 0) {
 		printf("papayad %s\n", PAPAYA_VERSION);
 		if (help->count > 0)
 			arg_print_glossary(stdout, table, "  %-20s %s\n");
-		return 0;
-	}
-	if (errors > 0 || config->count + platform->count != 1) {
+		rc = 0;
+	} else if (errors > 0 || config->count + platform->count != 1) {
 		arg_print_errors(stderr, end, "papayad");
 		fprintf(stderr,
 		    "papayad: give --config FILE or --platform; see --help\n");
-		return 2;
-	}
-	if (hedge_share->count > 0 && platform->count == 0) {
+	} else if (hedge_share->count > 0 && platform->count == 0) {
 		fprintf(stderr, "papayad: --%s needs --platform\n",
 		    hedge_share_option);
-		return 2;
-	}
-	share_text = hedge_share->count > 0 ? hedge_share->sval[0] : NULL;
-	if (check->count > 0 && platform->count > 0) {
-		gateway_config_t *parsed = load_gateway_config(share_text);
-
-		rc = parsed == NULL ? 2 : 0;
-		gateway_config_free(parsed);
-		return rc;
-	}
-	if (check->count > 0) {
-		GError *error = NULL;
-		node_config_t *parsed =
-		    node_config_load(config->filename[0], &error);
-
-		if (parsed == NULL)
-			fprintf(stderr, "papayad: %s\n", error->message);
-		g_clear_error(&error);
-		rc = parsed == NULL ? 2 : 0;
-		node_config_free(parsed);
-		return rc;
-	}
-	signal(SIGPIPE, SIG_IGN);
-	if (platform->count > 0) {
-		log_start("papayad", STDOUT_FILENO);
-		log_use_loop(uv_default_loop());
-		rc = run_gateway(share_text);
 	} else {
-		log_start("papayad", STDERR_FILENO);
-		log_use_loop(uv_default_loop());
-		rc = run_node(config->filename[0]);
+		command_t command = {
+		    .config_file =
+			config->count > 0 ? config->filename[0] : NULL,
+		    .hedge_share =
+			hedge_share->count > 0 ? hedge_share->sval[0] : NULL,
+		};
+
+		rc =
+		    check->count > 0 ? check_settings(&command) : run(&command);
 	}
-	log_stop();
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return rc;
 }
