--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -47,6 +47,11 @@
 	double processors; /* that the process may use */
 	unsigned sockets_max; /* file descriptors available for sockets */
 	size_t memory_max;    /* of the process, in bytes; 0: no limit */
+	/*
+	 * Hedges per request of a service, see hedge.h. Set by the process's
+	 * environment or options; 0: none.
+	 */
+	double hedge_share;
 	gateway_bounds_t bounds;
 } gateway_config_t;
 
--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -1,5 +1,6 @@
 #include "error.h"
 #include "gateway.h"
+#include "hedge.h"
 #include "log.h"
 #include "node.h"
 #include "platform_settings.h"
@@ -70,6 +71,9 @@
 	return 0;
 }
 
+static const char hedge_share_variable[] = "PAPAYA_HEDGE_SHARE";
+static const char hedge_share_option[] = "hedge-share";
+
 static gateway_t *gateway;
 
 static void
@@ -107,10 +111,28 @@
 	uv_signal_start(signal, handler, number);
 }
 
-/* Loads the platform's node file. Prints an error and returns NULL on failure.
+/*
+ * Sets the share of hedges from the option, or else from the environment; off
+ * without both. option: its text, or NULL.
+ */
+static bool
+read_hedge_share(const char *option, double *share, GError **error)
+{
+	const char *variable = g_getenv(hedge_share_variable);
+
+	if (option != NULL)
+		return hedge_parse_share(
+		    option, hedge_share_option, share, error);
+	return variable == NULL ||
+	       hedge_parse_share(variable, hedge_share_variable, share, error);
+}
+
+/*
+ * Loads the platform's node file. hedge_share: text of the option, or NULL.
+ * Prints an error and returns NULL on failure.
  */
 static gateway_config_t *
-load_gateway_config(void)
+load_gateway_config(const char *hedge_share)
 {
 	const char *file = g_getenv(platform_settings_variable);
 	GError *error = NULL;
@@ -123,15 +145,17 @@
 		return NULL;
 	}
 	config = platform_settings_load(file, &error);
-	if (config == NULL) {
-		fprintf(stderr, "papayad: %s\n", error->message);
-		g_error_free(error);
-	}
-	return config;
+	if (config != NULL &&
+	    read_hedge_share(hedge_share, &config->hedge_share, &error))
+		return config;
+	gateway_config_free(config);
+	fprintf(stderr, "papayad: %s\n", error->message);
+	g_error_free(error);
+	return NULL;
 }
 
 static int
-run_gateway(void)
+run_gateway(const char *hedge_share)
 {
 	uv_loop_t *loop = uv_default_loop();
 	uv_signal_t term, interrupt, hangup;
@@ -142,7 +166,7 @@
 	start_signal_handler(&term, on_gateway_signal, SIGTERM);
 	start_signal_handler(&interrupt, on_gateway_signal, SIGINT);
 	start_signal_handler(&hangup, on_reload_signal, SIGHUP);
-	config = load_gateway_config();
+	config = load_gateway_config(hedge_share);
 	if (config == NULL)
 		return 2;
 	gateway = gateway_start(loop, config, &error);
@@ -157,6 +181,54 @@
 	return 0;
 }
 
+/* What the command line asks for; strings are borrowed. */
+typedef struct command {
+	const char *config_file; /* NULL: on the users' platform */
+	const char *hedge_share; /* NULL: not given */
+} command_t;
+
+/* Checks the settings; returns the exit status. */
+static int
+check_settings(const command_t *command)
+{
+	GError *error = NULL;
+	bool ok;
+
+	if (command->config_file == NULL) {
+		gateway_config_t *config =
+		    load_gateway_config(command->hedge_share);
+
+		ok = config != NULL;
+		gateway_config_free(config);
+	} else {
+		node_config_t *config =
+		    node_config_load(command->config_file, &error);
+
+		ok = config != NULL;
+		node_config_free(config);
+	}
+	if (error != NULL)
+		fprintf(stderr, "papayad: %s\n", error->message);
+	g_clear_error(&error);
+	return ok ? 0 : 2;
+}
+
+/* Runs the daemon until it has drained; returns the exit status. */
+static int
+run(const command_t *command)
+{
+	bool is_gateway = command->config_file == NULL;
+	int rc;
+
+	signal(SIGPIPE, SIG_IGN);
+	log_start("papayad", is_gateway ? STDOUT_FILENO : STDERR_FILENO);
+	log_use_loop(uv_default_loop());
+	rc = is_gateway ? run_gateway(command->hedge_share)
+			: run_node(command->config_file);
+	log_stop();
+	return rc;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -169,53 +241,39 @@
 	    "environment names");
 	struct arg_lit *check =
 	    arg_lit0(NULL, "check", "check the configuration and exit");
+	struct arg_str *hedge_share =
+	    arg_str0(NULL, hedge_share_option, "SHARE",
+		"with --platform: share of the requests that may be sent to a "
+		"second backend server when they are late, 0 to 0.2");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {help, version, platform, config, check, end};
+	void *table[] = {
+	    help, version, platform, config, check, hedge_share, end};
 	int errors = arg_parse(argc, argv, table);
-	int rc;
+	int rc = 2;
 
 	if (help->count > 0 || version->count > 0) {
 		printf("papayad %s\n", PAPAYA_VERSION);
 		if (help->count > 0)
 			arg_print_glossary(stdout, table, "  %-20s %s\n");
-		return 0;
-	}
-	if (errors > 0 || config->count + platform->count != 1) {
+		rc = 0;
+	} else if (errors > 0 || config->count + platform->count != 1) {
 		arg_print_errors(stderr, end, "papayad");
 		fprintf(stderr,
 		    "papayad: give --config FILE or --platform; see --help\n");
-		return 2;
-	}
-	if (check->count > 0 && platform->count > 0) {
-		gateway_config_t *parsed = load_gateway_config();
-
-		rc = parsed == NULL ? 2 : 0;
-		gateway_config_free(parsed);
-		return rc;
-	}
-	if (check->count > 0) {
-		GError *error = NULL;
-		node_config_t *parsed =
-		    node_config_load(config->filename[0], &error);
-
-		if (parsed == NULL)
-			fprintf(stderr, "papayad: %s\n", error->message);
-		g_clear_error(&error);
-		rc = parsed == NULL ? 2 : 0;
-		node_config_free(parsed);
-		return rc;
-	}
-	signal(SIGPIPE, SIG_IGN);
-	if (platform->count > 0) {
-		log_start("papayad", STDOUT_FILENO);
-		log_use_loop(uv_default_loop());
-		rc = run_gateway();
+	} else if (hedge_share->count > 0 && platform->count == 0) {
+		fprintf(stderr, "papayad: --%s needs --platform\n",
+		    hedge_share_option);
 	} else {
-		log_start("papayad", STDERR_FILENO);
-		log_use_loop(uv_default_loop());
-		rc = run_node(config->filename[0]);
+		command_t command = {
+		    .config_file =
+			config->count > 0 ? config->filename[0] : NULL,
+		    .hedge_share =
+			hedge_share->count > 0 ? hedge_share->sval[0] : NULL,
+		};
+
+		rc =
+		    check->count > 0 ? check_settings(&command) : run(&command);
 	}
-	log_stop();
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return rc;
 }
--- a/src/pool.h
+++ b/src/pool.h
@@ -49,7 +49,9 @@
 	int64_t reported_cold_until_ms;
 	cold_turns_t cold_turns; /* requests of this node, see cold_limit.h */
 	double latency_ms;	 /* moving average; 0: no sample yet */
-	upstream_t *upstream;	 /* NULL where the address is malformed */
+	/* This node's attempts that are late (hedge.h) and have no answer. */
+	unsigned late_attempts;
+	upstream_t *upstream; /* NULL where the address is malformed */
 } server_t;
 
 typedef struct pool pool_t;
@@ -149,6 +151,12 @@
 void server_record_outcome(server_t *server, server_outcome_t outcome,
     double latency_ms, int64_t now_ms);
 
+/*
+ * Records that an attempt was cancelled after latency_ms without an answer,
+ * which is a lower bound: it can only raise the server's average.
+ */
+void server_record_no_answer(server_t *server, double latency_ms);
+
 /* Hash of a server's id. */
 uint32_t server_tag(const char *id);
 
--- a/src/quota.c
+++ b/src/quota.c
@@ -379,21 +379,36 @@
 	    MAX(part_wait_ms(quota, bucket, part), units_ms));
 }
 
+static void
+update_share(const quota_t *quota, bucket_t *bucket, int64_t now_ms)
+{
+	bucket->share = demand_share(
+	    &bucket->demand, quota->nodes, quota->report_age_ms, now_ms);
+}
+
+/* Units that can be spent, less what is spent and not reported yet. */
+static double
+spendable_units(const quota_t *quota, const bucket_t *bucket)
+{
+	double uncovered =
+	    unreported_units(quota, bucket) - bucket->unreported_max;
+
+	return bucket->level - MAX(uncovered, 0);
+}
+
 quota_decision_t
 quota_take(quota_t *quota, const char *workspace, double units,
     quota_class_t class, int64_t now_ms)
 {
 	bucket_t *bucket = find_bucket(quota, workspace, now_ms);
 	quota_decision_t decision = {.allowed = true};
-	double uncovered, usable;
+	double usable;
 
 	if (bucket == NULL)
 		return decision;
 	demand_add(&bucket->demand, units, now_ms);
-	bucket->share = demand_share(
-	    &bucket->demand, quota->nodes, quota->report_age_ms, now_ms);
-	uncovered = unreported_units(quota, bucket) - bucket->unreported_max;
-	decision.available_units = bucket->level - MAX(uncovered, 0);
+	update_share(quota, bucket, now_ms);
+	decision.available_units = spendable_units(quota, bucket);
 	usable = decision.available_units;
 	if (class == QUOTA_URGENT)
 		bucket->urgent_until_ms = now_ms + URGENT_MEMORY_MS;
@@ -414,6 +429,17 @@
 	return decision;
 }
 
+bool
+quota_is_spent(quota_t *quota, const char *workspace, int64_t now_ms)
+{
+	bucket_t *bucket = find_bucket(quota, workspace, now_ms);
+
+	if (bucket == NULL)
+		return false;
+	update_share(quota, bucket, now_ms);
+	return !may_spend(quota, bucket, spendable_units(quota, bucket), 0);
+}
+
 void
 quota_refund(
     quota_t *quota, const char *workspace, double units, int64_t now_ms)
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -297,6 +297,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a slow server that looks fast as its slow attempts are
+ * cancelled, and against one that looks faster than it is by a cancelled one.
+ */
+START_TEST(an_attempt_without_an_answer_only_raises_the_latency)
+{
+	server_t *server;
+
+	put_server("127.0.0.1:1", 7, false, -1, NOW_MS);
+	server = find_server();
+	server_record_outcome(server, SERVER_SERVED, 50, NOW_MS);
+	server_record_no_answer(server, 20);
+	ck_assert_double_eq(server->latency_ms, 50);
+	server_record_no_answer(server, 500);
+	ck_assert_double_gt(server->latency_ms, 50);
+	ck_assert_double_lt(server->latency_ms, 500);
+	ck_assert_double_eq(server->failure_rate, 0);
+	ck_assert(server_usable(server, NOW_MS));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -321,6 +342,8 @@
 	tcase_add_test(cases, a_response_that_says_cold_outlives_an_entry);
 	tcase_add_test(cases, an_assumption_holds_until_the_next_entry);
 	tcase_add_test(cases, a_replaced_server_has_its_own_cold_time);
+	tcase_add_test(
+	    cases, an_attempt_without_an_answer_only_raises_the_latency);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
