--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -72,22 +72,26 @@
 		upstream_call_set_reading(call, false);
 }
 
-/* Charges what the attempts have gathered of their responses. */
+/* Bytes that an attempt has gathered of its response. */
+static size_t
+buffered_bytes(const proxy_attempt_t *attempt)
+{
+	return attempt->buffered == NULL ? 0 : attempt->buffered->len;
+}
+
+/* Charges what both attempts have gathered. */
 static void
 charge_buffered(proxy_request_t *req)
 {
-	size_t bytes = req->attempt->buffered->len;
-
-	if (req->other_attempt != NULL)
-		bytes += req->other_attempt->buffered->len;
-	exchange_charge_response(req->exchange, bytes);
+	exchange_charge_response(req->exchange,
+	    buffered_bytes(req->attempt) + buffered_bytes(req->other_attempt));
 }
 
 /* Empties the buffer, and frees the memory of what it held. */
 static void
 clear_buffered(proxy_attempt_t *attempt)
 {
-	if (attempt->buffered->len == 0)
+	if (buffered_bytes(attempt) == 0)
 		return;
 	g_byte_array_unref(attempt->buffered);
 	attempt->buffered = g_byte_array_new();
