--- a/src/cluster.c
+++ b/src/cluster.c
@@ -378,7 +378,6 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	cluster->active_peers = g_ptr_array_new();
 	cluster->relayed_addresses = g_ptr_array_new_with_free_func(g_free);
-	cluster->relays = g_ptr_array_new_with_free_func(g_free);
 	cluster->assembler = relay_assembler_new();
 	cluster->started_ms = clock_boot_ms();
 	cluster->liveness_checked_ms = cluster->started_ms;
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -114,11 +114,6 @@
  * make: longer in a large fleet until its relays are known.
  */
 int64_t cluster_min_watch_interval_ms(const cluster_t *cluster);
-/*
- * Time over which the followers spread the calls to the store that they make
- * where the relays do not keep them current.
- */
-int64_t cluster_store_spread_ms(const cluster_t *cluster);
 /* Sends a request to one of the relays; does nothing where none is alive. */
 void cluster_send_relay_request(
     cluster_t *cluster, const relay_request_t *request);
--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -11,15 +11,6 @@
 	RELAYS_MAX = 4,
 	RELAY_WATCH_INTERVAL_MS = 30,
 	WATCH_INTERVAL_PER_NODE_MS = 4,
-	/* 100 followers a second: a list of all keys takes several calls. */
-	STORE_SPREAD_PER_NODE_MS = 10,
-	/* From when a node is ready until it knows which others are. */
-	READY_SETTLED_MS = 2000,
-	/*
-	 * In an outage of the store the proofs of relays and followers, and so
-	 * their readiness, end within two watches and a digest's interval.
-	 */
-	RELAYS_KEPT_MS = 1000,
 };
 
 static cluster_peer_t *
@@ -79,16 +70,13 @@
 }
 
 /*
- * A relay that has lost the store, or no longer has the changes, counts as one
- * that does not respond: the next request goes to another one. One that has
- * regained the store is kept: where relays have listed the keys, another one
- * cannot tell what is missing between its list and that of the first.
+ * A relay that has lost the store counts as one that does not respond: the next
+ * request goes to another one.
  */
 static void
 handle_relay_response(cluster_t *cluster, relay_response_t *response)
 {
-	cluster->relay_responded =
-	    !response->store_lost && !response->changes_missing;
+	cluster->relay_responded = !response->store_unstable;
 	if (response->client_addresses->len > 0) {
 		g_ptr_array_unref(cluster->relayed_addresses);
 		cluster->relayed_addresses =
@@ -152,51 +140,13 @@
 	return MIN(cluster->active_peers->len, RELAYS_MAX);
 }
 
-static void
-remember_relays(cluster_t *cluster)
-{
-	g_ptr_array_set_size(cluster->relays, 0);
-	for (guint i = 0; i < relay_count(cluster); i++) {
-		const cluster_peer_t *peer = cluster->active_peers->pdata[i];
-
-		g_ptr_array_add(cluster->relays, g_strdup(peer->name));
-	}
-}
-
-/*
- * A follower that is not ready, or has just become so, keeps the relays that it
- * had. While the store is out, the nodes are not ready, so none knows four
- * relays, and those that are ready for longer than the relays would become
- * relays for a moment; if each called the store itself then, all would do so at
- * once.
- */
-static bool
-keeps_relays(const cluster_t *cluster, int64_t now_ms)
-{
-	return cluster->relays->len > 0 &&
-	       (!cluster->local.ready ||
-		   now_ms - cluster->followed_ms < RELAYS_KEPT_MS ||
-		   now_ms - cluster->ready_since_ms < READY_SETTLED_MS);
-}
-
 bool
 cluster_is_follower(cluster_t *cluster)
 {
-	int64_t now_ms = clock_boot_ms();
-
-	cluster_update_active(cluster, now_ms);
-	if (cluster_node_count(cluster) < FOLLOWER_NODES_MIN)
-		return false;
-	if (relay_count(cluster) == RELAYS_MAX &&
-	    cluster->own_position >= RELAYS_MAX) {
-		remember_relays(cluster);
-		cluster->followed_ms = now_ms;
-		return true;
-	}
-	if (keeps_relays(cluster, now_ms))
-		return true;
-	g_ptr_array_set_size(cluster->relays, 0);
-	return false;
+	cluster_update_active(cluster, clock_boot_ms());
+	return cluster_node_count(cluster) >= FOLLOWER_NODES_MIN &&
+	       relay_count(cluster) == RELAYS_MAX &&
+	       cluster->own_position >= RELAYS_MAX;
 }
 
 int64_t
@@ -211,41 +161,22 @@
 	return (int64_t)nodes * WATCH_INTERVAL_PER_NODE_MS;
 }
 
-int64_t
-cluster_store_spread_ms(const cluster_t *cluster)
-{
-	return (int64_t)cluster_node_count(cluster) * STORE_SPREAD_PER_NODE_MS;
-}
-
-/* The relay to ask; NULL: it is no longer registered, or there is none. */
-static const cluster_peer_t *
-choose_relay(const cluster_t *cluster)
-{
-	guint choice = g_str_hash(cluster->options.config->name);
-	const cluster_peer_t *peer;
-
-	if (cluster->relays->len == 0)
-		return NULL;
-	choice += cluster->relay_choice;
-	peer = g_hash_table_lookup(cluster->peers,
-	    cluster->relays->pdata[choice % cluster->relays->len]);
-	return peer != NULL && peer->registered ? peer : NULL;
-}
-
 void
 cluster_send_relay_request(cluster_t *cluster, const relay_request_t *request)
 {
-	const cluster_peer_t *relay;
+	unsigned count = relay_count(cluster);
+	guint choice = g_str_hash(cluster->options.config->name);
 	GByteArray *datagram;
 
+	if (count == 0)
+		return;
 	if (!cluster->relay_responded)
 		cluster->relay_choice++;
 	cluster->relay_responded = false;
-	relay = choose_relay(cluster);
-	if (relay == NULL)
-		return;
+	choice += cluster->relay_choice;
 	datagram = g_byte_array_new();
 	relay_encode_request(request, datagram);
-	cluster_send_datagram(cluster, relay, datagram);
+	cluster_send_datagram(
+	    cluster, cluster->active_peers->pdata[choice % count], datagram);
 	g_byte_array_unref(datagram);
 }
--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -51,12 +51,9 @@
 	unsigned quota_unreachable;
 	/* Client addresses of the active set (char *), by a relay. */
 	GPtrArray *relayed_addresses;
-	int64_t relayed_ms; /* time of receipt; 0: none */
-	/* Node names (char *) of the relays when this node last followed. */
-	GPtrArray *relays;
-	int64_t followed_ms;   /* when this node last saw itself as follower */
-	unsigned relay_choice; /* counts changes to another relay */
-	bool relay_responded;  /* to the last request */
+	int64_t relayed_ms;	      /* time of receipt; 0: none */
+	unsigned relay_choice;	      /* counts changes to another relay */
+	bool relay_responded;	      /* to the last request */
 	relay_assembler_t *assembler; /* of responses to this node */
 	int64_t response_id;	      /* of the last response in fragments */
 	int64_t clock_offset_ms; /* median of the nodes' clocks minus own */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -118,8 +118,6 @@
 				  ? RELAY_INTERVAL_MS
 				  : STANDBY_RELAY_INTERVAL_MS;
 	store_watch_set_relay_interval(gateway->store_watch, interval_ms);
-	store_watch_set_spread(
-	    gateway->store_watch, cluster_store_spread_ms(gateway->cluster));
 	store_watch_set_min_interval(gateway->store_watch,
 	    cluster_min_watch_interval_ms(gateway->cluster));
 	if (store_watch_next_request(gateway->store_watch, &request))
--- a/src/relay.c
+++ b/src/relay.c
@@ -19,36 +19,14 @@
 	RESPONSE_MAX_BYTES =
 	    (RELAY_FRAGMENTS_MAX - 1) * RELAY_FRAGMENT_MAX_BYTES,
 	KEY_MAX_BYTES = 200,
-	/* Of a change, beside its key and value. */
-	ITEM_OVERHEAD_BYTES = 20,
 	CURRENT_WATCHES = 4,
 	ADDRESS_MAX_BYTES = 64,
 };
 
-/*
- * Values of the fields for the store's state and the changes. Nodes of older
- * versions know 0 and 1 only and take all others for 1, so to them a store that
- * was regained is still lost, and changes from a list are missing.
- */
-enum {
-	STORE_STABLE = 0,
-	STORE_LOST = 1,
-	STORE_REGAINED = 2,
-	CHANGES_COMPLETE = 0,
-	CHANGES_MISSING = 1,
-	CHANGES_LISTED = 2,
-};
-
 typedef struct change {
-	char *key;   /* NULL: end of the changes of a list */
+	char *key;
 	char *value; /* NULL: removed */
 	size_t length;
-	int64_t item_revision;
-	/*
-	 * The change leads from after_revision to revision, together with the
-	 * others that have the same ones. Those of a list have the list's.
-	 */
-	int64_t after_revision;
 	int64_t revision;
 } change_t;
 
@@ -110,64 +88,22 @@
 	g_free(log);
 }
 
-static void
-push_change(relay_log_t *log, change_t *change)
-{
-	g_queue_push_tail(log->changes, change);
-	log->value_bytes += change->length;
-	while (log->value_bytes > LOG_MAX_BYTES ||
-	       g_queue_get_length(log->changes) > LOG_MAX_ITEMS)
-		drop_oldest(log);
-}
-
-static change_t *
-change_new(
-    const platform_item_t *item, int64_t after_revision, int64_t revision)
+void
+relay_log_add(relay_log_t *log, const platform_item_t *item)
 {
 	change_t *change = g_new0(change_t, 1);
 
 	change->key = g_strdup(item->key);
-	change->item_revision = item->revision;
-	change->after_revision = after_revision;
-	change->revision = revision;
+	change->revision = item->revision;
 	if (!item->removed && item->value != NULL) {
 		change->length = item->length;
 		change->value = g_memdup2(item->value, item->length + 1);
 	}
-	return change;
-}
-
-void
-relay_log_add(relay_log_t *log, const platform_item_t *item)
-{
-	push_change(log, change_new(item, item->revision - 1, item->revision));
-}
-
-static gint
-compare_revisions(gconstpointer a, gconstpointer b)
-{
-	const platform_item_t *left = *(const platform_item_t *const *)a;
-	const platform_item_t *right = *(const platform_item_t *const *)b;
-
-	return (left->revision > right->revision) -
-	       (left->revision < right->revision);
-}
-
-void
-relay_log_add_list(relay_log_t *log, int64_t after_revision, int64_t revision,
-    const platform_item_t *items, size_t count)
-{
-	static const platform_item_t end = {.removed = true};
-	GPtrArray *sorted = g_ptr_array_sized_new((guint)count);
-
-	for (size_t i = 0; i < count; i++)
-		g_ptr_array_add(sorted, (gpointer)&items[i]);
-	g_ptr_array_sort(sorted, compare_revisions);
-	for (guint i = 0; i < sorted->len; i++)
-		push_change(log,
-		    change_new(sorted->pdata[i], after_revision, revision));
-	push_change(log, change_new(&end, after_revision, revision));
-	g_ptr_array_unref(sorted);
+	g_queue_push_tail(log->changes, change);
+	log->value_bytes += change->length;
+	while (log->value_bytes > LOG_MAX_BYTES ||
+	       g_queue_get_length(log->changes) > LOG_MAX_ITEMS)
+		drop_oldest(log);
 }
 
 void
@@ -182,44 +118,15 @@
 	msgpack_pack_int64(&packer, request->sent_ms);
 }
 
-typedef struct selection {
-	GPtrArray *changes; /* change_t *, owned by the log */
-	/* All changes up to it are selected. */
-	int64_t complete_revision;
-	bool listed;	  /* some come from a list */
-	bool within_list; /* the start lies between the revisions of a list */
-} selection_t;
-
-static size_t
-encoded_size(const change_t *change)
-{
-	return strlen(change->key) + change->length + ITEM_OVERHEAD_BYTES;
-}
-
-/* Removes the changes of which others with the same revision do not fit. */
-static void
-drop_incomplete(selection_t *selection)
-{
-	GPtrArray *changes = selection->changes;
-
-	while (changes->len > 0) {
-		const change_t *last = changes->pdata[changes->len - 1];
-
-		if (last->revision <= selection->complete_revision)
-			break;
-		g_ptr_array_set_size(changes, (gint)changes->len - 1);
-	}
-}
-
 /*
- * Selects the changes after a revision that fit in a response; up_to: last
- * revision of the log's owner.
+ * Returns the changes after a revision that fit in a response; the log owns
+ * them. Lowers *complete_revision to the last revision whose changes all fit.
  */
-static selection_t
-select_changes(const relay_log_t *log, int64_t after_revision, int64_t up_to)
+static GPtrArray *
+select_changes(
+    const relay_log_t *log, int64_t after_revision, int64_t *complete_revision)
 {
-	selection_t selection = {
-	    .changes = g_ptr_array_new(), .complete_revision = up_to};
+	GPtrArray *selected = g_ptr_array_new();
 	size_t bytes = 0;
 
 	for (GList *link = log->changes->head; link != NULL;
@@ -228,35 +135,21 @@
 
 		if (change->revision <= after_revision)
 			continue;
-		if (change->after_revision < after_revision) {
-			selection.within_list = true;
-			break;
-		}
-		if (change->key == NULL) {
-			selection.listed = true;
-			continue;
-		}
-		bytes += encoded_size(change);
+		bytes += change->length + KEY_MAX_BYTES;
 		if (bytes > RESPONSE_MAX_BYTES) {
-			selection.complete_revision = change->after_revision;
+			*complete_revision = change->revision - 1;
 			break;
 		}
-		g_ptr_array_add(selection.changes, change);
+		g_ptr_array_add(selected, change);
 	}
-	drop_incomplete(&selection);
-	return selection;
-}
+	while (selected->len > 0) {
+		const change_t *last = selected->pdata[selected->len - 1];
 
-static bool
-lacks_changes(const relay_log_t *log, const relay_request_t *request,
-    const relay_state_t *state, const selection_t *selection)
-{
-	bool first_too_large = selection->changes->len == 0 &&
-			       !selection->listed &&
-			       selection->complete_revision < state->revision;
-
-	return request->after_revision < log->base_revision ||
-	       selection->within_list || first_too_large;
+		if (last->revision <= *complete_revision)
+			break;
+		g_ptr_array_set_size(selected, (gint)selected->len - 1);
+	}
+	return selected;
 }
 
 static void
@@ -267,7 +160,7 @@
 		const change_t *change = changes->pdata[i];
 
 		mp_pack_string(packer, change->key);
-		msgpack_pack_int64(packer, change->item_revision);
+		msgpack_pack_int64(packer, change->revision);
 		if (change->value == NULL) {
 			msgpack_pack_false(packer);
 			continue;
@@ -287,42 +180,33 @@
 		mp_pack_string(packer, addresses->pdata[i]);
 }
 
-static int
-store_field(const relay_state_t *state)
-{
-	if (!state->store_unstable)
-		return STORE_STABLE;
-	return state->store_lost ? STORE_LOST : STORE_REGAINED;
-}
-
 void
 relay_encode_response(const relay_log_t *log, const relay_request_t *request,
     const relay_state_t *state, GByteArray *out)
 {
-	selection_t selection =
-	    select_changes(log, request->after_revision, state->revision);
-	bool changes_missing = lacks_changes(log, request, state, &selection);
+	int64_t complete_revision = state->revision;
+	GPtrArray *changes =
+	    select_changes(log, request->after_revision, &complete_revision);
+	bool changes_missing =
+	    request->after_revision < log->base_revision ||
+	    (changes->len == 0 && complete_revision < state->revision);
 	bool complete =
-	    !changes_missing && selection.complete_revision >= state->revision;
-	int changes_field =
-	    selection.listed ? CHANGES_LISTED : CHANGES_COMPLETE;
+	    !changes_missing && complete_revision >= state->revision;
 	msgpack_packer packer;
 
-	if (changes_missing) {
-		g_ptr_array_set_size(selection.changes, 0);
-		changes_field = CHANGES_MISSING;
-	}
+	if (changes_missing)
+		g_ptr_array_set_size(changes, 0);
 	msgpack_packer_init(&packer, out, mp_append_bytes);
 	msgpack_pack_array(&packer, RESPONSE_FIELDS);
 	msgpack_pack_int(&packer, RESPONSE_TYPE);
 	msgpack_pack_int64(&packer, request->sent_ms);
-	msgpack_pack_int64(&packer, selection.complete_revision);
+	msgpack_pack_int64(&packer, complete_revision);
 	msgpack_pack_int64(&packer, complete ? state->confirmation_age_ms : -1);
-	msgpack_pack_int(&packer, store_field(state));
-	msgpack_pack_int(&packer, changes_field);
-	pack_changes(&packer, selection.changes);
+	msgpack_pack_int(&packer, state->store_unstable);
+	msgpack_pack_int(&packer, changes_missing);
+	pack_changes(&packer, changes);
 	pack_addresses(&packer, state->client_addresses);
-	g_ptr_array_unref(selection.changes);
+	g_ptr_array_unref(changes);
 }
 
 static bool
@@ -380,20 +264,16 @@
 static bool
 read_response(const msgpack_object *fields, relay_response_t *response)
 {
-	int64_t store, changes;
+	int64_t store_unstable, changes_missing;
 
 	if (!mp_read_int64(&fields[1], &response->request_sent_ms) ||
 	    !mp_read_int64(&fields[2], &response->revision) ||
 	    !mp_read_int64(&fields[3], &response->confirmation_age_ms) ||
-	    !mp_read_int64(&fields[4], &store) ||
-	    !mp_read_int64(&fields[5], &changes))
+	    !mp_read_int64(&fields[4], &store_unstable) ||
+	    !mp_read_int64(&fields[5], &changes_missing))
 		return false;
-	response->store_unstable = store != STORE_STABLE;
-	response->store_lost =
-	    response->store_unstable && store != STORE_REGAINED;
-	response->listed = changes == CHANGES_LISTED;
-	response->changes_missing =
-	    changes != CHANGES_COMPLETE && !response->listed;
+	response->store_unstable = store_unstable != 0;
+	response->changes_missing = changes_missing != 0;
 	response->client_addresses = g_ptr_array_new_with_free_func(g_free);
 	return read_items(&fields[6], response) &&
 	       read_addresses(&fields[7], response->client_addresses);
--- a/src/relay.h
+++ b/src/relay.h
@@ -36,17 +36,6 @@
 void relay_log_reset(relay_log_t *log, int64_t revision);
 /* Adds a copy of a change; revisions must not decrease. */
 void relay_log_add(relay_log_t *log, const platform_item_t *item);
-/*
- * Adds copies of the changes that a list of all keys at a revision has shown in
- * a copy that was current up to after_revision (the lower one), in any order:
- * keys with a newer revision, and removals. A list does not show the states
- * between, such as a key that was written and removed. So a follower gets these
- * changes together, and one whose revision lies between the two is told that
- * changes are missing. Items may be newer than the list's revision, where it is
- * the lowest of several pages.
- */
-void relay_log_add_list(relay_log_t *log, int64_t after_revision,
-    int64_t revision, const platform_item_t *items, size_t count);
 
 typedef struct relay_request {
 	int64_t after_revision;
@@ -58,14 +47,8 @@
 	int64_t revision;	 /* all changes up to it are included */
 	/* Age of the confirmation that no later ones exist; -1: none. */
 	int64_t confirmation_age_ms;
-	bool store_unstable;  /* the store is or was just unavailable */
-	bool store_lost;      /* it is unavailable to the relay */
-	bool changes_missing; /* no longer in the log, or too large */
-	/*
-	 * Some changes come from a list: they apply only to a copy that is
-	 * exactly as at the requested revision.
-	 */
-	bool listed;
+	bool store_unstable;	/* the store is or was just unavailable */
+	bool changes_missing;	/* no longer in the log, or too large */
 	platform_item_t *items; /* owned, see relay_message_clear() */
 	size_t count;
 	/* char *, owned: of the active nodes; empty if the relay is none. */
@@ -77,7 +60,6 @@
 	int64_t revision;
 	int64_t confirmation_age_ms;
 	bool store_unstable;
-	bool store_lost;		   /* as in relay_response_t */
 	const GPtrArray *client_addresses; /* char *; may be NULL */
 } relay_state_t;
 
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -13,10 +13,8 @@
  * Keeps a copy of the store's keys current: lists all keys once, then watches
  * for changes. Each completed call confirms that the copy was current at the
  * time the call was sent. In a large fleet a follower requests the changes from
- * another node (a relay) and calls the store only while the relays' responses
- * do not keep the copy current, after a random delay. Where the store has
- * discarded the changes since the copy's revision, a relay lists all keys again
- * and passes the differences on; see docs/design/follower-recovery.md.
+ * another node (a relay) and watches the store only while the relays' responses
+ * do not keep the copy current.
  */
 typedef struct store_watch store_watch_t;
 
@@ -55,12 +53,6 @@
  */
 void store_watch_set_relay_interval(store_watch_t *watch, int64_t interval_ms);
 
-/*
- * Sets the time over which the followers of the fleet spread their own calls to
- * the store after the relays no longer keep their copies current.
- */
-void store_watch_set_spread(store_watch_t *watch, int64_t spread_ms);
-
 /*
  * Sets the shortest time from one watch of the store to the next. In a fleet in
  * which every node watches, each change ends all watches.
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -11,11 +11,7 @@
  * preconditions, leases and watches, and the endpoints that singleton duties
  * call. GET /calls lists the calls accepted there. With the fault "down" the
  * store replies 503; with "stale", lists that may be stale stay as they were at
- * the first one since the fault was set. With "quiet", lists and watches get
- * 503, and writes are accepted; when it ends, the store has discarded its
- * history, and watches after an earlier revision get 410. "page_items" limits
- * the items of a page of a list. "refused_list_period" n: each nth list gets
- * 503.
+ * the first one since the fault was set.
  */
 
 enum {
@@ -24,7 +20,6 @@
 	STATUS_OK = 200,
 	STATUS_NOT_FOUND = 404,
 	STATUS_CONFLICT = 409,
-	STATUS_GONE = 410,
 	STATUS_PRECONDITION_FAILED = 412,
 	STATUS_UNAVAILABLE = 503,
 };
@@ -54,10 +49,6 @@
 static GHashTable *leases; /* id to lease_t */
 static TAILQ_HEAD(, watch) watches = TAILQ_HEAD_INITIALIZER(watches);
 static int64_t last_revision = 1;
-/* Changes up to it are discarded. */
-static int64_t compacted_revision;
-static bool quiet;
-static uint64_t list_count;
 static int64_t last_lease = 100;
 static int64_t highest_fence_token;
 static json_t *duty_calls;
@@ -95,9 +86,6 @@
 	const char *prefix;
 	int64_t after_revision;
 	bool include_removed; /* list removed keys too */
-	const char *after_key;
-	size_t items_max; /* 0: no limit */
-	bool has_more;
 	json_t *items;
 } listing_t;
 
@@ -107,48 +95,35 @@
 	const item_t *item = value;
 	listing_t *listing = data;
 
-	if (!g_str_has_prefix(key, listing->prefix) ||
-	    item->revision <= listing->after_revision ||
-	    (item->removed && !listing->include_removed) ||
-	    (listing->after_key != NULL &&
-		strcmp(key, listing->after_key) <= 0))
-		return FALSE;
-	listing->has_more =
-	    listing->items_max > 0 &&
-	    json_array_size(listing->items) == listing->items_max;
-	if (!listing->has_more)
+	if (g_str_has_prefix(key, listing->prefix) &&
+	    item->revision > listing->after_revision &&
+	    (listing->include_removed || !item->removed))
 		json_array_append_new(listing->items, item_json(key, item));
-	return listing->has_more;
+	return FALSE;
 }
 
 static json_t *
-list_changes(const char *prefix, int64_t after_revision)
+list_items(const char *prefix, int64_t after_revision, bool include_removed)
 {
 	listing_t listing = {.prefix = prefix,
 	    .after_revision = after_revision,
-	    .include_removed = true,
+	    .include_removed = include_removed,
 	    .items = json_array()};
 
 	g_tree_foreach(items, add_item, &listing);
 	return listing.items;
 }
 
-static void
-watch_free(watch_t *watch)
-{
-	TAILQ_REMOVE(&watches, watch, entries);
-	http_request_unref(watch->request);
-	g_free(watch->prefix);
-	g_free(watch);
-}
-
 static void
 reply_watch(watch_t *watch, json_t *events)
 {
 	http_reply_json(watch->request, STATUS_OK,
 	    json_pack("{s:o,s:I}", "events", events, "as_of",
 		(json_int_t)last_revision));
-	watch_free(watch);
+	TAILQ_REMOVE(&watches, watch, entries);
+	http_request_unref(watch->request);
+	g_free(watch->prefix);
+	g_free(watch);
 }
 
 static void
@@ -159,7 +134,7 @@
 
 	for (watch = TAILQ_FIRST(&watches); watch != NULL; watch = next) {
 		json_t *events =
-		    list_changes(watch->prefix, watch->after_revision);
+		    list_items(watch->prefix, watch->after_revision, true);
 
 		next = TAILQ_NEXT(watch, entries);
 		if (json_array_size(events) > 0 || now_ms >= watch->deadline_ms)
@@ -244,47 +219,26 @@
 }
 
 static json_t *
-list_response(const char *prefix, const char *after_key)
+list_response(const char *prefix)
 {
-	listing_t listing = {.prefix = prefix == NULL ? "" : prefix,
-	    .after_key = after_key,
-	    .items_max = (size_t)standin_fault_value(&standin, "page_items"),
-	    .items = json_array()};
-
-	g_tree_foreach(items, add_item, &listing);
-	return json_pack("{s:o,s:b,s:I}", "items", listing.items, "has_more",
-	    (int)listing.has_more, "as_of", (json_int_t)last_revision);
-}
-
-static bool
-is_list_refused(void)
-{
-	uint64_t period =
-	    (uint64_t)standin_fault_value(&standin, "refused_list_period");
-
-	list_count++;
-	return quiet || (period > 0 && list_count % period == 0);
+	return json_pack("{s:o,s:b,s:I}", "items",
+	    list_items(prefix == NULL ? "" : prefix, 0, false), "has_more", 0,
+	    "as_of", (json_int_t)last_revision);
 }
 
 static void
 serve_range(http_request_t *request)
 {
 	char *prefix = http_request_query_param(request, "path_prefix");
-	char *after_key = http_request_query_param(request, "after");
 	bool stale = number_param(request, "serializable") != 0 &&
 		     standin_fault_value(&standin, "stale") > 0;
 
 	if (stale && stale_list == NULL)
-		stale_list = list_response(prefix, NULL);
+		stale_list = list_response(prefix);
 	if (!stale)
 		g_clear_pointer(&stale_list, json_decref);
-	if (is_list_refused())
-		http_reply_json(request, STATUS_UNAVAILABLE, json_object());
-	else
-		http_reply_json(request, STATUS_OK,
-		    stale ? json_incref(stale_list)
-			  : list_response(prefix, after_key));
-	g_free(after_key);
+	http_reply_json(request, STATUS_OK,
+	    stale ? json_incref(stale_list) : list_response(prefix));
 	g_free(prefix);
 }
 
@@ -304,15 +258,9 @@
 static void
 serve_watch(http_request_t *request)
 {
-	watch_t *watch;
+	watch_t *watch = g_new0(watch_t, 1);
 	int64_t wait_ms = number_param(request, "wait_ms");
 
-	if (quiet || number_param(request, "after") < compacted_revision) {
-		http_reply_json(request,
-		    quiet ? STATUS_UNAVAILABLE : STATUS_GONE, json_object());
-		return;
-	}
-	watch = g_new0(watch_t, 1);
 	watch->request = http_request_ref(request);
 	watch->prefix = http_request_query_param(request, "path_prefix");
 	if (watch->prefix == NULL)
@@ -510,30 +458,6 @@
 	json_decref(body);
 }
 
-static void
-refuse_watches(void)
-{
-	watch_t *watch;
-
-	while ((watch = TAILQ_FIRST(&watches)) != NULL) {
-		http_reply_json(
-		    watch->request, STATUS_UNAVAILABLE, json_object());
-		watch_free(watch);
-	}
-}
-
-static void
-on_faults_changed(standin_t *changed_standin)
-{
-	bool was_quiet = quiet;
-
-	quiet = standin_fault_value(changed_standin, "quiet") > 0;
-	if (quiet)
-		refuse_watches();
-	else if (was_quiet)
-		compacted_revision = last_revision;
-}
-
 int
 main(int argc, char **argv)
 {
@@ -542,7 +466,6 @@
 	duty_calls = json_array();
 	standin.program = "standin-platform";
 	standin.handler = on_request;
-	standin.faults_changed = on_faults_changed;
 	uv_timer_init(uv_default_loop(), &expiry_timer);
 	uv_timer_start(
 	    &expiry_timer, on_expiry, EXPIRY_POLL_MS, EXPIRY_POLL_MS);
--- a/tests/test_followers.c
+++ b/tests/test_followers.c
@@ -15,10 +15,6 @@
 	METRICS_PORT_OFFSET = 4,
 	STARTUP_MS = 4000,
 	COUNT_MS = 4000,
-	/* The relays' confirmations are old after 704 ms. */
-	QUIET_MS = 1000,
-	/* A follower that lists the keys itself has done so by then. */
-	RECOVERY_MS = 3000,
 	/* Time within which a new configuration must apply on every node. */
 	CHANGE_TIMEOUT_MS = 2000,
 	POLL_MS = 50,
@@ -27,29 +23,21 @@
 
 static program_t *nodes[NODES];
 
-/* Number of calls of a kind that the store has answered to a node. */
+/* Number of successful watches of the store that a node has made. */
 static double
-call_count(const program_t *node, const char *call)
+watch_count(const program_t *node)
 {
 	const char *colon = strrchr(node->address, ':');
 	char *address = g_strdup_printf(
 	    "127.0.0.1:%d", atoi(colon + 1) + METRICS_PORT_OFFSET);
 	program_t metrics = {.address = address};
-	char *name = g_strdup_printf(
-	    "store_calls_total{call=\"%s\",result=\"ok\"}", call);
-	double count = metric_read(&metrics, name);
+	double count = metric_read(
+	    &metrics, "store_calls_total{call=\"watch\",result=\"ok\"}");
 
-	g_free(name);
 	g_free(address);
 	return count;
 }
 
-static double
-watch_count(const program_t *node)
-{
-	return call_count(node, "watch");
-}
-
 static void
 start_fleet(void)
 {
@@ -143,56 +131,6 @@
 }
 END_TEST
 
-/* The store is quiet while the configuration changes, and forgets the past. */
-static void
-change_and_compact(void)
-{
-	faults_set(platform_standin, "{\"quiet\": 1}");
-	gateway_configure(2, "[\"key-1\"]");
-	g_usleep(QUIET_MS * US_PER_MS);
-	faults_set(platform_standin, "{\"quiet\": 0}");
-}
-
-/*
- * Guards against followers that all list the keys at once, although their
- * relays have listed them.
- */
-START_TEST(followers_recover_through_relays_after_a_compaction)
-{
-	double lists[NODES];
-	int listed = 0;
-
-	start_fleet();
-	for (int i = 0; i < NODES; i++)
-		lists[i] = call_count(nodes[i], "list");
-	change_and_compact();
-	expect_key_rejected("key-2");
-	g_usleep(RECOVERY_MS * US_PER_MS);
-	for (int i = 0; i < NODES; i++)
-		if (call_count(nodes[i], "list") > lists[i])
-			listed++;
-	ck_assert_int_gt(listed, 0);
-	/* One follower more, for a lost datagram. */
-	ck_assert_int_le(listed, RELAYS + 1);
-	for (int i = 0; i < NODES; i++)
-		ck_assert_uint_ne(
-		    gateway_booking_status(nodes[i], "key-1"), 401);
-}
-END_TEST
-
-/* Guards against a list that starts anew for each page that fails. */
-START_TEST(list_ends_where_half_of_the_pages_fail)
-{
-	gateway_store_remove("servers/i-1");
-	faults_set(platform_standin,
-	    "{\"page_items\": 1, \"refused_list_period\": 2}");
-	change_and_compact();
-	memset(nodes, 0, sizeof(nodes));
-	nodes[0] = gateway_node;
-	expect_key_rejected("key-2");
-}
-END_TEST
-
 int
 main(void)
 {
@@ -204,9 +142,6 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, most_nodes_follow_relays_and_receive_changes);
 	tcase_add_test(cases, followers_watch_after_their_relays_die);
-	tcase_add_test(
-	    cases, followers_recover_through_relays_after_a_compaction);
-	tcase_add_test(cases, list_ends_where_half_of_the_pages_fail);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
