Learn the speed of each server and of the service, and share it

Before, one model of the time to first token served a whole service, and a plain server's moving average of its latency mixed its load with its speed. server_speed holds a factor of each server and one of the service for urgent and other prompts; digests carry the evidence on servers; pick_server() multiplies its estimates by both.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -10,7 +10,7 @@
 
 enum {
 	MAINTENANCE_INTERVAL_MS = 150,
-	/* Server loads in older digests are ignored. */
+	/* Server loads and speeds in older digests are ignored. */
 	LOAD_MAX_AGE_MS = 2000,
 	/* Uptime in which a node copies bucket levels from older peers. Later
 	 * its own levels are accurate. */
@@ -237,6 +237,52 @@
 	}
 }
 
+static void
+clear_speed_reports(server_t *server, void *data)
+{
+	server_speed_clear_reports(&server->speed);
+}
+
+static void
+update_speed(server_t *server, void *now_ms)
+{
+	server_speed_update(&server->speed, *(int64_t *)now_ms);
+}
+
+/* Adds a peer's reports on processes that this node knows. */
+static void
+add_speed_reports(pool_t *pool, const GArray *speeds)
+{
+	for (guint i = 0; i < speeds->len; i++) {
+		const digest_speed_t *item =
+		    &g_array_index(speeds, digest_speed_t, i);
+		server_t *server = pool_find(pool, item->server_tag);
+
+		if (server != NULL &&
+		    server_process_hash(server->info) == item->process)
+			server_speed_add_report(&server->speed, &item->report);
+	}
+}
+
+static void
+merge_peer_speeds(cluster_t *cluster, int64_t now_ms)
+{
+	pool_t *pool = cluster->options.pool;
+	GHashTableIter iter;
+	gpointer value;
+
+	pool_each(pool, clear_speed_reports, NULL);
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cluster_peer_t *peer = value;
+
+		if (peer->digest != NULL &&
+		    now_ms - peer->last_digest_ms <= LOAD_MAX_AGE_MS)
+			add_speed_reports(pool, peer->digest->speeds);
+	}
+	pool_each(pool, update_speed, &now_ms);
+}
+
 /*
  * Adds what a peer reports to be asked of it to the sums by workspace. A sum
  * becomes negative where a peer of an earlier version does not report it.
@@ -350,6 +396,7 @@
 		cluster_update_active(cluster, now_ms);
 		update_liveness(cluster, now_ms);
 		sum_peer_loads(cluster, now_ms);
+		merge_peer_speeds(cluster, now_ms);
 		sum_demand(cluster, now_ms);
 	}
 	if (cluster_is_isolated(cluster))
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -22,6 +22,8 @@
 	STANDBY_TIMEOUT_MS = 7500,
 	/* Upper bound of the time from building a digest to applying it. */
 	DIGEST_DELIVERY_MAX_MS = 50,
+	/* Requests of evidence below which a server's speed is not reported. */
+	SPEED_WEIGHT_MIN = 1,
 };
 
 static int64_t
@@ -94,6 +96,45 @@
 		g_array_append_val(digest->loads, item);
 }
 
+typedef struct speed_collector {
+	GArray *speeds; /* of digest_speed_t */
+	int64_t now_ms;
+} speed_collector_t;
+
+static void
+add_speed(server_t *server, void *data)
+{
+	speed_collector_t *collector = data;
+	digest_speed_t item = {.server_tag = server->tag,
+	    .process = server_process_hash(server->info),
+	    .report = server_speed_report(&server->speed, collector->now_ms)};
+
+	if (item.report.weight >= SPEED_WEIGHT_MIN)
+		g_array_append_val(collector->speeds, item);
+}
+
+static gint
+compare_weights(gconstpointer left, gconstpointer right)
+{
+	double a = ((const digest_speed_t *)left)->report.weight;
+	double b = ((const digest_speed_t *)right)->report.weight;
+
+	return (a < b) - (a > b);
+}
+
+/* Adds the speeds with the most evidence. */
+static void
+add_speeds(pool_t *pool, GArray *speeds, int64_t now_ms)
+{
+	speed_collector_t collector = {.speeds = speeds, .now_ms = now_ms};
+
+	pool_each(pool, add_speed, &collector);
+	if (speeds->len <= DIGEST_SPEEDS_MAX)
+		return;
+	g_array_sort(speeds, compare_weights);
+	g_array_set_size(speeds, DIGEST_SPEEDS_MAX);
+}
+
 static void
 add_usage(int64_t window, const char *workspace, double count, void *data)
 {
@@ -105,8 +146,8 @@
 }
 
 /*
- * Nodes on standby need neither loads nor usage; those of their own requests
- * matter to the leader only.
+ * Nodes on standby need neither loads, speeds nor usage; those of their own
+ * requests matter to the leader only.
  */
 static digest_t *
 build_digest(cluster_t *cluster, bool brief, int64_t now_ms)
@@ -131,6 +172,7 @@
 	if (brief)
 		return digest;
 	pool_each(cluster->options.pool, add_load, digest);
+	add_speeds(cluster->options.pool, digest->speeds, now_ms);
 	usage_each(cluster->options.usage, cluster_wall_ms(cluster), add_usage,
 	    digest);
 	return digest;
--- a/src/digest.c
+++ b/src/digest.c
@@ -11,6 +11,8 @@
 	/* Fields of the first release; later ones follow and are optional. */
 	DIGEST_FIELDS_MIN = 17,
 	DIGEST_DEMAND_INDEX = DIGEST_FIELDS_MIN,
+	DIGEST_RESERVED_INDEX,
+	DIGEST_SPEEDS_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -18,6 +20,9 @@
 	MOVE_FIELDS = 4,
 	CRASH_FIELDS = 4,
 	SURVIVAL_FIELDS = 2,
+	SPEED_FIELDS = 4,
+	/* Factors and weights of speeds are sent as multiples of 1/100. */
+	SPEED_SCALE = 100,
 	EVIDENCE_MAX_BYTES = 16 * 1024,
 	NAME_MAX_BYTES = 256,
 };
@@ -55,6 +60,7 @@
 	digest->moves = g_array_new(FALSE, TRUE, sizeof(digest_move_t));
 	digest->crashes = g_array_new(FALSE, TRUE, sizeof(digest_crash_t));
 	digest->survivals = g_array_new(FALSE, TRUE, sizeof(digest_survival_t));
+	digest->speeds = g_array_new(FALSE, TRUE, sizeof(digest_speed_t));
 	g_array_set_clear_func(digest->moves, move_clear);
 	g_array_set_clear_func(digest->spending, spending_clear);
 	g_array_set_clear_func(digest->usage, usage_clear);
@@ -74,6 +80,7 @@
 	g_array_unref(digest->moves);
 	g_array_unref(digest->crashes);
 	g_array_unref(digest->survivals);
+	g_array_unref(digest->speeds);
 	g_free(digest);
 }
 
@@ -177,6 +184,25 @@
 	}
 }
 
+static void
+pack_speeds(msgpack_packer *packer, const GArray *list)
+{
+	guint count = MIN(list->len, DIGEST_SPEEDS_MAX);
+
+	msgpack_pack_array(packer, count * SPEED_FIELDS);
+	for (guint i = 0; i < count; i++) {
+		const digest_speed_t *item =
+		    &g_array_index(list, digest_speed_t, i);
+
+		msgpack_pack_uint32(packer, item->server_tag);
+		msgpack_pack_uint32(packer, item->process);
+		msgpack_pack_int64(
+		    packer, (int64_t)(item->report.factor * SPEED_SCALE));
+		msgpack_pack_int64(
+		    packer, (int64_t)(item->report.weight * SPEED_SCALE));
+	}
+}
+
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -202,6 +228,8 @@
 	pack_crashes(&packer, digest->crashes);
 	pack_survivals(&packer, digest->survivals);
 	pack_demand(&packer, digest->spending);
+	msgpack_pack_array(&packer, 0); /* DIGEST_RESERVED_INDEX */
+	pack_speeds(&packer, digest->speeds);
 }
 
 static bool
@@ -392,6 +420,34 @@
 	return true;
 }
 
+static bool
+read_speeds(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, SPEED_FIELDS, &member, &count))
+		return false;
+	for (; count > 0; count--, member += SPEED_FIELDS) {
+		digest_speed_t item = {0};
+		int64_t server_tag, process;
+
+		if (!mp_read_int64(&member[0], &server_tag) ||
+		    !mp_read_int64(&member[1], &process) || server_tag < 0 ||
+		    server_tag > UINT32_MAX || process < 0 ||
+		    process > UINT32_MAX ||
+		    !read_double(&member[2], &item.report.factor) ||
+		    !read_double(&member[3], &item.report.weight))
+			return false;
+		item.server_tag = (uint32_t)server_tag;
+		item.process = (uint32_t)process;
+		item.report.factor /= SPEED_SCALE;
+		item.report.weight /= SPEED_SCALE;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
 /* Reads the fields that senders of earlier versions leave out. */
 static bool
 read_optional_fields(const msgpack_object *array, digest_t *digest)
@@ -399,8 +455,11 @@
 	const msgpack_object *fields = array->via.array.ptr;
 	uint32_t count = array->via.array.size;
 
-	return count <= DIGEST_DEMAND_INDEX ||
-	       read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending);
+	if (count > DIGEST_DEMAND_INDEX &&
+	    !read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending))
+		return false;
+	return count <= DIGEST_SPEEDS_INDEX ||
+	       read_speeds(&fields[DIGEST_SPEEDS_INDEX], digest->speeds);
 }
 
 static bool
--- a/src/digest.h
+++ b/src/digest.h
@@ -2,6 +2,7 @@
 #define PAPAYA_DIGEST_H
 
 #include "pool.h"
+#include "server_speed.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -27,6 +28,16 @@
 	server_load_t load;
 } digest_load_t;
 
+/* The sender's evidence on the speed of one process of a server. */
+typedef struct digest_speed {
+	uint32_t server_tag; /* server_tag() of its id */
+	uint32_t process;    /* server_process_hash() */
+	speed_report_t report;
+} digest_speed_t;
+
+/* Most speeds in a digest, so that it fits into one datagram. */
+enum { DIGEST_SPEEDS_MAX = 96 };
+
 typedef struct digest_usage {
 	int64_t window; /* number, see usage.h */
 	char *workspace;
@@ -71,6 +82,7 @@
 	GArray *moves;	   /* of digest_move_t, moves in progress */
 	GArray *crashes;   /* of digest_crash_t */
 	GArray *survivals; /* of digest_survival_t */
+	GArray *speeds;	   /* of digest_speed_t, up to DIGEST_SPEEDS_MAX */
 } digest_t;
 
 digest_t *digest_new(void);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -22,6 +22,9 @@
 	STANDBY_RELAY_INTERVAL_MS = 400,
 	/* From the first node that applies a change to the last one. */
 	CHANGE_DELIVERY_MAX_MS = 800,
+	/* Servers whose speed is in the metrics. */
+	SPEED_GAUGES_MAX = 256,
+	PERCENT = 100,
 };
 
 /*
@@ -204,6 +207,53 @@
 	exchange_unref(exchange);
 }
 
+typedef struct speed_gauges {
+	GString *out;
+	unsigned servers; /* written so far */
+} speed_gauges_t;
+
+static void
+write_server_gauge(server_t *server, void *data)
+{
+	speed_gauges_t *gauges = data;
+
+	if (gauges->servers++ < SPEED_GAUGES_MAX)
+		g_string_append_printf(gauges->out,
+		    "server_time_percent{service=\"%s\",server=\"%s\"} %.0f\n",
+		    server->info->service, server->info->id,
+		    PERCENT * server_speed_factor(&server->speed));
+}
+
+static void
+write_service_gauge(gpointer name, gpointer value, gpointer out)
+{
+	static const char *const labels[SPEED_KINDS] = {
+	    [SPEED_URGENT] = "1", [SPEED_NOT_URGENT] = "0"};
+	const service_times_t *times = value;
+
+	for (int kind = 0; kind < SPEED_KINDS; kind++)
+		g_string_append_printf(out,
+		    "service_time_percent{service=\"%s\",urgent=\"%s\"} "
+		    "%.0f\n",
+		    (const char *)name, labels[kind],
+		    PERCENT * service_speed_factor(&times->speed, kind,
+				  &times->ttft_model, clock_boot_ms()));
+}
+
+/*
+ * Written from the pool, not kept as counters: those of servers that are gone
+ * would stay.
+ */
+static void
+write_speed_gauges(const gateway_t *gateway, GString *out)
+{
+	speed_gauges_t gauges = {.out = out};
+
+	pool_each(gateway->proxy.pool, write_server_gauge, &gauges);
+	g_hash_table_foreach(
+	    gateway->proxy.service_times, write_service_gauge, out);
+}
+
 static void
 on_metrics(exchange_t *exchange, void *data)
 {
@@ -212,6 +262,7 @@
 	GString *body = g_string_new(NULL);
 
 	counters_write(gateway->proxy.counters, body);
+	write_speed_gauges(gateway, body);
 	exchange_reply(exchange, 200, type, body->str, body->len);
 	g_string_free(body, TRUE);
 	exchange_unref(exchange);
@@ -373,6 +424,7 @@
 		update_gauges(gateway, now_ms);
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
+	proxy_update_overdue(&gateway->proxy, now_ms);
 	proxy_migrate_streams(&gateway->proxy, now_ms);
 	if (gateway->drain.started_ms != 0)
 		check_drain(gateway, now_ms);
@@ -451,7 +503,7 @@
 	    .budget = retry_budget_new(&retry_limits),
 	    .usage = usage_new(bounds->usage_window_ms),
 	    .prefixes = prefix_cache_new(),
-	    .ttft_models =
+	    .service_times =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free),
 	    .counters = counters_new(),
 	};
--- a/src/pick.c
+++ b/src/pick.c
@@ -12,8 +12,6 @@
 	FAILURE_PENALTY_MS = 600,
 	/* Scale of the penalty for memory use beyond memory_soft_limit. */
 	MEMORY_PENALTY_MS = 400,
-	/* Latency assumed for a plain server before its first response. */
-	PLAIN_LATENCY_DEFAULT_MS = 50,
 	OTHER_ZONE_PENALTY_MS = 1,
 	/* Makes all nodes choose the same server for a new prompt. */
 	PREFERRED_BONUS_MS = 4,
@@ -174,25 +172,44 @@
 	return waiting_tokens(server);
 }
 
+/* Time to the first token, for the tokens read up to it, at this server. */
+static double
+first_token_ms(const pick_query_t *query, const server_t *server, double tokens)
+{
+	double service_factor =
+	    query->service_factor > 0 ? query->service_factor : 1;
+
+	return service_factor * server_speed_factor(&server->speed) *
+	       ttft_model_predict_ms(query->ttft_model, tokens);
+}
+
 static double
 engine_ms(const pick_query_t *query, const server_t *server, double tokens)
 {
-	return ttft_model_predict_ms(query->ttft_model, tokens) +
-	       queue_ms(server, query->service->batch_size) +
+	return first_token_ms(query, server, tokens) +
+	       server_speed_factor(&server->speed) *
+		   queue_ms(server, query->service->batch_size) +
 	       memory_penalty_ms(query, server);
 }
 
 static double
-plain_ms(const server_t *server)
+plain_ms(const pick_query_t *query, const server_t *server)
 {
-	double latency = server->latency_ms > 0 ? server->latency_ms
-						: PLAIN_LATENCY_DEFAULT_MS;
-	unsigned running = server_in_flight(server);
-	unsigned slots = server->info->slots;
+	return server_speed_factor(&server->speed) *
+	       plain_model_predict_ms(query->plain_model,
+		   server_in_flight(server), server->info->slots);
+}
 
-	if (running < slots)
-		return latency + (double)running / slots;
-	return latency * (1 + (double)(running - slots + 1) / slots);
+/*
+ * Penalty of a plain server for the portion of its slots in use, in proportion
+ * to its response time: servers of equal speed get equal numbers of requests,
+ * and a faster one more, before it is full.
+ */
+static double
+plain_usage_ms(const server_t *server, double expected_ms)
+{
+	return expected_ms * server_in_flight(server) /
+	       MAX(server->info->slots, 1);
 }
 
 /* Penalty of the shared segments that a server has not cached. */
@@ -207,12 +224,16 @@
 	return is_preferred ? 0 : duplicate_token_ms * (shared - cached);
 }
 
-/* Expected time to the first token at an idle engine. */
+/*
+ * Expected time to the first token at the engine if it were idle. The service's
+ * factor is left out: it comes from load that the model does not know yet.
+ */
 static double
-unloaded_ms(const pick_query_t *query, double tokens)
+unloaded_ms(const pick_query_t *query, const server_t *server, double tokens)
 {
 	return query->service != NULL && query->service->is_engine
-		   ? ttft_model_predict_ms(query->ttft_model, tokens)
+		   ? server_speed_factor(&server->speed) *
+			 ttft_model_predict_ms(query->ttft_model, tokens)
 		   : 0;
 }
 
@@ -225,9 +246,8 @@
 	    started_prefill_share *
 	    (waiting_tokens(server) - queued_tokens(query, server));
 
-	return ttft_model_predict_ms(
-		   query->ttft_model, prefill + MAX(started, 0)) -
-	       ttft_model_predict_ms(query->ttft_model, prefill);
+	return first_token_ms(query, server, prefill + MAX(started, 0)) -
+	       first_token_ms(query, server, prefill);
 }
 
 /* Costs of a server that are not part of its estimated time. */
@@ -284,16 +304,16 @@
 			       : 0;
 		prefill = uncached + queued_tokens(query, server);
 		expected = is_engine ? engine_ms(query, server, prefill)
-				     : plain_ms(server);
+				     : plain_ms(query, server);
 		cost = expected + penalty_ms(query, server, is_preferred);
-		if (is_engine)
-			cost += started_prefill_ms(query, server, prefill);
+		cost += is_engine ? started_prefill_ms(query, server, prefill)
+				  : plain_usage_ms(server, expected);
 		if (cost >= best_cost)
 			continue;
 		best_cost = cost;
 		choice.server = server;
 		choice.expected_ms = expected;
-		choice.unloaded_ms = unloaded_ms(query, uncached);
+		choice.unloaded_ms = unloaded_ms(query, server, uncached);
 		choice.uncached_tokens = uncached;
 		choice.prefill_tokens = prefill;
 	}
--- a/src/pick.h
+++ b/src/pick.h
@@ -2,8 +2,10 @@
 #define PAPAYA_PICK_H
 
 #include "catalog.h"
+#include "plain_model.h"
 #include "pool.h"
 #include "prefix.h"
+#include "server_speed.h"
 #include "ttft_model.h"
 
 #include <glib.h>
@@ -19,6 +21,8 @@
 	const GPtrArray *tried;		  /* by this request before; or NULL */
 	const prefix_cache_t *prefixes;
 	const ttft_model_t *ttft_model; /* NULL: not an engine */
+	double service_factor;		/* on the model's estimates; 0: as 1 */
+	const plain_model_t *plain_model; /* NULL: unknown, or an engine */
 	bool urgent;	  /* engines read its prompt before others */
 	const char *zone; /* of this node */
 	int64_t now_ms;	  /* clock_boot_ms() */
--- a/src/pool.h
+++ b/src/pool.h
@@ -2,6 +2,7 @@
 #define PAPAYA_POOL_H
 
 #include "server.h"
+#include "server_speed.h"
 #include "upstream.h"
 
 #include <glib.h>
@@ -38,7 +39,8 @@
 	int64_t leaving_since_ms; /* its first response to say so; 0: none */
 	server_load_t local_load; /* of this node's requests */
 	server_load_t peer_load;  /* sum over the digests of other nodes */
-	double failure_rate;	  /* of recent requests, 0 to 1 */
+	server_speed_t speed;
+	double failure_rate;	       /* of recent requests, 0 to 1 */
 	unsigned consecutive_failures; /* SERVER_UNREACHABLE */
 	int64_t backoff_until_ms;      /* gets no requests until then */
 	int64_t paused_until_ms; /* the server has asked for no requests */
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -5,11 +5,14 @@
 #include "cluster.h"
 #include "counter.h"
 #include "http1_server.h"
+#include "plain_model.h"
 #include "pool.h"
 #include "prefix.h"
 #include "quota.h"
 #include "retry_budget.h"
 #include "rollouts.h"
+#include "server_speed.h"
+#include "ttft_model.h"
 #include "usage.h"
 
 #include <stdbool.h>
@@ -23,6 +26,13 @@
  * request, retries it where allowed, and forwards the response.
  */
 
+/* What this node has learned of the times that a service's servers take. */
+typedef struct service_times {
+	ttft_model_t ttft_model;   /* engines */
+	service_speed_t speed;	   /* engines */
+	plain_model_t plain_model; /* other servers */
+} service_times_t;
+
 /* Members are borrowed and outlive every request. */
 typedef struct proxy_context {
 	uv_loop_t *loop;
@@ -32,7 +42,7 @@
 	retry_budget_t *budget;
 	usage_t *usage;
 	prefix_cache_t *prefixes;
-	GHashTable *ttft_models; /* name (char *) to ttft_model_t *, owns */
+	GHashTable *service_times; /* name to service_times_t *, owns both */
 	cluster_t *cluster;
 	rollouts_t *rollouts;
 	crash_guard_t *crash_guard;
@@ -54,6 +64,12 @@
  */
 void proxy_end_all(proxy_context_t *context);
 
+/*
+ * Makes the prompts that wait for their first token longer than estimated
+ * evidence on their service's speed. Called periodically.
+ */
+void proxy_update_overdue(proxy_context_t *context, int64_t now_ms);
+
 /* Migrates streams from engines that are about to leave. */
 void proxy_migrate_streams(proxy_context_t *context, int64_t now_ms);
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -78,6 +78,7 @@
 	req->uncached_tokens = choice->uncached_tokens;
 	req->prefill_tokens = choice->prefill_tokens;
 	req->expected_ttft_ms = choice->expected_ms;
+	req->running_before = server_in_flight(choice->server);
 	req->awaiting_response = true;
 	req->attempt_start_ms = clock_boot_ms();
 	req->first_byte_ms = 0;
@@ -139,16 +140,21 @@
 pick_among(proxy_request_t *req, const GPtrArray *servers)
 {
 	proxy_context_t *context = req->context;
+	const service_times_t *times = proxy_service_times(req);
+	int64_t now_ms = clock_boot_ms();
 	pick_query_t query = {
 	    .facts = &req->facts,
 	    .service = req->service,
 	    .servers = servers,
 	    .tried = req->tried,
 	    .prefixes = context->prefixes,
-	    .ttft_model = proxy_ttft_model(req),
+	    .ttft_model = &times->ttft_model,
+	    .service_factor = service_speed_factor(&times->speed,
+		proxy_speed_kind(req), &times->ttft_model, now_ms),
+	    .plain_model = &times->plain_model,
 	    .urgent = req->urgent,
 	    .zone = context->zone,
-	    .now_ms = clock_boot_ms(),
+	    .now_ms = now_ms,
 	    .random = g_random_int(),
 	};
 
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -13,17 +13,31 @@
 		    cluster_wall_ms(req->context->cluster));
 }
 
-ttft_model_t *
-proxy_ttft_model(const proxy_request_t *req)
+service_times_t *
+proxy_service_times(const proxy_request_t *req)
 {
-	GHashTable *models = req->context->ttft_models;
-	ttft_model_t *model = g_hash_table_lookup(models, req->service_name);
-
-	if (model == NULL) {
-		model = g_new0(ttft_model_t, 1);
-		g_hash_table_insert(models, g_strdup(req->service_name), model);
+	GHashTable *services = req->context->service_times;
+	service_times_t *times =
+	    g_hash_table_lookup(services, req->service_name);
+
+	if (times == NULL) {
+		times = g_new0(service_times_t, 1);
+		g_hash_table_insert(
+		    services, g_strdup(req->service_name), times);
 	}
-	return model;
+	return times;
+}
+
+speed_kind_t
+proxy_speed_kind(const proxy_request_t *req)
+{
+	return req->urgent ? SPEED_URGENT : SPEED_NOT_URGENT;
+}
+
+static bool
+is_at_engine(const proxy_request_t *req)
+{
+	return req->service != NULL && req->service->is_engine;
 }
 
 /*
@@ -36,10 +50,10 @@
 {
 	double expected_ms;
 
-	if (req->service == NULL || !req->service->is_engine)
+	if (!is_at_engine(req))
 		return ttft_ms;
-	expected_ms =
-	    ttft_model_predict_ms(proxy_ttft_model(req), req->prefill_tokens);
+	expected_ms = ttft_model_predict_ms(
+	    &proxy_service_times(req)->ttft_model, req->prefill_tokens);
 	return PERCENT * ttft_ms / MAX(expected_ms, 1);
 }
 
@@ -61,6 +75,70 @@
 		    req->trial.revision, &attempt);
 }
 
+/* A server that warms up shows nothing of its later speed. */
+static void
+record_server_speed(
+    proxy_request_t *req, double taken_ms, double expected_ms, int64_t now_ms)
+{
+	if (!server_is_warming_up(req->server, now_ms))
+		server_speed_add(
+		    &req->server->speed, taken_ms, expected_ms, now_ms);
+}
+
+/* The estimates are those before this sample, without the server's factor. */
+static void
+record_engine_times(proxy_request_t *req, double ttft_ms, int64_t now_ms)
+{
+	service_times_t *times = proxy_service_times(req);
+	ttft_model_t *model = &times->ttft_model;
+	speed_kind_t kind = proxy_speed_kind(req);
+	double service_factor =
+	    service_speed_factor(&times->speed, kind, model, now_ms);
+
+	record_server_speed(req, ttft_ms,
+	    service_factor * ttft_model_predict_ms(model, req->prefill_tokens),
+	    now_ms);
+	service_speed_add(
+	    &times->speed, kind, model, req->prefill_tokens, ttft_ms, now_ms);
+	ttft_model_add(model, req->prefill_tokens, ttft_ms);
+}
+
+static void
+record_plain_times(proxy_request_t *req, double taken_ms, int64_t now_ms)
+{
+	plain_model_t *model = &proxy_service_times(req)->plain_model;
+	unsigned slots = req->server->info->slots;
+
+	record_server_speed(req, taken_ms,
+	    plain_model_predict_ms(model, req->running_before, slots), now_ms);
+	plain_model_add(model, req->running_before, slots, taken_ms);
+}
+
+static void
+clear_overdue(gpointer name, gpointer times, gpointer data)
+{
+	service_speed_clear_overdue(&((service_times_t *)times)->speed);
+}
+
+void
+proxy_update_overdue(proxy_context_t *context, int64_t now_ms)
+{
+	proxy_request_t *req;
+
+	g_hash_table_foreach(context->service_times, clear_overdue, NULL);
+	TAILQ_FOREACH (req, &context->requests, entries) {
+		service_times_t *times;
+
+		if (!req->awaiting_response || !is_at_engine(req))
+			continue;
+		times = proxy_service_times(req);
+		service_speed_add_waiting(&times->speed, proxy_speed_kind(req),
+		    &times->ttft_model, &req->server->speed,
+		    req->prefill_tokens,
+		    (double)(now_ms - req->attempt_start_ms), now_ms);
+	}
+}
+
 void
 proxy_record_first_byte(proxy_request_t *req)
 {
@@ -76,9 +154,10 @@
 	ttft_ms = (double)(now_ms - req->attempt_start_ms);
 	proxy_record_rollout_attempt(req, true, ttft_ms);
 	req->ttft_ms = now_ms - req->received_ms;
-	if (req->service != NULL && req->service->is_engine)
-		ttft_model_add(
-		    proxy_ttft_model(req), req->prefill_tokens, ttft_ms);
+	if (is_at_engine(req))
+		record_engine_times(req, ttft_ms, now_ms);
+	else
+		record_plain_times(req, ttft_ms, now_ms);
 	server_record_outcome(req->server, SERVER_SERVED, ttft_ms, now_ms);
 }
 
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -66,6 +66,7 @@
 	double uncached_tokens;	 /* of the prompt, not in the server's cache */
 	double prefill_tokens;	 /* to prefill before the first token */
 	double expected_ttft_ms; /* estimate when the request was sent */
+	unsigned running_before; /* at the server when it was sent */
 	int64_t retry_after_ms;	 /* Retry-After of the response; -1: none */
 	/* From receipt to the first event or the response; -1: none yet. */
 	int64_t ttft_ms;
@@ -136,8 +137,10 @@
 void proxy_send(proxy_request_t *req, const pick_choice_t *choice);
 
 /* proxy_record.c: what an attempt shows of its server and its prompt. */
-/* The service's model of the time to first token; created on first use. */
-ttft_model_t *proxy_ttft_model(const proxy_request_t *req);
+/* The times of the request's service; created on first use. */
+service_times_t *proxy_service_times(const proxy_request_t *req);
+/* Which of the service's factors applies to the request. */
+speed_kind_t proxy_speed_kind(const proxy_request_t *req);
 /*
  * Records the outcome of the current attempt as evidence for the service's
  * rollout, if one runs. ttft_ms is used where ok is true.
