Test speeds of servers in simulations, digests and clusters

The records of a service's times move to service_times, so that the simulation of engines uses them as the proxy does. The service's memory becomes 500 ms (700 ms before) and its prior 2 requests (3 before).

test_cluster: send_digest() is split, since speeds are sent too; the checks of the existing tests are unchanged.

--- a/src/digest.c
+++ b/src/digest.c
@@ -197,9 +197,9 @@
 		msgpack_pack_uint32(packer, item->server_tag);
 		msgpack_pack_uint32(packer, item->process);
 		msgpack_pack_int64(
-		    packer, (int64_t)(item->report.factor * SPEED_SCALE));
+		    packer, llround(item->report.factor * SPEED_SCALE));
 		msgpack_pack_int64(
-		    packer, (int64_t)(item->report.weight * SPEED_SCALE));
+		    packer, llround(item->report.weight * SPEED_SCALE));
 	}
 }
 
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -5,14 +5,12 @@
 #include "cluster.h"
 #include "counter.h"
 #include "http1_server.h"
-#include "plain_model.h"
 #include "pool.h"
 #include "prefix.h"
 #include "quota.h"
 #include "retry_budget.h"
 #include "rollouts.h"
-#include "server_speed.h"
-#include "ttft_model.h"
+#include "service_times.h"
 #include "usage.h"
 
 #include <stdbool.h>
@@ -26,13 +24,6 @@
  * request, retries it where allowed, and forwards the response.
  */
 
-/* What this node has learned of the times that a service's servers take. */
-typedef struct service_times {
-	ttft_model_t ttft_model;   /* engines */
-	service_speed_t speed;	   /* engines */
-	plain_model_t plain_model; /* other servers */
-} service_times_t;
-
 /* Members are borrowed and outlive every request. */
 typedef struct proxy_context {
 	uv_loop_t *loop;
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -75,43 +75,20 @@
 		    req->trial.revision, &attempt);
 }
 
-/* A server that warms up shows nothing of its later speed. */
 static void
-record_server_speed(
-    proxy_request_t *req, double taken_ms, double expected_ms, int64_t now_ms)
-{
-	if (!server_is_warming_up(req->server, now_ms))
-		server_speed_add(
-		    &req->server->speed, taken_ms, expected_ms, now_ms);
-}
-
-/* The estimates are those before this sample, without the server's factor. */
-static void
-record_engine_times(proxy_request_t *req, double ttft_ms, int64_t now_ms)
+record_times(proxy_request_t *req, double taken_ms, int64_t now_ms)
 {
 	service_times_t *times = proxy_service_times(req);
-	ttft_model_t *model = &times->ttft_model;
-	speed_kind_t kind = proxy_speed_kind(req);
-	double service_factor =
-	    service_speed_factor(&times->speed, kind, model, now_ms);
-
-	record_server_speed(req, ttft_ms,
-	    service_factor * ttft_model_predict_ms(model, req->prefill_tokens),
-	    now_ms);
-	service_speed_add(
-	    &times->speed, kind, model, req->prefill_tokens, ttft_ms, now_ms);
-	ttft_model_add(model, req->prefill_tokens, ttft_ms);
-}
-
-static void
-record_plain_times(proxy_request_t *req, double taken_ms, int64_t now_ms)
-{
-	plain_model_t *model = &proxy_service_times(req)->plain_model;
-	unsigned slots = req->server->info->slots;
+	server_t *server = req->server;
+	server_speed_t *speed =
+	    server_is_warming_up(server, now_ms) ? NULL : &server->speed;
 
-	record_server_speed(req, taken_ms,
-	    plain_model_predict_ms(model, req->running_before, slots), now_ms);
-	plain_model_add(model, req->running_before, slots, taken_ms);
+	if (is_at_engine(req))
+		service_times_add_prompt(times, speed, proxy_speed_kind(req),
+		    req->prefill_tokens, taken_ms, now_ms);
+	else
+		service_times_add_response(times, speed, req->running_before,
+		    server->info->slots, taken_ms, now_ms);
 }
 
 static void
@@ -154,10 +131,7 @@
 	ttft_ms = (double)(now_ms - req->attempt_start_ms);
 	proxy_record_rollout_attempt(req, true, ttft_ms);
 	req->ttft_ms = now_ms - req->received_ms;
-	if (is_at_engine(req))
-		record_engine_times(req, ttft_ms, now_ms);
-	else
-		record_plain_times(req, ttft_ms, now_ms);
+	record_times(req, ttft_ms, now_ms);
 	server_record_outcome(req->server, SERVER_SERVED, ttft_ms, now_ms);
 }
 
--- a/src/server_speed.c
+++ b/src/server_speed.c
@@ -10,7 +10,7 @@
 	 */
 	SERVER_MEMORY_MS = 10000,
 	/* The same for the service, which must follow within a second. */
-	SERVICE_MEMORY_MS = 700,
+	SERVICE_MEMORY_MS = 500,
 	/* Overdue prompts of one server that count for its service. */
 	OVERDUE_PER_SERVER = 3,
 };
@@ -18,7 +18,7 @@
 /* Weight of the assumption that a server is like the others. */
 static const double server_prior = 10;
 /* Weight of the assumption that the service's model is right. */
-static const double service_prior = 3;
+static const double service_prior = 2;
 
 /* Bounds of one request's time relative to its estimate. */
 static const double min_sample = 0.1;
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -13,7 +13,7 @@
 /* A node whose peers are digests sent by the test over the loopback. */
 
 enum {
-	TESTS = 3,
+	TESTS = 5,
 	NODES = 7,
 	RATE = 10000,
 	BURST = 10000,
@@ -21,12 +21,16 @@
 	WAIT_MS = 100,
 	US_PER_MS = 1000,
 	MINUTE_MS = 60000,
+	/* A peer's report of a speed is too old after 2 s. */
+	REPORT_TIMEOUT_MS = 2100,
+	STARTED_MS = 12345, /* of the server */
 };
 
 /* A cluster cannot be stopped, so each test starts another one. */
 static struct node {
 	uv_loop_t loop;
 	gateway_config_t config;
+	pool_t *pool;
 	quota_t *quota;
 	cluster_t *cluster;
 } nodes_under_test[TESTS], *node = nodes_under_test;
@@ -74,10 +78,11 @@
 	    .ip = "127.0.0.1",
 	    .client_address = "127.0.0.1:1",
 	    .peer_port = port};
+	node->pool = pool_new(&node->loop, WINDOW_MS);
 	node->quota = quota_new(&(quota_options_t){.window_ms = WINDOW_MS});
 	node->cluster = cluster_start(&node->loop,
 	    &(cluster_options_t){.config = &node->config,
-		.pool = pool_new(&node->loop, WINDOW_MS),
+		.pool = node->pool,
 		.quota = node->quota,
 		.usage = usage_new(WINDOW_MS),
 		.crash_guard = crash_guard_new(),
@@ -129,34 +134,57 @@
 }
 END_TEST
 
-/* Sends a digest of a peer that started uptime_ms ago. */
-static void
-send_digest(double spent_units, double peer_level, int64_t uptime_ms)
+/* A digest of a peer that started uptime_ms ago. */
+static digest_t *
+peer_digest(int64_t uptime_ms)
 {
-	struct sockaddr_in address = {.sin_family = AF_INET,
-	    .sin_port = htons((uint16_t)node->config.peer_port)};
-	digest_spending_t spending = {.workspace = g_strdup("depot"),
-	    .spent_units = spent_units,
-	    .bucket_level = peer_level};
 	digest_t *digest = digest_new();
-	GByteArray *bytes = g_byte_array_new();
 
 	digest->node = g_strdup("n1");
 	digest->client_address = g_strdup("127.0.0.1:2");
 	digest->incarnation = clock_wall_ms() - uptime_ms;
 	digest->sequence = 1;
-	g_array_append_val(digest->spending, spending);
+	return digest;
+}
+
+/* Lets the cluster run its timer and read datagrams. */
+static void
+run_after(int64_t wait_ms)
+{
+	g_usleep((gulong)wait_ms * US_PER_MS);
+	uv_run(&node->loop, UV_RUN_NOWAIT);
+}
+
+/* Takes ownership of digest. */
+static void
+send_digest(digest_t *digest)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET,
+	    .sin_port = htons((uint16_t)node->config.peer_port)};
+	GByteArray *bytes = g_byte_array_new();
+
 	digest_encode(digest, bytes);
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	ck_assert_int_eq(sendto(peer_socket, bytes->data, bytes->len, 0,
 			     (struct sockaddr *)&address, sizeof(address)),
 	    (int)bytes->len);
-	g_usleep(WAIT_MS * US_PER_MS);
-	uv_run(&node->loop, UV_RUN_NOWAIT);
+	run_after(WAIT_MS);
 	g_byte_array_unref(bytes);
 	digest_free(digest);
 }
 
+static void
+send_spending(double spent_units, double peer_level, int64_t uptime_ms)
+{
+	digest_spending_t spending = {.workspace = g_strdup("depot"),
+	    .spent_units = spent_units,
+	    .bucket_level = peer_level};
+	digest_t *digest = peer_digest(uptime_ms);
+
+	g_array_append_val(digest->spending, spending);
+	send_digest(digest);
+}
+
 static void
 store_level(const quota_state_t *state, void *data)
 {
@@ -175,7 +203,7 @@
 /* Guards against ignoring the spending of nodes that start together. */
 START_TEST(spending_of_a_peer_started_together_is_applied)
 {
-	send_digest(5000, 0, 0);
+	send_spending(5000, 0, 0);
 	ck_assert_double_lt(bucket_level(), 0);
 }
 END_TEST
@@ -186,11 +214,71 @@
  */
 START_TEST(bucket_level_of_an_older_peer_is_adopted)
 {
-	send_digest(1e9, 4000, MINUTE_MS);
+	send_spending(1e9, 4000, MINUTE_MS);
 	ck_assert_double_ge(bucket_level(), 4000);
 }
 END_TEST
 
+static void
+put_server(int64_t started_ms)
+{
+	server_info_t *info = g_new0(server_info_t, 1);
+
+	info->id = g_strdup("i-0");
+	info->service = g_strdup("s");
+	info->address = g_strdup("127.0.0.1:9");
+	info->zone = g_strdup("z");
+	info->version = g_strdup("v1");
+	info->shutdown_in_ms = -1;
+	info->started_ms = started_ms;
+	pool_put(node->pool, info, clock_boot_ms());
+}
+
+static server_t *
+known_server(void)
+{
+	return pool_find(node->pool, server_tag("i-0"));
+}
+
+/* Sends a peer's report that the server takes three times as long. */
+static void
+send_speed(void)
+{
+	digest_t *digest = peer_digest(0);
+	digest_speed_t speed = {.server_tag = server_tag("i-0"),
+	    .process = server_process_hash(known_server()->info),
+	    .report = {.factor = 3, .weight = 100}};
+
+	g_array_append_val(digest->speeds, speed);
+	send_digest(digest);
+	run_after(2 * WAIT_MS);
+	ck_assert_double_gt(server_speed_factor(&known_server()->speed), 2);
+}
+
+/* Guards against the last report of a peer that is gone or cut off. */
+START_TEST(old_report_of_a_speed_is_ignored)
+{
+	put_server(STARTED_MS);
+	send_speed();
+	run_after(REPORT_TIMEOUT_MS);
+	ck_assert_double_eq(server_speed_factor(&known_server()->speed), 1);
+}
+END_TEST
+
+/*
+ * Guards against a peer that has not heard of the replacement of a server and
+ * reports the speed of the process before.
+ */
+START_TEST(report_on_a_replaced_server_is_ignored)
+{
+	put_server(STARTED_MS);
+	send_speed();
+	put_server(STARTED_MS + 1);
+	run_after(2 * WAIT_MS);
+	ck_assert_double_eq(server_speed_factor(&known_server()->speed), 1);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -202,6 +290,8 @@
 	    cases, registered_nodes_reduce_the_quota_share_at_startup);
 	tcase_add_test(cases, spending_of_a_peer_started_together_is_applied);
 	tcase_add_test(cases, bucket_level_of_an_older_peer_is_adopted);
+	tcase_add_test(cases, old_report_of_a_speed_is_ignored);
+	tcase_add_test(cases, report_on_a_replaced_server_is_ignored);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
