--- a/src/proxy.h
+++ b/src/proxy.h
@@ -57,7 +57,7 @@
 
 /*
  * Makes the prompts that wait for their first token longer than estimated
- * evidence on their service's speed. Called periodically.
+ * evidence on their service's speed, and logs its changes. Called periodically.
  */
 void proxy_update_overdue(proxy_context_t *context, int64_t now_ms);
 
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -1,6 +1,7 @@
 #include "proxy_state.h"
 
 #include "clock.h"
+#include "log.h"
 #include "proxy_log.h"
 
 enum { PERCENT = 100 };
@@ -97,6 +98,24 @@
 	service_speed_clear_overdue(&((service_times_t *)times)->speed);
 }
 
+static void
+log_service_speed(gpointer name, gpointer data, gpointer now_ms)
+{
+	service_times_t *times = data;
+
+	for (int kind = 0; kind < SPEED_KINDS; kind++) {
+		double factor = service_speed_factor(&times->speed, kind,
+		    &times->ttft_model, *(int64_t *)now_ms);
+
+		if (service_times_update_slow(times, kind, factor))
+			log_event(LOG_LEVEL_INFO,
+			    times->slow[kind] ? "service.slow"
+					      : "service.normal",
+			    "service=%s urgent=%d factor=%.2f",
+			    (const char *)name, kind == SPEED_URGENT, factor);
+	}
+}
+
 void
 proxy_update_overdue(proxy_context_t *context, int64_t now_ms)
 {
@@ -114,6 +133,8 @@
 		    req->prefill_tokens,
 		    (double)(now_ms - req->attempt_start_ms), now_ms);
 	}
+	g_hash_table_foreach(
+	    context->service_times, log_service_speed, &now_ms);
 }
 
 void
--- a/src/service_times.c
+++ b/src/service_times.c
@@ -2,6 +2,10 @@
 
 #include <stddef.h>
 
+/* Factors from which a service counts as slow, and below which no longer. */
+static const double slow_factor = 1.5;
+static const double normal_factor = 1.2;
+
 /*
  * Estimates are those before the sample. They leave out the server's own
  * factor, and include the service's: what all servers share says nothing of
@@ -34,3 +38,13 @@
 		    plain_model_predict_ms(model, running, slots), now_ms);
 	plain_model_add(model, running, slots, taken_ms);
 }
+
+bool
+service_times_update_slow(
+    service_times_t *times, speed_kind_t kind, double factor)
+{
+	bool was_slow = times->slow[kind];
+
+	times->slow[kind] = factor >= (was_slow ? normal_factor : slow_factor);
+	return times->slow[kind] != was_slow;
+}
--- a/src/service_times.h
+++ b/src/service_times.h
@@ -5,6 +5,7 @@
 #include "server_speed.h"
 #include "ttft_model.h"
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /*
@@ -16,6 +17,7 @@
 	ttft_model_t ttft_model;   /* engines */
 	service_speed_t speed;	   /* engines */
 	plain_model_t plain_model; /* other servers */
+	bool slow[SPEED_KINDS];	   /* as last reported in the log */
 } service_times_t;
 
 /*
@@ -33,4 +35,11 @@
 void service_times_add_response(service_times_t *times, server_speed_t *server,
     unsigned running, unsigned slots, double taken_ms, int64_t now_ms);
 
+/*
+ * Updates slow[kind] by the service's factor. True where it has changed, which
+ * takes more than a small change of the factor.
+ */
+bool service_times_update_slow(
+    service_times_t *times, speed_kind_t kind, double factor);
+
 #endif
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -103,6 +103,23 @@
 }
 END_TEST
 
+/* Guards against speeds that operators cannot see. */
+START_TEST(metrics_show_the_speed_of_a_server)
+{
+	static const char *const name =
+	    "server_time_percent{service=\"plain\",server=\"i-1\"}";
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/read/a", backend_listener_1);
+
+	ck_assert_double_eq(gateway_metric(gateway_node, name), 100);
+	g_usleep(SETTLE_US); /* longer than is assumed of an unknown server */
+	send_response(exchange.server_fd, "200 OK", "id-1", "late");
+	ck_assert_uint_eq(read_status(exchange.client_fd), 200);
+	ck_assert_double_gt(gateway_metric(gateway_node, name), 100);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /*
  * Guards against a booking that runs twice: its server closes the connection
  * after it has read the request, and the gateway retries at another server.
@@ -683,6 +700,7 @@
 	tcase_add_checked_fixture(
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, request_and_response_are_forwarded);
+	tcase_add_test(cases, metrics_show_the_speed_of_a_server);
 	tcase_add_test(cases, response_without_length_is_framed_for_the_client);
 	tcase_add_test(cases, possibly_executed_booking_is_not_retried);
 	tcase_add_test(cases, not_executed_request_is_refused_with_retry_after);
--- a/tests/test_server_speed.c
+++ b/tests/test_server_speed.c
@@ -177,6 +177,21 @@
 }
 END_TEST
 
+/* Guards against a log line for each small change. */
+START_TEST(slow_service_is_reported_once)
+{
+	static const double factors[] = {1.4, 1.6, 1.4, 1.6, 1.3, 1.1, 1.3};
+	service_times_t times = {0};
+	unsigned changes = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(factors); i++)
+		changes +=
+		    service_times_update_slow(&times, SPEED_URGENT, factors[i]);
+	ck_assert_uint_eq(changes, 2);
+	ck_assert(!times.slow[SPEED_URGENT]);
+}
+END_TEST
+
 /* An engine that reads one prompt after the other. */
 typedef struct engine {
 	double speed;
@@ -602,6 +617,7 @@
 	tcase_add_test(cases, factor_is_relative_to_the_current_model);
 	tcase_add_test(
 	    cases, hanging_server_does_not_slow_down_the_estimates_of_others);
+	tcase_add_test(cases, slow_service_is_reported_once);
 	tcase_add_test(cases, work_is_spread_by_speed);
 	tcase_add_test(cases, short_slow_spells_do_not_exclude_a_server);
 	tcase_add_test(
