Refuse requests that can wait while urgent ones are late

For ten seconds kern-queries (the kind that can wait) were taken at 600 a second and answered after 1.8 to 2.0 s, and urgent prompts waited 1 s for their first token, objective 0.8 s.

Each node counts its urgent requests that miss their objective by waiting, and those that its peers report, and admits fewer of the others until fewer than a tenth is late; by fair shares over workspaces.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -290,6 +290,44 @@
 	g_hash_table_unref(sums);
 }
 
+/* Sums what peers report of the urgent requests to each service. */
+static void
+sum_urgent(cluster_t *cluster, int64_t now_ms)
+{
+	/* Keys are borrowed from the digests. */
+	GHashTable *sums =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	GHashTableIter iter;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cluster_peer_t *peer = value;
+
+		if (peer->digest == NULL ||
+		    now_ms - peer->last_digest_ms > LOAD_MAX_AGE_MS)
+			continue;
+		for (guint i = 0; i < peer->digest->urgent->len; i++) {
+			const digest_urgent_t *item = &g_array_index(
+			    peer->digest->urgent, digest_urgent_t, i);
+			overload_counts_t *sum =
+			    g_hash_table_lookup(sums, item->service);
+
+			if (sum == NULL) {
+				sum = g_new0(overload_counts_t, 1);
+				g_hash_table_insert(sums, item->service, sum);
+			}
+			sum->on_time += item->counts.on_time;
+			sum->late += item->counts.late;
+		}
+	}
+	g_hash_table_iter_init(&iter, sums);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		overload_set_remote(cluster->options.overload, key,
+		    *(overload_counts_t *)value, now_ms);
+	g_hash_table_unref(sums);
+}
+
 /* Reserves the quota shares of registered peers that are unreachable. */
 static void
 update_liveness(cluster_t *cluster, int64_t now_ms)
@@ -357,6 +395,7 @@
 		update_liveness(cluster, now_ms);
 		sum_peer_loads(cluster, now_ms);
 		sum_demand(cluster, now_ms);
+		sum_urgent(cluster, now_ms);
 	}
 	if (cluster_is_isolated(cluster))
 		cluster_broadcast_digest(cluster);
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -3,6 +3,7 @@
 
 #include "crash_guard.h"
 #include "gateway_config.h"
+#include "overload.h"
 #include "pool.h"
 #include "quota.h"
 #include "relay.h"
@@ -23,11 +24,12 @@
 
 typedef struct cluster_options {
 	const gateway_config_t *config; /* borrowed */
-	pool_t *pool;			/* borrowed, as the next four */
+	pool_t *pool;			/* borrowed, as the next five */
 	quota_t *quota;
 	usage_t *usage;
 	rollouts_t *rollouts;
 	crash_guard_t *crash_guard;
+	overload_t *overload;
 	/* A peer reports a newer configuration than this node has. */
 	void (*on_newer_configuration)(void *data);
 	/*
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -104,6 +104,15 @@
 	g_array_append_val(digest->usage, item);
 }
 
+static void
+add_urgent(const char *service, overload_counts_t counts, void *data)
+{
+	digest_t *digest = data;
+	digest_urgent_t item = {.service = g_strdup(service), .counts = counts};
+
+	g_array_append_val(digest->urgent, item);
+}
+
 /*
  * Nodes on standby need neither loads nor usage; those of their own requests
  * matter to the leader only.
@@ -131,6 +140,7 @@
 	if (brief)
 		return digest;
 	pool_each(cluster->options.pool, add_load, digest);
+	overload_each(cluster->options.overload, now_ms, add_urgent, digest);
 	usage_each(cluster->options.usage, cluster_wall_ms(cluster), add_usage,
 	    digest);
 	return digest;
--- a/src/digest.c
+++ b/src/digest.c
@@ -11,6 +11,7 @@
 	/* Fields of the first release; later ones follow and are optional. */
 	DIGEST_FIELDS_MIN = 17,
 	DIGEST_DEMAND_INDEX = DIGEST_FIELDS_MIN,
+	DIGEST_URGENT_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -18,6 +19,7 @@
 	MOVE_FIELDS = 4,
 	CRASH_FIELDS = 4,
 	SURVIVAL_FIELDS = 2,
+	URGENT_FIELDS = 3,
 	EVIDENCE_MAX_BYTES = 16 * 1024,
 	NAME_MAX_BYTES = 256,
 };
@@ -37,6 +39,12 @@
 	g_free(((digest_usage_t *)item)->workspace);
 }
 
+static void
+urgent_clear(gpointer item)
+{
+	g_free(((digest_urgent_t *)item)->service);
+}
+
 static void
 move_clear(gpointer item)
 {
@@ -55,6 +63,8 @@
 	digest->moves = g_array_new(FALSE, TRUE, sizeof(digest_move_t));
 	digest->crashes = g_array_new(FALSE, TRUE, sizeof(digest_crash_t));
 	digest->survivals = g_array_new(FALSE, TRUE, sizeof(digest_survival_t));
+	digest->urgent = g_array_new(FALSE, TRUE, sizeof(digest_urgent_t));
+	g_array_set_clear_func(digest->urgent, urgent_clear);
 	g_array_set_clear_func(digest->moves, move_clear);
 	g_array_set_clear_func(digest->spending, spending_clear);
 	g_array_set_clear_func(digest->usage, usage_clear);
@@ -74,6 +84,7 @@
 	g_array_unref(digest->moves);
 	g_array_unref(digest->crashes);
 	g_array_unref(digest->survivals);
+	g_array_unref(digest->urgent);
 	g_free(digest);
 }
 
@@ -177,6 +188,20 @@
 	}
 }
 
+static void
+pack_urgent(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * URGENT_FIELDS);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_urgent_t *item =
+		    &g_array_index(list, digest_urgent_t, i);
+
+		mp_pack_string(packer, item->service);
+		msgpack_pack_int64(packer, (int64_t)item->counts.on_time);
+		msgpack_pack_int64(packer, (int64_t)item->counts.late);
+	}
+}
+
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -202,6 +227,7 @@
 	pack_crashes(&packer, digest->crashes);
 	pack_survivals(&packer, digest->survivals);
 	pack_demand(&packer, digest->spending);
+	pack_urgent(&packer, digest->urgent);
 }
 
 static bool
@@ -392,6 +418,27 @@
 	return true;
 }
 
+static bool
+read_urgent(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, URGENT_FIELDS, &member, &count))
+		return false;
+	for (; count > 0; count--, member += URGENT_FIELDS) {
+		digest_urgent_t item = {0};
+
+		if (!read_double(&member[1], &item.counts.on_time) ||
+		    !read_double(&member[2], &item.counts.late) ||
+		    !mp_read_string(
+			&member[0], 0, NAME_MAX_BYTES, &item.service))
+			return false;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
 /* Reads the fields that senders of earlier versions leave out. */
 static bool
 read_optional_fields(const msgpack_object *array, digest_t *digest)
@@ -399,8 +446,11 @@
 	const msgpack_object *fields = array->via.array.ptr;
 	uint32_t count = array->via.array.size;
 
-	return count <= DIGEST_DEMAND_INDEX ||
-	       read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending);
+	if (count > DIGEST_DEMAND_INDEX &&
+	    !read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending))
+		return false;
+	return count <= DIGEST_URGENT_INDEX ||
+	       read_urgent(&fields[DIGEST_URGENT_INDEX], digest->urgent);
 }
 
 static bool
--- a/src/digest.h
+++ b/src/digest.h
@@ -1,6 +1,7 @@
 #ifndef PAPAYA_DIGEST_H
 #define PAPAYA_DIGEST_H
 
+#include "overload.h"
 #include "pool.h"
 
 #include <glib.h>
@@ -33,6 +34,12 @@
 	double count; /* requests that the sender began to run in it */
 } digest_usage_t;
 
+/* What the sender's urgent requests to a service met lately, see overload.h. */
+typedef struct digest_urgent {
+	char *service;
+	overload_counts_t counts;
+} digest_urgent_t;
+
 /* The sender's evidence on a version move in progress. */
 typedef struct digest_move {
 	char *service;
@@ -71,6 +78,7 @@
 	GArray *moves;	   /* of digest_move_t, moves in progress */
 	GArray *crashes;   /* of digest_crash_t */
 	GArray *survivals; /* of digest_survival_t */
+	GArray *urgent;	   /* of digest_urgent_t */
 } digest_t;
 
 digest_t *digest_new(void);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -271,6 +271,23 @@
 	g_free(name);
 }
 
+static void
+add_overload_gauge(const char *service, overload_counts_t counts, void *data)
+{
+	gateway_t *gateway = data;
+	counters_t *counters = gateway->proxy.counters;
+	char *name =
+	    g_strdup_printf("admitted_percent{service=\"%s\"}", service);
+
+	*counter_get(counters, name) =
+	    (uint64_t)(100 * overload_admitted_share(
+				 gateway->proxy.overload, service));
+	g_free(name);
+	name = g_strdup_printf("urgent_late{service=\"%s\"}", service);
+	*counter_get(counters, name) = (uint64_t)counts.late;
+	g_free(name);
+}
+
 static void
 update_gauges(gateway_t *gateway, int64_t now_ms)
 {
@@ -297,6 +314,8 @@
 	    crash_guard_blocked_count(
 		gateway->proxy.crash_guard, cluster_wall_ms(gateway->cluster));
 	quota_each(gateway->proxy.quota, now_ms, add_quota_gauge, counters);
+	overload_each(
+	    gateway->proxy.overload, now_ms, add_overload_gauge, gateway);
 }
 
 /* Ends the requests in flight; returns their number. */
@@ -374,6 +393,7 @@
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
 	proxy_migrate_streams(&gateway->proxy, now_ms);
+	proxy_count_overdue(&gateway->proxy, now_ms);
 	if (gateway->drain.started_ms != 0)
 		check_drain(gateway, now_ms);
 }
@@ -456,6 +476,7 @@
 	    .counters = counters_new(),
 	};
 	gateway->proxy.crash_guard = crash_guard_new();
+	gateway->proxy.overload = overload_new();
 	gateway->proxy.rollouts = rollouts_new(&(rollouts_options_t){
 	    .config = gateway->config, .pool = gateway->proxy.pool});
 	TAILQ_INIT(&gateway->proxy.requests);
@@ -471,6 +492,7 @@
 	    .usage = gateway->proxy.usage,
 	    .rollouts = gateway->proxy.rollouts,
 	    .crash_guard = gateway->proxy.crash_guard,
+	    .overload = gateway->proxy.overload,
 	    .on_newer_configuration = on_newer_configuration,
 	    .on_relay_request = on_relay_request,
 	    .on_relay_response = on_relay_response,
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -5,6 +5,7 @@
 #include "cluster.h"
 #include "counter.h"
 #include "http1_server.h"
+#include "overload.h"
 #include "pool.h"
 #include "prefix.h"
 #include "quota.h"
@@ -36,6 +37,7 @@
 	cluster_t *cluster;
 	rollouts_t *rollouts;
 	crash_guard_t *crash_guard;
+	overload_t *overload;
 	counters_t *counters;
 	catalog_t *catalog; /* current configuration; NULL: none yet */
 	/* clock_boot_ms() from which the catalog must not be used. */
@@ -54,6 +56,12 @@
  */
 void proxy_end_all(proxy_context_t *context);
 
+/*
+ * Counts the urgent requests whose first byte is overdue, before it arrives. To
+ * be called at short intervals.
+ */
+void proxy_count_overdue(proxy_context_t *context, int64_t now_ms);
+
 /* Migrates streams from engines that are about to leave. */
 void proxy_migrate_streams(proxy_context_t *context, int64_t now_ms);
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -78,6 +78,7 @@
 	req->uncached_tokens = choice->uncached_tokens;
 	req->prefill_tokens = choice->prefill_tokens;
 	req->expected_ttft_ms = choice->expected_ms;
+	req->unloaded_ttft_ms = choice->unloaded_ms;
 	req->awaiting_response = true;
 	req->attempt_start_ms = clock_boot_ms();
 	req->first_byte_ms = 0;
@@ -209,6 +210,21 @@
 	    pool_pause_ms(servers, clock_boot_ms()), PROXY_RETRY_AFTER_MS);
 }
 
+/* False where the request gives way to urgent ones, see overload.h. */
+static bool
+is_admitted(const proxy_request_t *req)
+{
+	const catalog_workspace_t *workspace = req->workspace;
+	double weight = workspace != NULL && workspace->rate_per_s > 0
+			    ? workspace->rate_per_s
+			    : 1;
+
+	return req->urgent || req->may_have_run || req->tried->len > 0 ||
+	       overload_admit(req->context->overload, req->service_name,
+		   workspace == NULL ? "" : workspace->name, weight,
+		   g_random_double(), clock_boot_ms());
+}
+
 void
 proxy_attempt(proxy_request_t *req)
 {
@@ -220,6 +236,11 @@
 		proxy_reject(req, blocked_ms, "blocked_segment");
 		return;
 	}
+	if (!is_admitted(req)) {
+		proxy_reject(req, overload_retry_after_ms(g_random_double()),
+		    "less_urgent");
+		return;
+	}
 	choice = pick_version(req);
 	if (choice.server == NULL)
 		proxy_reject(req, proxy_no_server_retry_ms(req), "no_server");
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -61,6 +61,35 @@
 		    req->trial.revision, &attempt);
 }
 
+static bool
+is_late(const proxy_request_t *req, int64_t now_ms)
+{
+	return now_ms - req->received_ms >
+	       overload_wait_max_ms(
+		   req->route->objective_ms, req->unloaded_ttft_ms);
+}
+
+void
+proxy_count_urgent(proxy_request_t *req, int64_t now_ms)
+{
+	if (!req->urgent || req->urgent_counted ||
+	    req->route->objective_ms == 0)
+		return;
+	req->urgent_counted = true;
+	overload_count_urgent(req->context->overload, req->service_name,
+	    is_late(req, now_ms), now_ms);
+}
+
+void
+proxy_count_overdue(proxy_context_t *context, int64_t now_ms)
+{
+	proxy_request_t *req;
+
+	TAILQ_FOREACH (req, &context->requests, entries)
+		if (req->awaiting_response && is_late(req, now_ms))
+			proxy_count_urgent(req, now_ms);
+}
+
 void
 proxy_record_first_byte(proxy_request_t *req)
 {
@@ -72,6 +101,7 @@
 		return;
 	req->first_byte_ms = now_ms;
 	proxy_remove_waiting_prompt(req);
+	proxy_count_urgent(req, now_ms);
 	count_usage(req);
 	ttft_ms = (double)(now_ms - req->attempt_start_ms);
 	proxy_record_rollout_attempt(req, true, ttft_ms);
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -66,13 +66,15 @@
 	double uncached_tokens;	 /* of the prompt, not in the server's cache */
 	double prefill_tokens;	 /* to prefill before the first token */
 	double expected_ttft_ms; /* estimate when the request was sent */
+	double unloaded_ttft_ms; /* the same at an idle server */
 	int64_t retry_after_ms;	 /* Retry-After of the response; -1: none */
 	/* From receipt to the first event or the response; -1: none yet. */
 	int64_t ttft_ms;
 	/* clock_boot_ms() of the attempt's first event or response; 0: none. */
 	int64_t first_byte_ms;
 	bool survival_recorded; /* of the attempt, see crash_guard.h */
-	bool urgent; /* prefilled before prompts that are not urgent */
+	bool urgent;	     /* prefilled before prompts that are not urgent */
+	bool urgent_counted; /* by overload_count_urgent() */
 	/* No event or response yet: counts in the server's waiting_tokens. */
 	bool awaiting_response;
 	response_facts_t response;
@@ -146,6 +148,8 @@
     proxy_request_t *req, bool ok, double ttft_ms);
 /* Records the first event of a stream, or the start of a response. */
 void proxy_record_first_byte(proxy_request_t *req);
+/* Counts an urgent request, once, as on time or late by its age. */
+void proxy_count_urgent(proxy_request_t *req, int64_t now_ms);
 /* The server has written on the prompt for a while. */
 void proxy_record_survival(proxy_request_t *req);
 /*
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -81,6 +81,7 @@
 		.quota = node->quota,
 		.usage = usage_new(WINDOW_MS),
 		.crash_guard = crash_guard_new(),
+		.overload = overload_new(),
 		.rollouts = rollouts_new(
 		    &(rollouts_options_t){.config = &node->config})},
 	    NULL);
