--- a/src/overload.c
+++ b/src/overload.c
@@ -310,6 +310,15 @@
 	return state == NULL ? 1 : state->admitted_share;
 }
 
+bool
+overload_is_present(overload_t *overload, const char *service, int64_t now_ms)
+{
+	service_state_t *state = find_or_add_service(overload, service, now_ms);
+
+	update(state, now_ms);
+	return state->admitted_share < 1;
+}
+
 void
 overload_each(overload_t *overload, int64_t now_ms,
     void (*callback)(const char *service, overload_counts_t counts, void *data),
--- a/src/overload.h
+++ b/src/overload.h
@@ -59,6 +59,10 @@
 /* Share of the requests that can wait which the service takes, up to 1. */
 double overload_admitted_share(const overload_t *overload, const char *service);
 
+/* True where so many urgent requests are late that others are refused. */
+bool overload_is_present(
+    overload_t *overload, const char *service, int64_t now_ms);
+
 /* Calls the callback for each service with urgent requests. */
 void overload_each(overload_t *overload, int64_t now_ms,
     void (*callback)(const char *service, overload_counts_t counts, void *data),
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -378,11 +378,30 @@
 	}
 }
 
+/*
+ * True for an engine that has probably not begun with the prompt yet, as the
+ * prompts of all engines wait. Another engine would read it from the start, and
+ * the time that this one has spent on it would be lost: in an overload that
+ * takes room from all others.
+ */
+static bool
+waits_in_overload(const proxy_request_t *req)
+{
+	return req->awaiting_response && req->service != NULL &&
+	       req->service->is_engine &&
+	       overload_is_present(
+		   req->context->overload, req->service_name, clock_boot_ms());
+}
+
 static void
 on_idle(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
 
+	if (req->call != NULL && waits_in_overload(req)) {
+		proxy_start_idle_timer(req, req->route->objective_ms);
+		return;
+	}
 	if (req->call == NULL ||
 	    req->migration.state == PROXY_MIGRATION_COPYING ||
 	    (req->response_started && !req->stream_started) ||
