Estimate the wait for a place at an engine from how long requests run

A request beyond the batch was taken to cost 40 ms, whatever runs there. The wait follows the time from the first token to the end now, and an urgent request counts the urgent ones ahead of it only.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -234,6 +234,8 @@
 			if (server == NULL)
 				continue;
 			server->peer_load.in_flight += item->load.in_flight;
+			server->peer_load.urgent_in_flight +=
+			    item->load.urgent_in_flight;
 			server->peer_load.prefill_tokens +=
 			    item->load.prefill_tokens;
 			server->peer_load.urgent_prefill_tokens +=
--- a/src/digest.c
+++ b/src/digest.c
@@ -12,6 +12,7 @@
 	DIGEST_FIELDS_MIN = 17,
 	DIGEST_DEMAND_INDEX = DIGEST_FIELDS_MIN,
 	DIGEST_URGENT_INDEX,
+	DIGEST_URGENT_LOADS_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -130,6 +131,17 @@
 	}
 }
 
+/* One number for each item of pack_loads(), in the same order. */
+static void
+pack_urgent_loads(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len);
+	for (guint i = 0; i < list->len; i++)
+		msgpack_pack_uint32(
+		    packer, g_array_index(list, digest_load_t, i)
+				.load.urgent_in_flight);
+}
+
 static void
 pack_usage(msgpack_packer *packer, const GArray *list)
 {
@@ -228,6 +240,7 @@
 	pack_survivals(&packer, digest->survivals);
 	pack_demand(&packer, digest->spending);
 	pack_urgent(&packer, digest->urgent);
+	pack_urgent_loads(&packer, digest->loads);
 }
 
 static bool
@@ -418,6 +431,26 @@
 	return true;
 }
 
+static bool
+read_urgent_loads(const msgpack_object *object, GArray *loads)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, 1, &member, &count) || count != loads->len)
+		return false;
+	for (uint32_t i = 0; i < count; i++) {
+		digest_load_t *item = &g_array_index(loads, digest_load_t, i);
+		int64_t urgent;
+
+		if (!mp_read_int64(&member[i], &urgent) || urgent < 0 ||
+		    urgent > item->load.in_flight)
+			return false;
+		item->load.urgent_in_flight = (unsigned)urgent;
+	}
+	return true;
+}
+
 static bool
 read_urgent(const msgpack_object *object, GArray *list)
 {
@@ -449,8 +482,12 @@
 	if (count > DIGEST_DEMAND_INDEX &&
 	    !read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending))
 		return false;
-	return count <= DIGEST_URGENT_INDEX ||
-	       read_urgent(&fields[DIGEST_URGENT_INDEX], digest->urgent);
+	if (count > DIGEST_URGENT_INDEX &&
+	    !read_urgent(&fields[DIGEST_URGENT_INDEX], digest->urgent))
+		return false;
+	return count <= DIGEST_URGENT_LOADS_INDEX ||
+	       read_urgent_loads(
+		   &fields[DIGEST_URGENT_LOADS_INDEX], digest->loads);
 }
 
 static bool
--- a/src/pick.c
+++ b/src/pick.c
@@ -4,8 +4,6 @@
 #include <string.h>
 
 enum {
-	/* Delay of the first token by each request beyond the batch. */
-	QUEUED_COST_MS = 40,
 	/* Delay by each request in progress: they share the engine's steps. */
 	IN_FLIGHT_COST_MS = 1,
 	/* Penalty of a server whose recent requests all failed. */
@@ -134,13 +132,28 @@
 	return MAX(tokens - cached, 0);
 }
 
-static double
-queue_ms(const server_t *server, unsigned batch)
+/* Requests at a server that it starts before this one, or has started. */
+static unsigned
+requests_ahead(const pick_query_t *query, const server_t *server)
 {
-	unsigned running = server_in_flight(server);
+	if (query->urgent)
+		return server->local_load.urgent_in_flight +
+		       server->peer_load.urgent_in_flight;
+	return server_in_flight(server);
+}
 
-	return running * IN_FLIGHT_COST_MS +
-	       (running >= batch ? (running - batch + 1) * QUEUED_COST_MS : 0);
+/* Delay of the first token by the requests that run or wait. */
+static double
+queue_ms(const pick_query_t *query, const server_t *server)
+{
+	unsigned batch = query->service->batch_size;
+	unsigned ahead = requests_ahead(query, server);
+	double delay_ms = server_in_flight(server) * IN_FLIGHT_COST_MS;
+
+	if (ahead >= batch)
+		delay_ms += ttft_model_queue_ms(
+		    query->ttft_model, ahead - batch + 1, batch);
+	return delay_ms;
 }
 
 static double
@@ -178,8 +191,7 @@
 engine_ms(const pick_query_t *query, const server_t *server, double tokens)
 {
 	return ttft_model_predict_ms(query->ttft_model, tokens) +
-	       queue_ms(server, query->service->batch_size) +
-	       memory_penalty_ms(query, server);
+	       queue_ms(query, server) + memory_penalty_ms(query, server);
 }
 
 static double
--- a/src/pool.h
+++ b/src/pool.h
@@ -16,6 +16,7 @@
 /* Load of the requests in flight at a server. */
 typedef struct server_load {
 	unsigned in_flight;
+	unsigned urgent_in_flight; /* part of them: most urgent requests */
 	double prefill_tokens; /* of prompts still before their first token */
 	double urgent_prefill_tokens; /* part of them: most urgent requests */
 	double kv_tokens; /* prompt and output tokens in its KV cache */
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -51,6 +51,7 @@
 		return;
 	load = &req->server->local_load;
 	load->in_flight--;
+	load->urgent_in_flight -= req->urgent;
 	load->kv_tokens -= pick_request_tokens(&req->facts);
 	proxy_remove_waiting_prompt(req);
 	server_unref(req->server);
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -84,6 +84,7 @@
 	req->first_byte_ms = 0;
 	req->survival_recorded = false;
 	load->in_flight++;
+	load->urgent_in_flight += req->urgent;
 	load->kv_tokens += pick_request_tokens(&req->facts);
 	load->prefill_tokens += choice->uncached_tokens;
 	if (req->urgent)
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -112,6 +112,15 @@
 	server_record_outcome(req->server, SERVER_SERVED, ttft_ms, now_ms);
 }
 
+void
+proxy_record_run(const proxy_request_t *req)
+{
+	if (req->service != NULL && req->service->is_engine &&
+	    req->first_byte_ms != 0)
+		ttft_model_add_run(proxy_ttft_model(req),
+		    (double)(clock_boot_ms() - req->first_byte_ms));
+}
+
 /* Time on which the nodes agree, of a time of this node's clock. */
 static int64_t
 wall_time_ms(const proxy_request_t *req, int64_t boot_ms)
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -238,6 +238,7 @@
 	}
 	proxy_record_first_byte(req);
 	proxy_record_survival(req);
+	proxy_record_run(req);
 	end_stream(req);
 }
 
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -150,6 +150,8 @@
 void proxy_record_first_byte(proxy_request_t *req);
 /* Counts an urgent request, once, as on time or late by its age. */
 void proxy_count_urgent(proxy_request_t *req, int64_t now_ms);
+/* Records how long a stream ran that its server has ended. */
+void proxy_record_run(const proxy_request_t *req);
 /* The server has written on the prompt for a while. */
 void proxy_record_survival(proxy_request_t *req);
 /*
--- a/src/ttft_model.c
+++ b/src/ttft_model.c
@@ -13,6 +13,10 @@
 static const double min_token_ms = 0.001;
 static const double max_token_ms = 0.1;
 static const double max_base_ms = 1000;
+/* Weight of the newest request in the average time that one runs. */
+static const double run_weight = 0.02;
+/* The time that is assumed before the first one has ended. */
+static const double default_run_ms = 640;
 
 void
 ttft_model_add(ttft_model_t *model, double tokens, double ttft_ms)
@@ -45,3 +49,20 @@
 	base = CLAMP(mean_ms - slope * mean_tokens, 0, max_base_ms);
 	return base + slope * tokens;
 }
+
+void
+ttft_model_add_run(ttft_model_t *model, double run_ms)
+{
+	if (model->run_ms == 0)
+		model->run_ms = default_run_ms;
+	model->run_ms += run_weight * (run_ms - model->run_ms);
+}
+
+double
+ttft_model_queue_ms(
+    const ttft_model_t *model, unsigned ahead, unsigned batch_size)
+{
+	double run_ms = model->run_ms > 0 ? model->run_ms : default_run_ms;
+
+	return ahead * run_ms / MAX(batch_size, 1);
+}
