--- a/src/cluster.h
+++ b/src/cluster.h
@@ -120,6 +120,9 @@
  */
 unsigned cluster_share_count(const cluster_t *cluster);
 
+/* Mean age of what this node knows of the requests at other nodes. */
+int64_t cluster_mean_report_age_ms(const cluster_t *cluster);
+
 /* Registered nodes, including this one. */
 unsigned cluster_node_count(const cluster_t *cluster);
 
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -52,6 +52,13 @@
 	return interval_ms / 2 + DIGEST_DELIVERY_MAX_MS;
 }
 
+int64_t
+cluster_mean_report_age_ms(const cluster_t *cluster)
+{
+	return cluster->registered_peers > 0 ? cluster_report_age_ms(cluster)
+					     : 0;
+}
+
 bool
 cluster_is_peer_alive(
     const cluster_t *cluster, const cluster_peer_t *peer, int64_t now_ms)
--- a/src/pick.c
+++ b/src/pick.c
@@ -256,6 +256,47 @@
 	return is_preferred ? penalty - PREFERRED_BONUS_MS : penalty;
 }
 
+/* Share of the batches of the servers in use, up to 1. */
+static double
+batch_usage(const pick_query_t *query)
+{
+	unsigned running = 0, places = 0;
+
+	for (guint i = 0; i < query->servers->len; i++) {
+		const server_t *server = query->servers->pdata[i];
+
+		if (!server_usable(server, query->now_ms))
+			continue;
+		running += server_in_flight(server);
+		places += query->service->batch_size;
+	}
+	return places == 0 ? 0 : MIN((double)running / places, 1);
+}
+
+/*
+ * Range of a random cost that spreads the requests of all nodes. Nodes that
+ * choose by the same reports would all prefer the same few servers until the
+ * next ones, and fill their queues. Requests that are not reported yet take a
+ * server for up to about the reports' age where the batches are full, and
+ * little where they are not.
+ */
+static double
+spread_range_ms(const pick_query_t *query)
+{
+	double usage = batch_usage(query);
+
+	return 2 * (double)query->report_age_ms * usage * usage;
+}
+
+/* Random number in [0, 1) for the request and server. */
+static double
+server_random(const pick_query_t *query, const server_t *server)
+{
+	uint64_t bits = rendezvous_weight(query->random, server->tag) >> 11;
+
+	return (double)bits / (double)(UINT64_C(1) << 53);
+}
+
 /* Whether a rule keeps this request from a server that may get requests. */
 static pick_exclusion_t
 find_exclusion(const pick_query_t *query, const server_t *server)
@@ -270,11 +311,13 @@
 	bool is_engine = query->service != NULL && query->service->is_engine;
 	double best_cost = DBL_MAX;
 	const server_t *preferred;
+	double spread_ms;
 	guint start;
 
 	if (query->servers == NULL || query->servers->len == 0)
 		return choice;
 	preferred = is_engine ? preferred_server(query) : NULL;
+	spread_ms = is_engine ? spread_range_ms(query) : 0;
 	start = (guint)(query->random % query->servers->len);
 	for (guint i = 0; i < query->servers->len; i++) {
 		server_t *server =
@@ -299,7 +342,8 @@
 				     : plain_ms(server);
 		cost = expected + penalty_ms(query, server, is_preferred);
 		if (is_engine)
-			cost += started_prefill_ms(query, server, prefill);
+			cost += started_prefill_ms(query, server, prefill) +
+				spread_ms * server_random(query, server);
 		if (cost >= best_cost)
 			continue;
 		best_cost = cost;
--- a/src/pick.h
+++ b/src/pick.h
@@ -22,7 +22,9 @@
 	bool urgent;	  /* engines read its prompt before others */
 	const char *zone; /* of this node */
 	int64_t now_ms;	  /* clock_boot_ms() */
-	uint64_t random;  /* spreads requests over equal servers */
+	/* Mean age of what is known of other nodes' requests. */
+	int64_t report_age_ms;
+	uint64_t random; /* spreads requests over equal servers */
 } pick_query_t;
 
 /* Why a server that may get requests is not used for this one. */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -151,6 +151,7 @@
 	    .urgent = req->urgent,
 	    .zone = context->zone,
 	    .now_ms = clock_boot_ms(),
+	    .report_age_ms = cluster_mean_report_age_ms(context->cluster),
 	    .random = g_random_int(),
 	};
 
