--- a/src/pick.h
+++ b/src/pick.h
@@ -28,7 +28,7 @@
 	const region_map_t *regions; /* of the zones; NULL: unknown */
 	const evacuation_t *evacuation; /* NULL: no zone is evacuated */
 	const cold_limit_t *cold_limit; /* NULL: cold servers have no limit */
-	/* The request is sent later, so that no turn at a cold server helps. */
+	/* No cold servers: a turn may have passed when the request is sent. */
 	bool warm_only;
 	int64_t now_ms;	 /* clock_boot_ms() */
 	uint64_t random; /* spreads requests over equal servers */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -298,6 +298,9 @@
 
 	query.warm_only = true;
 	choice = pick_server(&query);
+	query.warm_only = false;
+	if (choice.server == NULL)
+		choice = pick_server(&query);
 	count_exclusions(req, &choice);
 	g_ptr_array_unref(same_version);
 	return choice;
