Mend what the read-through found

- A moved stream that cannot be repeated ended at another engine where its target could not be connected; it gets 502 now.
- The time of a late attempt that failed was counted twice.
- What the loser of a race had gathered stayed charged to the client.
- A Content-Length above 2^63 was taken as unknown, and refused only when the body was too large.

--- a/src/cold_limit.h
+++ b/src/cold_limit.h
@@ -7,16 +7,15 @@
 
 /*
  * Decides whether this node may send a request to a cold backend server now,
- * and otherwise when. No I/O; times are clock_boot_ms().
+ * and otherwise when: its next turn. No I/O; times are clock_boot_ms().
  *
  * Addresses the load of a server that has just started, which is slow and
- * crashes well above its rate, while every node sees an idle server: one got 35
- * requests in a second where 29 are allowed. A server with a limit of so many
- * requests in any second has at most that many owners among the active nodes,
- * chosen by rendezvous hashing, and each of them sends it one request a second;
- * fewer nodes share the limit. Nodes that know of the same active nodes agree
- * without a counter in the store, and one that knows too few of them sends
- * nothing.
+ * crashes well above its rate, while every node sees an idle server. A server
+ * with a limit of so many requests in any second has at most that many owners
+ * among the active nodes, chosen by rendezvous hashing, and each of them sends
+ * it one request a second; fewer nodes share the limit. Nodes that know of the
+ * same active nodes agree without a counter in the store, and one that knows
+ * too few of them sends nothing.
  */
 
 enum {
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -421,7 +421,7 @@
 	g_string_free(fields, TRUE);
 }
 
-/* Returns free memory to the system after a crowd of clients. */
+/* Returns free memory to the system once clients hold much less than before. */
 static void
 return_memory(gateway_t *gateway)
 {
--- a/src/http1.c
+++ b/src/http1.c
@@ -139,10 +139,11 @@
 	head->keep_alive = http_should_keep_alive(parser) != 0;
 	head->has_length = (parser->flags & F_CHUNKED) != 0 ||
 			   parser->content_length != ULLONG_MAX;
-	head->body_length = (parser->flags & F_CHUNKED) != 0 ||
-				    parser->content_length > INT64_MAX
-				? -1
-				: (int64_t)parser->content_length;
+	head->body_length =
+	    (parser->flags & F_CHUNKED) != 0 ||
+		    parser->content_length == ULLONG_MAX
+		? -1
+		: (int64_t)MIN(parser->content_length, (uint64_t)INT64_MAX);
 	head->bytes = reader->text->len;
 }
 
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -15,8 +15,7 @@
 	UNREAD_MAX_BYTES = 64 * 1024,
 	/*
 	 * Most that all connections together should take of a round of the
-	 * loop: 1,000 connections that are read 64 KiB each in chunks of one
-	 * byte, or have 16 requests answered, keep it for most of a second.
+	 * loop, so that many clients that send much delay no other request.
 	 */
 	ROUND_BYTES = 4 * 1024 * 1024,
 	ROUND_REQUESTS = 1024,
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -53,7 +53,7 @@
 	int64_t received_ms;   /* as exchange_received_ms() */
 	int64_t idle_since_ms;
 	size_t queued_bytes; /* while closing, at the last look for a stall */
-	/* Why the reader failed; HTTP1_REFUSAL_COUNT: malformed. */
+	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
 	http1_refusal_t refusal;
 } client_t;
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -89,6 +89,7 @@
 	attempt->awaiting_response = true;
 	attempt->start_ms = clock_boot_ms();
 	attempt->late_since_ms = 0;
+	attempt->hedge_time_recorded = false;
 	attempt->first_byte_ms = 0;
 	attempt->survival_recorded = false;
 	attempt->usage_counted = false;
--- a/src/proxy_hedge.c
+++ b/src/proxy_hedge.c
@@ -48,9 +48,10 @@
 	};
 
 	/* A stream that is resumed is no attempt like others. */
-	if (!attempt->awaiting_response || req->stream_started ||
-	    !is_hedgeable(req))
+	if (!attempt->awaiting_response || attempt->hedge_time_recorded ||
+	    req->stream_started || !is_hedgeable(req))
 		return;
+	attempt->hedge_time_recorded = true;
 	kind = attempt_kind(attempt);
 	hedge_add_time(req->context->hedge, &kind, &time, now_ms);
 }
@@ -77,6 +78,7 @@
 	proxy_attempt_clear(ended);
 	req->attempt = attempt;
 	req->other_attempt = ended;
+	proxy_charge_buffered(req);
 }
 
 bool
@@ -201,7 +203,7 @@
 }
 
 static void
-note_late(proxy_attempt_t *attempt)
+mark_late(proxy_attempt_t *attempt)
 {
 	if (attempt->late_since_ms != 0)
 		return;
@@ -219,7 +221,7 @@
 	if (attempt->call == NULL || !attempt->awaiting_response ||
 	    !may_hedge(req))
 		return;
-	note_late(attempt);
+	mark_late(attempt);
 	verdict = try_hedge(req);
 	if (verdict == HEDGE_SEND)
 		return;
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -46,8 +46,8 @@
 	}
 	event_stream_resume(req->attempt->events);
 	proxy_send(req, &choice);
-	if (req->attempt->call == NULL)
-		return; /* not sent, and the request has ended */
+	if (req->attempt->server != choice.server)
+		return; /* not sent there */
 	/* The source has prefilled the prompt and its usage is counted. */
 	proxy_remove_waiting_prompt(req->attempt);
 	/* The copy can be used once: a retry resumes by the last event id. */
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -189,7 +189,7 @@
 }
 
 static void
-note_cold(server_t *server, int64_t cold_ms, int64_t now_ms)
+record_cold(server_t *server, int64_t cold_ms, int64_t now_ms)
 {
 	bool was_cold = server_is_cold(server, now_ms);
 
@@ -209,7 +209,7 @@
 	if (facts->retry_after_ms > 0)
 		server_pause(attempt->server, facts->retry_after_ms, now_ms);
 	if (facts->cold_ms > 0)
-		note_cold(attempt->server, facts->cold_ms, now_ms);
+		record_cold(attempt->server, facts->cold_ms, now_ms);
 	if (facts->leaving)
 		note_leaving(attempt);
 }
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -79,9 +79,8 @@
 	return attempt->buffered == NULL ? 0 : attempt->buffered->len;
 }
 
-/* Charges what both attempts have gathered. */
-static void
-charge_buffered(proxy_request_t *req)
+void
+proxy_charge_buffered(proxy_request_t *req)
 {
 	exchange_charge_response(req->exchange,
 	    buffered_bytes(req->attempt) + buffered_bytes(req->other_attempt));
@@ -95,7 +94,7 @@
 		return;
 	g_byte_array_unref(attempt->buffered);
 	attempt->buffered = g_byte_array_new();
-	charge_buffered(attempt->request);
+	proxy_charge_buffered(attempt->request);
 }
 
 /* Most bytes of a response that are gathered before it is forwarded. */
@@ -402,7 +401,7 @@
 	}
 	g_byte_array_append(
 	    attempt->buffered, (const guint8 *)bytes, (guint)length);
-	charge_buffered(req);
+	proxy_charge_buffered(req);
 	if (attempt->buffered->len <= buffered_max(req))
 		return;
 	if (attempt->response.not_run) {
@@ -427,8 +426,12 @@
 	if (proxy_leave_race(attempt))
 		return;
 	proxy_release_server(attempt);
-	if (++req->connect_failures < CONNECT_FAILURES_MAX &&
-	    proxy_remaining_ms(req) > PROXY_ATTEMPT_MIN_MS)
+	uv_timer_stop(&req->hedge_timer);
+	/* Another engine would run from its start what the source has run. */
+	if (req->stream_started && !catalog_may_retry(req->route))
+		proxy_respond(req, 502, -1, reason);
+	else if (++req->connect_failures < CONNECT_FAILURES_MAX &&
+		 proxy_remaining_ms(req) > PROXY_ATTEMPT_MIN_MS)
 		proxy_attempt(req);
 	else
 		proxy_reject(req, PROXY_RETRY_AFTER_MS, reason);
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -58,6 +58,7 @@
 	upstream_call_t *call;	     /* NULL: none */
 	int64_t start_ms;	     /* clock_boot_ms() */
 	int64_t late_since_ms;	     /* see hedge_delay_ms(); 0: not late */
+	bool hedge_time_recorded;    /* by proxy_record_hedge_time() */
 	rollouts_assignment_t trial; /* assignment to a rollout's version */
 	double uncached_tokens;	 /* of the prompt, not in the server's cache */
 	double prefill_tokens;	 /* to prefill before the first token */
@@ -209,6 +210,8 @@
     proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason);
 
 /* proxy_response.c */
+/* Charges the client for what both attempts have gathered of a response. */
+void proxy_charge_buffered(proxy_request_t *req);
 /*
  * Starts the timer that retries the request at another server when this one
  * has sent nothing for a multiple of objective_ms. 0: no timer. Does nothing
--- a/tests/test_platform_settings.c
+++ b/tests/test_platform_settings.c
@@ -46,6 +46,7 @@
 	char *message;
 
 	ck_assert_ptr_null(load(rejected[_i], &message));
+	ck_assert_ptr_nonnull(message);
 	ck_assert_ptr_nonnull(strstr(message, "limits.memory_mb"));
 	ck_assert_ptr_nonnull(strstr(message, "48 to 1048576"));
 	g_free(message);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -70,8 +70,8 @@
 	for (int i = 0; i < 1000; i++)
 		ck_assert(!quota_is_spent(quota, "depot", later_ms));
 	ck_assert(!quota_is_spent(quota, "unlimited", later_ms));
-	while (
-	    quota_take(quota, "depot", REQUEST_UNITS, false, later_ms).allowed)
+	while (quota_take(quota, "depot", REQUEST_UNITS, QUOTA_URGENT, later_ms)
+		   .allowed)
 		continue;
 	ck_assert(quota_is_spent(quota, "depot", later_ms));
 	quota_free(quota);
