Keep a short quota window refilled

The capacity of a bucket may be larger than the whole limit where the window is shorter than the reports are old; its refill was below zero, and a refusal then told a negative time (no Retry-After), or could look for the end of its part without end. The capacity is at most half of the limit now, which no window of the deployments meets (8 s).

Test: short_window_is_refilled fails before. Ruled out: a guard in part_wait_ms(), as the refill itself was wrong.

--- a/src/quota.c
+++ b/src/quota.c
@@ -38,6 +38,11 @@
 static const double deferrable_refill_share = 0.2;
 /* Share of the capacity by which they may take it below zero for that. */
 static const double deferrable_overdraft_share = 0.1;
+/*
+ * Largest capacity as a share of the limit: in a window that is not much longer
+ * than the reports are old, nothing would be left to refill.
+ */
+static const double max_capacity_share = 0.5;
 /* Capacity in seconds of the rate where the burst is smaller than that. */
 static const double min_capacity_s = 0.25;
 
@@ -181,6 +186,7 @@
 
 	bucket->capacity = MAX(usable_tolerance,
 	    base_capacity + bucket->rate_per_s * report_age_s);
+	bucket->capacity = MIN(bucket->capacity, max_capacity_share * limit);
 	bucket->refill_per_ms = (limit + usable_tolerance - bucket->capacity) /
 				(double)options->window_ms;
 	bucket->unreported_max = tolerance - usable_tolerance;
--- a/tests/test_quota_demand.c
+++ b/tests/test_quota_demand.c
@@ -309,6 +309,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a node that hangs, or tells no time to return, where the
+ * window is shorter than the reports are old: the bucket was never refilled.
+ */
+START_TEST(short_window_is_refilled)
+{
+	enum { SHORT_WINDOW_MS = 1000, OLD_REPORTS_MS = 1550, FLOOD_MS = 5000 };
+	quota_t *quota =
+	    quota_new(&(quota_options_t){.window_ms = SHORT_WINDOW_MS});
+	catalog_t *catalog = catalog_new();
+	catalog_workspace_t *workspace = g_new0(catalog_workspace_t, 1);
+	unsigned allowed = 0;
+
+	workspace->name = g_strdup("depot");
+	workspace->rate_per_s = RATE;
+	catalog_add_workspace(catalog, workspace);
+	quota_configure(quota, catalog, START_MS);
+	quota_set_nodes(quota, NODES, 0, OLD_REPORTS_MS, START_MS);
+	for (int64_t now = START_MS; now < START_MS + FLOOD_MS; now++) {
+		quota_decision_t decision =
+		    quota_take(quota, "depot", PROMPT_UNITS, QUOTA_URGENT, now);
+
+		allowed += decision.allowed;
+		ck_assert(decision.allowed || decision.retry_after_ms > 0);
+	}
+	ck_assert_uint_gt(allowed, 0);
+	catalog_unref(catalog);
+	quota_free(quota);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -322,6 +353,7 @@
 	tcase_add_test(cases, urgent_requests_come_first);
 	tcase_add_test(cases, deferrable_requests_alone_get_the_quota);
 	tcase_add_test(cases, node_on_standby_follows_the_level);
+	tcase_add_test(cases, short_window_is_refilled);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
