Fail a call whose response ends in its head

What callers saw: a server of a service on the project's own interface that closed its connection after the status line and the attempt's id gave its client a 200 with an empty body and Content-Length 0, framed as whole. The same holds for every user of http_client: peers that take requests over, the store's and the platform's answers.

Cause: libcurl (7.88) reports CURLE_OK for a response whose connection is closed inside the head. The status is known by then, and no header has announced a body. A cut before the end of the status line, in a body of known length or in chunks is reported.

Ruled out: src/http1.c, which the gateway on the users' platform uses: http_parser fails at the end of input in any state of a head.

Change: a call is complete only if the line that ends the head of a final response was read; an interim response (1xx) does not count.

Evidence: test_http_client, call_whose_response_is_cut_fails: seven forms, cut after every byte. A chunked response that lacks the very last LF still counts as complete: its body is whole.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -19,6 +19,7 @@
 	 */
 	OVERDUE_MS = 100,
 	NS_PER_MS = 1000000,
+	STATUS_FINAL_MIN = 200, /* of responses that are not interim ones */
 };
 
 struct http_call {
@@ -30,6 +31,7 @@
 	struct curl_slist *headers;
 	GString *body;
 	size_t headers_bytes;
+	bool head_complete; /* that of the response, not of an interim one */
 	http_call_options_t options;
 	char error[CURL_ERROR_SIZE];
 	bool in_multi;
@@ -123,9 +125,24 @@
 	return HTTP_OUTCOME_FAILED;
 }
 
+/*
+ * libcurl takes a response for complete whose server has closed the connection
+ * in its head, where no header has announced a body yet.
+ */
+static CURLcode
+check_head(http_call_t *call, CURLcode code)
+{
+	if (code != CURLE_OK || call->head_complete)
+		return code;
+	g_strlcpy(
+	    call->error, "the response ended in its head", sizeof(call->error));
+	return CURLE_PARTIAL_FILE;
+}
+
 static void
-finish_call(http_call_t *call, CURLcode code)
+finish_call(http_call_t *call, CURLcode curl_code)
 {
+	CURLcode code = check_head(call, curl_code);
 	http_result_t result = {
 	    .outcome = call_outcome(call, code),
 	    .status = http_call_status(call),
@@ -390,13 +407,26 @@
 	return client->overdue_calls;
 }
 
-/* Counts the bytes of a response's headers, interim heads and trailers. */
+/* True for the line that ends a head, which may lack its CR. */
+static bool
+is_head_end(const char *line, size_t length)
+{
+	return length > 0 && (line[0] == '\n' || line[0] == '\r');
+}
+
+/*
+ * Notes the end of the head, and counts the bytes of a response's headers,
+ * interim heads and trailers.
+ */
 static size_t
 on_header(char *bytes, size_t size, size_t count, void *data)
 {
 	http_call_t *call = data;
 	size_t length = size * count;
 
+	if (is_head_end(bytes, length) &&
+	    http_call_status(call) >= STATUS_FINAL_MIN)
+		call->head_complete = true;
 	call->headers_bytes += length;
 	return call->headers_bytes <= HEADERS_MAX_BYTES ? length : 0;
 }
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -49,6 +49,8 @@
 	SERVER_ANSWERS, /* answers each request */
 	/* Resets its connection in a response that has no length. */
 	SERVER_RESETS,
+	/* Closes its connection after fixture.cut_bytes of fixture.start. */
+	SERVER_CUTS,
 	SERVER_ENDLESS, /* sends fixture.endless until the call ends */
 } server_kind_t;
 
@@ -60,7 +62,8 @@
 	int listener;
 	int filler;   /* fills the queue; -1: none */
 	int accepted; /* the last connection; -1: none */
-	/* The response of SERVER_ENDLESS. */
+	size_t cut_bytes;
+	/* The response of SERVER_ENDLESS and SERVER_CUTS. */
 	const char *start;
 	const char *repeat;
 	bool is_started;
@@ -184,6 +187,19 @@
 		reset_accepted();
 }
 
+static void
+cut_answer(void)
+{
+	char request[4096];
+	int fd = accept(fixture.listener, NULL, NULL);
+
+	if (fd < 0)
+		return;
+	(void)recv(fd, request, sizeof(request), 0);
+	(void)send(fd, fixture.start, fixture.cut_bytes, MSG_NOSIGNAL);
+	close(fd);
+}
+
 /* Sends for as long as the kernel takes it. */
 static void
 send_endless(void)
@@ -221,6 +237,9 @@
 	case SERVER_RESETS:
 		answer_requests();
 		return true;
+	case SERVER_CUTS:
+		cut_answer();
+		return true;
 	case SERVER_ENDLESS:
 		send_endless();
 		return true;
@@ -405,6 +424,51 @@
 }
 END_TEST
 
+/* Responses; the bytes that may be taken for a whole one, from whole_from on.
+ */
+static const struct cut {
+	const char *response;
+	const char *whole_from; /* a suffix; NULL: none */
+} cuts[] = {
+    {"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", NULL},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     "2\r\nok\r\n0\r\n\r\n",
+	"\n"},
+    {"HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nok", "ok"},
+    {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", NULL},
+    {"HTTP/1.1 103 Early Hints\r\nX-Id: a\r\n\r\n"
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	NULL},
+    {"HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n", NULL},
+    {"HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n", NULL},
+};
+
+/* Guards against a response that ends in its head and is taken for complete. */
+START_TEST(call_whose_response_is_cut_fails)
+{
+	const struct cut *cut = &cuts[_i];
+	size_t length = strlen(cut->response), whole_from = length;
+
+	if (cut->whole_from != NULL)
+		whole_from -= strlen(cut->whole_from);
+	setup(SERVER_CUTS);
+	fixture.start = cut->response;
+	for (size_t bytes = 0; bytes <= length; bytes++) {
+		call_end_t end = {0};
+
+		fixture.cut_bytes = bytes;
+		start_call(&end, 500, 499);
+		run_until_ended(&end);
+		ck_assert(end.ended);
+		ck_assert_msg((end.outcome == HTTP_OUTCOME_COMPLETE) ==
+				  (bytes >= whole_from),
+		    "%zu bytes of \"%s\": %d", bytes, cut->response,
+		    end.outcome);
+	}
+	teardown();
+}
+END_TEST
+
 /* Guards against the use of a cancelled call when its deadline passes. */
 START_TEST(cancelled_call_has_no_deadline)
 {
@@ -439,6 +503,8 @@
 	tcase_add_loop_test(
 	    cases, endless_response_ends_its_call, 0, G_N_ELEMENTS(endless));
 	tcase_add_test(cases, call_whose_response_is_reset_fails);
+	tcase_add_loop_test(
+	    cases, call_whose_response_is_cut_fails, 0, G_N_ELEMENTS(cuts));
 	tcase_add_test(cases, cancelled_call_has_no_deadline);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
