End responses without a body at their head

What callers saw: a 304 whose head names the length of the body that a 200 would have (as servers may) gave the client a 502 once its server closed, or a 504 when it kept the connection open. Of a 204 with a Content-Length and a body, the body's bytes reached the client after the head, where they stand for the start of the next answer on the connection. An interim response (1xx) with a Content-Length likewise took the bytes of the real response for its body.

Cause: http_parser reads a body wherever the head announces one; http1.c told it only for HEAD that there is none.

Change: interim responses, 204 and 304 end with their head. Bytes that follow are unexpected ones, after which the connection is not used again.

--- a/src/http1.c
+++ b/src/http1.c
@@ -7,6 +7,11 @@
 /* Most 1xx responses that may precede a response. */
 enum { INTERIM_MAX = 16 };
 
+enum { STATUS_NO_CONTENT = 204, STATUS_NOT_MODIFIED = 304 };
+
+/* What http_parser takes from on_headers_complete(). */
+enum { HEAD_FAILED = -1, HEAD_ONLY = 1 };
+
 /* Offsets into the reader's text, whose buffer moves as it grows. */
 typedef struct header_offsets {
 	size_t name;
@@ -147,6 +152,18 @@
 	head->bytes = reader->text->len;
 }
 
+/* True for a response that has no body, whatever its headers say. */
+static bool
+is_without_body(const http1_reader_t *reader)
+{
+	unsigned status = reader->head.status;
+
+	return reader->no_body || reader->interim ||
+	       (reader->kind == HTTP1_RESPONSE &&
+		   (status == STATUS_NO_CONTENT ||
+		       status == STATUS_NOT_MODIFIED));
+}
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -156,18 +173,19 @@
 	 * follows the head for another protocol. */
 	parser->upgrade = 0;
 	if (parser->http_major != 1)
-		return -1;
+		return HEAD_FAILED;
 	fill_head(reader);
 	reader->head_complete = true;
 	if (!are_names_valid(&reader->head))
-		return -1;
-	if (reader->kind == HTTP1_RESPONSE && reader->head.status < 200) {
-		reader->interim = true;
-		return ++reader->interim_count > INTERIM_MAX ? -1 : 0;
-	}
-	if (!reader->callbacks.on_head(&reader->head, reader->data))
-		return -1;
-	return reader->no_body ? 1 : 0;
+		return HEAD_FAILED;
+	reader->interim =
+	    reader->kind == HTTP1_RESPONSE && reader->head.status < 200;
+	if (reader->interim && ++reader->interim_count > INTERIM_MAX)
+		return HEAD_FAILED;
+	if (!reader->interim &&
+	    !reader->callbacks.on_head(&reader->head, reader->data))
+		return HEAD_FAILED;
+	return is_without_body(reader) ? HEAD_ONLY : 0;
 }
 
 static int
--- a/tests/test_http1.c
+++ b/tests/test_http1.c
@@ -226,6 +226,37 @@
 }
 END_TEST
 
+/*
+ * Guards against waiting for a body that never comes, and against bytes after
+ * a response without a body that are passed on as its body.
+ */
+START_TEST(responses_without_a_body_end_with_their_head)
+{
+	static const char *const heads[] = {
+	    "HTTP/1.1 204 None\r\nContent-Length: 3\r\n\r\n",
+	    "HTTP/1.1 304 Same\r\nContent-Length: 3\r\n\r\n",
+	    "HTTP/1.1 304 Same\r\nTransfer-Encoding: chunked\r\n\r\n",
+	    "HTTP/1.1 103 Early\r\nContent-Length: 3\r\n\r\n"
+	    "HTTP/1.1 204 None\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		parsed_message_t parsed = {.body = g_string_new(NULL)};
+		http1_reader_t *reader =
+		    http1_reader_new(HTTP1_RESPONSE, 1000, &callbacks, &parsed);
+		char *text = g_strconcat(heads[i], "3\r\nabc", NULL);
+
+		ck_assert_uint_eq(
+		    feed(reader, text, strlen(text)), strlen(heads[i]));
+		ck_assert_int_eq(http1_reader_state(reader), HTTP1_COMPLETE);
+		ck_assert_str_eq(parsed.body->str, "");
+		http1_reader_free(reader);
+		g_string_free(parsed.body, TRUE);
+		g_free(text);
+	}
+}
+END_TEST
+
 START_TEST(hop_by_hop_headers_are_recognized)
 {
 	http1_head_t head = {.header_count = 2,
@@ -250,6 +281,7 @@
 	tcase_add_test(cases, chunks_of_one_read_are_passed_on_at_once);
 	tcase_add_test(cases, interim_responses_are_skipped);
 	tcase_add_test(cases, interim_responses_without_end_fail);
+	tcase_add_test(cases, responses_without_a_body_end_with_their_head);
 	tcase_add_test(cases, hop_by_hop_headers_are_recognized);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
