Serve public requests by a configuration of any age

What callers saw: once a host had no proof from the store for 0.8 of revoke_ms, it answered every request with 503 stale_configuration, also on public routes and in deployments without workspaces, for as long as the store was away. docs/platform.md says that only requests that need a key are refused.

Cause: check_node() looked at the configuration's age before the route was known.

Ruled out: a withdrawn key on a public route: its requests are not looked up by key, counted or charged.

Change: the age is checked after the route is found, and only where the answer may depend on a key. A request that matches no route is still refused with 503 and not with 404: its route may be new. A deployment without workspaces gets the 404.

Evidence: test_gateway, public_requests_are_served_while_store_is_unavailable: "no connection in time" at the backend server on the old code, passes now; the check that a request with a key gets 503 passes as before.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -42,7 +42,7 @@
 /*
  * A configuration that the store has not confirmed for a while may hold API
  * keys that have been withdrawn. After this share of revoke_ms the gateway
- * refuses requests.
+ * refuses requests for which keys matter.
  */
 static const double config_use_share = 0.8;
 /*
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -241,10 +241,21 @@
 		give_up(req, "stopped", "stopping");
 }
 
+/*
+ * True for a request whose answer may depend on API keys: not that of a public
+ * route, but of one that this node does not know.
+ */
+static bool
+depends_on_keys(const proxy_request_t *req)
+{
+	return req->catalog->workspaces->len > 0 &&
+	       (req->route == NULL || !req->route->is_public);
+}
+
 static bool
 authenticate(proxy_request_t *req)
 {
-	if (req->catalog->workspaces->len == 0 || req->route->is_public)
+	if (!depends_on_keys(req))
 		return true;
 	if (req->facts.api_key == NULL)
 		return false;
@@ -345,13 +356,23 @@
 		    req, 503, PROXY_RETRY_AFTER_MS, "no_configuration");
 		return false;
 	}
-	if (clock_boot_ms() >= context->catalog_valid_until_ms) {
-		proxy_respond(req, 503, 0, "stale_configuration");
-		return false;
-	}
 	return true;
 }
 
+/*
+ * False where a key may have been withdrawn since the configuration was
+ * confirmed; has responded 503 then.
+ */
+static bool
+check_configuration_age(proxy_request_t *req)
+{
+	if (clock_boot_ms() < req->context->catalog_valid_until_ms ||
+	    !depends_on_keys(req))
+		return true;
+	proxy_respond(req, 503, 0, "stale_configuration");
+	return false;
+}
+
 void
 proxy_start(proxy_context_t *context, exchange_t *exchange)
 {
@@ -366,6 +387,8 @@
 	}
 	req->route = catalog_find_route(
 	    req->catalog, facts->host, exchange_request_head(exchange)->target);
+	if (!check_configuration_age(req))
+		return;
 	if (req->route == NULL) {
 		proxy_respond(req, 404, -1, "no_route");
 		return;
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -46,7 +46,8 @@
 	cold_limit_t *cold_limit;
 	counters_t *counters;
 	catalog_t *catalog; /* current configuration; NULL: none yet */
-	/* clock_boot_ms() from which the catalog must not be used. */
+	/* clock_boot_ms() from which the keys in the catalog must not be used.
+	 */
 	int64_t catalog_valid_until_ms;
 	bool stopping; /* the node shuts down: new requests get 503 */
 	/* Requests in flight. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -317,6 +317,25 @@
 }
 END_TEST
 
+/* Guards against refusals of requests that no withdrawn API key can affect. */
+START_TEST(public_requests_are_served_while_store_is_unavailable)
+{
+	gateway_exchange_t exchange;
+	int client;
+
+	faults_set(platform_standin, "{\"down\": true}");
+	g_usleep(2100000);
+	exchange = gateway_exchange_open("/open/a", backend_listener_1);
+	send_response(exchange.server_fd, "200 OK", "id-1", "ok");
+	ck_assert_uint_eq(read_status(exchange.client_fd), 200);
+	gateway_exchange_close(&exchange);
+	/* A route that may have been added since. */
+	client = gateway_send_request("/unknown/a", "id-1");
+	ck_assert_uint_eq(read_status(client), 503);
+	close(client);
+}
+END_TEST
+
 /*
  * Guards against refusals just after the start, when the configuration has not
  * been read yet.
@@ -696,6 +715,8 @@
 	tcase_add_test(cases, withdrawn_api_key_is_refused);
 	tcase_add_test(cases, older_configuration_is_ignored);
 	tcase_add_test(cases, api_keys_are_refused_while_store_is_unavailable);
+	tcase_add_test(
+	    cases, public_requests_are_served_while_store_is_unavailable);
 	tcase_add_test(cases, request_during_startup_waits_for_configuration);
 	tcase_add_test(cases, draining_server_gets_no_new_request);
 	tcase_add_test(cases, requests_over_size_or_time_limits_are_refused);
