Name serving hosts while no host has proof from the store

What callers saw: with the store away for 0.6 of revoke_ms, every host's directory answered 503 and callers found no host, though the hosts serve requests with a key until 0.8 and those on public routes for longer.

Cause: the directory names ready hosts only, and each host stops to be ready at 0.6, in order that callers go to hosts with proof. There are none then.

Change: a host that was ready and lacks only the store's proof (it does not drain and has its configuration) says so in its digest, as a third value of the field that says whether it is ready. While no live host is ready, the directory names these, in the order of the active set. A host that does not reach more than half of the registered ones still answers 503: it may be the one that is cut off, and a caller then asks the directory of another host. Readiness, the active set, the shares of quotas and the leader's election are as before.

Ruled out: taking "not ready, with a configuration" for it: a host that drains has one too, and cannot remove its key while the store is away. A new field: nodes of earlier versions take the third value for ready, so that they name such a host beside ready ones while versions are mixed.

--- a/src/cluster.h
+++ b/src/cluster.h
@@ -68,6 +68,11 @@
 /* State of this node that its digests report. */
 typedef struct cluster_local_state {
 	bool ready;
+	/*
+	 * Was ready, and is not for lack of proof of its configuration only:
+	 * it neither drains nor lacks a configuration.
+	 */
+	bool unproven;
 	bool leader;
 	int64_t configuration_version;
 } cluster_local_state_t;
@@ -131,7 +136,11 @@
 
 /*
  * Client addresses (borrowed char *) of the active nodes that are ready and
- * alive, of this one where it is active. The caller releases the array.
+ * alive, of this one where it is active. While no node is ready, of those that
+ * would be active if they had proof of their configuration: they still serve
+ * many requests. A node that reaches no majority of the others leaves these
+ * out, as it may be cut off from nodes that are ready. The caller releases the
+ * array.
  */
 GPtrArray *cluster_client_addresses(cluster_t *cluster);
 
--- a/src/cluster_active.c
+++ b/src/cluster_active.c
@@ -67,20 +67,38 @@
 	return (int64_t)position * CAMPAIGN_DELAY_PER_POSITION_MS;
 }
 
-static GArray *
-find_candidates(const cluster_t *cluster, int64_t now_ms)
+static bool
+is_ready(const digest_t *digest)
+{
+	return digest->ready;
+}
+
+static bool
+is_unproven(const digest_t *digest)
+{
+	return digest->unproven;
+}
+
+static void
+add_self(const cluster_t *cluster, GArray *candidates)
 {
-	GArray *candidates =
-	    g_array_new(FALSE, FALSE, sizeof(active_candidate_t));
 	active_candidate_t self = {.name = cluster->options.config->name,
 	    .processors = cluster->options.config->processors};
+
+	if (region_map_has_many(cluster->options.config->regions))
+		self.region = cluster->options.config->region;
+	g_array_append_val(candidates, self);
+}
+
+/* Adds the peers that are alive and whose digest is as wanted. */
+static void
+add_peers(const cluster_t *cluster, int64_t now_ms,
+    bool (*is_wanted)(const digest_t *digest), GArray *candidates)
+{
 	const region_map_t *regions = cluster->options.config->regions;
 	GHashTableIter iter;
 	gpointer value;
 
-	if (region_map_has_many(regions))
-		self.region = cluster->options.config->region;
-	g_array_append_val(candidates, self);
 	g_hash_table_iter_init(&iter, cluster->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		cluster_peer_t *peer = value;
@@ -89,13 +107,12 @@
 
 		if (!peer->registered ||
 		    !cluster_is_peer_alive(cluster, peer, now_ms) ||
-		    !peer->digest->ready)
+		    !is_wanted(peer->digest))
 			continue;
 		candidate.processors = peer->digest->processors;
 		candidate.region = region_map_find(regions, peer->digest->zone);
 		g_array_append_val(candidates, candidate);
 	}
-	return candidates;
 }
 
 static bool
@@ -125,8 +142,11 @@
 static void
 select_active(cluster_t *cluster, int64_t now_ms)
 {
-	GArray *candidates = find_candidates(cluster, now_ms);
+	GArray *candidates =
+	    g_array_new(FALSE, FALSE, sizeof(active_candidate_t));
 
+	add_self(cluster, candidates);
+	add_peers(cluster, now_ms, is_ready, candidates);
 	active_set_select(candidates);
 	g_ptr_array_set_size(cluster->active_peers, 0);
 	cluster->own_position = ACTIVE_SET_MAX;
@@ -163,6 +183,47 @@
 	cluster->active = active;
 }
 
+/* Number of registered nodes that are alive, this one included. */
+static unsigned
+count_reached(const cluster_t *cluster, int64_t now_ms)
+{
+	unsigned reached = 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cluster_peer_t *peer = value;
+
+		if (peer->registered &&
+		    cluster_is_peer_alive(cluster, peer, now_ms))
+			reached++;
+	}
+	return reached;
+}
+
+/* Adds the nodes that would be active if they had proof. */
+static void
+add_unproven(const cluster_t *cluster, int64_t now_ms, GPtrArray *addresses)
+{
+	GArray *candidates =
+	    g_array_new(FALSE, FALSE, sizeof(active_candidate_t));
+
+	if (cluster->local.unproven)
+		add_self(cluster, candidates);
+	add_peers(cluster, now_ms, is_unproven, candidates);
+	active_set_select(candidates);
+	for (guint i = 0; i < candidates->len; i++) {
+		const cluster_peer_t *peer =
+		    g_array_index(candidates, active_candidate_t, i).data;
+
+		g_ptr_array_add(addresses,
+		    peer == NULL ? cluster->options.config->client_address
+				 : peer->digest->client_address);
+	}
+	g_array_unref(candidates);
+}
+
 GPtrArray *
 cluster_client_addresses(cluster_t *cluster)
 {
@@ -183,6 +244,9 @@
 
 		g_ptr_array_add(addresses, peer->digest->client_address);
 	}
+	if (addresses->len == 0 &&
+	    2 * count_reached(cluster, now_ms) > cluster_node_count(cluster))
+		add_unproven(cluster, now_ms, addresses);
 	return addresses;
 }
 
@@ -200,7 +264,6 @@
 {
 	GPtrArray *names = g_ptr_array_new();
 	int64_t now_ms = clock_boot_ms();
-	unsigned reached = 1;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -209,15 +272,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const cluster_peer_t *peer = value;
 
-		if (!peer->registered)
-			continue;
-		if (cluster_is_peer_alive(cluster, peer, now_ms))
-			reached++;
-		if (counts_as_active(cluster, peer))
+		if (peer->registered && counts_as_active(cluster, peer))
 			g_ptr_array_add(names, peer->name);
 	}
 	if (!cluster->active || !has_settled_view(cluster, now_ms) ||
-	    2 * reached < cluster_node_count(cluster))
+	    2 * count_reached(cluster, now_ms) < cluster_node_count(cluster))
 		g_ptr_array_set_size(names, 0);
 	return names;
 }
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -121,6 +121,7 @@
 	if (region_map_has_many(config->regions))
 		digest->zone = g_strdup(config->zone);
 	digest->ready = cluster->local.ready;
+	digest->unproven = cluster->local.unproven;
 	digest->active = cluster->active;
 	digest->leader = cluster->local.leader;
 	digest->processors = config->processors;
--- a/src/digest.c
+++ b/src/digest.c
@@ -6,6 +6,16 @@
 #include <math.h>
 #include <string.h>
 
+/*
+ * A field that held only the first two: receivers of earlier versions take the
+ * third for ready.
+ */
+typedef enum readiness {
+	READINESS_NONE = 0,
+	READINESS_READY = 1,
+	READINESS_UNPROVEN = 2,
+} readiness_t;
+
 enum {
 	FORMAT_VERSION = 6,
 	/* Fields of the first release; later ones follow and are optional. */
@@ -180,6 +190,14 @@
 	}
 }
 
+static readiness_t
+readiness_of(const digest_t *digest)
+{
+	if (digest->ready)
+		return READINESS_READY;
+	return digest->unproven ? READINESS_UNPROVEN : READINESS_NONE;
+}
+
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -193,7 +211,7 @@
 	msgpack_pack_int64(&packer, digest->incarnation);
 	msgpack_pack_int64(&packer, digest->sequence);
 	mp_pack_string(&packer, digest->client_address);
-	msgpack_pack_int(&packer, digest->ready);
+	msgpack_pack_int(&packer, readiness_of(digest));
 	msgpack_pack_int64(&packer, digest->wall_ms);
 	msgpack_pack_int64(&packer, digest->configuration_version);
 	msgpack_pack_int(&packer, digest->active);
@@ -431,7 +449,8 @@
 	    !mp_read_int64(&fields[9], &leader) ||
 	    !read_double(&fields[10], &digest->processors))
 		return false;
-	digest->ready = ready != 0;
+	digest->ready = ready != READINESS_NONE && ready != READINESS_UNPROVEN;
+	digest->unproven = ready == READINESS_UNPROVEN;
 	digest->active = active != 0;
 	digest->leader = leader != 0;
 	return read_spending(&fields[11], digest->spending) &&
--- a/src/digest.h
+++ b/src/digest.h
@@ -60,6 +60,8 @@
 	int64_t sequence;    /* increases within an incarnation */
 	char *client_address;
 	bool ready;
+	/* Not ready for lack of proof of its configuration only. */
+	bool unproven;
 	bool active;	   /* receives digests often, see active_set.h */
 	bool leader;	   /* has the singleton duties */
 	double processors; /* that the sender may use */
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -315,6 +315,7 @@
 {
 	const catalog_t *catalog = gateway->proxy.catalog;
 	cluster_local_state_t state = {.ready = gateway->ready,
+	    .unproven = gateway->unproven,
 	    .leader = lease_fencing_token(gateway->lease) != 0,
 	    .configuration_version = catalog == NULL ? 0 : catalog->version};
 
@@ -328,9 +329,11 @@
 {
 	int64_t confirmed_ms = store_watch_confirmed_ms(gateway->store_watch);
 	double revoke_ms = (double)gateway->config->bounds.revoke_ms;
+	bool can_serve = gateway->proxy.catalog != NULL &&
+			 gateway->initial_list_complete &&
+			 gateway->drain.started_ms == 0;
 	bool ready =
-	    gateway->proxy.catalog != NULL && gateway->initial_list_complete &&
-	    gateway->drain.started_ms == 0 &&
+	    can_serve &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
 
 	gateway->proxy.catalog_valid_until_ms =
@@ -340,6 +343,8 @@
 		    ready ? "front.ready" : "front.unready",
 		    "proof_age_ms=%" G_GINT64_FORMAT " draining=%d",
 		    now_ms - confirmed_ms, gateway->drain.started_ms != 0);
+	gateway->unproven =
+	    can_serve && !ready && (gateway->ready || gateway->unproven);
 	gateway->ready = ready;
 	report_local_state(gateway);
 }
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -45,7 +45,8 @@
 	/* When a peer first reported a newer configuration; 0: none has. */
 	int64_t newer_configuration_ms;
 	bool initial_list_complete; /* of the store's keys */
-	bool ready;		    /* as reported to readiness checks */
+	bool unproven; /* was ready, and lacks the store's proof only */
+	bool ready;    /* as reported to readiness checks */
 	drain_t drain;
 	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -415,6 +415,34 @@
 	return text;
 }
 
+/*
+ * Guards against a directory that names no host while hosts serve, that names
+ * one which stops, or a host that may be the only one without the store.
+ */
+START_TEST(directory_names_serving_hosts_while_store_is_unavailable)
+{
+	program_t *second = gateway_start("n2"), *third = gateway_start("n3");
+	char *list;
+
+	g_usleep(700000);
+	faults_set(platform_standin, "{\"down\": true}");
+	g_usleep(2100000);
+	kill(third->pid, SIGTERM);
+	g_usleep(300000);
+	list = read_address_list();
+	ck_assert_ptr_nonnull(strstr(list, gateway_node->address));
+	ck_assert_ptr_nonnull(strstr(list, second->address));
+	ck_assert_ptr_null(strstr(list, third->address));
+	g_free(list);
+	program_end(second, SIGKILL);
+	program_end(third, SIGKILL);
+	g_usleep(1300000);
+	list = read_address_list();
+	ck_assert_str_eq(list, "");
+	g_free(list);
+}
+END_TEST
+
 /*
  * Guards against a planned stop that cuts a request in progress, or that sends
  * clients to a node that is about to end.
@@ -717,6 +745,8 @@
 	tcase_add_test(cases, api_keys_are_refused_while_store_is_unavailable);
 	tcase_add_test(
 	    cases, public_requests_are_served_while_store_is_unavailable);
+	tcase_add_test(
+	    cases, directory_names_serving_hosts_while_store_is_unavailable);
 	tcase_add_test(cases, request_during_startup_waits_for_configuration);
 	tcase_add_test(cases, draining_server_gets_no_new_request);
 	tcase_add_test(cases, requests_over_size_or_time_limits_are_refused);
