Test answers of hedges and moved streams that are cut in their head

Cases beside those of test_cut_head: a hedged request of which one server stops in its head, a resumed stream whose next server does, and a moved stream whose source does in its answer to the order to copy, or whose target does. No fault was found: the other attempt answers, or the stream is broken off so that its client sees it.

--- a/tests/test_hedge_process.c
+++ b/tests/test_hedge_process.c
@@ -284,6 +284,7 @@
 	"Content-Length: 5\r\n\r\nFAULT",
 	true},
     {"half an answer", HEAD("200 OK") "Content-Length: 10\r\n\r\nFAULT", true},
+    {"half a head", HEAD("200 OK"), true},
     {"nothing", "", true},
 };
 
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -189,6 +189,9 @@
     {"half an event without framing",
 	RESUMED("200 OK", "Connection: close\r\n") "id: 2\nFAULT", true},
     {"malformed head", "FAULT FAULT\r\n\r\n", false},
+    {"half a head", "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n", true},
+    {"head without framing", RESUMED("200 OK", "Connection: close\r\n"), true},
+    {"nothing", "", true},
 };
 
 /*
@@ -413,6 +416,56 @@
 }
 END_TEST
 
+#define COPIED                                          \
+	"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n" \
+	"{\"handle\": 7,\"created\": 2}"
+
+static const struct cut_move {
+	const char *copy;   /* the source's answer to the order to copy */
+	const char *target; /* the target's answer; NULL: it is not asked */
+} cut_moves[] = {
+    {"HTTP/1.1 200 OK\r\nContent-Le", NULL},
+    {"HTTP/1.1 200 OK\r\n\r\n{\"handle\": 7", NULL},
+    {COPIED, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"},
+    {COPIED, RESUMED("200 OK", "Connection: close\r\n")},
+};
+
+/* Guards against a moved stream that looks complete, or is run twice. */
+START_TEST(a_cut_answer_ends_no_moved_stream)
+{
+	const struct cut_move *move = &cut_moves[_i];
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/write/a", backend_listener_2);
+	int port, listener = wire_listen(&port), copy, target;
+	char *response;
+	bool reset;
+
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	g_free(wire_read_message(copy));
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	wire_send(copy, move->copy);
+	close(copy);
+	if (move->target != NULL) {
+		target = wire_accept(listener);
+		g_free(wire_read_message(target));
+		wire_send(target, move->target);
+		close(target);
+	}
+	response = wire_read_until_closed(exchange.client_fd, &reset);
+	ck_assert_str_eq(response, "");
+	ck_assert(!wire_wait_connection(listener, 0));
+	g_free(response);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -434,6 +487,8 @@
 	tcase_add_test(cases, late_response_does_not_end_a_migration);
 	tcase_add_test(
 	    cases, copy_of_a_broken_source_does_not_move_the_resumed_stream);
+	tcase_add_loop_test(cases, a_cut_answer_ends_no_moved_stream, 0,
+	    G_N_ELEMENTS(cut_moves));
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
