Test a cut head on the own interface with real processes

A server closes its connection in the head of its answer, after the status and the attempt's id: the node must ask again.

--- a/tests/test_cut_head.c
+++ b/tests/test_cut_head.c
@@ -26,6 +26,9 @@
 #define OK "HTTP/1.1 200 OK"
 #define EVENTS "id: 1\ndata: a\n\nid: 2\ndata: @\n\n"
 #define LENGTH "Content-Length: 8\r\n\r\n"
+#define OWN_REQUEST                                           \
+	"GET /v1/services/t1/pages/x HTTP/1.1\r\nHost: h\r\n" \
+	"Papaya-Workspace: depot\r\nConnection: close\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
 /* '@' stands for the request's key. */
@@ -244,6 +247,84 @@
 }
 END_TEST
 
+static bool
+is_applied(void *data)
+{
+	const program_t *node = data;
+	int fd = wire_connect(node->address);
+	bool reset, known;
+	char *response;
+
+	wire_send(fd, OWN_REQUEST "Papaya-Timeout-Ms: none\r\n\r\n");
+	response = wire_read_until_closed(fd, &reset);
+	known = g_str_has_prefix(response, "HTTP/1.1 400");
+	g_free(response);
+	close(fd);
+	return known;
+}
+
+/* A node of the project's own interface with one server of service "pages". */
+static program_t *
+start_own_node(int port)
+{
+	program_t *store = program_start("standin-store", NULL);
+	program_t *node = papayad_start("n1", "zone-a", store, "t1", NULL);
+
+	settings_put(node, "t1",
+	    json_pack("{s:{s:{s:s,s:b,s:s,s:[s],s:i,s:{s:i,s:f}}},"
+		      "s:{s:{s:o,s:s,s:s,s:s,s:s,s:s}},s:{s:{s:i,s:i,s:b}}}",
+		"services", "pages", "kind", "plain", "repeatable", 1,
+		"current", "v1", "versions", "v1", "timeout_ms", 2000, "slo",
+		"answer_ms", 200, "target", 0.95, "backends", "one", "address",
+		json_sprintf("127.0.0.1:%d", port), "host", "host-1", "zone",
+		"zone-a", "class", "a", "service", "pages", "version", "v1",
+		"workspaces", "depot", "weight", 1, "priority", 1, "large", 0));
+	wait_until(is_applied, node);
+	return node;
+}
+
+/* Answers one request with its attempt's id and the rest, and closes. */
+static void
+answer_attempt(int listener, const char *rest)
+{
+	int server = wire_accept(listener);
+	char *request = wire_read_message(server);
+	char *id = wire_header(request, "Papaya-Attempt");
+	char *text =
+	    g_strdup_printf(OK "\r\nPapaya-Attempt: %s\r\n%s", id, rest);
+
+	wire_send(server, text);
+	close(server);
+	g_free(text);
+	g_free(id);
+	g_free(request);
+}
+
+/* Guards against the same on the project's own interface, whose retry helps. */
+START_TEST(a_cut_head_is_no_answer_on_the_own_interface)
+{
+	static const char *const rests[] = {"", "Content-Le"};
+	int port, listener = wire_listen(&port);
+	program_t *node = start_own_node(port);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rests); i++) {
+		int client = wire_connect(node->address);
+		char *body;
+		bool is_whole;
+
+		wire_send(
+		    client, OWN_REQUEST "Papaya-Timeout-Ms: 3000\r\n\r\n");
+		answer_attempt(listener, rests[i]);
+		answer_attempt(listener, LENGTH "the page");
+		body = wire_read_body(client, &is_whole);
+		ck_assert_str_eq(body, "the page");
+		g_free(body);
+		close(client);
+	}
+	close(listener);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -256,5 +337,10 @@
 	tcase_add_loop_test(
 	    cases, a_cut_response_never_looks_whole, 0, G_N_ELEMENTS(forms));
 	suite_add_tcase(suite, cases);
+	cases = tcase_create("own_interface");
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(cases, NULL, programs_end);
+	tcase_add_test(cases, a_cut_head_is_no_answer_on_the_own_interface);
+	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
