Let requests wait until the first configuration is confirmed

What callers saw: a host that had just started answered some requests with 503 stale_configuration, though it would have served them some milliseconds later.

Cause: requests wait up to 500 ms after the start for a configuration, but only until one is there. The first list may be stale and is used only once the watch after it has confirmed it; a tick, or a new request, between the two found a configuration with no time of proof and refused as too old.

Ruled out as the only cause: traces of request_during_startup_waits_for_ configuration beside four busy processes (6 of 80 runs failed, three of them traced) show 503 stale_configuration in two, and in one a store that came back late: the node asks it after 0, 60, 120 and 240 ms and up to 60 ms more each, so that its next call was due after the 500 ms.

Change: a configuration that was never confirmed counts as none, for the wait and for the refusal (no_configuration). The stand-in of the platform gets the fault "watch_down".

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -163,7 +163,7 @@
 static bool
 is_awaiting_configuration(const gateway_t *gateway)
 {
-	return gateway->proxy.catalog == NULL &&
+	return !proxy_has_configuration(&gateway->proxy) &&
 	       gateway->drain.started_ms == 0 &&
 	       clock_boot_ms() - gateway->started_ms < STARTUP_WAIT_MS;
 }
@@ -336,8 +336,9 @@
 	    can_serve &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
 
-	gateway->proxy.catalog_valid_until_ms =
-	    confirmed_ms + (int64_t)(config_use_share * revoke_ms);
+	if (confirmed_ms != 0)
+		gateway->proxy.catalog_valid_until_ms =
+		    confirmed_ms + (int64_t)(config_use_share * revoke_ms);
 	if (ready != gateway->ready)
 		log_event(LOG_LEVEL_INFO,
 		    ready ? "front.ready" : "front.unready",
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -341,6 +341,12 @@
 	return req;
 }
 
+bool
+proxy_has_configuration(const proxy_context_t *context)
+{
+	return context->catalog != NULL && context->catalog_valid_until_ms != 0;
+}
+
 /* False where the node must not serve requests; has responded 503 then. */
 static bool
 check_node(proxy_request_t *req)
@@ -351,7 +357,7 @@
 		proxy_respond(req, 503, 0, "stopping");
 		return false;
 	}
-	if (req->catalog == NULL) {
+	if (!proxy_has_configuration(context)) {
 		proxy_respond(
 		    req, 503, PROXY_RETRY_AFTER_MS, "no_configuration");
 		return false;
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -46,7 +46,9 @@
 	cold_limit_t *cold_limit;
 	counters_t *counters;
 	catalog_t *catalog; /* current configuration; NULL: none yet */
-	/* clock_boot_ms() from which the keys in the catalog must not be used.
+	/*
+	 * clock_boot_ms() from which the keys in the catalog must not be used;
+	 * 0: the catalog is not confirmed yet and must not be used at all.
 	 */
 	int64_t catalog_valid_until_ms;
 	bool stopping; /* the node shuts down: new requests get 503 */
@@ -54,6 +56,9 @@
 	TAILQ_HEAD(proxy_request_list, proxy_request) requests;
 } proxy_context_t;
 
+/* True once there is a configuration that was confirmed. */
+bool proxy_has_configuration(const proxy_context_t *context);
+
 /* Starts to proxy a request; owns the caller's reference to exchange. */
 void proxy_start(proxy_context_t *context, exchange_t *exchange);
 
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -10,8 +10,8 @@
  * Simulates the users' platform by its published API: the key-value store with
  * preconditions, leases and watches, and the endpoints that singleton duties
  * call. GET /calls lists the calls accepted there. With the fault "down" the
- * store replies 503; with "stale", lists that may be stale stay as they were at
- * the first one since the fault was set.
+ * store replies 503, with "watch_down" to watches only; with "stale", lists
+ * that may be stale stay as they were at the first one since the fault was set.
  */
 
 enum {
@@ -412,13 +412,21 @@
 		   : 0;
 }
 
+static bool
+is_down(const char *path)
+{
+	return standin_fault_value(&standin, "down") > 0 ||
+	       (strcmp(path, "/v1/kv-watch") == 0 &&
+		   standin_fault_value(&standin, "watch_down") > 0);
+}
+
 static void
 serve_store(http_request_t *request, const json_t *body)
 {
 	const char *path = http_request_path(request);
 	int64_t id;
 
-	if (standin_fault_value(&standin, "down") > 0)
+	if (is_down(path))
 		http_reply_json(request, STATUS_UNAVAILABLE, json_object());
 	else if (strcmp(path, "/v1/kv-range") == 0)
 		serve_range(request);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -360,6 +360,23 @@
 }
 END_TEST
 
+/*
+ * Guards against refusals while the configuration has been read, but the first
+ * watch has not confirmed it yet.
+ */
+START_TEST(request_during_startup_waits_for_confirmation)
+{
+	int client;
+
+	faults_set(platform_standin, "{\"watch_down\": true}");
+	gateway_node = gateway_launch("n2");
+	client = gateway_send_request("/read/a", "id-1");
+	/* wire_wait_connection() waits for data too. */
+	ck_assert(!wire_wait_connection(client, 150));
+	close(client);
+}
+END_TEST
+
 /* Guards against requests to a server whose entry says "draining". */
 START_TEST(draining_server_gets_no_new_request)
 {
@@ -748,6 +765,7 @@
 	tcase_add_test(
 	    cases, directory_names_serving_hosts_while_store_is_unavailable);
 	tcase_add_test(cases, request_during_startup_waits_for_configuration);
+	tcase_add_test(cases, request_during_startup_waits_for_confirmation);
 	tcase_add_test(cases, draining_server_gets_no_new_request);
 	tcase_add_test(cases, requests_over_size_or_time_limits_are_refused);
 	tcase_add_test(
