Log and count requests that get no whole response

What callers saw: a request without an answer, or an answer that ends early. The node's logs showed nothing of the first kind, and gave the second kind the same line as a failure that the client was told of.

Cause: a connection that is closed while a request is unanswered, or behind whose last answer more was read, leaves no trace; request.ended has a status that the client does not get where the response had begun.

Change: request.ended has cut=0/1, responses_cut_total counts these by cause. Each listener counts connections that it closed with a response in progress (aborted), with bytes read behind the last request (behind), and those on which bytes came after the sending side was closed (late). clients.lost reports them once a second, client_requests_lost_total counts them. The rest of a refused request and clients that leave do not count.

Evidence: test_operations expects cut=1 for a stream whose server ends; on the old code the field is missing. test_operations and test_hostile_clients pass.

--- a/src/conn.c
+++ b/src/conn.c
@@ -34,6 +34,7 @@
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
 	bool lingering;
+	uint64_t *late_count; /* see conn_shutdown() */
 };
 
 typedef struct write {
@@ -215,6 +216,10 @@
 		    conn, length == UV_EOF ? end_error(conn) : (int)length);
 		return;
 	}
+	if (length > 0 && conn->late_count != NULL) {
+		++*conn->late_count;
+		conn->late_count = NULL;
+	}
 	if (length > 0 && !conn->closing)
 		conn->callbacks.on_data(
 		    conn, buffer->base, (size_t)length, conn->data);
@@ -455,7 +460,7 @@
 }
 
 void
-conn_shutdown(conn_t *conn)
+conn_shutdown(conn_t *conn, uint64_t *late_count)
 {
 	bool ended = conn->ended;
 
@@ -468,6 +473,7 @@
 	}
 	conn->yielded = false;
 	conn->lingering = true;
+	conn->late_count = late_count;
 	conn->read_max = LINGER_READ_BYTES;
 	TAILQ_INSERT_TAIL(&lingering, conn, lingering_entries);
 	lingering_count++;
--- a/src/conn.h
+++ b/src/conn.h
@@ -71,9 +71,10 @@
  * Sends the queued bytes and shuts down the sending side, then reads and
  * discards what the peer sends for a short time before closing. Closing with
  * unread data would make the kernel send a reset, and the peer could lose the
- * response.
+ * response. late_count: incremented once if the peer sends anything; borrowed
+ * until the process ends, or NULL.
  */
-void conn_shutdown(conn_t *conn);
+void conn_shutdown(conn_t *conn, uint64_t *late_count);
 
 /* Connections of the process that conn_shutdown() has not closed yet. */
 unsigned conn_lingering_count(void);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -379,15 +379,64 @@
 		count->servers++;
 }
 
+enum { LISTENERS_MAX = 4 };
+
+static void
+get_listeners(const gateway_t *gateway, http1_server_t **servers)
+{
+	servers[0] = gateway->client_listener;
+	servers[1] = gateway->directory_listener;
+	servers[2] = gateway->readiness_listener;
+	servers[3] = gateway->metrics_listener;
+}
+
+static uint64_t
+count_losses(const gateway_t *gateway, http1_loss_t loss)
+{
+	http1_server_t *servers[LISTENERS_MAX];
+	uint64_t count = 0;
+
+	get_listeners(gateway, servers);
+	for (size_t i = 0; i < LISTENERS_MAX; i++)
+		if (servers[i] != NULL)
+			count += http1_server_losses(servers[i], loss);
+	return count;
+}
+
+/* Logs the requests that got no whole response since the last report. */
+static void
+report_losses(gateway_t *gateway)
+{
+	GString *fields = g_string_new(NULL);
+
+	for (int i = 0; i < HTTP1_LOSS_COUNT; i++) {
+		const char *name = http1_loss_name((http1_loss_t)i);
+		uint64_t count = count_losses(gateway, (http1_loss_t)i);
+		uint64_t added = count - gateway->losses[i];
+
+		if (added == 0)
+			continue;
+		g_string_append_printf(
+		    fields, " %s=%" G_GUINT64_FORMAT, name, added);
+		counter_add(gateway->proxy.counters, added,
+		    "client_requests_lost_total{how=\"%s\"}", name);
+		gateway->losses[i] = count;
+	}
+	if (fields->len > 0)
+		log_event(LOG_LEVEL_WARN, "clients.lost",
+		    "connections_open=%u%s", gateway->memory.connections,
+		    fields->str);
+	g_string_free(fields, TRUE);
+}
+
 static uint64_t
 count_refusals(const gateway_t *gateway, http1_refusal_t reason)
 {
-	const http1_server_t *const servers[] = {gateway->client_listener,
-	    gateway->directory_listener, gateway->readiness_listener,
-	    gateway->metrics_listener};
+	http1_server_t *servers[LISTENERS_MAX];
 	uint64_t count = 0;
 
-	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
+	get_listeners(gateway, servers);
+	for (size_t i = 0; i < LISTENERS_MAX; i++)
 		if (servers[i] != NULL)
 			count += http1_server_refusals(servers[i], reason);
 	return count;
@@ -559,6 +608,7 @@
 		    cluster_wall_ms(gateway->cluster));
 		update_gauges(gateway, now_ms);
 		report_refusals(gateway);
+		report_losses(gateway);
 		return_memory(gateway);
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -33,6 +33,7 @@
 	http1_memory_t memory; /* of the connections of all listeners */
 	size_t memory_peak;    /* held by them since memory was returned */
 	uint64_t refusals[HTTP1_REFUSAL_COUNT]; /* at the last report */
+	uint64_t losses[HTTP1_LOSS_COUNT];	/* the same */
 	http1_server_t *client_listener;
 	http1_server_t *directory_listener; /* address lists, readiness */
 	http1_server_t *readiness_listener;
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -51,6 +51,12 @@
     [HTTP1_REFUSED_CONNECTIONS] = {"connections", STATUS_UNAVAILABLE},
 };
 
+static const char *const loss_names[HTTP1_LOSS_COUNT] = {
+    [HTTP1_LOST_ABORTED] = "aborted",
+    [HTTP1_LOST_BEHIND] = "behind",
+    [HTTP1_LOST_LATE] = "late",
+};
+
 static const catalog_limits_t *
 limits(const http1_server_t *server)
 {
@@ -182,9 +188,17 @@
 	exchange_unref(exchange);
 }
 
+static void
+count_aborted(const client_t *client)
+{
+	if (client->exchange != NULL)
+		client->server->losses[HTTP1_LOST_ABORTED]++;
+}
+
 void
 http1_server_close_client(client_t *client)
 {
+	count_aborted(client);
 	conn_close(client->conn);
 	client_remove(client);
 }
@@ -192,6 +206,7 @@
 void
 http1_server_reset_client(client_t *client)
 {
+	count_aborted(client);
 	conn_reset(client->conn);
 	client_remove(client);
 }
@@ -211,9 +226,20 @@
 	uv_timer_start(&client->timer, on_timeout, (uint64_t)timeout_ms, 0);
 }
 
+/* True where bytes that follow the last request have been read. */
+static bool
+has_bytes_behind(const client_t *client)
+{
+	return client->pipelined->len > 0 || client->unparsed_bytes > 0;
+}
+
 void
 http1_server_shutdown_client(client_t *client)
 {
+	uint64_t *losses = client->server->losses;
+
+	if (has_bytes_behind(client))
+		losses[HTTP1_LOST_BEHIND]++;
 	client->queued_bytes = conn_queued_bytes(client->conn);
 	if (client->queued_bytes > 0) {
 		set_phase(client, CLIENT_CLOSING);
@@ -221,7 +247,8 @@
 		start_timer(client, STALL_MS);
 		return;
 	}
-	conn_shutdown(client->conn);
+	conn_shutdown(
+	    client->conn, client->refused ? NULL : &losses[HTTP1_LOST_LATE]);
 	client_remove(client);
 }
 
@@ -236,6 +263,8 @@
 	GString *out = g_string_new(NULL);
 
 	client->server->refusals[reason]++;
+	client->refused = true;
+	client->unparsed_bytes = 0;
 	drop_received(client);
 	http1_server_add_status_line(out, status);
 	if (status == STATUS_UNAVAILABLE)
@@ -459,6 +488,7 @@
 			client_refuse(client, HTTP1_REFUSED_MEMORY);
 		return consumed;
 	case HTTP1_COMPLETE:
+		client->unparsed_bytes = length - consumed;
 		client_dispatch(client);
 		return consumed;
 	case HTTP1_FAILED:
@@ -531,6 +561,7 @@
 		length -= consumed;
 	}
 	client->parsing = false;
+	client->unparsed_bytes = 0;
 	if (client->conn != NULL && client->phase != CLIENT_CLOSING)
 		keep_pipelined(client, bytes, length);
 }
@@ -581,7 +612,8 @@
 static void
 on_end(conn_t *conn, int error, void *data)
 {
-	http1_server_close_client(data);
+	conn_close(conn);
+	client_remove(data);
 }
 
 static void
@@ -790,6 +822,18 @@
 	return refusal_kinds[reason].name;
 }
 
+uint64_t
+http1_server_losses(const http1_server_t *server, http1_loss_t loss)
+{
+	return server->losses[loss];
+}
+
+const char *
+http1_loss_name(http1_loss_t loss)
+{
+	return loss_names[loss];
+}
+
 void
 http1_server_await_request(client_t *client)
 {
--- a/src/http1_server.h
+++ b/src/http1_server.h
@@ -41,6 +41,14 @@
 	HTTP1_REFUSAL_COUNT,
 } http1_refusal_t;
 
+/* How a client's request, or bytes of one, came to have no whole response. */
+typedef enum http1_loss {
+	HTTP1_LOST_ABORTED, /* this process closed before the response's end */
+	HTTP1_LOST_BEHIND,  /* read behind the last request of a connection */
+	HTTP1_LOST_LATE, /* sent after the connection was closed for sending */
+	HTTP1_LOSS_COUNT,
+} http1_loss_t;
+
 typedef struct http1_server_options {
 	const char *address; /* IP:PORT */
 	/* At this limit, a new connection closes the one idle longest; it is
@@ -79,6 +87,11 @@
 /* Label of a reason in metrics and logs. */
 const char *http1_refusal_name(http1_refusal_t reason);
 
+/* Connections with such a loss since the start. */
+uint64_t http1_server_losses(const http1_server_t *server, http1_loss_t loss);
+/* Label of a loss in metrics and logs. */
+const char *http1_loss_name(http1_loss_t loss);
+
 const http1_head_t *exchange_request_head(const exchange_t *exchange);
 /* Borrowed; must not be changed. */
 GByteArray *exchange_request_body(const exchange_t *exchange);
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -21,6 +21,7 @@
 	uv_timer_t resume_timer;   /* parses them */
 	uv_timer_t eviction_timer; /* resets clients that do not read */
 	uint64_t refusals[HTTP1_REFUSAL_COUNT];
+	uint64_t losses[HTTP1_LOSS_COUNT];
 	unsigned connections;
 	uint64_t accepted; /* connections since the start */
 	unsigned active_requests;
@@ -50,8 +51,11 @@
 	exchange_t *exchange;
 	GByteArray *body;      /* of the request being read */
 	GByteArray *pipelined; /* bytes read after the current request */
-	int64_t received_ms;   /* as exchange_received_ms() */
+	/* The same that read_request() has not yet moved there. */
+	size_t unparsed_bytes;
+	int64_t received_ms; /* as exchange_received_ms() */
 	int64_t idle_since_ms;
+	bool refused;	     /* the rest of the request is of no interest */
 	size_t queued_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
 	http1_refusal_t refusal;
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -117,6 +117,7 @@
 	    .server = attempt->server == NULL ? "" : attempt->server->info->id,
 	    .status = status,
 	    .cause = cause,
+	    .cut = req->cut,
 	    .retry_after_ms = req->retry_after_ms,
 	    .units = req->workspace == NULL ? 0 : request_units(req),
 	    .quota_available = req->quota_available,
@@ -141,6 +142,7 @@
 	char extra[64] = "";
 
 	req->retry_after_ms = retry_after_ms;
+	req->cut = req->response_started;
 	proxy_log_end(req, status, cause);
 	if (req->response_started) {
 		exchange_abort(req->exchange);
@@ -196,6 +198,7 @@
 {
 	proxy_request_t *req = data;
 
+	req->cut = req->response_started;
 	proxy_log_end(req, 0, "client_left");
 	proxy_finish(req);
 }
--- a/src/proxy_log.c
+++ b/src/proxy_log.c
@@ -10,23 +10,27 @@
 	counter_add(counters, 1,
 	    "requests_total{service=\"%s\",status=\"%u\",cause=\"%s\"}",
 	    outcome->service, outcome->status, outcome->cause);
+	if (outcome->cut)
+		counter_add(counters, 1, "responses_cut_total{cause=\"%s\"}",
+		    outcome->cause);
 	histogram_add(histogram_get(counters, "request_us"),
 	    outcome->elapsed_ms * US_PER_MS);
 	log_event(outcome->status >= 200 && outcome->status < 300
 		      ? LOG_LEVEL_INFO
 		      : LOG_LEVEL_WARN,
 	    "request.ended",
-	    "id=%s status=%u cause=\"%s\" retry_after_ms=%" G_GINT64_FORMAT
+	    "id=%s status=%u cause=\"%s\" cut=%d "
+	    "retry_after_ms=%" G_GINT64_FORMAT
 	    " route=%s workspace=%s units=%.0f quota_left=%.0f service=%s "
 	    "server=%s attempts=%u ran=%d elapsed_ms=%" G_GINT64_FORMAT
 	    " first_ms=%" G_GINT64_FORMAT " expected_ms=%.0f ahead_tokens=%.0f"
 	    " configuration=%" G_GINT64_FORMAT " usable_ms=%" G_GINT64_FORMAT,
 	    outcome->attempt_id == NULL ? "" : outcome->attempt_id,
-	    outcome->status, outcome->cause, outcome->retry_after_ms,
-	    outcome->route, outcome->workspace, outcome->units,
-	    outcome->quota_available, outcome->service, outcome->server,
-	    outcome->attempts, outcome->may_have_run, outcome->elapsed_ms,
-	    outcome->ttft_ms, outcome->expected_ttft_ms,
+	    outcome->status, outcome->cause, outcome->cut,
+	    outcome->retry_after_ms, outcome->route, outcome->workspace,
+	    outcome->units, outcome->quota_available, outcome->service,
+	    outcome->server, outcome->attempts, outcome->may_have_run,
+	    outcome->elapsed_ms, outcome->ttft_ms, outcome->expected_ttft_ms,
 	    outcome->prefill_tokens, outcome->catalog_version,
 	    outcome->catalog_valid_ms);
 }
--- a/src/proxy_log.h
+++ b/src/proxy_log.h
@@ -18,6 +18,7 @@
 	const char *server; /* id of the last one; "": none */
 	unsigned status;    /* sent to the client; 0: it disconnected */
 	const char *cause;
+	bool cut; /* the response had begun, and was not completed */
 	int64_t retry_after_ms; /* sent to the client; -1: none */
 	double units;		/* of the workspace's quota that it needs */
 	double quota_available; /* units before the request; 0: no quota */
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -117,6 +117,7 @@
 	bool may_have_run;	   /* a server may have run the request */
 	bool response_started;	   /* its head was sent to the client */
 	bool stream_started;	   /* and the response is a stream of events */
+	bool cut;		   /* the response ends before it is complete */
 	bool finished;
 } proxy_request_t;
 
--- a/tests/test_operations.c
+++ b/tests/test_operations.c
@@ -102,7 +102,7 @@
 	lines = read_request_log("id-1");
 	assert_contains(lines, "attempt.failed id=id-1 attempt=1 server=e-1 "
 			       "why=\"connection closed\" sent=1");
-	assert_contains(lines, "status=502");
+	assert_contains(lines, "status=502 cause=\"connection closed\" cut=1");
 	ck_assert_ptr_null(strstr(lines, "first_ms=-1"));
 	g_free(lines);
 	gateway_exchange_close(&exchange);
