Leave a request that crosses a close unread

What callers saw: a whole request on a kept connection ends with a closed connection and neither an answer nor a refusal. A client may send a request that must not run twice again only if it has not been read, and could not.

Cause: for a close of an idle connection (idle limit, planned stop, room for a new one) the process shut down the sending side, then read and dropped what came for a second. A request sent into the close was read. Besides, libuv runs expired timers before it reads, so that a process that was held up closed connections on which a request lay unread already.

Change: an idle close looks whether bytes lie unread and then leaves the connection open, as the loop reads them next. Otherwise the socket is closed at once and the kernel resets what comes later. Where a response was sent less than 300 ms ago, and after one that says so, the process lingers as before, but what comes stays unread; only the rest of a refused request is read. Where all sockets are taken by connections whose request is unread, the oldest is refused (503), as it is where a part of its request has been read.

--- a/src/conn.c
+++ b/src/conn.c
@@ -128,11 +128,34 @@
 	conn->callbacks.on_end(conn, error, conn->data);
 }
 
+conn_unread_t
+conn_unread(const conn_t *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+	ssize_t length;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return CONN_UNREAD_NONE;
+	length = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+	if (length > 0)
+		return CONN_UNREAD_BYTES;
+	if (length < 0 && (errno == EAGAIN || errno == EINTR))
+		return CONN_UNREAD_NONE;
+	return CONN_UNREAD_END;
+}
+
+/* Without a buffer libuv reads nothing and reports UV_ENOBUFS. */
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
 	const conn_t *conn = handle->data;
 
+	if (conn->late_count != NULL &&
+	    conn_unread(conn) == CONN_UNREAD_BYTES) {
+		*buffer = uv_buf_init(NULL, 0);
+		return;
+	}
 	*buffer = uv_buf_init(read_buffer, (unsigned)conn->read_max);
 }
 
@@ -209,6 +232,12 @@
 {
 	conn_t *conn = stream->data;
 
+	if (length == UV_ENOBUFS) {
+		uv_read_stop(stream);
+		++*conn->late_count;
+		conn->late_count = NULL;
+		return;
+	}
 	if (length < 0) {
 		uv_read_stop(stream);
 		conn->reading = false;
@@ -216,10 +245,6 @@
 		    conn, length == UV_EOF ? end_error(conn) : (int)length);
 		return;
 	}
-	if (length > 0 && conn->late_count != NULL) {
-		++*conn->late_count;
-		conn->late_count = NULL;
-	}
 	if (length > 0 && !conn->closing)
 		conn->callbacks.on_data(
 		    conn, buffer->base, (size_t)length, conn->data);
--- a/src/conn.h
+++ b/src/conn.h
@@ -61,18 +61,32 @@
 /* Most bytes that one read takes; 0: the default of 64 KiB. */
 void conn_set_read_max(conn_t *conn, size_t bytes);
 
-/* Closes at once; queued bytes are discarded. */
+/* What has come from the peer and has not been read yet. */
+typedef enum conn_unread {
+	CONN_UNREAD_NONE,
+	CONN_UNREAD_BYTES,
+	CONN_UNREAD_END, /* the peer's end, or a failure of the connection */
+} conn_unread_t;
+
+/*
+ * The loop runs expired timers before it reads: after a pause of the process, a
+ * timer for something that is missing finds it here.
+ */
+conn_unread_t conn_unread(const conn_t *conn);
+
+/* Closes at once; queued bytes are discarded. The kernel resets the connection
+ * if bytes are unread, or come later. */
 void conn_close(conn_t *conn);
 
 /* The same, with a reset: the peer does not take it for the end of the data. */
 void conn_reset(conn_t *conn);
 
 /*
- * Sends the queued bytes and shuts down the sending side, then reads and
- * discards what the peer sends for a short time before closing. Closing with
- * unread data would make the kernel send a reset, and the peer could lose the
- * response. late_count: incremented once if the peer sends anything; borrowed
- * until the process ends, or NULL.
+ * Sends the queued bytes and shuts down the sending side; closes after a short
+ * time, as a reset by the kernel at once could make the peer lose the response.
+ * What the peer sends meanwhile stays unread, so that the reset then tells it
+ * so, and *late_count is incremented; borrowed until the process ends. NULL: it
+ * is the rest of a refused request, which is read and discarded.
  */
 void conn_shutdown(conn_t *conn, uint64_t *late_count);
 
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -25,9 +25,13 @@
 	REQUESTS_MAX = 16,
 	/* A timer that starts itself with 0 ms would not let the loop go on. */
 	RESUME_MS = 1,
+	/* Idle connections that a new one looks at for one to close. */
+	LOOKS_MAX = 16,
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
+	/* A client has read a response that was sent so long ago. */
+	RESPONSE_READ_MS = 300,
 	/* A client that reads none of the queued bytes for so long is reset. */
 	STALL_MS = 5000,
 	STATUS_BAD_REQUEST = 400,
@@ -244,6 +248,8 @@
 	if (client->queued_bytes > 0) {
 		set_phase(client, CLIENT_CLOSING);
 		drop_received(client);
+		if (!client->refused)
+			conn_set_reading(client->conn, false);
 		start_timer(client, STALL_MS);
 		return;
 	}
@@ -312,6 +318,27 @@
 	start_timer(client, STALL_MS);
 }
 
+/*
+ * Closes a connection without a request; false where one has come. There is no
+ * lingering: what the client sends into the close must not be read, so that it
+ * can send it again elsewhere.
+ */
+static bool
+close_if_idle(client_t *client)
+{
+	int64_t idle_ms = clock_mono_ms() - client->idle_since_ms;
+
+	if (client->phase != CLIENT_IDLE || client->pipelined->len > 0 ||
+	    conn_unread(client->conn) == CONN_UNREAD_BYTES)
+		return false;
+	if (conn_queued_bytes(client->conn) > 0 ||
+	    (client->answered && idle_ms < RESPONSE_READ_MS))
+		http1_server_shutdown_client(client);
+	else
+		http1_server_close_client(client);
+	return true;
+}
+
 /* Restarts the timer if the limit was raised while it ran. */
 static void
 on_idle_timeout(client_t *client)
@@ -322,8 +349,10 @@
 
 	if (remaining_ms > 0)
 		start_timer(client, remaining_ms);
-	else
+	else if (client->pipelined->len > 0)
 		http1_server_shutdown_client(client);
+	else if (!close_if_idle(client))
+		start_timer(client, limits(client->server)->idle_timeout_ms);
 }
 
 static void
@@ -641,12 +670,13 @@
 close_oldest_idle(http1_server_t *server)
 {
 	client_t *client;
+	unsigned looks = 0;
 
 	TAILQ_FOREACH (client, &server->clients, entries) {
 		if (client->phase != CLIENT_IDLE)
 			continue;
-		http1_server_shutdown_client(client);
-		return;
+		if (close_if_idle(client) || ++looks == LOOKS_MAX)
+			return;
 	}
 }
 
@@ -656,16 +686,21 @@
 	return server->options.memory->connections + conn_lingering_count();
 }
 
-/* Refuses the oldest request that is not complete; false if there is none. */
+/*
+ * Refuses the oldest request that is not complete, or has not been read; false
+ * if there is none.
+ */
 static bool
-refuse_oldest_reading(http1_server_t *server)
+refuse_oldest_unread(http1_server_t *server)
 {
 	client_t *client;
 
 	TAILQ_FOREACH (client, &server->clients, entries) {
-		if (client->phase != CLIENT_READING)
+		if (client->phase != CLIENT_READING &&
+		    client->phase != CLIENT_IDLE)
 			continue;
-		client_refuse(client, HTTP1_REFUSED_CONNECTIONS);
+		if (!close_if_idle(client))
+			client_refuse(client, HTTP1_REFUSED_CONNECTIONS);
 		return true;
 	}
 	return false;
@@ -679,7 +714,7 @@
 		close_oldest_idle(server);
 	if (open_sockets(server) < server->options.sockets_max)
 		return true;
-	if (conn_lingering_count() == 0 && !refuse_oldest_reading(server))
+	if (conn_lingering_count() == 0 && !refuse_oldest_unread(server))
 		return false;
 	conn_close_oldest_lingering();
 	return open_sockets(server) < server->options.sockets_max;
@@ -786,9 +821,8 @@
 	for (client = TAILQ_FIRST(&server->clients); client != NULL;
 	     client = next) {
 		next = TAILQ_NEXT(client, entries);
-		if (client->phase == CLIENT_IDLE &&
-		    client->idle_since_ms <= idle_since_max_ms)
-			http1_server_shutdown_client(client);
+		if (client->idle_since_ms <= idle_since_max_ms)
+			close_if_idle(client);
 	}
 }
 
@@ -839,6 +873,7 @@
 {
 	TAILQ_REMOVE(&client->server->clients, client, entries);
 	TAILQ_INSERT_TAIL(&client->server->clients, client, entries);
+	client->answered = true;
 	enter_idle(client);
 	if (client->parsing)
 		return; /* client_read() goes on with the rest */
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -55,6 +55,7 @@
 	size_t unparsed_bytes;
 	int64_t received_ms; /* as exchange_received_ms() */
 	int64_t idle_since_ms;
+	bool answered;	     /* a response ended when it became idle */
 	bool refused;	     /* the rest of the request is of no interest */
 	size_t queued_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
@@ -85,7 +86,7 @@
 void http1_server_reset_client(client_t *client);
 /*
  * Closes and frees it after sending the queued bytes, for as long as the client
- * reads them: see conn_shutdown().
+ * reads them: see conn_shutdown(). Reads no further request.
  */
 void http1_server_shutdown_client(client_t *client);
 
--- /dev/null
+++ b/tests/test_http1_server.c
@@ -0,0 +1,235 @@
+#include "http1_server.h"
+#include "suite.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Requests that cross a decision of the server on their connection. The loop
+ * does not run while the client sends, as after a pause of the process.
+ */
+
+#define REQUEST "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+
+enum { SHORT_MS = 30, LINGER_MS = 1000 };
+
+static uv_loop_t loop;
+static http1_server_t *server;
+static http1_memory_t memory;
+static catalog_limits_t limits;
+static GPtrArray *exchanges; /* exchange_t *, not answered */
+static struct sockaddr_in address;
+
+static void
+on_request(exchange_t *exchange, void *data)
+{
+	g_ptr_array_add(exchanges, exchange);
+}
+
+static const catalog_limits_t *
+current_limits(void *data)
+{
+	return &limits;
+}
+
+/* Chooses a port that is free. */
+static void
+choose_address(void)
+{
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address = (struct sockaddr_in){
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	ck_assert_int_eq(
+	    bind(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	getsockname(fd, (struct sockaddr *)&address, &length);
+	close(fd);
+}
+
+static void
+setup(void)
+{
+	http1_server_options_t options = {.connections_max = 1,
+	    .sockets_max = 100,
+	    .memory = &memory,
+	    .on_request = on_request,
+	    .limits = current_limits};
+	char *text;
+
+	choose_address();
+	text = g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
+	options.address = text;
+	uv_loop_init(&loop);
+	limits = catalog_limits_default;
+	memory = (http1_memory_t){
+	    .received = memory_budget_new(0), .queued = memory_budget_new(0)};
+	exchanges = g_ptr_array_new();
+	server = http1_server_start(&loop, &options, NULL);
+	ck_assert_ptr_nonnull(server);
+	g_free(text);
+}
+
+static void
+run_loop(int ms)
+{
+	for (int i = 0; i < ms; i++) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static void
+send_text(int fd, const char *text)
+{
+	ck_assert_int_eq(
+	    send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
+}
+
+/* Opens a connection that the server accepts. */
+static int
+connect_client(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+/* What the client has got; free with g_free(). */
+static char *
+receive(int fd)
+{
+	char bytes[4096];
+	ssize_t length = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	return g_strndup(bytes, (gsize)MAX(length, 0));
+}
+
+/* True if the kernel has refused what the client sent last. */
+static bool
+is_reset(int fd)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+
+	getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length);
+	return error != 0;
+}
+
+static void
+answer(guint number)
+{
+	exchange_t *exchange = exchanges->pdata[number];
+
+	exchange_reply(exchange, 200, NULL, "done", 4);
+	exchange_unref(exchange);
+}
+
+/* Reasons to close a connection that is idle for longer than SHORT_MS. */
+static const char *const idle_closes[] = {"limit", "drain", "room"};
+
+static void
+close_idle(int reason)
+{
+	if (reason == 1)
+		http1_server_close_idle(server, SHORT_MS);
+	if (reason == 2)
+		connect_client();
+	run_loop(10);
+}
+
+static int
+open_idle(int reason)
+{
+	int fd;
+
+	if (reason == 0)
+		limits.idle_timeout_ms = SHORT_MS;
+	fd = connect_client();
+	run_loop(10);
+	g_usleep(2 * SHORT_MS * 1000);
+	return fd;
+}
+
+/*
+ * Guards against a request that is sent as its connection is closed for being
+ * idle, and read and dropped: its client cannot tell that it has not run.
+ */
+START_TEST(request_that_crosses_an_idle_close_is_reset)
+{
+	int fd = open_idle(_i);
+
+	close_idle(_i);
+	send_text(fd, REQUEST);
+	run_loop(10);
+	ck_assert_msg(is_reset(fd), "%s: it was read", idle_closes[_i]);
+	ck_assert_uint_eq(exchanges->len, 0);
+	close(fd);
+}
+END_TEST
+
+/*
+ * Guards against a connection that a process closes as idle after a pause, in
+ * which a request has come.
+ */
+START_TEST(request_that_came_before_an_idle_close_is_passed_on)
+{
+	int fd = open_idle(_i);
+
+	if (_i == 2)
+		connect_client(); /* is accepted before the request is read */
+	send_text(fd, REQUEST);
+	close_idle(_i % 2);
+	ck_assert_msg(exchanges->len == 1, "%s: closed", idle_closes[_i]);
+	answer(0);
+	close(fd);
+}
+END_TEST
+
+/* The same as the first, soon after a response, which must arrive. */
+START_TEST(request_after_a_closing_response_is_reset)
+{
+	int fd = connect_client();
+	char *text;
+
+	send_text(fd, REQUEST);
+	run_loop(10);
+	http1_server_drain(server);
+	answer(0);
+	run_loop(10);
+	send_text(fd, REQUEST);
+	run_loop(LINGER_MS + 100);
+	text = receive(fd);
+	ck_assert(g_str_has_suffix(text, "done"));
+	ck_assert(is_reset(fd));
+	ck_assert_uint_eq(exchanges->len, 1);
+	ck_assert_uint_eq(http1_server_losses(server, HTTP1_LOST_LATE), 1);
+	g_free(text);
+	close(fd);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("http1_server");
+	TCase *cases = tcase_create("http1_server");
+
+	signal(SIGPIPE, SIG_IGN);
+	tcase_add_checked_fixture(cases, setup, NULL);
+	tcase_add_loop_test(cases, request_that_crosses_an_idle_close_is_reset,
+	    0, G_N_ELEMENTS(idle_closes));
+	tcase_add_loop_test(cases,
+	    request_that_came_before_an_idle_close_is_passed_on, 0,
+	    G_N_ELEMENTS(idle_closes));
+	tcase_add_test(cases, request_after_a_closing_response_is_reset);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
