Give up a silent server only for another one

What callers saw: a request whose server was at work ended with 502, or its stream was cut, after two objectives of silence; after a pause of the node also where the answer had come already.

Cause: the timer for a silent server took a retry from the budget and cancelled the attempt before it looked for another server. With none, the request was rejected. After a pause the loop runs this timer and that of the deadline before it reads, so that they decided on answers that lay unread; the same where the node did not read as the client did not.

Change: the other server is chosen first, then the retry is taken, and only then the attempt is given up; otherwise the timer starts again, up to the deadline. It leaves an attempt alone while bytes of it are unread. At the deadline an answer that lies unread is read in one more round of the loop.

Ruled out: nothing is changed for hedged requests, whose second attempt goes on.

A pause does not always end in front of the timers, so the test makes six of them. All pass now, with test_stream_moves, test_hedge_process, test_gateway, test_unframed, test_late_answer and test_endless.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -7,6 +7,8 @@
 enum {
 	DEADLINE_DEFAULT_MS = 30000,
 	RETRY_AFTER_MAX_MS = 5000,
+	/* The loop reads what has come by the deadline within this time. */
+	DEADLINE_READ_MS = 1,
 	MS_PER_S = 1000,
 };
 
@@ -225,11 +227,25 @@
 		proxy_respond(req, 503, 0, cause_not_run);
 }
 
+bool
+proxy_has_unread(const proxy_attempt_t *attempt)
+{
+	return attempt->call != NULL && upstream_call_has_unread(attempt->call);
+}
+
+/* Lets the loop read an answer that has come by then, after a pause. */
 static void
 on_deadline(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
 
+	if (!req->deadline_passed &&
+	    (proxy_has_unread(req->attempt) ||
+		proxy_has_unread(req->other_attempt))) {
+		req->deadline_passed = true;
+		uv_timer_start(timer, on_deadline, DEADLINE_READ_MS, 0);
+		return;
+	}
 	if (req->attempt->server != NULL && req->attempt->awaiting_response)
 		proxy_record_rollout_attempt(req->attempt, false, 0);
 	give_up(req, "deadline", "deadline_not_run");
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -262,16 +262,19 @@
 		choice->excluded[i] += earlier->excluded[i];
 }
 
-/* Chooses a version by the service's rollout, and one of its servers. */
+/*
+ * Chooses a version by the service's rollout, which *trial says, and one of its
+ * servers.
+ */
 static pick_choice_t
-pick_version(proxy_request_t *req)
+pick_version(proxy_request_t *req, rollouts_assignment_t *trial)
 {
 	bool is_first_attempt = req->tried->len == 0 && !req->may_have_run;
 	rollouts_candidates_t route = rollouts_select(req->context->rollouts,
 	    req->service_name, is_first_attempt, g_random_double());
 	pick_choice_t choice = pick_among(req, route.servers);
 
-	req->attempt->trial = route.assignment;
+	*trial = route.assignment;
 	if (choice.server == NULL && route.fallback_servers != NULL) {
 		pick_choice_t earlier = choice;
 
@@ -281,8 +284,8 @@
 		 * The version was not assigned at random: the attempt is
 		 * counted, but with share 0 it is no evidence.
 		 */
-		req->attempt->trial.to_new_version = false;
-		req->attempt->trial.new_version_share = 0;
+		trial->to_new_version = false;
+		trial->new_version_share = 0;
 	}
 	rollouts_candidates_clear(&route);
 	return choice;
@@ -440,18 +443,41 @@
 		proxy_reject(req, retry_ms, "no_server");
 }
 
+/* Time until the prompt may be sent to a server; 0: now. */
+static int64_t
+prompt_blocked_ms(const proxy_request_t *req)
+{
+	return crash_guard_blocked_ms(req->context->crash_guard, &req->facts,
+	    cluster_wall_ms(req->context->cluster));
+}
+
+bool
+proxy_choose_retry(proxy_request_t *req, proxy_retry_t *retry)
+{
+	if (prompt_blocked_ms(req) > 0)
+		return false;
+	retry->choice = pick_version(req, &retry->trial);
+	return retry->choice.server != NULL && proxy_take_retry(req);
+}
+
+void
+proxy_send_retry(proxy_request_t *req, const proxy_retry_t *retry)
+{
+	req->attempt->trial = retry->trial;
+	proxy_send(req, &retry->choice);
+}
+
 void
 proxy_attempt(proxy_request_t *req)
 {
-	int64_t blocked_ms = crash_guard_blocked_ms(req->context->crash_guard,
-	    &req->facts, cluster_wall_ms(req->context->cluster));
+	int64_t blocked_ms = prompt_blocked_ms(req);
 	pick_choice_t choice;
 
 	if (blocked_ms > 0) {
 		proxy_reject(req, blocked_ms, "blocked_segment");
 		return;
 	}
-	choice = pick_version(req);
+	choice = pick_version(req, &req->attempt->trial);
 	if (choice.only_cold && req->urgent)
 		cold_limit_count_urgent(req->context->cold_limit,
 		    req->service_name, clock_boot_ms());
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -10,6 +10,8 @@
 	/* A server that sends nothing for this many objectives is abandoned. */
 	IDLE_OBJECTIVES = 2,
 	IDLE_MIN_MS = 400,
+	/* The same looks again so long after it has found unread bytes. */
+	IDLE_RECHECK_MS = 100,
 	/*
 	 * Further factor for the objective between events, since gaps vary
 	 * more than the time to the first event.
@@ -130,10 +132,11 @@
 void
 proxy_start_idle_timer(proxy_request_t *req, int64_t objective_ms)
 {
+	uint64_t limit_ms =
+	    (uint64_t)MAX(IDLE_OBJECTIVES * objective_ms, IDLE_MIN_MS);
+
 	if (catalog_may_retry(req->route) && objective_ms > 0)
-		uv_timer_start(&req->idle_timer, on_idle,
-		    (uint64_t)MAX(IDLE_OBJECTIVES * objective_ms, IDLE_MIN_MS),
-		    0);
+		uv_timer_start(&req->idle_timer, on_idle, limit_ms, limit_ms);
 }
 
 void
@@ -162,11 +165,11 @@
 	clear_buffered(req->attempt);
 }
 
-/* Retries at another server; drops what this one sent, and its migration. */
+/* Ends the attempt, and drops what its server sent, and its migration. */
 static void
-retry_request(proxy_request_t *req)
+drop_attempt(proxy_attempt_t *attempt)
 {
-	proxy_attempt_t *attempt = req->attempt;
+	proxy_request_t *req = attempt->request;
 
 	proxy_cancel_call(attempt);
 	proxy_migration_clear(req);
@@ -176,6 +179,13 @@
 	clear_buffered(attempt);
 	if (attempt->events != NULL)
 		event_stream_resume(attempt->events);
+}
+
+/* Retries at another server. */
+static void
+retry_request(proxy_request_t *req)
+{
+	drop_attempt(req->attempt);
 	proxy_attempt(req);
 }
 
@@ -464,21 +474,42 @@
 	}
 }
 
+/* Retries where there is another server; otherwise the silent one may answer.
+ */
+static void
+retry_silent(proxy_attempt_t *attempt)
+{
+	proxy_request_t *req = attempt->request;
+	proxy_retry_t retry;
+
+	if (!proxy_choose_retry(req, &retry))
+		return;
+	proxy_record_failed_attempt(attempt, SERVER_UNREACHABLE, "silent");
+	drop_attempt(attempt);
+	proxy_send_retry(req, &retry);
+}
+
 static void
 on_idle(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
 	proxy_attempt_t *attempt = req->attempt;
-	bool is_race = hedge_race_is_open(&req->race);
 
 	if (attempt->call == NULL ||
 	    req->migration.state == PROXY_MIGRATION_COPYING ||
 	    (req->response_started && !req->stream_started))
 		return;
+	/* Unread after a pause, or as the client does not read. */
+	if (proxy_has_unread(attempt)) {
+		uv_timer_start(timer, on_idle, IDLE_RECHECK_MS,
+		    uv_timer_get_repeat(timer));
+		return;
+	}
 	/* The request is at a second server already where it is hedged. */
-	if (!is_race && !proxy_take_retry(req))
+	if (!hedge_race_is_open(&req->race)) {
+		retry_silent(attempt);
 		return;
+	}
 	proxy_record_failed_attempt(attempt, SERVER_UNREACHABLE, "silent");
-	if (!proxy_leave_race(attempt))
-		retry_request(req);
+	proxy_leave_race(attempt);
 }
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -118,9 +118,16 @@
 	bool response_started;	   /* its head was sent to the client */
 	bool stream_started;	   /* and the response is a stream of events */
 	bool cut;		   /* the response ends before it is complete */
+	bool deadline_passed;	   /* what is unread by then may still count */
 	bool finished;
 } proxy_request_t;
 
+/* A server chosen for a retry, which is borrowed until the loop goes on. */
+typedef struct proxy_retry {
+	pick_choice_t choice;
+	rollouts_assignment_t trial;
+} proxy_retry_t;
+
 /* proxy.c: ends of a request. */
 /* Cancels the call to the backend server, if there is one. */
 void proxy_cancel_call(proxy_attempt_t *attempt);
@@ -139,6 +146,9 @@
 /* Logs and counts the outcome; status 0: the client disconnected. */
 void proxy_log_end(proxy_request_t *req, unsigned status, const char *cause);
 
+/* True where bytes for an attempt have come and have not been read. */
+bool proxy_has_unread(const proxy_attempt_t *attempt);
+
 /* proxy.c: limits and load. */
 /* Time to the deadline; negative once it has passed. */
 int64_t proxy_remaining_ms(const proxy_request_t *req);
@@ -157,6 +167,13 @@
 /* proxy_attempt.c */
 /* Chooses a server and sends the request to it, or rejects the request. */
 void proxy_attempt(proxy_request_t *req);
+/*
+ * Chooses another server for a request that might do without it, and takes one
+ * retry from the budget; false where there is none, or it may not be retried.
+ */
+bool proxy_choose_retry(proxy_request_t *req, proxy_retry_t *retry);
+/* Sends the request there; its last attempt must have been released. */
+void proxy_send_retry(proxy_request_t *req, const proxy_retry_t *retry);
 /*
  * Retry-After of a request that no server can take: every one of them may have
  * asked for a pause.
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -484,6 +484,15 @@
 	upstream_conn_close(conn);
 }
 
+bool
+upstream_call_has_unread(const upstream_call_t *call)
+{
+	const upstream_conn_t *conn = call->conn;
+
+	return conn->tcp != NULL && conn->connected &&
+	       conn_unread(conn->tcp) != CONN_UNREAD_NONE;
+}
+
 void
 upstream_call_set_reading(upstream_call_t *call, bool reading)
 {
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -62,6 +62,9 @@
 /* Ends a call without calling on_end and closes its connection. */
 void upstream_call_cancel(upstream_call_t *call);
 
+/* True where bytes of the response, or its end, have come and are not read. */
+bool upstream_call_has_unread(const upstream_call_t *call);
+
 /* Pauses or resumes reading the response. */
 void upstream_call_set_reading(upstream_call_t *call, bool reading);
 
