Answer pipelined requests in a planned stop

What callers saw: of several requests sent in a row on one connection, the first was answered and the others ended with the connection, after SIGTERM.

Cause: in a planned stop each response closes its connection; what had been read behind its request was dropped.

Change: the connection closes after the response behind which nothing has come, read or unread; only that one says Connection: close. A response that has said so closes it. The stop is bounded as before: later requests are refused, and at the end of the grace period those in flight are.

--- a/src/exchange.c
+++ b/src/exchange.c
@@ -54,12 +54,20 @@
 	exchange->data = data;
 }
 
-/* True if the connection is closed after this response. */
+/*
+ * True if the connection is closed after this response. In a planned stop,
+ * requests that have been sent behind this one are answered first.
+ */
 static bool
 closes_connection(const exchange_t *exchange)
 {
-	return !exchange->keep_alive || exchange->client->server->draining ||
-	       exchange->close_delimited;
+	const client_t *client = exchange->client;
+
+	return !exchange->keep_alive || exchange->close_delimited ||
+	       exchange->close_announced ||
+	       (client->server->draining &&
+		   !http1_server_has_bytes_behind(client) &&
+		   conn_unread(client->conn) != CONN_UNREAD_BYTES);
 }
 
 /* True for a response that has no body, whatever its headers say. */
@@ -84,7 +92,8 @@
 		    out, "Content-Length: %" G_GINT64_FORMAT "\r\n", length);
 	else if (exchange->chunked)
 		g_string_append(out, "Transfer-Encoding: chunked\r\n");
-	if (closes_connection(exchange))
+	exchange->close_announced = closes_connection(exchange);
+	if (exchange->close_announced)
 		g_string_append(out, "Connection: close\r\n");
 	g_string_append(out, "\r\n");
 }
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -230,9 +230,8 @@
 	uv_timer_start(&client->timer, on_timeout, (uint64_t)timeout_ms, 0);
 }
 
-/* True where bytes that follow the last request have been read. */
-static bool
-has_bytes_behind(const client_t *client)
+bool
+http1_server_has_bytes_behind(const client_t *client)
 {
 	return client->pipelined->len > 0 || client->unparsed_bytes > 0;
 }
@@ -242,7 +241,7 @@
 {
 	uint64_t *losses = client->server->losses;
 
-	if (has_bytes_behind(client))
+	if (http1_server_has_bytes_behind(client))
 		losses[HTTP1_LOST_BEHIND]++;
 	client->queued_bytes = conn_queued_bytes(client->conn);
 	if (client->queued_bytes > 0) {
--- a/src/http1_server.h
+++ b/src/http1_server.h
@@ -70,7 +70,8 @@
 http1_server_t *http1_server_start(
     uv_loop_t *loop, const http1_server_options_t *options, GError **error);
 
-/* Makes every response from now on close its connection. */
+/* Makes every response from now on close its connection, unless more requests
+ * have come on it. */
 void http1_server_drain(http1_server_t *server);
 /* Closes the connections that have had no request for min_idle_ms. */
 void http1_server_close_idle(http1_server_t *server, int64_t min_idle_ms);
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -75,6 +75,7 @@
 	bool is_head_request;
 	bool chunked;
 	bool close_delimited;
+	bool close_announced; /* the head says that the connection closes */
 	void (*on_disconnect)(void *data);
 	void (*on_write_queue_empty)(void *data);
 	void *data;
@@ -93,6 +94,9 @@
 /* Sends the bytes, or queues and charges what cannot be sent at once. */
 void http1_server_write(client_t *client, const char *bytes, size_t length);
 
+/* True where bytes that follow the last request have been read. */
+bool http1_server_has_bytes_behind(const client_t *client);
+
 /* Waits for the next request; parses the pipelined bytes first. */
 void http1_server_await_request(client_t *client);
 
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -216,6 +216,45 @@
 }
 END_TEST
 
+/* Counts responses in what the client has got. */
+static unsigned
+count_responses(const char *text)
+{
+	unsigned count = 0;
+
+	while ((text = strstr(text, "done")) != NULL) {
+		text++;
+		count++;
+	}
+	return count;
+}
+
+/*
+ * Guards against requests that have been read behind another, and are dropped
+ * as a planned stop closes their connection after that one.
+ */
+START_TEST(requests_behind_another_are_answered_in_a_planned_stop)
+{
+	int fd = connect_client();
+	char *text;
+
+	send_text(fd, REQUEST REQUEST REQUEST);
+	run_loop(10);
+	http1_server_drain(server);
+	for (guint i = 0; i < 3; i++) {
+		ck_assert_uint_eq(exchanges->len, i + 1);
+		answer(i);
+		run_loop(10);
+	}
+	text = receive(fd);
+	ck_assert_uint_eq(count_responses(text), 3);
+	ck_assert(strstr(text, "Connection: close") >
+		  strstr(strstr(text, "done") + 1, "done"));
+	g_free(text);
+	close(fd);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -230,6 +269,8 @@
 	    request_that_came_before_an_idle_close_is_passed_on, 0,
 	    G_N_ELEMENTS(idle_closes));
 	tcase_add_test(cases, request_after_a_closing_response_is_reset);
+	tcase_add_test(
+	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
