Read what has come before a request times out

What callers saw: 408 for a request that had been sent in time, after a pause of the node.

Cause: the loop runs the timer for the head or the body before it reads the rest, which lies in the socket.

Change: where bytes are unread at the time limit, the request has 100 ms more, once, so that a client that sends a byte now and then gains nothing.

Evidence: test_http1_server, request_that_became_whole_in_a_pause_is_passed_on: on the old code the request was not passed on; it also expects the 408 for a request that is still not whole. It passes, with test_hostile_clients.

--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -25,6 +25,8 @@
 	REQUESTS_MAX = 16,
 	/* A timer that starts itself with 0 ms would not let the loop go on. */
 	RESUME_MS = 1,
+	/* For the loop to read what has come by the time limit of a request. */
+	OVERDUE_READ_MS = 100,
 	/* Idle connections that a new one looks at for one to close. */
 	LOOKS_MAX = 16,
 	/* Allowance for the request target and terminators: the limit in the
@@ -354,6 +356,21 @@
 		start_timer(client, limits(client->server)->idle_timeout_ms);
 }
 
+/*
+ * Lets the loop read what came in time, after a pause of the process: once, as
+ * a client may send a byte now and then.
+ */
+static void
+on_request_timeout(client_t *client)
+{
+	if (client->overdue || conn_unread(client->conn) != CONN_UNREAD_BYTES) {
+		client_refuse(client, HTTP1_REFUSED_TIMEOUT);
+		return;
+	}
+	client->overdue = true;
+	start_timer(client, OVERDUE_READ_MS);
+}
+
 static void
 on_timeout(uv_timer_t *timer)
 {
@@ -364,7 +381,7 @@
 		on_idle_timeout(client);
 		return;
 	case CLIENT_READING:
-		client_refuse(client, HTTP1_REFUSED_TIMEOUT);
+		on_request_timeout(client);
 		return;
 	case CLIENT_CLOSING:
 		on_closing_timeout(client);
@@ -496,6 +513,7 @@
 {
 	set_phase(client, CLIENT_READING);
 	client->refusal = HTTP1_REFUSED_MALFORMED;
+	client->overdue = false;
 	client->received_ms = clock_boot_ms();
 	client->reader = reader_new(client);
 	start_timer(client, limits(client->server)->head_timeout_ms);
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -55,6 +55,8 @@
 	size_t unparsed_bytes;
 	int64_t received_ms; /* as exchange_received_ms() */
 	int64_t idle_since_ms;
+	/* Bytes of the request lay unread at its time limit. */
+	bool overdue;
 	bool answered;	     /* a response ended when it became idle */
 	bool refused;	     /* the rest of the request is of no interest */
 	size_t queued_bytes; /* while closing, at the last look for a stall */
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -255,6 +255,30 @@
 }
 END_TEST
 
+/* Guards against a 408 for a request that came whole, but during a pause. */
+START_TEST(request_that_became_whole_in_a_pause_is_passed_on)
+{
+	int fd = connect_client();
+
+	limits.head_timeout_ms = SHORT_MS;
+	send_text(fd, "POST / HTTP/1.1\r\n");
+	run_loop(10);
+	send_text(fd, "Host: h\r\nContent-Length: 0\r\n\r\n");
+	g_usleep(2 * SHORT_MS * 1000);
+	run_loop(10);
+	ck_assert_uint_eq(exchanges->len, 1);
+	answer(0);
+	send_text(fd, "POST / HTTP/1.1\r\n");
+	run_loop(10);
+	send_text(fd, "Host: h\r\n");
+	g_usleep(2 * SHORT_MS * 1000);
+	run_loop(200);
+	ck_assert_uint_eq(
+	    http1_server_refusals(server, HTTP1_REFUSED_TIMEOUT), 1);
+	close(fd);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -271,6 +295,8 @@
 	tcase_add_test(cases, request_after_a_closing_response_is_reset);
 	tcase_add_test(
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
+	tcase_add_test(
+	    cases, request_that_became_whole_in_a_pause_is_passed_on);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
