Judge a body by the limit that held at its head

What callers saw: 413, which no client retries, for a request that the configuration allowed when it began.

Cause: each piece of a body was compared with the limit now in force, so that a change refused bodies in progress.

Change: the limit that holds when the head has been read holds for its body. The budget of received memory bounds bodies in progress as before.

Evidence: test_http1_server, body_in_progress_keeps_its_limit: on the old code the request was not passed on. It passes, with test_hostile_clients.

--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -416,7 +416,8 @@
 	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	client_t *client = data;
 
-	if (head->body_length > (int64_t)body_max(client->server)) {
+	client->body_max = body_max(client->server);
+	if (head->body_length > (int64_t)client->body_max) {
 		client->refusal = HTTP1_REFUSED_ANNOUNCED;
 		return false;
 	}
@@ -432,7 +433,7 @@
 {
 	client_t *client = data;
 
-	if (client->body->len + length > body_max(client->server)) {
+	if (client->body->len + length > client->body_max) {
 		client->refusal = HTTP1_REFUSED_BODY;
 		return false;
 	}
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -50,6 +50,7 @@
 	memory_charge_t queued;	  /* bytes of responses */
 	exchange_t *exchange;
 	GByteArray *body;      /* of the request being read */
+	size_t body_max;       /* that held when its head was read */
 	GByteArray *pipelined; /* bytes read after the current request */
 	/* The same that read_request() has not yet moved there. */
 	size_t unparsed_bytes;
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -279,6 +279,26 @@
 }
 END_TEST
 
+/* Guards against 413 for a body that was allowed when it began. */
+START_TEST(body_in_progress_keeps_its_limit)
+{
+	int fd = connect_client();
+
+	send_text(fd, "POST / HTTP/1.1\r\nHost: h\r\n"
+		      "Content-Length: 4\r\n\r\nbo");
+	run_loop(10);
+	limits.body_bytes = 1;
+	send_text(fd, "dy");
+	run_loop(10);
+	ck_assert_uint_eq(exchanges->len, 1);
+	answer(0);
+	send_text(fd, REQUEST);
+	run_loop(10);
+	ck_assert_uint_eq(exchanges->len, 1);
+	close(fd);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -297,6 +317,7 @@
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	tcase_add_test(
 	    cases, request_that_became_whole_in_a_pause_is_passed_on);
+	tcase_add_test(cases, body_in_progress_keeps_its_limit);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
