See what came in a pause before a call is decided on

What callers saw: after a pause of the node, 503 as servers were taken for unreachable, and 502 for bookings.

Cause: the timer of a new connection to a server runs before the loop sees that the connection is made, so that all that were being made failed together. A kept connection whose end lies unread was used for the next request, which is then not answered; one that must not run twice ends with 502.

Change: at its time limit a connection that is made gets one more round of the loop. Before a kept connection is used, the socket is looked at; one that has ended, or has bytes that belong to no request, is closed.

Evidence: test_upstream, both checks failed on the old code (the call ended; no new connection) and pass. test_late_answer and test_gateway pass; in one of two runs of test_gateway, beside three other runs with nodes, papayad did not start in paused_holder_does_not_act_when_it_wakes ("exited before it was listening").

--- a/src/conn.c
+++ b/src/conn.c
@@ -339,6 +339,16 @@
 	return conn;
 }
 
+bool
+conn_is_made(const conn_t *conn)
+{
+	struct sockaddr_in peer;
+	int length = sizeof(peer);
+
+	return uv_tcp_getpeername(
+		   &conn->tcp, (struct sockaddr *)&peer, &length) == 0;
+}
+
 static void
 write_free(write_t *write)
 {
--- a/src/conn.h
+++ b/src/conn.h
@@ -43,6 +43,9 @@
 conn_t *conn_connect(uv_loop_t *loop, const struct sockaddr_in *address,
     unsigned ack_timeout_ms, const conn_callbacks_t *callbacks, void *data);
 
+/* True where the connection is made, also if on_connect is still to come. */
+bool conn_is_made(const conn_t *conn);
+
 /* Sends the bytes; copies what cannot be sent at once. */
 void conn_write(conn_t *conn, const char *bytes, size_t length);
 
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -9,6 +9,8 @@
 
 enum {
 	CONNECT_TIMEOUT_MS = 400,
+	/* For the loop to see a connection that was made in time. */
+	CONNECT_SEEN_MS = 1,
 	/* A connection whose data is not acknowledged for this long fails. */
 	ACK_TIMEOUT_MS = 1500,
 	/* Idle connections are closed this long before the server's idle
@@ -41,6 +43,7 @@
 	unsigned refused_count;
 	unsigned refs; /* held by the timer and by running callbacks */
 	bool connected;
+	bool connect_overdue; /* see on_connect_timeout() */
 	bool idle;
 	bool reused;	 /* has carried an earlier request */
 	bool discarding; /* reading a response to another request */
@@ -347,10 +350,19 @@
 	send_request(conn);
 }
 
+/* After a pause the loop runs the timer before it sees that a connection is
+ * made. */
 static void
 on_connect_timeout(uv_timer_t *timer)
 {
-	on_connect_failure(timer->data, "connection timed out");
+	upstream_conn_t *conn = timer->data;
+
+	if (conn->connect_overdue || !conn_is_made(conn->tcp)) {
+		on_connect_failure(conn, "connection timed out");
+		return;
+	}
+	conn->connect_overdue = true;
+	uv_timer_start(timer, on_connect_timeout, CONNECT_SEEN_MS, 0);
 }
 
 static upstream_conn_t *
@@ -381,13 +393,28 @@
 }
 
 /*
- * Takes the most recently used idle connection; NULL if it is too old, or the
- * response on it might be mistaken.
+ * The most recently used idle connection; NULL: none. Those that have ended, or
+ * have bytes that belong to no request, are closed: the loop has not read yet.
+ */
+static upstream_conn_t *
+last_idle(upstream_t *upstream)
+{
+	upstream_conn_t *conn;
+
+	while ((conn = TAILQ_LAST(&upstream->idle, conn_list)) != NULL &&
+	       conn_unread(conn->tcp) != CONN_UNREAD_NONE)
+		upstream_conn_close(conn);
+	return conn;
+}
+
+/*
+ * Takes that connection; NULL if it is too old, or the response on it might be
+ * mistaken.
  */
 static upstream_conn_t *
 take_idle(upstream_t *upstream, const upstream_request_t *request)
 {
-	upstream_conn_t *conn = TAILQ_LAST(&upstream->idle, conn_list);
+	upstream_conn_t *conn = last_idle(upstream);
 	int64_t idle_ms;
 
 	if (conn == NULL)
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,129 @@
+#include "suite.h"
+#include "upstream.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Calls beside a pause of the process, in which the loop does not run. */
+
+#define RESPONSE "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+/* Longer than a connection may take. */
+enum { PAUSE_US = 450000, ROUNDS = 50 };
+
+static uv_loop_t loop;
+static upstream_t *upstream;
+static int listener, ends;
+static upstream_result_t result;
+
+static void
+on_head(const http1_head_t *head, const response_facts_t *facts, void *data)
+{
+}
+
+static void
+on_end(upstream_result_t end, const char *reason, void *data)
+{
+	ends++;
+	result = end;
+}
+
+static void
+start_call(void)
+{
+	upstream_request_t request = {.head = "GET / HTTP/1.1\r\n\r\n",
+	    .head_length = strlen("GET / HTTP/1.1\r\n\r\n"),
+	    .reuse_idle_max_ms = INT32_MAX,
+	    .on_head = on_head,
+	    .on_end = on_end};
+
+	ck_assert_ptr_nonnull(upstream_call_start(upstream, 0, &request));
+}
+
+static void
+run_loop(void)
+{
+	for (int i = 0; i < ROUNDS; i++) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		g_usleep(1000);
+	}
+}
+
+static void
+setup(void)
+{
+	struct sockaddr_in address = {
+	    .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+	socklen_t length = sizeof(address);
+	char *text;
+
+	ends = 0;
+	listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	ck_assert_int_eq(
+	    bind(listener, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_eq(listen(listener, 4), 0);
+	getsockname(listener, (struct sockaddr *)&address, &length);
+	text = g_strdup_printf("127.0.0.1:%d", ntohs(address.sin_port));
+	uv_loop_init(&loop);
+	upstream = upstream_new(&loop, text);
+	g_free(text);
+}
+
+/* Accepts a connection and answers a request on it. */
+static int
+answer(void)
+{
+	int fd = accept(listener, NULL, NULL);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_gt(send(fd, RESPONSE, strlen(RESPONSE), MSG_NOSIGNAL), 0);
+	run_loop();
+	return fd;
+}
+
+/* Guards against a server that is taken for unreachable after a pause. */
+START_TEST(connection_that_was_made_in_a_pause_is_used)
+{
+	start_call();
+	g_usleep(PAUSE_US);
+	run_loop();
+	ck_assert_int_eq(ends, 0);
+	close(answer());
+	ck_assert_int_eq(result, UPSTREAM_COMPLETE);
+}
+END_TEST
+
+/* Guards against a request that is sent to a connection that has ended. */
+START_TEST(connection_that_ended_in_a_pause_is_not_reused)
+{
+	int fd;
+
+	start_call();
+	run_loop();
+	fd = answer();
+	close(fd);
+	start_call();
+	run_loop();
+	close(answer());
+	ck_assert_int_eq(ends, 2);
+	ck_assert_int_eq(result, UPSTREAM_COMPLETE);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("upstream");
+	TCase *cases = tcase_create("upstream");
+
+	signal(SIGPIPE, SIG_IGN);
+	tcase_add_checked_fixture(cases, setup, NULL);
+	tcase_add_test(cases, connection_that_was_made_in_a_pause_is_used);
+	tcase_add_test(cases, connection_that_ended_in_a_pause_is_not_reused);
+	suite_add_tcase(suite, cases);
+	return suite_run(suite);
+}
