--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -19,11 +19,17 @@
 	READY_POLLS_MAX = 500,
 };
 
-static const gateway_limits_t default_limits = {.body_bytes = 2000};
+#define DEFAULT_LIMITS                                                   \
+	{                                                                \
+		.body_bytes = 2000, .idle_ms = 5000, .timeout_ms = 4000, \
+		.read_service = "plain"                                  \
+	}
+
+static const gateway_limits_t default_limits = DEFAULT_LIMITS;
 
 program_t *platform_standin;
 program_t *gateway_node;
-gateway_limits_t gateway_limits = {.body_bytes = 2000};
+gateway_limits_t gateway_limits = DEFAULT_LIMITS;
 int backend_listener_1, backend_listener_2;
 int backend_port_1, backend_port_2;
 static GHashTable *directory_addresses; /* program_t * to IP:PORT */
@@ -80,8 +86,9 @@
 {
 	return json_pack("{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:i}", "name",
 	    path, "host", "t.example", "path_prefix", path, "route_type", kind,
-	    "timeout_ms", 4000, "target_latency_ms", 1000, "priority", 1,
-	    "service", service, "max_attempts", attempts, "gap_aim_ms", 1000);
+	    "timeout_ms", gateway_limits.timeout_ms, "target_latency_ms", 1000,
+	    "priority", 1, "service", service, "max_attempts", attempts,
+	    "gap_aim_ms", 1000);
 }
 
 static json_t *
@@ -97,14 +104,15 @@
 			 "s:{s:i,s:i,s:i,s:i},s:[{s:s,s:o,s:i,s:f,s:f}]}",
 	    "version", version, "routes",
 	    make_route("/book/", "non_idempotent", 1, "plain"),
-	    make_route("/read/", "idempotent", 2, "plain"), talk,
-	    make_route("/write/", "streaming", 1, "engine"), open, "services",
-	    "name", "plain", "name", "engine", "engine", "slots", 8,
+	    make_route("/read/", "idempotent", 2, gateway_limits.read_service),
+	    talk, make_route("/write/", "streaming", 1, "engine"), open,
+	    "services", "name", "plain", "name", "engine", "engine", "slots", 8,
 	    "kv_capacity_tokens", 100000, "moves", 1, "limits",
 	    "max_header_bytes", 4000, "max_body_bytes",
 	    gateway_limits.body_bytes, "header_timeout_ms", 500,
-	    "idle_timeout_ms", 5000, "tenants", "name", "depot", "api_keys",
-	    keys, "priority", 1, "rate_per_s", rate_per_s, "burst", 0.0);
+	    "idle_timeout_ms", gateway_limits.idle_ms, "tenants", "name",
+	    "depot", "api_keys", keys, "priority", 1, "rate_per_s", rate_per_s,
+	    "burst", 0.0);
 }
 
 /* Steals the reference to json. */
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -25,6 +25,9 @@
 	int body_bytes; /* limits.max_body_bytes of the configuration */
 	int memory_mb;	/* limits.memory_mb of the settings; 0: not set */
 	int fds_max;	/* limits.max_fds of the settings; 0: not set */
+	int idle_ms;	/* limits.idle_timeout_ms of the configuration */
+	int timeout_ms; /* of its routes */
+	const char *read_service; /* of the route /read/ */
 } gateway_limits_t;
 
 extern gateway_limits_t gateway_limits;
