--- a/src/conn.c
+++ b/src/conn.c
@@ -34,6 +34,7 @@
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
 	bool lingering;
+	uint64_t *late_count; /* see conn_shutdown() */
 };
 
 typedef struct write {
@@ -127,11 +128,34 @@
 	conn->callbacks.on_end(conn, error, conn->data);
 }
 
+conn_unread_t
+conn_unread(const conn_t *conn)
+{
+	uv_os_fd_t fd;
+	char byte;
+	ssize_t length;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+		return CONN_UNREAD_NONE;
+	length = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+	if (length > 0)
+		return CONN_UNREAD_BYTES;
+	if (length < 0 && (errno == EAGAIN || errno == EINTR))
+		return CONN_UNREAD_NONE;
+	return CONN_UNREAD_END;
+}
+
+/* Without a buffer libuv reads nothing and reports UV_ENOBUFS. */
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
 	const conn_t *conn = handle->data;
 
+	if (conn->late_count != NULL &&
+	    conn_unread(conn) == CONN_UNREAD_BYTES) {
+		*buffer = uv_buf_init(NULL, 0);
+		return;
+	}
 	*buffer = uv_buf_init(read_buffer, (unsigned)conn->read_max);
 }
 
@@ -208,6 +232,12 @@
 {
 	conn_t *conn = stream->data;
 
+	if (length == UV_ENOBUFS) {
+		uv_read_stop(stream);
+		++*conn->late_count;
+		conn->late_count = NULL;
+		return;
+	}
 	if (length < 0) {
 		uv_read_stop(stream);
 		conn->reading = false;
@@ -309,6 +339,16 @@
 	return conn;
 }
 
+bool
+conn_is_made(const conn_t *conn)
+{
+	struct sockaddr_in peer;
+	int length = sizeof(peer);
+
+	return uv_tcp_getpeername(
+		   &conn->tcp, (struct sockaddr *)&peer, &length) == 0;
+}
+
 static void
 write_free(write_t *write)
 {
@@ -455,7 +495,7 @@
 }
 
 void
-conn_shutdown(conn_t *conn)
+conn_shutdown(conn_t *conn, uint64_t *late_count)
 {
 	bool ended = conn->ended;
 
@@ -468,6 +508,7 @@
 	}
 	conn->yielded = false;
 	conn->lingering = true;
+	conn->late_count = late_count;
 	conn->read_max = LINGER_READ_BYTES;
 	TAILQ_INSERT_TAIL(&lingering, conn, lingering_entries);
 	lingering_count++;
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -25,9 +25,15 @@
 	REQUESTS_MAX = 16,
 	/* A timer that starts itself with 0 ms would not let the loop go on. */
 	RESUME_MS = 1,
+	/* For the loop to read what has come by the time limit of a request. */
+	OVERDUE_READ_MS = 100,
+	/* Idle connections that a new one looks at for one to close. */
+	LOOKS_MAX = 16,
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
+	/* A client has read a response that was sent so long ago. */
+	RESPONSE_READ_MS = 300,
 	/* A client that reads none of the queued bytes for so long is reset. */
 	STALL_MS = 5000,
 	STATUS_BAD_REQUEST = 400,
@@ -51,6 +57,12 @@
     [HTTP1_REFUSED_CONNECTIONS] = {"connections", STATUS_UNAVAILABLE},
 };
 
+static const char *const loss_names[HTTP1_LOSS_COUNT] = {
+    [HTTP1_LOST_ABORTED] = "aborted",
+    [HTTP1_LOST_BEHIND] = "behind",
+    [HTTP1_LOST_LATE] = "late",
+};
+
 static const catalog_limits_t *
 limits(const http1_server_t *server)
 {
@@ -182,9 +194,17 @@
 	exchange_unref(exchange);
 }
 
+static void
+count_aborted(const client_t *client)
+{
+	if (client->exchange != NULL)
+		client->server->losses[HTTP1_LOST_ABORTED]++;
+}
+
 void
 http1_server_close_client(client_t *client)
 {
+	count_aborted(client);
 	conn_close(client->conn);
 	client_remove(client);
 }
@@ -192,6 +212,7 @@
 void
 http1_server_reset_client(client_t *client)
 {
+	count_aborted(client);
 	conn_reset(client->conn);
 	client_remove(client);
 }
@@ -211,17 +232,30 @@
 	uv_timer_start(&client->timer, on_timeout, (uint64_t)timeout_ms, 0);
 }
 
+bool
+http1_server_has_bytes_behind(const client_t *client)
+{
+	return client->pipelined->len > 0 || client->unparsed_bytes > 0;
+}
+
 void
 http1_server_shutdown_client(client_t *client)
 {
+	uint64_t *losses = client->server->losses;
+
+	if (http1_server_has_bytes_behind(client))
+		losses[HTTP1_LOST_BEHIND]++;
 	client->queued_bytes = conn_queued_bytes(client->conn);
 	if (client->queued_bytes > 0) {
 		set_phase(client, CLIENT_CLOSING);
 		drop_received(client);
+		if (!client->refused)
+			conn_set_reading(client->conn, false);
 		start_timer(client, STALL_MS);
 		return;
 	}
-	conn_shutdown(client->conn);
+	conn_shutdown(
+	    client->conn, client->refused ? NULL : &losses[HTTP1_LOST_LATE]);
 	client_remove(client);
 }
 
@@ -236,6 +270,8 @@
 	GString *out = g_string_new(NULL);
 
 	client->server->refusals[reason]++;
+	client->refused = true;
+	client->unparsed_bytes = 0;
 	drop_received(client);
 	http1_server_add_status_line(out, status);
 	if (status == STATUS_UNAVAILABLE)
@@ -283,6 +319,27 @@
 	start_timer(client, STALL_MS);
 }
 
+/*
+ * Closes a connection without a request; false where one has come. There is no
+ * lingering: what the client sends into the close must not be read, so that it
+ * can send it again elsewhere.
+ */
+static bool
+close_if_idle(client_t *client)
+{
+	int64_t idle_ms = clock_mono_ms() - client->idle_since_ms;
+
+	if (client->phase != CLIENT_IDLE || client->pipelined->len > 0 ||
+	    conn_unread(client->conn) == CONN_UNREAD_BYTES)
+		return false;
+	if (conn_queued_bytes(client->conn) > 0 ||
+	    (client->answered && idle_ms < RESPONSE_READ_MS))
+		http1_server_shutdown_client(client);
+	else
+		http1_server_close_client(client);
+	return true;
+}
+
 /* Restarts the timer if the limit was raised while it ran. */
 static void
 on_idle_timeout(client_t *client)
@@ -293,8 +350,25 @@
 
 	if (remaining_ms > 0)
 		start_timer(client, remaining_ms);
-	else
+	else if (client->pipelined->len > 0)
 		http1_server_shutdown_client(client);
+	else if (!close_if_idle(client))
+		start_timer(client, limits(client->server)->idle_timeout_ms);
+}
+
+/*
+ * Lets the loop read what came in time, after a pause of the process: once, as
+ * a client may send a byte now and then.
+ */
+static void
+on_request_timeout(client_t *client)
+{
+	if (client->overdue || conn_unread(client->conn) != CONN_UNREAD_BYTES) {
+		client_refuse(client, HTTP1_REFUSED_TIMEOUT);
+		return;
+	}
+	client->overdue = true;
+	start_timer(client, OVERDUE_READ_MS);
 }
 
 static void
@@ -307,7 +381,7 @@
 		on_idle_timeout(client);
 		return;
 	case CLIENT_READING:
-		client_refuse(client, HTTP1_REFUSED_TIMEOUT);
+		on_request_timeout(client);
 		return;
 	case CLIENT_CLOSING:
 		on_closing_timeout(client);
@@ -342,7 +416,8 @@
 	static const char continue_response[] = "HTTP/1.1 100 Continue\r\n\r\n";
 	client_t *client = data;
 
-	if (head->body_length > (int64_t)body_max(client->server)) {
+	client->body_max = body_max(client->server);
+	if (head->body_length > (int64_t)client->body_max) {
 		client->refusal = HTTP1_REFUSED_ANNOUNCED;
 		return false;
 	}
@@ -358,7 +433,7 @@
 {
 	client_t *client = data;
 
-	if (client->body->len + length > body_max(client->server)) {
+	if (client->body->len + length > client->body_max) {
 		client->refusal = HTTP1_REFUSED_BODY;
 		return false;
 	}
@@ -439,6 +514,7 @@
 {
 	set_phase(client, CLIENT_READING);
 	client->refusal = HTTP1_REFUSED_MALFORMED;
+	client->overdue = false;
 	client->received_ms = clock_boot_ms();
 	client->reader = reader_new(client);
 	start_timer(client, limits(client->server)->head_timeout_ms);
@@ -459,6 +535,7 @@
 			client_refuse(client, HTTP1_REFUSED_MEMORY);
 		return consumed;
 	case HTTP1_COMPLETE:
+		client->unparsed_bytes = length - consumed;
 		client_dispatch(client);
 		return consumed;
 	case HTTP1_FAILED:
@@ -531,6 +608,7 @@
 		length -= consumed;
 	}
 	client->parsing = false;
+	client->unparsed_bytes = 0;
 	if (client->conn != NULL && client->phase != CLIENT_CLOSING)
 		keep_pipelined(client, bytes, length);
 }
@@ -581,7 +659,8 @@
 static void
 on_end(conn_t *conn, int error, void *data)
 {
-	http1_server_close_client(data);
+	conn_close(conn);
+	client_remove(data);
 }
 
 static void
@@ -609,12 +688,13 @@
 close_oldest_idle(http1_server_t *server)
 {
 	client_t *client;
+	unsigned looks = 0;
 
 	TAILQ_FOREACH (client, &server->clients, entries) {
 		if (client->phase != CLIENT_IDLE)
 			continue;
-		http1_server_shutdown_client(client);
-		return;
+		if (close_if_idle(client) || ++looks == LOOKS_MAX)
+			return;
 	}
 }
 
@@ -624,16 +704,21 @@
 	return server->options.memory->connections + conn_lingering_count();
 }
 
-/* Refuses the oldest request that is not complete; false if there is none. */
+/*
+ * Refuses the oldest request that is not complete, or has not been read; false
+ * if there is none.
+ */
 static bool
-refuse_oldest_reading(http1_server_t *server)
+refuse_oldest_unread(http1_server_t *server)
 {
 	client_t *client;
 
 	TAILQ_FOREACH (client, &server->clients, entries) {
-		if (client->phase != CLIENT_READING)
+		if (client->phase != CLIENT_READING &&
+		    client->phase != CLIENT_IDLE)
 			continue;
-		client_refuse(client, HTTP1_REFUSED_CONNECTIONS);
+		if (!close_if_idle(client))
+			client_refuse(client, HTTP1_REFUSED_CONNECTIONS);
 		return true;
 	}
 	return false;
@@ -647,7 +732,7 @@
 		close_oldest_idle(server);
 	if (open_sockets(server) < server->options.sockets_max)
 		return true;
-	if (conn_lingering_count() == 0 && !refuse_oldest_reading(server))
+	if (conn_lingering_count() == 0 && !refuse_oldest_unread(server))
 		return false;
 	conn_close_oldest_lingering();
 	return open_sockets(server) < server->options.sockets_max;
@@ -754,9 +839,8 @@
 	for (client = TAILQ_FIRST(&server->clients); client != NULL;
 	     client = next) {
 		next = TAILQ_NEXT(client, entries);
-		if (client->phase == CLIENT_IDLE &&
-		    client->idle_since_ms <= idle_since_max_ms)
-			http1_server_shutdown_client(client);
+		if (client->idle_since_ms <= idle_since_max_ms)
+			close_if_idle(client);
 	}
 }
 
@@ -790,11 +874,24 @@
 	return refusal_kinds[reason].name;
 }
 
+uint64_t
+http1_server_losses(const http1_server_t *server, http1_loss_t loss)
+{
+	return server->losses[loss];
+}
+
+const char *
+http1_loss_name(http1_loss_t loss)
+{
+	return loss_names[loss];
+}
+
 void
 http1_server_await_request(client_t *client)
 {
 	TAILQ_REMOVE(&client->server->clients, client, entries);
 	TAILQ_INSERT_TAIL(&client->server->clients, client, entries);
+	client->answered = true;
 	enter_idle(client);
 	if (client->parsing)
 		return; /* client_read() goes on with the rest */
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -21,6 +21,7 @@
 	uv_timer_t resume_timer;   /* parses them */
 	uv_timer_t eviction_timer; /* resets clients that do not read */
 	uint64_t refusals[HTTP1_REFUSAL_COUNT];
+	uint64_t losses[HTTP1_LOSS_COUNT];
 	unsigned connections;
 	uint64_t accepted; /* connections since the start */
 	unsigned active_requests;
@@ -49,9 +50,16 @@
 	memory_charge_t queued;	  /* bytes of responses */
 	exchange_t *exchange;
 	GByteArray *body;      /* of the request being read */
+	size_t body_max;       /* that held when its head was read */
 	GByteArray *pipelined; /* bytes read after the current request */
-	int64_t received_ms;   /* as exchange_received_ms() */
+	/* The same that read_request() has not yet moved there. */
+	size_t unparsed_bytes;
+	int64_t received_ms; /* as exchange_received_ms() */
 	int64_t idle_since_ms;
+	/* Bytes of the request lay unread at its time limit. */
+	bool overdue;
+	bool answered;	     /* a response ended when it became idle */
+	bool refused;	     /* the rest of the request is of no interest */
 	size_t queued_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
 	http1_refusal_t refusal;
@@ -70,6 +78,7 @@
 	bool is_head_request;
 	bool chunked;
 	bool close_delimited;
+	bool close_announced; /* the head says that the connection closes */
 	void (*on_disconnect)(void *data);
 	void (*on_write_queue_empty)(void *data);
 	void *data;
@@ -81,13 +90,16 @@
 void http1_server_reset_client(client_t *client);
 /*
  * Closes and frees it after sending the queued bytes, for as long as the client
- * reads them: see conn_shutdown().
+ * reads them: see conn_shutdown(). Reads no further request.
  */
 void http1_server_shutdown_client(client_t *client);
 
 /* Sends the bytes, or queues and charges what cannot be sent at once. */
 void http1_server_write(client_t *client, const char *bytes, size_t length);
 
+/* True where bytes that follow the last request have been read. */
+bool http1_server_has_bytes_behind(const client_t *client);
+
 /* Waits for the next request; parses the pipelined bytes first. */
 void http1_server_await_request(client_t *client);
 
