--- a/src/gateway.c
+++ b/src/gateway.c
@@ -74,6 +74,27 @@
 	lease_enable_campaign(gateway->lease);
 }
 
+/* The store has been restored from a copy. */
+static void
+on_store_restored(int64_t era, void *data)
+{
+	gateway_t *gateway = data;
+
+	lease_restore(gateway->lease);
+	rollouts_set_restoring(gateway->proxy.rollouts, true);
+	store_watch_restore(gateway->store_watch);
+}
+
+static void
+on_restoration_over(void *data)
+{
+	gateway_t *gateway = data;
+
+	rollouts_set_restoring(gateway->proxy.rollouts, false);
+	log_event(LOG_LEVEL_INFO, "store.restoration_over", "servers=%u",
+	    pool_count(gateway->proxy.pool));
+}
+
 static void
 on_newer_configuration(void *data)
 {
@@ -717,6 +738,7 @@
 	    .on_put = gateway_on_store_put,
 	    .on_removed = gateway_on_store_remove,
 	    .on_list_complete = on_list_complete,
+	    .on_restoration_over = on_restoration_over,
 	    .on_confirmed = on_configuration_confirmed,
 	    .data = gateway,
 	};
@@ -744,6 +766,7 @@
 	});
 	watch_options.store = gateway->store;
 	gateway->store_watch = store_watch_start(gateway->loop, &watch_options);
+	platform_store_on_restored(gateway->store, on_store_restored, gateway);
 }
 
 gateway_t *
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -215,8 +215,7 @@
 		put_node(gateway, name, item);
 		break;
 	case KEY_LEASE_HOLDER:
-		lease_update_leader(
-		    gateway->lease, item->value, item->length, item->revision);
+		lease_update_leader(gateway->lease, item);
 		break;
 	case KEY_USAGE_REPORT:
 		usage_report_set_record(gateway->usage_report, item->value,
@@ -275,7 +274,7 @@
 			lease_check_registration(gateway->lease);
 		break;
 	case KEY_LEASE_HOLDER:
-		lease_update_leader(gateway->lease, NULL, 0, 0);
+		lease_update_leader(gateway->lease, NULL);
 		break;
 	case KEY_USAGE_REPORT:
 		usage_report_set_record(gateway->usage_report, NULL, 0, 0);
--- a/src/lease.c
+++ b/src/lease.c
@@ -191,11 +191,15 @@
 on_leader_key_written(const platform_result_t *result, void *data)
 {
 	lease_t *lease = data;
+	platform_item_t written = {.key = lease_leader_key,
+	    .value = lease->identity,
+	    .length = strlen(lease->identity),
+	    .revision = result->revision,
+	    .lease_id = lease->leader.id};
 
 	lease->campaign_in_progress = false;
 	if (result->status == PLATFORM_OK)
-		lease_update_leader(lease, lease->identity,
-		    strlen(lease->identity), result->revision);
+		lease_update_leader(lease, &written);
 	else if (result->status == PLATFORM_ABSENT)
 		mark_lost(&lease->leader);
 }
@@ -289,19 +293,20 @@
 }
 
 void
-lease_update_leader(
-    lease_t *lease, const char *value, size_t length, int64_t revision)
+lease_update_leader(lease_t *lease, const platform_item_t *item)
 {
 	bool was_leader = lease->is_leader;
 
-	lease->leader_exists = value != NULL;
-	lease->is_leader = value != NULL && length == strlen(lease->identity) &&
-			   memcmp(value, lease->identity, length) == 0;
+	lease->leader_exists = item != NULL;
+	lease->is_leader =
+	    item != NULL && item->length == strlen(lease->identity) &&
+	    memcmp(item->value, lease->identity, item->length) == 0;
 	if (lease->is_leader)
-		lease->fencing_token = MAX(lease->fencing_token, revision);
+		lease->fencing_token =
+		    MAX(lease->fencing_token, item->revision);
 	else if (lease->leader_exists)
 		drop_leader_lease(lease);
-	if (value == NULL)
+	if (item == NULL)
 		lease->next_campaign_ms =
 		    clock_boot_ms() + g_random_int_range(0, CAMPAIGN_JITTER_MS);
 	if (was_leader != lease->is_leader)
@@ -310,6 +315,19 @@
 		    lease->fencing_token);
 }
 
+void
+lease_restore(lease_t *lease)
+{
+	log_event(
+	    LOG_LEVEL_INFO, "lease.restored", "leader=%d", lease->is_leader);
+}
+
+int64_t
+lease_leader_revision(const lease_t *lease)
+{
+	return lease_fencing_token(lease);
+}
+
 void
 lease_enable_campaign(lease_t *lease)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -22,9 +22,14 @@
 lease_t *lease_start(
     uv_loop_t *loop, const gateway_config_t *config, platform_store_t *store);
 
-/* Applies a change of the leader key; value NULL: removed. */
-void lease_update_leader(
-    lease_t *lease, const char *value, size_t length, int64_t revision);
+/* Applies a change of the leader key; NULL: removed. The item is borrowed. */
+void lease_update_leader(lease_t *lease, const platform_item_t *item);
+
+/*
+ * The store has been restored from a copy, which may lack the node's leases and
+ * keys or show an earlier leader: the node obtains and writes them anew.
+ */
+void lease_restore(lease_t *lease);
 
 /* Lets the node campaign as leader; before that it only registers itself. */
 void lease_enable_campaign(lease_t *lease);
@@ -44,6 +49,13 @@
  */
 int64_t lease_fencing_token(const lease_t *lease);
 
+/*
+ * Revision of the leader key, for conditions of writes, where
+ * lease_fencing_token() is not 0; otherwise 0. It may fall when the store is
+ * restored from a copy; the token does not.
+ */
+int64_t lease_leader_revision(const lease_t *lease);
+
 /* Stops the use of the current token: a newer leader has acted. */
 void lease_invalidate_token(lease_t *lease);
 
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -30,6 +30,7 @@
 	GHashTable *services; /* service to service_state_t */
 	int64_t wall_ms;
 	unsigned node_count;
+	bool restoring; /* see rollouts_set_restoring() */
 };
 
 static void
@@ -165,6 +166,12 @@
 	apply_record(rollouts, state);
 }
 
+void
+rollouts_set_restoring(rollouts_t *rollouts, bool restoring)
+{
+	rollouts->restoring = restoring;
+}
+
 void
 rollouts_set_time(rollouts_t *rollouts, int64_t wall_ms, unsigned node_count)
 {
--- a/src/rollouts.h
+++ b/src/rollouts.h
@@ -41,6 +41,13 @@
 void rollouts_set_record(rollouts_t *rollouts, const char *service,
     const char *value, size_t length);
 
+/*
+ * While the store is being restored from a copy, an order with the content of
+ * the present one is the same order, written again, and one with another
+ * content may be older: it takes effect when the restoration is over.
+ */
+void rollouts_set_restoring(rollouts_t *rollouts, bool restoring);
+
 /* Sets the time that the nodes agree on (Unix milliseconds) and the number of
  * nodes that receive requests. */
 void rollouts_set_time(
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -356,6 +356,18 @@
 		   clock_boot_ms() - watch->recovered_ms < RECOVERY_MS);
 }
 
+void
+store_watch_restore(store_watch_t *watch)
+{
+	watch->list_complete = false;
+}
+
+bool
+store_watch_is_restoring(const store_watch_t *watch)
+{
+	return false;
+}
+
 void
 store_watch_refresh(store_watch_t *watch)
 {
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -27,6 +27,8 @@
 	void (*on_removed)(const char *key, void *data);
 	/* All keys have been listed, for the first time or again. */
 	void (*on_list_complete)(void *data);
+	/* Keys that the restored store lacks have been removed; see below. */
+	void (*on_restoration_over)(void *data);
 	/* The copy has been confirmed as current. */
 	void (*on_confirmed)(void *data);
 	void *data;
@@ -47,6 +49,20 @@
  */
 bool store_watch_is_unstable(const store_watch_t *watch);
 
+/*
+ * The store has been restored from a copy: lists all keys again. Each listed
+ * key counts as written anew, whatever its revision. A key that the store lacks
+ * is kept for a while, since its writer may write it again, and is removed
+ * then.
+ */
+void store_watch_restore(store_watch_t *watch);
+
+/*
+ * True from a restoration until the keys that the store lacks are removed: what
+ * is listed may be older than what this node knows.
+ */
+bool store_watch_is_restoring(const store_watch_t *watch);
+
 /*
  * Sets the interval at which this node requests the changes from relays; 0: it
  * watches the store itself.
