--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -11,7 +11,8 @@
  * preconditions, leases and watches, and the endpoints that singleton duties
  * call. GET /calls lists the calls accepted there. With the fault "down" the
  * store replies 503; with "stale", lists that may be stale stay as they were at
- * the first one since the fault was set.
+ * the first one since the fault was set. POST /snapshot keeps a copy of the
+ * store, and POST /restore, in which the era rises, brings the last copy back.
  */
 
 enum {
@@ -20,6 +21,7 @@
 	STATUS_OK = 200,
 	STATUS_NOT_FOUND = 404,
 	STATUS_CONFLICT = 409,
+	STATUS_GONE = 410,
 	STATUS_PRECONDITION_FAILED = 412,
 	STATUS_UNAVAILABLE = 503,
 };
@@ -44,17 +46,44 @@
 	int64_t deadline_ms;
 } watch_t;
 
+/* A copy of the store. */
+typedef struct snapshot {
+	GTree *items;
+	GHashTable *leases;
+	int64_t last_revision;
+	int64_t last_lease;
+	int64_t taken_ms;
+} snapshot_t;
+
 static standin_t standin;
 static GTree *items;	   /* key to item_t, sorted by key */
 static GHashTable *leases; /* id to lease_t */
 static TAILQ_HEAD(, watch) watches = TAILQ_HEAD_INITIALIZER(watches);
 static int64_t last_revision = 1;
 static int64_t last_lease = 100;
+static int64_t era = 1; /* how often the store has been restored, plus 1 */
+static snapshot_t snapshot;
 static int64_t highest_fence_token;
 static json_t *duty_calls;
 static json_t *stale_list; /* response to stale lists; NULL: none kept */
 static uv_timer_t expiry_timer;
 
+/* A response of the store. Releases the caller's reference to value. */
+static void
+reply(http_request_t *request, int status, json_t *value)
+{
+	char *era_text = g_strdup_printf("%" G_GINT64_FORMAT, era);
+	const http_header_t headers[] = {
+	    {"content-type", "application/json"}, {"store-era", era_text}};
+	char *text = json_text(value);
+
+	http_reply(request, status, headers, G_N_ELEMENTS(headers), text,
+	    strlen(text));
+	json_decref(value);
+	g_free(text);
+	g_free(era_text);
+}
+
 static void
 item_free(gpointer data)
 {
@@ -115,17 +144,23 @@
 }
 
 static void
-reply_watch(watch_t *watch, json_t *events)
+watch_free(watch_t *watch)
 {
-	http_reply_json(watch->request, STATUS_OK,
-	    json_pack("{s:o,s:I}", "events", events, "as_of",
-		(json_int_t)last_revision));
 	TAILQ_REMOVE(&watches, watch, entries);
 	http_request_unref(watch->request);
 	g_free(watch->prefix);
 	g_free(watch);
 }
 
+static void
+reply_watch(watch_t *watch, json_t *events)
+{
+	reply(watch->request, STATUS_OK,
+	    json_pack("{s:o,s:I}", "events", events, "as_of",
+		(json_int_t)last_revision));
+	watch_free(watch);
+}
+
 static void
 reply_ready_watches(void)
 {
@@ -237,7 +272,7 @@
 		stale_list = list_response(prefix);
 	if (!stale)
 		g_clear_pointer(&stale_list, json_decref);
-	http_reply_json(request, STATUS_OK,
+	reply(request, STATUS_OK,
 	    stale ? json_incref(stale_list) : list_response(prefix));
 	g_free(prefix);
 }
@@ -249,18 +284,23 @@
 	const item_t *item = key == NULL ? NULL : g_tree_lookup(items, key);
 
 	if (item == NULL || item->removed)
-		http_reply_json(request, STATUS_NOT_FOUND, json_object());
+		reply(request, STATUS_NOT_FOUND, json_object());
 	else
-		http_reply_json(request, STATUS_OK, item_json(key, item));
+		reply(request, STATUS_OK, item_json(key, item));
 	g_free(key);
 }
 
 static void
 serve_watch(http_request_t *request)
 {
-	watch_t *watch = g_new0(watch_t, 1);
 	int64_t wait_ms = number_param(request, "wait_ms");
+	watch_t *watch;
 
+	if (number_param(request, "after") > last_revision) {
+		reply(request, STATUS_GONE, json_object());
+		return;
+	}
+	watch = g_new0(watch_t, 1);
 	watch->request = http_request_ref(request);
 	watch->prefix = http_request_query_param(request, "path_prefix");
 	if (watch->prefix == NULL)
@@ -324,16 +364,16 @@
 serve_transaction(http_request_t *request, const json_t *body)
 {
 	if (!leases_exist(json_object_get(body, "writes"))) {
-		http_reply_json(request, STATUS_NOT_FOUND, json_object());
+		reply(request, STATUS_NOT_FOUND, json_object());
 		return;
 	}
 	if (!conditions_match(json_object_get(body, "expected_rev"))) {
-		http_reply_json(request, STATUS_PRECONDITION_FAILED,
+		reply(request, STATUS_PRECONDITION_FAILED,
 		    json_pack("{s:[]}", "items"));
 		return;
 	}
 	apply_transaction(body);
-	http_reply_json(request, STATUS_OK,
+	reply(request, STATUS_OK,
 	    json_pack("{s:I}", "revision", (json_int_t)last_revision));
 	reply_ready_watches();
 }
@@ -341,7 +381,7 @@
 static void
 reply_lease(http_request_t *request, int64_t lease_id, int64_t ttl_ms)
 {
-	http_reply_json(request, STATUS_OK,
+	reply(request, STATUS_OK,
 	    json_pack("{s:I,s:I}", "lease", (json_int_t)lease_id, "ttl_ms",
 		(json_int_t)ttl_ms));
 }
@@ -363,7 +403,7 @@
 	lease_t *lease = g_hash_table_lookup(leases, GINT_TO_POINTER(lease_id));
 
 	if (lease == NULL) {
-		http_reply_json(request, STATUS_NOT_FOUND, json_object());
+		reply(request, STATUS_NOT_FOUND, json_object());
 		return;
 	}
 	lease->expires_ms = clock_mono_ms() + lease->ttl_ms;
@@ -375,7 +415,7 @@
 {
 	g_hash_table_remove(leases, GINT_TO_POINTER(lease_id));
 	remove_orphaned_keys();
-	http_reply_json(request, STATUS_OK, json_object());
+	reply(request, STATUS_OK, json_object());
 	reply_ready_watches();
 }
 
@@ -419,7 +459,7 @@
 	int64_t id;
 
 	if (standin_fault_value(&standin, "down") > 0)
-		http_reply_json(request, STATUS_UNAVAILABLE, json_object());
+		reply(request, STATUS_UNAVAILABLE, json_object());
 	else if (strcmp(path, "/v1/kv-range") == 0)
 		serve_range(request);
 	else if (strcmp(path, "/v1/kv-key") == 0)
@@ -435,7 +475,95 @@
 	else if ((id = path_id(path, "/v1/kv-lease-end/")) != 0)
 		serve_lease_end(request, id);
 	else
-		http_reply_json(request, STATUS_NOT_FOUND, json_object());
+		reply(request, STATUS_NOT_FOUND, json_object());
+}
+
+static gboolean
+copy_item(gpointer key, gpointer value, gpointer data)
+{
+	item_t *copy = g_memdup2(value, sizeof(*copy));
+
+	copy->value_base64 = g_strdup(copy->value_base64);
+	g_tree_replace(data, g_strdup(key), copy);
+	return FALSE;
+}
+
+static GTree *
+copy_items(GTree *from)
+{
+	GTree *to = g_tree_new_full(compare_keys, NULL, g_free, item_free);
+
+	g_tree_foreach(from, copy_item, to);
+	return to;
+}
+
+/* Copies leases that expire by delay_ms later. */
+static GHashTable *
+copy_leases(GHashTable *from, int64_t delay_ms)
+{
+	GHashTable *to = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	GHashTableIter iter;
+	gpointer id, value;
+
+	g_hash_table_iter_init(&iter, from);
+	while (g_hash_table_iter_next(&iter, &id, &value)) {
+		lease_t *lease = g_memdup2(value, sizeof(*lease));
+
+		lease->expires_ms += delay_ms;
+		g_hash_table_insert(to, id, lease);
+	}
+	return to;
+}
+
+static void
+take_snapshot(void)
+{
+	g_clear_pointer(&snapshot.items, g_tree_unref);
+	g_clear_pointer(&snapshot.leases, g_hash_table_unref);
+	snapshot = (snapshot_t){
+	    .items = copy_items(items),
+	    .leases = copy_leases(leases, 0),
+	    .last_revision = last_revision,
+	    .last_lease = last_lease,
+	    .taken_ms = clock_mono_ms(),
+	};
+}
+
+/* The leases of the copy have the time left that they had in it. */
+static void
+restore_snapshot(void)
+{
+	watch_t *watch;
+
+	g_tree_unref(items);
+	g_hash_table_unref(leases);
+	items = copy_items(snapshot.items);
+	leases =
+	    copy_leases(snapshot.leases, clock_mono_ms() - snapshot.taken_ms);
+	last_revision = snapshot.last_revision;
+	last_lease = snapshot.last_lease;
+	era++;
+	g_clear_pointer(&stale_list, json_decref);
+	while ((watch = TAILQ_FIRST(&watches)) != NULL) {
+		http_request_disconnect(watch->request);
+		watch_free(watch);
+	}
+}
+
+/* Serves the calls of tests; false: another call. */
+static bool
+serve_test(http_request_t *request)
+{
+	const char *path = http_request_path(request);
+
+	if (strcmp(path, "/snapshot") == 0)
+		take_snapshot();
+	else if (strcmp(path, "/restore") == 0 && snapshot.items != NULL)
+		restore_snapshot();
+	else if (strcmp(path, "/calls") != 0)
+		return false;
+	http_reply_json(request, STATUS_OK, json_incref(duty_calls));
+	return true;
 }
 
 static void
@@ -449,11 +577,9 @@
 
 	if (body == NULL)
 		http_reply_json(request, 400, json_object());
-	else if (strcmp(path, "/calls") == 0)
-		http_reply_json(request, STATUS_OK, json_incref(duty_calls));
 	else if (strcmp(path, "/usage") == 0 || strcmp(path, "/scale") == 0)
 		serve_duty_call(request, body);
-	else
+	else if (!serve_test(request))
 		serve_store(request, body);
 	json_decref(body);
 }
