List the store's keys anew after it came back from a copy

Callers saw: a change written after the restoration (a new route, a withdrawn key) was passed over for as long as its revision was lower than one of before; a server whose entry the copy lacks was dropped at once, although it writes the entry again within two seconds.

Cause: revisions of the time before the restoration were compared with those after it, for each key and for the watch. A watch in progress went on waiting for the earlier ones.

Change: store_watch_restore() starts a list at once, and the result of the call in progress is ignored. What is known of each key moves into a module of its own, key_revisions: a restoration makes all known revisions lower than each later one, and holds the keys until they are listed or written again. The hold ends when the copy is confirmed as current 2.5 s after the list, so that a node which is cut off meanwhile does not end it unseen. The watch in the hold ends with it. While it lasts, and shortly after, removed servers are kept as after an outage. The list takes its revision over, also where it is lower: with MAX() the watch got 410 and the node listed again without a pause.

Ruled out: removing what the copy lacks at once (no service until it is written again); a timer for the hold (it would end while nothing can be read).

--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -1,6 +1,7 @@
 #include "store_watch.h"
 
 #include "clock.h"
+#include "key_revisions.h"
 #include "log.h"
 
 enum {
@@ -19,6 +20,11 @@
 	RELAY_CHECK_MS = 100,
 	/* Entries removed in an outage may reappear this long after its end. */
 	RECOVERY_MS = 2500,
+	/*
+	 * After a restoration operators and backend servers write their keys
+	 * again within about two seconds.
+	 */
+	RESTORE_HOLD_MS = 2500,
 };
 
 static const char all_keys[] = "";
@@ -28,11 +34,18 @@
 /* The same in a fleet with relays, whose confirmations are passed on. */
 static const double relay_watch_staleness_share = 0.11;
 
+/* A call of the store; its result is ignored once another one replaced it. */
+typedef struct watch_call {
+	store_watch_t *watch;
+} watch_call_t;
+
 struct store_watch {
 	store_watch_options_t options;
 	uv_timer_t timer;
-	GHashTable *revisions;	 /* key to its last revision (int64_t *) */
-	GHashTable *listed_keys; /* keys of the list in progress; NULL: none */
+	watch_call_t *call; /* in progress; NULL: none */
+	key_revisions_t *keys;
+	bool listing; /* a list is in progress */
+	bool list_may_be_stale;
 	/* Last key of the previous page of the list; NULL: first page. */
 	char *last_page_key;
 	int64_t list_revision; /* lowest store revision of the pages */
@@ -40,6 +53,10 @@
 	int64_t revision;     /* all changes up to it are applied */
 	int64_t call_sent_ms; /* start of the call in progress */
 	int64_t confirmed_ms;
+	/* Keys that a restored store lacks are kept until the copy is confirmed
+	 * as current at this time; INT64_MAX: not listed since the restoration;
+	 * 0: no restoration. */
+	int64_t hold_until_ms;
 	int64_t last_response_ms; /* of the store, or a relay's confirmation */
 	int64_t recovered_ms;	  /* last end of an outage here or at a relay */
 	int64_t last_refresh_ms;
@@ -58,54 +75,51 @@
 
 static void start_next_call(store_watch_t *watch);
 
-/* Returns whether the revision is newer than the key's last one. */
-static bool
-record_revision(store_watch_t *watch, const char *key, int64_t revision)
+static void
+apply_items(store_watch_t *watch, const platform_item_t *items, size_t count)
 {
-	int64_t *last_revision = g_hash_table_lookup(watch->revisions, key);
+	const store_watch_options_t *options = &watch->options;
 
-	if (last_revision != NULL && *last_revision >= revision)
-		return false;
-	if (last_revision == NULL) {
-		last_revision = g_new(int64_t, 1);
-		g_hash_table_insert(
-		    watch->revisions, g_strdup(key), last_revision);
+	for (size_t i = 0; i < count; i++) {
+		const platform_item_t *item = &items[i];
+
+		/* Watches and relay responses may repeat a change. */
+		if (!watch->listing && item->revision <= watch->revision)
+			continue;
+		if (!watch->listing)
+			relay_log_add(watch->change_log, item);
+		if (!item->removed) {
+			if (key_revisions_put(
+				watch->keys, item->key, item->revision))
+				options->on_put(item, options->data);
+		} else if (key_revisions_remove(
+			       watch->keys, item->key, item->revision)) {
+			options->on_removed(item->key, options->data);
+		}
 	}
-	*last_revision = revision;
-	return true;
 }
 
+/* Takes over the keys (char *), which are no longer in the store. */
 static void
-remove_key(store_watch_t *watch, const char *key, int64_t revision)
+report_removed(store_watch_t *watch, GPtrArray *keys)
 {
-	int64_t *last_revision = g_hash_table_lookup(watch->revisions, key);
-
-	if (last_revision == NULL || *last_revision >= revision)
-		return;
-	watch->options.on_removed(key, watch->options.data);
-	g_hash_table_remove(watch->revisions, key);
+	for (guint i = 0; i < keys->len; i++)
+		watch->options.on_removed(keys->pdata[i], watch->options.data);
+	g_ptr_array_unref(keys);
 }
 
+/* The copy has been confirmed as current at confirmed_ms. */
 static void
-apply_items(store_watch_t *watch, const platform_item_t *items, size_t count)
+report_confirmed(store_watch_t *watch)
 {
-	for (size_t i = 0; i < count; i++) {
-		const platform_item_t *item = &items[i];
-
-		/* Watches and relay responses may repeat a change. */
-		if (watch->listed_keys == NULL &&
-		    item->revision <= watch->revision)
-			continue;
-		if (watch->listed_keys == NULL)
-			relay_log_add(watch->change_log, item);
-		if (item->removed)
-			remove_key(watch, item->key, item->revision);
-		else if (record_revision(watch, item->key, item->revision))
-			watch->options.on_put(item, watch->options.data);
-		if (watch->listed_keys != NULL)
-			g_hash_table_add(
-			    watch->listed_keys, g_strdup(item->key));
-	}
+	watch->options.on_confirmed(watch->options.data);
+	if (watch->hold_until_ms == 0 ||
+	    watch->confirmed_ms < watch->hold_until_ms)
+		return;
+	report_removed(watch, key_revisions_end_hold(watch->keys));
+	watch->hold_until_ms = 0;
+	watch->recovered_ms = clock_boot_ms();
+	watch->options.on_restoration_over(watch->options.data);
 }
 
 static void
@@ -151,43 +165,50 @@
 static void
 finish_list(store_watch_t *watch)
 {
-	GHashTable *listed_keys = watch->listed_keys;
-	GHashTableIter iter;
-	gpointer key;
-
-	watch->listed_keys = NULL;
-	g_hash_table_iter_init(&iter, watch->revisions);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (g_hash_table_contains(listed_keys, key))
-			continue;
-		watch->options.on_removed(key, watch->options.data);
-		g_hash_table_iter_remove(&iter);
-	}
-	g_hash_table_unref(listed_keys);
+	watch->listing = false;
+	report_removed(watch, key_revisions_end_list(watch->keys));
 	g_clear_pointer(&watch->last_page_key, g_free);
-	watch->revision = MAX(watch->revision, watch->list_revision);
+	watch->revision = watch->list_revision;
 	relay_log_reset(watch->change_log, watch->revision);
 	watch->list_complete = true;
+	if (watch->hold_until_ms == INT64_MAX)
+		watch->hold_until_ms = clock_boot_ms() + RESTORE_HOLD_MS;
 	watch->options.on_list_complete(watch->options.data);
-	if (watch->listed_once) {
-		watch->confirmed_ms = watch->list_started_ms;
-		watch->options.on_confirmed(watch->options.data);
-	}
 	watch->listed_once = true;
+	if (watch->list_may_be_stale)
+		return;
+	watch->confirmed_ms = watch->list_started_ms;
+	report_confirmed(watch);
 }
 
 static void
 abort_list(store_watch_t *watch)
 {
-	g_clear_pointer(&watch->listed_keys, g_hash_table_unref);
+	watch->listing = false;
 	g_clear_pointer(&watch->last_page_key, g_free);
 }
 
+/* Returns the owner of a call that is done; NULL: its result is ignored. */
+static store_watch_t *
+end_call(watch_call_t *call)
+{
+	store_watch_t *watch = call->watch;
+	bool replaced = watch->call != call;
+
+	g_free(call);
+	if (replaced)
+		return NULL;
+	watch->call = NULL;
+	return watch;
+}
+
 static void
 on_list_page(const platform_result_t *result, void *data)
 {
-	store_watch_t *watch = data;
+	store_watch_t *watch = end_call(data);
 
+	if (watch == NULL)
+		return;
 	if (result->status != PLATFORM_OK) {
 		abort_list(watch);
 		retry_later(watch, result->status);
@@ -217,8 +238,9 @@
 		      (double)watch->options.max_staleness_ms));
 }
 
+/* Longest watch without changes. */
 static int64_t
-watch_ms(const store_watch_t *watch)
+longest_watch_ms(const store_watch_t *watch)
 {
 	if (watch->relay_interval_ms > 0 || watch->has_followers)
 		return relay_watch_ms(watch);
@@ -227,6 +249,21 @@
 				    (double)watch->options.max_staleness_ms));
 }
 
+/* Duration of a watch that starts now. */
+static int64_t
+watch_ms(const store_watch_t *watch, int64_t now_ms)
+{
+	int64_t hold_ms = watch->hold_until_ms - now_ms;
+
+	/* A short watch confirms the copy at once. */
+	if (watch->failures > 0 || watch->confirmed_ms == 0)
+		return CONFIRM_WATCH_MS;
+	if (watch->hold_until_ms == 0)
+		return longest_watch_ms(watch);
+	/* The next watch, at the end of the hold, confirms the copy. */
+	return MIN(longest_watch_ms(watch), MAX(hold_ms, CONFIRM_WATCH_MS));
+}
+
 /* True while relay responses confirm the copy often enough. */
 static bool
 is_kept_current_by_relay(const store_watch_t *watch)
@@ -270,8 +307,10 @@
 static void
 on_watch_result(const platform_result_t *result, void *data)
 {
-	store_watch_t *watch = data;
+	store_watch_t *watch = end_call(data);
 
+	if (watch == NULL)
+		return;
 	if (result->status == PLATFORM_COMPACTED) {
 		mark_available(watch);
 		watch->list_complete = false;
@@ -287,13 +326,24 @@
 	watch->revision = MAX(watch->revision, result->revision);
 	watch->confirmed_ms = MAX(watch->confirmed_ms, watch->call_sent_ms);
 	watch->changes_missing = false;
-	watch->options.on_confirmed(watch->options.data);
+	report_confirmed(watch);
 	if (is_kept_current_by_relay(watch))
 		start_relay_check(watch);
 	else
 		start_call_after_interval(watch);
 }
 
+static void
+begin_list(store_watch_t *watch, int64_t now_ms)
+{
+	watch->listing = true;
+	watch->list_started_ms = now_ms;
+	/* The first list may be stale: the watch after it confirms the copy. */
+	watch->list_may_be_stale =
+	    !watch->listed_once && watch->hold_until_ms == 0;
+	key_revisions_begin_list(watch->keys);
+}
+
 /* Starts the next watch, or the next page of a list. */
 static void
 start_next_call(store_watch_t *watch)
@@ -307,23 +357,19 @@
 		watch->last_refresh_ms = now_ms;
 		watch->list_complete = false;
 	}
+	watch->call = g_new0(watch_call_t, 1);
+	watch->call->watch = watch;
 	if (watch->list_complete) {
-		/* A short watch confirms the copy at once. */
-		bool confirm = watch->failures > 0 || watch->confirmed_ms == 0;
-		int64_t wait_ms = confirm ? CONFIRM_WATCH_MS : watch_ms(watch);
-
 		platform_store_watch(watch->options.store, all_keys,
-		    watch->revision, wait_ms, on_watch_result, watch);
+		    watch->revision, watch_ms(watch, now_ms), on_watch_result,
+		    watch->call);
 		return;
 	}
-	if (watch->listed_keys == NULL) {
-		watch->listed_keys = g_hash_table_new_full(
-		    g_str_hash, g_str_equal, g_free, NULL);
-		watch->list_started_ms = now_ms;
-	}
-	/* The first list may be stale: the watch after it confirms the copy. */
+	if (!watch->listing)
+		begin_list(watch, now_ms);
 	platform_store_list(watch->options.store, all_keys,
-	    watch->last_page_key, !watch->listed_once, on_list_page, watch);
+	    watch->last_page_key, watch->list_may_be_stale, on_list_page,
+	    watch->call);
 }
 
 store_watch_t *
@@ -332,8 +378,7 @@
 	store_watch_t *watch = g_new0(store_watch_t, 1);
 
 	watch->options = *options;
-	watch->revisions =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	watch->keys = key_revisions_new();
 	watch->last_response_ms = clock_boot_ms();
 	watch->change_log = relay_log_new();
 	uv_timer_init(loop, &watch->timer);
@@ -351,7 +396,7 @@
 bool
 store_watch_is_unstable(const store_watch_t *watch)
 {
-	return watch->unavailable ||
+	return watch->unavailable || store_watch_is_restoring(watch) ||
 	       (watch->recovered_ms != 0 &&
 		   clock_boot_ms() - watch->recovered_ms < RECOVERY_MS);
 }
@@ -359,13 +404,22 @@
 void
 store_watch_restore(store_watch_t *watch)
 {
+	abort_list(watch);
 	watch->list_complete = false;
+	watch->changes_missing = false;
+	watch->revision = 0;
+	watch->hold_until_ms = INT64_MAX;
+	key_revisions_restore(watch->keys);
+	relay_log_reset(watch->change_log, INT64_MAX);
+	/* A watch in progress waits for revisions of the earlier era. */
+	uv_timer_stop(&watch->timer);
+	start_next_call(watch);
 }
 
 bool
 store_watch_is_restoring(const store_watch_t *watch)
 {
-	return false;
+	return watch->hold_until_ms != 0;
 }
 
 void
@@ -407,8 +461,7 @@
 	int64_t now_ms = clock_boot_ms();
 	int64_t confirmed_ms;
 
-	if (watch->relay_interval_ms == 0 || !watch->list_complete ||
-	    watch->listed_keys != NULL)
+	if (watch->relay_interval_ms == 0 || !watch->list_complete)
 		return;
 	if (response->changes_missing) {
 		/* A watch of the store returns all missing changes. */
@@ -426,7 +479,7 @@
 		return;
 	watch->confirmed_ms = MAX(watch->confirmed_ms, confirmed_ms);
 	mark_available(watch);
-	watch->options.on_confirmed(watch->options.data);
+	report_confirmed(watch);
 }
 
 void
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -44,8 +44,8 @@
 int64_t store_watch_confirmed_ms(const store_watch_t *watch);
 
 /*
- * True while the store is unavailable and shortly after, when entries that were
- * removed during the outage may reappear.
+ * True while the store is unavailable or being restored, and shortly after,
+ * when entries that were removed meanwhile may reappear.
  */
 bool store_watch_is_unstable(const store_watch_t *watch);
 
