Carry the store's era in the messages of relays

Followers read the store only now and then. Until a call of their own told them that the store came back from a copy, they took the relay's changes, whose revisions were lower, for old ones, and its confirmation for one of their copy.

Cause: requests and responses named revisions without their era.

Change: both carry the era as their last field. Whoever sees a later era learns it and lists the keys itself. A request of another era gets no changes and no confirmation; a response of an earlier era is ignored and the next request goes to another relay. A message without the field, of an earlier version, counts as one of the first era, and its sender is answered without the field, as it accepts no other length.

Evidence: with the relay code before, a follower does not know of a restoration after 800 ms (test_followers: node 1), and seven tests of test_relay fail, as no era comes through. All of test_relay and test_followers pass now. One run of followers_watch_after_their_relays_die on the code before failed at the start of a node: its UDP port was in use by another process.

--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -70,13 +70,15 @@
 }
 
 /*
- * A relay that has lost the store counts as one that does not respond: the next
- * request goes to another one.
+ * A relay that has lost the store, or does not know of its restoration, counts
+ * as one that does not respond: the next request goes to another one.
  */
 static void
 handle_relay_response(cluster_t *cluster, relay_response_t *response)
 {
-	cluster->relay_responded = !response->store_unstable;
+	cluster->relay_responded =
+	    !response->store_unstable &&
+	    relay_is_same_era(response->era, cluster->relay_era);
 	if (response->client_addresses->len > 0) {
 		g_ptr_array_unref(cluster->relayed_addresses);
 		cluster->relayed_addresses =
@@ -173,6 +175,7 @@
 	if (!cluster->relay_responded)
 		cluster->relay_choice++;
 	cluster->relay_responded = false;
+	cluster->relay_era = request->era;
 	choice += cluster->relay_choice;
 	datagram = g_byte_array_new();
 	relay_encode_request(request, datagram);
--- a/src/cluster_state.h
+++ b/src/cluster_state.h
@@ -54,6 +54,7 @@
 	int64_t relayed_ms;	      /* time of receipt; 0: none */
 	unsigned relay_choice;	      /* counts changes to another relay */
 	bool relay_responded;	      /* to the last request */
+	int64_t relay_era;	      /* of the last request */
 	relay_assembler_t *assembler; /* of responses to this node */
 	int64_t response_id;	      /* of the last response in fragments */
 	int64_t clock_offset_ms; /* median of the nodes' clocks minus own */
--- a/src/relay.c
+++ b/src/relay.c
@@ -10,8 +10,10 @@
 	/* First field of a message; that of a digest is lower. */
 	REQUEST_TYPE = 100,
 	RESPONSE_TYPE = 101,
+	/* Without the era, as an earlier version has them. */
 	REQUEST_FIELDS = 3,
 	RESPONSE_FIELDS = 8,
+	FIRST_ERA = 1,
 	ITEM_FIELDS = 3,
 	LOG_MAX_ITEMS = 1024,
 	LOG_MAX_BYTES = 256 * 1024,
@@ -44,6 +46,12 @@
 	g_free(change);
 }
 
+bool
+relay_is_same_era(int64_t era, int64_t other_era)
+{
+	return MAX(era, FIRST_ERA) == MAX(other_era, FIRST_ERA);
+}
+
 bool
 relay_is_current(int64_t confirmation_age_ms, int64_t watch_ms)
 {
@@ -112,10 +120,11 @@
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, mp_append_bytes);
-	msgpack_pack_array(&packer, REQUEST_FIELDS);
+	msgpack_pack_array(&packer, REQUEST_FIELDS + 1);
 	msgpack_pack_int(&packer, REQUEST_TYPE);
 	msgpack_pack_int64(&packer, request->after_revision);
 	msgpack_pack_int64(&packer, request->sent_ms);
+	msgpack_pack_int64(&packer, request->era);
 }
 
 /*
@@ -188,16 +197,19 @@
 	GPtrArray *changes =
 	    select_changes(log, request->after_revision, &complete_revision);
 	bool changes_missing =
+	    !relay_is_same_era(request->era, state->era) ||
 	    request->after_revision < log->base_revision ||
 	    (changes->len == 0 && complete_revision < state->revision);
 	bool complete =
 	    !changes_missing && complete_revision >= state->revision;
+	/* A follower of an earlier version accepts no further field. */
+	bool with_era = request->era != 0;
 	msgpack_packer packer;
 
 	if (changes_missing)
 		g_ptr_array_set_size(changes, 0);
 	msgpack_packer_init(&packer, out, mp_append_bytes);
-	msgpack_pack_array(&packer, RESPONSE_FIELDS);
+	msgpack_pack_array(&packer, RESPONSE_FIELDS + with_era);
 	msgpack_pack_int(&packer, RESPONSE_TYPE);
 	msgpack_pack_int64(&packer, request->sent_ms);
 	msgpack_pack_int64(&packer, complete_revision);
@@ -206,6 +218,8 @@
 	msgpack_pack_int(&packer, changes_missing);
 	pack_changes(&packer, changes);
 	pack_addresses(&packer, state->client_addresses);
+	if (with_era)
+		msgpack_pack_int64(&packer, state->era);
 	g_ptr_array_unref(changes);
 }
 
@@ -261,12 +275,31 @@
 	return true;
 }
 
+/* Reads the field behind the others, in a message that has one. */
+static bool
+read_era(const msgpack_object_array *message, uint32_t field, int64_t *era)
+{
+	return message->size == field ||
+	       (mp_read_int64(&message->ptr[field], era) && *era >= 0);
+}
+
 static bool
-read_response(const msgpack_object *fields, relay_response_t *response)
+read_request(const msgpack_object_array *message, relay_request_t *request)
 {
+	return mp_read_int64(&message->ptr[1], &request->after_revision) &&
+	       mp_read_int64(&message->ptr[2], &request->sent_ms) &&
+	       read_era(message, REQUEST_FIELDS, &request->era);
+}
+
+static bool
+read_response(const msgpack_object_array *message, relay_response_t *response)
+{
+	const msgpack_object *fields = message->ptr;
 	int64_t store_unstable, changes_missing;
 
-	if (!mp_read_int64(&fields[1], &response->request_sent_ms) ||
+	if (message->size < RESPONSE_FIELDS ||
+	    !read_era(message, RESPONSE_FIELDS, &response->era) ||
+	    !mp_read_int64(&fields[1], &response->request_sent_ms) ||
 	    !mp_read_int64(&fields[2], &response->revision) ||
 	    !mp_read_int64(&fields[3], &response->confirmation_age_ms) ||
 	    !mp_read_int64(&fields[4], &store_unstable) ||
@@ -282,27 +315,25 @@
 static relay_kind_t
 read_message(const msgpack_object *object, relay_message_t *message)
 {
-	const msgpack_object *fields;
+	const msgpack_object_array *fields = &object->via.array;
 	int64_t type;
 
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size < REQUEST_FIELDS ||
-	    !mp_read_int64(&object->via.array.ptr[0], &type))
+	    fields->size < REQUEST_FIELDS ||
+	    !mp_read_int64(&fields->ptr[0], &type))
 		return RELAY_OTHER;
-	fields = object->via.array.ptr;
-	if (type == REQUEST_TYPE)
-		return mp_read_int64(
-			   &fields[1], &message->request.after_revision) &&
-			       mp_read_int64(
-				   &fields[2], &message->request.sent_ms)
+	switch (type) {
+	case REQUEST_TYPE:
+		return read_request(fields, &message->request)
 			   ? RELAY_REQUEST
 			   : RELAY_MALFORMED;
-	if (type != RESPONSE_TYPE)
+	case RESPONSE_TYPE:
+		return read_response(fields, &message->response)
+			   ? RELAY_RESPONSE
+			   : RELAY_MALFORMED;
+	default:
 		return RELAY_OTHER;
-	return object->via.array.size == RESPONSE_FIELDS &&
-		       read_response(fields, &message->response)
-		   ? RELAY_RESPONSE
-		   : RELAY_MALFORMED;
+	}
 }
 
 /* Both messages are fixarrays that start with their type. */
--- a/src/relay.h
+++ b/src/relay.h
@@ -15,8 +15,17 @@
  * relay's last confirmation that there are no later ones. The follower
  * subtracts that age from the time at which it sent the request, so a delayed
  * datagram never makes a confirmation look newer than it is. No I/O.
+ *
+ * Both messages carry the store's era that their sender knows. Without one they
+ * are from a node of an earlier version.
  */
 
+/*
+ * Returns whether the revisions of two eras may be compared. Era 0, unknown, is
+ * that of a node which knows of no restoration: it counts as the first one.
+ */
+bool relay_is_same_era(int64_t era, int64_t other_era);
+
 /*
  * Returns whether a confirmation of this age is recent enough for relays whose
  * watches last watch_ms at most. If not, the relay may have lost its connection
@@ -32,7 +41,10 @@
 relay_log_t *relay_log_new(void);
 void relay_log_free(relay_log_t *log);
 
-/* Removes all changes; the log then starts after the revision. */
+/*
+ * Removes all changes; the log then starts after the revision. INT64_MAX: all
+ * changes are missing from it, as in a new log.
+ */
 void relay_log_reset(relay_log_t *log, int64_t revision);
 /* Adds a copy of a change; revisions must not decrease. */
 void relay_log_add(relay_log_t *log, const platform_item_t *item);
@@ -40,6 +52,7 @@
 typedef struct relay_request {
 	int64_t after_revision;
 	int64_t sent_ms; /* by the clock of the follower */
+	int64_t era;	 /* of the revision; 0: unknown */
 } relay_request_t;
 
 typedef struct relay_response {
@@ -47,12 +60,14 @@
 	int64_t revision;	 /* all changes up to it are included */
 	/* Age of the confirmation that no later ones exist; -1: none. */
 	int64_t confirmation_age_ms;
-	bool store_unstable;	/* the store is or was just unavailable */
-	bool changes_missing;	/* no longer in the log, or too large */
+	bool store_unstable; /* the store is or was just unavailable */
+	/* No longer in the log, too large, or of another era. */
+	bool changes_missing;
 	platform_item_t *items; /* owned, see relay_message_clear() */
 	size_t count;
 	/* char *, owned: of the active nodes; empty if the relay is none. */
 	GPtrArray *client_addresses;
+	int64_t era; /* of the revisions; 0: unknown */
 } relay_response_t;
 
 /* State of the responding relay. */
@@ -61,6 +76,7 @@
 	int64_t confirmation_age_ms;
 	bool store_unstable;
 	const GPtrArray *client_addresses; /* char *; may be NULL */
+	int64_t era;			   /* 0: unknown */
 } relay_state_t;
 
 void relay_encode_request(const relay_request_t *request, GByteArray *out);
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -451,6 +451,7 @@
 	watch->last_request_ms = now_ms;
 	request->after_revision = watch->revision;
 	request->sent_ms = now_ms;
+	request->era = platform_store_era(watch->options.store);
 	return true;
 }
 
@@ -461,7 +462,10 @@
 	int64_t now_ms = clock_boot_ms();
 	int64_t confirmed_ms;
 
-	if (watch->relay_interval_ms == 0 || !watch->list_complete)
+	platform_store_learn_era(watch->options.store, response->era);
+	if (!relay_is_same_era(
+		response->era, platform_store_era(watch->options.store)) ||
+	    watch->relay_interval_ms == 0 || !watch->list_complete)
 		return;
 	if (response->changes_missing) {
 		/* A watch of the store returns all missing changes. */
@@ -488,12 +492,16 @@
     GByteArray *out)
 {
 	int64_t now_ms = clock_boot_ms();
-	relay_state_t state = {
+	relay_state_t state;
+
+	platform_store_learn_era(watch->options.store, request->era);
+	state = (relay_state_t){
 	    .client_addresses = client_addresses,
 	    .revision = watch->revision,
 	    .confirmation_age_ms =
 		watch->confirmed_ms == 0 ? -1 : now_ms - watch->confirmed_ms,
 	    .store_unstable = store_watch_is_unstable(watch),
+	    .era = platform_store_era(watch->options.store),
 	};
 
 	watch->has_followers = true;
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -77,7 +77,10 @@
 
 /* Fills in the request to send to a relay; false: no request is due. */
 bool store_watch_next_request(store_watch_t *watch, relay_request_t *request);
-/* Applies a relay's response; it and its items are borrowed. */
+/*
+ * Applies a relay's response; it and its items are borrowed. One of an earlier
+ * era is ignored.
+ */
 void store_watch_apply_response(
     store_watch_t *watch, const relay_response_t *response);
 /*
--- a/tests/test_followers.c
+++ b/tests/test_followers.c
@@ -18,6 +18,8 @@
 	/* Time within which a new configuration must apply on every node. */
 	CHANGE_TIMEOUT_MS = 2000,
 	POLL_MS = 50,
+	/* Two requests of a node on standby to its relay. */
+	ERA_DELIVERY_MS = 800,
 	US_PER_MS = 1000,
 };
 
@@ -131,6 +133,32 @@
 }
 END_TEST
 
+static void
+call_store(const char *path)
+{
+	test_response_free(test_request_json(
+	    platform_standin, "POST", path, json_object(), 200));
+}
+
+/*
+ * Guards against followers that learn only by a call of their own that the
+ * store came back from a copy: until then they pass over changes.
+ */
+START_TEST(followers_learn_of_a_restoration_from_relays)
+{
+	start_fleet();
+	call_store("/snapshot");
+	call_store("/restore");
+	g_usleep(ERA_DELIVERY_MS * US_PER_MS);
+	for (int i = 0; i < NODES; i++)
+		ck_assert_msg(
+		    gateway_metric(nodes[i], "store_restored_total") > 0,
+		    "node %d does not know of the restoration", i);
+	gateway_configure(2, "[\"key-1\"]");
+	expect_key_rejected("key-2");
+}
+END_TEST
+
 int
 main(void)
 {
@@ -142,6 +170,7 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, most_nodes_follow_relays_and_receive_changes);
 	tcase_add_test(cases, followers_watch_after_their_relays_die);
+	tcase_add_test(cases, followers_learn_of_a_restoration_from_relays);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -6,8 +6,10 @@
 
 /* Messages that relay the store's changes from one node to another. */
 
+enum { ERA = 2 };
+
 static const relay_state_t responder_state = {
-    .revision = 40, .confirmation_age_ms = 300};
+    .revision = 40, .confirmation_age_ms = 300, .era = ERA};
 
 static relay_log_t *
 new_log(int first_revision, int last_revision, size_t value_length)
@@ -27,16 +29,17 @@
 }
 
 static relay_message_t
-request_changes(const relay_log_t *log, int64_t after_revision)
+request_in_era(const relay_log_t *log, int64_t after_revision, int64_t era)
 {
 	relay_request_t request = {
-	    .after_revision = after_revision, .sent_ms = 77};
+	    .after_revision = after_revision, .sent_ms = 77, .era = era};
 	GByteArray *bytes = g_byte_array_new();
 	relay_message_t message;
 
 	relay_encode_request(&request, bytes);
 	relay_decode((const char *)bytes->data, bytes->len, &message);
 	ck_assert_int_eq(message.kind, RELAY_REQUEST);
+	ck_assert_int_eq(message.request.era, era);
 	g_byte_array_set_size(bytes, 0);
 	relay_encode_response(log, &message.request, &responder_state, bytes);
 	relay_decode((const char *)bytes->data, bytes->len, &message);
@@ -46,6 +49,12 @@
 	return message;
 }
 
+static relay_message_t
+request_changes(const relay_log_t *log, int64_t after_revision)
+{
+	return request_in_era(log, after_revision, ERA);
+}
+
 /* Guards against lost or repeated changes. */
 START_TEST(response_has_all_changes_after_the_revision)
 {
@@ -159,6 +168,51 @@
 }
 END_TEST
 
+/*
+ * Guards against comparing revisions from before and after a restoration of the
+ * store: a follower would miss changes, or be told that there are none.
+ */
+START_TEST(request_of_another_era_gets_no_changes)
+{
+	relay_log_t *log = new_log(31, 40, 10);
+
+	for (int64_t era = ERA - 1; era <= ERA + 1; era += 2) {
+		relay_message_t message = request_in_era(log, 35, era);
+
+		ck_assert(message.response.changes_missing);
+		ck_assert_uint_eq(message.response.count, 0);
+		ck_assert_int_eq(message.response.confirmation_age_ms, -1);
+		ck_assert_int_eq(message.response.era, ERA);
+		relay_message_clear(&message);
+	}
+	relay_log_free(log);
+}
+END_TEST
+
+/* Guards against nodes of two versions that do not understand each other. */
+START_TEST(earlier_version_is_answered_in_its_form)
+{
+	static const char request[] = {'\x93', 100, 35, 77};
+	const relay_state_t never_restored = {.revision = 40, .era = 1};
+	relay_log_t *log = new_log(31, 40, 10);
+	GByteArray *bytes = g_byte_array_new();
+	relay_message_t message;
+
+	relay_decode(request, sizeof(request), &message);
+	ck_assert_int_eq(message.kind, RELAY_REQUEST);
+	ck_assert_int_eq(message.request.era, 0);
+	relay_encode_response(log, &message.request, &never_restored, bytes);
+	ck_assert_uint_eq(bytes->data[0], 0x98); /* eight fields */
+	relay_decode((const char *)bytes->data, bytes->len, &message);
+	ck_assert_int_eq(message.kind, RELAY_RESPONSE);
+	ck_assert_int_eq(message.response.era, 0);
+	ck_assert_uint_eq(message.response.count, 5);
+	relay_message_clear(&message);
+	g_byte_array_unref(bytes);
+	relay_log_free(log);
+}
+END_TEST
+
 /* Guards against a crash on truncated or altered datagrams. */
 START_TEST(altered_messages_do_not_crash_the_decoder)
 {
@@ -172,7 +226,8 @@
 
 		g_byte_array_set_size(bytes, 0);
 		relay_encode_response(log,
-		    &(relay_request_t){.after_revision = 30, .sent_ms = 1},
+		    &(relay_request_t){
+			.after_revision = 30, .sent_ms = 1, .era = ERA},
 		    &responder_state, bytes);
 		offset = (size_t)g_rand_int_range(random, 0, (gint)bytes->len);
 		bytes->data[offset] = (guint8)g_rand_int(random);
@@ -199,6 +254,8 @@
 	tcase_add_test(cases, oversized_change_is_reported_missing);
 	tcase_add_test(cases, removal_is_preserved);
 	tcase_add_test(cases, relay_without_store_is_not_followed);
+	tcase_add_test(cases, request_of_another_era_gets_no_changes);
+	tcase_add_test(cases, earlier_version_is_answered_in_its_form);
 	tcase_add_test(cases, altered_messages_do_not_crash_the_decoder);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
