--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -1,14 +1,11 @@
-#include "store_watch.h"
+#include "store_watch_state.h"
 
 #include "clock.h"
-#include "key_revisions.h"
 #include "log.h"
 
 enum {
 	/* Longest watch without changes; bounds the age of a confirmation. */
 	WATCH_MAX_MS = 1200,
-	/* The same in a fleet with relays. */
-	RELAY_WATCH_MAX_MS = 450,
 	CONFIRM_WATCH_MS = 1,
 	RETRY_MIN_MS = 60,
 	RETRY_MAX_MS = 400,
@@ -31,52 +28,12 @@
 
 /* A watch confirms the copy after this share of max_staleness_ms at most. */
 static const double watch_staleness_share = 0.3;
-/* The same in a fleet with relays, whose confirmations are passed on. */
-static const double relay_watch_staleness_share = 0.11;
-
-/* A call of the store; its result is ignored once another one replaced it. */
-typedef struct watch_call {
-	store_watch_t *watch;
-} watch_call_t;
-
-struct store_watch {
-	store_watch_options_t options;
-	uv_timer_t timer;
-	watch_call_t *call; /* in progress; NULL: none */
-	key_revisions_t *keys;
-	bool listing; /* a list is in progress */
-	bool list_may_be_stale;
-	/* Last key of the previous page of the list; NULL: first page. */
-	char *last_page_key;
-	int64_t list_revision; /* lowest store revision of the pages */
-	int64_t list_started_ms;
-	int64_t revision;     /* all changes up to it are applied */
-	int64_t call_sent_ms; /* start of the call in progress */
-	int64_t confirmed_ms;
-	/* Keys that a restored store lacks are kept until the copy is confirmed
-	 * as current at this time; INT64_MAX: not listed since the restoration;
-	 * 0: no restoration. */
-	int64_t hold_until_ms;
-	int64_t last_response_ms; /* of the store, or a relay's confirmation */
-	int64_t recovered_ms;	  /* last end of an outage here or at a relay */
-	int64_t last_refresh_ms;
-	unsigned failures; /* consecutive */
-	bool list_complete;
-	bool unavailable;
-	bool refresh_pending;
-	relay_log_t *change_log;   /* for followers of this node */
-	int64_t relay_interval_ms; /* 0: this node does not follow relays */
-	int64_t last_request_ms;   /* to a relay */
-	int64_t min_interval_ms;   /* between watches */
-	bool has_followers;	   /* one has sent a request */
-	bool listed_once;     /* a list has been completed since the start */
-	bool changes_missing; /* in a relay's response; cleared by a watch */
-};
 
 static void start_next_call(store_watch_t *watch);
 
-static void
-apply_items(store_watch_t *watch, const platform_item_t *items, size_t count)
+void
+store_watch_apply_items(
+    store_watch_t *watch, const platform_item_t *items, size_t count)
 {
 	const store_watch_options_t *options = &watch->options;
 
@@ -108,9 +65,8 @@
 	g_ptr_array_unref(keys);
 }
 
-/* The copy has been confirmed as current at confirmed_ms. */
-static void
-report_confirmed(store_watch_t *watch)
+void
+store_watch_report_confirmed(store_watch_t *watch)
 {
 	watch->options.on_confirmed(watch->options.data);
 	if (watch->hold_until_ms == 0 ||
@@ -122,8 +78,8 @@
 	watch->options.on_restoration_over(watch->options.data);
 }
 
-static void
-mark_available(store_watch_t *watch)
+void
+store_watch_mark_available(store_watch_t *watch)
 {
 	int64_t now_ms = clock_boot_ms();
 
@@ -178,7 +134,7 @@
 	if (watch->list_may_be_stale)
 		return;
 	watch->confirmed_ms = watch->list_started_ms;
-	report_confirmed(watch);
+	store_watch_report_confirmed(watch);
 }
 
 static void
@@ -214,11 +170,11 @@
 		retry_later(watch, result->status);
 		return;
 	}
-	mark_available(watch);
+	store_watch_mark_available(watch);
 	if (watch->last_page_key == NULL)
 		watch->list_revision = result->revision;
 	watch->list_revision = MIN(watch->list_revision, result->revision);
-	apply_items(watch, result->items, result->count);
+	store_watch_apply_items(watch, result->items, result->count);
 	g_free(watch->last_page_key);
 	watch->last_page_key = NULL;
 	if (result->has_more && result->count > 0)
@@ -229,21 +185,12 @@
 	start_next_call(watch);
 }
 
-/* Longest watch without changes of a relay. */
-static int64_t
-relay_watch_ms(const store_watch_t *watch)
-{
-	return MIN(RELAY_WATCH_MAX_MS,
-	    (int64_t)(relay_watch_staleness_share *
-		      (double)watch->options.max_staleness_ms));
-}
-
 /* Longest watch without changes. */
 static int64_t
 longest_watch_ms(const store_watch_t *watch)
 {
 	if (watch->relay_interval_ms > 0 || watch->has_followers)
-		return relay_watch_ms(watch);
+		return store_watch_relay_ms(watch);
 	return MIN(
 	    WATCH_MAX_MS, (int64_t)(watch_staleness_share *
 				    (double)watch->options.max_staleness_ms));
@@ -264,22 +211,12 @@
 	return MIN(longest_watch_ms(watch), MAX(hold_ms, CONFIRM_WATCH_MS));
 }
 
-/* True while relay responses confirm the copy often enough. */
-static bool
-is_kept_current_by_relay(const store_watch_t *watch)
-{
-	return watch->relay_interval_ms > 0 && watch->list_complete &&
-	       !watch->refresh_pending && !watch->changes_missing &&
-	       relay_is_current(clock_boot_ms() - watch->confirmed_ms,
-		   relay_watch_ms(watch));
-}
-
 static void
 on_relay_check(uv_timer_t *timer)
 {
 	store_watch_t *watch = timer->data;
 
-	if (is_kept_current_by_relay(watch))
+	if (store_watch_is_kept_current(watch))
 		return;
 	uv_timer_stop(timer);
 	start_next_call(watch);
@@ -312,7 +249,7 @@
 	if (watch == NULL)
 		return;
 	if (result->status == PLATFORM_COMPACTED) {
-		mark_available(watch);
+		store_watch_mark_available(watch);
 		watch->list_complete = false;
 		start_next_call(watch);
 		return;
@@ -321,13 +258,13 @@
 		retry_later(watch, result->status);
 		return;
 	}
-	mark_available(watch);
-	apply_items(watch, result->items, result->count);
+	store_watch_mark_available(watch);
+	store_watch_apply_items(watch, result->items, result->count);
 	watch->revision = MAX(watch->revision, result->revision);
 	watch->confirmed_ms = MAX(watch->confirmed_ms, watch->call_sent_ms);
 	watch->changes_missing = false;
-	report_confirmed(watch);
-	if (is_kept_current_by_relay(watch))
+	store_watch_report_confirmed(watch);
+	if (store_watch_is_kept_current(watch))
 		start_relay_check(watch);
 	else
 		start_call_after_interval(watch);
@@ -439,71 +376,3 @@
 {
 	watch->min_interval_ms = interval_ms;
 }
-
-bool
-store_watch_next_request(store_watch_t *watch, relay_request_t *request)
-{
-	int64_t now_ms = clock_boot_ms();
-
-	if (watch->relay_interval_ms == 0 || !watch->list_complete ||
-	    now_ms - watch->last_request_ms < watch->relay_interval_ms)
-		return false;
-	watch->last_request_ms = now_ms;
-	request->after_revision = watch->revision;
-	request->sent_ms = now_ms;
-	request->era = platform_store_era(watch->options.store);
-	return true;
-}
-
-void
-store_watch_apply_response(
-    store_watch_t *watch, const relay_response_t *response)
-{
-	int64_t now_ms = clock_boot_ms();
-	int64_t confirmed_ms;
-
-	platform_store_learn_era(watch->options.store, response->era);
-	if (!relay_is_same_era(
-		response->era, platform_store_era(watch->options.store)) ||
-	    watch->relay_interval_ms == 0 || !watch->list_complete)
-		return;
-	if (response->changes_missing) {
-		/* A watch of the store returns all missing changes. */
-		watch->changes_missing = true;
-		return;
-	}
-	if (response->store_unstable)
-		watch->recovered_ms = now_ms;
-	apply_items(watch, response->items, response->count);
-	watch->revision = MAX(watch->revision, response->revision);
-	confirmed_ms =
-	    response->request_sent_ms - response->confirmation_age_ms;
-	if (response->confirmation_age_ms < 0 ||
-	    !relay_is_current(now_ms - confirmed_ms, relay_watch_ms(watch)))
-		return;
-	watch->confirmed_ms = MAX(watch->confirmed_ms, confirmed_ms);
-	mark_available(watch);
-	report_confirmed(watch);
-}
-
-void
-store_watch_encode_response(store_watch_t *watch,
-    const relay_request_t *request, const GPtrArray *client_addresses,
-    GByteArray *out)
-{
-	int64_t now_ms = clock_boot_ms();
-	relay_state_t state;
-
-	platform_store_learn_era(watch->options.store, request->era);
-	state = (relay_state_t){
-	    .client_addresses = client_addresses,
-	    .revision = watch->revision,
-	    .confirmation_age_ms =
-		watch->confirmed_ms == 0 ? -1 : now_ms - watch->confirmed_ms,
-	    .store_unstable = store_watch_is_unstable(watch),
-	    .era = platform_store_era(watch->options.store),
-	};
-
-	watch->has_followers = true;
-	relay_encode_response(watch->change_log, request, &state, out);
-}
