Test that an error of the store shows its restoration

Guards two properties that no test covered: the era of an error counts, and a restored store that refuses its calls is called with the usual pauses.

--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -16,8 +16,13 @@
 	/* An entry that is not written again is out of use after this time. */
 	REMOVED_MS = 6000,
 	LATER_WRITES = 20,
+	/* In CHANGE_DELIVERY_MS, with pauses that double from 60 ms on. */
+	LISTS_MAX = 5,
 };
 
+static const char refused_lists[] =
+    "store_calls_total{call=\"list\",result=\"refused\"}";
+
 static void
 wait_ms(int64_t duration_ms)
 {
@@ -114,6 +119,27 @@
 }
 END_TEST
 
+/*
+ * Guards against a node that reads the era of successful responses only, and
+ * against one that calls a store which refuses its calls without a pause.
+ */
+START_TEST(restoration_shows_in_an_error)
+{
+	double lists;
+
+	call_store("/snapshot");
+	faults_set(platform_standin, "{\"down\": true}");
+	call_store("/restore");
+	wait_ms(CHANGE_DELIVERY_MS);
+	ck_assert_double_eq(
+	    gateway_metric(gateway_node, "store_restored_total"), 1);
+	lists = gateway_metric(gateway_node, refused_lists);
+	ck_assert_msg(lists >= 1 && lists <= LISTS_MAX, "%.0f lists", lists);
+	faults_set(platform_standin, "{\"down\": false}");
+	assert_change_applies();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -126,6 +152,7 @@
 	tcase_add_test(cases, change_after_a_restoration_applies_at_once);
 	tcase_add_test(cases, server_that_the_copy_lacks_is_kept_for_a_while);
 	tcase_add_test(cases, second_restoration_begins_anew);
+	tcase_add_test(cases, restoration_shows_in_an_error);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
