Keep leases and the fencing token across a restored store

A node went on renewing lease ids that may be another node's by then.

Cause: the fencing token was the revision of the leader key, which goes back with the copy and is given out again, and the node took what it had written once to be in the store for good.

Ruled out: ending the earlier leases (their ids may belong to others), and a campaign at once by every node (an earlier leader that has not learned of the restoration may act until its lease runs out).

Change: lease_restore() drops both leases, obtains a new node lease and registers at once. Nobody campaigns before the new list is complete, and only the leader of the restoration, while its lease could not have run out, before lease_ms has passed. A leader goes on with its lease where the list shows the very key that made it the leader; a key of its own under another lease is replaced. The token is made of the era and the revision; conditions of writes name the revision. A refused duty call invalidates the token that it carried, not the present one. Calls that were sent before the restoration have no effect, whatever their status. One lease in the store is now store_lease.[ch].

--- a/src/lease.c
+++ b/src/lease.c
@@ -2,6 +2,7 @@
 
 #include "clock.h"
 #include "log.h"
+#include "store_lease.h"
 
 #include <string.h>
 
@@ -21,33 +22,21 @@
 	/* Upper bound of the random delay after the leader key is removed. */
 	CAMPAIGN_JITTER_MS = 400,
 	CAMPAIGN_RETRY_MS = 1000,
+
+	/* Low bits of a fencing token: the revision; the others: the era. */
+	FENCE_REVISION_BITS = 40,
 };
 
 const char lease_node_prefix[] = "papaya/node/";
 const char lease_leader_key[] = "papaya/leader";
 
-/* A lease in the store and the calls that keep it. */
-typedef struct store_lease {
-	lease_t *owner;
-	int64_t ttl_wanted_ms;
-	int64_t renew_interval_ms;
-	int64_t retry_interval_ms; /* after a call that failed */
-	void (*on_granted)(lease_t *owner);
-	void (*on_lost)(lease_t *owner);
-	int64_t id;	       /* 0: none */
-	int64_t ttl_ms;	       /* granted by the store */
-	int64_t call_sent_ms;  /* of the call in progress */
-	int64_t renewed_ms;    /* send time of the last successful call */
-	bool call_in_progress; /* grant or renewal */
-	bool renewal_due;      /* before the interval has passed */
-} store_lease_t;
-
 struct lease {
 	const gateway_config_t *config;
 	platform_store_t *store;
 	uv_timer_t timer;
-	store_lease_t node;   /* of the node's address key */
-	store_lease_t leader; /* of the leader key; only while needed */
+	store_lease_t *node;   /* of the node's address key */
+	store_lease_t *leader; /* of the leader key; only while needed */
+	unsigned restorations; /* of the store since the start */
 	bool registered;
 	bool registration_in_progress;
 	bool revoked;
@@ -56,96 +45,60 @@
 	bool campaigning;	   /* the leader lease is being kept */
 	bool campaign_in_progress; /* writing the leader key */
 	int64_t next_campaign_ms;
+	/* Until then a leader that has not learned of the restoration acts. */
+	int64_t restoration_wait_until_ms;
+	/* No other node can be the leader before this time. */
+	int64_t sole_until_ms;
+	bool sole_leader;   /* at the restoration, and none since */
 	bool leader_exists; /* this node or another */
 	bool is_leader;
-	int64_t fencing_token; /* revision of the leader key */
+	/* Of the leader key; of one that this node may replace, or 0. */
+	int64_t leader_revision;
+	int64_t replaced_revision;
+	int64_t fencing_token;
 	int64_t invalid_token; /* last rejected one; not used again */
 	char *identity;	       /* this node's value of the leader key */
 };
 
-/*
- * Earliest time at which a lease can expire. The store counts the TTL from the
- * arrival of the grant or renewal, which is later than the time it was sent.
- */
-static int64_t
-valid_until_ms(const store_lease_t *held)
-{
-	return held->renewed_ms + held->ttl_ms;
-}
-
-static void
-mark_lost(store_lease_t *held)
-{
-	log_event(
-	    LOG_LEVEL_WARN, "lease.lost", "lease=%" G_GINT64_FORMAT, held->id);
-	held->id = 0;
-	held->on_lost(held->owner);
-}
-
-static void
-on_granted(const platform_result_t *result, void *data)
-{
-	store_lease_t *held = data;
-
-	held->call_in_progress = false;
-	if (result->status != PLATFORM_OK || held->owner->revoked)
-		return;
-	held->id = result->lease_id;
-	held->ttl_ms = result->lease_ttl_ms;
-	held->renewed_ms = held->call_sent_ms;
-	held->on_granted(held->owner);
-}
+/* The write of a key in progress. */
+typedef struct write {
+	lease_t *owner;
+	unsigned restorations; /* of the store, when it was sent */
+	int64_t lease_id;      /* to which the key is bound */
+} write_t;
 
-static void
-on_renewed(const platform_result_t *result, void *data)
+static write_t *
+new_write(lease_t *lease, const store_lease_t *held)
 {
-	store_lease_t *held = data;
+	write_t *write = g_new(write_t, 1);
 
-	held->call_in_progress = false;
-	if (result->status == PLATFORM_ABSENT && held->id != 0)
-		mark_lost(held);
-	if (result->status == PLATFORM_OK)
-		held->renewed_ms = held->call_sent_ms;
+	*write = (write_t){.owner = lease,
+	    .restorations = lease->restorations,
+	    .lease_id = store_lease_id(held)};
+	return write;
 }
 
-/* Obtains the lease, or renews it where that is due. */
-static void
-keep_lease(store_lease_t *held, int64_t now_ms)
+/* True where the store has not been restored since the write was sent. */
+static bool
+is_current(const write_t *write)
 {
-	platform_store_t *store = held->owner->store;
-
-	if (held->id != 0 &&
-	    now_ms > valid_until_ms(held) + held->renew_interval_ms) {
-		mark_lost(held);
-		return;
-	}
-	if (held->call_in_progress)
-		return;
-	if (now_ms - held->call_sent_ms < held->retry_interval_ms)
-		return;
-	if (held->id != 0 && !held->renewal_due &&
-	    now_ms - held->renewed_ms < held->renew_interval_ms)
-		return;
-	held->call_in_progress = true;
-	held->renewal_due = false;
-	held->call_sent_ms = now_ms;
-	if (held->id == 0)
-		platform_store_grant_lease(
-		    store, held->ttl_wanted_ms, on_granted, held);
-	else
-		platform_store_renew_lease(store, held->id, on_renewed, held);
+	return write->restorations == write->owner->restorations;
 }
 
 static void
 on_registered(const platform_result_t *result, void *data)
 {
-	lease_t *lease = data;
-
-	lease->registration_in_progress = false;
-	if (result->status == PLATFORM_OK)
-		lease->registered = true;
-	else if (result->status == PLATFORM_ABSENT)
-		mark_lost(&lease->node);
+	write_t *written = data;
+	lease_t *lease = written->owner;
+
+	if (is_current(written)) {
+		lease->registration_in_progress = false;
+		if (result->status == PLATFORM_OK)
+			lease->registered = true;
+		else if (result->status == PLATFORM_ABSENT)
+			store_lease_mark_lost(lease->node);
+	}
+	g_free(written);
 }
 
 static void
@@ -157,66 +110,92 @@
 	platform_write_t write = {.key = key,
 	    .value = address,
 	    .length = strlen(address),
-	    .lease_id = lease->node.id};
+	    .lease_id = store_lease_id(lease->node)};
 
 	lease->registration_in_progress = true;
-	platform_store_commit(
-	    lease->store, NULL, 0, &write, 1, on_registered, lease);
+	platform_store_commit(lease->store, NULL, 0, &write, 1, on_registered,
+	    new_write(lease, lease->node));
 	g_free(key);
 	g_free(address);
 }
 
 static void
-on_node_lease_lost(lease_t *lease)
+on_node_lease_granted(void *data)
 {
-	lease->registered = false;
+	lease_t *lease = data;
+
+	if (!lease->revoked)
+		register_node(lease);
+}
+
+static void
+on_node_lease_lost(void *data)
+{
+	((lease_t *)data)->registered = false;
 }
 
 static void
-on_leader_lease_lost(lease_t *lease)
+on_leader_lease_lost(void *data)
 {
+	lease_t *lease = data;
+
 	lease->is_leader = false;
 	lease->campaigning = false;
 }
 
+/* The last leader need not wait until others have stopped. */
+static int64_t
+campaign_due_ms(const lease_t *lease)
+{
+	if (lease->sole_leader)
+		return lease->next_campaign_ms;
+	return MAX(lease->restoration_wait_until_ms,
+	    lease->next_campaign_ms + lease->campaign_delay_ms);
+}
+
 static bool
 may_campaign(const lease_t *lease, int64_t now_ms)
 {
 	return lease->campaign_enabled && !lease->campaign_in_progress &&
-	       !lease->leader_exists &&
-	       now_ms >= lease->next_campaign_ms + lease->campaign_delay_ms;
+	       !lease->leader_exists && !lease->revoked &&
+	       now_ms >= campaign_due_ms(lease);
 }
 
 static void
 on_leader_key_written(const platform_result_t *result, void *data)
 {
-	lease_t *lease = data;
+	write_t *write = data;
+	lease_t *lease = write->owner;
 	platform_item_t written = {.key = lease_leader_key,
 	    .value = lease->identity,
 	    .length = strlen(lease->identity),
 	    .revision = result->revision,
-	    .lease_id = lease->leader.id};
-
-	lease->campaign_in_progress = false;
-	if (result->status == PLATFORM_OK)
-		lease_update_leader(lease, &written);
-	else if (result->status == PLATFORM_ABSENT)
-		mark_lost(&lease->leader);
+	    .lease_id = write->lease_id};
+
+	if (is_current(write)) {
+		lease->campaign_in_progress = false;
+		if (result->status == PLATFORM_OK)
+			lease_update_leader(lease, &written);
+		else if (result->status == PLATFORM_ABSENT)
+			store_lease_mark_lost(lease->leader);
+	}
+	g_free(write);
 }
 
 static void
 write_leader_key(lease_t *lease)
 {
-	platform_condition_t condition = {.key = lease_leader_key};
+	platform_condition_t condition = {
+	    .key = lease_leader_key, .revision = lease->replaced_revision};
 	platform_write_t write = {.key = lease_leader_key,
 	    .value = lease->identity,
 	    .length = strlen(lease->identity),
-	    .lease_id = lease->leader.id};
+	    .lease_id = store_lease_id(lease->leader)};
 
 	lease->campaign_in_progress = true;
 	lease->next_campaign_ms = clock_boot_ms() + CAMPAIGN_RETRY_MS;
 	platform_store_commit(lease->store, &condition, 1, &write, 1,
-	    on_leader_key_written, lease);
+	    on_leader_key_written, new_write(lease, lease->leader));
 }
 
 /*
@@ -227,13 +206,15 @@
 campaign(lease_t *lease, int64_t now_ms)
 {
 	lease->campaigning = true;
-	if (lease->leader.id != 0 && now_ms < valid_until_ms(&lease->leader))
+	if (now_ms < store_lease_valid_until_ms(lease->leader))
 		write_leader_key(lease);
 }
 
 static void
-on_leader_lease_granted(lease_t *lease)
+on_leader_lease_granted(void *data)
 {
+	lease_t *lease = data;
+
 	if (may_campaign(lease, clock_boot_ms()))
 		write_leader_key(lease);
 }
@@ -246,14 +227,14 @@
 
 	if (lease->revoked)
 		return;
-	keep_lease(&lease->node, now_ms);
-	if (lease->node.id != 0 && !lease->registered &&
+	store_lease_keep(lease->node, now_ms);
+	if (store_lease_id(lease->node) != 0 && !lease->registered &&
 	    !lease->registration_in_progress)
 		register_node(lease);
 	if (may_campaign(lease, now_ms))
 		campaign(lease, now_ms);
 	if (lease->campaigning)
-		keep_lease(&lease->leader, now_ms);
+		store_lease_keep(lease->leader, now_ms);
 }
 
 lease_t *
@@ -266,18 +247,20 @@
 	lease->store = store;
 	lease->identity = g_strdup_printf("%s/%" G_GINT64_FORMAT "/%08x",
 	    config->name, clock_wall_ms(), g_random_int());
-	lease->node = (store_lease_t){.owner = lease,
-	    .ttl_wanted_ms = NODE_TTL_MS,
+	lease->node = store_lease_new(&(store_lease_options_t){.store = store,
+	    .ttl_ms = NODE_TTL_MS,
 	    .renew_interval_ms = NODE_RENEW_INTERVAL_MS,
 	    .retry_interval_ms = NODE_RETRY_INTERVAL_MS,
-	    .on_granted = register_node,
-	    .on_lost = on_node_lease_lost};
-	lease->leader = (store_lease_t){.owner = lease,
-	    .ttl_wanted_ms = config->bounds.lease_ms,
+	    .on_granted = on_node_lease_granted,
+	    .on_lost = on_node_lease_lost,
+	    .data = lease});
+	lease->leader = store_lease_new(&(store_lease_options_t){.store = store,
+	    .ttl_ms = config->bounds.lease_ms,
 	    .renew_interval_ms = LEADER_RENEW_INTERVAL_MS,
 	    .retry_interval_ms = TICK_INTERVAL_MS,
 	    .on_granted = on_leader_lease_granted,
-	    .on_lost = on_leader_lease_lost};
+	    .on_lost = on_leader_lease_lost,
+	    .data = lease});
 	uv_timer_init(loop, &lease->timer);
 	lease->timer.data = lease;
 	uv_timer_start(&lease->timer, on_tick, 0, TICK_INTERVAL_MS);
@@ -289,21 +272,63 @@
 drop_leader_lease(lease_t *lease)
 {
 	lease->campaigning = false;
-	lease->leader.id = 0;
+	lease->sole_leader = false;
+	store_lease_drop(lease->leader);
+}
+
+/*
+ * A restored store may show the key that made this node the leader before: it
+ * goes on with the lease of the key, once it has renewed it.
+ */
+static void
+resume_leader_lease(lease_t *lease, const platform_item_t *item)
+{
+	if (item->revision != lease->leader_revision ||
+	    !store_lease_resume(lease->leader, item->lease_id))
+		return;
+	lease->campaigning = true;
+	store_lease_keep(lease->leader, clock_boot_ms());
+}
+
+/* Copies of the key from relays do not tell its lease. */
+static bool
+is_bound_to_leader_lease(const lease_t *lease, const platform_item_t *item)
+{
+	int64_t id = store_lease_id(lease->leader);
+
+	return id != 0 && (item->lease_id == 0 || item->lease_id == id);
+}
+
+static void
+take_token(lease_t *lease, int64_t revision)
+{
+	int64_t token =
+	    (platform_store_era(lease->store) << FENCE_REVISION_BITS) +
+	    revision;
+
+	lease->sole_leader = false;
+	if (token < lease->fencing_token)
+		return;
+	lease->fencing_token = token;
+	lease->leader_revision = revision;
 }
 
 void
 lease_update_leader(lease_t *lease, const platform_item_t *item)
 {
 	bool was_leader = lease->is_leader;
-
-	lease->leader_exists = item != NULL;
-	lease->is_leader =
-	    item != NULL && item->length == strlen(lease->identity) &&
-	    memcmp(item->value, lease->identity, item->length) == 0;
+	bool is_own = item != NULL && item->length == strlen(lease->identity) &&
+		      memcmp(item->value, lease->identity, item->length) == 0;
+
+	if (is_own)
+		resume_leader_lease(lease, item);
+	lease->is_leader = is_own && is_bound_to_leader_lease(lease, item);
+	/* Nobody acts under a key of this node whose lease it has lost. */
+	lease->replaced_revision =
+	    is_own && !lease->is_leader ? item->revision : 0;
+	lease->leader_exists = item != NULL && lease->replaced_revision == 0;
 	if (lease->is_leader)
-		lease->fencing_token =
-		    MAX(lease->fencing_token, item->revision);
+		take_token(lease, item->revision);
 	else if (lease->leader_exists)
 		drop_leader_lease(lease);
 	if (item == NULL)
@@ -318,20 +343,36 @@
 void
 lease_restore(lease_t *lease)
 {
-	log_event(
-	    LOG_LEVEL_INFO, "lease.restored", "leader=%d", lease->is_leader);
-}
+	int64_t now_ms = clock_boot_ms();
 
-int64_t
-lease_leader_revision(const lease_t *lease)
-{
-	return lease_fencing_token(lease);
+	if (lease->is_leader)
+		lease->sole_until_ms = MAX(lease->sole_until_ms,
+		    store_lease_valid_until_ms(lease->leader));
+	lease->sole_leader = now_ms < lease->sole_until_ms;
+	log_event(LOG_LEVEL_INFO, "lease.restored", "leader=%d sole_leader=%d",
+	    lease->is_leader, lease->sole_leader);
+	lease->restorations++;
+	store_lease_restore(lease->node);
+	store_lease_restore(lease->leader);
+	lease->registered = false;
+	lease->registration_in_progress = false;
+	lease->campaign_enabled = false;
+	lease->campaigning = false;
+	lease->campaign_in_progress = false;
+	lease->leader_exists = false;
+	lease->is_leader = false;
+	lease->replaced_revision = 0;
+	lease->next_campaign_ms = now_ms;
+	lease->restoration_wait_until_ms =
+	    now_ms + lease->config->bounds.lease_ms;
+	if (!lease->revoked)
+		store_lease_keep(lease->node, now_ms);
 }
 
 void
 lease_enable_campaign(lease_t *lease)
 {
-	if (!lease->campaign_enabled)
+	if (!lease->campaign_enabled && !lease->sole_leader)
 		lease->next_campaign_ms =
 		    clock_boot_ms() + g_random_int_range(0, CAMPAIGN_JITTER_MS);
 	lease->campaign_enabled = true;
@@ -346,48 +387,38 @@
 void
 lease_check_registration(lease_t *lease)
 {
-	lease->node.renewal_due = true;
+	store_lease_renew_soon(lease->node);
 }
 
 int64_t
 lease_fencing_token(const lease_t *lease)
 {
 	if (!lease->is_leader || lease->revoked ||
-	    lease->fencing_token == lease->invalid_token ||
+	    lease->fencing_token <= lease->invalid_token ||
 	    clock_boot_ms() >=
-		valid_until_ms(&lease->leader) - LEADER_MARGIN_MS)
+		store_lease_valid_until_ms(lease->leader) - LEADER_MARGIN_MS)
 		return 0;
 	return lease->fencing_token;
 }
 
-void
-lease_invalidate_token(lease_t *lease)
-{
-	log_event(LOG_LEVEL_WARN, "duty.fenced", "token=%" G_GINT64_FORMAT,
-	    lease->fencing_token);
-	lease->invalid_token = lease->fencing_token;
-}
-
-static void
-on_revoked(const platform_result_t *result, void *data)
+int64_t
+lease_leader_revision(const lease_t *lease)
 {
-	if (result->status != PLATFORM_OK)
-		log_event(LOG_LEVEL_WARN, "lease.not_ended", "status=%d",
-		    (int)result->status);
+	return lease_fencing_token(lease) == 0 ? 0 : lease->leader_revision;
 }
 
-static void
-revoke_lease(lease_t *lease, const store_lease_t *held)
+void
+lease_invalidate_token(lease_t *lease, int64_t token)
 {
-	if (held->id != 0)
-		platform_store_revoke_lease(
-		    lease->store, held->id, on_revoked, lease);
+	log_event(
+	    LOG_LEVEL_WARN, "duty.fenced", "token=%" G_GINT64_FORMAT, token);
+	lease->invalid_token = MAX(lease->invalid_token, token);
 }
 
 void
 lease_revoke(lease_t *lease)
 {
 	lease->revoked = true;
-	revoke_lease(lease, &lease->leader);
-	revoke_lease(lease, &lease->node);
+	store_lease_end(lease->leader);
+	store_lease_end(lease->node);
 }
--- a/src/lease.h
+++ b/src/lease.h
@@ -45,7 +45,9 @@
 
 /*
  * Returns the leader's fencing token while this node is certain to be the
- * leader, otherwise 0. It turns 0 shortly before the lease can expire.
+ * leader, otherwise 0. It turns 0 shortly before the lease can expire. It is
+ * made of the store's era and the revision of the leader key, so that it never
+ * falls and is not given out twice.
  */
 int64_t lease_fencing_token(const lease_t *lease);
 
@@ -56,8 +58,8 @@
  */
 int64_t lease_leader_revision(const lease_t *lease);
 
-/* Stops the use of the current token: a newer leader has acted. */
-void lease_invalidate_token(lease_t *lease);
+/* Stops the use of this token and lower ones: a newer leader has acted. */
+void lease_invalidate_token(lease_t *lease, int64_t token);
 
 /* Revokes the leases at shutdown, which removes the keys bound to them. */
 void lease_revoke(lease_t *lease);
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -256,7 +256,7 @@
  * rollout is stored as that of a newer one. */
 static void
 write_stage(platform_store_t *store, service_state_t *state,
-    rollout_stage_t stage, int64_t fencing_token)
+    rollout_stage_t stage, int64_t leader_revision)
 {
 	const rollout_t *rollout = state->rollout;
 	char *spec_key =
@@ -269,7 +269,7 @@
 	char *status = platform_write_rollout(
 	    state->service, rollout_target(rollout), reported_state(stage));
 	platform_condition_t conditions[] = {
-	    {.key = lease_leader_key, .revision = fencing_token},
+	    {.key = lease_leader_key, .revision = leader_revision},
 	    {.key = spec_key, .revision = rollout_revision(rollout)}};
 	platform_write_t writes[] = {
 	    {.key = record_key, .value = record, .length = strlen(record)},
@@ -298,7 +298,7 @@
 
 static void
 tick_service(const rollouts_t *rollouts, service_state_t *state,
-    platform_store_t *store, int64_t fencing_token)
+    platform_store_t *store, int64_t leader_revision)
 {
 	rollout_inputs_t inputs = current_inputs(rollouts, state);
 	bool was_stopped = rollout_reason(state->rollout)[0] != '\0';
@@ -306,12 +306,12 @@
 
 	if (!was_stopped && rollout_evaluate(state->rollout))
 		log_rollout_stopped(state);
-	if (fencing_token == 0 || state->write_in_flight ||
+	if (leader_revision == 0 || state->write_in_flight ||
 	    clock_boot_ms() < state->next_write_ms)
 		return;
 	next = rollout_next_stage(state->rollout, &inputs);
 	if (next != rollout_stage(state->rollout) || !state->record_stored)
-		write_stage(store, state, next, fencing_token);
+		write_stage(store, state, next, leader_revision);
 }
 
 void
@@ -326,8 +326,8 @@
 		service_state_t *state = value;
 
 		if (state->rollout != NULL)
-			tick_service(
-			    rollouts, state, store, lease_fencing_token(lease));
+			tick_service(rollouts, state, store,
+			    lease_leader_revision(lease));
 	}
 }
 
--- a/src/scaler.c
+++ b/src/scaler.c
@@ -157,13 +157,14 @@
 /* Records the number of servers in each zone of a service. */
 static void
 write_baseline(scaler_t *scaler, service_state_t *state,
-    const catalog_service_t *service, const GPtrArray *servers,
-    int64_t fencing_token)
+    const catalog_service_t *service, const GPtrArray *servers)
 {
 	char *key = g_strconcat(scaler_baseline_prefix, service->name, NULL);
 	json_t *json = json_object();
 	platform_condition_t conditions[] = {
-	    {.key = lease_leader_key, .revision = fencing_token}, {.key = key}};
+	    {.key = lease_leader_key,
+		.revision = lease_leader_revision(scaler->options.lease)},
+	    {.key = key}};
 	platform_write_t write = {.key = key};
 	GHashTableIter iter;
 	gpointer name;
@@ -201,7 +202,8 @@
 		resize->accepted_ms = now_ms;
 		return;
 	case PLATFORM_DUTY_FENCED:
-		lease_invalidate_token(resize->scaler->options.lease);
+		lease_invalidate_token(
+		    resize->scaler->options.lease, resize->fencing_token);
 		return;
 	case PLATFORM_DUTY_UNAVAILABLE:
 	case PLATFORM_DUTY_REFUSED:
@@ -284,8 +286,7 @@
 	if (state->baselines == NULL) {
 		if (!state->baseline_write_in_flight &&
 		    is_deployment_settled(servers, clock_boot_ms()))
-			write_baseline(
-			    scaler, state, service, servers, fencing_token);
+			write_baseline(scaler, state, service, servers);
 		return;
 	}
 	zones = g_array_new(FALSE, TRUE, sizeof(autoscale_zone_t));
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -27,6 +27,7 @@
 	bool recording;
 	bool sending;
 	int64_t sending_window;
+	int64_t sending_token;
 	int64_t retry_at_ms; /* clock_boot_ms(); no call before it */
 };
 
@@ -84,7 +85,8 @@
 		report->sent_window = report->sending_window;
 		return;
 	case PLATFORM_DUTY_FENCED:
-		lease_invalidate_token(report->options.lease);
+		lease_invalidate_token(
+		    report->options.lease, report->sending_token);
 		return;
 	case PLATFORM_DUTY_UNAVAILABLE:
 	case PLATFORM_DUTY_REFUSED:
@@ -106,6 +108,7 @@
 
 	report->sending = true;
 	report->sending_window = report->recorded_window;
+	report->sending_token = token;
 	platform_report_usage(report->options.http, &context,
 	    report->recorded_window, report->recorded_counts, on_sent, report);
 }
@@ -133,12 +136,13 @@
 }
 
 static void
-write_record(usage_report_t *report, int64_t window, int64_t token)
+write_record(usage_report_t *report, int64_t window)
 {
 	GHashTable *counts = usage_total(report->options.usage, window);
 	char *text = encode_record(window, counts);
 	platform_condition_t conditions[] = {
-	    {.key = lease_leader_key, .revision = token},
+	    {.key = lease_leader_key,
+		.revision = lease_leader_revision(report->options.lease)},
 	    {.key = usage_report_key, .revision = report->recorded_revision}};
 	platform_write_t write = {
 	    .key = usage_report_key, .value = text, .length = strlen(text)};
@@ -176,5 +180,5 @@
 	if (report->recorded_window == 0)
 		window = newest_window;
 	if (window <= newest_window)
-		write_record(report, window, token);
+		write_record(report, window);
 }
