Tell peers the store's era and the recorded usage window

A node that follows a relay, or is cut off from the store, learned nothing of a restoration, and a node that started after it could not know that a window of usage had been recorded before.

Change: three fields behind the zone: the era of the store, the newest recorded window, and the era of each order's revision, so that evidence is not taken for an order with the same revision of another era. Callbacks pass on a later era and a later window; cluster_newest_configuration() tells the version that alive peers report. A digest without a zone now has "-" in its place, since nodes of the last version require a string there; they pass over the later fields.

Decoding is as before for digests of the last version.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -128,6 +128,21 @@
 	       cluster_is_peer_alive(cluster, peer, now_ms);
 }
 
+/* Passes on what a peer knows of the store. */
+static void
+report_peer_knowledge(cluster_t *cluster, const digest_t *digest)
+{
+	const cluster_options_t *options = &cluster->options;
+
+	if (digest->store_era > cluster->local.store_era)
+		options->on_peer_era(digest->store_era, options->data);
+	if (digest->recorded_window > cluster->local.recorded_window)
+		options->on_peer_record(digest->recorded_window, options->data);
+	if (digest->configuration_version >
+	    cluster->local.configuration_version)
+		options->on_newer_configuration(options->data);
+}
+
 /* Takes ownership of digest. */
 static void
 apply_digest(cluster_t *cluster, digest_t *digest, int64_t now_ms)
@@ -156,9 +171,7 @@
 	peer->digest = digest;
 	if (is_new_process && peer->registered)
 		cluster_send_digest_to(cluster, peer);
-	if (digest->configuration_version >
-	    cluster->local.configuration_version)
-		cluster->options.on_newer_configuration(cluster->options.data);
+	report_peer_knowledge(cluster, digest);
 }
 
 static void
@@ -470,6 +483,24 @@
 		uv_timer_start(&cluster->digest_timer, on_digest_timer, 0, 0);
 }
 
+int64_t
+cluster_newest_configuration(const cluster_t *cluster, int64_t now_ms)
+{
+	int64_t newest = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, cluster->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const cluster_peer_t *peer = value;
+
+		if (cluster_is_peer_alive(cluster, peer, now_ms))
+			newest =
+			    MAX(newest, peer->digest->configuration_version);
+	}
+	return newest;
+}
+
 int64_t
 cluster_wall_ms(const cluster_t *cluster)
 {
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -30,6 +30,10 @@
 	crash_guard_t *crash_guard;
 	/* A peer reports a newer configuration than this node has. */
 	void (*on_newer_configuration)(void *data);
+	/* A peer knows a later era of the store than this node. */
+	void (*on_peer_era)(int64_t era, void *data);
+	/* A peer knows that the usage of this window is recorded. */
+	void (*on_peer_record)(int64_t window, void *data);
 	/*
 	 * A follower requests the store's changes: appends the response. An
 	 * empty one is not sent. client_addresses (char *, borrowed): of the
@@ -70,6 +74,8 @@
 	bool ready;
 	bool leader;
 	int64_t configuration_version;
+	int64_t store_era;	 /* 0: unknown */
+	int64_t recorded_window; /* newest recorded usage; 0: none */
 } cluster_local_state_t;
 
 /*
@@ -126,6 +132,12 @@
  */
 unsigned cluster_share_count(const cluster_t *cluster);
 
+/*
+ * Newest version of the configuration that a peer reports which is alive; 0:
+ * none does.
+ */
+int64_t cluster_newest_configuration(const cluster_t *cluster, int64_t now_ms);
+
 /* Registered nodes, including this one. */
 unsigned cluster_node_count(const cluster_t *cluster);
 
--- a/src/cluster_digest.c
+++ b/src/cluster_digest.c
@@ -126,6 +126,8 @@
 	digest->processors = config->processors;
 	digest->wall_ms = slewed_clock_now(&cluster->wall_clock, now_ms);
 	digest->configuration_version = cluster->local.configuration_version;
+	digest->store_era = cluster->local.store_era;
+	digest->recorded_window = cluster->local.recorded_window;
 	quota_each(cluster->options.quota, now_ms, add_spending, digest);
 	rollouts_add_to_digest(cluster->options.rollouts, digest);
 	crash_guard_add_to_digest(
--- a/src/digest.c
+++ b/src/digest.c
@@ -11,8 +11,10 @@
 	/* Fields of the first release; later ones follow and are optional. */
 	DIGEST_FIELDS_MIN = 17,
 	DIGEST_DEMAND_INDEX = DIGEST_FIELDS_MIN,
-	/* The last one, since digests without a zone leave it out. */
 	DIGEST_ZONE_INDEX,
+	DIGEST_STORE_ERA_INDEX,
+	DIGEST_RECORDED_WINDOW_INDEX,
+	DIGEST_MOVE_ERAS_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -24,6 +26,10 @@
 	NAME_MAX_BYTES = 256,
 };
 
+/* In place of the zone in a digest without one; earlier versions require a
+ * string. */
+static const char no_zone[] = "-";
+
 /* Largest count or number of units in a digest. */
 static const double number_max = 1e15;
 
@@ -151,6 +157,16 @@
 	}
 }
 
+/* One number for each item of pack_moves(), in the same order. */
+static void
+pack_move_eras(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len);
+	for (guint i = 0; i < list->len; i++)
+		msgpack_pack_int64(
+		    packer, g_array_index(list, digest_move_t, i).era);
+}
+
 /* Segment ids are sent as signed integers of the same bits. */
 static void
 pack_crashes(msgpack_packer *packer, const GArray *list)
@@ -186,8 +202,7 @@
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, mp_append_bytes);
-	msgpack_pack_array(
-	    &packer, digest->zone == NULL ? DIGEST_ZONE_INDEX : DIGEST_FIELDS);
+	msgpack_pack_array(&packer, DIGEST_FIELDS);
 	msgpack_pack_int(&packer, FORMAT_VERSION);
 	mp_pack_string(&packer, digest->node);
 	msgpack_pack_int64(&packer, digest->incarnation);
@@ -206,8 +221,10 @@
 	pack_crashes(&packer, digest->crashes);
 	pack_survivals(&packer, digest->survivals);
 	pack_demand(&packer, digest->spending);
-	if (digest->zone != NULL)
-		mp_pack_string(&packer, digest->zone);
+	mp_pack_string(&packer, digest->zone == NULL ? no_zone : digest->zone);
+	msgpack_pack_int64(&packer, digest->store_era);
+	msgpack_pack_int64(&packer, digest->recorded_window);
+	pack_move_eras(&packer, digest->moves);
 }
 
 static bool
@@ -398,19 +415,61 @@
 	return true;
 }
 
-/* Reads the fields that senders of earlier versions leave out. */
+static bool
+read_zone(const msgpack_object *object, char **zone)
+{
+	if (!mp_read_string(object, 1, NAME_MAX_BYTES, zone))
+		return false;
+	if (strcmp(*zone, no_zone) == 0)
+		g_clear_pointer(zone, g_free);
+	return true;
+}
+
+static bool
+read_move_eras(const msgpack_object *object, GArray *moves)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, 1, &member, &count) || count != moves->len)
+		return false;
+	for (uint32_t i = 0; i < count; i++)
+		if (!mp_read_int64(&member[i],
+			&g_array_index(moves, digest_move_t, i).era))
+			return false;
+	return true;
+}
+
+/* Reads a field that senders of earlier versions leave out. */
+static bool
+read_optional_field(
+    const msgpack_object *field, uint32_t index, digest_t *digest)
+{
+	switch (index) {
+	case DIGEST_DEMAND_INDEX:
+		return read_demand(field, digest->spending);
+	case DIGEST_ZONE_INDEX:
+		return read_zone(field, &digest->zone);
+	case DIGEST_STORE_ERA_INDEX:
+		return mp_read_int64(field, &digest->store_era);
+	case DIGEST_RECORDED_WINDOW_INDEX:
+		return mp_read_int64(field, &digest->recorded_window);
+	case DIGEST_MOVE_ERAS_INDEX:
+		return read_move_eras(field, digest->moves);
+	default:
+		return true; /* of a later version */
+	}
+}
+
 static bool
 read_optional_fields(const msgpack_object *array, digest_t *digest)
 {
 	const msgpack_object *fields = array->via.array.ptr;
-	uint32_t count = array->via.array.size;
 
-	if (count > DIGEST_DEMAND_INDEX &&
-	    !read_demand(&fields[DIGEST_DEMAND_INDEX], digest->spending))
-		return false;
-	return count <= DIGEST_ZONE_INDEX ||
-	       mp_read_string(&fields[DIGEST_ZONE_INDEX], 1, NAME_MAX_BYTES,
-		   &digest->zone);
+	for (uint32_t i = DIGEST_FIELDS_MIN; i < array->via.array.size; i++)
+		if (!read_optional_field(&fields[i], i, digest))
+			return false;
+	return true;
 }
 
 static bool
--- a/src/digest.h
+++ b/src/digest.h
@@ -37,6 +37,7 @@
 typedef struct digest_move {
 	char *service;
 	int64_t revision; /* of the store, at which the move was ordered */
+	int64_t era;	  /* of that revision; 0: the sender does not say */
 	bool stopped;	  /* by the sender, which found the new version bad */
 	char *evidence;	  /* JSON text of evidence_to_json() */
 } digest_move_t;
@@ -65,6 +66,8 @@
 	double processors; /* that the sender may use */
 	int64_t wall_ms;   /* slewed clock of the sender when it was sent */
 	int64_t configuration_version;
+	int64_t store_era;	 /* that the sender knows; 0: none */
+	int64_t recorded_window; /* newest recorded usage; 0: none */
 	/* Of the sender; NULL: unknown, or the deployment has one region. */
 	char *zone;
 	GArray *spending;  /* of digest_spending_t */
