Keep usage records and baselines across a restored store

Callers saw: a usage window could be reported twice with different counts after the store came back from a copy, and sizes that the operators deployed could be counted anew from the servers ordered since.

Cause: the record of the copy, older or missing, replaced the one that the node knew, and a removed baseline was forgotten.

Change: a window stays recorded once it is known to be, also from a peer's digest; the condition of the next record names the revision of the present key, or 0 where none has been read in the present era. A known baseline is kept when its key disappears, and the leader writes it again with condition revision 0.

--- a/src/scaler.c
+++ b/src/scaler.c
@@ -34,8 +34,11 @@
 } resize_t;
 
 typedef struct service_state {
-	GHashTable *baselines; /* zone to unsigned; NULL: not recorded yet */
-	GHashTable *resizes;   /* "zone/spot" (0 or 1) to resize_t */
+	/* Zone to unsigned; NULL: not recorded yet. Kept where the store has
+	 * been restored from a copy without them. */
+	GHashTable *baselines;
+	GHashTable *resizes; /* "zone/spot" (0 or 1) to resize_t */
+	bool baseline_stored;
 	bool baseline_write_in_flight;
 } service_state_t;
 
@@ -90,7 +93,7 @@
 	json_t *json, *count;
 	const char *zone;
 
-	g_clear_pointer(&state->baselines, g_hash_table_unref);
+	state->baseline_stored = value != NULL;
 	if (value == NULL)
 		return;
 	json = json_parse(value, length, scaler_baseline_prefix, &error);
@@ -100,6 +103,7 @@
 		g_error_free(error);
 		return;
 	}
+	g_clear_pointer(&state->baselines, g_hash_table_unref);
 	state->baselines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	json_object_foreach (json, zone, count)
@@ -154,21 +158,14 @@
 		    (int)result->status);
 }
 
-/* Records the number of servers in each zone of a service. */
-static void
-write_baseline(scaler_t *scaler, service_state_t *state,
-    const catalog_service_t *service, const GPtrArray *servers)
+/* The servers that are listed now: zone to their number. */
+static json_t *
+count_baselines(const scaler_t *scaler, const catalog_service_t *service,
+    const GPtrArray *servers)
 {
-	char *key = g_strconcat(scaler_baseline_prefix, service->name, NULL);
 	json_t *json = json_object();
-	platform_condition_t conditions[] = {
-	    {.key = lease_leader_key,
-		.revision = lease_leader_revision(scaler->options.lease)},
-	    {.key = key}};
-	platform_write_t write = {.key = key};
 	GHashTableIter iter;
 	gpointer name;
-	char *text;
 
 	g_hash_table_iter_init(&iter, service->scaling->zone_prices);
 	while (g_hash_table_iter_next(&iter, &name, NULL)) {
@@ -178,17 +175,63 @@
 		json_object_set_new(
 		    json, name, json_integer(zone.on_demand + zone.spot));
 	}
-	text = json_text(json);
-	write.value = text;
-	write.length = strlen(text);
+	return json;
+}
+
+static json_t *
+encode_baselines(GHashTable *baselines)
+{
+	json_t *json = json_object();
+	GHashTableIter iter;
+	gpointer name, count;
+
+	g_hash_table_iter_init(&iter, baselines);
+	while (g_hash_table_iter_next(&iter, &name, &count))
+		json_object_set_new(
+		    json, name, json_integer(GPOINTER_TO_UINT(count)));
+	return json;
+}
+
+/* Records the number of servers in each zone of a service. Steals json. */
+static void
+write_baseline(
+    scaler_t *scaler, service_state_t *state, const char *service, json_t *json)
+{
+	char *key = g_strconcat(scaler_baseline_prefix, service, NULL);
+	char *text = json_text(json);
+	platform_condition_t conditions[] = {
+	    {.key = lease_leader_key,
+		.revision = lease_leader_revision(scaler->options.lease)},
+	    {.key = key}};
+	platform_write_t write = {
+	    .key = key, .value = text, .length = strlen(text)};
+
 	state->baseline_write_in_flight = true;
 	platform_store_commit(scaler->options.store, conditions,
 	    G_N_ELEMENTS(conditions), &write, 1, on_baseline_written, state);
-	g_free(text);
 	json_decref(json);
+	g_free(text);
 	g_free(key);
 }
 
+/*
+ * Counts the deployed servers only once: later the present ones are those that
+ * were ordered.
+ */
+static void
+record_baseline(scaler_t *scaler, service_state_t *state,
+    const catalog_service_t *service, const GPtrArray *servers)
+{
+	if (state->baseline_stored || state->baseline_write_in_flight)
+		return;
+	if (state->baselines != NULL)
+		write_baseline(scaler, state, service->name,
+		    encode_baselines(state->baselines));
+	else if (is_deployment_settled(servers, clock_boot_ms()))
+		write_baseline(scaler, state, service->name,
+		    count_baselines(scaler, service, servers));
+}
+
 static void
 on_resize_response(platform_duty_status_t status, void *data)
 {
@@ -283,12 +326,9 @@
 	gpointer name, baseline;
 	GArray *zones;
 
-	if (state->baselines == NULL) {
-		if (!state->baseline_write_in_flight &&
-		    is_deployment_settled(servers, clock_boot_ms()))
-			write_baseline(scaler, state, service, servers);
+	record_baseline(scaler, state, service, servers);
+	if (state->baselines == NULL)
 		return;
-	}
 	zones = g_array_new(FALSE, TRUE, sizeof(autoscale_zone_t));
 	g_hash_table_iter_init(&iter, state->baselines);
 	while (g_hash_table_iter_next(&iter, &name, &baseline)) {
--- a/src/scaler.h
+++ b/src/scaler.h
@@ -38,8 +38,10 @@
 
 scaler_t *scaler_new(const scaler_options_t *options);
 
-/* Applies a service's baseline read from the store; value NULL: the key was
- * removed. */
+/*
+ * Applies a service's baseline read from the store; value NULL: the key was
+ * removed. A known baseline is kept then, and the leader writes it again.
+ */
 void scaler_set_baseline(
     scaler_t *scaler, const char *service, const char *value, size_t length);
 
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -20,8 +20,10 @@
 
 struct usage_report {
 	usage_report_options_t options;
-	int64_t recorded_window; /* 0: none */
-	int64_t recorded_revision;
+	int64_t recorded_window;   /* newest known record; 0: none */
+	int64_t recorded_revision; /* of the present key; 0: there is none */
+	int64_t recorded_era;	   /* of the store, at that revision */
+	int64_t peers_window; /* newest record that a peer knows; 0: none */
 	GHashTable *recorded_counts; /* workspace to double * */
 	int64_t sent_window;	     /* newest one that this node has sent */
 	bool recording;
@@ -47,8 +49,10 @@
 	GError *error = NULL;
 	const char *workspace;
 	json_t *json, *count;
+	int64_t window;
 
 	report->recorded_revision = value == NULL ? 0 : revision;
+	report->recorded_era = platform_store_era(report->options.store);
 	if (value == NULL)
 		return;
 	json = json_parse(value, length, usage_report_key, &error);
@@ -58,7 +62,13 @@
 		g_error_free(error);
 		return;
 	}
-	report->recorded_window = json_get_int(json, "window", 0);
+	window = json_get_int(json, "window", 0);
+	if (window < report->recorded_window) {
+		/* The store has been restored from a copy. */
+		json_decref(json);
+		return;
+	}
+	report->recorded_window = window;
 	if (report->recorded_counts != NULL)
 		g_hash_table_unref(report->recorded_counts);
 	report->recorded_counts =
@@ -135,6 +145,18 @@
 	return text;
 }
 
+/*
+ * Revision of the present key. Where the store has been restored since it was
+ * read, the store has no such key: a present one would have been listed.
+ */
+static int64_t
+present_revision(const usage_report_t *report)
+{
+	return report->recorded_era == platform_store_era(report->options.store)
+		   ? report->recorded_revision
+		   : 0;
+}
+
 static void
 write_record(usage_report_t *report, int64_t window)
 {
@@ -143,7 +165,7 @@
 	platform_condition_t conditions[] = {
 	    {.key = lease_leader_key,
 		.revision = lease_leader_revision(report->options.lease)},
-	    {.key = usage_report_key, .revision = report->recorded_revision}};
+	    {.key = usage_report_key, .revision = present_revision(report)}};
 	platform_write_t write = {
 	    .key = usage_report_key, .value = text, .length = strlen(text)};
 
@@ -154,6 +176,32 @@
 	g_hash_table_unref(counts);
 }
 
+int64_t
+usage_report_recorded_window(const usage_report_t *report)
+{
+	return report->recorded_window;
+}
+
+void
+usage_report_learn_record(usage_report_t *report, int64_t window)
+{
+	report->peers_window = MAX(report->peers_window, window);
+}
+
+/* The next window to record; newest_window: the last complete one. */
+static int64_t
+next_window(const usage_report_t *report, int64_t newest_window)
+{
+	int64_t recorded_window = report->recorded_window;
+
+	/* A later one is an error: clocks differ by less than a window. */
+	if (report->peers_window <= newest_window + 1)
+		recorded_window = MAX(recorded_window, report->peers_window);
+	if (recorded_window == 0)
+		return newest_window;
+	return MAX(recorded_window + 1, newest_window - BACKLOG_WINDOWS);
+}
+
 void
 usage_report_tick(usage_report_t *report, int64_t wall_ms)
 {
@@ -161,8 +209,7 @@
 	int64_t token = lease_fencing_token(report->options.lease);
 	int64_t newest_window =
 	    usage_window(report->options.usage, wall_ms - COLLECT_MS) - 1;
-	int64_t window =
-	    MAX(report->recorded_window + 1, newest_window - BACKLOG_WINDOWS);
+	int64_t window = next_window(report, newest_window);
 
 	if (token == 0 || report->options.config->cloud_url == NULL ||
 	    report->recording || report->sending ||
@@ -177,8 +224,6 @@
 		send_record(report, token);
 		return;
 	}
-	if (report->recorded_window == 0)
-		window = newest_window;
 	if (window <= newest_window)
 		write_record(report, window);
 }
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -31,10 +31,20 @@
 
 usage_report_t *usage_report_new(const usage_report_options_t *options);
 
-/* Sets the record from the store; value NULL: it was deleted. */
+/*
+ * Sets the record from the store; value NULL: it was deleted. A window that was
+ * recorded stays recorded, even where the store has been restored from a copy
+ * without its record: its counts may have been sent.
+ */
 void usage_report_set_record(
     usage_report_t *report, const char *value, size_t length, int64_t revision);
 
+/* The newest window that is known to be recorded; 0: none. */
+int64_t usage_report_recorded_window(const usage_report_t *report);
+
+/* A peer knows this window as recorded; its counts are unknown here. */
+void usage_report_learn_record(usage_report_t *report, int64_t window);
+
 /*
  * Records or sends the usage of the next window if one is due and this node
  * holds the lease. wall_ms: best estimate of Unix time.
