Keep the stage of a rollout across a restored store

Callers saw: a rollout began again, or went back to the stage of the copy, when its order was written again after the store came back from a copy; evidence was lost with it.

Cause: each order read replaced the rollout, and each record its stage. The revision alone told an order from another.

Change: while the store is being restored an order with the same target and duration is the same one with a new revision, and one with other content waits until the end. A record counts the changes of the stage, since a stage may be entered again: an older one is not applied, and the leader writes the newer one and the status again. Nothing is written under an order that has not been read in the present era. Evidence of peers is of the order's era and revision; requests in progress name the rollout by an id of the node, so that their outcome counts after the revision has changed.

Ruled out: to compare stages, as the leader may return from full to ramp.

--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -227,7 +227,8 @@
 		break;
 	case KEY_ROLLOUT:
 		rollouts_set_spec(gateway->proxy.rollouts, name, item->value,
-		    item->length, item->revision);
+		    item->length, platform_store_era(gateway->store),
+		    item->revision);
 		break;
 	case KEY_ROLLOUT_RECORD:
 		rollouts_set_record(
@@ -283,7 +284,7 @@
 		scaler_set_baseline(gateway->scale_orders, name, NULL, 0);
 		break;
 	case KEY_ROLLOUT:
-		rollouts_set_spec(gateway->proxy.rollouts, name, NULL, 0, 0);
+		rollouts_set_spec(gateway->proxy.rollouts, name, NULL, 0, 0, 0);
 		break;
 	case KEY_ROLLOUT_RECORD:
 		rollouts_set_record(gateway->proxy.rollouts, name, NULL, 0);
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -157,7 +157,7 @@
 		return;
 	}
 	rollouts_count_request(req->context->rollouts, req->service_name,
-	    attempt->trial.revision, attempt->trial.to_new_version);
+	    attempt->trial.rollout_id, attempt->trial.to_new_version);
 	proxy_start_idle_timer(req, req->route->objective_ms);
 	proxy_start_hedge_timer(req);
 }
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -63,10 +63,10 @@
 	    .latency_ms = ok ? rollout_latency(attempt, ttft_ms) : 0,
 	};
 
-	if (trial->revision != 0 &&
+	if (trial->rollout_id != 0 &&
 	    !(ok && server_is_cold(attempt->server, clock_boot_ms())))
 		rollouts_add_attempt(req->context->rollouts, req->service_name,
-		    trial->revision, &evidence);
+		    trial->rollout_id, &evidence);
 }
 
 void
--- a/src/rollout.c
+++ b/src/rollout.c
@@ -40,6 +40,7 @@
 
 struct rollout {
 	char *target;
+	int64_t era;
 	int64_t revision;
 	int64_t duration_ms;
 	rollout_limits_t limits;
@@ -71,6 +72,7 @@
 	rollout_t *rollout = g_new0(rollout_t, 1);
 
 	rollout->target = g_strdup(spec->target);
+	rollout->era = spec->era;
 	rollout->revision = spec->revision;
 	rollout->duration_ms = spec->duration_ms;
 	rollout->limits = *limits;
@@ -104,6 +106,12 @@
 	return rollout->target;
 }
 
+int64_t
+rollout_era(const rollout_t *rollout)
+{
+	return rollout->era;
+}
+
 int64_t
 rollout_revision(const rollout_t *rollout)
 {
@@ -128,6 +136,20 @@
 	return rollout->reason == NULL ? "" : rollout->reason;
 }
 
+bool
+rollout_has_content(const rollout_t *rollout, const rollout_spec_t *spec)
+{
+	return strcmp(rollout->target, spec->target) == 0 &&
+	       rollout->duration_ms == spec->duration_ms;
+}
+
+void
+rollout_renew(rollout_t *rollout, const rollout_spec_t *spec)
+{
+	rollout->era = spec->era;
+	rollout->revision = spec->revision;
+}
+
 static bool
 is_final(const rollout_t *rollout)
 {
--- a/src/rollout.h
+++ b/src/rollout.h
@@ -34,7 +34,10 @@
 /* The operator's request to replace the version of a service. */
 typedef struct rollout_spec {
 	const char *target; /* the new version */
-	int64_t revision; /* of the spec in the store; identifies the rollout */
+	/* Of the spec in the store; they identify the rollout to other nodes.
+	 */
+	int64_t era;
+	int64_t revision;
 	int64_t duration_ms; /* from the start to the deadline */
 } rollout_spec_t;
 
@@ -59,12 +62,18 @@
 void rollout_free(rollout_t *rollout);
 
 const char *rollout_target(const rollout_t *rollout);
+int64_t rollout_era(const rollout_t *rollout);
 int64_t rollout_revision(const rollout_t *rollout);
 int64_t rollout_started_ms(const rollout_t *rollout);
 rollout_stage_t rollout_stage(const rollout_t *rollout);
 /* Why the rollout has been or has to be reverted; "" if it need not be. */
 const char *rollout_reason(const rollout_t *rollout);
 
+/* True where the spec requests the same as that of this rollout. */
+bool rollout_has_content(const rollout_t *rollout, const rollout_spec_t *spec);
+/* The same spec has been written to the store again. */
+void rollout_renew(rollout_t *rollout, const rollout_spec_t *spec);
+
 /* Applies the stage written by the leader. A final stage is never left. */
 void rollout_set_stage(rollout_t *rollout, rollout_stage_t stage,
     int64_t started_ms, int64_t now_ms);
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -18,11 +18,16 @@
 /* The rollout of one service. */
 typedef struct service_state {
 	char *service;
-	rollout_t *rollout; /* NULL: no valid spec */
-	json_t *record;	    /* as read from the store; NULL: none */
+	rollout_t *rollout;  /* NULL: no valid spec */
+	unsigned rollout_id; /* at this node */
+	json_t *record;	     /* as read from the store; NULL: none */
 	bool write_in_flight;
-	bool record_stored; /* the record belongs to this rollout */
+	bool record_stored; /* the record is that of the rollout's stage */
+	int64_t step;	    /* changes of the stage that led to it */
 	int64_t next_write_ms;
+	/* A spec that takes effect when the restoration is over; target NULL:
+	 * none. The target is owned. */
+	rollout_spec_t deferred;
 } service_state_t;
 
 struct rollouts {
@@ -30,6 +35,7 @@
 	GHashTable *services; /* service to service_state_t */
 	int64_t wall_ms;
 	unsigned node_count;
+	unsigned last_rollout_id;
 	bool restoring; /* see rollouts_set_restoring() */
 };
 
@@ -39,6 +45,7 @@
 	service_state_t *state = data;
 
 	g_free(state->service);
+	g_free((char *)state->deferred.target);
 	rollout_free(state->rollout);
 	json_decref(state->record);
 	g_free(state);
@@ -70,17 +77,26 @@
 	return state;
 }
 
-/* NULL if the service's rollout is not, or no longer, the one of this spec. */
+/* NULL if the service's rollout is not, or no longer, this one. */
 static rollout_t *
-find_rollout(const rollouts_t *rollouts, const char *service, int64_t revision)
+find_rollout(const rollouts_t *rollouts, const char *service, unsigned id)
 {
 	const service_state_t *state =
 	    g_hash_table_lookup(rollouts->services, service);
 
-	if (state == NULL || state->rollout == NULL ||
-	    rollout_revision(state->rollout) != revision)
-		return NULL;
-	return state->rollout;
+	return state == NULL || state->rollout_id != id ? NULL : state->rollout;
+}
+
+/*
+ * True where the record is older than the stage that is known. A stage may be
+ * entered again, so that the number of changes tells, not the stage.
+ */
+static bool
+is_older_record(const service_state_t *state, const json_t *record)
+{
+	int64_t step = json_get_int(record, "step", state->step);
+
+	return step < state->step;
 }
 
 /* Applies the stage in the record if it belongs to the current spec, whose
@@ -101,7 +117,10 @@
 		    "service=%s error=\"unknown stage\"", state->service);
 		return;
 	}
-	state->record_stored = true;
+	state->record_stored = !is_older_record(state, record);
+	if (!state->record_stored)
+		return;
+	state->step = json_get_int(record, "step", state->step);
 	log_event(LOG_LEVEL_INFO, "rollout.stage",
 	    "service=%s target=%s stage=%s reason=\"%s\"", state->service,
 	    rollout_target(state->rollout), rollout_stage_name(stage),
@@ -112,37 +131,97 @@
 	    rollouts->wall_ms);
 }
 
-void
-rollouts_set_spec(rollouts_t *rollouts, const char *service, const char *value,
-    size_t length, int64_t revision)
+/* Steals the target. */
+static void
+defer_spec(service_state_t *state, const rollout_spec_t *spec)
+{
+	g_free((char *)state->deferred.target);
+	state->deferred = *spec;
+}
+
+static void
+start_rollout(
+    rollouts_t *rollouts, service_state_t *state, const rollout_spec_t *spec)
 {
 	const gateway_bounds_t *bounds = &rollouts->options.config->bounds;
 	rollout_limits_t limits = {.share = bounds->exposure_share,
 	    .extra_requests = bounds->exposure_extra};
+
+	log_event(LOG_LEVEL_INFO, "rollout.ordered",
+	    "service=%s target=%s duration_ms=%" G_GINT64_FORMAT
+	    " order=%" G_GINT64_FORMAT,
+	    state->service, spec->target, spec->duration_ms, spec->revision);
+	rollout_free(state->rollout);
+	state->rollout = rollout_new(spec, &limits, rollouts->wall_ms);
+	state->rollout_id = ++rollouts->last_rollout_id;
+	state->record_stored = false;
+	state->step = 0;
+	apply_record(rollouts, state);
+}
+
+/* The record that the node knows may not be in the restored store. */
+static void
+renew_rollout(service_state_t *state, const rollout_spec_t *spec)
+{
+	log_event(LOG_LEVEL_INFO, "rollout.renewed",
+	    "service=%s target=%s stage=%s order=%" G_GINT64_FORMAT,
+	    state->service, spec->target,
+	    rollout_stage_name(rollout_stage(state->rollout)), spec->revision);
+	rollout_renew(state->rollout, spec);
+	g_clear_pointer(&state->record, json_decref);
+	state->record_stored = false;
+}
+
+/* Steals the target. */
+static void
+apply_spec(rollouts_t *rollouts, service_state_t *state, rollout_spec_t *spec)
+{
+	bool restoring = rollouts->restoring && state->rollout != NULL;
+
+	if (restoring && !rollout_has_content(state->rollout, spec)) {
+		defer_spec(state, spec);
+		return;
+	}
+	defer_spec(state, &(rollout_spec_t){.target = NULL});
+	if (restoring)
+		renew_rollout(state, spec);
+	else
+		start_rollout(rollouts, state, spec);
+	g_free((char *)spec->target);
+}
+
+static void
+end_rollout(service_state_t *state)
+{
+	defer_spec(state, &(rollout_spec_t){.target = NULL});
+	g_clear_pointer(&state->rollout, rollout_free);
+	state->record_stored = false;
+}
+
+void
+rollouts_set_spec(rollouts_t *rollouts, const char *service, const char *value,
+    size_t length, int64_t era, int64_t revision)
+{
 	service_state_t *state = find_or_add_service(rollouts, service);
 	platform_rollout_spec_t spec;
 	GError *error = NULL;
 
-	g_clear_pointer(&state->rollout, rollout_free);
-	state->record_stored = false;
-	if (value == NULL)
+	if (value == NULL) {
+		end_rollout(state);
 		return;
+	}
 	if (!platform_read_rollout(value, length, &spec, &error)) {
 		log_event(LOG_LEVEL_ERROR, "rollout.malformed",
 		    "service=%s error=\"%s\"", service, error->message);
 		g_error_free(error);
+		end_rollout(state);
 		return;
 	}
-	log_event(LOG_LEVEL_INFO, "rollout.ordered",
-	    "service=%s target=%s duration_ms=%" G_GINT64_FORMAT
-	    " order=%" G_GINT64_FORMAT,
-	    service, spec.target, spec.duration_ms, revision);
-	state->rollout = rollout_new(&(rollout_spec_t){.target = spec.target,
-					 .revision = revision,
-					 .duration_ms = spec.duration_ms},
-	    &limits, rollouts->wall_ms);
-	g_free(spec.target);
-	apply_record(rollouts, state);
+	apply_spec(rollouts, state,
+	    &(rollout_spec_t){.target = spec.target,
+		.era = era,
+		.revision = revision,
+		.duration_ms = spec.duration_ms});
 }
 
 void
@@ -153,6 +232,7 @@
 	GError *error = NULL;
 
 	g_clear_pointer(&state->record, json_decref);
+	state->record_stored = false;
 	if (value == NULL)
 		return;
 	state->record =
@@ -169,7 +249,22 @@
 void
 rollouts_set_restoring(rollouts_t *rollouts, bool restoring)
 {
+	GHashTableIter iter;
+	gpointer value;
+
 	rollouts->restoring = restoring;
+	g_hash_table_iter_init(&iter, rollouts->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		service_state_t *state = value;
+		rollout_spec_t spec = state->deferred;
+
+		state->deferred = (rollout_spec_t){.target = NULL};
+		/* Another restoration: the list shows it again. */
+		if (restoring)
+			g_free((char *)spec.target);
+		else if (spec.target != NULL)
+			apply_spec(rollouts, state, &spec);
+	}
 }
 
 void
@@ -227,12 +322,15 @@
 }
 
 static char *
-format_record(const rollout_t *rollout, rollout_stage_t stage)
+format_record(const service_state_t *state, rollout_stage_t stage)
 {
-	json_t *json = json_pack("{s:I,s:I,s:s,s:s}", "order",
+	const rollout_t *rollout = state->rollout;
+	int64_t step = state->step + (stage != rollout_stage(rollout));
+	json_t *json = json_pack("{s:I,s:I,s:I,s:s,s:s}", "order",
 	    (json_int_t)rollout_revision(rollout), "started_ms",
-	    (json_int_t)rollout_started_ms(rollout), "stage",
-	    rollout_stage_name(stage), "reason", rollout_reason(rollout));
+	    (json_int_t)rollout_started_ms(rollout), "step", (json_int_t)step,
+	    "stage", rollout_stage_name(stage), "reason",
+	    rollout_reason(rollout));
 	char *text = json_text(json);
 
 	json_decref(json);
@@ -265,7 +363,7 @@
 	    g_strconcat(platform_rollout_status_prefix, state->service, NULL);
 	char *record_key =
 	    g_strconcat(rollouts_record_prefix, state->service, NULL);
-	char *record = format_record(rollout, stage);
+	char *record = format_record(state, stage);
 	char *status = platform_write_rollout(
 	    state->service, rollout_target(rollout), reported_state(stage));
 	platform_condition_t conditions[] = {
@@ -309,6 +407,9 @@
 	if (leader_revision == 0 || state->write_in_flight ||
 	    clock_boot_ms() < state->next_write_ms)
 		return;
+	/* Its spec has not been read since the store was restored. */
+	if (rollout_era(state->rollout) != platform_store_era(store))
+		return;
 	next = rollout_next_stage(state->rollout, &inputs);
 	if (next != rollout_stage(state->rollout) || !state->record_stored)
 		write_stage(store, state, next, leader_revision);
@@ -360,8 +461,7 @@
 	    (is_first_attempt &&
 		random < candidates.assignment.new_version_share);
 	if (is_first_attempt && is_running(state))
-		candidates.assignment.revision =
-		    rollout_revision(state->rollout);
+		candidates.assignment.rollout_id = state->rollout_id;
 	if (inputs.old_servers_listed == 0)
 		return candidates; /* all servers are of the new version */
 	candidates.owned[0] = pool_filter_version(candidates.servers,
@@ -385,9 +485,9 @@
 
 void
 rollouts_count_request(rollouts_t *rollouts, const char *service,
-    int64_t revision, bool to_new_version)
+    unsigned rollout_id, bool to_new_version)
 {
-	rollout_t *rollout = find_rollout(rollouts, service, revision);
+	rollout_t *rollout = find_rollout(rollouts, service, rollout_id);
 
 	if (rollout != NULL)
 		rollout_count_request(rollout, to_new_version);
@@ -407,9 +507,9 @@
 
 void
 rollouts_add_attempt(rollouts_t *rollouts, const char *service,
-    int64_t revision, const evidence_attempt_t *attempt)
+    unsigned rollout_id, const evidence_attempt_t *attempt)
 {
-	rollout_t *rollout = find_rollout(rollouts, service, revision);
+	rollout_t *rollout = find_rollout(rollouts, service, rollout_id);
 
 	if (rollout != NULL)
 		rollout_add_attempt(rollout, attempt);
@@ -444,6 +544,7 @@
 			continue;
 		evidence = rollout_evidence_json(state->rollout);
 		item.service = g_strdup(state->service);
+		item.era = rollout_era(state->rollout);
 		item.revision = rollout_revision(state->rollout);
 		item.stopped = rollout_reason(state->rollout)[0] != '\0';
 		item.evidence = json_text(evidence);
@@ -452,14 +553,29 @@
 	}
 }
 
+/* NULL where this node does not know the order, or not as the peer does. */
+static rollout_t *
+find_order(const rollouts_t *rollouts, const digest_move_t *item)
+{
+	const service_state_t *state =
+	    g_hash_table_lookup(rollouts->services, item->service);
+
+	if (state == NULL || state->rollout == NULL ||
+	    rollout_revision(state->rollout) != item->revision)
+		return NULL;
+	/* Peers of an earlier version do not report the era. */
+	if (item->era != 0 && rollout_era(state->rollout) != item->era)
+		return NULL;
+	return state->rollout;
+}
+
 void
 rollouts_merge_digest(rollouts_t *rollouts, const digest_t *digest)
 {
 	for (guint i = 0; i < digest->moves->len; i++) {
 		const digest_move_t *item =
 		    &g_array_index(digest->moves, digest_move_t, i);
-		rollout_t *rollout =
-		    find_rollout(rollouts, item->service, item->revision);
+		rollout_t *rollout = find_order(rollouts, item);
 		json_t *evidence;
 
 		if (rollout == NULL)
--- a/src/rollouts.h
+++ b/src/rollouts.h
@@ -33,11 +33,17 @@
 
 rollouts_t *rollouts_new(const rollouts_options_t *options);
 
-/* Applies a spec read from the store; revision: of its key. value NULL: the key
- * was removed, which ends the rollout. */
+/*
+ * Applies a spec read from the store; era and revision: of its key. value NULL:
+ * the key was removed, which ends the rollout.
+ */
 void rollouts_set_spec(rollouts_t *rollouts, const char *service,
-    const char *value, size_t length, int64_t revision);
-/* Applies a record read from the store; value NULL: the key was removed. */
+    const char *value, size_t length, int64_t era, int64_t revision);
+/*
+ * Applies a record read from the store; value NULL: the key was removed. One
+ * that is older than the stage that this node knows, from a copy of the store,
+ * is not applied, and the leader writes it again.
+ */
 void rollouts_set_record(rollouts_t *rollouts, const char *service,
     const char *value, size_t length);
 
@@ -59,9 +65,9 @@
 
 /* The version selected for an attempt. */
 typedef struct rollouts_assignment {
-	/* Of the rollout's spec; 0: no rollout runs, or the attempt is not the
-	 * first one and not used as evidence. */
-	int64_t revision;
+	/* Of the rollout, at this node; 0: no rollout runs, or the attempt is
+	 * not the first one and not used as evidence. */
+	unsigned rollout_id;
 	bool to_new_version;
 	/* Probability of the new version in the random choice. */
 	double new_version_share;
@@ -88,7 +94,7 @@
 
 /* Counts a request when its first attempt is sent. */
 void rollouts_count_request(rollouts_t *rollouts, const char *service,
-    int64_t revision, bool to_new_version);
+    unsigned rollout_id, bool to_new_version);
 /*
  * Counts a hedge, which is no evidence: another request that the new version
  * gets while a rollout runs.
@@ -97,7 +103,7 @@
     rollouts_t *rollouts, const char *service, bool to_new_version);
 /* Adds the outcome of a request's first attempt to the evidence. */
 void rollouts_add_attempt(rollouts_t *rollouts, const char *service,
-    int64_t revision, const evidence_attempt_t *attempt);
+    unsigned rollout_id, const evidence_attempt_t *attempt);
 
 /* True if the server is of the version in effect: the new one once a rollout
  * has completed, before that the old one. */
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -191,6 +191,119 @@
 }
 END_TEST
 
+static void
+set_order(const char *target, int64_t revision)
+{
+	char *text = g_strdup_printf(
+	    "{\"service\":\"a\",\"target\":\"%s\",\"duration_s\":60}", target);
+
+	rollouts_set_spec(rollouts, "a", text, strlen(text), era, revision);
+	g_free(text);
+}
+
+static void
+set_stage(int64_t order, const char *stage, int step)
+{
+	char *text = g_strdup_printf("{\"order\":%" G_GINT64_FORMAT
+				     ",\"started_ms\":5,\"stage\":\"%s\","
+				     "\"step\":%d}",
+	    order, stage, step);
+
+	rollouts_set_record(rollouts, "a", text, strlen(text));
+	g_free(text);
+}
+
+static void
+restore(void)
+{
+	era++;
+	rollouts_set_restoring(rollouts, true);
+}
+
+/* The revision of the one order that the node's digest reports; 0: none. */
+static int64_t
+reported_order(void)
+{
+	digest_t *digest = digest_new();
+	int64_t revision = 0;
+
+	rollouts_add_to_digest(rollouts, digest);
+	if (digest->moves->len > 0)
+		revision =
+		    g_array_index(digest->moves, digest_move_t, 0).revision;
+	digest_free(digest);
+	return revision;
+}
+
+/* Guards against a rollout that begins again, or goes back to its copy. */
+START_TEST(a_stage_stays_and_is_written_again)
+{
+	set_order("v2", 80);
+	set_stage(80, "full", 2);
+	restore();
+	rollouts_tick(rollouts, NULL, NULL); /* the order is not known yet */
+	ck_assert_ptr_null(commit.value);
+	set_order("v2", 60);
+	set_stage(60, "canary", 0);
+	rollouts_tick(rollouts, NULL, NULL);
+	ck_assert_ptr_nonnull(strstr(commit.value, "\"stage\":\"full\""));
+	ck_assert_ptr_nonnull(strstr(commit.value, "\"started_ms\":5"));
+	ck_assert_int_eq(commit.revision, 60);
+	/* The leader may return to an earlier stage, and end it. */
+	set_stage(60, "ramp", 3);
+	set_stage(60, "reverted", 4);
+	ck_assert_int_eq(reported_order(), 0);
+	restore();
+	set_order("v2", 70);
+	ck_assert_int_eq(reported_order(), 0);
+}
+END_TEST
+
+/* Guards against an order of the copy that replaces a later one. */
+START_TEST(another_order_waits_for_the_end_of_the_restoration)
+{
+	set_order("v3", 80);
+	restore();
+	set_order("v2", 60);
+	ck_assert_int_eq(reported_order(), 80);
+	restore();
+	rollouts_set_restoring(rollouts, false);
+	ck_assert_int_eq(reported_order(), 80);
+	restore();
+	set_order("v2", 60);
+	rollouts_set_restoring(rollouts, false);
+	ck_assert_int_eq(reported_order(), 60);
+}
+END_TEST
+
+/* Guards against evidence on an order with the revision of another era. */
+START_TEST(evidence_is_of_the_order_of_its_era)
+{
+	digest_t *digest = digest_new();
+	evidence_t *evidence = evidence_new();
+	digest_move_t move = {.service = g_strdup("a"),
+	    .revision = 80,
+	    .era = 1,
+	    .stopped = true,
+	    .evidence = json_dumps(evidence_to_json(evidence), 0)};
+
+	digest->node = g_strdup("n2");
+	g_array_append_val(digest->moves, move);
+	era = 2;
+	set_order("v2", 80);
+	set_stage(80, "canary", 0);
+	rollouts_merge_digest(rollouts, digest);
+	rollouts_tick(rollouts, NULL, NULL);
+	ck_assert_ptr_null(commit.value);
+	g_array_index(digest->moves, digest_move_t, 0).era = 2;
+	rollouts_merge_digest(rollouts, digest);
+	rollouts_tick(rollouts, NULL, NULL);
+	ck_assert_ptr_nonnull(strstr(commit.value, "\"stage\":\"reverted\""));
+	digest_free(digest);
+	evidence_free(evidence);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -202,6 +315,10 @@
 	tcase_add_test(cases, a_missing_record_is_written_anew);
 	tcase_add_test(cases, a_window_that_a_peer_knows_stays_recorded);
 	tcase_add_test(cases, a_baseline_is_written_again_from_memory);
+	tcase_add_test(cases, a_stage_stays_and_is_written_again);
+	tcase_add_test(
+	    cases, another_order_waits_for_the_end_of_the_restoration);
+	tcase_add_test(cases, evidence_is_of_the_order_of_its_era);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
