Wait for the peers' configuration at a start after a restoration

Callers saw: a node that started while the store showed an older configuration than its peers had served with API keys that had been withdrawn.

Cause: a started node has only the copy to go by. The digests tell the version that its peers have.

Change: once the store has been restored, a node that has not been ready yet waits at most 5 s for a configuration that is as new as that of an alive peer, and at most 600 ms for the first digest; until then it is not ready and refuses requests as it does without a confirmed configuration. The gateway passes on the era and the recorded window that peers report, and reports its own.

Evidence: two new cases of test_restart. Both pass now. That the wait ends after 5 s is not tested.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -37,6 +37,10 @@
 	RETURN_BYTES = 8 * 1024 * 1024,
 	/* From the first node that applies a change to the last one. */
 	CHANGE_DELIVERY_MAX_MS = 800,
+	/* Before a node is ready for the first time: it waits so long for a
+	 * configuration that its peers have, and for the first digest. */
+	PEER_CONFIGURATION_WAIT_MS = 5000,
+	PEER_DIGEST_WAIT_MS = 600,
 };
 
 /*
@@ -104,6 +108,25 @@
 		gateway->newer_configuration_ms = clock_boot_ms();
 }
 
+/* A peer knows that the store has been restored. */
+static void
+on_peer_era(int64_t era, void *data)
+{
+	const gateway_t *gateway = data;
+
+	if (gateway->store != NULL)
+		platform_store_learn_era(gateway->store, era);
+}
+
+static void
+on_peer_record(int64_t window, void *data)
+{
+	const gateway_t *gateway = data;
+
+	if (gateway->usage_report != NULL)
+		usage_report_learn_record(gateway->usage_report, window);
+}
+
 static void
 on_relay_request(const relay_request_t *request,
     const GPtrArray *client_addresses, GByteArray *response, void *data)
@@ -337,13 +360,42 @@
 	const catalog_t *catalog = gateway->proxy.catalog;
 	cluster_local_state_t state = {.ready = gateway->ready,
 	    .leader = lease_fencing_token(gateway->lease) != 0,
-	    .configuration_version = catalog == NULL ? 0 : catalog->version};
+	    .configuration_version = catalog == NULL ? 0 : catalog->version,
+	    .store_era = platform_store_era(gateway->store),
+	    .recorded_window =
+		usage_report_recorded_window(gateway->usage_report)};
 
 	cluster_set_local_state(gateway->cluster, &state);
 	lease_set_campaign_delay(
 	    gateway->lease, cluster_campaign_delay_ms(gateway->cluster));
 }
 
+/*
+ * True while a node that has just started should wait for the configuration
+ * that its peers have: a store that has been restored from a copy may show an
+ * older one, where API keys that were withdrawn are valid.
+ */
+static bool
+is_behind_peers(gateway_t *gateway, int64_t now_ms)
+{
+	int64_t peers_version;
+	int64_t wait_ms;
+
+	if (gateway->was_ready || !gateway->initial_list_complete ||
+	    platform_store_era(gateway->store) <= PLATFORM_ERA_MIN)
+		return false;
+	peers_version = cluster_newest_configuration(gateway->cluster, now_ms);
+	if (gateway->proxy.catalog != NULL &&
+	    gateway->proxy.catalog->version >= peers_version &&
+	    (peers_version != 0 || cluster_node_count(gateway->cluster) == 1))
+		return false;
+	if (gateway->peer_wait_since_ms == 0)
+		gateway->peer_wait_since_ms = now_ms;
+	wait_ms = peers_version == 0 ? PEER_DIGEST_WAIT_MS
+				     : PEER_CONFIGURATION_WAIT_MS;
+	return now_ms - gateway->peer_wait_since_ms < wait_ms;
+}
+
 static void
 update_ready(gateway_t *gateway, int64_t now_ms)
 {
@@ -353,15 +405,18 @@
 	    gateway->proxy.catalog != NULL && gateway->initial_list_complete &&
 	    gateway->drain.started_ms == 0 &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
+	bool behind = is_behind_peers(gateway, now_ms);
 
 	gateway->proxy.catalog_valid_until_ms =
-	    confirmed_ms + (int64_t)(config_use_share * revoke_ms);
+	    behind ? 0 : confirmed_ms + (int64_t)(config_use_share * revoke_ms);
+	ready = ready && !behind;
 	if (ready != gateway->ready)
 		log_event(LOG_LEVEL_INFO,
 		    ready ? "front.ready" : "front.unready",
 		    "proof_age_ms=%" G_GINT64_FORMAT " draining=%d",
 		    now_ms - confirmed_ms, gateway->drain.started_ms != 0);
 	gateway->ready = ready;
+	gateway->was_ready |= ready;
 	report_local_state(gateway);
 }
 
@@ -717,6 +772,8 @@
 	    .rollouts = gateway->proxy.rollouts,
 	    .crash_guard = gateway->proxy.crash_guard,
 	    .on_newer_configuration = on_newer_configuration,
+	    .on_peer_era = on_peer_era,
+	    .on_peer_record = on_peer_record,
 	    .on_relay_request = on_relay_request,
 	    .on_relay_response = on_relay_response,
 	    .data = gateway,
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -46,6 +46,8 @@
 	int64_t newer_configuration_ms;
 	bool initial_list_complete; /* of the store's keys */
 	bool ready;		    /* as reported to readiness checks */
+	bool was_ready;		    /* at least once */
+	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
 	drain_t drain;
 	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -64,6 +64,77 @@
 }
 END_TEST
 
+static void
+call_store(const char *path)
+{
+	test_response_free(test_request_json(
+	    platform_standin, "POST", path, json_object(), 200));
+}
+
+/*
+ * Guards against a node that starts while the store shows an older
+ * configuration than its peers have, and serves with keys withdrawn since.
+ */
+START_TEST(start_after_a_restoration_waits_for_the_configuration_of_peers)
+{
+	program_t *second_gateway;
+
+	call_store("/snapshot");
+	withdraw();
+	call_store("/restore");
+	second_gateway = gateway_launch("n2");
+	for (int i = 0; i < 20; i++) {
+		ck_assert_uint_eq(
+		    gateway_booking_status(second_gateway, "key-2"), 503);
+		g_usleep(50000);
+	}
+	gateway_configure(2, "[\"key-1\"]");
+	g_usleep(500000);
+	ck_assert_uint_eq(gateway_booking_status(second_gateway, "key-2"), 401);
+}
+END_TEST
+
+/* Window and fencing token of the last usage report; 0: none. */
+static json_int_t
+last_reported_window(json_int_t *token)
+{
+	test_response_t *response =
+	    test_request_json(platform_standin, "GET", "/calls", NULL, 200);
+	size_t count = json_array_size(response->json);
+	const json_t *call = json_array_get(response->json, count - 1);
+	json_int_t window = json_integer_value(
+	    json_object_get(json_object_get(call, "body"), "window_id"));
+
+	*token = json_integer_value(json_object_get(call, "token"));
+	test_response_free(response);
+	return window;
+}
+
+static bool
+is_later_window_reported(void *data)
+{
+	json_int_t token;
+
+	return last_reported_window(&token) > *(json_int_t *)data;
+}
+
+/* Guards against duties that end when the store comes back from a copy. */
+START_TEST(duties_go_on_after_a_restoration)
+{
+	json_int_t window = 0, token, later_token;
+
+	wait_until(is_later_window_reported, &window);
+	call_store("/snapshot");
+	window = last_reported_window(&token) + 1;
+	wait_until(is_later_window_reported, &window);
+	call_store("/restore");
+	window = last_reported_window(&token) + 2;
+	wait_until(is_later_window_reported, &window);
+	last_reported_window(&later_token);
+	ck_assert_int_gt(later_token, token);
+}
+END_TEST
+
 /*
  * Guards against a process that ends by a signal to reload its settings, sent
  * while it reads them at its start: here from a pipe without data.
@@ -105,6 +176,9 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_test(cases, stale_list_after_a_restart_is_not_used);
 	tcase_add_test(cases, restart_without_the_store_serves_nothing);
+	tcase_add_test(cases,
+	    start_after_a_restoration_waits_for_the_configuration_of_peers);
+	tcase_add_test(cases, duties_go_on_after_a_restoration);
 	tcase_add_test(
 	    cases, reload_signal_during_the_start_does_not_end_the_process);
 	suite_add_tcase(suite, cases);
