Spread campaigns after a restoration, and end leases for good

Where no leader is left after a restoration, every node of a large fleet campaigned as soon as the duration of a lease had passed, as the delays that keep them apart had run out by then: the wait now comes before the delay, with a random part. A draining node no longer goes on with a leader lease that it has ended and that the copy shows.

The spread itself is not tested.

--- a/src/lease.c
+++ b/src/lease.c
@@ -149,8 +149,8 @@
 {
 	if (lease->sole_leader)
 		return lease->next_campaign_ms;
-	return MAX(lease->restoration_wait_until_ms,
-	    lease->next_campaign_ms + lease->campaign_delay_ms);
+	return MAX(lease->restoration_wait_until_ms, lease->next_campaign_ms) +
+	       lease->campaign_delay_ms;
 }
 
 static bool
@@ -364,7 +364,8 @@
 	lease->replaced_revision = 0;
 	lease->next_campaign_ms = now_ms;
 	lease->restoration_wait_until_ms =
-	    now_ms + lease->config->bounds.lease_ms;
+	    now_ms + lease->config->bounds.lease_ms +
+	    g_random_int_range(0, CAMPAIGN_JITTER_MS);
 	if (!lease->revoked)
 		store_lease_keep(lease->node, now_ms);
 }
--- a/src/store_lease.c
+++ b/src/store_lease.c
@@ -194,4 +194,5 @@
 	if (lease->id != 0)
 		platform_store_revoke_lease(
 		    lease->options.store, lease->id, on_ended, lease);
+	store_lease_drop(lease);
 }
