--- a/src/server.h
+++ b/src/server.h
@@ -18,6 +18,8 @@
 	int64_t shutdown_in_ms; /* time left if draining; -1: unknown */
 	int64_t warmup_ms;	/* how long it is slow after its start */
 	int64_t started_ms;	/* Unix time of its start; 0: unknown */
+	int64_t
+	    sequence; /* grows with each write since its start; 0: unknown */
 } server_info_t;
 
 void server_info_free(server_info_t *info);
--- a/tests/test_catalog.c
+++ b/tests/test_catalog.c
@@ -275,6 +275,10 @@
     {"born", "-1"},
     {"born", "9223372036854775807"},
     {"born", "\"1\""},
+    {"sequence", "-1"},
+    {"sequence", "1e300"},
+    {"sequence", "9223372036854775807"},
+    {"sequence", "\"1\""},
 };
 
 /*
@@ -374,13 +378,15 @@
 	server_info_t *info = read_entry(
 	    "{\"service\": \"s\", \"address\": \"1.2.3.4:5\", \"zone\": \"z\","
 	    " \"state\": \"draining\", \"slots\": 4, \"spot\": true,"
-	    " \"leaves_ms\": 2500.5, \"born\": 1700000000000}");
+	    " \"leaves_ms\": 2500.5, \"born\": 1700000000000, \"sequence\": "
+	    "12}");
 
 	ck_assert_ptr_nonnull(info);
 	ck_assert(info->draining);
 	ck_assert(info->spot);
 	ck_assert_int_eq(info->shutdown_in_ms, 2500);
 	ck_assert_int_eq(info->started_ms, 1700000000000);
+	ck_assert_int_eq(info->sequence, 12);
 	server_info_free(info);
 }
 END_TEST
