Pass over entries that are older than what is known of a server

Cause: the copy from which the store comes back lists such a server as ready, and the pool takes each listed entry as the newest: a draining server is usable again, a removed one returns from the memory of removed servers.

While the store is being restored, an entry of an earlier start, or of the same start with no higher sequence, changes nothing. A server that said that it drains never returns by it. A removed one returns if the entry is still there after six seconds, which is longer than the platform keeps the entry of a silent server (three heartbeats): its heartbeats do not change an entry with the same content, so no newer entry would ever come. A server in its grace period is listed again, so the period ends, as before. An entry that says for the first time that the server drains is taken whatever its sequence.

Ruled out: a mark that forbids a removed id for a minute. Servers whose entries lapsed in an outage before the restoration would be missing for as long.

Evidence: test_pool, two tests fail with each entry taken as the newest.

--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -59,6 +59,23 @@
 	quota_configure(gateway->proxy.quota, catalog, clock_boot_ms());
 }
 
+/* Takes ownership of info. */
+static void
+put_outdated_server(gateway_t *gateway, server_info_t *info, int64_t now_ms)
+{
+	const server_info_t *known =
+	    pool_find_known(gateway->proxy.pool, info->id)->info;
+
+	log_event(LOG_LEVEL_INFO, "server.outdated",
+	    "id=%s sequence=%" G_GINT64_FORMAT
+	    " known_sequence=%" G_GINT64_FORMAT
+	    " draining=%d known_draining=%d",
+	    info->id, info->sequence, known->sequence, info->draining,
+	    known->draining);
+	counter_add(gateway->proxy.counters, 1, "outdated_entries_total");
+	pool_put_outdated(gateway->proxy.pool, info, now_ms);
+}
+
 static void
 put_server(gateway_t *gateway, const char *id, const platform_item_t *item)
 {
@@ -76,6 +93,11 @@
 		pool_remove(gateway->proxy.pool, id, 0, now_ms);
 		return;
 	}
+	if (store_watch_is_restoring(gateway->store_watch) &&
+	    pool_is_outdated(gateway->proxy.pool, info)) {
+		put_outdated_server(gateway, info, now_ms);
+		return;
+	}
 	log_event(LOG_LEVEL_INFO, "server.listed",
 	    "id=%s service=%s address=%s zone=%s version=%s draining=%d "
 	    "spot=%d leaves_ms=%" G_GINT64_FORMAT,
--- a/src/pool.c
+++ b/src/pool.c
@@ -12,6 +12,12 @@
 	SERVER_PAUSE_MAX_MS = 60 * 60 * 1000,
 	/* How long a removed server is remembered in case its entry returns. */
 	REMOVED_MEMORY_MS = 60000,
+	/*
+	 * How long an outdated entry must stay before its server counts as
+	 * alive: the platform removes it after three heartbeats without a
+	 * write, of 1.2 s each.
+	 */
+	OUTDATED_HOLD_MS = 6000,
 	/* Longest time for which a server may say that it is cold. */
 	COLD_MAX_MS = 60 * 60 * 1000,
 };
@@ -27,8 +33,15 @@
 	GHashTable *by_tag;	/* tag to server_t, borrowed */
 	GHashTable *by_service; /* service to GPtrArray of server_t, borrowed */
 	GHashTable *removed;	/* id to server_t, holds a reference */
+	GHashTable *outdated;	/* id to outdated_entry_t */
 };
 
+/* An entry of a removed server, from a store restored from a copy. */
+typedef struct outdated_entry {
+	server_info_t *info;
+	int64_t due_ms; /* the server returns */
+} outdated_entry_t;
+
 uint32_t
 server_tag(const char *id)
 {
@@ -70,6 +83,15 @@
 	g_ptr_array_unref(array);
 }
 
+static void
+outdated_entry_free(gpointer data)
+{
+	outdated_entry_t *entry = data;
+
+	server_info_free(entry->info);
+	g_free(entry);
+}
+
 pool_t *
 pool_new(uv_loop_t *loop, int64_t drain_ms)
 {
@@ -84,6 +106,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, unref_array);
 	pool->removed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_value);
+	pool->outdated = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, outdated_entry_free);
 	return pool;
 }
 
@@ -96,6 +120,7 @@
 	g_hash_table_unref(pool->by_tag);
 	g_hash_table_unref(pool->by_id);
 	g_hash_table_unref(pool->removed);
+	g_hash_table_unref(pool->outdated);
 	g_free(pool);
 }
 
@@ -216,6 +241,7 @@
 {
 	server_t *server = g_hash_table_lookup(pool->by_id, info->id);
 
+	g_hash_table_remove(pool->outdated, info->id);
 	if (server != NULL && same_server(server->info, info)) {
 		replace_info(server, info);
 		set_cold_until(server, now_ms);
@@ -240,6 +266,7 @@
 {
 	server_t *server = g_hash_table_lookup(pool->by_id, id);
 
+	g_hash_table_remove(pool->outdated, id);
 	if (server == NULL || server->remove_at_ms != 0)
 		return;
 	if (grace_ms > 0 && !server->info->draining)
@@ -248,6 +275,65 @@
 		unlink_server(pool, server, now_ms);
 }
 
+server_t *
+pool_find_known(const pool_t *pool, const char *id)
+{
+	server_t *server = g_hash_table_lookup(pool->by_id, id);
+
+	return server != NULL ? server : g_hash_table_lookup(pool->removed, id);
+}
+
+bool
+pool_is_outdated(const pool_t *pool, const server_info_t *info)
+{
+	const server_t *known = pool_find_known(pool, info->id);
+
+	if (known == NULL || info->started_ms > known->info->started_ms)
+		return false;
+	if (info->started_ms < known->info->started_ms)
+		return true;
+	/* A draining server does not become ready again. */
+	if (info->draining && !known->info->draining)
+		return false;
+	return info->sequence <= known->info->sequence;
+}
+
+void
+pool_put_outdated(pool_t *pool, server_info_t *info, int64_t now_ms)
+{
+	server_t *known = pool_find_known(pool, info->id);
+	outdated_entry_t *entry;
+
+	/* A removal is not final in its grace period. */
+	known->remove_at_ms = 0;
+	if (!known->removed || known->info->draining) {
+		server_info_free(info);
+		return;
+	}
+	entry = g_new0(outdated_entry_t, 1);
+	entry->info = info;
+	entry->due_ms = now_ms + OUTDATED_HOLD_MS;
+	g_hash_table_replace(pool->outdated, info->id, entry);
+}
+
+/* Adds the removed servers whose outdated entry has stayed. */
+static void
+put_due_entries(pool_t *pool, int64_t now_ms)
+{
+	GList *entries = g_hash_table_get_values(pool->outdated);
+
+	for (GList *item = entries; item != NULL; item = item->next) {
+		outdated_entry_t *entry = item->data;
+
+		if (now_ms < entry->due_ms)
+			continue;
+		g_hash_table_steal(pool->outdated, entry->info->id);
+		pool_put(pool, g_steal_pointer(&entry->info), now_ms);
+		g_free(entry);
+	}
+	g_list_free(entries);
+}
+
 void
 pool_set_leaving(const pool_t *pool, server_t *server, int64_t now_ms)
 {
@@ -282,6 +368,7 @@
 	}
 	g_list_free(servers);
 	g_hash_table_foreach_remove(pool->removed, is_forgotten, &now_ms);
+	put_due_entries(pool, now_ms);
 }
 
 void
--- a/src/pool.h
+++ b/src/pool.h
@@ -78,7 +78,30 @@
 void pool_remove(
     pool_t *pool, const char *id, int64_t grace_ms, int64_t now_ms);
 
-/* Removes servers whose grace period is over; closes idle connections. */
+/*
+ * What the pool knows of a server, listed or removed a short while ago;
+ * borrowed; NULL: nothing.
+ */
+server_t *pool_find_known(const pool_t *pool, const char *id);
+
+/*
+ * True where the entry, read from a store that is being restored from a copy,
+ * may have been written before what the pool knows of the server, listed or
+ * removed: it is of an earlier process, or of the same one and no newer.
+ */
+bool pool_is_outdated(const pool_t *pool, const server_info_t *info);
+
+/*
+ * Handles such an entry; takes ownership of info. A listed server stays as it
+ * is. A removed one stays removed for as long as the platform keeps the entry
+ * of a silent server, and returns if its entry is still there after that.
+ */
+void pool_put_outdated(pool_t *pool, server_info_t *info, int64_t now_ms);
+
+/*
+ * Removes servers whose grace period is over, adds those whose outdated entry
+ * has stayed; closes idle connections.
+ */
 void pool_sweep(pool_t *pool, int64_t now_ms);
 
 /*
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -19,9 +19,8 @@
 	pool_free(pool);
 }
 
-static void
-put_server(const char *address, int64_t started_ms, bool draining,
-    int64_t shutdown_in_ms, int64_t now_ms)
+static server_info_t *
+make_entry(const char *address, int64_t started_ms)
 {
 	server_info_t *info = g_new0(server_info_t, 1);
 
@@ -32,6 +31,16 @@
 	info->version = g_strdup("v1");
 	info->slots = 4;
 	info->started_ms = started_ms;
+	info->shutdown_in_ms = -1;
+	return info;
+}
+
+static void
+put_server(const char *address, int64_t started_ms, bool draining,
+    int64_t shutdown_in_ms, int64_t now_ms)
+{
+	server_info_t *info = make_entry(address, started_ms);
+
 	info->draining = draining;
 	info->shutdown_in_ms = shutdown_in_ms;
 	pool_put(pool, info, now_ms);
@@ -215,14 +224,8 @@
 static void
 put_cold_server(int64_t started_ms, int64_t warmup_ms, int64_t now_ms)
 {
-	server_info_t *info = g_new0(server_info_t, 1);
+	server_info_t *info = make_entry("127.0.0.1:1", started_ms);
 
-	info->id = g_strdup("i-1");
-	info->service = g_strdup("s");
-	info->address = g_strdup("127.0.0.1:1");
-	info->zone = g_strdup("z");
-	info->version = g_strdup("v1");
-	info->started_ms = started_ms;
 	info->warmup_ms = warmup_ms;
 	pool_put(pool, info, now_ms);
 }
@@ -290,6 +293,64 @@
 }
 END_TEST
 
+/* Puts an entry that is read while the store is being restored. */
+static void
+put_restored(
+    int64_t started_ms, int64_t sequence, bool draining, int64_t now_ms)
+{
+	server_info_t *info = make_entry("127.0.0.1:1", started_ms);
+
+	info->sequence = sequence;
+	info->draining = draining;
+	info->warmup_ms = 3000;
+	if (pool_is_outdated(pool, info))
+		pool_put_outdated(pool, info, now_ms);
+	else
+		pool_put(pool, info, now_ms);
+}
+
+/*
+ * Guards against requests to a server that drains or is gone, by its older
+ * entry, and against the loss of a server whose entry stays.
+ */
+START_TEST(an_older_entry_does_not_return_a_server)
+{
+	put_restored(7, 5, false, NOW_MS);
+	put_restored(7, 4, true, NOW_MS);
+	put_restored(7, 4, false, NOW_MS);
+	put_restored(6, 9, false, NOW_MS);
+	ck_assert(!server_usable(find_server(), NOW_MS));
+	pool_remove(pool, "i-1", 0, NOW_MS);
+	put_restored(7, 4, false, NOW_MS);
+	pool_sweep(pool, NOW_MS + 10000);
+	ck_assert_ptr_null(find_server());
+	put_restored(8, 1, false, NOW_MS);
+	ck_assert(server_usable(find_server(), NOW_MS));
+	pool_remove(pool, "i-1", 0, NOW_MS);
+	put_restored(8, 1, false, NOW_MS);
+	pool_sweep(pool, NOW_MS + 4000);
+	ck_assert_ptr_null(find_server());
+	pool_remove(pool, "i-1", 0, NOW_MS);
+	pool_sweep(pool, NOW_MS + 10000);
+	ck_assert_ptr_null(find_server());
+	put_restored(8, 1, false, NOW_MS);
+	pool_sweep(pool, NOW_MS + 10000);
+	ck_assert(server_usable(find_server(), NOW_MS));
+}
+END_TEST
+
+/* Guards against an older entry that makes a warm server cold again. */
+START_TEST(an_older_entry_changes_nothing_but_ends_a_grace_period)
+{
+	put_cold_server(7, 0, NOW_MS);
+	pool_remove(pool, "i-1", GRACE_MS, NOW_MS);
+	put_restored(7, 0, false, NOW_MS);
+	ck_assert(!server_is_cold(find_server(), NOW_MS));
+	pool_sweep(pool, NOW_MS + GRACE_MS);
+	ck_assert_ptr_nonnull(find_server());
+}
+END_TEST
+
 START_TEST(a_malformed_address_is_never_used)
 {
 	put_server("nowhere", 7, false, -1, NOW_MS);
@@ -336,6 +397,9 @@
 	tcase_add_test(cases, a_server_whose_entry_returns_keeps_its_state);
 	tcase_add_test(cases, a_restart_under_the_same_id_is_a_new_server);
 	tcase_add_test(cases, consecutive_failures_increase_the_backoff);
+	tcase_add_test(cases, an_older_entry_does_not_return_a_server);
+	tcase_add_test(
+	    cases, an_older_entry_changes_nothing_but_ends_a_grace_period);
 	tcase_add_test(cases, a_malformed_address_is_never_used);
 	tcase_add_test(
 	    cases, an_entry_counts_from_the_time_at_which_it_was_read);
