Test servers that a restored store shows as ready

The condition in put_server() is not reached by the tests of the pool.

Evidence: with that condition removed both cases fail: the request reaches the server (504, as it does not answer) instead of 503.

--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -114,6 +114,26 @@
 }
 END_TEST
 
+/* Guards against requests to servers that the copy shows as ready. */
+START_TEST(draining_or_removed_server_of_the_copy_gets_no_request)
+{
+	call_store("/snapshot");
+	if (_i == 0)
+		gateway_store_remove("servers/i-1");
+	else
+		gateway_register_server(
+		    "i-1", "plain", backend_port_1, "draining");
+	wait_ms(CHANGE_DELIVERY_MS);
+	call_store("/restore");
+	wait_ms(CHANGE_DELIVERY_MS);
+	ck_assert_uint_eq(gateway_booking_status(gateway_node, "key-1"), 503);
+	if (_i == 0) {
+		wait_ms(REMOVED_MS);
+		assert_in_use();
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -126,6 +146,8 @@
 	tcase_add_test(cases, change_after_a_restoration_applies_at_once);
 	tcase_add_test(cases, server_that_the_copy_lacks_is_kept_for_a_while);
 	tcase_add_test(cases, second_restoration_begins_anew);
+	tcase_add_loop_test(cases,
+	    draining_or_removed_server_of_the_copy_gets_no_request, 0, 2);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
