--- a/tests/test_key_revisions.c
+++ b/tests/test_key_revisions.c
@@ -66,15 +66,6 @@
 }
 END_TEST
 
-/* Guards against removing a key that has been written again in the hold. */
-START_TEST(key_written_again_is_not_held)
-{
-	key_revisions_restore(keys);
-	ck_assert(key_revisions_put(keys, "lost", 21));
-	assert_only(key_revisions_end_hold(keys), "kept");
-}
-END_TEST
-
 int
 main(void)
 {
@@ -85,7 +76,6 @@
 	tcase_add_test(cases, only_later_revisions_are_news);
 	tcase_add_test(cases, unlisted_key_is_forgotten);
 	tcase_add_test(cases, key_that_a_restored_store_lacks_is_held);
-	tcase_add_test(cases, key_written_again_is_not_held);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
