Let the store's own responses decide its era

Change: a peer's era, by a digest of a registered node or a message of a relay, makes the node ask the store at once; the response decides. An era that the store did not confirm is asked for once. Eras may begin with 0: a step from 0 to 1 is a restoration, which was taken for the first sight of the store. A stale first list that is of an earlier era is followed by one that is not stale.

Evidence: test_restored_store, era_that_only_a_peer_states_changes_nothing; test_cluster passes a peer's knowledge on for registered peers only.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -171,7 +171,8 @@
 	peer->digest = digest;
 	if (is_new_process && peer->registered)
 		cluster_send_digest_to(cluster, peer);
-	report_peer_knowledge(cluster, digest);
+	if (peer->registered)
+		report_peer_knowledge(cluster, digest);
 }
 
 static void
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -108,14 +108,14 @@
 		gateway->newer_configuration_ms = clock_boot_ms();
 }
 
-/* A peer knows that the store has been restored. */
+/* A peer states a later era of the store. */
 static void
 on_peer_era(int64_t era, void *data)
 {
-	const gateway_t *gateway = data;
+	gateway_t *gateway = data;
 
-	if (gateway->store != NULL)
-		platform_store_learn_era(gateway->store, era);
+	if (gateway->store_watch != NULL)
+		store_watch_check_era(gateway->store_watch, era);
 }
 
 static void
@@ -382,7 +382,7 @@
 	int64_t wait_ms;
 
 	if (gateway->was_ready || !gateway->initial_list_complete ||
-	    platform_store_era(gateway->store) <= PLATFORM_ERA_MIN)
+	    platform_store_era(gateway->store) <= PLATFORM_ERA_FIRST)
 		return false;
 	peers_version = cluster_newest_configuration(gateway->cluster, now_ms);
 	if (gateway->proxy.catalog != NULL &&
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -72,9 +72,9 @@
 	if (watch->hold_until_ms == 0 ||
 	    watch->confirmed_ms < watch->hold_until_ms)
 		return;
-	report_removed(watch, key_revisions_end_hold(watch->keys));
+	/* The writers of these keys have had their time. */
 	watch->hold_until_ms = 0;
-	watch->recovered_ms = clock_boot_ms();
+	report_removed(watch, key_revisions_end_hold(watch->keys));
 	watch->options.on_restoration_over(watch->options.data);
 }
 
@@ -166,6 +166,7 @@
 	if (watch == NULL)
 		return;
 	if (result->status != PLATFORM_OK) {
+		watch->stale_refused |= result->status == PLATFORM_RESTORED;
 		abort_list(watch);
 		retry_later(watch, result->status);
 		return;
@@ -203,7 +204,8 @@
 	int64_t hold_ms = watch->hold_until_ms - now_ms;
 
 	/* A short watch confirms the copy at once. */
-	if (watch->failures > 0 || watch->confirmed_ms == 0)
+	if (watch->failures > 0 || watch->confirmed_ms == 0 ||
+	    watch->era_check_due)
 		return CONFIRM_WATCH_MS;
 	if (watch->hold_until_ms == 0)
 		return longest_watch_ms(watch);
@@ -276,8 +278,9 @@
 	watch->listing = true;
 	watch->list_started_ms = now_ms;
 	/* The first list may be stale: the watch after it confirms the copy. */
-	watch->list_may_be_stale =
-	    !watch->listed_once && watch->hold_until_ms == 0;
+	watch->list_may_be_stale = !watch->listed_once &&
+				   watch->hold_until_ms == 0 &&
+				   !watch->stale_refused;
 	key_revisions_begin_list(watch->keys);
 }
 
@@ -300,6 +303,7 @@
 		platform_store_watch(watch->options.store, all_keys,
 		    watch->revision, watch_ms(watch, now_ms), on_watch_result,
 		    watch->call);
+		watch->era_check_due = false;
 		return;
 	}
 	if (!watch->listing)
@@ -345,6 +349,7 @@
 	watch->list_complete = false;
 	watch->changes_missing = false;
 	watch->revision = 0;
+	watch->restored_once = true;
 	watch->hold_until_ms = INT64_MAX;
 	key_revisions_restore(watch->keys);
 	relay_log_reset(watch->change_log, INT64_MAX);
@@ -353,6 +358,21 @@
 	start_next_call(watch);
 }
 
+void
+store_watch_check_era(store_watch_t *watch, int64_t era)
+{
+	if (era <= platform_store_era(watch->options.store) ||
+	    era <= watch->checked_era)
+		return;
+	watch->checked_era = era;
+	/* The response to a list, or to a retry, shows the era. */
+	if (!watch->list_complete || watch->failures > 0)
+		return;
+	watch->era_check_due = true;
+	uv_timer_stop(&watch->timer);
+	start_next_call(watch);
+}
+
 bool
 store_watch_is_restoring(const store_watch_t *watch)
 {
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -57,6 +57,12 @@
  */
 void store_watch_restore(store_watch_t *watch);
 
+/*
+ * A peer states an era of the store. Where it is later than the known one the
+ * store is asked at once: its response decides.
+ */
+void store_watch_check_era(store_watch_t *watch, int64_t era);
+
 /*
  * True from a restoration until the keys that the store lacks are removed: what
  * is listed may be older than what this node knows.
--- a/src/store_watch_relay.c
+++ b/src/store_watch_relay.c
@@ -45,6 +45,19 @@
 	return true;
 }
 
+/*
+ * True where the revisions of a response may be compared with the own ones. A
+ * relay of an earlier version states no era.
+ */
+static bool
+is_own_era(const store_watch_t *watch, int64_t era)
+{
+	int64_t own_era = platform_store_era(watch->options.store);
+
+	return era == own_era || (!watch->restored_once && era < own_era &&
+				     relay_is_same_era(era, own_era));
+}
+
 void
 store_watch_apply_response(
     store_watch_t *watch, const relay_response_t *response)
@@ -52,9 +65,8 @@
 	int64_t now_ms = clock_boot_ms();
 	int64_t confirmed_ms;
 
-	platform_store_learn_era(watch->options.store, response->era);
-	if (!relay_is_same_era(
-		response->era, platform_store_era(watch->options.store)) ||
+	store_watch_check_era(watch, response->era);
+	if (!is_own_era(watch, response->era) ||
 	    watch->relay_interval_ms == 0 || !watch->list_complete)
 		return;
 	if (response->changes_missing) {
@@ -83,10 +95,7 @@
     GByteArray *out)
 {
 	int64_t now_ms = clock_boot_ms();
-	relay_state_t state;
-
-	platform_store_learn_era(watch->options.store, request->era);
-	state = (relay_state_t){
+	relay_state_t state = {
 	    .client_addresses = client_addresses,
 	    .revision = watch->revision,
 	    .confirmation_age_ms =
@@ -95,6 +104,7 @@
 	    .era = platform_store_era(watch->options.store),
 	};
 
+	store_watch_check_era(watch, request->era);
 	watch->has_followers = true;
 	relay_encode_response(watch->change_log, request, &state, out);
 }
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -238,11 +238,17 @@
 }
 END_TEST
 
-/* Guards against a node cut off from a store that has been restored. */
+/*
+ * Guards against a node that does not learn of a restored store, and against
+ * one that believes it of a sender that is no node.
+ */
 START_TEST(what_a_peer_knows_of_the_store_is_passed_on)
 {
 	told = (cluster_local_state_t){
 	    .configuration_version = 9, .store_era = 2, .recorded_window = 70};
+	send_digest(0, 0, -1);
+	ck_assert_int_eq(learned.store_era + learned.recorded_window, 0);
+	cluster_put_node(node->cluster, "n1", "127.0.0.1:9");
 	send_digest(0, 0, 0);
 	ck_assert_int_eq(learned.store_era, 2);
 	ck_assert_int_eq(learned.recorded_window, 70);
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -1,9 +1,13 @@
+#include "conn.h"
+#include "digest.h"
 #include "suite.h"
 #include "support_gateway.h"
 #include "support_wire.h"
 
 #include <check.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* A gateway whose store comes back from a copy that is some seconds old. */
 
@@ -18,6 +22,7 @@
 	LATER_WRITES = 20,
 	/* In CHANGE_DELIVERY_MS, with pauses that double from 60 ms on. */
 	LISTS_MAX = 5,
+	PEER_PORT_OFFSET = 3, /* from the port for clients */
 };
 
 static const char refused_lists[] =
@@ -140,6 +145,47 @@
 }
 END_TEST
 
+/* Sends a digest of the registered node "n9" with an era of the store. */
+static void
+send_digest(int64_t era)
+{
+	struct sockaddr_in address;
+	digest_t *digest = digest_new();
+	GByteArray *bytes = g_byte_array_new();
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	ck_assert(conn_parse_address(gateway_node->address, &address));
+	address.sin_port =
+	    htons((uint16_t)(ntohs(address.sin_port) + PEER_PORT_OFFSET));
+	digest->node = g_strdup("n9");
+	digest->client_address = g_strdup("127.0.0.1:9");
+	digest->sequence = 1;
+	digest->store_era = era;
+	digest_encode(digest, bytes);
+	ck_assert_int_eq(sendto(fd, bytes->data, bytes->len, 0,
+			     (struct sockaddr *)&address, sizeof(address)),
+	    bytes->len);
+	close(fd);
+	g_byte_array_unref(bytes);
+	digest_free(digest);
+}
+
+/* Guards against a node that believes a peer's wrong era, and then none of the
+ * store's responses. */
+START_TEST(era_that_only_a_peer_states_changes_nothing)
+{
+	gateway_store_put("papaya/node/n9", "127.0.0.1:9");
+	wait_ms(CHANGE_DELIVERY_MS);
+	send_digest(1000);
+	wait_ms(REWRITE_MS);
+	gateway_configure(2, "[\"key-1\", \"key-2\"]");
+	assert_change_applies();
+	ck_assert_double_eq(
+	    gateway_metric(gateway_node, "store_restored_total"), 0);
+	assert_in_use();
+}
+END_TEST
+
 /* Guards against requests to servers that the copy shows as ready. */
 START_TEST(draining_or_removed_server_of_the_copy_gets_no_request)
 {
@@ -173,6 +219,7 @@
 	tcase_add_test(cases, server_that_the_copy_lacks_is_kept_for_a_while);
 	tcase_add_test(cases, second_restoration_begins_anew);
 	tcase_add_test(cases, restoration_shows_in_an_error);
+	tcase_add_test(cases, era_that_only_a_peer_states_changes_nothing);
 	tcase_add_loop_test(cases,
 	    draining_or_removed_server_of_the_copy_gets_no_request, 0, 2);
 	suite_add_tcase(suite, cases);
