--- a/src/gateway.c
+++ b/src/gateway.c
@@ -37,6 +37,10 @@
 	RETURN_BYTES = 8 * 1024 * 1024,
 	/* From the first node that applies a change to the last one. */
 	CHANGE_DELIVERY_MAX_MS = 800,
+	/* Before a node is ready for the first time: it waits so long for a
+	 * configuration that its peers have, and for the first digest. */
+	PEER_CONFIGURATION_WAIT_MS = 5000,
+	PEER_DIGEST_WAIT_MS = 600,
 };
 
 /*
@@ -74,6 +78,27 @@
 	lease_enable_campaign(gateway->lease);
 }
 
+/* The store has been restored from a copy. */
+static void
+on_store_restored(int64_t era, void *data)
+{
+	gateway_t *gateway = data;
+
+	lease_restore(gateway->lease);
+	rollouts_set_restoring(gateway->proxy.rollouts, true);
+	store_watch_restore(gateway->store_watch);
+}
+
+static void
+on_restoration_over(void *data)
+{
+	gateway_t *gateway = data;
+
+	rollouts_set_restoring(gateway->proxy.rollouts, false);
+	log_event(LOG_LEVEL_INFO, "store.restoration_over", "servers=%u",
+	    pool_count(gateway->proxy.pool));
+}
+
 static void
 on_newer_configuration(void *data)
 {
@@ -83,6 +108,25 @@
 		gateway->newer_configuration_ms = clock_boot_ms();
 }
 
+/* A peer states a later era of the store. */
+static void
+on_peer_era(int64_t era, void *data)
+{
+	gateway_t *gateway = data;
+
+	if (gateway->store_watch != NULL)
+		store_watch_check_era(gateway->store_watch, era);
+}
+
+static void
+on_peer_record(int64_t window, void *data)
+{
+	const gateway_t *gateway = data;
+
+	if (gateway->usage_report != NULL)
+		usage_report_learn_record(gateway->usage_report, window);
+}
+
 static void
 on_relay_request(const relay_request_t *request,
     const GPtrArray *client_addresses, GByteArray *response, void *data)
@@ -317,13 +361,42 @@
 	cluster_local_state_t state = {.ready = gateway->ready,
 	    .unproven = gateway->unproven,
 	    .leader = lease_fencing_token(gateway->lease) != 0,
-	    .configuration_version = catalog == NULL ? 0 : catalog->version};
+	    .configuration_version = catalog == NULL ? 0 : catalog->version,
+	    .store_era = platform_store_era(gateway->store),
+	    .recorded_window =
+		usage_report_recorded_window(gateway->usage_report)};
 
 	cluster_set_local_state(gateway->cluster, &state);
 	lease_set_campaign_delay(
 	    gateway->lease, cluster_campaign_delay_ms(gateway->cluster));
 }
 
+/*
+ * True while a node that has just started should wait for the configuration
+ * that its peers have: a store that has been restored from a copy may show an
+ * older one, where API keys that were withdrawn are valid.
+ */
+static bool
+is_behind_peers(gateway_t *gateway, int64_t now_ms)
+{
+	int64_t peers_version;
+	int64_t wait_ms;
+
+	if (gateway->was_ready || !gateway->initial_list_complete ||
+	    platform_store_era(gateway->store) <= PLATFORM_ERA_FIRST)
+		return false;
+	peers_version = cluster_newest_configuration(gateway->cluster, now_ms);
+	if (gateway->proxy.catalog != NULL &&
+	    gateway->proxy.catalog->version >= peers_version &&
+	    (peers_version != 0 || cluster_node_count(gateway->cluster) == 1))
+		return false;
+	if (gateway->peer_wait_since_ms == 0)
+		gateway->peer_wait_since_ms = now_ms;
+	wait_ms = peers_version == 0 ? PEER_DIGEST_WAIT_MS
+				     : PEER_CONFIGURATION_WAIT_MS;
+	return now_ms - gateway->peer_wait_since_ms < wait_ms;
+}
+
 static void
 update_ready(gateway_t *gateway, int64_t now_ms)
 {
@@ -335,10 +408,14 @@
 	bool ready =
 	    can_serve &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
+	bool behind = is_behind_peers(gateway, now_ms);
 
 	if (confirmed_ms != 0)
 		gateway->proxy.catalog_valid_until_ms =
-		    confirmed_ms + (int64_t)(config_use_share * revoke_ms);
+		    behind ? 0
+			   : confirmed_ms +
+				 (int64_t)(config_use_share * revoke_ms);
+	ready = ready && !behind;
 	if (ready != gateway->ready)
 		log_event(LOG_LEVEL_INFO,
 		    ready ? "front.ready" : "front.unready",
@@ -347,6 +424,7 @@
 	gateway->unproven =
 	    can_serve && !ready && (gateway->ready || gateway->unproven);
 	gateway->ready = ready;
+	gateway->was_ready |= ready;
 	report_local_state(gateway);
 }
 
@@ -752,6 +830,8 @@
 	    .rollouts = gateway->proxy.rollouts,
 	    .crash_guard = gateway->proxy.crash_guard,
 	    .on_newer_configuration = on_newer_configuration,
+	    .on_peer_era = on_peer_era,
+	    .on_peer_record = on_peer_record,
 	    .on_relay_request = on_relay_request,
 	    .on_relay_response = on_relay_response,
 	    .data = gateway,
@@ -773,6 +853,7 @@
 	    .on_put = gateway_on_store_put,
 	    .on_removed = gateway_on_store_remove,
 	    .on_list_complete = on_list_complete,
+	    .on_restoration_over = on_restoration_over,
 	    .on_confirmed = on_configuration_confirmed,
 	    .data = gateway,
 	};
@@ -800,6 +881,7 @@
 	});
 	watch_options.store = gateway->store;
 	gateway->store_watch = store_watch_start(gateway->loop, &watch_options);
+	platform_store_on_restored(gateway->store, on_store_restored, gateway);
 }
 
 gateway_t *
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -59,6 +59,23 @@
 	quota_configure(gateway->proxy.quota, catalog, clock_boot_ms());
 }
 
+/* Takes ownership of info. */
+static void
+put_outdated_server(gateway_t *gateway, server_info_t *info, int64_t now_ms)
+{
+	const server_info_t *known =
+	    pool_find_known(gateway->proxy.pool, info->id)->info;
+
+	log_event(LOG_LEVEL_INFO, "server.outdated",
+	    "id=%s sequence=%" G_GINT64_FORMAT
+	    " known_sequence=%" G_GINT64_FORMAT
+	    " draining=%d known_draining=%d",
+	    info->id, info->sequence, known->sequence, info->draining,
+	    known->draining);
+	counter_add(gateway->proxy.counters, 1, "outdated_entries_total");
+	pool_put_outdated(gateway->proxy.pool, info, now_ms);
+}
+
 static void
 put_server(gateway_t *gateway, const char *id, const platform_item_t *item)
 {
@@ -76,6 +93,11 @@
 		pool_remove(gateway->proxy.pool, id, 0, now_ms);
 		return;
 	}
+	if (store_watch_is_restoring(gateway->store_watch) &&
+	    pool_is_outdated(gateway->proxy.pool, info)) {
+		put_outdated_server(gateway, info, now_ms);
+		return;
+	}
 	log_event(LOG_LEVEL_INFO, "server.listed",
 	    "id=%s service=%s address=%s zone=%s version=%s draining=%d "
 	    "spot=%d leaves_ms=%" G_GINT64_FORMAT,
@@ -215,8 +237,7 @@
 		put_node(gateway, name, item);
 		break;
 	case KEY_LEASE_HOLDER:
-		lease_update_leader(
-		    gateway->lease, item->value, item->length, item->revision);
+		lease_update_leader(gateway->lease, item);
 		break;
 	case KEY_USAGE_REPORT:
 		usage_report_set_record(gateway->usage_report, item->value,
@@ -228,7 +249,8 @@
 		break;
 	case KEY_ROLLOUT:
 		rollouts_set_spec(gateway->proxy.rollouts, name, item->value,
-		    item->length, item->revision);
+		    item->length, platform_store_era(gateway->store),
+		    item->revision);
 		break;
 	case KEY_ROLLOUT_RECORD:
 		rollouts_set_record(
@@ -275,7 +297,7 @@
 			lease_check_registration(gateway->lease);
 		break;
 	case KEY_LEASE_HOLDER:
-		lease_update_leader(gateway->lease, NULL, 0, 0);
+		lease_update_leader(gateway->lease, NULL);
 		break;
 	case KEY_USAGE_REPORT:
 		usage_report_set_record(gateway->usage_report, NULL, 0, 0);
@@ -284,7 +306,7 @@
 		scaler_set_baseline(gateway->scale_orders, name, NULL, 0);
 		break;
 	case KEY_ROLLOUT:
-		rollouts_set_spec(gateway->proxy.rollouts, name, NULL, 0, 0);
+		rollouts_set_spec(gateway->proxy.rollouts, name, NULL, 0, 0, 0);
 		break;
 	case KEY_ROLLOUT_RECORD:
 		rollouts_set_record(gateway->proxy.rollouts, name, NULL, 0);
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -1,4 +1,4 @@
-#include "store_watch.h"
+#include "store_watch_state.h"
 
 #include "clock.h"
 #include "log.h"
@@ -6,8 +6,6 @@
 enum {
 	/* Longest watch without changes; bounds the age of a confirmation. */
 	WATCH_MAX_MS = 1200,
-	/* The same in a fleet with relays. */
-	RELAY_WATCH_MAX_MS = 450,
 	CONFIRM_WATCH_MS = 1,
 	RETRY_MIN_MS = 60,
 	RETRY_MAX_MS = 400,
@@ -19,97 +17,69 @@
 	RELAY_CHECK_MS = 100,
 	/* Entries removed in an outage may reappear this long after its end. */
 	RECOVERY_MS = 2500,
+	/*
+	 * After a restoration operators and backend servers write their keys
+	 * again within about two seconds.
+	 */
+	RESTORE_HOLD_MS = 2500,
 };
 
 static const char all_keys[] = "";
 
 /* A watch confirms the copy after this share of max_staleness_ms at most. */
 static const double watch_staleness_share = 0.3;
-/* The same in a fleet with relays, whose confirmations are passed on. */
-static const double relay_watch_staleness_share = 0.11;
-
-struct store_watch {
-	store_watch_options_t options;
-	uv_timer_t timer;
-	GHashTable *revisions;	 /* key to its last revision (int64_t *) */
-	GHashTable *listed_keys; /* keys of the list in progress; NULL: none */
-	/* Last key of the previous page of the list; NULL: first page. */
-	char *last_page_key;
-	int64_t list_revision; /* lowest store revision of the pages */
-	int64_t list_started_ms;
-	int64_t revision;     /* all changes up to it are applied */
-	int64_t call_sent_ms; /* start of the call in progress */
-	int64_t confirmed_ms;
-	int64_t last_response_ms; /* of the store, or a relay's confirmation */
-	int64_t recovered_ms;	  /* last end of an outage here or at a relay */
-	int64_t last_refresh_ms;
-	unsigned failures; /* consecutive */
-	bool list_complete;
-	bool unavailable;
-	bool refresh_pending;
-	relay_log_t *change_log;   /* for followers of this node */
-	int64_t relay_interval_ms; /* 0: this node does not follow relays */
-	int64_t last_request_ms;   /* to a relay */
-	int64_t min_interval_ms;   /* between watches */
-	bool has_followers;	   /* one has sent a request */
-	bool listed_once;     /* a list has been completed since the start */
-	bool changes_missing; /* in a relay's response; cleared by a watch */
-};
 
 static void start_next_call(store_watch_t *watch);
 
-/* Returns whether the revision is newer than the key's last one. */
-static bool
-record_revision(store_watch_t *watch, const char *key, int64_t revision)
-{
-	int64_t *last_revision = g_hash_table_lookup(watch->revisions, key);
-
-	if (last_revision != NULL && *last_revision >= revision)
-		return false;
-	if (last_revision == NULL) {
-		last_revision = g_new(int64_t, 1);
-		g_hash_table_insert(
-		    watch->revisions, g_strdup(key), last_revision);
-	}
-	*last_revision = revision;
-	return true;
-}
-
-static void
-remove_key(store_watch_t *watch, const char *key, int64_t revision)
+void
+store_watch_apply_items(
+    store_watch_t *watch, const platform_item_t *items, size_t count)
 {
-	int64_t *last_revision = g_hash_table_lookup(watch->revisions, key);
-
-	if (last_revision == NULL || *last_revision >= revision)
-		return;
-	watch->options.on_removed(key, watch->options.data);
-	g_hash_table_remove(watch->revisions, key);
-}
+	const store_watch_options_t *options = &watch->options;
 
-static void
-apply_items(store_watch_t *watch, const platform_item_t *items, size_t count)
-{
 	for (size_t i = 0; i < count; i++) {
 		const platform_item_t *item = &items[i];
 
 		/* Watches and relay responses may repeat a change. */
-		if (watch->listed_keys == NULL &&
-		    item->revision <= watch->revision)
+		if (!watch->listing && item->revision <= watch->revision)
 			continue;
-		if (watch->listed_keys == NULL)
+		if (!watch->listing)
 			relay_log_add(watch->change_log, item);
-		if (item->removed)
-			remove_key(watch, item->key, item->revision);
-		else if (record_revision(watch, item->key, item->revision))
-			watch->options.on_put(item, watch->options.data);
-		if (watch->listed_keys != NULL)
-			g_hash_table_add(
-			    watch->listed_keys, g_strdup(item->key));
+		if (!item->removed) {
+			if (key_revisions_put(
+				watch->keys, item->key, item->revision))
+				options->on_put(item, options->data);
+		} else if (key_revisions_remove(
+			       watch->keys, item->key, item->revision)) {
+			options->on_removed(item->key, options->data);
+		}
 	}
 }
 
+/* Takes over the keys (char *), which are no longer in the store. */
 static void
-mark_available(store_watch_t *watch)
+report_removed(store_watch_t *watch, GPtrArray *keys)
+{
+	for (guint i = 0; i < keys->len; i++)
+		watch->options.on_removed(keys->pdata[i], watch->options.data);
+	g_ptr_array_unref(keys);
+}
+
+void
+store_watch_report_confirmed(store_watch_t *watch)
+{
+	watch->options.on_confirmed(watch->options.data);
+	if (watch->hold_until_ms == 0 ||
+	    watch->confirmed_ms < watch->hold_until_ms)
+		return;
+	/* The writers of these keys have had their time. */
+	watch->hold_until_ms = 0;
+	report_removed(watch, key_revisions_end_hold(watch->keys));
+	watch->options.on_restoration_over(watch->options.data);
+}
+
+void
+store_watch_mark_available(store_watch_t *watch)
 {
 	int64_t now_ms = clock_boot_ms();
 
@@ -151,53 +121,61 @@
 static void
 finish_list(store_watch_t *watch)
 {
-	GHashTable *listed_keys = watch->listed_keys;
-	GHashTableIter iter;
-	gpointer key;
-
-	watch->listed_keys = NULL;
-	g_hash_table_iter_init(&iter, watch->revisions);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		if (g_hash_table_contains(listed_keys, key))
-			continue;
-		watch->options.on_removed(key, watch->options.data);
-		g_hash_table_iter_remove(&iter);
-	}
-	g_hash_table_unref(listed_keys);
+	watch->listing = false;
+	report_removed(watch, key_revisions_end_list(watch->keys));
 	g_clear_pointer(&watch->last_page_key, g_free);
-	watch->revision = MAX(watch->revision, watch->list_revision);
+	watch->revision = watch->list_revision;
 	relay_log_reset(watch->change_log, watch->revision);
 	watch->list_complete = true;
+	if (watch->hold_until_ms == INT64_MAX)
+		watch->hold_until_ms = clock_boot_ms() + RESTORE_HOLD_MS;
 	watch->options.on_list_complete(watch->options.data);
-	if (watch->listed_once) {
-		watch->confirmed_ms = watch->list_started_ms;
-		watch->options.on_confirmed(watch->options.data);
-	}
 	watch->listed_once = true;
+	if (watch->list_may_be_stale)
+		return;
+	watch->confirmed_ms = watch->list_started_ms;
+	store_watch_report_confirmed(watch);
 }
 
 static void
 abort_list(store_watch_t *watch)
 {
-	g_clear_pointer(&watch->listed_keys, g_hash_table_unref);
+	watch->listing = false;
 	g_clear_pointer(&watch->last_page_key, g_free);
 }
 
+/* Returns the owner of a call that is done; NULL: its result is ignored. */
+static store_watch_t *
+end_call(watch_call_t *call)
+{
+	store_watch_t *watch = call->watch;
+	bool replaced = watch->call != call;
+
+	g_free(call);
+	if (replaced)
+		return NULL;
+	watch->call = NULL;
+	return watch;
+}
+
 static void
 on_list_page(const platform_result_t *result, void *data)
 {
-	store_watch_t *watch = data;
+	store_watch_t *watch = end_call(data);
 
+	if (watch == NULL)
+		return;
 	if (result->status != PLATFORM_OK) {
+		watch->stale_refused |= result->status == PLATFORM_RESTORED;
 		abort_list(watch);
 		retry_later(watch, result->status);
 		return;
 	}
-	mark_available(watch);
+	store_watch_mark_available(watch);
 	if (watch->last_page_key == NULL)
 		watch->list_revision = result->revision;
 	watch->list_revision = MIN(watch->list_revision, result->revision);
-	apply_items(watch, result->items, result->count);
+	store_watch_apply_items(watch, result->items, result->count);
 	g_free(watch->last_page_key);
 	watch->last_page_key = NULL;
 	if (result->has_more && result->count > 0)
@@ -208,33 +186,31 @@
 	start_next_call(watch);
 }
 
-/* Longest watch without changes of a relay. */
+/* Longest watch without changes. */
 static int64_t
-relay_watch_ms(const store_watch_t *watch)
-{
-	return MIN(RELAY_WATCH_MAX_MS,
-	    (int64_t)(relay_watch_staleness_share *
-		      (double)watch->options.max_staleness_ms));
-}
-
-static int64_t
-watch_ms(const store_watch_t *watch)
+longest_watch_ms(const store_watch_t *watch)
 {
 	if (watch->relay_interval_ms > 0 || watch->has_followers)
-		return relay_watch_ms(watch);
+		return store_watch_relay_ms(watch);
 	return MIN(
 	    WATCH_MAX_MS, (int64_t)(watch_staleness_share *
 				    (double)watch->options.max_staleness_ms));
 }
 
-/* True while relay responses confirm the copy often enough. */
-static bool
-is_kept_current_by_relay(const store_watch_t *watch)
+/* Duration of a watch that starts now. */
+static int64_t
+watch_ms(const store_watch_t *watch, int64_t now_ms)
 {
-	return watch->relay_interval_ms > 0 && watch->list_complete &&
-	       !watch->refresh_pending && !watch->changes_missing &&
-	       relay_is_current(clock_boot_ms() - watch->confirmed_ms,
-		   relay_watch_ms(watch));
+	int64_t hold_ms = watch->hold_until_ms - now_ms;
+
+	/* A short watch confirms the copy at once. */
+	if (watch->failures > 0 || watch->confirmed_ms == 0 ||
+	    watch->era_check_due)
+		return CONFIRM_WATCH_MS;
+	if (watch->hold_until_ms == 0)
+		return longest_watch_ms(watch);
+	/* The next watch, at the end of the hold, confirms the copy. */
+	return MIN(longest_watch_ms(watch), MAX(hold_ms, CONFIRM_WATCH_MS));
 }
 
 static void
@@ -242,7 +218,7 @@
 {
 	store_watch_t *watch = timer->data;
 
-	if (is_kept_current_by_relay(watch))
+	if (store_watch_is_kept_current(watch))
 		return;
 	uv_timer_stop(timer);
 	start_next_call(watch);
@@ -270,10 +246,12 @@
 static void
 on_watch_result(const platform_result_t *result, void *data)
 {
-	store_watch_t *watch = data;
+	store_watch_t *watch = end_call(data);
 
+	if (watch == NULL)
+		return;
 	if (result->status == PLATFORM_COMPACTED) {
-		mark_available(watch);
+		store_watch_mark_available(watch);
 		watch->list_complete = false;
 		start_next_call(watch);
 		return;
@@ -282,18 +260,30 @@
 		retry_later(watch, result->status);
 		return;
 	}
-	mark_available(watch);
-	apply_items(watch, result->items, result->count);
+	store_watch_mark_available(watch);
+	store_watch_apply_items(watch, result->items, result->count);
 	watch->revision = MAX(watch->revision, result->revision);
 	watch->confirmed_ms = MAX(watch->confirmed_ms, watch->call_sent_ms);
 	watch->changes_missing = false;
-	watch->options.on_confirmed(watch->options.data);
-	if (is_kept_current_by_relay(watch))
+	store_watch_report_confirmed(watch);
+	if (store_watch_is_kept_current(watch))
 		start_relay_check(watch);
 	else
 		start_call_after_interval(watch);
 }
 
+static void
+begin_list(store_watch_t *watch, int64_t now_ms)
+{
+	watch->listing = true;
+	watch->list_started_ms = now_ms;
+	/* The first list may be stale: the watch after it confirms the copy. */
+	watch->list_may_be_stale = !watch->listed_once &&
+				   watch->hold_until_ms == 0 &&
+				   !watch->stale_refused;
+	key_revisions_begin_list(watch->keys);
+}
+
 /* Starts the next watch, or the next page of a list. */
 static void
 start_next_call(store_watch_t *watch)
@@ -307,23 +297,20 @@
 		watch->last_refresh_ms = now_ms;
 		watch->list_complete = false;
 	}
+	watch->call = g_new0(watch_call_t, 1);
+	watch->call->watch = watch;
 	if (watch->list_complete) {
-		/* A short watch confirms the copy at once. */
-		bool confirm = watch->failures > 0 || watch->confirmed_ms == 0;
-		int64_t wait_ms = confirm ? CONFIRM_WATCH_MS : watch_ms(watch);
-
 		platform_store_watch(watch->options.store, all_keys,
-		    watch->revision, wait_ms, on_watch_result, watch);
+		    watch->revision, watch_ms(watch, now_ms), on_watch_result,
+		    watch->call);
+		watch->era_check_due = false;
 		return;
 	}
-	if (watch->listed_keys == NULL) {
-		watch->listed_keys = g_hash_table_new_full(
-		    g_str_hash, g_str_equal, g_free, NULL);
-		watch->list_started_ms = now_ms;
-	}
-	/* The first list may be stale: the watch after it confirms the copy. */
+	if (!watch->listing)
+		begin_list(watch, now_ms);
 	platform_store_list(watch->options.store, all_keys,
-	    watch->last_page_key, !watch->listed_once, on_list_page, watch);
+	    watch->last_page_key, watch->list_may_be_stale, on_list_page,
+	    watch->call);
 }
 
 store_watch_t *
@@ -332,8 +319,7 @@
 	store_watch_t *watch = g_new0(store_watch_t, 1);
 
 	watch->options = *options;
-	watch->revisions =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	watch->keys = key_revisions_new();
 	watch->last_response_ms = clock_boot_ms();
 	watch->change_log = relay_log_new();
 	uv_timer_init(loop, &watch->timer);
@@ -351,86 +337,62 @@
 bool
 store_watch_is_unstable(const store_watch_t *watch)
 {
-	return watch->unavailable ||
+	return watch->unavailable || store_watch_is_restoring(watch) ||
 	       (watch->recovered_ms != 0 &&
 		   clock_boot_ms() - watch->recovered_ms < RECOVERY_MS);
 }
 
 void
-store_watch_refresh(store_watch_t *watch)
+store_watch_restore(store_watch_t *watch)
 {
-	watch->refresh_pending = true;
+	abort_list(watch);
+	watch->list_complete = false;
+	watch->changes_missing = false;
+	watch->revision = 0;
+	watch->restored_once = true;
+	watch->hold_until_ms = INT64_MAX;
+	key_revisions_restore(watch->keys);
+	relay_log_reset(watch->change_log, INT64_MAX);
+	/* A watch in progress waits for revisions of the earlier era. */
+	uv_timer_stop(&watch->timer);
+	start_next_call(watch);
 }
 
 void
-store_watch_set_relay_interval(store_watch_t *watch, int64_t interval_ms)
+store_watch_check_era(store_watch_t *watch, int64_t era)
 {
-	watch->relay_interval_ms = interval_ms;
+	if (era <= platform_store_era(watch->options.store) ||
+	    era <= watch->checked_era)
+		return;
+	watch->checked_era = era;
+	/* The response to a list, or to a retry, shows the era. */
+	if (!watch->list_complete || watch->failures > 0)
+		return;
+	watch->era_check_due = true;
+	uv_timer_stop(&watch->timer);
+	start_next_call(watch);
 }
 
-void
-store_watch_set_min_interval(store_watch_t *watch, int64_t interval_ms)
+bool
+store_watch_is_restoring(const store_watch_t *watch)
 {
-	watch->min_interval_ms = interval_ms;
+	return watch->hold_until_ms != 0;
 }
 
-bool
-store_watch_next_request(store_watch_t *watch, relay_request_t *request)
+void
+store_watch_refresh(store_watch_t *watch)
 {
-	int64_t now_ms = clock_boot_ms();
-
-	if (watch->relay_interval_ms == 0 || !watch->list_complete ||
-	    now_ms - watch->last_request_ms < watch->relay_interval_ms)
-		return false;
-	watch->last_request_ms = now_ms;
-	request->after_revision = watch->revision;
-	request->sent_ms = now_ms;
-	return true;
+	watch->refresh_pending = true;
 }
 
 void
-store_watch_apply_response(
-    store_watch_t *watch, const relay_response_t *response)
+store_watch_set_relay_interval(store_watch_t *watch, int64_t interval_ms)
 {
-	int64_t now_ms = clock_boot_ms();
-	int64_t confirmed_ms;
-
-	if (watch->relay_interval_ms == 0 || !watch->list_complete ||
-	    watch->listed_keys != NULL)
-		return;
-	if (response->changes_missing) {
-		/* A watch of the store returns all missing changes. */
-		watch->changes_missing = true;
-		return;
-	}
-	if (response->store_unstable)
-		watch->recovered_ms = now_ms;
-	apply_items(watch, response->items, response->count);
-	watch->revision = MAX(watch->revision, response->revision);
-	confirmed_ms =
-	    response->request_sent_ms - response->confirmation_age_ms;
-	if (response->confirmation_age_ms < 0 ||
-	    !relay_is_current(now_ms - confirmed_ms, relay_watch_ms(watch)))
-		return;
-	watch->confirmed_ms = MAX(watch->confirmed_ms, confirmed_ms);
-	mark_available(watch);
-	watch->options.on_confirmed(watch->options.data);
+	watch->relay_interval_ms = interval_ms;
 }
 
 void
-store_watch_encode_response(store_watch_t *watch,
-    const relay_request_t *request, const GPtrArray *client_addresses,
-    GByteArray *out)
+store_watch_set_min_interval(store_watch_t *watch, int64_t interval_ms)
 {
-	int64_t now_ms = clock_boot_ms();
-	relay_state_t state = {
-	    .client_addresses = client_addresses,
-	    .revision = watch->revision,
-	    .confirmation_age_ms =
-		watch->confirmed_ms == 0 ? -1 : now_ms - watch->confirmed_ms,
-	    .store_unstable = store_watch_is_unstable(watch),
-	};
-
-	watch->has_followers = true;
-	relay_encode_response(watch->change_log, request, &state, out);
+	watch->min_interval_ms = interval_ms;
 }
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -27,6 +27,8 @@
 	void (*on_removed)(const char *key, void *data);
 	/* All keys have been listed, for the first time or again. */
 	void (*on_list_complete)(void *data);
+	/* Keys that the restored store lacks have been removed; see below. */
+	void (*on_restoration_over)(void *data);
 	/* The copy has been confirmed as current. */
 	void (*on_confirmed)(void *data);
 	void *data;
@@ -42,11 +44,31 @@
 int64_t store_watch_confirmed_ms(const store_watch_t *watch);
 
 /*
- * True while the store is unavailable and shortly after, when entries that were
- * removed during the outage may reappear.
+ * True while the store is unavailable or being restored, and shortly after,
+ * when entries that were removed meanwhile may reappear.
  */
 bool store_watch_is_unstable(const store_watch_t *watch);
 
+/*
+ * The store has been restored from a copy: lists all keys again. Each listed
+ * key counts as written anew, whatever its revision. A key that the store lacks
+ * is kept for a while, since its writer may write it again, and is removed
+ * then.
+ */
+void store_watch_restore(store_watch_t *watch);
+
+/*
+ * A peer states an era of the store. Where it is later than the known one the
+ * store is asked at once: its response decides.
+ */
+void store_watch_check_era(store_watch_t *watch, int64_t era);
+
+/*
+ * True from a restoration until the keys that the store lacks are removed: what
+ * is listed may be older than what this node knows.
+ */
+bool store_watch_is_restoring(const store_watch_t *watch);
+
 /*
  * Sets the interval at which this node requests the changes from relays; 0: it
  * watches the store itself.
@@ -61,7 +83,10 @@
 
 /* Fills in the request to send to a relay; false: no request is due. */
 bool store_watch_next_request(store_watch_t *watch, relay_request_t *request);
-/* Applies a relay's response; it and its items are borrowed. */
+/*
+ * Applies a relay's response; it and its items are borrowed. One of an earlier
+ * era is ignored.
+ */
 void store_watch_apply_response(
     store_watch_t *watch, const relay_response_t *response);
 /*
