Ask the store every 60 ms while first requests may wait

Change: for a second after the start, until the first list, retries of the store's calls are 60 ms apart, with the jitter of before.

--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -11,6 +11,10 @@
 	RETRY_MAX_MS = 400,
 	/* The same where relays bring the changes. */
 	FOLLOWER_RETRY_MAX_MS = 1600,
+	/* The same while the first requests of a node that has just started may
+	 * wait for its configuration. */
+	STARTUP_MS = 1000,
+	STARTUP_RETRY_MAX_MS = 60,
 	/* The store counts as unavailable after failing for this long. */
 	UNAVAILABLE_AFTER_MS = 300,
 	REFRESH_INTERVAL_MS = 300,
@@ -99,13 +103,21 @@
 	start_next_call(timer->data);
 }
 
+static int64_t
+retry_max_ms(const store_watch_t *watch)
+{
+	if (!watch->listed_once &&
+	    clock_boot_ms() - watch->started_ms < STARTUP_MS)
+		return STARTUP_RETRY_MAX_MS;
+	return watch->relay_interval_ms > 0 ? FOLLOWER_RETRY_MAX_MS
+					    : RETRY_MAX_MS;
+}
+
 static void
 retry_later(store_watch_t *watch, platform_status_t status)
 {
-	int64_t delay_max_ms =
-	    watch->relay_interval_ms > 0 ? FOLLOWER_RETRY_MAX_MS : RETRY_MAX_MS;
 	int64_t delay_ms =
-	    MIN(RETRY_MIN_MS << MIN(watch->failures, 5u), delay_max_ms);
+	    MIN(RETRY_MIN_MS << MIN(watch->failures, 5u), retry_max_ms(watch));
 
 	watch->failures++;
 	if (!watch->unavailable &&
@@ -320,7 +332,8 @@
 
 	watch->options = *options;
 	watch->keys = key_revisions_new();
-	watch->last_response_ms = clock_boot_ms();
+	watch->started_ms = clock_boot_ms();
+	watch->last_response_ms = watch->started_ms;
 	watch->change_log = relay_log_new();
 	uv_timer_init(loop, &watch->timer);
 	watch->timer.data = watch;
--- a/src/store_watch_state.h
+++ b/src/store_watch_state.h
@@ -34,6 +34,7 @@
 	int64_t hold_until_ms;
 	int64_t last_response_ms; /* of the store, or a relay's confirmation */
 	int64_t recovered_ms;	  /* last end of an outage here or at a relay */
+	int64_t started_ms;
 	int64_t last_refresh_ms;
 	unsigned failures; /* consecutive */
 	bool list_complete;
