Pass on a server's error where there is no other server

What callers saw: 502 without a body for an idempotent request that its only server had answered with an error of its own.

Cause: after an error the retry was taken and the response dropped before another server was looked for.

Change: the other server is chosen first, as for a silent one; without one the server's response is passed on.

Evidence: test_config_changes, error_of_the_only_server_is_passed_on: 502 on the old code. It passes, with test_gateway, test_stream_moves, test_hedge_process and test_unframed.

--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -181,6 +181,13 @@
 		event_stream_resume(attempt->events);
 }
 
+static void
+retry_at(proxy_request_t *req, const proxy_retry_t *retry)
+{
+	drop_attempt(req->attempt);
+	proxy_send_retry(req, retry);
+}
+
 /* Retries at another server. */
 static void
 retry_request(proxy_request_t *req)
@@ -244,12 +251,13 @@
 handle_server_error(proxy_attempt_t *attempt, bool is_complete)
 {
 	proxy_request_t *req = attempt->request;
+	proxy_retry_t retry;
 
 	proxy_record_failed_attempt(attempt, SERVER_FAILED, "server error");
 	if (proxy_leave_race(attempt))
 		return;
-	if (catalog_may_retry(req->route) && proxy_take_retry(req))
-		retry_request(req);
+	if (catalog_may_retry(req->route) && proxy_choose_retry(req, &retry))
+		retry_at(req, &retry);
 	else if (implies_not_run(attempt->status) &&
 		 !catalog_may_retry(req->route))
 		proxy_respond(req, 502, -1, "server_failed");
@@ -485,8 +493,7 @@
 	if (!proxy_choose_retry(req, &retry))
 		return;
 	proxy_record_failed_attempt(attempt, SERVER_UNREACHABLE, "silent");
-	drop_attempt(attempt);
-	proxy_send_retry(req, &retry);
+	retry_at(req, &retry);
 }
 
 static void
--- a/tests/test_config_changes.c
+++ b/tests/test_config_changes.c
@@ -75,6 +75,20 @@
 }
 END_TEST
 
+/* Guards against a server's own answer that is dropped for no other one. */
+START_TEST(error_of_the_only_server_is_passed_on)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/read/a", backend_listener_1);
+
+	wire_send(exchange.server_fd,
+	    "HTTP/1.1 500 Broken\r\nX-Attempt-Id: id-1\r\n"
+	    "X-Response-Stamp: s\r\nContent-Length: 5\r\n\r\nfirst");
+	assert_answered(exchange.client_fd);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /* Pauses of the process, past the time of a timer. */
 static const int pauses_ms[] = {SILENT_MS + MARGIN_MS, DEADLINE_MS + MARGIN_MS};
 
@@ -348,6 +362,7 @@
 	tcase_set_timeout(cases, 60);
 	tcase_add_checked_fixture(
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
+	tcase_add_test(cases, error_of_the_only_server_is_passed_on);
 	tcase_add_test(cases, the_only_server_may_be_silent_until_the_deadline);
 	tcase_add_loop_test(
 	    cases, answer_that_came_during_a_pause_is_passed_on, 0, PAUSES);
