Refuse keyed requests by an old configuration on every route

What callers would have seen: a node that has been without the store for long served requests with an API key on routes that were public, or in a deployment without workspaces, by its last configuration.

Cause: judged by the old configuration whether the key matters.

Change: past the age limit only requests without a key are served.

Evidence: the changed case of test_gateway fails on the code before (504, the request was sent on, instead of 503). It sent a key itself, which the case should not have; the request that it expects to be served has none now.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -386,13 +386,14 @@
 
 /*
  * False where a key may have been withdrawn since the configuration was
- * confirmed; has responded 503 then.
+ * confirmed; has responded 503 then. A key may count by now also where it did
+ * not: a route may have ceased to be public since, or workspaces been added.
  */
 static bool
 check_configuration_age(proxy_request_t *req)
 {
 	if (clock_boot_ms() < req->context->catalog_valid_until_ms ||
-	    !depends_on_keys(req))
+	    (!depends_on_keys(req) && req->facts.api_key == NULL))
 		return true;
 	proxy_respond(req, 503, 0, "stale_configuration");
 	return false;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -320,19 +320,31 @@
 /* Guards against refusals of requests that no withdrawn API key can affect. */
 START_TEST(public_requests_are_served_while_store_is_unavailable)
 {
-	gateway_exchange_t exchange;
-	int client;
+	static const char request[] =
+	    "POST /open/a HTTP/1.1\r\n"
+	    "Host: t.example\r\nX-Attempt-Id: id-1\r\n"
+	    "X-Deadline-Ms: 3000\r\n"
+	    "Content-Length: 0\r\n\r\n";
+	int client, server;
 
 	faults_set(platform_standin, "{\"down\": true}");
 	g_usleep(2100000);
-	exchange = gateway_exchange_open("/open/a", backend_listener_1);
-	send_response(exchange.server_fd, "200 OK", "id-1", "ok");
-	ck_assert_uint_eq(read_status(exchange.client_fd), 200);
-	gateway_exchange_close(&exchange);
+	client = wire_connect(gateway_node->address);
+	wire_send(client, request);
+	server = wire_accept(backend_listener_1);
+	g_free(wire_read_message(server));
+	send_response(server, "200 OK", "id-1", "ok");
+	ck_assert_uint_eq(read_status(client), 200);
+	close(server);
+	close(client);
 	/* A route that may have been added since. */
 	client = gateway_send_request("/unknown/a", "id-1");
 	ck_assert_uint_eq(read_status(client), 503);
 	close(client);
+	/* A key that may count by now, and be withdrawn. */
+	client = gateway_send_request("/open/a", "id-1");
+	ck_assert_uint_eq(read_status(client), 503);
+	close(client);
 }
 END_TEST
 
