Let a node that starts after a restoration wait to campaign

Cause: the first era that a node learns is no restoration to its client of the store, so that lease_restore() is not called and the wait is 0.

Ruled out: to raise on_restored for the first era; it would hold keys and list them again at each start.

Change: where the first era is later than PLATFORM_ERA_FIRST, the first lease_enable_campaign() waits for the duration of a lease. A store that begins with era 0 and has been restored once cannot be told from one that begins with era 1.

--- a/src/lease.c
+++ b/src/lease.c
@@ -37,6 +37,7 @@
 	store_lease_t *node;   /* of the node's address key */
 	store_lease_t *leader; /* of the leader key; only while needed */
 	unsigned restorations; /* of the store since the start */
+	bool listed_once;      /* the store's keys */
 	bool registered;
 	bool registration_in_progress;
 	bool revoked;
@@ -340,6 +341,14 @@
 		    lease->fencing_token);
 }
 
+static void
+wait_for_earlier_leader(lease_t *lease, int64_t now_ms)
+{
+	lease->restoration_wait_until_ms =
+	    now_ms + lease->config->bounds.lease_ms +
+	    g_random_int_range(0, CAMPAIGN_JITTER_MS);
+}
+
 void
 lease_restore(lease_t *lease)
 {
@@ -363,9 +372,7 @@
 	lease->is_leader = false;
 	lease->replaced_revision = 0;
 	lease->next_campaign_ms = now_ms;
-	lease->restoration_wait_until_ms =
-	    now_ms + lease->config->bounds.lease_ms +
-	    g_random_int_range(0, CAMPAIGN_JITTER_MS);
+	wait_for_earlier_leader(lease, now_ms);
 	if (!lease->revoked)
 		store_lease_keep(lease->node, now_ms);
 }
@@ -373,6 +380,11 @@
 void
 lease_enable_campaign(lease_t *lease)
 {
+	/* The restoration may have been just before the start. */
+	if (!lease->listed_once && lease->restorations == 0 &&
+	    platform_store_era(lease->store) > PLATFORM_ERA_FIRST)
+		wait_for_earlier_leader(lease, clock_boot_ms());
+	lease->listed_once = true;
 	if (!lease->campaign_enabled && !lease->sole_leader)
 		lease->next_campaign_ms =
 		    clock_boot_ms() + g_random_int_range(0, CAMPAIGN_JITTER_MS);
--- a/src/lease.h
+++ b/src/lease.h
@@ -31,7 +31,11 @@
  */
 void lease_restore(lease_t *lease);
 
-/* Lets the node campaign as leader; before that it only registers itself. */
+/*
+ * Lets the node campaign as leader; before that it only registers itself. Where
+ * the store had been restored before the start, it first waits until an earlier
+ * leader has stopped.
+ */
 void lease_enable_campaign(lease_t *lease);
 
 /*
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -275,6 +275,26 @@
 }
 END_TEST
 
+/* The store had been restored before the node started. */
+static void
+lead_in_restored_store(void)
+{
+	store.era = 2;
+	store.last_lease = FIRST_LEASE * store.era;
+	lease_enable_campaign(lease);
+	ck_assert_int_ne(run(2 * LEASE_MS), 0);
+}
+
+/* Guards against the same where the node starts after the restoration. */
+START_TEST(a_node_that_starts_later_waits_as_long)
+{
+	int64_t started_ms = clock_boot_ms();
+
+	lead_in_restored_store();
+	ck_assert_int_ge(clock_boot_ms() - started_ms, LEASE_MS);
+}
+END_TEST
+
 /* Guards against a leader that ignores the one that the copy shows. */
 START_TEST(leader_yields_to_another_node_in_the_copy)
 {
@@ -528,6 +548,7 @@
 	    token_rises_where_the_copy_lacks_the_leader_key,
 	    leader_goes_on_with_the_lease_that_the_copy_shows,
 	    other_nodes_wait_until_an_earlier_leader_has_stopped,
+	    a_node_that_starts_later_waits_as_long,
 	    leader_yields_to_another_node_in_the_copy,
 	    own_key_under_an_unknown_lease_is_replaced,
 	    calls_of_an_earlier_era_change_nothing,
