Keep a node that starts later from recording sent windows

Seen: a node that starts after a restoration and leads takes the copy's record, or none, for the newest one. It may record a window that was sent before, with the few counts that it has (by review).

Cause: only digests of peers say which windows were recorded, and the leader does not wait for one. A peer that has started just as late reports the copy's record as the newest one.

Ruled out: a wait for digests alone. It shows nothing where all nodes have started since, and a bound on the wait ends in the same fault.

Change: a record names the era in which it was written. A node whose first era is later than PLATFORM_ERA_FIRST trusts the record only if it is of the present era; until then it reports no window to its peers, and, unless a peer knows a window, records only windows that were not complete when it learned the era. Windows of before are then left out; a peer's digest of during the wait of the campaign avoids it.

Evidence: a_node_that_starts_later_records_windows_since failed before (the record of a window of before the start is written) and passes now; test_usage and test_restart pass.

--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -23,7 +23,10 @@
 	int64_t recorded_window;   /* newest known record; 0: none */
 	int64_t recorded_revision; /* of the present key; 0: there is none */
 	int64_t recorded_era;	   /* of the store, at that revision */
-	int64_t peers_window; /* newest record that a peer knows; 0: none */
+	int64_t peers_window;  /* newest record that a peer knows; 0: none */
+	int64_t first_era;     /* of the store, that the node knows */
+	int64_t first_window;  /* the present one at that time; 0: not yet */
+	bool record_is_of_era; /* written since the last restoration */
 	GHashTable *recorded_counts; /* workspace to double * */
 	int64_t sent_window;	     /* newest one that this node has sent */
 	bool recording;
@@ -42,6 +45,13 @@
 	return report;
 }
 
+static void
+learn_first_era(usage_report_t *report)
+{
+	if (report->first_era == 0)
+		report->first_era = platform_store_era(report->options.store);
+}
+
 void
 usage_report_set_record(
     usage_report_t *report, const char *value, size_t length, int64_t revision)
@@ -53,6 +63,7 @@
 
 	report->recorded_revision = value == NULL ? 0 : revision;
 	report->recorded_era = platform_store_era(report->options.store);
+	learn_first_era(report);
 	if (value == NULL)
 		return;
 	json = json_parse(value, length, usage_report_key, &error);
@@ -63,6 +74,8 @@
 		return;
 	}
 	window = json_get_int(json, "window", 0);
+	report->record_is_of_era |=
+	    json_get_int(json, "era", 0) == report->recorded_era;
 	if (window < report->recorded_window) {
 		/* The store has been restored from a copy. */
 		json_decref(json);
@@ -135,10 +148,10 @@
 }
 
 static char *
-encode_record(int64_t window, GHashTable *counts)
+encode_record(int64_t window, int64_t era, GHashTable *counts)
 {
-	json_t *json = json_pack("{s:I,s:o}", "window", (json_int_t)window,
-	    "counts", json_from_counts(counts));
+	json_t *json = json_pack("{s:I,s:I,s:o}", "window", (json_int_t)window,
+	    "era", (json_int_t)era, "counts", json_from_counts(counts));
 	char *text = json_text(json);
 
 	json_decref(json);
@@ -161,7 +174,8 @@
 write_record(usage_report_t *report, int64_t window)
 {
 	GHashTable *counts = usage_total(report->options.usage, window);
-	char *text = encode_record(window, counts);
+	char *text = encode_record(
+	    window, platform_store_era(report->options.store), counts);
 	platform_condition_t conditions[] = {
 	    {.key = lease_leader_key,
 		.revision = lease_leader_revision(report->options.lease)},
@@ -176,10 +190,21 @@
 	g_hash_table_unref(counts);
 }
 
+/*
+ * A node that knows only a restored store cannot tell which windows were
+ * recorded before, until it reads a record written since.
+ */
+static bool
+knows_records(const usage_report_t *report)
+{
+	return report->first_era <= PLATFORM_ERA_FIRST ||
+	       report->record_is_of_era;
+}
+
 int64_t
 usage_report_recorded_window(const usage_report_t *report)
 {
-	return report->recorded_window;
+	return knows_records(report) ? report->recorded_window : 0;
 }
 
 void
@@ -194,6 +219,10 @@
 {
 	int64_t recorded_window = report->recorded_window;
 
+	/* A window that was complete before may have been sent. */
+	if (!knows_records(report) && report->peers_window == 0)
+		recorded_window =
+		    MAX(recorded_window, report->first_window - 1);
 	/* A later one is an error: clocks differ by less than a window. */
 	if (report->peers_window <= newest_window + 1)
 		recorded_window = MAX(recorded_window, report->peers_window);
@@ -209,8 +238,13 @@
 	int64_t token = lease_fencing_token(report->options.lease);
 	int64_t newest_window =
 	    usage_window(report->options.usage, wall_ms - COLLECT_MS) - 1;
-	int64_t window = next_window(report, newest_window);
+	int64_t window;
 
+	if (report->first_era == 0 || report->first_window == 0)
+		report->first_window =
+		    usage_window(report->options.usage, wall_ms);
+	learn_first_era(report);
+	window = next_window(report, newest_window);
 	if (token == 0 || report->options.config->cloud_url == NULL ||
 	    report->recording || report->sending ||
 	    clock_boot_ms() < report->retry_at_ms)
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -39,7 +39,10 @@
 void usage_report_set_record(
     usage_report_t *report, const char *value, size_t length, int64_t revision);
 
-/* The newest window that is known to be recorded; 0: none. */
+/*
+ * The newest window that is known to be recorded; 0: none, or the store was
+ * restored before the start and later windows may have been recorded.
+ */
 int64_t usage_report_recorded_window(const usage_report_t *report);
 
 /* A peer knows this window as recorded; its counts are unknown here. */
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -407,6 +407,25 @@
 }
 END_TEST
 
+/* Guards against a window that was sent before the restoration and the start.
+ */
+START_TEST(a_node_that_starts_later_records_windows_since)
+{
+	config.bounds.usage_deadline_ms = 0;
+	lead_in_restored_store();
+	set_usage(NEWEST - 2, 3, 40);
+	usage_report_tick(report, NOW_MS); /* in the window NEWEST + 2 */
+	usage_report_tick(report, NOW_MS + WINDOW_MS);
+	ck_assert_ptr_null(store.record);
+	ck_assert_int_eq(usage_report_recorded_window(report), 0);
+	usage_report_tick(report, NOW_MS + 2 * WINDOW_MS);
+	ck_assert_ptr_nonnull(strstr(store.record, "\"window\":52"));
+	/* The record shows other nodes that it is of this era. */
+	usage_report_set_record(report, store.record, strlen(store.record), 41);
+	ck_assert_int_eq(usage_report_recorded_window(report), NEWEST + 2);
+}
+END_TEST
+
 /* Guards against sizes that are taken from the servers ordered since. */
 START_TEST(a_baseline_is_written_again_from_memory)
 {
@@ -554,6 +573,7 @@
 	    calls_of_an_earlier_era_change_nothing,
 	    a_recorded_window_stays_recorded, a_missing_record_is_written_anew,
 	    a_window_that_a_peer_knows_stays_recorded,
+	    a_node_that_starts_later_records_windows_since,
 	    a_baseline_is_written_again_from_memory,
 	    a_stage_stays_and_is_written_again,
 	    another_order_waits_for_the_end_of_the_restoration,
