Keep a rollout whose order a restored store lacks for a time

Seen: an operator that writes its order again later than the hold of 2.5 s finds that the rollout has ended: all servers of the service, of a bad or reverted version too, get ordinary traffic, and the same order begins anew in canary without its evidence (review).

Cause: the removal of the key at the end of the hold ended the rollout like a removal by the operator.

Ruled out: a longer hold, which would keep servers and peers that are gone.

Change: an order that was last read in an earlier era stays in force, with its stage and share of traffic, until MISSING_ORDER_KEEP_MS (10 s) after the restoration. The leader writes nothing for it, as before for an order that has not been read in the present era. The same content goes on; another content replaces it; after that time it ends. A removal in the present era is the operator's and ends it at once.

Evidence: a_missing_order_stays_in_force_for_a_time failed before (no order reported after the hold) and passes now; test_rollouts passes.

--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -306,7 +306,8 @@
 		scaler_set_baseline(gateway->scale_orders, name, NULL, 0);
 		break;
 	case KEY_ROLLOUT:
-		rollouts_set_spec(gateway->proxy.rollouts, name, NULL, 0, 0, 0);
+		rollouts_set_spec(gateway->proxy.rollouts, name, NULL, 0,
+		    platform_store_era(gateway->store), 0);
 		break;
 	case KEY_ROLLOUT_RECORD:
 		rollouts_set_record(gateway->proxy.rollouts, name, NULL, 0);
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -11,6 +11,11 @@
 enum {
 	/* Minimum time between two writes of a service's stage. */
 	WRITE_RETRY_MS = 300,
+	/*
+	 * An order that a restored store lacks stays in force for so long after
+	 * the restoration, as its operator may write it again.
+	 */
+	MISSING_ORDER_KEEP_MS = 10000,
 };
 
 const char rollouts_record_prefix[] = "papaya/rollout/";
@@ -25,6 +30,9 @@
 	bool record_stored; /* the record is that of the rollout's stage */
 	int64_t step;	    /* changes of the stage that led to it */
 	int64_t next_write_ms;
+	/* Until then an order that the restored store lacks stays in force;
+	 * Unix milliseconds; 0: it is not missing. */
+	int64_t missing_until_ms;
 	/* A spec that takes effect when the restoration is over; target NULL:
 	 * none. The target is owned. */
 	rollout_spec_t deferred;
@@ -176,14 +184,17 @@
 static void
 apply_spec(rollouts_t *rollouts, service_state_t *state, rollout_spec_t *spec)
 {
-	bool restoring = rollouts->restoring && state->rollout != NULL;
+	bool known = state->rollout != NULL &&
+		     (rollouts->restoring || state->missing_until_ms != 0);
+	bool same = known && rollout_has_content(state->rollout, spec);
 
-	if (restoring && !rollout_has_content(state->rollout, spec)) {
+	if (known && !same && rollouts->restoring) {
 		defer_spec(state, spec);
 		return;
 	}
 	defer_spec(state, &(rollout_spec_t){.target = NULL});
-	if (restoring)
+	state->missing_until_ms = 0;
+	if (same)
 		renew_rollout(state, spec);
 	else
 		start_rollout(rollouts, state, spec);
@@ -196,6 +207,28 @@
 	defer_spec(state, &(rollout_spec_t){.target = NULL});
 	g_clear_pointer(&state->rollout, rollout_free);
 	state->record_stored = false;
+	state->missing_until_ms = 0;
+}
+
+static void
+keep_missing_order(rollouts_t *rollouts, service_state_t *state)
+{
+	log_event(LOG_LEVEL_WARN, "rollout.missing",
+	    "service=%s target=%s stage=%s", state->service,
+	    rollout_target(state->rollout),
+	    rollout_stage_name(rollout_stage(state->rollout)));
+	state->missing_until_ms = rollouts->wall_ms + MISSING_ORDER_KEEP_MS;
+}
+
+/* An order that was not read in the present era may be written again. */
+static void
+remove_order(rollouts_t *rollouts, service_state_t *state, int64_t era)
+{
+	if (state->rollout != NULL && state->deferred.target == NULL &&
+	    rollout_era(state->rollout) < era)
+		keep_missing_order(rollouts, state);
+	else
+		end_rollout(state);
 }
 
 void
@@ -207,7 +240,7 @@
 	GError *error = NULL;
 
 	if (value == NULL) {
-		end_rollout(state);
+		remove_order(rollouts, state, era);
 		return;
 	}
 	if (!platform_read_rollout(value, length, &spec, &error)) {
@@ -260,6 +293,8 @@
 
 		state->deferred = (rollout_spec_t){.target = NULL};
 		/* Another restoration: the list shows it again. */
+		if (!restoring && state->missing_until_ms != 0)
+			keep_missing_order(rollouts, state);
 		if (restoring)
 			g_free((char *)spec.target);
 		else if (spec.target != NULL)
@@ -384,6 +419,14 @@
 	g_free(spec_key);
 }
 
+/* True where the time to write the order again is over. */
+static bool
+has_lost_order(const rollouts_t *rollouts, const service_state_t *state)
+{
+	return state->missing_until_ms != 0 && !rollouts->restoring &&
+	       rollouts->wall_ms >= state->missing_until_ms;
+}
+
 static void
 log_rollout_stopped(const service_state_t *state)
 {
@@ -426,6 +469,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		service_state_t *state = value;
 
+		if (has_lost_order(rollouts, state))
+			end_rollout(state);
 		if (state->rollout != NULL)
 			tick_service(rollouts, state, store,
 			    lease_leader_revision(lease));
--- a/src/rollouts.h
+++ b/src/rollouts.h
@@ -35,7 +35,8 @@
 
 /*
  * Applies a spec read from the store; era and revision: of its key. value NULL:
- * the key was removed, which ends the rollout.
+ * the key was removed, which ends the rollout. One that was last read in an
+ * earlier era stays in force for some seconds, as the restored store lacks it.
  */
 void rollouts_set_spec(rollouts_t *rollouts, const char *service,
     const char *value, size_t length, int64_t era, int64_t revision);
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -534,6 +534,44 @@
 }
 END_TEST
 
+/* Removes the order that the copy lacks, as at the end of the hold. */
+static void
+end_hold(void)
+{
+	rollouts_set_spec(rollouts, "a", NULL, 0, store.era, 0);
+	rollouts_set_restoring(rollouts, false);
+}
+
+/* Guards against requests to a bad version whose order is written again late.
+ */
+START_TEST(a_missing_order_stays_in_force_for_a_time)
+{
+	set_order("v2", 80);
+	set_stage(80, "full", 2);
+	become_leader();
+	restore();
+	become_leader();
+	end_hold();
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_int_eq(reported_order(), 80);
+	ck_assert_ptr_null(store.record); /* its condition cannot hold */
+	set_order("v2", 60);
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_ptr_nonnull(strstr(store.record, "\"stage\":\"full\""));
+	restore();
+	end_hold();
+	rollouts_set_time(rollouts, NOW_MS + 9999, 1);
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_int_eq(reported_order(), 60);
+	rollouts_set_time(rollouts, NOW_MS + 10000, 1);
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_int_eq(reported_order(), 0);
+	set_order("v2", 70);
+	end_hold(); /* an order of this era: removed by its operator */
+	ck_assert_int_eq(reported_order(), 0);
+}
+END_TEST
+
 /* Guards against evidence on an order with the revision of another era. */
 START_TEST(evidence_is_of_the_order_of_its_era)
 {
@@ -577,6 +615,7 @@
 	    a_baseline_is_written_again_from_memory,
 	    a_stage_stays_and_is_written_again,
 	    another_order_waits_for_the_end_of_the_restoration,
+	    a_missing_order_stays_in_force_for_a_time,
 	    evidence_is_of_the_order_of_its_era};
 	Suite *suite = suite_create("restored_duties");
 	TCase *cases = tcase_create("restored_duties");
