Let requests wait while a node that starts waits for its peers

Seen: once the store has been restored, each node that starts answers requests sent to it directly with 503 for up to 0.6 s, or 5 s if it is behind (review).

Cause: is_behind_peers() makes the configuration invalid, and requests wait only until there is a configuration. A first list that may be stale gives one that is not confirmed yet, with the same effect for some milliseconds.

Ruled out: to serve meanwhile; keys that have been withdrawn could be valid.

Change: requests wait until the configuration is confirmed and not behind that of the peers, at most STARTUP_WAIT_MS from the first one that waits; only then they get 503.

Test: the booking loop of start_after_a_restoration_waits_for_the_configuration_of_peers ran 20 times with 50 ms between; as its requests wait now, it runs for the same second.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -13,7 +13,7 @@
 	/* The request of a new connection may be on its way for this long. */
 	DRAIN_IDLE_MS = 300,
 	ADDRESS_TTL_MS = 2000,
-	/* Requests wait this long after the start for a configuration. */
+	/* Requests at the start wait at most this long for a configuration. */
 	STARTUP_WAIT_MS = 500,
 	/* Sockets reserved for connections to backend servers and platform. */
 	RESERVED_SOCKETS = 1500,
@@ -204,12 +204,23 @@
 	g_ptr_array_unref(waiting);
 }
 
+/* Until the first confirmed configuration, and while is_behind_peers(). */
 static bool
 is_awaiting_configuration(const gateway_t *gateway)
 {
-	return gateway->proxy.catalog == NULL &&
-	       gateway->drain.started_ms == 0 &&
-	       clock_boot_ms() - gateway->started_ms < STARTUP_WAIT_MS;
+	int64_t since_ms = gateway->started_ms;
+
+	if (gateway->drain.started_ms != 0)
+		return false;
+	if (gateway->proxy.catalog != NULL) {
+		if (!gateway->behind_peers &&
+		    store_watch_confirmed_ms(gateway->store_watch) != 0)
+			return false;
+		if (gateway->waiting_exchanges->len == 0)
+			return true;
+		since_ms = gateway->waiting_since_ms;
+	}
+	return clock_boot_ms() - since_ms < STARTUP_WAIT_MS;
 }
 
 static void
@@ -217,10 +228,13 @@
 {
 	gateway_t *gateway = data;
 
-	if (is_awaiting_configuration(gateway))
-		g_ptr_array_add(gateway->waiting_exchanges, exchange);
-	else
+	if (!is_awaiting_configuration(gateway)) {
 		serve(gateway, exchange);
+		return;
+	}
+	if (gateway->waiting_exchanges->len == 0)
+		gateway->waiting_since_ms = clock_boot_ms();
+	g_ptr_array_add(gateway->waiting_exchanges, exchange);
 }
 
 /*
@@ -405,11 +419,13 @@
 	    gateway->proxy.catalog != NULL && gateway->initial_list_complete &&
 	    gateway->drain.started_ms == 0 &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
-	bool behind = is_behind_peers(gateway, now_ms);
 
+	gateway->behind_peers = is_behind_peers(gateway, now_ms);
 	gateway->proxy.catalog_valid_until_ms =
-	    behind ? 0 : confirmed_ms + (int64_t)(config_use_share * revoke_ms);
-	ready = ready && !behind;
+	    gateway->behind_peers
+		? 0
+		: confirmed_ms + (int64_t)(config_use_share * revoke_ms);
+	ready = ready && !gateway->behind_peers;
 	if (ready != gateway->ready)
 		log_event(LOG_LEVEL_INFO,
 		    ready ? "front.ready" : "front.unready",
@@ -426,7 +442,7 @@
 	gateway_t *gateway = data;
 
 	update_ready(gateway, clock_boot_ms());
-	if (gateway->proxy.catalog != NULL)
+	if (!is_awaiting_configuration(gateway))
 		serve_waiting(gateway);
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -40,7 +40,7 @@
 	uv_timer_t timer;
 	int64_t started_ms;
 	int64_t last_sweep_ms;
-	/* exchange_t *: received before the first configuration was read */
+	/* exchange_t *: see is_awaiting_configuration() */
 	GPtrArray *waiting_exchanges;
 	/* When a peer first reported a newer configuration; 0: none has. */
 	int64_t newer_configuration_ms;
@@ -48,6 +48,8 @@
 	bool ready;		    /* as reported to readiness checks */
 	bool was_ready;		    /* at least once */
 	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
+	bool behind_peers;	    /* requests wait meanwhile */
+	int64_t waiting_since_ms;   /* the first of the waiting exchanges */
 	drain_t drain;
 	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
