Ignore impossible windows and other counts of a sent window

Two small faults of what usage_report takes from outside, by review:

A peer's window is kept as the maximum: one bogus high value was kept, and each true one after it had no effect, so that a window could be recorded twice. A window that has not begun is now ignored when it is reported.

A record with the window that the node is sending, or has sent, and other counts (another leader's, in a copy) replaced the counts, and a retry sent them. The counts of a window now stay once they may have been sent.

Evidence: counts_that_were_sent_stay (new; 8 sent instead of 3) and a_window_that_a_peer_knows_stays_recorded (with a window that has not begun; a record was written) failed before and pass now.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -124,7 +124,8 @@
 	const gateway_t *gateway = data;
 
 	if (gateway->usage_report != NULL)
-		usage_report_learn_record(gateway->usage_report, window);
+		usage_report_learn_record(gateway->usage_report, window,
+		    cluster_wall_ms(gateway->cluster));
 }
 
 static void
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -31,7 +31,7 @@
 	int64_t sent_window;	     /* newest one that this node has sent */
 	bool recording;
 	bool sending;
-	int64_t sending_window;
+	int64_t sending_window; /* newest one whose counts may be sent; 0 */
 	int64_t sending_token;
 	int64_t retry_at_ms; /* clock_boot_ms(); no call before it */
 };
@@ -76,8 +76,9 @@
 	window = json_get_int(json, "window", 0);
 	report->record_is_of_era |=
 	    json_get_int(json, "era", 0) == report->recorded_era;
-	if (window < report->recorded_window) {
-		/* The store has been restored from a copy. */
+	/* The store has been restored from a copy, or these were sent. */
+	if (window < report->recorded_window ||
+	    window == report->sending_window) {
 		json_decref(json);
 		return;
 	}
@@ -208,8 +209,12 @@
 }
 
 void
-usage_report_learn_record(usage_report_t *report, int64_t window)
+usage_report_learn_record(
+    usage_report_t *report, int64_t window, int64_t wall_ms)
 {
+	/* A later one is an error, and would hide the true ones. */
+	if (window > usage_window(report->options.usage, wall_ms))
+		return;
 	report->peers_window = MAX(report->peers_window, window);
 }
 
@@ -223,9 +228,7 @@
 	if (!knows_records(report) && report->peers_window == 0)
 		recorded_window =
 		    MAX(recorded_window, report->first_window - 1);
-	/* A later one is an error: clocks differ by less than a window. */
-	if (report->peers_window <= newest_window + 1)
-		recorded_window = MAX(recorded_window, report->peers_window);
+	recorded_window = MAX(recorded_window, report->peers_window);
 	if (recorded_window == 0)
 		return newest_window;
 	return MAX(recorded_window + 1, newest_window - BACKLOG_WINDOWS);
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -45,8 +45,12 @@
  */
 int64_t usage_report_recorded_window(const usage_report_t *report);
 
-/* A peer knows this window as recorded; its counts are unknown here. */
-void usage_report_learn_record(usage_report_t *report, int64_t window);
+/*
+ * A peer knows this window as recorded; its counts are unknown here. wall_ms:
+ * best estimate of Unix time; a window that has not begun is ignored.
+ */
+void usage_report_learn_record(
+    usage_report_t *report, int64_t window, int64_t wall_ms);
 
 /*
  * Records or sends the usage of the next window if one is due and this node
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -57,6 +57,7 @@
 static rollouts_t *rollouts;
 static int64_t sent_window;
 static double sent_count; /* of workspace "a" */
+static platform_duty_status_t duty_status;
 
 int64_t
 platform_store_era(const platform_store_t *from)
@@ -158,7 +159,7 @@
 {
 	sent_window = window;
 	sent_count = *(double *)g_hash_table_lookup(counts, "a");
-	callback(PLATFORM_DUTY_DONE, data);
+	callback(duty_status, data);
 }
 
 void
@@ -204,6 +205,7 @@
 	    .config = &config, .pool = pool_new(&loop, WINDOW_MS)});
 	rollouts_set_time(rollouts, NOW_MS, 1);
 	sent_window = 0;
+	duty_status = PLATFORM_DUTY_DONE;
 }
 
 static void
@@ -381,6 +383,20 @@
 }
 END_TEST
 
+/* Guards against a retry with other counts than the platform may know. */
+START_TEST(counts_that_were_sent_stay)
+{
+	become_leader();
+	set_usage(NEWEST, 3, 90);
+	duty_status = PLATFORM_DUTY_UNKNOWN;
+	usage_report_tick(report, NOW_MS);
+	set_usage(NEWEST, 8, 91);
+	g_usleep(501000);
+	usage_report_tick(report, NOW_MS);
+	ck_assert_double_eq(sent_count, 3);
+}
+END_TEST
+
 /* Guards against windows without a report where the copy lacks the record. */
 START_TEST(a_missing_record_is_written_anew)
 {
@@ -399,7 +415,9 @@
 START_TEST(a_window_that_a_peer_knows_stays_recorded)
 {
 	become_leader();
-	usage_report_learn_record(report, NEWEST);
+	usage_report_learn_record(report, NEWEST, NOW_MS);
+	/* One window that has not begun must not hide the others. */
+	usage_report_learn_record(report, NEWEST + 3, NOW_MS);
 	usage_report_tick(report, NOW_MS);
 	ck_assert_ptr_null(store.record);
 	usage_report_tick(report, NOW_MS + WINDOW_MS);
@@ -609,7 +627,8 @@
 	    leader_yields_to_another_node_in_the_copy,
 	    own_key_under_an_unknown_lease_is_replaced,
 	    calls_of_an_earlier_era_change_nothing,
-	    a_recorded_window_stays_recorded, a_missing_record_is_written_anew,
+	    a_recorded_window_stays_recorded, counts_that_were_sent_stay,
+	    a_missing_record_is_written_anew,
 	    a_window_that_a_peer_knows_stays_recorded,
 	    a_node_that_starts_later_records_windows_since,
 	    a_baseline_is_written_again_from_memory,
