Keep a leader that wrote its key after the list

Seen: by review, a node that becomes leader at the end of the hold may lose its leadership at once and not get it back until the next change of the key.

Cause: the response to its write comes before the watch shows the key. If the hold ends in between, the key of the earlier leader is removed as missing, which the node took for the removal of its own. The same goes for a list that was begun before the write.

Ruled out: to ignore removals until the watch shows the key; a key that was written and removed between two watches would never be seen as removed.

Change: a removal comes with the revision at which the store did not have the key; one that is older than the leader's own write does not end its leadership.

Evidence: removal_of_before_its_campaign_does_not_end_a_leader failed with the comparison taken out, as the code was before, and passes now; test_restored_store and test_restart pass.

--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -58,6 +58,6 @@
 
 /* Callbacks of the store's watch; data is the gateway_t. */
 void gateway_on_store_put(const platform_item_t *item, void *data);
-void gateway_on_store_remove(const char *key, void *data);
+void gateway_on_store_remove(const char *key, int64_t revision, void *data);
 
 #endif
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -282,7 +282,7 @@
 }
 
 void
-gateway_on_store_remove(const char *key, void *data)
+gateway_on_store_remove(const char *key, int64_t revision, void *data)
 {
 	gateway_t *gateway = data;
 	const char *name;
@@ -297,7 +297,7 @@
 			lease_check_registration(gateway->lease);
 		break;
 	case KEY_LEASE_HOLDER:
-		lease_update_leader(gateway->lease, NULL);
+		lease_remove_leader(gateway->lease, revision);
 		break;
 	case KEY_USAGE_REPORT:
 		usage_report_set_record(gateway->usage_report, NULL, 0, 0);
--- a/src/lease.c
+++ b/src/lease.c
@@ -341,6 +341,14 @@
 		    lease->fencing_token);
 }
 
+void
+lease_remove_leader(lease_t *lease, int64_t revision)
+{
+	/* The response to the write may come before the watch shows it. */
+	if (!lease->is_leader || revision >= lease->leader_revision)
+		lease_update_leader(lease, NULL);
+}
+
 static void
 wait_for_earlier_leader(lease_t *lease, int64_t now_ms)
 {
--- a/src/lease.h
+++ b/src/lease.h
@@ -25,6 +25,12 @@
 /* Applies a change of the leader key; NULL: removed. The item is borrowed. */
 void lease_update_leader(lease_t *lease, const platform_item_t *item);
 
+/*
+ * The store had no leader key at this revision. Where this node has written the
+ * key since, it stays leader.
+ */
+void lease_remove_leader(lease_t *lease, int64_t revision);
+
 /*
  * The store has been restored from a copy, which may lack the node's leases and
  * keys or show an earlier leader: the node obtains and writes them anew.
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -51,17 +51,19 @@
 				options->on_put(item, options->data);
 		} else if (key_revisions_remove(
 			       watch->keys, item->key, item->revision)) {
-			options->on_removed(item->key, options->data);
+			options->on_removed(
+			    item->key, item->revision, options->data);
 		}
 	}
 }
 
-/* Takes over the keys (char *), which are no longer in the store. */
+/* Takes over the keys (char *), which the store lacks at watch->revision. */
 static void
 report_removed(store_watch_t *watch, GPtrArray *keys)
 {
 	for (guint i = 0; i < keys->len; i++)
-		watch->options.on_removed(keys->pdata[i], watch->options.data);
+		watch->options.on_removed(
+		    keys->pdata[i], watch->revision, watch->options.data);
 	g_ptr_array_unref(keys);
 }
 
@@ -122,9 +124,9 @@
 finish_list(store_watch_t *watch)
 {
 	watch->listing = false;
+	watch->revision = watch->list_revision;
 	report_removed(watch, key_revisions_end_list(watch->keys));
 	g_clear_pointer(&watch->last_page_key, g_free);
-	watch->revision = watch->list_revision;
 	relay_log_reset(watch->change_log, watch->revision);
 	watch->list_complete = true;
 	if (watch->hold_until_ms == INT64_MAX)
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -24,7 +24,8 @@
 	int64_t max_staleness_ms;
 	/* A key was written; the item is borrowed. */
 	void (*on_put)(const platform_item_t *item, void *data);
-	void (*on_removed)(const char *key, void *data);
+	/* revision: of the store, at which it did not have the key. */
+	void (*on_removed)(const char *key, int64_t revision, void *data);
 	/* All keys have been listed, for the first time or again. */
 	void (*on_list_complete)(void *data);
 	/* Keys that the restored store lacks have been removed; see below. */
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -312,6 +312,17 @@
 }
 END_TEST
 
+/* Guards against a leader that stops by the list of before its campaign. */
+START_TEST(removal_of_before_its_campaign_does_not_end_a_leader)
+{
+	become_leader();
+	lease_remove_leader(lease, store.leader.revision - 1);
+	ck_assert_int_ne(lease_fencing_token(lease), 0);
+	lease_remove_leader(lease, store.leader.revision + 1);
+	ck_assert_int_eq(lease_fencing_token(lease), 0);
+}
+END_TEST
+
 /* Guards against a node that acts under a key whose lease is not its own. */
 START_TEST(own_key_under_an_unknown_lease_is_replaced)
 {
@@ -625,6 +636,7 @@
 	    other_nodes_wait_until_an_earlier_leader_has_stopped,
 	    a_node_that_starts_later_waits_as_long,
 	    leader_yields_to_another_node_in_the_copy,
+	    removal_of_before_its_campaign_does_not_end_a_leader,
 	    own_key_under_an_unknown_lease_is_replaced,
 	    calls_of_an_earlier_era_change_nothing,
 	    a_recorded_window_stays_recorded, counts_that_were_sent_stay,
