--- a/src/gateway.c
+++ b/src/gateway.c
@@ -13,7 +13,7 @@
 	/* The request of a new connection may be on its way for this long. */
 	DRAIN_IDLE_MS = 300,
 	ADDRESS_TTL_MS = 2000,
-	/* Requests wait this long after the start for a configuration. */
+	/* Requests at the start wait at most this long for a configuration. */
 	STARTUP_WAIT_MS = 500,
 	/* Sockets reserved for connections to backend servers and platform. */
 	RESERVED_SOCKETS = 1500,
@@ -124,7 +124,8 @@
 	const gateway_t *gateway = data;
 
 	if (gateway->usage_report != NULL)
-		usage_report_learn_record(gateway->usage_report, window);
+		usage_report_learn_record(gateway->usage_report, window,
+		    cluster_wall_ms(gateway->cluster));
 }
 
 static void
@@ -204,12 +205,21 @@
 	g_ptr_array_unref(waiting);
 }
 
+/* Until the first confirmed configuration, and while is_behind_peers(). */
 static bool
 is_awaiting_configuration(const gateway_t *gateway)
 {
-	return !proxy_has_configuration(&gateway->proxy) &&
-	       gateway->drain.started_ms == 0 &&
-	       clock_boot_ms() - gateway->started_ms < STARTUP_WAIT_MS;
+	int64_t since_ms = gateway->started_ms;
+
+	if (gateway->drain.started_ms != 0 ||
+	    proxy_has_configuration(&gateway->proxy))
+		return false;
+	if (gateway->proxy.catalog != NULL) {
+		if (gateway->waiting_exchanges->len == 0)
+			return true;
+		since_ms = gateway->waiting_since_ms;
+	}
+	return clock_boot_ms() - since_ms < STARTUP_WAIT_MS;
 }
 
 static void
@@ -217,10 +227,13 @@
 {
 	gateway_t *gateway = data;
 
-	if (is_awaiting_configuration(gateway))
-		g_ptr_array_add(gateway->waiting_exchanges, exchange);
-	else
+	if (!is_awaiting_configuration(gateway)) {
 		serve(gateway, exchange);
+		return;
+	}
+	if (gateway->waiting_exchanges->len == 0)
+		gateway->waiting_since_ms = clock_boot_ms();
+	g_ptr_array_add(gateway->waiting_exchanges, exchange);
 }
 
 /*
@@ -434,7 +447,7 @@
 	gateway_t *gateway = data;
 
 	update_ready(gateway, clock_boot_ms());
-	if (gateway->proxy.catalog != NULL)
+	if (!is_awaiting_configuration(gateway))
 		serve_waiting(gateway);
 }
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -41,7 +41,7 @@
 	uv_timer_t timer;
 	int64_t started_ms;
 	int64_t last_sweep_ms;
-	/* exchange_t *: received before the first configuration was read */
+	/* exchange_t *: see is_awaiting_configuration() */
 	GPtrArray *waiting_exchanges;
 	/* When a peer first reported a newer configuration; 0: none has. */
 	int64_t newer_configuration_ms;
@@ -50,6 +50,7 @@
 	bool ready;	/* as reported to readiness checks */
 	bool was_ready; /* at least once */
 	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
+	int64_t waiting_since_ms;   /* the first of the waiting exchanges */
 	drain_t drain;
 	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
@@ -58,6 +59,6 @@
 
 /* Callbacks of the store's watch; data is the gateway_t. */
 void gateway_on_store_put(const platform_item_t *item, void *data);
-void gateway_on_store_remove(const char *key, void *data);
+void gateway_on_store_remove(const char *key, int64_t revision, void *data);
 
 #endif
--- a/src/lease.h
+++ b/src/lease.h
@@ -25,13 +25,23 @@
 /* Applies a change of the leader key; NULL: removed. The item is borrowed. */
 void lease_update_leader(lease_t *lease, const platform_item_t *item);
 
+/*
+ * The store had no leader key at this revision. Where this node has written the
+ * key since, it stays leader.
+ */
+void lease_remove_leader(lease_t *lease, int64_t revision);
+
 /*
  * The store has been restored from a copy, which may lack the node's leases and
  * keys or show an earlier leader: the node obtains and writes them anew.
  */
 void lease_restore(lease_t *lease);
 
-/* Lets the node campaign as leader; before that it only registers itself. */
+/*
+ * Lets the node campaign as leader; before that it only registers itself. Where
+ * the store had been restored before the start, it first waits until an earlier
+ * leader has stopped.
+ */
 void lease_enable_campaign(lease_t *lease);
 
 /*
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -39,11 +39,18 @@
 void usage_report_set_record(
     usage_report_t *report, const char *value, size_t length, int64_t revision);
 
-/* The newest window that is known to be recorded; 0: none. */
+/*
+ * The newest window that is known to be recorded; 0: none, or the store was
+ * restored before the start and later windows may have been recorded.
+ */
 int64_t usage_report_recorded_window(const usage_report_t *report);
 
-/* A peer knows this window as recorded; its counts are unknown here. */
-void usage_report_learn_record(usage_report_t *report, int64_t window);
+/*
+ * A peer knows this window as recorded; its counts are unknown here. wall_ms:
+ * best estimate of Unix time; a window that has not begun is ignored.
+ */
+void usage_report_learn_record(
+    usage_report_t *report, int64_t window, int64_t wall_ms);
 
 /*
  * Records or sends the usage of the next window if one is due and this node
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -57,6 +57,7 @@
 static rollouts_t *rollouts;
 static int64_t sent_window;
 static double sent_count; /* of workspace "a" */
+static platform_duty_status_t duty_status;
 
 int64_t
 platform_store_era(const platform_store_t *from)
@@ -158,7 +159,7 @@
 {
 	sent_window = window;
 	sent_count = *(double *)g_hash_table_lookup(counts, "a");
-	callback(PLATFORM_DUTY_DONE, data);
+	callback(duty_status, data);
 }
 
 void
@@ -204,6 +205,7 @@
 	    .config = &config, .pool = pool_new(&loop, WINDOW_MS)});
 	rollouts_set_time(rollouts, NOW_MS, 1);
 	sent_window = 0;
+	duty_status = PLATFORM_DUTY_DONE;
 }
 
 static void
@@ -275,6 +277,26 @@
 }
 END_TEST
 
+/* The store had been restored before the node started. */
+static void
+lead_in_restored_store(void)
+{
+	store.era = 2;
+	store.last_lease = FIRST_LEASE * store.era;
+	lease_enable_campaign(lease);
+	ck_assert_int_ne(run(2 * LEASE_MS), 0);
+}
+
+/* Guards against the same where the node starts after the restoration. */
+START_TEST(a_node_that_starts_later_waits_as_long)
+{
+	int64_t started_ms = clock_boot_ms();
+
+	lead_in_restored_store();
+	ck_assert_int_ge(clock_boot_ms() - started_ms, LEASE_MS);
+}
+END_TEST
+
 /* Guards against a leader that ignores the one that the copy shows. */
 START_TEST(leader_yields_to_another_node_in_the_copy)
 {
@@ -290,6 +312,17 @@
 }
 END_TEST
 
+/* Guards against a leader that stops by the list of before its campaign. */
+START_TEST(removal_of_before_its_campaign_does_not_end_a_leader)
+{
+	become_leader();
+	lease_remove_leader(lease, store.leader.revision - 1);
+	ck_assert_int_ne(lease_fencing_token(lease), 0);
+	lease_remove_leader(lease, store.leader.revision + 1);
+	ck_assert_int_eq(lease_fencing_token(lease), 0);
+}
+END_TEST
+
 /* Guards against a node that acts under a key whose lease is not its own. */
 START_TEST(own_key_under_an_unknown_lease_is_replaced)
 {
@@ -361,6 +394,20 @@
 }
 END_TEST
 
+/* Guards against a retry with other counts than the platform may know. */
+START_TEST(counts_that_were_sent_stay)
+{
+	become_leader();
+	set_usage(NEWEST, 3, 90);
+	duty_status = PLATFORM_DUTY_UNKNOWN;
+	usage_report_tick(report, NOW_MS);
+	set_usage(NEWEST, 8, 91);
+	g_usleep(501000);
+	usage_report_tick(report, NOW_MS);
+	ck_assert_double_eq(sent_count, 3);
+}
+END_TEST
+
 /* Guards against windows without a report where the copy lacks the record. */
 START_TEST(a_missing_record_is_written_anew)
 {
@@ -379,7 +426,9 @@
 START_TEST(a_window_that_a_peer_knows_stays_recorded)
 {
 	become_leader();
-	usage_report_learn_record(report, NEWEST);
+	usage_report_learn_record(report, NEWEST, NOW_MS);
+	/* One window that has not begun must not hide the others. */
+	usage_report_learn_record(report, NEWEST + 3, NOW_MS);
 	usage_report_tick(report, NOW_MS);
 	ck_assert_ptr_null(store.record);
 	usage_report_tick(report, NOW_MS + WINDOW_MS);
@@ -387,6 +436,25 @@
 }
 END_TEST
 
+/* Guards against a window that was sent before the restoration and the start.
+ */
+START_TEST(a_node_that_starts_later_records_windows_since)
+{
+	config.bounds.usage_deadline_ms = 0;
+	lead_in_restored_store();
+	set_usage(NEWEST - 2, 3, 40);
+	usage_report_tick(report, NOW_MS); /* in the window NEWEST + 2 */
+	usage_report_tick(report, NOW_MS + WINDOW_MS);
+	ck_assert_ptr_null(store.record);
+	ck_assert_int_eq(usage_report_recorded_window(report), 0);
+	usage_report_tick(report, NOW_MS + 2 * WINDOW_MS);
+	ck_assert_ptr_nonnull(strstr(store.record, "\"window\":52"));
+	/* The record shows other nodes that it is of this era. */
+	usage_report_set_record(report, store.record, strlen(store.record), 41);
+	ck_assert_int_eq(usage_report_recorded_window(report), NEWEST + 2);
+}
+END_TEST
+
 /* Guards against sizes that are taken from the servers ordered since. */
 START_TEST(a_baseline_is_written_again_from_memory)
 {
@@ -495,6 +563,44 @@
 }
 END_TEST
 
+/* Removes the order that the copy lacks, as at the end of the hold. */
+static void
+end_hold(void)
+{
+	rollouts_set_spec(rollouts, "a", NULL, 0, store.era, 0);
+	rollouts_set_restoring(rollouts, false);
+}
+
+/* Guards against requests to a bad version whose order is written again late.
+ */
+START_TEST(a_missing_order_stays_in_force_for_a_time)
+{
+	set_order("v2", 80);
+	set_stage(80, "full", 2);
+	become_leader();
+	restore();
+	become_leader();
+	end_hold();
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_int_eq(reported_order(), 80);
+	ck_assert_ptr_null(store.record); /* its condition cannot hold */
+	set_order("v2", 60);
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_ptr_nonnull(strstr(store.record, "\"stage\":\"full\""));
+	restore();
+	end_hold();
+	rollouts_set_time(rollouts, NOW_MS + 9999, 1);
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_int_eq(reported_order(), 60);
+	rollouts_set_time(rollouts, NOW_MS + 10000, 1);
+	rollouts_tick(rollouts, &store, lease);
+	ck_assert_int_eq(reported_order(), 0);
+	set_order("v2", 70);
+	end_hold(); /* an order of this era: removed by its operator */
+	ck_assert_int_eq(reported_order(), 0);
+}
+END_TEST
+
 /* Guards against evidence on an order with the revision of another era. */
 START_TEST(evidence_is_of_the_order_of_its_era)
 {
@@ -528,14 +634,19 @@
 	    token_rises_where_the_copy_lacks_the_leader_key,
 	    leader_goes_on_with_the_lease_that_the_copy_shows,
 	    other_nodes_wait_until_an_earlier_leader_has_stopped,
+	    a_node_that_starts_later_waits_as_long,
 	    leader_yields_to_another_node_in_the_copy,
+	    removal_of_before_its_campaign_does_not_end_a_leader,
 	    own_key_under_an_unknown_lease_is_replaced,
 	    calls_of_an_earlier_era_change_nothing,
-	    a_recorded_window_stays_recorded, a_missing_record_is_written_anew,
+	    a_recorded_window_stays_recorded, counts_that_were_sent_stay,
+	    a_missing_record_is_written_anew,
 	    a_window_that_a_peer_knows_stays_recorded,
+	    a_node_that_starts_later_records_windows_since,
 	    a_baseline_is_written_again_from_memory,
 	    a_stage_stays_and_is_written_again,
 	    another_order_waits_for_the_end_of_the_restoration,
+	    a_missing_order_stays_in_force_for_a_time,
 	    evidence_is_of_the_order_of_its_era};
 	Suite *suite = suite_create("restored_duties");
 	TCase *cases = tcase_create("restored_duties");
