Resume a stream whose move fails as its source closes

What callers saw: a stream that may be resumed is cut (502 in the log, move_failed) as its server leaves, though another server is ready.

Cause: where the copy of the stream's memory failed and the source had closed the stream, the request was ended without a look at its route.

Change: such a stream goes the way of any broken one: the attempt is recorded as failed, and a retry with the last event id is made if max_attempts, the deadline and the retry budget allow it. A stream that may not be resumed ends as before.

Ruled out: a copy that fails while the source still sends; the stream goes on there as before (endless_response_to_a_move_is_cut_off).

Evidence: test_stream_moves, a_stream_is_resumed_where_its_move_fails, failed on the old code ("no connection in time"); all 30 checks pass now.

--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -74,14 +74,21 @@
 		switch_to_target(req);
 }
 
-/* The copy failed: the stream continues at the source unless it closed. */
+/*
+ * The copy failed: the stream continues at the source, or where that has closed
+ * it, like any broken stream.
+ */
 static void
 fail_migration(proxy_request_t *req)
 {
 	req->migration.state = PROXY_MIGRATION_ENDED;
 	log_event(LOG_LEVEL_WARN, "stream.not_moved", "id=%s status=%u",
 	    req->facts.attempt_id, req->migration.status);
-	if (req->migration.source_closed)
+	if (!req->migration.source_closed)
+		return;
+	if (catalog_may_retry(req->route))
+		proxy_handle_broken(req->attempt, SERVER_FAILED, "move_failed");
+	else
 		proxy_respond(req, 502, -1, "move_failed");
 }
 
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -277,9 +277,8 @@
 	proxy_finish(req);
 }
 
-/* The request was sent, but no complete response was received. */
-static void
-handle_broken(
+void
+proxy_handle_broken(
     proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason)
 {
 	proxy_request_t *req = attempt->request;
@@ -314,7 +313,8 @@
 	if (is_cut_off(attempt)) {
 		if (!attempt->response_head->has_length)
 			proxy_record_crash(attempt);
-		handle_broken(attempt, SERVER_FAILED, "stream ended early");
+		proxy_handle_broken(
+		    attempt, SERVER_FAILED, "stream ended early");
 		return;
 	}
 	if (!proxy_win_race(attempt))
@@ -334,7 +334,7 @@
 	if (attempt->response.not_run)
 		handle_not_run(attempt);
 	else
-		handle_broken(attempt, SERVER_FAILED, "resume failed");
+		proxy_handle_broken(attempt, SERVER_FAILED, "resume failed");
 }
 
 static void
@@ -379,7 +379,7 @@
 	uint64_t count = event_stream_event_count(attempt->events);
 
 	if (!event_stream_feed(attempt->events, bytes, length)) {
-		handle_broken(attempt, SERVER_FAILED, "oversized event");
+		proxy_handle_broken(attempt, SERVER_FAILED, "oversized event");
 		return;
 	}
 	forward_events(attempt);
@@ -477,7 +477,7 @@
 			return;
 		if (end == UPSTREAM_CLOSED)
 			proxy_record_crash(attempt);
-		handle_broken(attempt, SERVER_FAILED, reason);
+		proxy_handle_broken(attempt, SERVER_FAILED, reason);
 		return;
 	}
 }
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -239,6 +239,12 @@
 /* Handles an attempt of which the server received nothing. */
 void proxy_handle_not_sent(
     proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason);
+/*
+ * Handles an attempt that was sent, but whose complete response was not
+ * received: retries the request where the route allows it.
+ */
+void proxy_handle_broken(
+    proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason);
 /* Callbacks of the upstream call; data is the proxy_attempt_t. */
 void proxy_on_head(
     const http1_head_t *head, const response_facts_t *facts, void *data);
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -416,6 +416,41 @@
 }
 END_TEST
 
+/* Guards against a resumable stream that is cut as its move has failed. */
+START_TEST(a_stream_is_resumed_where_its_move_fails)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/talk/a", backend_listener_2);
+	int port, listener = wire_listen(&port), copy, server;
+	char *request, *response;
+
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	g_free(wire_read_message(copy));
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	g_usleep(50000);
+	wire_send(copy, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+	server = wire_accept(listener);
+	request = wire_read_message(server);
+	wire_assert_header(request, "Last-Event-Id", "1");
+	wire_assert_header(request, "Kv-From", NULL);
+	g_free(request);
+	wire_send(server, STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(exchange.client_fd, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	g_free(response);
+	close(copy);
+	close(server);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 #define COPIED                                          \
 	"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n" \
 	"{\"handle\": 7,\"created\": 2}"
@@ -487,6 +522,7 @@
 	tcase_add_test(cases, late_response_does_not_end_a_migration);
 	tcase_add_test(
 	    cases, copy_of_a_broken_source_does_not_move_the_resumed_stream);
+	tcase_add_test(cases, a_stream_is_resumed_where_its_move_fails);
 	tcase_add_loop_test(cases, a_cut_answer_ends_no_moved_stream, 0,
 	    G_N_ELEMENTS(cut_moves));
 	suite_add_tcase(suite, cases);
