Keep a silent first attempt while its hedge may still fail

What callers saw: 502 for a request that was at two servers, the first of which was slow and at work.

Cause: after two objectives of silence the first attempt left the race, though the second could still fail, and then there was no attempt and none allowed.

Change: both attempts stay until one has answered or failed. Where the second has been silent for as long as the first, and a third server and a retry are available, the third takes the first one's place in the race; before, it took the second one's, two objectives after the first had been given up.

Ruled out: a lost signal about the silent server; a race that it loses, and its replacement, are recorded as before.

Evidence: test_hedge_process on the old code: 502 in a_silent_first_attempt_is_kept_for_a_failing_second, and a_third_server_gets_what_two_are_silent_on got no third attempt in time.

--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -482,7 +482,9 @@
 	}
 }
 
-/* Retries where there is another server; otherwise the silent one may answer.
+/*
+ * Retries where there is another server; otherwise the silent one may answer.
+ * The second attempt of a hedged request goes on.
  */
 static void
 retry_silent(proxy_attempt_t *attempt)
@@ -496,11 +498,24 @@
 	retry_at(req, &retry);
 }
 
+/*
+ * Time until the second attempt of a hedged request, which may still fail, has
+ * been silent for limit_ms too; not above 0: it has been, or there is none.
+ */
+static int64_t
+second_wait_ms(const proxy_request_t *req, int64_t limit_ms)
+{
+	if (!hedge_race_is_open(&req->race))
+		return 0;
+	return req->other_attempt->start_ms + limit_ms - clock_boot_ms();
+}
+
 static void
 on_idle(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
 	proxy_attempt_t *attempt = req->attempt;
+	int64_t wait_ms;
 
 	if (attempt->call == NULL ||
 	    req->migration.state == PROXY_MIGRATION_COPYING ||
@@ -512,11 +527,10 @@
 		    uv_timer_get_repeat(timer));
 		return;
 	}
-	/* The request is at a second server already where it is hedged. */
-	if (!hedge_race_is_open(&req->race)) {
+	wait_ms = second_wait_ms(req, (int64_t)uv_timer_get_repeat(timer));
+	if (wait_ms > 0)
+		uv_timer_start(timer, on_idle, (uint64_t)wait_ms,
+		    uv_timer_get_repeat(timer));
+	else
 		retry_silent(attempt);
-		return;
-	}
-	proxy_record_failed_attempt(attempt, SERVER_UNREACHABLE, "silent");
-	proxy_leave_race(attempt);
 }
--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -22,7 +22,7 @@
 #define DEFAULT_LIMITS                                                   \
 	{                                                                \
 		.body_bytes = 2000, .idle_ms = 5000, .timeout_ms = 4000, \
-		.read_service = "plain"                                  \
+		.read_attempts = 2, .read_service = "plain"              \
 	}
 
 static const gateway_limits_t default_limits = DEFAULT_LIMITS;
@@ -104,7 +104,8 @@
 			 "s:{s:i,s:i,s:i,s:i},s:[{s:s,s:o,s:i,s:f,s:f}]}",
 	    "version", version, "routes",
 	    make_route("/book/", "non_idempotent", 1, "plain"),
-	    make_route("/read/", "idempotent", 2, gateway_limits.read_service),
+	    make_route("/read/", "idempotent", gateway_limits.read_attempts,
+		gateway_limits.read_service),
 	    talk, make_route("/write/", "streaming", 1, "engine"), open,
 	    "services", "name", "plain", "name", "engine", "engine", "slots", 8,
 	    "kv_capacity_tokens", 100000, "moves", 1, "limits",
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -8,7 +8,7 @@
  * platform as their store and cloud API.
  * The configuration has, on host "t.example":
  *   /book/    non-idempotent, one attempt, service "plain"
- *   /read/    idempotent, two attempts, service "plain"
+ *   /read/    idempotent, two attempts by default, service "plain"
  *   /talk/    resumable stream, two attempts, service "engine"
  *   /write/   stream that cannot be resumed, one attempt, service "engine"
  *   /open/    idempotent and public, service "plain"
@@ -22,11 +22,12 @@
  * gateway_setup(); gateway_teardown() restores the defaults.
  */
 typedef struct gateway_limits {
-	int body_bytes; /* limits.max_body_bytes of the configuration */
-	int memory_mb;	/* limits.memory_mb of the settings; 0: not set */
-	int fds_max;	/* limits.max_fds of the settings; 0: not set */
-	int idle_ms;	/* limits.idle_timeout_ms of the configuration */
-	int timeout_ms; /* of its routes */
+	int body_bytes;	   /* limits.max_body_bytes of the configuration */
+	int memory_mb;	   /* limits.memory_mb of the settings; 0: not set */
+	int fds_max;	   /* limits.max_fds of the settings; 0: not set */
+	int idle_ms;	   /* limits.idle_timeout_ms of the configuration */
+	int timeout_ms;	   /* of its routes */
+	int read_attempts; /* max_attempts of the route /read/ */
 	const char *read_service; /* of the route /read/ */
 } gateway_limits_t;
 
--- a/tests/test_hedge_process.c
+++ b/tests/test_hedge_process.c
@@ -23,6 +23,8 @@
 	HEDGE_WAIT_MS = 600,
 	/* A cancelled attempt's connection must close within this time. */
 	CANCEL_MS = 300,
+	/* A server that has sent nothing for so long is silent. */
+	SILENT_US = 2300000,
 	USAGE_REPORT_US = 4500000,
 };
 
@@ -318,6 +320,41 @@
 }
 END_TEST
 
+/* Guards against 502 as the first server is slow and the second one fails. */
+START_TEST(a_silent_first_attempt_is_kept_for_a_failing_second)
+{
+	hedged_t hedged = send_hedged("/read/a");
+
+	g_usleep(SILENT_US);
+	send_no_answer(
+	    &hedged.second, &no_answers[G_N_ELEMENTS(no_answers) - 1]);
+	wire_send(hedged.first, ANSWER("sound"));
+	assert_response(hedged.client, "HTTP/1.1 200", "sound");
+	hedged_close(&hedged);
+}
+END_TEST
+
+/* Guards against a wait for two silent servers beside a third. */
+START_TEST(a_third_server_gets_what_two_are_silent_on)
+{
+	int port, listener = wire_listen(&port), third;
+	hedged_t hedged;
+
+	gateway_limits.read_attempts = 3;
+	gateway_configure(2, "[\"key-1\"]");
+	hedged = send_hedged("/read/a");
+	gateway_register_server("i-3", "plain", port, "ready");
+	third = wire_accept(listener);
+	g_free(wire_read_message(third));
+	ck_assert(wire_wait_closed(hedged.first, CANCEL_MS));
+	wire_send(hedged.second, ANSWER("other"));
+	assert_response(hedged.client, "HTTP/1.1 200", "other");
+	close(third);
+	close(listener);
+	hedged_close(&hedged);
+}
+END_TEST
+
 /* Guards against a promise that a request has not run that may have. */
 START_TEST(not_run_is_promised_where_both_refuse)
 {
@@ -479,6 +516,9 @@
 	tcase_add_test(hedging, of_two_answers_one_is_forwarded);
 	tcase_add_loop_test(hedging, an_attempt_that_fails_leaves_the_other, 0,
 	    2 * G_N_ELEMENTS(no_answers));
+	tcase_add_test(
+	    hedging, a_silent_first_attempt_is_kept_for_a_failing_second);
+	tcase_add_test(hedging, a_third_server_gets_what_two_are_silent_on);
 	tcase_add_loop_test(
 	    hedging, not_run_is_promised_where_both_refuse, 0, 2);
 	tcase_add_test(hedging, both_attempts_end_with_the_client);
