--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -277,9 +277,8 @@
 	proxy_finish(req);
 }
 
-/* The request was sent, but no complete response was received. */
-static void
-handle_broken(
+void
+proxy_handle_broken(
     proxy_attempt_t *attempt, server_outcome_t outcome, const char *reason)
 {
 	proxy_request_t *req = attempt->request;
@@ -314,7 +313,8 @@
 	if (is_cut_off(attempt)) {
 		if (!attempt->response_head->has_length)
 			proxy_record_crash(attempt);
-		handle_broken(attempt, SERVER_FAILED, "stream ended early");
+		proxy_handle_broken(
+		    attempt, SERVER_FAILED, "stream ended early");
 		return;
 	}
 	if (!proxy_win_race(attempt))
@@ -334,7 +334,7 @@
 	if (attempt->response.not_run)
 		handle_not_run(attempt);
 	else
-		handle_broken(attempt, SERVER_FAILED, "resume failed");
+		proxy_handle_broken(attempt, SERVER_FAILED, "resume failed");
 }
 
 static void
@@ -379,7 +379,7 @@
 	uint64_t count = event_stream_event_count(attempt->events);
 
 	if (!event_stream_feed(attempt->events, bytes, length)) {
-		handle_broken(attempt, SERVER_FAILED, "oversized event");
+		proxy_handle_broken(attempt, SERVER_FAILED, "oversized event");
 		return;
 	}
 	forward_events(attempt);
@@ -477,12 +477,14 @@
 			return;
 		if (end == UPSTREAM_CLOSED)
 			proxy_record_crash(attempt);
-		handle_broken(attempt, SERVER_FAILED, reason);
+		proxy_handle_broken(attempt, SERVER_FAILED, reason);
 		return;
 	}
 }
 
-/* Retries where there is another server; otherwise the silent one may answer.
+/*
+ * Retries where there is another server; otherwise the silent one may answer.
+ * The second attempt of a hedged request goes on.
  */
 static void
 retry_silent(proxy_attempt_t *attempt)
@@ -496,11 +498,24 @@
 	retry_at(req, &retry);
 }
 
+/*
+ * Time until the second attempt of a hedged request, which may still fail, has
+ * been silent for limit_ms too; not above 0: it has been, or there is none.
+ */
+static int64_t
+second_wait_ms(const proxy_request_t *req, int64_t limit_ms)
+{
+	if (!hedge_race_is_open(&req->race))
+		return 0;
+	return req->other_attempt->start_ms + limit_ms - clock_boot_ms();
+}
+
 static void
 on_idle(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
 	proxy_attempt_t *attempt = req->attempt;
+	int64_t wait_ms;
 
 	if (attempt->call == NULL ||
 	    req->migration.state == PROXY_MIGRATION_COPYING ||
@@ -512,11 +527,10 @@
 		    uv_timer_get_repeat(timer));
 		return;
 	}
-	/* The request is at a second server already where it is hedged. */
-	if (!hedge_race_is_open(&req->race)) {
+	wait_ms = second_wait_ms(req, (int64_t)uv_timer_get_repeat(timer));
+	if (wait_ms > 0)
+		uv_timer_start(timer, on_idle, (uint64_t)wait_ms,
+		    uv_timer_get_repeat(timer));
+	else
 		retry_silent(attempt);
-		return;
-	}
-	proxy_record_failed_attempt(attempt, SERVER_UNREACHABLE, "silent");
-	proxy_leave_race(attempt);
 }
