Keep a closing connection until its response is taken

What callers saw: a slow client that sent a byte after a response with `Connection: close` got 750 KB of 1.5 MB, then a reset. Cause: a closing connection was kept for one second. An empty queue of libuv says only that the kernel holds the rest; a close with unread bytes makes the kernel discard it and reset the connection. Ruled out: the client reads on without pause, and the response is whole where nothing is sent late. Change: the connection stays open while the kernel's queue is not empty, looked at each 250 ms, until the peer has taken no byte for 5 seconds. For room, one without unsent bytes is closed first. Evidence: late_request_does_not_cut_a_response failed before (757760 of 1500000 bytes), and passes now.

--- a/src/conn.c
+++ b/src/conn.c
@@ -1,14 +1,22 @@
 #include "conn.h"
 
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 
 enum {
 	READ_BUFFER_BYTES = 64 * 1024,
 	/* Time for the peer to read the last response before the close. */
 	LINGER_MS = 1000,
+	/* It goes on while the peer takes bytes, looked at so often, */
+	LINGER_LOOK_MS = 250,
+	/* and ends where it has taken none for so long. */
+	LINGER_STALL_MS = 5000,
+	/* Lingering connections that are looked at for one to close. */
+	LINGER_LOOKS_MAX = 16,
 	/* Most that is read and discarded in a round of the loop meanwhile. */
 	LINGER_READ_BYTES = 16 * 1024,
 	KEEPALIVE_IDLE_S = 1,
@@ -25,7 +33,9 @@
 	conn_callbacks_t callbacks;
 	void *data;
 	unsigned open_handles;
-	int64_t linger_end_ms; /* uv_now() */
+	int64_t linger_look_ms;	 /* uv_now() of the next look */
+	int64_t linger_stall_ms; /* uv_now() of the end without progress */
+	size_t linger_unsent;	 /* conn_unsent_bytes() at the last look */
 	size_t read_max;
 	size_t queue_memory; /* allocated for the writes in progress */
 	int write_error;     /* libuv code of a failed conn_write(), or 0 */
@@ -191,10 +201,38 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+static void on_linger_timeout(uv_timer_t *timer);
+
+static void
+start_linger_timer(conn_t *conn)
+{
+	int64_t remaining_ms =
+	    conn->linger_look_ms - (int64_t)uv_now(conn->timer.loop);
+
+	uv_timer_start(
+	    &conn->timer, on_linger_timeout, (uint64_t)MAX(remaining_ms, 0), 0);
+}
+
+/*
+ * A close with unread bytes discards what the kernel has not sent: it waits
+ * for a peer that reads slowly.
+ */
 static void
 on_linger_timeout(uv_timer_t *timer)
 {
-	close_handles(timer->data);
+	conn_t *conn = timer->data;
+	size_t unsent = conn_unsent_bytes(conn);
+	int64_t now_ms = (int64_t)uv_now(timer->loop);
+
+	if (unsent < conn->linger_unsent)
+		conn->linger_stall_ms = now_ms + LINGER_STALL_MS;
+	conn->linger_unsent = unsent;
+	if (unsent == 0 || now_ms >= conn->linger_stall_ms) {
+		close_handles(conn);
+		return;
+	}
+	conn->linger_look_ms = now_ms + LINGER_LOOK_MS;
+	start_linger_timer(conn);
 }
 
 static void
@@ -205,10 +243,7 @@
 	conn->yielded = false;
 	if (conn->lingering) {
 		start_reading(conn);
-		uv_timer_start(timer, on_linger_timeout,
-		    (uint64_t)MAX(
-			conn->linger_end_ms - (int64_t)uv_now(timer->loop), 0),
-		    0);
+		start_linger_timer(conn);
 		return;
 	}
 	if (conn->reading && !conn->ended)
@@ -460,6 +495,18 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
+size_t
+conn_unsent_bytes(const conn_t *conn)
+{
+	uv_os_fd_t fd;
+	int in_kernel = 0;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0 ||
+	    ioctl(fd, SIOCOUTQ, &in_kernel) != 0)
+		in_kernel = 0;
+	return conn_queued_bytes(conn) + (size_t)in_kernel;
+}
+
 size_t
 conn_queue_memory(const conn_t *conn)
 {
@@ -498,6 +545,7 @@
 conn_shutdown(conn_t *conn, uint64_t *late_count)
 {
 	bool ended = conn->ended;
+	int64_t now_ms = (int64_t)uv_now(conn->timer.loop);
 
 	conn->closing = true;
 	conn->shutdown.data = conn;
@@ -512,10 +560,12 @@
 	conn->read_max = LINGER_READ_BYTES;
 	TAILQ_INSERT_TAIL(&lingering, conn, lingering_entries);
 	lingering_count++;
-	conn->linger_end_ms = (int64_t)uv_now(conn->timer.loop) + LINGER_MS;
+	conn->linger_unsent = conn_unsent_bytes(conn);
+	conn->linger_look_ms = now_ms + LINGER_MS;
+	conn->linger_stall_ms = now_ms + LINGER_STALL_MS;
 	if (!ended)
 		start_reading(conn);
-	uv_timer_start(&conn->timer, on_linger_timeout, LINGER_MS, 0);
+	start_linger_timer(conn);
 }
 
 unsigned
@@ -527,8 +577,18 @@
 void
 conn_close_oldest_lingering(void)
 {
-	conn_t *conn = TAILQ_FIRST(&lingering);
-
-	if (conn != NULL)
-		close_handles(conn);
+	conn_t *oldest = TAILQ_FIRST(&lingering);
+	conn_t *conn;
+	unsigned looks = 0;
+
+	TAILQ_FOREACH (conn, &lingering, lingering_entries) {
+		if (conn_unsent_bytes(conn) == 0) {
+			close_handles(conn);
+			return;
+		}
+		if (++looks == LINGER_LOOKS_MAX)
+			break;
+	}
+	if (oldest != NULL)
+		close_handles(oldest);
 }
--- a/src/conn.h
+++ b/src/conn.h
@@ -55,7 +55,10 @@
 /* Number of bytes not yet handed to the kernel. */
 size_t conn_queued_bytes(const conn_t *conn);
 
-/* Memory that is allocated for them; shared bytes do not count. */
+/* The same, and those that the kernel holds until the peer has taken them. */
+size_t conn_unsent_bytes(const conn_t *conn);
+
+/* Memory that is allocated for the queued ones; shared bytes do not count. */
 size_t conn_queue_memory(const conn_t *conn);
 
 /* Pauses or resumes reading; a new connection is reading. */
@@ -86,7 +89,8 @@
 
 /*
  * Sends the queued bytes and shuts down the sending side; closes after a short
- * time, as a reset by the kernel at once could make the peer lose the response.
+ * time, and once the peer has taken all bytes or has taken none for 5 seconds:
+ * a reset by the kernel before could make the peer lose the response.
  * What the peer sends meanwhile stays unread, so that the reset then tells it
  * so, and *late_count is incremented; borrowed until the process ends. NULL: it
  * is the rest of a refused request, which is read and discarded.
@@ -95,7 +99,7 @@
 
 /* Connections of the process that conn_shutdown() has not closed yet. */
 unsigned conn_lingering_count(void);
-/* Closes the one that has waited longest. */
+/* Closes the one that has waited longest, rather one without unsent bytes. */
 void conn_close_oldest_lingering(void);
 
 #endif
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -16,7 +16,13 @@
 
 #define REQUEST "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 
-enum { SHORT_MS = 30, LINGER_MS = 1000 };
+enum {
+	SHORT_MS = 30,
+	LINGER_MS = 1000,
+	SLOW_BYTES = 1500 * 1000, /* the kernel takes them at once */
+	SLOW_READ_BYTES = 8192,
+	SLOW_READS_MAX = 400,
+};
 
 static uv_loop_t loop;
 static http1_server_t *server;
@@ -216,6 +222,68 @@
 }
 END_TEST
 
+/* A client that reads slowly, so that a response stays in the kernel. */
+static int
+connect_slow_client(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0), bytes = SLOW_READ_BYTES;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_text(fd, REQUEST);
+	run_loop(10);
+	return fd;
+}
+
+/* Answers with so many bytes of body. */
+static void
+answer_large(size_t length)
+{
+	exchange_t *exchange = exchanges->pdata[0];
+	char *body = g_malloc0(length);
+
+	exchange_reply(exchange, 200, NULL, body, length);
+	exchange_unref(exchange);
+	g_free(body);
+	run_loop(2);
+}
+
+/* Reads slowly to the end of the connection; returns the number of bytes. */
+static size_t
+read_slowly(int fd)
+{
+	char bytes[SLOW_READ_BYTES];
+	size_t sum = 0;
+	ssize_t length;
+
+	for (int i = 0; i < SLOW_READS_MAX; i++) {
+		run_loop(10);
+		length = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (length == 0 || (length < 0 && errno != EAGAIN))
+			break;
+		sum += (size_t)MAX(length, 0);
+	}
+	return sum;
+}
+
+/*
+ * Guards against a close that discards the rest of a response, as a request
+ * that crosses it lies unread.
+ */
+START_TEST(late_request_does_not_cut_a_response)
+{
+	int fd = connect_slow_client();
+
+	http1_server_drain(server);
+	answer_large(SLOW_BYTES);
+	ck_assert_uint_eq(http1_server_connections(server), 0);
+	send_text(fd, REQUEST);
+	ck_assert_uint_ge(read_slowly(fd), SLOW_BYTES);
+	close(fd);
+}
+END_TEST
+
 /* Counts responses in what the client has got. */
 static unsigned
 count_responses(const char *text)
@@ -313,6 +381,7 @@
 	    request_that_came_before_an_idle_close_is_passed_on, 0,
 	    G_N_ELEMENTS(idle_closes));
 	tcase_add_test(cases, request_after_a_closing_response_is_reset);
+	tcase_add_test(cases, late_request_does_not_cut_a_response);
 	tcase_add_test(
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	tcase_add_test(
