Close an idle connection only when its response is taken

What callers saw: a slow client that sent its next request after a close for idleness (planned stop, idle limit, room for a new connection) got 12 KB of 1.5 MB, then a reset. Cause: a response was taken as read 300 ms after it had ended. The close did not wait for what the kernel still held, and the request that came next made the kernel discard it. Ruled out: the queue of the process is empty in this case. Change: the kernel's queue is looked at instead of the time. Evidence: request_after_an_idle_close_does_not_cut_a_response failed before (12288 of 1500000 bytes), and passes now.

--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -32,8 +32,6 @@
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
-	/* A client has read a response that was sent so long ago. */
-	RESPONSE_READ_MS = 300,
 	/* A client that reads none of the queued bytes for so long is reset. */
 	STALL_MS = 5000,
 	STATUS_BAD_REQUEST = 400,
@@ -321,19 +319,16 @@
 
 /*
  * Closes a connection without a request; false where one has come. There is no
- * lingering: what the client sends into the close must not be read, so that it
- * can send it again elsewhere.
+ * lingering once the client has taken the last response: what the client sends
+ * into the close must not be read, so that it can send it again elsewhere.
  */
 static bool
 close_if_idle(client_t *client)
 {
-	int64_t idle_ms = clock_mono_ms() - client->idle_since_ms;
-
 	if (client->phase != CLIENT_IDLE || client->pipelined->len > 0 ||
 	    conn_unread(client->conn) == CONN_UNREAD_BYTES)
 		return false;
-	if (conn_queued_bytes(client->conn) > 0 ||
-	    (client->answered && idle_ms < RESPONSE_READ_MS))
+	if (conn_unsent_bytes(client->conn) > 0)
 		http1_server_shutdown_client(client);
 	else
 		http1_server_close_client(client);
@@ -891,7 +886,6 @@
 {
 	TAILQ_REMOVE(&client->server->clients, client, entries);
 	TAILQ_INSERT_TAIL(&client->server->clients, client, entries);
-	client->answered = true;
 	enter_idle(client);
 	if (client->parsing)
 		return; /* client_read() goes on with the rest */
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -58,7 +58,6 @@
 	int64_t idle_since_ms;
 	/* Bytes of the request lay unread at its time limit. */
 	bool overdue;
-	bool answered;	     /* a response ended when it became idle */
 	bool refused;	     /* the rest of the request is of no interest */
 	size_t queued_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -22,6 +22,7 @@
 	SLOW_BYTES = 1500 * 1000, /* the kernel takes them at once */
 	SLOW_READ_BYTES = 8192,
 	SLOW_READS_MAX = 400,
+	SLOW_PAUSE_MS = 350,
 };
 
 static uv_loop_t loop;
@@ -284,6 +285,21 @@
 }
 END_TEST
 
+/* The same after a close for idleness. */
+START_TEST(request_after_an_idle_close_does_not_cut_a_response)
+{
+	int fd = connect_slow_client();
+
+	answer_large(SLOW_BYTES);
+	run_loop(SLOW_PAUSE_MS);
+	http1_server_close_idle(server, SHORT_MS);
+	ck_assert_uint_eq(http1_server_connections(server), 0);
+	send_text(fd, REQUEST);
+	ck_assert_uint_ge(read_slowly(fd), SLOW_BYTES);
+	close(fd);
+}
+END_TEST
+
 /* Counts responses in what the client has got. */
 static unsigned
 count_responses(const char *text)
@@ -382,6 +398,8 @@
 	    G_N_ELEMENTS(idle_closes));
 	tcase_add_test(cases, request_after_a_closing_response_is_reset);
 	tcase_add_test(cases, late_request_does_not_cut_a_response);
+	tcase_add_test(
+	    cases, request_after_an_idle_close_does_not_cut_a_response);
 	tcase_add_test(
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	tcase_add_test(
