Count what the client took in a pause before a stall reset

What callers saw: after a pause of the process of 5 seconds, a client that had read all it was sent was reset in the middle of a response whose connection closes (3.9 MB of 48 MB). Cause: the timer for a client that does not read runs before the loop sees that the socket takes more, and compared the queue of the process alone. Ruled out: a client that takes nothing is still reset after 5 seconds. Change: the comparison includes the kernel's queue, which shrinks while the process is paused. Evidence: client_that_reads_in_a_pause_is_not_reset failed before (3919872 bytes), and passes now.

--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -32,7 +32,7 @@
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
-	/* A client that reads none of the queued bytes for so long is reset. */
+	/* A client that takes none of the queued bytes for so long is reset. */
 	STALL_MS = 5000,
 	STATUS_BAD_REQUEST = 400,
 	STATUS_TIMEOUT = 408,
@@ -243,8 +243,8 @@
 
 	if (http1_server_has_bytes_behind(client))
 		losses[HTTP1_LOST_BEHIND]++;
-	client->queued_bytes = conn_queued_bytes(client->conn);
-	if (client->queued_bytes > 0) {
+	if (conn_queued_bytes(client->conn) > 0) {
+		client->unsent_bytes = conn_unsent_bytes(client->conn);
 		set_phase(client, CLIENT_CLOSING);
 		drop_received(client);
 		if (!client->refused)
@@ -302,18 +302,19 @@
 
 /*
  * Resets a client that does not read, so that it cannot take what it has for a
- * complete response.
+ * complete response. What the kernel holds counts: after a pause of the
+ * process, the loop has not queued more there yet.
  */
 static void
 on_closing_timeout(client_t *client)
 {
-	size_t queued_bytes = conn_queued_bytes(client->conn);
+	size_t unsent_bytes = conn_unsent_bytes(client->conn);
 
-	if (queued_bytes == client->queued_bytes) {
+	if (unsent_bytes == client->unsent_bytes) {
 		http1_server_reset_client(client);
 		return;
 	}
-	client->queued_bytes = queued_bytes;
+	client->unsent_bytes = unsent_bytes;
 	start_timer(client, STALL_MS);
 }
 
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -59,7 +59,7 @@
 	/* Bytes of the request lay unread at its time limit. */
 	bool overdue;
 	bool refused;	     /* the rest of the request is of no interest */
-	size_t queued_bytes; /* while closing, at the last look for a stall */
+	size_t unsent_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
 	http1_refusal_t refusal;
 } client_t;
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -23,6 +23,8 @@
 	SLOW_READ_BYTES = 8192,
 	SLOW_READS_MAX = 400,
 	SLOW_PAUSE_MS = 350,
+	LARGE_BYTES = 48 * 1024 * 1024, /* more than the kernel takes */
+	STALL_MS = 5100,
 };
 
 static uv_loop_t loop;
@@ -300,6 +302,41 @@
 }
 END_TEST
 
+/* Reads what has come to the client; returns the number of bytes. */
+static size_t
+read_available(int fd)
+{
+	static char bytes[1 << 16];
+	size_t sum = 0;
+	ssize_t length;
+
+	while ((length = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		sum += (size_t)length;
+	return sum;
+}
+
+/* Guards against a pause of the process that is taken for a stalled client. */
+START_TEST(client_that_reads_in_a_pause_is_not_reset)
+{
+	int fd = connect_client();
+	size_t sum;
+
+	send_text(fd, REQUEST);
+	run_loop(10);
+	http1_server_drain(server);
+	answer_large(LARGE_BYTES);
+	ck_assert_uint_eq(http1_server_connections(server), 1);
+	sum = read_available(fd);
+	g_usleep(STALL_MS * 1000);
+	for (int i = 0; i < SLOW_READS_MAX && sum < LARGE_BYTES; i++) {
+		run_loop(2);
+		sum += read_available(fd);
+	}
+	ck_assert_uint_ge(sum, LARGE_BYTES);
+	close(fd);
+}
+END_TEST
+
 /* Counts responses in what the client has got. */
 static unsigned
 count_responses(const char *text)
@@ -390,6 +427,7 @@
 	TCase *cases = tcase_create("http1_server");
 
 	signal(SIGPIPE, SIG_IGN);
+	tcase_set_timeout(cases, 30);
 	tcase_add_checked_fixture(cases, setup, NULL);
 	tcase_add_loop_test(cases, request_that_crosses_an_idle_close_is_reset,
 	    0, G_N_ELEMENTS(idle_closes));
@@ -400,6 +438,7 @@
 	tcase_add_test(cases, late_request_does_not_cut_a_response);
 	tcase_add_test(
 	    cases, request_after_an_idle_close_does_not_cut_a_response);
+	tcase_add_test(cases, client_that_reads_in_a_pause_is_not_reset);
 	tcase_add_test(
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	tcase_add_test(
