Read answers that have come by the end of a planned stop

What callers saw: 504 at the end of the grace period for a request whose server had answered during a pause of the process. Cause: proxy_end_all() ended requests without a look at their sockets, as the deadline does. Ruled out: a request whose server is still at work gets 504 as before. Change: a request with unread bytes goes on for one round of the loop. The count of interrupted requests moves to the proxy, as such a request may end with its answer. Evidence: answer_unread_at_the_end_of_the_grace_period_is_passed_on failed before (504), and passes now.

--- a/src/gateway.c
+++ b/src/gateway.c
@@ -607,17 +607,6 @@
 	quota_each(gateway->proxy.quota, now_ms, add_quota_gauge, counters);
 }
 
-/* Ends the requests in flight; returns their number. */
-static unsigned
-end_requests(gateway_t *gateway)
-{
-	unsigned active =
-	    http1_server_active_requests(gateway->client_listener);
-
-	proxy_end_all(&gateway->proxy);
-	return active;
-}
-
 static void
 check_drain(gateway_t *gateway, int64_t now_ms)
 {
@@ -638,12 +627,13 @@
 	}
 	if (http1_server_active_requests(gateway->client_listener) > 0) {
 		/* The process ends at the next tick, after their responses. */
-		gateway->interrupted += end_requests(gateway);
+		proxy_end_all(&gateway->proxy);
 		return;
 	}
-	log_event(gateway->interrupted > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+	log_event(
+	    gateway->proxy.interrupted > 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
 	    "front.drained", "interrupted=%u passed_ms=%" G_GINT64_FORMAT,
-	    gateway->interrupted, now_ms - gateway->drain.started_ms);
+	    gateway->proxy.interrupted, now_ms - gateway->drain.started_ms);
 	cluster_broadcast_digest(gateway->cluster);
 	uv_timer_stop(&gateway->timer);
 	gateway->on_drained(gateway->drain_data);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -51,7 +51,6 @@
 	bool was_ready; /* at least once */
 	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
 	drain_t drain;
-	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
 	void *drain_data;
 };
--- a/src/proxy.c
+++ b/src/proxy.c
@@ -233,16 +233,26 @@
 	return attempt->call != NULL && upstream_call_has_unread(attempt->call);
 }
 
-/* Lets the loop read an answer that has come by then, after a pause. */
+/*
+ * True where the loop may read an answer that has come by the end of the time
+ * for it, after a pause: once for each request.
+ */
+static bool
+may_be_answered(proxy_request_t *req)
+{
+	if (req->deadline_passed || (!proxy_has_unread(req->attempt) &&
+					!proxy_has_unread(req->other_attempt)))
+		return false;
+	req->deadline_passed = true;
+	return true;
+}
+
 static void
 on_deadline(uv_timer_t *timer)
 {
 	proxy_request_t *req = timer->data;
 
-	if (!req->deadline_passed &&
-	    (proxy_has_unread(req->attempt) ||
-		proxy_has_unread(req->other_attempt))) {
-		req->deadline_passed = true;
+	if (may_be_answered(req)) {
 		uv_timer_start(timer, on_deadline, DEADLINE_READ_MS, 0);
 		return;
 	}
@@ -251,13 +261,37 @@
 	give_up(req, "deadline", "deadline_not_run");
 }
 
+static void
+stop_request(proxy_request_t *req)
+{
+	req->context->interrupted++;
+	give_up(req, "stopped", "stopping");
+}
+
+static void
+on_stop(uv_timer_t *timer)
+{
+	stop_request(timer->data);
+}
+
 void
 proxy_end_all(proxy_context_t *context)
 {
 	proxy_request_t *req;
-
-	while ((req = TAILQ_FIRST(&context->requests)) != NULL)
-		give_up(req, "stopped", "stopping");
+	unsigned count = 0;
+
+	TAILQ_FOREACH (req, &context->requests, entries)
+		count++;
+	while (count-- > 0 && (req = TAILQ_FIRST(&context->requests)) != NULL) {
+		if (!may_be_answered(req)) {
+			stop_request(req);
+			continue;
+		}
+		TAILQ_REMOVE(&context->requests, req, entries);
+		TAILQ_INSERT_TAIL(&context->requests, req, entries);
+		uv_timer_start(
+		    &req->deadline_timer, on_stop, DEADLINE_READ_MS, 0);
+	}
 }
 
 /*
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -51,7 +51,8 @@
 	 * 0: the catalog is not confirmed yet and must not be used at all.
 	 */
 	int64_t catalog_valid_until_ms;
-	bool stopping; /* the node shuts down: new requests get 503 */
+	bool stopping;	      /* the node shuts down: new requests get 503 */
+	unsigned interrupted; /* requests that proxy_end_all() has ended */
 	/* Requests in flight. */
 	TAILQ_HEAD(proxy_request_list, proxy_request) requests;
 } proxy_context_t;
@@ -64,7 +65,8 @@
 
 /*
  * Ends all requests in flight, as the process is about to end: those whose
- * response has not started get one, the others are cut.
+ * response has not started get one, the others are cut. Those whose answer lies
+ * unread go on for one round of the loop.
  */
 void proxy_end_all(proxy_context_t *context);
 
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -22,6 +22,9 @@
 	 * the server of a late one is at work at the end of the grace period.
 	 */
 	LATE_MS = 1750,
+	/* Around the end of the grace period, less its margin. */
+	PAUSE_START_MS = 5300,
+	PAUSE_END_MS = 5700,
 };
 
 static gint64
@@ -119,6 +122,44 @@
 }
 END_TEST
 
+/*
+ * Guards against a 504 at the end of the grace period for a request whose
+ * answer has come in a pause of the process.
+ */
+START_TEST(answer_unread_at_the_end_of_the_grace_period_is_passed_on)
+{
+	char *request = gateway_format_request("/book/a", "id-1", "key-1");
+	char **parts = g_strsplit(request, "3000", 2);
+	int fd = wire_connect(gateway_node->address), server;
+	gint64 start_us = g_get_monotonic_time();
+	char *response;
+
+	kill(gateway_node->pid, SIGTERM);
+	g_usleep(LATE_MS * US_PER_MS);
+	g_free(request);
+	request = g_strjoinv("9000", parts);
+	wire_send(fd, request);
+	server = wire_accept(backend_listener_1);
+	g_free(wire_read_message(server));
+	g_usleep((PAUSE_START_MS - LATE_MS) * US_PER_MS);
+	kill(gateway_node->pid, SIGSTOP);
+	wire_send(server, "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+			  "Content-Length: 5\r\n\r\nwhole");
+	while (elapsed_ms(start_us) < PAUSE_END_MS)
+		g_usleep(US_PER_MS);
+	kill(gateway_node->pid, SIGCONT);
+	response = wire_read_message(fd);
+	ck_assert_msg(
+	    g_str_has_suffix(response, "whole"), "got: %.40s", response);
+	ck_assert_int_eq(program_wait(gateway_node), 0);
+	g_free(response);
+	g_free(request);
+	g_strfreev(parts);
+	close(fd);
+	close(server);
+}
+END_TEST
+
 /*
  * Guards against a second SIGTERM, or a reload, that ends a planned stop and
  * cuts what is in flight.
@@ -160,6 +201,8 @@
 	tcase_add_test(cases, body_that_arrives_during_a_planned_stop_is_read);
 	tcase_add_test(cases,
 	    request_in_flight_at_the_end_of_the_grace_period_is_answered);
+	tcase_add_test(
+	    cases, answer_unread_at_the_end_of_the_grace_period_is_passed_on);
 	tcase_add_test(cases, signals_during_a_planned_stop_do_not_end_it);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
