Reset a request that is dropped behind an announced close

What callers saw: in a planned stop, a request that was sent behind a stream in progress was read and dropped, and its client saw a clean end: it could not tell that the request had not run. Cause: the head of the stream had announced the close. Bytes are read meanwhile, as the sight of a client that leaves would be lost otherwise, so that the kernel finds nothing unread at the close. Ruled out: requests that are read before the head is written are answered. Change: where requests behind the last response are dropped, the connection is not shut down, but reset once the client has taken that response. A client that may read to the end of the connection (HTTP/1.0, its own `Connection: close`) gets the clean end as before. Evidence: request_behind_an_announced_close_is_reset failed before (no reset), and passes now.

--- a/src/conn.c
+++ b/src/conn.c
@@ -44,6 +44,7 @@
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
 	bool lingering;
+	bool reset_after;     /* the linger ends with a reset */
 	uint64_t *late_count; /* see conn_shutdown() */
 };
 
@@ -213,6 +214,15 @@
 	    &conn->timer, on_linger_timeout, (uint64_t)MAX(remaining_ms, 0), 0);
 }
 
+static void
+finish_linger(conn_t *conn)
+{
+	if (conn->reset_after)
+		conn_reset(conn);
+	else
+		close_handles(conn);
+}
+
 /*
  * A close with unread bytes discards what the kernel has not sent: it waits
  * for a peer that reads slowly.
@@ -228,7 +238,7 @@
 		conn->linger_stall_ms = now_ms + LINGER_STALL_MS;
 	conn->linger_unsent = unsent;
 	if (unsent == 0 || now_ms >= conn->linger_stall_ms) {
-		close_handles(conn);
+		finish_linger(conn);
 		return;
 	}
 	conn->linger_look_ms = now_ms + LINGER_LOOK_MS;
@@ -524,6 +534,7 @@
 conn_reset(conn_t *conn)
 {
 	conn->closing = true;
+	end_linger(conn);
 	if (uv_is_closing((uv_handle_t *)&conn->tcp) ||
 	    uv_tcp_close_reset(&conn->tcp, on_handle_closed) != 0) {
 		close_handles(conn);
@@ -541,19 +552,11 @@
 		close_handles(conn);
 }
 
-void
-conn_shutdown(conn_t *conn, uint64_t *late_count)
+static void
+start_linger(conn_t *conn, uint64_t *late_count)
 {
-	bool ended = conn->ended;
 	int64_t now_ms = (int64_t)uv_now(conn->timer.loop);
 
-	conn->closing = true;
-	conn->shutdown.data = conn;
-	if (uv_shutdown(
-		&conn->shutdown, (uv_stream_t *)&conn->tcp, on_shutdown) != 0) {
-		close_handles(conn);
-		return;
-	}
 	conn->yielded = false;
 	conn->lingering = true;
 	conn->late_count = late_count;
@@ -563,11 +566,32 @@
 	conn->linger_unsent = conn_unsent_bytes(conn);
 	conn->linger_look_ms = now_ms + LINGER_MS;
 	conn->linger_stall_ms = now_ms + LINGER_STALL_MS;
-	if (!ended)
+	if (!conn->ended)
 		start_reading(conn);
 	start_linger_timer(conn);
 }
 
+void
+conn_shutdown(conn_t *conn, uint64_t *late_count)
+{
+	conn->closing = true;
+	conn->shutdown.data = conn;
+	if (uv_shutdown(
+		&conn->shutdown, (uv_stream_t *)&conn->tcp, on_shutdown) != 0) {
+		close_handles(conn);
+		return;
+	}
+	start_linger(conn, late_count);
+}
+
+void
+conn_reset_after(conn_t *conn)
+{
+	conn->closing = true;
+	conn->reset_after = true;
+	start_linger(conn, NULL);
+}
+
 unsigned
 conn_lingering_count(void)
 {
@@ -583,12 +607,12 @@
 
 	TAILQ_FOREACH (conn, &lingering, lingering_entries) {
 		if (conn_unsent_bytes(conn) == 0) {
-			close_handles(conn);
+			finish_linger(conn);
 			return;
 		}
 		if (++looks == LINGER_LOOKS_MAX)
 			break;
 	}
 	if (oldest != NULL)
-		close_handles(oldest);
+		finish_linger(oldest);
 }
--- a/src/conn.h
+++ b/src/conn.h
@@ -97,7 +97,13 @@
  */
 void conn_shutdown(conn_t *conn, uint64_t *late_count);
 
-/* Connections of the process that conn_shutdown() has not closed yet. */
+/*
+ * Keeps the connection open in the same way, then resets it: bytes that have
+ * been read were a request that does not run, and its client learns so.
+ */
+void conn_reset_after(conn_t *conn);
+
+/* Connections of the process that these two have not closed yet. */
 unsigned conn_lingering_count(void);
 /* Closes the one that has waited longest, rather one without unsent bytes. */
 void conn_close_oldest_lingering(void);
--- a/src/exchange.c
+++ b/src/exchange.c
@@ -173,6 +173,8 @@
 	if (exchange->chunked)
 		http1_server_write(client, last_chunk, strlen(last_chunk));
 	close = closes_connection(exchange);
+	client->reads_to_end =
+	    !exchange->keep_alive || exchange->close_delimited;
 	client->exchange = NULL;
 	exchange->client = NULL;
 	client->server->active_requests--;
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -241,8 +241,10 @@
 {
 	uint64_t *losses = client->server->losses;
 
-	if (http1_server_has_bytes_behind(client))
+	if (http1_server_has_bytes_behind(client)) {
 		losses[HTTP1_LOST_BEHIND]++;
+		client->reset_after = !client->reads_to_end;
+	}
 	if (conn_queued_bytes(client->conn) > 0) {
 		client->unsent_bytes = conn_unsent_bytes(client->conn);
 		set_phase(client, CLIENT_CLOSING);
@@ -252,8 +254,11 @@
 		start_timer(client, STALL_MS);
 		return;
 	}
-	conn_shutdown(
-	    client->conn, client->refused ? NULL : &losses[HTTP1_LOST_LATE]);
+	if (client->reset_after)
+		conn_reset_after(client->conn);
+	else
+		conn_shutdown(client->conn,
+		    client->refused ? NULL : &losses[HTTP1_LOST_LATE]);
 	client_remove(client);
 }
 
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -58,6 +58,9 @@
 	int64_t idle_since_ms;
 	/* Bytes of the request lay unread at its time limit. */
 	bool overdue;
+	/* The end of the connection may end the last response. */
+	bool reads_to_end;
+	bool reset_after;    /* requests behind the last response are lost */
 	bool refused;	     /* the rest of the request is of no interest */
 	size_t unsent_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -337,6 +337,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a clean end behind a response for a request that was read
+ * after the head had announced the close.
+ */
+START_TEST(request_behind_an_announced_close_is_reset)
+{
+	int fd = connect_client();
+	exchange_t *exchange;
+	char *text;
+
+	send_text(fd, REQUEST);
+	run_loop(10);
+	http1_server_drain(server);
+	exchange = exchanges->pdata[0];
+	exchange_start(
+	    exchange, &(http1_head_t){.status = 200}, EXCHANGE_CHUNKED);
+	send_text(fd, REQUEST);
+	run_loop(10);
+	exchange_end(exchange);
+	exchange_unref(exchange);
+	run_loop(LINGER_MS + 100);
+	text = receive(fd);
+	ck_assert(g_str_has_suffix(text, "0\r\n\r\n"));
+	ck_assert(is_reset(fd));
+	g_free(text);
+	close(fd);
+}
+END_TEST
+
 /* Counts responses in what the client has got. */
 static unsigned
 count_responses(const char *text)
@@ -439,6 +468,7 @@
 	tcase_add_test(
 	    cases, request_after_an_idle_close_does_not_cut_a_response);
 	tcase_add_test(cases, client_that_reads_in_a_pause_is_not_reset);
+	tcase_add_test(cases, request_behind_an_announced_close_is_reset);
 	tcase_add_test(
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	tcase_add_test(
