Wait for slow clients at the end of a planned stop

What callers saw: in a planned stop, a slow client that had sent a byte after its response got 924 KB of 1.5 MB: the process ended meanwhile. Cause: the stop waits for open connections only, not for those whose response is complete but still in the kernel. Ruled out: the wait is bounded by the grace period, and for a client that takes nothing by 5 seconds. Change: closing connections with unsent bytes, or that are to be reset, keep the process until the end of the grace period. Evidence: planned_stop_waits_for_a_slow_client failed before (923751 of 1500000 bytes), and passes now.

--- a/src/conn.c
+++ b/src/conn.c
@@ -598,6 +598,17 @@
 	return lingering_count;
 }
 
+bool
+conn_lingering_has_unsent(void)
+{
+	const conn_t *conn;
+
+	TAILQ_FOREACH (conn, &lingering, lingering_entries)
+		if (conn->reset_after || conn_unsent_bytes(conn) > 0)
+			return true;
+	return false;
+}
+
 void
 conn_close_oldest_lingering(void)
 {
--- a/src/conn.h
+++ b/src/conn.h
@@ -105,6 +105,11 @@
 
 /* Connections of the process that these two have not closed yet. */
 unsigned conn_lingering_count(void);
+/*
+ * True where the end of the process may cut a response of one of them, or takes
+ * the place of its reset.
+ */
+bool conn_lingering_has_unsent(void);
 /* Closes the one that has waited longest, rather one without unsent bytes. */
 void conn_close_oldest_lingering(void);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -1,6 +1,7 @@
 #include "gateway_state.h"
 
 #include "clock.h"
+#include "conn.h"
 #include "log.h"
 #include "platform_request.h"
 
@@ -613,6 +614,8 @@
 	unsigned connections =
 	    http1_server_connections(gateway->client_listener);
 
+	if (conn_lingering_has_unsent())
+		connections++;
 	switch (drain_step(&gateway->drain, connections,
 	    http1_server_accepted(gateway->client_listener), now_ms)) {
 	case DRAIN_SERVING:
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /*
@@ -25,6 +26,9 @@
 	/* Around the end of the grace period, less its margin. */
 	PAUSE_START_MS = 5300,
 	PAUSE_END_MS = 5700,
+	/* A client that reads for longer than an idle node takes to stop. */
+	SLOW_BYTES = 1500 * 1000,
+	SLOW_READ_BYTES = 8192,
 };
 
 static gint64
@@ -160,6 +164,39 @@
 }
 END_TEST
 
+/*
+ * Guards against the end of the process that discards the rest of a response,
+ * as a request that came after it lies unread.
+ */
+START_TEST(planned_stop_waits_for_a_slow_client)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/book/a", backend_listener_1);
+	char *body = g_strnfill(SLOW_BYTES, 'x');
+	char bytes[SLOW_READ_BYTES];
+	size_t sum = 0;
+	ssize_t length;
+
+	kill(gateway_node->pid, SIGTERM);
+	g_usleep(REQUEST_INTERVAL_MS * US_PER_MS);
+	wire_send(exchange.server_fd,
+	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: id-1\r\n"
+	    "Content-Length: 1500000\r\n\r\n");
+	wire_send(exchange.server_fd, body);
+	g_usleep(10 * REQUEST_INTERVAL_MS * US_PER_MS);
+	wire_send(exchange.client_fd, "GET / HTTP/1.1\r\n\r\n");
+	while (
+	    (length = recv(exchange.client_fd, bytes, sizeof(bytes), 0)) > 0) {
+		sum += (size_t)length;
+		g_usleep(REQUEST_INTERVAL_MS * US_PER_MS);
+	}
+	ck_assert_uint_ge(sum, SLOW_BYTES);
+	gateway_exchange_close(&exchange);
+	ck_assert_int_eq(program_wait(gateway_node), 0);
+	g_free(body);
+}
+END_TEST
+
 /*
  * Guards against a second SIGTERM, or a reload, that ends a planned stop and
  * cuts what is in flight.
@@ -203,6 +240,7 @@
 	    request_in_flight_at_the_end_of_the_grace_period_is_answered);
 	tcase_add_test(
 	    cases, answer_unread_at_the_end_of_the_grace_period_is_passed_on);
+	tcase_add_test(cases, planned_stop_waits_for_a_slow_client);
 	tcase_add_test(cases, signals_during_a_planned_stop_do_not_end_it);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
