--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -52,7 +52,6 @@
 	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
 	int64_t waiting_since_ms;   /* the first of the waiting exchanges */
 	drain_t drain;
-	unsigned interrupted; /* requests in flight when the drain ended */
 	void (*on_drained)(void *data);
 	void *drain_data;
 };
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -32,9 +32,7 @@
 	/* Allowance for the request target and terminators: the limit in the
 	 * settings counts header names and values only. */
 	HEAD_OVERHEAD_BYTES = 4096,
-	/* A client has read a response that was sent so long ago. */
-	RESPONSE_READ_MS = 300,
-	/* A client that reads none of the queued bytes for so long is reset. */
+	/* A client that takes none of the queued bytes for so long is reset. */
 	STALL_MS = 5000,
 	STATUS_BAD_REQUEST = 400,
 	STATUS_TIMEOUT = 408,
@@ -243,10 +241,12 @@
 {
 	uint64_t *losses = client->server->losses;
 
-	if (http1_server_has_bytes_behind(client))
+	if (http1_server_has_bytes_behind(client)) {
 		losses[HTTP1_LOST_BEHIND]++;
-	client->queued_bytes = conn_queued_bytes(client->conn);
-	if (client->queued_bytes > 0) {
+		client->reset_after = !client->reads_to_end;
+	}
+	if (conn_queued_bytes(client->conn) > 0) {
+		client->unsent_bytes = conn_unsent_bytes(client->conn);
 		set_phase(client, CLIENT_CLOSING);
 		drop_received(client);
 		if (!client->refused)
@@ -254,8 +254,11 @@
 		start_timer(client, STALL_MS);
 		return;
 	}
-	conn_shutdown(
-	    client->conn, client->refused ? NULL : &losses[HTTP1_LOST_LATE]);
+	if (client->reset_after)
+		conn_reset_after(client->conn);
+	else
+		conn_shutdown(client->conn,
+		    client->refused ? NULL : &losses[HTTP1_LOST_LATE]);
 	client_remove(client);
 }
 
@@ -304,36 +307,34 @@
 
 /*
  * Resets a client that does not read, so that it cannot take what it has for a
- * complete response.
+ * complete response. What the kernel holds counts: after a pause of the
+ * process, the loop has not queued more there yet.
  */
 static void
 on_closing_timeout(client_t *client)
 {
-	size_t queued_bytes = conn_queued_bytes(client->conn);
+	size_t unsent_bytes = conn_unsent_bytes(client->conn);
 
-	if (queued_bytes == client->queued_bytes) {
+	if (unsent_bytes == client->unsent_bytes) {
 		http1_server_reset_client(client);
 		return;
 	}
-	client->queued_bytes = queued_bytes;
+	client->unsent_bytes = unsent_bytes;
 	start_timer(client, STALL_MS);
 }
 
 /*
  * Closes a connection without a request; false where one has come. There is no
- * lingering: what the client sends into the close must not be read, so that it
- * can send it again elsewhere.
+ * lingering once the client has taken the last response: what the client sends
+ * into the close must not be read, so that it can send it again elsewhere.
  */
 static bool
 close_if_idle(client_t *client)
 {
-	int64_t idle_ms = clock_mono_ms() - client->idle_since_ms;
-
 	if (client->phase != CLIENT_IDLE || client->pipelined->len > 0 ||
 	    conn_unread(client->conn) == CONN_UNREAD_BYTES)
 		return false;
-	if (conn_queued_bytes(client->conn) > 0 ||
-	    (client->answered && idle_ms < RESPONSE_READ_MS))
+	if (conn_unsent_bytes(client->conn) > 0)
 		http1_server_shutdown_client(client);
 	else
 		http1_server_close_client(client);
@@ -891,7 +892,6 @@
 {
 	TAILQ_REMOVE(&client->server->clients, client, entries);
 	TAILQ_INSERT_TAIL(&client->server->clients, client, entries);
-	client->answered = true;
 	enter_idle(client);
 	if (client->parsing)
 		return; /* client_read() goes on with the rest */
--- a/tests/test_http1_server.c
+++ b/tests/test_http1_server.c
@@ -16,7 +16,16 @@
 
 #define REQUEST "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
 
-enum { SHORT_MS = 30, LINGER_MS = 1000 };
+enum {
+	SHORT_MS = 30,
+	LINGER_MS = 1000,
+	SLOW_BYTES = 1500 * 1000, /* the kernel takes them at once */
+	SLOW_READ_BYTES = 8192,
+	SLOW_READS_MAX = 400,
+	SLOW_PAUSE_MS = 350,
+	LARGE_BYTES = 48 * 1024 * 1024, /* more than the kernel takes */
+	STALL_MS = 5100,
+};
 
 static uv_loop_t loop;
 static http1_server_t *server;
@@ -216,6 +225,147 @@
 }
 END_TEST
 
+/* A client that reads slowly, so that a response stays in the kernel. */
+static int
+connect_slow_client(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0), bytes = SLOW_READ_BYTES;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	ck_assert_int_eq(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	send_text(fd, REQUEST);
+	run_loop(10);
+	return fd;
+}
+
+/* Answers with so many bytes of body. */
+static void
+answer_large(size_t length)
+{
+	exchange_t *exchange = exchanges->pdata[0];
+	char *body = g_malloc0(length);
+
+	exchange_reply(exchange, 200, NULL, body, length);
+	exchange_unref(exchange);
+	g_free(body);
+	run_loop(2);
+}
+
+/* Reads slowly to the end of the connection; returns the number of bytes. */
+static size_t
+read_slowly(int fd)
+{
+	char bytes[SLOW_READ_BYTES];
+	size_t sum = 0;
+	ssize_t length;
+
+	for (int i = 0; i < SLOW_READS_MAX; i++) {
+		run_loop(10);
+		length = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+		if (length == 0 || (length < 0 && errno != EAGAIN))
+			break;
+		sum += (size_t)MAX(length, 0);
+	}
+	return sum;
+}
+
+/*
+ * Guards against a close that discards the rest of a response, as a request
+ * that crosses it lies unread.
+ */
+START_TEST(late_request_does_not_cut_a_response)
+{
+	int fd = connect_slow_client();
+
+	http1_server_drain(server);
+	answer_large(SLOW_BYTES);
+	ck_assert_uint_eq(http1_server_connections(server), 0);
+	send_text(fd, REQUEST);
+	ck_assert_uint_ge(read_slowly(fd), SLOW_BYTES);
+	close(fd);
+}
+END_TEST
+
+/* The same after a close for idleness. */
+START_TEST(request_after_an_idle_close_does_not_cut_a_response)
+{
+	int fd = connect_slow_client();
+
+	answer_large(SLOW_BYTES);
+	run_loop(SLOW_PAUSE_MS);
+	http1_server_close_idle(server, SHORT_MS);
+	ck_assert_uint_eq(http1_server_connections(server), 0);
+	send_text(fd, REQUEST);
+	ck_assert_uint_ge(read_slowly(fd), SLOW_BYTES);
+	close(fd);
+}
+END_TEST
+
+/* Reads what has come to the client; returns the number of bytes. */
+static size_t
+read_available(int fd)
+{
+	static char bytes[1 << 16];
+	size_t sum = 0;
+	ssize_t length;
+
+	while ((length = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0)
+		sum += (size_t)length;
+	return sum;
+}
+
+/* Guards against a pause of the process that is taken for a stalled client. */
+START_TEST(client_that_reads_in_a_pause_is_not_reset)
+{
+	int fd = connect_client();
+	size_t sum;
+
+	send_text(fd, REQUEST);
+	run_loop(10);
+	http1_server_drain(server);
+	answer_large(LARGE_BYTES);
+	ck_assert_uint_eq(http1_server_connections(server), 1);
+	sum = read_available(fd);
+	g_usleep(STALL_MS * 1000);
+	for (int i = 0; i < SLOW_READS_MAX && sum < LARGE_BYTES; i++) {
+		run_loop(2);
+		sum += read_available(fd);
+	}
+	ck_assert_uint_ge(sum, LARGE_BYTES);
+	close(fd);
+}
+END_TEST
+
+/*
+ * Guards against a clean end behind a response for a request that was read
+ * after the head had announced the close.
+ */
+START_TEST(request_behind_an_announced_close_is_reset)
+{
+	int fd = connect_client();
+	exchange_t *exchange;
+	char *text;
+
+	send_text(fd, REQUEST);
+	run_loop(10);
+	http1_server_drain(server);
+	exchange = exchanges->pdata[0];
+	exchange_start(
+	    exchange, &(http1_head_t){.status = 200}, EXCHANGE_CHUNKED);
+	send_text(fd, REQUEST);
+	run_loop(10);
+	exchange_end(exchange);
+	exchange_unref(exchange);
+	run_loop(LINGER_MS + 100);
+	text = receive(fd);
+	ck_assert(g_str_has_suffix(text, "0\r\n\r\n"));
+	ck_assert(is_reset(fd));
+	g_free(text);
+	close(fd);
+}
+END_TEST
+
 /* Counts responses in what the client has got. */
 static unsigned
 count_responses(const char *text)
@@ -306,6 +456,7 @@
 	TCase *cases = tcase_create("http1_server");
 
 	signal(SIGPIPE, SIG_IGN);
+	tcase_set_timeout(cases, 30);
 	tcase_add_checked_fixture(cases, setup, NULL);
 	tcase_add_loop_test(cases, request_that_crosses_an_idle_close_is_reset,
 	    0, G_N_ELEMENTS(idle_closes));
@@ -313,6 +464,11 @@
 	    request_that_came_before_an_idle_close_is_passed_on, 0,
 	    G_N_ELEMENTS(idle_closes));
 	tcase_add_test(cases, request_after_a_closing_response_is_reset);
+	tcase_add_test(cases, late_request_does_not_cut_a_response);
+	tcase_add_test(
+	    cases, request_after_an_idle_close_does_not_cut_a_response);
+	tcase_add_test(cases, client_that_reads_in_a_pause_is_not_reset);
+	tcase_add_test(cases, request_behind_an_announced_close_is_reset);
 	tcase_add_test(
 	    cases, requests_behind_another_are_answered_in_a_planned_stop);
 	tcase_add_test(
