--- a/src/gateway.c
+++ b/src/gateway.c
@@ -13,7 +13,6 @@
 	SWEEP_INTERVAL_MS = 1000,
 	/* The request of a new connection may be on its way for this long. */
 	DRAIN_IDLE_MS = 300,
-	ADDRESS_TTL_MS = 2000,
 	/* Requests at the start wait at most this long for a configuration. */
 	STARTUP_WAIT_MS = 500,
 	/* Sockets reserved for connections to backend servers and platform. */
@@ -237,137 +236,6 @@
 	g_ptr_array_add(gateway->waiting_exchanges, exchange);
 }
 
-/*
- * The regions that all routes of the host allow. Without a configuration they
- * are unknown, so none is taken to be allowed. Free with g_strfreev().
- */
-static char **
-allowed_by_routes(const catalog_t *catalog, const char *host)
-{
-	const GPtrArray *routes;
-	char **allowed = NULL;
-
-	if (catalog == NULL)
-		return g_new0(char *, 1);
-	if (host == NULL)
-		return NULL;
-	routes = catalog_find_host_routes(catalog, host);
-	for (guint i = 0; routes != NULL && i < routes->len; i++) {
-		const catalog_route_t *route = routes->pdata[i];
-		char **both = region_intersect((const char *const *)allowed,
-		    (const char *const *)route->allowed_regions);
-
-		g_strfreev(allowed);
-		allowed = both;
-	}
-	return allowed;
-}
-
-static bool
-has_ready_host(const GArray *hosts)
-{
-	for (guint i = 0; i < hosts->len; i++)
-		if (g_array_index(hosts, region_host_t, i).ready)
-			return true;
-	return false;
-}
-
-/*
- * Addresses to name to a caller (borrowed char *); NULL where no host is ready.
- * They may be none, where no known host is in a region that the caller may use.
- */
-static GPtrArray *
-select_addresses(gateway_t *gateway, const char *target)
-{
-	const region_map_t *regions = gateway->config->regions;
-	region_caller_t caller;
-	platform_directory_query_t query;
-	GPtrArray *addresses = NULL;
-	GArray *hosts = cluster_find_hosts(gateway->cluster);
-	char **allowed;
-
-	platform_read_directory_query(target, &query);
-	allowed = allowed_by_routes(gateway->proxy.catalog, query.host);
-	caller.allowed = (const char *const *)allowed;
-	caller.region = query.region != NULL
-			    ? query.region
-			    : region_map_find(regions, query.zone);
-	if (has_ready_host(hosts))
-		addresses = region_select_hosts(hosts, &caller);
-	g_strfreev(allowed);
-	platform_clear_directory_query(&query);
-	g_array_unref(hosts);
-	return addresses;
-}
-
-/* The same in a deployment with one region, whatever the caller asks. */
-static GPtrArray *
-select_all_addresses(gateway_t *gateway)
-{
-	GPtrArray *addresses = cluster_client_addresses(gateway->cluster);
-
-	if (addresses->len > 0)
-		return addresses;
-	g_ptr_array_unref(addresses);
-	return NULL;
-}
-
-static void
-reply_addresses(gateway_t *gateway, exchange_t *exchange)
-{
-	static const char type[] = "Content-Type: application/json\r\n";
-	const char *target = exchange_request_head(exchange)->target;
-	GPtrArray *addresses = region_map_has_many(gateway->config->regions)
-				   ? select_addresses(gateway, target)
-				   : select_all_addresses(gateway);
-	int64_t ttl_ms =
-	    MIN(ADDRESS_TTL_MS, gateway->config->bounds.address_ttl_max_ms);
-
-	if (addresses == NULL) {
-		exchange_reply(exchange, 503, NULL, "", 0);
-	} else {
-		char *body = platform_write_addresses(addresses, ttl_ms);
-
-		exchange_reply(exchange, 200, type, body, strlen(body));
-		g_free(body);
-		g_ptr_array_unref(addresses);
-	}
-}
-
-static void
-on_directory_request(exchange_t *exchange, void *data)
-{
-	gateway_t *gateway = data;
-
-	switch (
-	    platform_find_endpoint(exchange_request_head(exchange)->target)) {
-	case PLATFORM_ENDPOINT_READINESS:
-		exchange_reply(
-		    exchange, gateway->ready ? 200 : 503, NULL, "", 0);
-		break;
-	case PLATFORM_ENDPOINT_ADDRESSES:
-		reply_addresses(gateway, exchange);
-		break;
-	case PLATFORM_ENDPOINT_OTHER:
-		exchange_reply(exchange, 404, NULL, "", 0);
-		break;
-	}
-	exchange_unref(exchange);
-}
-
-static void
-on_metrics(exchange_t *exchange, void *data)
-{
-	static const char type[] = "Content-Type: text/plain\r\n";
-	gateway_t *gateway = data;
-	GString *body = g_string_new(NULL);
-
-	counters_write(gateway->proxy.counters, body);
-	exchange_reply(exchange, 200, type, body->str, body->len);
-	g_string_free(body, TRUE);
-	exchange_unref(exchange);
-}
-
 static void
 report_local_state(gateway_t *gateway)
 {
@@ -452,122 +320,6 @@
 		serve_waiting(gateway);
 }
 
-static void
-add_quota_gauge(const quota_state_t *state, void *data)
-{
-	char *name =
-	    g_strdup_printf("quota_left{workspace=\"%s\"}", state->workspace);
-
-	*counter_get(data, name) = (uint64_t)MAX(state->level, 0);
-	g_free(name);
-}
-
-/* Number of cold servers, as counted by pool_each(). */
-typedef struct cold_count {
-	unsigned servers;
-	int64_t now_ms;
-} cold_count_t;
-
-static void
-count_cold(server_t *server, void *data)
-{
-	cold_count_t *count = data;
-
-	if (server_is_cold(server, count->now_ms))
-		count->servers++;
-}
-
-enum { LISTENERS_MAX = 4 };
-
-static void
-get_listeners(const gateway_t *gateway, http1_server_t **servers)
-{
-	servers[0] = gateway->client_listener;
-	servers[1] = gateway->directory_listener;
-	servers[2] = gateway->readiness_listener;
-	servers[3] = gateway->metrics_listener;
-}
-
-static uint64_t
-count_losses(const gateway_t *gateway, http1_loss_t loss)
-{
-	http1_server_t *servers[LISTENERS_MAX];
-	uint64_t count = 0;
-
-	get_listeners(gateway, servers);
-	for (size_t i = 0; i < LISTENERS_MAX; i++)
-		if (servers[i] != NULL)
-			count += http1_server_losses(servers[i], loss);
-	return count;
-}
-
-/* Logs the requests that got no whole response since the last report. */
-static void
-report_losses(gateway_t *gateway)
-{
-	GString *fields = g_string_new(NULL);
-
-	for (int i = 0; i < HTTP1_LOSS_COUNT; i++) {
-		const char *name = http1_loss_name((http1_loss_t)i);
-		uint64_t count = count_losses(gateway, (http1_loss_t)i);
-		uint64_t added = count - gateway->losses[i];
-
-		if (added == 0)
-			continue;
-		g_string_append_printf(
-		    fields, " %s=%" G_GUINT64_FORMAT, name, added);
-		counter_add(gateway->proxy.counters, added,
-		    "client_requests_lost_total{how=\"%s\"}", name);
-		gateway->losses[i] = count;
-	}
-	if (fields->len > 0)
-		log_event(LOG_LEVEL_WARN, "clients.lost",
-		    "connections_open=%u%s", gateway->memory.connections,
-		    fields->str);
-	g_string_free(fields, TRUE);
-}
-
-static uint64_t
-count_refusals(const gateway_t *gateway, http1_refusal_t reason)
-{
-	http1_server_t *servers[LISTENERS_MAX];
-	uint64_t count = 0;
-
-	get_listeners(gateway, servers);
-	for (size_t i = 0; i < LISTENERS_MAX; i++)
-		if (servers[i] != NULL)
-			count += http1_server_refusals(servers[i], reason);
-	return count;
-}
-
-/* Logs what clients were refused since the last report. */
-static void
-report_refusals(gateway_t *gateway)
-{
-	GString *fields = g_string_new(NULL);
-
-	for (int i = 0; i < HTTP1_REFUSAL_COUNT; i++) {
-		const char *reason = http1_refusal_name((http1_refusal_t)i);
-		uint64_t count = count_refusals(gateway, (http1_refusal_t)i);
-
-		if (count == gateway->refusals[i])
-			continue;
-		g_string_append_printf(fields, " %s=%" G_GUINT64_FORMAT, reason,
-		    count - gateway->refusals[i]);
-		counter_add(gateway->proxy.counters,
-		    count - gateway->refusals[i],
-		    "client_refusals_total{reason=\"%s\"}", reason);
-		gateway->refusals[i] = count;
-	}
-	if (fields->len > 0)
-		log_event(LOG_LEVEL_WARN, "clients.refused",
-		    "connections_open=%u received_bytes=%zu queued_bytes=%zu%s",
-		    gateway->memory.connections,
-		    memory_budget_held(gateway->memory.received),
-		    memory_budget_held(gateway->memory.queued), fields->str);
-	g_string_free(fields, TRUE);
-}
-
 /* Returns free memory to the system once clients hold much less than before. */
 static void
 return_memory(gateway_t *gateway)
@@ -583,44 +335,6 @@
 	malloc_trim(0);
 }
 
-static void
-update_gauges(gateway_t *gateway, int64_t now_ms)
-{
-	cold_count_t cold = {.now_ms = now_ms};
-	counters_t *counters = gateway->proxy.counters;
-
-	*counter_get(counters, "client_bytes_received") =
-	    memory_budget_held(gateway->memory.received);
-	*counter_get(counters, "client_bytes_queued") =
-	    memory_budget_held(gateway->memory.queued);
-
-	*counter_get(counters, "client_connections") =
-	    http1_server_connections(gateway->client_listener);
-	*counter_get(counters, "requests_in_progress") =
-	    http1_server_active_requests(gateway->client_listener);
-	*counter_get(counters, "nodes") = cluster_node_count(gateway->cluster);
-	*counter_get(counters, "backend_servers") =
-	    pool_count(gateway->proxy.pool);
-	*counter_get(counters, "configuration_proof_age_ms") =
-	    (uint64_t)(now_ms - store_watch_confirmed_ms(gateway->store_watch));
-	*counter_get(counters, "log_lines_dropped_total{level=\"info\"}") =
-	    log_dropped_count(LOG_LEVEL_INFO);
-	*counter_get(counters, "log_lines_dropped_total{level=\"warn\"}") =
-	    log_dropped_count(LOG_LEVEL_WARN);
-	*counter_get(counters, "log_lines_dropped_total{level=\"error\"}") =
-	    log_dropped_count(LOG_LEVEL_ERROR);
-	*counter_get(counters, "platform_calls_overdue_total") =
-	    http_client_overdue_calls(gateway->http);
-	*counter_get(counters, "blocked_prompt_segments") =
-	    crash_guard_blocked_count(
-		gateway->proxy.crash_guard, cluster_wall_ms(gateway->cluster));
-	*counter_get(counters, "evacuated_zones") =
-	    evacuation_count(gateway->proxy.evacuation);
-	pool_each(gateway->proxy.pool, count_cold, &cold);
-	*counter_get(counters, "cold_servers") = cold.servers;
-	quota_each(gateway->proxy.quota, now_ms, add_quota_gauge, counters);
-}
-
 static void
 check_drain(gateway_t *gateway, int64_t now_ms)
 {
@@ -696,9 +410,7 @@
 		hedge_sweep(gateway->proxy.hedge, now_ms);
 		crash_guard_sweep(gateway->proxy.crash_guard,
 		    cluster_wall_ms(gateway->cluster));
-		update_gauges(gateway, now_ms);
-		report_refusals(gateway);
-		report_losses(gateway);
+		gateway_update_metrics(gateway, now_ms);
 		return_memory(gateway);
 	}
 	pool_sweep(gateway->proxy.pool, now_ms);
@@ -769,22 +481,24 @@
 		on_client_request, error);
 	ok = gateway->client_listener != NULL;
 	if (ok && config->ready_address != NULL) {
-		gateway->readiness_listener = start_listener(gateway,
-		    config->ready_address, CONNECTIONS_MIN,
-		    READINESS_SOCKET_PARTS, on_directory_request, error);
+		gateway->readiness_listener =
+		    start_listener(gateway, config->ready_address,
+			CONNECTIONS_MIN, READINESS_SOCKET_PARTS,
+			gateway_on_directory_request, error);
 		ok = gateway->readiness_listener != NULL;
 	}
 	if (ok && config->directory_address != NULL) {
 		gateway->directory_listener =
 		    start_listener(gateway, config->directory_address,
 			connections_max / 4 + CONNECTIONS_MIN,
-			DIRECTORY_SOCKET_PARTS, on_directory_request, error);
+			DIRECTORY_SOCKET_PARTS, gateway_on_directory_request,
+			error);
 		ok = gateway->directory_listener != NULL;
 	}
 	if (ok && config->metrics_port != 0) {
 		gateway->metrics_listener =
 		    start_listener(gateway, metrics_address, CONNECTIONS_MIN,
-			READINESS_SOCKET_PARTS, on_metrics, error);
+			READINESS_SOCKET_PARTS, gateway_on_metrics, error);
 		ok = gateway->metrics_listener != NULL;
 	}
 	g_free(metrics_address);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -15,8 +15,9 @@
 #include "usage_report.h"
 
 /*
- * State shared by gateway.c, which starts, serves requests and drains, and
- * gateway_store.c, which applies changes of the store's keys.
+ * State shared by gateway.c, which starts, serves requests and drains,
+ * gateway_store.c, which applies changes of the store's keys,
+ * gateway_directory.c, which names hosts to callers, and gateway_metrics.c.
  */
 
 struct gateway {
@@ -56,6 +57,13 @@
 	void *drain_data;
 };
 
+/* Answer address lists and readiness checks, and requests for the metrics. */
+void gateway_on_directory_request(exchange_t *exchange, void *data);
+void gateway_on_metrics(exchange_t *exchange, void *data);
+
+/* Updates the gauges, and reports what clients were refused since. */
+void gateway_update_metrics(gateway_t *gateway, int64_t now_ms);
+
 /* Callbacks of the store's watch; data is the gateway_t. */
 void gateway_on_store_put(const platform_item_t *item, void *data);
 void gateway_on_store_remove(const char *key, int64_t revision, void *data);
