Reset a stalled client after 5 seconds, not 10

Cause: counted the kernel's queue as progress. The kernel of a client that reads nothing still takes bytes at first, so that the first look saw progress and the reset came after 10 seconds. Ruled out: the test is right and stays as it is. Change: only the queue of the process counts, as before; after a pause the loop has one more round to send before the reset. Evidence: that test failed at (1 connection open) and passes now; so does client_that_reads_in_a_pause_is_not_reset.

--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -245,9 +245,10 @@
 		losses[HTTP1_LOST_BEHIND]++;
 		client->reset_after = !client->reads_to_end;
 	}
-	if (conn_queued_bytes(client->conn) > 0) {
-		client->unsent_bytes = conn_unsent_bytes(client->conn);
+	client->queued_bytes = conn_queued_bytes(client->conn);
+	if (client->queued_bytes > 0) {
 		set_phase(client, CLIENT_CLOSING);
+		client->overdue = false;
 		drop_received(client);
 		if (!client->refused)
 			conn_set_reading(client->conn, false);
@@ -307,20 +308,22 @@
 
 /*
  * Resets a client that does not read, so that it cannot take what it has for a
- * complete response. What the kernel holds counts: after a pause of the
- * process, the loop has not queued more there yet.
+ * complete response. After a pause of the process, the loop first sends what
+ * the client made room for.
  */
 static void
 on_closing_timeout(client_t *client)
 {
-	size_t unsent_bytes = conn_unsent_bytes(client->conn);
+	size_t queued_bytes = conn_queued_bytes(client->conn);
+	bool stalled = queued_bytes == client->queued_bytes;
 
-	if (unsent_bytes == client->unsent_bytes) {
+	if (stalled && client->overdue) {
 		http1_server_reset_client(client);
 		return;
 	}
-	client->unsent_bytes = unsent_bytes;
-	start_timer(client, STALL_MS);
+	client->queued_bytes = queued_bytes;
+	client->overdue = stalled;
+	start_timer(client, stalled ? RESUME_MS : STALL_MS);
 }
 
 /*
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -56,13 +56,13 @@
 	size_t unparsed_bytes;
 	int64_t received_ms; /* as exchange_received_ms() */
 	int64_t idle_since_ms;
-	/* Bytes of the request lay unread at its time limit. */
+	/* The time limit has passed, and the loop has one more round. */
 	bool overdue;
 	/* The end of the connection may end the last response. */
 	bool reads_to_end;
 	bool reset_after;    /* requests behind the last response are lost */
 	bool refused;	     /* the rest of the request is of no interest */
-	size_t unsent_bytes; /* while closing, at the last look for a stall */
+	size_t queued_bytes; /* while closing, at the last look for a stall */
 	/* Why the reader failed; HTTP1_REFUSED_MALFORMED: no limit. */
 	http1_refusal_t refusal;
 } client_t;
