--- a/src/gateway.c
+++ b/src/gateway.c
@@ -3,10 +3,8 @@
 #include "clock.h"
 #include "conn.h"
 #include "log.h"
-#include "platform_request.h"
 
 #include <malloc.h>
-#include <string.h>
 
 enum {
 	TICK_INTERVAL_MS = 100,
