Send in a field of its own that a host lacks proof only

What callers would have seen during an update beside an outage of the store: nodes of the last version read the third value of the digest's readiness as ready, put such hosts into their active set and named them (review, by reading).

Change: a field at the end, which earlier versions pass over; readiness is 0 or 1 again.

Evidence: test_digest reads it back, and a digest without it as not so.

--- a/src/digest.c
+++ b/src/digest.c
@@ -6,16 +6,6 @@
 #include <math.h>
 #include <string.h>
 
-/*
- * A field that held only the first two: receivers of earlier versions take the
- * third for ready.
- */
-typedef enum readiness {
-	READINESS_NONE = 0,
-	READINESS_READY = 1,
-	READINESS_UNPROVEN = 2,
-} readiness_t;
-
 enum {
 	FORMAT_VERSION = 6,
 	/* Fields of the first release; later ones follow and are optional. */
@@ -25,6 +15,7 @@
 	DIGEST_STORE_ERA_INDEX,
 	DIGEST_RECORDED_WINDOW_INDEX,
 	DIGEST_MOVE_ERAS_INDEX,
+	DIGEST_UNPROVEN_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -206,14 +197,6 @@
 	}
 }
 
-static readiness_t
-readiness_of(const digest_t *digest)
-{
-	if (digest->ready)
-		return READINESS_READY;
-	return digest->unproven ? READINESS_UNPROVEN : READINESS_NONE;
-}
-
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -226,7 +209,7 @@
 	msgpack_pack_int64(&packer, digest->incarnation);
 	msgpack_pack_int64(&packer, digest->sequence);
 	mp_pack_string(&packer, digest->client_address);
-	msgpack_pack_int(&packer, readiness_of(digest));
+	msgpack_pack_int(&packer, digest->ready);
 	msgpack_pack_int64(&packer, digest->wall_ms);
 	msgpack_pack_int64(&packer, digest->configuration_version);
 	msgpack_pack_int(&packer, digest->active);
@@ -243,6 +226,7 @@
 	msgpack_pack_int64(&packer, digest->store_era);
 	msgpack_pack_int64(&packer, digest->recorded_window);
 	pack_move_eras(&packer, digest->moves);
+	msgpack_pack_int(&packer, digest->unproven);
 }
 
 static bool
@@ -458,6 +442,17 @@
 	return true;
 }
 
+static bool
+read_flag(const msgpack_object *field, bool *flag)
+{
+	int64_t value;
+
+	if (!mp_read_int64(field, &value))
+		return false;
+	*flag = value != 0;
+	return true;
+}
+
 /* Reads a field that senders of earlier versions leave out. */
 static bool
 read_optional_field(
@@ -474,6 +469,8 @@
 		return mp_read_int64(field, &digest->recorded_window);
 	case DIGEST_MOVE_ERAS_INDEX:
 		return read_move_eras(field, digest->moves);
+	case DIGEST_UNPROVEN_INDEX:
+		return read_flag(field, &digest->unproven);
 	default:
 		return true; /* of a later version */
 	}
@@ -508,8 +505,7 @@
 	    !mp_read_int64(&fields[9], &leader) ||
 	    !read_double(&fields[10], &digest->processors))
 		return false;
-	digest->ready = ready != READINESS_NONE && ready != READINESS_UNPROVEN;
-	digest->unproven = ready == READINESS_UNPROVEN;
+	digest->ready = ready != 0;
 	digest->active = active != 0;
 	digest->leader = leader != 0;
 	return read_spending(&fields[11], digest->spending) &&
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -7,7 +7,7 @@
 
 enum {
 	/* Fields behind the zone, of one byte each in the sample. */
-	LATER_FIELDS = 3,
+	LATER_FIELDS = 4,
 	LATER_BYTES = LATER_FIELDS,
 };
 
@@ -36,6 +36,7 @@
 	digest->processors = 0.25;
 	digest->wall_ms = -5;
 	digest->configuration_version = 7;
+	digest->unproven = true;
 	digest->store_era = 2;
 	digest->recorded_window = 77;
 	g_array_append_val(digest->spending, spending);
@@ -136,6 +137,7 @@
 	g_byte_array_append(bytes, (const guint8 *)"\x07", 1);
 	bytes->data[2]++;
 	read = digest_decode((const char *)bytes->data, bytes->len);
+	ck_assert(read->unproven);
 	ck_assert_int_eq(read->store_era, digest->store_era);
 	ck_assert_int_eq(read->recorded_window, digest->recorded_window);
 	digest_free(read);
@@ -143,6 +145,7 @@
 	read = digest_decode(
 	    (const char *)bytes->data, bytes->len - 1 - LATER_BYTES);
 	ck_assert_str_eq(read->node, "n1");
+	ck_assert(!read->unproven);
 	ck_assert_int_eq(read->store_era, 0);
 	ck_assert_int_eq(read->recorded_window, 0);
 	digest_free(read);
