Keep a rollout whose order the copy shows malformed

A malformed order in a restored store ended the rollout at once, while a missing one is kept; it is treated like a missing one. rollout.missing is logged once. Found by reading; test_restored_duties and test_rollouts pass.

--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -211,24 +211,31 @@
 }
 
 static void
-keep_missing_order(rollouts_t *rollouts, service_state_t *state)
+keep_missing_order(const rollouts_t *rollouts, service_state_t *state)
+{
+	state->missing_until_ms = rollouts->wall_ms + MISSING_ORDER_KEEP_MS;
+}
+
+static void
+log_missing_order(const service_state_t *state)
 {
 	log_event(LOG_LEVEL_WARN, "rollout.missing",
 	    "service=%s target=%s stage=%s", state->service,
 	    rollout_target(state->rollout),
 	    rollout_stage_name(rollout_stage(state->rollout)));
-	state->missing_until_ms = rollouts->wall_ms + MISSING_ORDER_KEEP_MS;
 }
 
 /* An order that was not read in the present era may be written again. */
 static void
 remove_order(rollouts_t *rollouts, service_state_t *state, int64_t era)
 {
-	if (state->rollout != NULL && state->deferred.target == NULL &&
-	    rollout_era(state->rollout) < era)
-		keep_missing_order(rollouts, state);
-	else
+	if (state->rollout == NULL || state->deferred.target != NULL ||
+	    rollout_era(state->rollout) >= era) {
 		end_rollout(state);
+		return;
+	}
+	log_missing_order(state);
+	keep_missing_order(rollouts, state);
 }
 
 void
@@ -247,7 +254,7 @@
 		log_event(LOG_LEVEL_ERROR, "rollout.malformed",
 		    "service=%s error=\"%s\"", service, error->message);
 		g_error_free(error);
-		end_rollout(state);
+		remove_order(rollouts, state, era);
 		return;
 	}
 	apply_spec(rollouts, state,
@@ -292,9 +299,9 @@
 		rollout_spec_t spec = state->deferred;
 
 		state->deferred = (rollout_spec_t){.target = NULL};
-		/* Another restoration: the list shows it again. */
 		if (!restoring && state->missing_until_ms != 0)
 			keep_missing_order(rollouts, state);
+		/* The list of another restoration shows the order again. */
 		if (restoring)
 			g_free((char *)spec.target);
 		else if (spec.target != NULL)
