Count urgent requests that only cold servers could take on retries too

A retry that is chosen before the first attempt is given up left the count out, which the path of before had. It stands in pick_version() now, for both.

--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -288,6 +288,9 @@
 		trial->new_version_share = 0;
 	}
 	rollouts_candidates_clear(&route);
+	if (choice.only_cold && req->urgent)
+		cold_limit_count_urgent(req->context->cold_limit,
+		    req->service_name, clock_boot_ms());
 	return choice;
 }
 
@@ -478,9 +481,6 @@
 		return;
 	}
 	choice = pick_version(req, &req->attempt->trial);
-	if (choice.only_cold && req->urgent)
-		cold_limit_count_urgent(req->context->cold_limit,
-		    req->service_name, clock_boot_ms());
 	if (choice.server == NULL)
 		reject_without_server(req, &choice);
 	else if (!req->may_have_run &&
