--- a/src/cluster.c
+++ b/src/cluster.c
@@ -495,7 +495,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const cluster_peer_t *peer = value;
 
-		if (cluster_is_peer_alive(cluster, peer, now_ms))
+		if (peer->registered &&
+		    cluster_is_peer_alive(cluster, peer, now_ms))
 			newest =
 			    MAX(newest, peer->digest->configuration_version);
 	}
