Limit checks of a stated era by time, not by the highest one

After a datagram with a very high era no peer's statement was checked any more, so that a follower learned of a restoration only when its confirmation had aged.

--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -26,6 +26,8 @@
 	 * again within about two seconds.
 	 */
 	RESTORE_HOLD_MS = 2500,
+	/* Between two calls that a peer's statement of an era causes. */
+	ERA_CHECK_INTERVAL_MS = 1000,
 };
 
 static const char all_keys[] = "";
@@ -376,10 +378,13 @@
 void
 store_watch_check_era(store_watch_t *watch, int64_t era)
 {
+	int64_t now_ms = clock_boot_ms();
+
 	if (era <= platform_store_era(watch->options.store) ||
-	    era <= watch->checked_era)
+	    era > PLATFORM_ERA_MAX ||
+	    now_ms - watch->era_checked_ms < ERA_CHECK_INTERVAL_MS)
 		return;
-	watch->checked_era = era;
+	watch->era_checked_ms = now_ms;
 	/* The response to a list, or to a retry, shows the era. */
 	if (!watch->list_complete || watch->failures > 0)
 		return;
--- a/src/store_watch_state.h
+++ b/src/store_watch_state.h
@@ -45,12 +45,12 @@
 	int64_t last_request_ms;   /* to a relay */
 	int64_t min_interval_ms;   /* between watches */
 	bool has_followers;	   /* one has sent a request */
-	bool listed_once;     /* a list has been completed since the start */
-	bool restored_once;   /* a restoration has been seen */
-	bool stale_refused;   /* a stale list was of an earlier era */
-	int64_t checked_era;  /* highest era that a peer has stated */
-	bool era_check_due;   /* the next watch asks for the era at once */
-	bool changes_missing; /* in a relay's response; cleared by a watch */
+	bool listed_once;	/* a list has been completed since the start */
+	bool restored_once;	/* a restoration has been seen */
+	bool stale_refused;	/* a stale list was of an earlier era */
+	int64_t era_checked_ms; /* see store_watch_check_era(); 0: never */
+	bool era_check_due;	/* the next watch asks for the era at once */
+	bool changes_missing;	/* in a relay's response; cleared by a watch */
 };
 
 /* Applies changes, or listed keys, that have not been applied yet. */
