--- a/src/gateway_metrics.c
+++ b/src/gateway_metrics.c
@@ -29,7 +29,7 @@
 		count->servers++;
 }
 
-enum { LISTENERS_MAX = 4 };
+enum { LISTENER_COUNT = 4 };
 
 static void
 get_listeners(const gateway_t *gateway, http1_server_t **servers)
@@ -43,11 +43,11 @@
 static uint64_t
 count_losses(const gateway_t *gateway, http1_loss_t loss)
 {
-	http1_server_t *servers[LISTENERS_MAX];
+	http1_server_t *servers[LISTENER_COUNT];
 	uint64_t count = 0;
 
 	get_listeners(gateway, servers);
-	for (size_t i = 0; i < LISTENERS_MAX; i++)
+	for (size_t i = 0; i < LISTENER_COUNT; i++)
 		if (servers[i] != NULL)
 			count += http1_server_losses(servers[i], loss);
 	return count;
@@ -82,11 +82,11 @@
 static uint64_t
 count_refusals(const gateway_t *gateway, http1_refusal_t reason)
 {
-	http1_server_t *servers[LISTENERS_MAX];
+	http1_server_t *servers[LISTENER_COUNT];
 	uint64_t count = 0;
 
 	get_listeners(gateway, servers);
-	for (size_t i = 0; i < LISTENERS_MAX; i++)
+	for (size_t i = 0; i < LISTENER_COUNT; i++)
 		if (servers[i] != NULL)
 			count += http1_server_refusals(servers[i], reason);
 	return count;
