--- a/src/conn.c
+++ b/src/conn.c
@@ -11,12 +11,13 @@
 	READ_BUFFER_BYTES = 64 * 1024,
 	/* Time for the peer to read the last response before the close. */
 	LINGER_MS = 1000,
-	/* It goes on while the peer takes bytes, looked at so often, */
-	LINGER_LOOK_MS = 250,
-	/* and ends where it has taken none for so long. */
+	/* Interval at which a lingering connection is checked for acknowledged
+	 * bytes after that. */
+	LINGER_POLL_MS = 250,
+	/* It is closed after this time without one. */
 	LINGER_STALL_MS = 5000,
-	/* Lingering connections that are looked at for one to close. */
-	LINGER_LOOKS_MAX = 16,
+	/* Lingering connections that are checked to find one to close. */
+	LINGER_CHECKS_MAX = 16,
 	/* Most that is read and discarded in a round of the loop meanwhile. */
 	LINGER_READ_BYTES = 16 * 1024,
 	KEEPALIVE_IDLE_S = 1,
@@ -60,7 +61,8 @@
  * the bytes before the next read. */
 static char read_buffer[READ_BUFFER_BYTES];
 
-/* Those that conn_shutdown() keeps open, in order of its calls. */
+/* Those that conn_shutdown() or conn_reset_after() keeps open, in order of the
+ * calls. */
 static TAILQ_HEAD(conn_list, conn) lingering = TAILQ_HEAD_INITIALIZER(
     lingering);
 static unsigned lingering_count;
@@ -241,7 +243,7 @@
 		finish_linger(conn);
 		return;
 	}
-	conn->linger_look_ms = now_ms + LINGER_LOOK_MS;
+	conn->linger_look_ms = now_ms + LINGER_POLL_MS;
 	start_linger_timer(conn);
 }
 
@@ -621,7 +623,7 @@
 			finish_linger(conn);
 			return;
 		}
-		if (++looks == LINGER_LOOKS_MAX)
+		if (++looks == LINGER_CHECKS_MAX)
 			break;
 	}
 	if (oldest != NULL)
--- a/src/conn.h
+++ b/src/conn.h
@@ -88,18 +88,20 @@
 void conn_reset(conn_t *conn);
 
 /*
- * Sends the queued bytes and shuts down the sending side; closes after a short
- * time, and once the peer has taken all bytes or has taken none for 5 seconds:
- * a reset by the kernel before could make the peer lose the response.
- * What the peer sends meanwhile stays unread, so that the reset then tells it
- * so, and *late_count is incremented; borrowed until the process ends. NULL: it
- * is the rest of a refused request, which is read and discarded.
+ * Sends the queued bytes and shuts down the sending side. Closes after a short
+ * time, but not before the peer has acknowledged all bytes or none for 5
+ * seconds: an earlier reset could make it lose the response.
+ *
+ * late_count: what the peer sends meanwhile stays unread, so that the close
+ * resets the connection, and the counter is incremented; borrowed until the
+ * process ends. NULL: what it sends is read and discarded.
  */
 void conn_shutdown(conn_t *conn, uint64_t *late_count);
 
 /*
- * Keeps the connection open in the same way, then resets it: bytes that have
- * been read were a request that does not run, and its client learns so.
+ * Like conn_shutdown() without a counter, but keeps the sending side open and
+ * ends with a reset. For a connection on which a request was read that does not
+ * run: its client sees that.
  */
 void conn_reset_after(conn_t *conn);
 
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -35,9 +35,9 @@
 	RETURN_BYTES = 8 * 1024 * 1024,
 	/* From the first node that applies a change to the last one. */
 	CHANGE_DELIVERY_MAX_MS = 800,
-	/* Before a node is ready for the first time: it waits so long for a
-	 * configuration that its peers have, and for the first digest. */
+	/* A node that starts waits for a configuration that its peers have. */
 	PEER_CONFIGURATION_WAIT_MS = 5000,
+	/* The same for the first digest of a peer. */
 	PEER_DIGEST_WAIT_MS = 600,
 };
 
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -51,7 +51,8 @@
 	bool ready;	/* as reported to readiness checks */
 	bool was_ready; /* at least once */
 	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
-	int64_t waiting_since_ms;   /* the first of the waiting exchanges */
+	int64_t waiting_since_ms; /* receipt of the first of the exchanges that
+				     wait */
 	drain_t drain;
 	void (*on_drained)(void *data);
 	void *drain_data;
--- a/src/http1_server_state.h
+++ b/src/http1_server_state.h
@@ -52,13 +52,13 @@
 	GByteArray *body;      /* of the request being read */
 	size_t body_max;       /* that held when its head was read */
 	GByteArray *pipelined; /* bytes read after the current request */
-	/* The same that read_request() has not yet moved there. */
+	/* The same that client_read() has not yet parsed or kept. */
 	size_t unparsed_bytes;
 	int64_t received_ms; /* as exchange_received_ms() */
 	int64_t idle_since_ms;
 	/* The time limit has passed, and the loop has one more round. */
 	bool overdue;
-	/* The end of the connection may end the last response. */
+	/* The client expects a close after the last response. */
 	bool reads_to_end;
 	bool reset_after;    /* requests behind the last response are lost */
 	bool refused;	     /* the rest of the request is of no interest */
--- a/src/key_revisions.h
+++ b/src/key_revisions.h
@@ -17,7 +17,8 @@
 key_revisions_t *key_revisions_new(void);
 void key_revisions_free(key_revisions_t *keys);
 
-/* A key was written, or is listed; returns whether that is news. */
+/* A key was written, or is listed; returns whether it is newer than what is
+ * known. */
 bool key_revisions_put(
     key_revisions_t *keys, const char *key, int64_t revision);
 
--- a/src/lease.c
+++ b/src/lease.c
@@ -53,8 +53,9 @@
 	bool sole_leader;   /* at the restoration, and none since */
 	bool leader_exists; /* this node or another */
 	bool is_leader;
-	/* Of the leader key; of one that this node may replace, or 0. */
-	int64_t leader_revision;
+	int64_t leader_revision; /* of the key that made this node leader */
+	/* Of the node's own key whose lease is lost, which the campaign
+	 * replaces; 0: none. */
 	int64_t replaced_revision;
 	int64_t fencing_token;
 	int64_t invalid_token; /* last rejected one; not used again */
--- a/src/pool.h
+++ b/src/pool.h
@@ -92,9 +92,10 @@
 bool pool_is_outdated(const pool_t *pool, const server_info_t *info);
 
 /*
- * Handles such an entry; takes ownership of info. A listed server stays as it
- * is. A removed one stays removed for as long as the platform keeps the entry
- * of a silent server, and returns if its entry is still there after that.
+ * Handles an entry for which pool_is_outdated() is true; takes ownership of
+ * info. A listed server stays as it is, and a pending removal of it is
+ * cancelled. A removed one stays removed for as long as the platform keeps the
+ * entry of a silent server, and returns if its entry is still there after that.
  */
 void pool_put_outdated(pool_t *pool, server_info_t *info, int64_t now_ms);
 
--- a/src/store_lease.h
+++ b/src/store_lease.h
@@ -15,13 +15,17 @@
 	int64_t renew_interval_ms;
 	int64_t retry_interval_ms; /* after a call that failed */
 	void (*on_granted)(void *data);
+	/* The lease that was held does not exist, or may have expired. */
 	void (*on_lost)(void *data);
 	void *data;
 } store_lease_options_t;
 
 store_lease_t *store_lease_new(const store_lease_options_t *options);
 
-/* Obtains the lease, or renews it where that is due. Called periodically. */
+/*
+ * Obtains the lease, or renews it where that is due. Gives up one that may have
+ * expired long ago and calls on_lost. Called periodically.
+ */
 void store_lease_keep(store_lease_t *lease, int64_t now_ms);
 
 /* 0: none is held. */
@@ -35,10 +39,10 @@
 /* The next call of store_lease_keep() renews the lease. */
 void store_lease_renew_soon(store_lease_t *lease);
 
-/* The store has no such lease. */
+/* Forgets the lease, which the store does not have, and calls on_lost. */
 void store_lease_mark_lost(store_lease_t *lease);
 
-/* Stops to use the lease, which is left to expire. */
+/* Forgets the lease, which is left to expire, without calling on_lost. */
 void store_lease_drop(store_lease_t *lease);
 
 /*
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -26,12 +26,13 @@
 	int64_t peers_window;  /* newest record that a peer knows; 0: none */
 	int64_t first_era;     /* of the store, that the node knows */
 	int64_t first_window;  /* the present one at that time; 0: not yet */
-	bool record_is_of_era; /* written since the last restoration */
+	bool record_is_of_era; /* one of the era that it names was read */
 	GHashTable *recorded_counts; /* workspace to double * */
 	int64_t sent_window;	     /* newest one that this node has sent */
 	bool recording;
 	bool sending;
-	int64_t sending_window; /* newest one whose counts may be sent; 0 */
+	int64_t
+	    sending_window; /* newest one whose counts may be sent; 0: none */
 	int64_t sending_token;
 	int64_t retry_at_ms; /* clock_boot_ms(); no call before it */
 };
