--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -18,8 +18,8 @@
     -o "$out/standin-platform-era-0" "$out/standin_platform_era_0.c" \
     standins/standin.c target/libpapaya.a \
     $(pkg-config --libs "${libraries[@]}") -lhttp_parser -lm -pthread
-for name in frozen_reset moved_twice usage_again; do
+for name in moved_twice frozen_reset usage_again id_crash; do
 	cc -std=gnu11 -O1 -g -Wall -Wextra -Werror -D_GNU_SOURCE -pthread \
 	    -o "$out/$name" "review/standins-2/$name.c" \
-	    review/standins-2/fleet.c
+	    review/standins-2/engine.c review/standins-2/fleet.c
 done
