--- a/review/standins-2/engine.c
+++ b/review/standins-2/engine.c
@@ -86,23 +86,22 @@
 	return true;
 }
 
-/* The copy that the header names; NULL: there is none here, or it was used. */
-static run_t *
-take_copy(server_t *engine, const char *location, const char *id)
+/* Uses the copy that the header names; false: none is here, or it was used. */
+static bool
+use_copy(server_t *engine, const char *location, const char *id)
 {
 	const char *handle = strchr(location, '/');
 	long number = handle == NULL ? -1 : strtol(handle + 2, NULL, 10);
-	run_t *copy = NULL;
+	bool usable;
 
 	pthread_mutex_lock(&lock);
-	if (number >= 0 && number < copy_count &&
-	    copies[number].engine == engine && !copies[number].used &&
-	    strcmp(copies[number].id, id) == 0) {
-		copy = &copies[number];
-		copy->used = true;
-	}
+	usable = number >= 0 && number < copy_count &&
+		 copies[number].engine == engine && !copies[number].used &&
+		 strcmp(copies[number].id, id) == 0;
+	if (usable)
+		copies[number].used = true;
 	pthread_mutex_unlock(&lock);
-	return copy;
+	return usable;
 }
 
 static bool
@@ -111,7 +110,7 @@
 	char id[64] = "", location[128] = "", last[32] = "0", text[512];
 	bool is_moved =
 	    header_value(request, "Kv-From", location, sizeof(location));
-	run_t *copy = NULL, *run;
+	run_t *run;
 	bool whole;
 
 	header_value(request, "X-Attempt-Id", id, sizeof(id));
@@ -122,7 +121,7 @@
 		refuse(fd, id);
 		return true;
 	}
-	if (is_moved && (copy = take_copy(engine, location, id)) == NULL) {
+	if (is_moved && !use_copy(engine, location, id)) {
 		record("engine %s has no copy of %s", engine->id, id);
 		refuse(fd, id);
 		return true;
--- a/review/standins-2/id_crash.c
+++ b/review/standins-2/id_crash.c
@@ -72,6 +72,7 @@
 
 	header_value(request, "X-Attempt-Id", id, sizeof(id));
 	number = (int)strtol(id + 1, NULL, 10) % BOOKINGS_MAX;
+	record("server %s runs %s", server->id, id);
 	bookings[number].ran = true;
 	sleep_ms(WORK_MS);
 	snprintf(text, sizeof(text),
@@ -125,9 +126,12 @@
 		    "Authorization: Bearer key-1\r\nContent-Length: 4\r\n"
 		    "\r\nbook",
 		    number, BOOKING_MS);
+		record("client sends b%d", number);
 		memset(response, 0, sizeof(*response));
 		if (send_text(fd, text))
 			read_response(fd, response, BOOKING_MS + 1000);
+		record("client got b%d: status=%d complete=%d", number,
+		    response->status, response->complete);
 		if (count > 0)
 			judge_booking(host, number, response);
 		if (!response->complete)
@@ -171,6 +175,7 @@
 	    "Content-Length: 6\r\n\r\nprompt",
 	    number, 0x91bd3f06u * (unsigned)(number + 1),
 	    0xe4402b7du + (unsigned)number, STREAM_MS);
+	record("client sends the stream %d", number);
 	call(nodes[number % HOSTS].ip, front_port, text, response, WAIT_MS);
 	record("client got the stream %d: status=%d complete=%d", number,
 	    response->status, response->complete);
--- a/review/standins-2/moved_twice.c
+++ b/review/standins-2/moved_twice.c
@@ -86,6 +86,7 @@
 	    "Content-Length: 6\r\n\r\nprompt",
 	    stream->id, 0x91bd3f06u * (unsigned)(stream - streams + 1),
 	    0xe4402b7du + (unsigned)(stream - streams), DEADLINE_MS);
+	record("client sends %s", stream->id);
 	call(nodes[stream->host].ip, front_port, text, &stream->response,
 	    WAIT_MS);
 	record("client got %s: status=%d complete=%d bytes=%zu", stream->id,
--- a/review/standins-2/usage_again.c
+++ b/review/standins-2/usage_again.c
@@ -56,6 +56,7 @@
 	char id[64] = "", text[512];
 
 	header_value(request, "X-Attempt-Id", id, sizeof(id));
+	record("server %s runs %s", server->id, id);
 	sleep_ms(20);
 	snprintf(text, sizeof(text),
 	    "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
@@ -77,8 +78,11 @@
 		    "X-Attempt-Id: u%d-%d\r\nX-Deadline-Ms: %d\r\n"
 		    "Authorization: Bearer key-1\r\n\r\n",
 		    number, i, WAIT_MS);
+		record("client sends u%d-%d", number, i);
 		call(nodes[number % HOSTS].ip, front_port, text, response,
 		    WAIT_MS);
+		record("client got u%d-%d: status=%d complete=%d", number, i,
+		    response->status, response->complete);
 		sleep_ms(PAUSE_MS);
 	}
 	free(response);
