A look for unread bytes leaves a reset for the read

Cause: conn_unread() looked with recv(MSG_PEEK). On Linux a pending error is returned once, by whichever call comes first; the look took ECONNRESET off the socket, and the read that followed got an end of file, which ends such an answer.

Change: the look uses FIONREAD and poll(), which leave the error in place.

--- a/src/conn.c
+++ b/src/conn.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/queue.h>
@@ -144,18 +145,16 @@
 conn_unread_t
 conn_unread(const conn_t *conn)
 {
-	uv_os_fd_t fd;
-	char byte;
-	ssize_t length;
+	struct pollfd look = {.events = POLLIN | POLLRDHUP};
+	int unread_bytes = 0;
 
-	if (uv_fileno((const uv_handle_t *)&conn->tcp, &fd) != 0)
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &look.fd) != 0)
 		return CONN_UNREAD_NONE;
-	length = recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-	if (length > 0)
+	if (ioctl(look.fd, FIONREAD, &unread_bytes) == 0 && unread_bytes > 0)
 		return CONN_UNREAD_BYTES;
-	if (length < 0 && (errno == EAGAIN || errno == EINTR))
-		return CONN_UNREAD_NONE;
-	return CONN_UNREAD_END;
+	/* recv() would take a pending error off the socket, after which the
+	 * loop reads an end of file. */
+	return poll(&look, 1, 0) > 0 ? CONN_UNREAD_END : CONN_UNREAD_NONE;
 }
 
 /* Without a buffer libuv reads nothing and reports UV_ENOBUFS. */
--- a/src/conn.h
+++ b/src/conn.h
@@ -76,7 +76,8 @@
 
 /*
  * The loop runs expired timers before it reads: after a pause of the process, a
- * timer for something that is missing finds it here.
+ * timer for something that is missing finds it here. The look changes nothing:
+ * what is unread, or the error of a failure, is still reported.
  */
 conn_unread_t conn_unread(const conn_t *conn);
 
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -147,6 +147,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a reset that is taken for the end of the data since a look for
+ * unread bytes has taken the error off the socket.
+ */
+START_TEST(a_reset_that_was_looked_at_is_an_error)
+{
+	send_part();
+	while (fixture.received_bytes < PART_BYTES)
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	ck_assert_int_eq(conn_unread(fixture.conn), CONN_UNREAD_NONE);
+	reset_peer();
+	ck_assert_int_eq(conn_unread(fixture.conn), CONN_UNREAD_END);
+	ck_assert_int_eq(conn_unread(fixture.conn), CONN_UNREAD_END);
+	wait_end();
+	ck_assert_int_eq(fixture.error, UV_ECONNRESET);
+}
+END_TEST
+
+/* Guards against bytes, or an end, that a look does not find or takes away. */
+START_TEST(a_look_finds_bytes_and_an_orderly_end)
+{
+	send_part();
+	ck_assert_int_eq(conn_unread(fixture.conn), CONN_UNREAD_BYTES);
+	close(fixture.peer);
+	ck_assert_int_eq(conn_unread(fixture.conn), CONN_UNREAD_BYTES);
+	while (fixture.received_bytes < PART_BYTES)
+		uv_run(&fixture.loop, UV_RUN_NOWAIT);
+	ck_assert_int_eq(conn_unread(fixture.conn), CONN_UNREAD_END);
+	if (!fixture.ended)
+		wait_end();
+	ck_assert_int_eq(fixture.error, 0);
+}
+END_TEST
+
 /* Guards against complete data that is lost as the peer resets afterwards. */
 START_TEST(a_reset_after_an_orderly_end_is_no_error)
 {
@@ -227,6 +261,8 @@
 	tcase_add_test(
 	    cases, a_reset_that_is_seen_with_the_last_bytes_is_an_error);
 	tcase_add_test(cases, a_reset_that_a_write_was_told_of_is_an_error);
+	tcase_add_test(cases, a_reset_that_was_looked_at_is_an_error);
+	tcase_add_test(cases, a_look_finds_bytes_and_an_orderly_end);
 	tcase_add_test(cases, a_reset_after_an_orderly_end_is_no_error);
 	tcase_add_test(cases, a_connection_reads_a_part_in_each_round);
 	tcase_add_test(cases, a_paused_connection_stays_paused);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -59,6 +59,15 @@
     {"reset inside an event", "/write/a", HEAD EVENT "id: 2\nda", true, true},
 };
 
+/* Pauses of the process after which a timer of the request is due. */
+static const struct pause {
+	const char *path;
+	unsigned long length_us;
+} pauses[] = {
+    {"/read/a", 2200000}, /* of a silent server */
+    {"/book/a", 3200000}, /* of the deadline */
+};
+
 /* Guards against a cut stream that looks complete to the client. */
 START_TEST(a_cut_stream_without_framing_does_not_look_complete)
 {
@@ -124,6 +133,32 @@
 }
 END_TEST
 
+/*
+ * Guards against the same where the first part has been read before the pause,
+ * and a timer of the request is due when the pause ends.
+ */
+START_TEST(a_response_that_is_reset_in_a_pause_is_a_failure)
+{
+	const struct pause *pause = &pauses[_i];
+	gateway_exchange_t exchange =
+	    gateway_exchange_open(pause->path, backend_listener_1);
+	char *response;
+
+	wire_send(exchange.server_fd, HEAD "part");
+	g_usleep(READ_US);
+	kill(gateway_node->pid, SIGSTOP);
+	g_usleep(READ_US); /* the loop stops before it sees the reset */
+	reset_connection(exchange.server_fd);
+	exchange.server_fd = -1;
+	g_usleep(pause->length_us);
+	kill(gateway_node->pid, SIGCONT);
+	response = wire_read_message(exchange.client_fd);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 50"));
+	g_free(response);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 /* Guards against a large response that is reset and looks complete. */
 START_TEST(a_reset_response_without_framing_does_not_look_complete)
 {
@@ -348,6 +383,9 @@
 	    cases, a_stream_that_ends_before_its_first_event_is_a_failure);
 	tcase_add_test(
 	    cases, a_response_that_is_reset_with_its_last_bytes_is_a_failure);
+	tcase_add_loop_test(cases,
+	    a_response_that_is_reset_in_a_pause_is_a_failure, 0,
+	    G_N_ELEMENTS(pauses));
 	tcase_add_test(
 	    cases, a_reset_response_without_framing_does_not_look_complete);
 	tcase_add_loop_test(
