A moved stream that is refused does not run anew

Routes with a max_attempts of 3 or more only.

Cause: handle_not_run() retried on the strength of the refusal, which is true for the target; the source had run a part of the stream. Ruled out: the paths for a target that cannot be connected to or may not get the stream, which had the check.

Change: proxy_may_run_anew() decides it for these three paths. Behaviour of the other two is as before.

--- a/src/proxy.c
+++ b/src/proxy.c
@@ -195,6 +195,12 @@
 	return allowed;
 }
 
+bool
+proxy_may_run_anew(const proxy_request_t *req)
+{
+	return !req->stream_started || catalog_may_retry(req->route);
+}
+
 static void
 on_client_closed(void *data)
 {
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -25,7 +25,7 @@
 	log_event(LOG_LEVEL_WARN, "stream.target_excluded", "id=%s to=%s",
 	    req->facts.attempt_id, req->migration.target->info->id);
 	proxy_migration_clear(req);
-	if (!catalog_may_retry(req->route) ||
+	if (!proxy_may_run_anew(req) ||
 	    req->tried->len >= req->route->max_attempts) {
 		proxy_respond(req, 502, -1, "move_failed");
 		return;
--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -208,7 +208,7 @@
 	    0, clock_boot_ms());
 	if (proxy_leave_race(attempt))
 		return;
-	if (proxy_take_retry(req))
+	if (proxy_may_run_anew(req) && proxy_take_retry(req))
 		retry_request(req);
 	else
 		proxy_reject(
@@ -445,8 +445,7 @@
 		return;
 	proxy_release_server(attempt);
 	uv_timer_stop(&req->hedge_timer);
-	/* Another engine would run from its start what the source has run. */
-	if (req->stream_started && !catalog_may_retry(req->route))
+	if (!proxy_may_run_anew(req))
 		proxy_respond(req, 502, -1, reason);
 	else if (++req->connect_failures < CONNECT_FAILURES_MAX &&
 		 proxy_remaining_ms(req) > PROXY_ATTEMPT_MIN_MS)
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -157,6 +157,11 @@
  * remain, and the retry budget allows it. Takes one retry from the budget.
  */
 bool proxy_take_retry(proxy_request_t *req);
+/*
+ * False for a stream that an engine has run and that may not be repeated: an
+ * engine without its KV cache would run it from its start.
+ */
+bool proxy_may_run_anew(const proxy_request_t *req);
 /* Removes the request's prompt from the server's waiting tokens. */
 void proxy_remove_waiting_prompt(proxy_attempt_t *attempt);
 /* Removes the request from the server's load and drops the reference. */
--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -22,7 +22,8 @@
 #define DEFAULT_LIMITS                                                   \
 	{                                                                \
 		.body_bytes = 2000, .idle_ms = 5000, .timeout_ms = 4000, \
-		.read_attempts = 2, .read_service = "plain"              \
+		.read_attempts = 2, .read_service = "plain",             \
+		.write_attempts = 1                                      \
 	}
 
 static const gateway_limits_t default_limits = DEFAULT_LIMITS;
@@ -106,9 +107,11 @@
 	    make_route("/book/", "non_idempotent", 1, "plain"),
 	    make_route("/read/", "idempotent", gateway_limits.read_attempts,
 		gateway_limits.read_service),
-	    talk, make_route("/write/", "streaming", 1, "engine"), open,
-	    "services", "name", "plain", "name", "engine", "engine", "slots", 8,
-	    "kv_capacity_tokens", 100000, "moves", 1, "limits",
+	    talk,
+	    make_route("/write/", "streaming", gateway_limits.write_attempts,
+		"engine"),
+	    open, "services", "name", "plain", "name", "engine", "engine",
+	    "slots", 8, "kv_capacity_tokens", 100000, "moves", 1, "limits",
 	    "max_header_bytes", 4000, "max_body_bytes",
 	    gateway_limits.body_bytes, "header_timeout_ms", 500,
 	    "idle_timeout_ms", gateway_limits.idle_ms, "tenants", "name",
--- a/tests/support_gateway.h
+++ b/tests/support_gateway.h
@@ -29,6 +29,7 @@
 	int timeout_ms;	   /* of its routes */
 	int read_attempts; /* max_attempts of the route /read/ */
 	const char *read_service; /* of the route /read/ */
+	int write_attempts;	  /* max_attempts of the route /write/ */
 } gateway_limits_t;
 
 extern gateway_limits_t gateway_limits;
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -501,6 +501,56 @@
 }
 END_TEST
 
+static void
+setup_several_attempts(void)
+{
+	gateway_limits.write_attempts = 3;
+	gateway_fixture_setup();
+}
+
+/* Guards against a stream that may run once and runs anew at a third engine
+ * since the one that has the copy of its KV cache refuses it. */
+START_TEST(a_moved_stream_that_is_refused_does_not_run_anew)
+{
+	static const char *const refusals[] = {
+	    RESUMED("503 Busy", "X-Not-Executed: 1\r\nContent-Length: 0\r\n"),
+	    RESUMED("421 Misdirected", "Content-Length: 0\r\n"),
+	};
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/write/a", backend_listener_2);
+	int ports[2], listeners[2], copy, target, first;
+	char *response;
+	bool reset;
+
+	for (int i = 0; i < 2; i++)
+		listeners[i] = wire_listen(&ports[i]);
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
+	gateway_register_server("e-2", "engine", ports[0], "ready");
+	gateway_register_server("e-3", "engine", ports[1], "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	g_free(wire_read_message(copy));
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	wire_send(copy, COPIED);
+	first = wire_wait_connection(listeners[0], 300) ? 0 : 1;
+	target = wire_accept(listeners[first]);
+	g_free(wire_read_message(target));
+	wire_send(target, refusals[_i]);
+	response = wire_read_until_closed(exchange.client_fd, &reset);
+	ck_assert_str_eq(response, "");
+	ck_assert(!wire_wait_connection(listeners[1 - first], 0));
+	g_free(response);
+	close(copy);
+	close(target);
+	for (int i = 0; i < 2; i++)
+		close(listeners[i]);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -526,5 +576,12 @@
 	tcase_add_loop_test(cases, a_cut_answer_ends_no_moved_stream, 0,
 	    G_N_ELEMENTS(cut_moves));
 	suite_add_tcase(suite, cases);
+	cases = tcase_create("several_attempts");
+	tcase_set_timeout(cases, 60);
+	tcase_add_checked_fixture(
+	    cases, setup_several_attempts, gateway_fixture_teardown);
+	tcase_add_loop_test(
+	    cases, a_moved_stream_that_is_refused_does_not_run_anew, 0, 2);
+	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
