A response needs a status of three digits from 100 to 599

Callers saw: a server's status 600 or 999 as it was, and "HTTP/1.1 0200" as a 200 (2 of 4 requests each; the others met a connection that the stand-in had closed). 000, 099, 20 and 101 ended as 502 already, but only as what follows such an "interim response" was malformed.

Cause: http_parser and libcurl read any digits up to 999. Ruled out: a check of our own that lets them through; there was none.

Change: status_line checks the start of each response by RFC 9112, 4 and RFC 9110, 15 before a parser reads it, in the reader of backend servers' responses and in the client for all libcurl calls. The reader now stops behind each interim response, to check the line after it. Such an attempt fails as malformed: 502, or another server where the route allows a repeat.

Evidence: responses_with_an_invalid_status_fail and call_whose_response_has_no_status_fails failed before and pass now.

--- a/src/http1.c
+++ b/src/http1.c
@@ -1,5 +1,7 @@
 #include "http1.h"
 
+#include "status_line.h"
+
 #include <http_parser.h>
 #include <string.h>
 #include <strings.h>
@@ -25,6 +27,7 @@
 	http1_callbacks_t callbacks;
 	void *data;
 	http1_state_t state;
+	status_line_t status_line; /* responses */
 	http1_head_t head;
 	GString *text; /* target, names and values, each NUL-terminated */
 	header_offsets_t offsets[HTTP1_HEADERS_MAX];
@@ -228,6 +231,7 @@
 clear_head(http1_reader_t *reader)
 {
 	g_string_truncate(reader->text, 0);
+	reader->status_line = (status_line_t){0};
 	memset(&reader->head, 0, sizeof(reader->head));
 	reader->in_value = false;
 	reader->head_complete = false;
@@ -241,9 +245,9 @@
 	if (reader->interim) {
 		reader->interim = false;
 		clear_head(reader);
-		return 0;
+	} else {
+		reader->state = HTTP1_COMPLETE;
 	}
-	reader->state = HTTP1_COMPLETE;
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -297,18 +301,37 @@
 	clear_head(reader);
 }
 
-size_t
-http1_reader_feed(http1_reader_t *reader, const char *bytes, size_t length)
+/* Parses up to the end of one message, interim responses included. */
+static size_t
+parse_message(http1_reader_t *reader, const char *bytes, size_t length)
 {
 	size_t consumed;
 
-	if (reader->state != HTTP1_READING || length == 0)
+	if (reader->kind == HTTP1_RESPONSE &&
+	    !status_line_feed(&reader->status_line, bytes, length)) {
+		reader->state = HTTP1_FAILED;
 		return 0;
+	}
 	consumed = http_parser_execute(
 	    &reader->parser, &parser_settings, bytes, length);
-	if (!flush_body(reader) ||
-	    (reader->state == HTTP1_READING &&
-		HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK))
+	if (reader->state != HTTP1_READING)
+		return consumed;
+	if (HTTP_PARSER_ERRNO(&reader->parser) == HPE_PAUSED)
+		http_parser_pause(&reader->parser, 0);
+	else if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK)
+		reader->state = HTTP1_FAILED;
+	return consumed;
+}
+
+size_t
+http1_reader_feed(http1_reader_t *reader, const char *bytes, size_t length)
+{
+	size_t consumed = 0;
+
+	while (consumed < length && reader->state == HTTP1_READING)
+		consumed +=
+		    parse_message(reader, bytes + consumed, length - consumed);
+	if (!flush_body(reader))
 		reader->state = HTTP1_FAILED;
 	return consumed;
 }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include "log.h"
+#include "status_line.h"
 
 #include <curl/curl.h>
 #include <string.h>
@@ -31,6 +32,7 @@
 	struct curl_slist *headers;
 	GString *body;
 	size_t headers_bytes;
+	bool in_head;	    /* that of the response, or of an interim one */
 	bool head_complete; /* that of the response, not of an interim one */
 	http_call_options_t options;
 	char error[CURL_ERROR_SIZE];
@@ -414,19 +416,32 @@
 	return length > 0 && (line[0] == '\n' || line[0] == '\r');
 }
 
-/*
- * Notes the end of the head, and counts the bytes of a response's headers,
- * interim heads and trailers.
- */
+/* Notes where a head begins and ends; false if its status line is invalid. */
+static bool
+read_head_line(http_call_t *call, const char *line, size_t length)
+{
+	bool is_first = !call->in_head;
+
+	call->in_head = !is_head_end(line, length);
+	if (!call->in_head)
+		call->head_complete =
+		    http_call_status(call) >= STATUS_FINAL_MIN;
+	return !is_first || status_line_is_valid(line, length);
+}
+
+/* Counts the bytes of a response's headers, interim heads and trailers. */
 static size_t
 on_header(char *bytes, size_t size, size_t count, void *data)
 {
 	http_call_t *call = data;
 	size_t length = size * count;
 
-	if (is_head_end(bytes, length) &&
-	    http_call_status(call) >= STATUS_FINAL_MIN)
-		call->head_complete = true;
+	/* What follows the head are trailers. */
+	if (!call->head_complete && !read_head_line(call, bytes, length)) {
+		g_strlcpy(
+		    call->error, "malformed status line", sizeof(call->error));
+		return 0;
+	}
 	call->headers_bytes += length;
 	return call->headers_bytes <= HEADERS_MAX_BYTES ? length : 0;
 }
--- a/tests/test_http1.c
+++ b/tests/test_http1.c
@@ -226,6 +226,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a response with an invalid status code that is taken for an
+ * answer, by itself or after an interim response.
+ */
+START_TEST(responses_with_an_invalid_status_fail)
+{
+	static const char *const codes[] = {"000", "101", "600", "0200"};
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(codes); i++) {
+		parsed_message_t parsed = {.body = g_string_new(NULL)};
+		char *text = g_strdup_printf("%sHTTP/1.1 %s Odd\r\n"
+					     "Content-Length: 0\r\n\r\n",
+		    i % 2 == 0 ? "" : "HTTP/1.1 103 Early Hints\r\n\r\n",
+		    codes[i / 2]);
+
+		ck_assert_int_eq(
+		    read_response(text, false, &parsed), HTTP1_FAILED);
+		ck_assert(!parsed.has_head);
+		g_free(text);
+		g_string_free(parsed.body, TRUE);
+	}
+}
+END_TEST
+
 /*
  * Guards against waiting for a body that never comes, and against bytes after
  * a response without a body that are passed on as its body.
@@ -281,6 +305,7 @@
 	tcase_add_test(cases, chunks_of_one_read_are_passed_on_at_once);
 	tcase_add_test(cases, interim_responses_are_skipped);
 	tcase_add_test(cases, interim_responses_without_end_fail);
+	tcase_add_test(cases, responses_with_an_invalid_status_fail);
 	tcase_add_test(cases, responses_without_a_body_end_with_their_head);
 	tcase_add_test(cases, hop_by_hop_headers_are_recognized);
 	suite_add_tcase(suite, cases);
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -469,6 +469,31 @@
 }
 END_TEST
 
+/* Responses with a status that is none, by itself or after an interim one. */
+static const char *const bad_statuses[] = {
+    "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 0200 Odd\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 103 Early Hints\r\n\r\n"
+    "HTTP/1.1 999 Odd\r\nContent-Length: 2\r\n\r\nok",
+};
+
+/* Guards against bytes that are no response and are taken for one. */
+START_TEST(call_whose_response_has_no_status_fails)
+{
+	call_end_t end = {0};
+
+	setup(SERVER_CUTS);
+	fixture.start = bad_statuses[_i];
+	fixture.cut_bytes = strlen(bad_statuses[_i]);
+	start_call(&end, 500, 499);
+	run_until_ended(&end);
+	ck_assert(end.ended);
+	ck_assert_int_eq(end.outcome, HTTP_OUTCOME_FAILED);
+	teardown();
+}
+END_TEST
+
 /* Guards against the use of a cancelled call when its deadline passes. */
 START_TEST(cancelled_call_has_no_deadline)
 {
@@ -505,6 +530,8 @@
 	tcase_add_test(cases, call_whose_response_is_reset_fails);
 	tcase_add_loop_test(
 	    cases, call_whose_response_is_cut_fails, 0, G_N_ELEMENTS(cuts));
+	tcase_add_loop_test(cases, call_whose_response_has_no_status_fails, 0,
+	    G_N_ELEMENTS(bad_statuses));
 	tcase_add_test(cases, cancelled_call_has_no_deadline);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
