Tests of early answers whose server resets during the upload

The report of other operators (MIXED): an early 200 without a length, part of its body, and a reset while the upload is still written; the client got the part as a complete answer.

--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -27,8 +27,12 @@
 	/* Limits of a response, and what is on the way when they are reached.
 	 */
 	ENDLESS_MAX_BYTES = BODY_MAX_BYTES + 16 * 1024 * 1024,
+	/* More than the kernel's buffers hold. */
+	UPLOAD_BYTES = 16 * 1024 * 1024,
 };
 
+static const char early_answer[] = "HTTP/1.1 200 OK\r\n\r\n{\"text\": \"01";
+
 static int64_t clock_ns = 1000LL * NS_PER_S;
 /* Each timer expires late by this. */
 static int64_t lateness_ns;
@@ -424,6 +428,42 @@
 }
 END_TEST
 
+/*
+ * Guards against half of an early answer without a length that is taken for
+ * complete: the server resets while the upload is written. With an even _i the
+ * call has read the answer before.
+ */
+START_TEST(call_whose_upload_is_reset_fails)
+{
+	call_end_t end = {0};
+	char *body = g_strnfill(UPLOAD_BYTES, 'x');
+
+	setup(SERVER_SILENT);
+	http_call_start(
+	    fixture.client, &(http_call_options_t){.url = fixture.url,
+				.method = "POST",
+				.body = body,
+				.body_length = UPLOAD_BYTES,
+				.on_complete = on_complete,
+				.data = &end});
+	while (fixture.accepted < 0) {
+		step();
+		fixture.accepted = accept(fixture.listener, NULL, NULL);
+	}
+	step();
+	(void)send(
+	    fixture.accepted, early_answer, strlen(early_answer), MSG_NOSIGNAL);
+	if (_i % 2 == 0)
+		step();
+	reset_accepted();
+	run_until_ended(&end);
+	ck_assert(end.ended);
+	ck_assert_int_eq(end.outcome, HTTP_OUTCOME_FAILED);
+	g_free(body);
+	teardown();
+}
+END_TEST
+
 /* Responses; the bytes that may be taken for a whole one, from whole_from on.
  */
 static const struct cut {
@@ -528,6 +568,7 @@
 	tcase_add_loop_test(
 	    cases, endless_response_ends_its_call, 0, G_N_ELEMENTS(endless));
 	tcase_add_test(cases, call_whose_response_is_reset_fails);
+	tcase_add_loop_test(cases, call_whose_upload_is_reset_fails, 0, 2);
 	tcase_add_loop_test(
 	    cases, call_whose_response_is_cut_fails, 0, G_N_ELEMENTS(cuts));
 	tcase_add_loop_test(cases, call_whose_response_has_no_status_fails, 0,
