A move whose attempt id is not UTF-8 fails instead of ending the process

Cause: platform_write_migration() packed the id as JSON; jansson returns NULL for a string that is not UTF-8, and strlen(NULL) followed.

Change: such a move is not written down and fails; the stream stays at its source, as where no engine can take it. Ids are forwarded byte for byte, as before; a mapping to another alphabet was ruled out, as the engine finds the run by the bytes it got.

--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -164,16 +164,17 @@
 	    .data = req,
 	};
 
-	platform_write_migration(text, req->attempt->server->info->address,
-	    req->facts.attempt_id, target->info->address);
-	request.head = text->str;
-	request.head_length = text->len;
 	req->migration.response = g_string_new(NULL);
 	req->migration.target = server_ref(target);
 	req->migration.state = PROXY_MIGRATION_COPYING;
-	uv_timer_stop(&req->idle_timer);
-	req->migration.call =
-	    upstream_call_start(req->attempt->server->upstream, 0, &request);
+	if (platform_write_migration(text, req->attempt->server->info->address,
+		req->facts.attempt_id, target->info->address)) {
+		uv_timer_stop(&req->idle_timer);
+		request.head = text->str;
+		request.head_length = text->len;
+		req->migration.call = upstream_call_start(
+		    req->attempt->server->upstream, 0, &request);
+	}
 	g_string_free(text, TRUE);
 	if (req->migration.call == NULL)
 		fail_migration(req);
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -451,6 +451,41 @@
 }
 END_TEST
 
+/* Time for the gateway to learn that an engine leaves, and to move streams. */
+enum { MOVE_US = 1500000 };
+
+/*
+ * Guards against a process that crashes as it moves a stream whose attempt id
+ * is not UTF-8, which JSON cannot hold: the stream stays at its source.
+ */
+START_TEST(a_stream_whose_id_is_no_utf_8_is_not_moved)
+{
+	static const char id[] = "caf\xe9-1";
+	int client = gateway_send_request("/write/a", id);
+	int source = wire_accept(backend_listener_2);
+	int port, listener = wire_listen(&port);
+	char *request = wire_read_message(source), *response;
+
+	wire_assert_header(request, "X-Attempt-Id", id);
+	wire_send(source, "HTTP/1.1 200 OK\r\nX-Attempt-Id: caf\xe9-1\r\n"
+			  "Transfer-Encoding: chunked\r\n\r\n"
+			  "f\r\nid: 1\ndata: a\n\n\r\n");
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	g_usleep(MOVE_US);
+	wire_send(source, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(client, "\r\n0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	ck_assert_ptr_nonnull(strstr(response, id));
+	ck_assert(!wire_wait_connection(backend_listener_2, 0));
+	g_free(request);
+	g_free(response);
+	close(client);
+	close(source);
+	close(listener);
+}
+END_TEST
+
 #define COPIED                                          \
 	"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n" \
 	"{\"handle\": 7,\"created\": 2}"
@@ -573,6 +608,7 @@
 	tcase_add_test(
 	    cases, copy_of_a_broken_source_does_not_move_the_resumed_stream);
 	tcase_add_test(cases, a_stream_is_resumed_where_its_move_fails);
+	tcase_add_test(cases, a_stream_whose_id_is_no_utf_8_is_not_moved);
 	tcase_add_loop_test(cases, a_cut_answer_ends_no_moved_stream, 0,
 	    G_N_ELEMENTS(cut_moves));
 	suite_add_tcase(suite, cases);
