Text of clients that is not UTF-8 ends no node of the own interface

Callers saw: a node whose client sent a header Papaya-Attempt that is not UTF-8 ended (response not streamed), or the client got a stream of "data: (null)".

Cause: jansson returns NULL for a string that is not UTF-8, and what was built around it was used unchecked.

Change: json_from_bytes() replaces such bytes in what is echoed, json_text() never returns NULL, and log lines hold no control characters.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -444,17 +444,11 @@
 	    {"papaya-not-run", not_run ? "true" : "false"},
 	    {"retry-after", "1"},
 	};
-	json_t *body = json_pack("{s:{s:s,s:s,s:s,s:b}}", "error", "kind",
-	    papaya_error_name(kind), "message", error->message, "remedy",
-	    papaya_error_remedy(kind), "not_run", (int)not_run);
-	char *text;
-
-	if (body == NULL)
-		body = json_pack("{s:{s:s,s:s,s:s,s:b}}", "error", "kind",
-		    papaya_error_name(kind), "message", "(not valid UTF-8)",
-		    "remedy", papaya_error_remedy(kind), "not_run",
-		    (int)not_run);
-	text = json_text(body);
+	json_t *body = json_pack("{s:{s:s,s:o,s:s,s:b}}", "error", "kind",
+	    papaya_error_name(kind), "message", json_from_bytes(error->message),
+	    "remedy", papaya_error_remedy(kind), "not_run", (int)not_run);
+	char *text = json_text(body);
+
 	json_decref(body);
 	http_reply(request, papaya_error_status(kind), headers,
 	    G_N_ELEMENTS(headers), text, strlen(text));
--- a/src/json.c
+++ b/src/json.c
@@ -100,11 +100,23 @@
 	       json_number_value(value) <= (double)max;
 }
 
+json_t *
+json_from_bytes(const char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+	json_t *value = json_string(valid);
+
+	g_free(valid);
+	return value;
+}
+
 char *
 json_text(const json_t *value)
 {
 	char *dumped, *text;
 
+	if (value == NULL)
+		return g_strdup("null");
 	dumped =
 	    json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
 	text = g_strdup(dumped);
--- a/src/json.h
+++ b/src/json.h
@@ -48,7 +48,16 @@
  */
 json_t *json_from_counts(GHashTable *counts);
 
-/* Compact JSON text with sorted member names. Free with g_free(). */
+/*
+ * A JSON string of any text, for what a client or another process wrote: bytes
+ * that are not UTF-8 are replaced by U+FFFD.
+ */
+json_t *json_from_bytes(const char *text);
+
+/*
+ * Compact JSON text with sorted member names; "null" for NULL, so that a value
+ * that could not be built ends no process. Free with g_free().
+ */
 char *json_text(const json_t *value);
 
 #endif
--- a/src/log.c
+++ b/src/log.c
@@ -199,6 +199,21 @@
 	log4c_fini();
 }
 
+/*
+ * Replaces what would break the line, or the reader of it: ids and names in it
+ * come from clients and other processes. Newly allocated.
+ */
+static char *
+printable_text(const char *text)
+{
+	char *valid = g_utf8_make_valid(text, -1);
+
+	for (char *byte = valid; *byte != '\0'; byte++)
+		if (g_ascii_iscntrl(*byte))
+			*byte = '?';
+	return valid;
+}
+
 void
 log_event(log_level_t level, const char *event, const char *format, ...)
 {
@@ -207,7 +222,7 @@
 	    [LOG_LEVEL_WARN] = LOG4C_PRIORITY_WARN,
 	    [LOG_LEVEL_ERROR] = LOG4C_PRIORITY_ERROR,
 	};
-	char fields[1024];
+	char fields[1024], *printable;
 	va_list args;
 
 	if (log_category == NULL)
@@ -215,6 +230,8 @@
 	va_start(args, format);
 	g_vsnprintf(fields, sizeof(fields), format, args);
 	va_end(args);
+	printable = printable_text(fields);
 	log4c_category_log(
-	    log_category, log4c_priorities[level], "%s %s", event, fields);
+	    log_category, log4c_priorities[level], "%s %s", event, printable);
+	g_free(printable);
 }
--- a/src/node_call.c
+++ b/src/node_call.c
@@ -240,8 +240,9 @@
 		http_request_disconnect(listener->request);
 		return;
 	}
-	event = json_pack("{s:s,s:{s:s,s:s,s:s,s:b}}", "id", listener->id,
-	    "error", "kind", papaya_error_name(kind), "message", error->message,
+	event = json_pack("{s:o,s:{s:s,s:o,s:s,s:b}}", "id",
+	    json_from_bytes(listener->id), "error", "kind",
+	    papaya_error_name(kind), "message", json_from_bytes(error->message),
 	    "remedy", papaya_error_remedy(kind), "not_run", 0);
 	text = json_text(event);
 	line = g_strdup_printf("data: %s\n\n", text);
--- a/src/node_model.c
+++ b/src/node_model.c
@@ -40,9 +40,9 @@
 	unsigned index = listener->written++;
 	bool last = stream_is_complete(call->stream) &&
 		    listener->written == stream_token_count(call->stream);
-	json_t *event = json_pack("{s:s,s:s,s:i,s:[{s:s,s:s?}]}", "id",
-	    listener->id, "model", call->version, "index", (int)index,
-	    "choices", "text", stream_token(call->stream, index),
+	json_t *event = json_pack("{s:o,s:s,s:i,s:[{s:s,s:s?}]}", "id",
+	    json_from_bytes(listener->id), "model", call->version, "index",
+	    (int)index, "choices", "text", stream_token(call->stream, index),
 	    "finish_reason", last ? stream_finish_reason(call->stream) : NULL);
 
 	if (last)
@@ -64,10 +64,10 @@
 
 	for (unsigned i = 0; i < stream_token_count(call->stream); i++)
 		g_string_append(text, stream_token(call->stream, i));
-	body = json_pack("{s:s,s:s,s:[{s:i,s:s,s:s}],s:o}", "id", listener->id,
-	    "model", call->version, "choices", "index", 0, "text", text->str,
-	    "finish_reason", stream_finish_reason(call->stream), "usage",
-	    usage_json(call));
+	body = json_pack("{s:o,s:s,s:[{s:i,s:s,s:s}],s:o}", "id",
+	    json_from_bytes(listener->id), "model", call->version, "choices",
+	    "index", 0, "text", text->str, "finish_reason",
+	    stream_finish_reason(call->stream), "usage", usage_json(call));
 	reply = json_text(body);
 	http_reply(listener->request, 200, headers, G_N_ELEMENTS(headers),
 	    reply, strlen(reply));
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -478,6 +478,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a node that crashes, or streams no JSON, as it echoes an
+ * attempt id that is not UTF-8.
+ */
+START_TEST(an_id_that_is_no_utf_8_ends_no_node)
+{
+	static const char header[] = "Papaya-Attempt: caf\xe9";
+	static const char echoed[] = "\"id\":\"caf\xef\xbf\xbd\"";
+	test_response_t *answer;
+
+	chat_start("standin-engine", "chat", 8, NULL);
+	answer = chat_complete(true, "hello", header, NULL, NULL);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, echoed));
+	chat_check(answer, "hello");
+	answer = chat_complete(false, "hello", header, NULL, NULL);
+	ck_assert_int_eq(answer->status, 200);
+	ck_assert_ptr_nonnull(strstr(answer->body->str, echoed));
+	ck_assert_str_eq(
+	    test_response_header(answer, "papaya-attempt"), "caf\xe9");
+	test_response_free(answer);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -506,6 +529,7 @@
 	tcase_add_loop_test(
 	    tests, plain_requests_are_retried, 0, G_N_ELEMENTS(plain_cases));
 	tcase_add_test(tests, bad_requests_get_typed_errors);
+	tcase_add_test(tests, an_id_that_is_no_utf_8_ends_no_node);
 	suite_add_tcase(suite, tests);
 	return suite_run(suite);
 }
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -69,6 +69,24 @@
 }
 END_TEST
 
+/* Guards against a client whose id forges lines, or makes them unreadable. */
+START_TEST(text_of_others_stays_on_one_line)
+{
+	char *text;
+
+	start_log_to_pipe();
+	log_event(LOG_LEVEL_WARN, "request.ended", "id=%s",
+	    "a\nb\r\x1b\x7f caf\xc3\xa9 caf\xe9");
+	text = read_all();
+	ck_assert_ptr_nonnull(
+	    strstr(text, "id=a?b??? caf\xc3\xa9 caf\xef\xbf\xbd\n"));
+	ck_assert_ptr_eq(strchr(text, '\n'), text + strlen(text) - 1);
+	g_free(text);
+	log_stop();
+	close(pipe_read_fd);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -76,6 +94,7 @@
 	TCase *cases = tcase_create("log");
 
 	tcase_add_test(cases, info_lines_are_dropped_before_warnings);
+	tcase_add_test(cases, text_of_others_stays_on_one_line);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
