Whether a store was restored before a start is read from the store itself

Cause: "restored before the start" was "the era is above 1". The same comparison decided whether a node waits for an earlier leader and for its peers' configuration; relays took eras 0 and 1 for one, evidence on rollouts took era 0 for "not stated", and eras above 2^20 counted as none.

Change: the leader records the era under papaya/era (era_record); a node whose first list does not show the record of the present era takes the store for one that may have been restored. Relays and evidence compare eras as they are.

Ruled out: to take a store without any leader's keys for new. Tried, it failed start_after_a_restoration_waits_for_the_configuration_of_peers, as such a copy looks the same. So the first leader of a new store waits for one lease.

--- a/src/cluster_relay.c
+++ b/src/cluster_relay.c
@@ -77,8 +77,7 @@
 handle_relay_response(cluster_t *cluster, relay_response_t *response)
 {
 	cluster->relay_responded =
-	    !response->store_unstable &&
-	    relay_is_same_era(response->era, cluster->relay_era);
+	    !response->store_unstable && response->era == cluster->relay_era;
 	if (response->client_addresses->len > 0) {
 		g_ptr_array_unref(cluster->relayed_addresses);
 		cluster->relayed_addresses =
--- a/src/digest.h
+++ b/src/digest.h
@@ -37,7 +37,7 @@
 typedef struct digest_move {
 	char *service;
 	int64_t revision; /* of the store, at which the move was ordered */
-	int64_t era;	  /* of that revision; 0: the sender does not say */
+	int64_t era;	  /* of that revision; an earlier version sends 0 */
 	bool stopped;	  /* by the sender, which found the new version bad */
 	char *evidence;	  /* JSON text of evidence_to_json() */
 } digest_move_t;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -66,6 +66,7 @@
 on_list_complete(void *data)
 {
 	gateway_t *gateway = data;
+	bool may_be_restored;
 
 	if (!gateway->initial_list_complete)
 		log_event(LOG_LEVEL_INFO, "front.listed", "servers=%u nodes=%u",
@@ -73,7 +74,10 @@
 		    cluster_node_count(gateway->cluster));
 	gateway->initial_list_complete = true;
 	cluster_apply_registrations(gateway->cluster);
-	lease_enable_campaign(gateway->lease);
+	era_record_list_complete(gateway->era_record);
+	may_be_restored = era_record_may_be_restored(gateway->era_record);
+	usage_report_list_complete(gateway->usage_report, may_be_restored);
+	lease_enable_campaign(gateway->lease, may_be_restored);
 }
 
 /* The store has been restored from a copy. */
@@ -83,6 +87,7 @@
 	gateway_t *gateway = data;
 
 	lease_restore(gateway->lease);
+	era_record_restore(gateway->era_record);
 	rollouts_set_restoring(gateway->proxy.rollouts, true);
 	store_watch_restore(gateway->store_watch);
 }
@@ -263,7 +268,7 @@
 	int64_t wait_ms;
 
 	if (gateway->was_ready || !gateway->initial_list_complete ||
-	    platform_store_era(gateway->store) <= PLATFORM_ERA_FIRST)
+	    !era_record_may_be_restored(gateway->era_record))
 		return false;
 	peers_version = cluster_newest_configuration(gateway->cluster, now_ms);
 	if (gateway->proxy.catalog != NULL &&
@@ -399,6 +404,7 @@
 		serve_waiting(gateway);
 	usage_report_tick(
 	    gateway->usage_report, cluster_wall_ms(gateway->cluster));
+	era_record_tick(gateway->era_record);
 	update_rollout_time(gateway);
 	rollouts_tick(gateway->proxy.rollouts, gateway->store, gateway->lease);
 	scaler_tick(gateway->scale_orders, gateway->proxy.catalog);
@@ -587,6 +593,11 @@
 	report_options.lease = gateway->lease;
 	report_options.usage = gateway->proxy.usage;
 	gateway->usage_report = usage_report_new(&report_options);
+	gateway->era_record = era_record_new(&(era_record_options_t){
+	    .store = gateway->store,
+	    .lease = gateway->lease,
+	    .lease_ms = gateway->config->bounds.lease_ms,
+	});
 	gateway->scale_orders = scaler_new(&(scaler_options_t){
 	    .config = gateway->config,
 	    .store = gateway->store,
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -3,6 +3,7 @@
 
 #include "cluster.h"
 #include "drain.h"
+#include "era_record.h"
 #include "gateway.h"
 #include "http1_server.h"
 #include "http_client.h"
@@ -27,6 +28,7 @@
 	platform_store_t *store;
 	store_watch_t *store_watch;
 	lease_t *lease;
+	era_record_t *era_record;
 	cluster_t *cluster;
 	usage_report_t *usage_report;
 	scaler_t *scale_orders;
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -171,6 +171,7 @@
 	KEY_ROLLOUT,
 	KEY_ROLLOUT_RECORD,
 	KEY_EVACUATION,
+	KEY_ERA_RECORD,
 	KEY_OTHER,
 } key_kind_t;
 
@@ -206,6 +207,8 @@
 		return KEY_LEASE_HOLDER;
 	if (strcmp(key, usage_report_key) == 0)
 		return KEY_USAGE_REPORT;
+	if (strcmp(key, era_record_key) == 0)
+		return KEY_ERA_RECORD;
 	return KEY_OTHER;
 }
 
@@ -259,6 +262,9 @@
 	case KEY_EVACUATION:
 		begin_evacuation(gateway, name);
 		break;
+	case KEY_ERA_RECORD:
+		era_record_set(gateway->era_record, item->value, item->length);
+		break;
 	case KEY_OTHER:
 		break;
 	}
@@ -315,6 +321,9 @@
 	case KEY_EVACUATION:
 		end_evacuation(gateway, name);
 		break;
+	case KEY_ERA_RECORD:
+		era_record_set(gateway->era_record, NULL, 0);
+		break;
 	case KEY_CONFIGURATION:
 	case KEY_OTHER:
 		break;
--- a/src/lease.c
+++ b/src/lease.c
@@ -1,6 +1,7 @@
 #include "lease.h"
 
 #include "clock.h"
+#include "fence_token.h"
 #include "log.h"
 #include "store_lease.h"
 
@@ -22,9 +23,6 @@
 	/* Upper bound of the random delay after the leader key is removed. */
 	CAMPAIGN_JITTER_MS = 400,
 	CAMPAIGN_RETRY_MS = 1000,
-
-	/* Low bits of a fencing token: the revision; the others: the era. */
-	FENCE_REVISION_BITS = 40,
 };
 
 const char lease_node_prefix[] = "papaya/node/";
@@ -304,9 +302,7 @@
 static void
 take_token(lease_t *lease, int64_t revision)
 {
-	int64_t token =
-	    (platform_store_era(lease->store) << FENCE_REVISION_BITS) +
-	    revision;
+	int64_t token = fence_token(platform_store_era(lease->store), revision);
 
 	lease->sole_leader = false;
 	if (token < lease->fencing_token)
@@ -387,11 +383,10 @@
 }
 
 void
-lease_enable_campaign(lease_t *lease)
+lease_enable_campaign(lease_t *lease, bool may_be_restored)
 {
 	/* The restoration may have been just before the start. */
-	if (!lease->listed_once && lease->restorations == 0 &&
-	    platform_store_era(lease->store) > PLATFORM_ERA_FIRST)
+	if (!lease->listed_once && lease->restorations == 0 && may_be_restored)
 		wait_for_earlier_leader(lease, clock_boot_ms());
 	lease->listed_once = true;
 	if (!lease->campaign_enabled && !lease->sole_leader)
--- a/src/lease.h
+++ b/src/lease.h
@@ -39,10 +39,10 @@
 
 /*
  * Lets the node campaign as leader; before that it only registers itself. Where
- * the store had been restored before the start, it first waits until an earlier
- * leader has stopped.
+ * the store may have been restored shortly before the start, it first waits
+ * until an earlier leader has stopped.
  */
-void lease_enable_campaign(lease_t *lease);
+void lease_enable_campaign(lease_t *lease, bool may_be_restored);
 
 /*
  * Sets how long this node waits where there is no leader until it campaigns.
--- a/src/relay.c
+++ b/src/relay.c
@@ -13,7 +13,6 @@
 	/* Without the era, as an earlier version has them. */
 	REQUEST_FIELDS = 3,
 	RESPONSE_FIELDS = 8,
-	FIRST_ERA = 1,
 	ITEM_FIELDS = 3,
 	LOG_MAX_ITEMS = 1024,
 	LOG_MAX_BYTES = 256 * 1024,
@@ -46,12 +45,6 @@
 	g_free(change);
 }
 
-bool
-relay_is_same_era(int64_t era, int64_t other_era)
-{
-	return MAX(era, FIRST_ERA) == MAX(other_era, FIRST_ERA);
-}
-
 bool
 relay_is_current(int64_t confirmation_age_ms, int64_t watch_ms)
 {
@@ -197,7 +190,7 @@
 	GPtrArray *changes =
 	    select_changes(log, request->after_revision, &complete_revision);
 	bool changes_missing =
-	    !relay_is_same_era(request->era, state->era) ||
+	    request->era != state->era ||
 	    request->after_revision < log->base_revision ||
 	    (changes->len == 0 && complete_revision < state->revision);
 	bool complete =
--- a/src/relay.h
+++ b/src/relay.h
@@ -16,16 +16,11 @@
  * subtracts that age from the time at which it sent the request, so a delayed
  * datagram never makes a confirmation look newer than it is. No I/O.
  *
- * Both messages carry the store's era that their sender knows. Without one they
- * are from a node of an earlier version.
+ * Both messages carry the store's era that their sender knows: revisions of
+ * different eras cannot be compared. Without one they are from a node of an
+ * earlier version, or of one that knows none, and count as era 0.
  */
 
-/*
- * Returns whether the revisions of two eras may be compared. Era 0, unknown, is
- * that of a node which knows of no restoration: it counts as the first one.
- */
-bool relay_is_same_era(int64_t era, int64_t other_era);
-
 /*
  * Returns whether a confirmation of this age is recent enough for relays whose
  * watches last watch_ms at most. If not, the relay may have lost its connection
--- a/src/rollouts.c
+++ b/src/rollouts.c
@@ -613,10 +613,8 @@
 	    g_hash_table_lookup(rollouts->services, item->service);
 
 	if (state == NULL || state->rollout == NULL ||
-	    rollout_revision(state->rollout) != item->revision)
-		return NULL;
-	/* Peers of an earlier version do not report the era. */
-	if (item->era != 0 && rollout_era(state->rollout) != item->era)
+	    rollout_revision(state->rollout) != item->revision ||
+	    rollout_era(state->rollout) != item->era)
 		return NULL;
 	return state->rollout;
 }
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -366,7 +366,6 @@
 	watch->list_complete = false;
 	watch->changes_missing = false;
 	watch->revision = 0;
-	watch->restored_once = true;
 	watch->hold_until_ms = INT64_MAX;
 	key_revisions_restore(watch->keys);
 	relay_log_reset(watch->change_log, INT64_MAX);
--- a/src/store_watch_relay.c
+++ b/src/store_watch_relay.c
@@ -45,19 +45,6 @@
 	return true;
 }
 
-/*
- * True where the revisions of a response may be compared with the own ones. A
- * relay of an earlier version states no era.
- */
-static bool
-is_own_era(const store_watch_t *watch, int64_t era)
-{
-	int64_t own_era = platform_store_era(watch->options.store);
-
-	return era == own_era || (!watch->restored_once && era < own_era &&
-				     relay_is_same_era(era, own_era));
-}
-
 void
 store_watch_apply_response(
     store_watch_t *watch, const relay_response_t *response)
@@ -66,7 +53,7 @@
 	int64_t confirmed_ms;
 
 	store_watch_check_era(watch, response->era);
-	if (!is_own_era(watch, response->era) ||
+	if (response->era != platform_store_era(watch->options.store) ||
 	    watch->relay_interval_ms == 0 || !watch->list_complete)
 		return;
 	if (response->changes_missing) {
--- a/src/store_watch_state.h
+++ b/src/store_watch_state.h
@@ -46,7 +46,6 @@
 	int64_t min_interval_ms;   /* between watches */
 	bool has_followers;	   /* one has sent a request */
 	bool listed_once;	/* a list has been completed since the start */
-	bool restored_once;	/* a restoration has been seen */
 	bool stale_refused;	/* a stale list was of an earlier era */
 	int64_t era_checked_ms; /* see store_watch_check_era(); 0: never */
 	bool era_check_due;	/* the next watch asks for the era at once */
--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -14,6 +14,7 @@
 	RETRY_MS = 500,
 	/* Complete windows before the newest one that may still be recorded. */
 	BACKLOG_WINDOWS = 2,
+	ERA_NONE = -1, /* a record of an earlier version names none */
 };
 
 const char usage_report_key[] = "papaya/usage";
@@ -23,10 +24,12 @@
 	int64_t recorded_window;   /* newest known record; 0: none */
 	int64_t recorded_revision; /* of the present key; 0: there is none */
 	int64_t recorded_era;	   /* of the store, at that revision */
-	int64_t peers_window;  /* newest record that a peer knows; 0: none */
-	int64_t first_era;     /* of the store, that the node knows */
-	int64_t first_window;  /* the present one at that time; 0: not yet */
-	bool record_is_of_era; /* one of the era that it names was read */
+	int64_t peers_window; /* newest record that a peer knows; 0: none */
+	int64_t
+	    first_window; /* the present one at the first list; 0: not yet */
+	bool listed;	  /* the store's keys, at least once */
+	bool may_be_restored;	     /* the store, shortly before that list */
+	bool record_is_of_era;	     /* one of the era that it names was read */
 	GHashTable *recorded_counts; /* workspace to double * */
 	int64_t sent_window;	     /* newest one that this node has sent */
 	bool recording;
@@ -46,11 +49,13 @@
 	return report;
 }
 
-static void
-learn_first_era(usage_report_t *report)
+void
+usage_report_list_complete(usage_report_t *report, bool may_be_restored)
 {
-	if (report->first_era == 0)
-		report->first_era = platform_store_era(report->options.store);
+	if (report->listed)
+		return;
+	report->listed = true;
+	report->may_be_restored = may_be_restored;
 }
 
 void
@@ -64,7 +69,6 @@
 
 	report->recorded_revision = value == NULL ? 0 : revision;
 	report->recorded_era = platform_store_era(report->options.store);
-	learn_first_era(report);
 	if (value == NULL)
 		return;
 	json = json_parse(value, length, usage_report_key, &error);
@@ -76,7 +80,7 @@
 	}
 	window = json_get_int(json, "window", 0);
 	report->record_is_of_era |=
-	    json_get_int(json, "era", 0) == report->recorded_era;
+	    json_get_int(json, "era", ERA_NONE) == report->recorded_era;
 	/* The store has been restored from a copy, or these were sent. */
 	if (window < report->recorded_window ||
 	    window == report->sending_window) {
@@ -199,8 +203,8 @@
 static bool
 knows_records(const usage_report_t *report)
 {
-	return report->first_era <= PLATFORM_ERA_FIRST ||
-	       report->record_is_of_era;
+	return report->record_is_of_era ||
+	       (report->listed && !report->may_be_restored);
 }
 
 int64_t
@@ -244,10 +248,9 @@
 	    usage_window(report->options.usage, wall_ms - COLLECT_MS) - 1;
 	int64_t window;
 
-	if (report->first_era == 0 || report->first_window == 0)
+	if (!report->listed || report->first_window == 0)
 		report->first_window =
 		    usage_window(report->options.usage, wall_ms);
-	learn_first_era(report);
 	window = next_window(report, newest_window);
 	if (token == 0 || report->options.config->cloud_url == NULL ||
 	    report->recording || report->sending ||
--- a/src/usage_report.h
+++ b/src/usage_report.h
@@ -52,6 +52,13 @@
 void usage_report_learn_record(
     usage_report_t *report, int64_t window, int64_t wall_ms);
 
+/*
+ * The store's keys have been read, at the start or after a restoration. Where
+ * the store may have been restored shortly before the start, later windows than
+ * the one that it shows may have been recorded.
+ */
+void usage_report_list_complete(usage_report_t *report, bool may_be_restored);
+
 /*
  * Records or sends the usage of the next window if one is due and this node
  * holds the lease. wall_ms: best estimate of Unix time.
