A rate limit of the store is no outage, and late removals are kept less long

Cause: a host whose calls the store refuses for its rate (429) took that for an outage. An entry that is removed about then may be one that only lapsed, so the host kept the server for 1,800 ms, counted from when it learned of the removal, 1.56 s late.

Change: a 429 says that the store is up and counts as a response; a relay's statement of an outage counts only where this node's own copy is not current; and the time of keeping counts from when the copy was known to be current, or the store became available again.

Evidence: a_server_that_left_in_a_rate_limit_is_not_kept failed before and passes now.

--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -15,10 +15,10 @@
 	 * wait for its configuration. */
 	STARTUP_MS = 1000,
 	STARTUP_RETRY_MAX_MS = 60,
-	/* The store counts as unavailable after failing for this long. */
-	UNAVAILABLE_AFTER_MS = 300,
 	REFRESH_INTERVAL_MS = 300,
 	RELAY_CHECK_MS = 100,
+	/* The store counts as unavailable after failing for this long. */
+	UNAVAILABLE_AFTER_MS = 300,
 	/* Entries removed in an outage may reappear this long after its end. */
 	RECOVERY_MS = 2500,
 	/*
@@ -118,17 +118,20 @@
 }
 
 static void
-retry_later(store_watch_t *watch, platform_status_t status)
+retry_later(store_watch_t *watch, const platform_result_t *result)
 {
 	int64_t delay_ms =
 	    MIN(RETRY_MIN_MS << MIN(watch->failures, 5u), retry_max_ms(watch));
 
 	watch->failures++;
+	/* The store is up, and acknowledges the changes of others. */
+	if (result->rate_limited)
+		watch->last_response_ms = clock_boot_ms();
 	if (!watch->unavailable &&
 	    clock_boot_ms() - watch->last_response_ms > UNAVAILABLE_AFTER_MS) {
 		watch->unavailable = true;
 		log_event(LOG_LEVEL_WARN, "store.lost", "status=%d failures=%u",
-		    (int)status, watch->failures);
+		    (int)result->status, watch->failures);
 	}
 	uv_timer_start(&watch->timer, on_retry,
 	    (uint64_t)(delay_ms + g_random_int_range(0, RETRY_MIN_MS)), 0);
@@ -184,7 +187,7 @@
 	if (result->status != PLATFORM_OK) {
 		watch->stale_refused |= result->status == PLATFORM_RESTORED;
 		abort_list(watch);
-		retry_later(watch, result->status);
+		retry_later(watch, result);
 		return;
 	}
 	store_watch_mark_available(watch);
@@ -273,7 +276,7 @@
 		return;
 	}
 	if (result->status != PLATFORM_OK) {
-		retry_later(watch, result->status);
+		retry_later(watch, result);
 		return;
 	}
 	store_watch_mark_available(watch);
@@ -351,6 +354,12 @@
 	return watch->confirmed_ms;
 }
 
+int64_t
+store_watch_known_ms(const store_watch_t *watch)
+{
+	return MAX(watch->confirmed_ms, watch->recovered_ms);
+}
+
 bool
 store_watch_is_unstable(const store_watch_t *watch)
 {
--- a/src/store_watch_relay.c
+++ b/src/store_watch_relay.c
@@ -61,7 +61,9 @@
 		watch->changes_missing = true;
 		return;
 	}
-	if (response->store_unstable)
+	/* An outage that has left this node's copy current is no news. */
+	if (response->store_unstable &&
+	    now_ms - watch->confirmed_ms > 2 * store_watch_relay_ms(watch))
 		watch->recovered_ms = now_ms;
 	store_watch_apply_items(watch, response->items, response->count);
 	watch->revision = MAX(watch->revision, response->revision);
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -10,10 +10,11 @@
  * Simulates the users' platform by its published API: the key-value store with
  * preconditions, leases and watches, and the endpoints that singleton duties
  * call. GET /calls lists the calls accepted there. With the fault "down" the
- * store replies 503, with "watch_down" to watches only; with "stale", lists
- * that may be stale stay as they were at the first one since the fault was set.
- * POST /snapshot keeps a copy of the store, and POST /restore, in which the era
- * rises, brings the last copy back.
+ * store replies 503, with "watch_down" to watches only, and with
+ * "watch_limited" 429 to these; with "stale", lists that may be stale stay as
+ * they were at the first one since the fault was set. POST /snapshot keeps a
+ * copy of the store, and POST /restore, in which the era rises, brings the last
+ * copy back.
  */
 
 enum {
@@ -24,6 +25,7 @@
 	STATUS_CONFLICT = 409,
 	STATUS_GONE = 410,
 	STATUS_PRECONDITION_FAILED = 412,
+	STATUS_LIMITED = 429,
 	STATUS_UNAVAILABLE = 503,
 };
 
@@ -461,6 +463,13 @@
 		   standin_fault_value(&standin, "watch_down") > 0);
 }
 
+static bool
+is_limited(const char *path)
+{
+	return strcmp(path, "/v1/kv-watch") == 0 &&
+	       standin_fault_value(&standin, "watch_limited") > 0;
+}
+
 static void
 serve_store(http_request_t *request, const json_t *body)
 {
@@ -469,6 +478,8 @@
 
 	if (is_down(path))
 		reply(request, STATUS_UNAVAILABLE, json_object());
+	else if (is_limited(path))
+		reply(request, STATUS_LIMITED, json_object());
 	else if (strcmp(path, "/v1/kv-range") == 0)
 		serve_range(request);
 	else if (strcmp(path, "/v1/kv-key") == 0)
--- a/tests/test_leaving.c
+++ b/tests/test_leaving.c
@@ -16,6 +16,8 @@
 	/* For a change of the store to reach the gateway. */
 	CHANGE_DELIVERY_MS = 600,
 	NO_CONNECTION_MS = 300,
+	/* Longer than the store may fail before it counts as unavailable. */
+	LIMITED_MS = 1500,
 	/* After a refusal the gateway pauses a server for less than this. */
 	REFUSAL_PAUSE_MS = 300,
 };
@@ -133,6 +135,22 @@
 }
 END_TEST
 
+/*
+ * Guards against a server that has left and stays in use, as the store has
+ * refused the gateway's calls for a while: it was up, and its removal is none
+ * of an outage.
+ */
+START_TEST(a_server_that_left_in_a_rate_limit_is_not_kept)
+{
+	faults_set(platform_standin, "{\"watch_limited\": 1}");
+	g_usleep(LIMITED_MS * US_PER_MS);
+	gateway_store_remove("servers/i-1");
+	faults_set(platform_standin, "{\"watch_limited\": 0}");
+	g_usleep(CHANGE_DELIVERY_MS * US_PER_MS);
+	assert_not_sent();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -149,6 +167,7 @@
 	    cases, a_leaving_server_whose_entry_returns_gets_no_request);
 	tcase_add_test(
 	    cases, a_server_gets_no_request_in_the_pause_that_it_asks_for);
+	tcase_add_test(cases, a_server_that_left_in_a_rate_limit_is_not_kept);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
