A server is kept after its entry's removal only where it may have lapsed

Cause: a host whose relay had failed calls kept each removed server for 1.8 s from when it learned of the removal.

Change: lapse decides by what an entry can do: it lapses after three heartbeats of silence, so one that was listed less than two heartbeats before was removed by its server. The heartbeat is read from the settings.

--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -52,6 +52,8 @@
 	 * environment or options; 0: none.
 	 */
 	double hedge_share;
+	/* Interval at which backend servers renew their entries. */
+	int64_t server_heartbeat_ms;
 	gateway_bounds_t bounds;
 } gateway_config_t;
 
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -1,21 +1,12 @@
 #include "gateway_state.h"
 
 #include "clock.h"
+#include "lapse.h"
 #include "log.h"
 #include "platform_catalog.h"
 
 #include <string.h>
 
-enum {
-	/*
-	 * A backend server stays in use for this long if its entry was removed
-	 * while the store was unavailable or had just recovered: from the time
-	 * at which it was known to be listed, as the removal may be learned
-	 * late.
-	 */
-	REMOVED_SERVER_KEEP_MS = 1800,
-};
-
 static void
 log_workspaces(const catalog_t *catalog)
 {
@@ -272,26 +263,18 @@
 	}
 }
 
-/*
- * While the store was unavailable the entry may have expired although its
- * server runs; it may be written again.
- */
-static int64_t
-removed_keep_ms(const gateway_t *gateway, int64_t now_ms)
-{
-	const store_watch_t *watch = gateway->store_watch;
-	int64_t keep_until_ms =
-	    store_watch_known_ms(watch) + REMOVED_SERVER_KEEP_MS;
-
-	return store_watch_is_unstable(watch) ? MAX(keep_until_ms - now_ms, 0)
-					      : 0;
-}
-
 static void
 remove_server(gateway_t *gateway, const char *id)
 {
 	int64_t now_ms = clock_boot_ms();
-	int64_t keep_ms = removed_keep_ms(gateway, now_ms);
+	const store_watch_t *watch = gateway->store_watch;
+	int64_t keep_ms = lapse_keep_ms(&(lapse_situation_t){
+	    .store_unstable = store_watch_is_unstable(watch),
+	    .now_ms = now_ms,
+	    .listed_ms = store_watch_confirmed_ms(watch),
+	    .available_ms = store_watch_available_ms(watch),
+	    .heartbeat_ms = gateway->config->server_heartbeat_ms,
+	});
 
 	log_event(LOG_LEVEL_INFO, "server.removed",
 	    "id=%s kept_ms=%" G_GINT64_FORMAT, id, keep_ms);
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -355,9 +355,9 @@
 }
 
 int64_t
-store_watch_known_ms(const store_watch_t *watch)
+store_watch_available_ms(const store_watch_t *watch)
 {
-	return MAX(watch->confirmed_ms, watch->recovered_ms);
+	return watch->recovered_ms;
 }
 
 bool
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -44,12 +44,8 @@
  */
 int64_t store_watch_confirmed_ms(const store_watch_t *watch);
 
-/*
- * Time at which the copy was current, or at which the store became available
- * again, if that is later: changes that are being applied were made after it,
- * as far as others could see them made.
- */
-int64_t store_watch_known_ms(const store_watch_t *watch);
+/* End of the store's last outage, here or at a relay; 0: there was none. */
+int64_t store_watch_available_ms(const store_watch_t *watch);
 
 /*
  * True while the store is unavailable or being restored, and shortly after,
