Only the target that has a copy is named its location

Change: the location is forgotten where the attempt was not sent. Where the connection fails later it already was.

--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -445,6 +445,8 @@
 		return;
 	proxy_release_server(attempt);
 	uv_timer_stop(&req->hedge_timer);
+	/* Only the server that could not be reached has the copy. */
+	g_clear_pointer(&req->migration.kv_location, g_free);
 	if (!proxy_may_run_anew(req))
 		proxy_respond(req, 502, -1, reason);
 	else if (++req->connect_failures < CONNECT_FAILURES_MAX &&
