A stream goes on elsewhere where the target of its move leaves

Evidence: a_stream_whose_target_is_lost_is_resumed_elsewhere, the case of a target that leaves, failed before ("no connection in time"), passes now; the case of a target that refuses connections passed before and stays.

--- a/src/pool.c
+++ b/src/pool.c
@@ -430,6 +430,12 @@
 	       now_ms >= server->paused_until_ms;
 }
 
+bool
+server_wants_requests(const server_t *server, int64_t now_ms)
+{
+	return server_stays(server) && now_ms >= server->paused_until_ms;
+}
+
 void
 server_pause(server_t *server, int64_t duration_ms, int64_t now_ms)
 {
--- a/src/pool.h
+++ b/src/pool.h
@@ -136,6 +136,9 @@
 /* True if new requests may be sent to the server. */
 bool server_usable(const server_t *server, int64_t now_ms);
 
+/* The same, also for a server whose latest attempts have failed. */
+bool server_wants_requests(const server_t *server, int64_t now_ms);
+
 /* The server has asked for no new requests for so long. */
 void server_pause(server_t *server, int64_t duration_ms, int64_t now_ms);
 
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -246,7 +246,9 @@
 {
 	pick_query_t query = make_query(req, NULL);
 
-	return pick_find_exclusion(&query, server) == PICK_NOT_EXCLUDED;
+	return pick_find_exclusion(&query, server) == PICK_NOT_EXCLUDED &&
+	       (server_wants_requests(server, query.now_ms) ||
+		   !proxy_may_run_anew(req));
 }
 
 /* Adds the exclusions of an earlier choice to one that found no server. */
--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -16,8 +16,8 @@
 
 /*
  * The target may not get the stream: its zone has been evacuated since, its
- * region is no longer allowed, or it has become cold. Only the target has the
- * copy, so that another engine reads the prompt again.
+ * region is no longer allowed, it leaves, or it has become cold. Only the
+ * target has the copy, so that another engine reads the prompt again.
  */
 static void
 resume_elsewhere(proxy_request_t *req)
--- a/src/proxy_state.h
+++ b/src/proxy_state.h
@@ -186,7 +186,11 @@
 int64_t proxy_no_server_retry_ms(const proxy_request_t *req);
 /* Chooses a server of the same version to migrate the stream to. */
 pick_choice_t proxy_pick_migration_target(proxy_request_t *req);
-/* True where the rules of the choice allow a server that was chosen before. */
+/*
+ * True where the rules of the choice allow a server that was chosen before. One
+ * that leaves since, or has asked for a pause, is allowed only for a stream
+ * that cannot go on elsewhere.
+ */
 bool proxy_may_send_to(proxy_request_t *req, const server_t *server);
 /*
  * Chooses a server that is clearly free for a hedge, which is no evidence for a
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -11,6 +11,9 @@
 /* Well before the deadline of the requests, 3 s. */
 enum { CUT_OFF_MS = 1000 };
 
+/* For a change of the store to reach the gateway. */
+enum { CHANGE_US = 600000 };
+
 /* Guards against events lost, repeated or merged when a stream resumes. */
 START_TEST(a_stream_resumes_at_another_server)
 {
@@ -536,6 +539,61 @@
 }
 END_TEST
 
+/* What happens to the target of a move while the stream is copied. */
+typedef enum target_fate {
+	TARGET_REFUSES_CONNECTIONS,
+	TARGET_LEAVES,
+} target_fate_t;
+
+/*
+ * Guards against a stream that could be resumed and is cut, or goes to a server
+ * that leaves: the one that has the copy of its KV cache cannot be used, and no
+ * other has the copy.
+ */
+START_TEST(a_stream_whose_target_is_lost_is_resumed_elsewhere)
+{
+	target_fate_t fate = (target_fate_t)_i;
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/talk/a", backend_listener_2);
+	int ports[2], listeners[2], copy, server;
+	char *request, *response;
+
+	for (int i = 0; i < 2; i++)
+		listeners[i] = wire_listen(&ports[i]);
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
+	gateway_register_server("e-2", "engine", ports[0], "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	g_free(wire_read_message(copy));
+	gateway_register_server("e-3", "engine", ports[1], "ready");
+	if (fate == TARGET_LEAVES)
+		gateway_register_server("e-2", "engine", ports[0], "draining");
+	else
+		close(listeners[0]);
+	g_usleep(CHANGE_US);
+	wire_send(copy, COPIED);
+	close(exchange.server_fd);
+	exchange.server_fd = -1;
+	server = wire_accept(listeners[1]);
+	request = wire_read_message(server);
+	wire_assert_header(request, "Last-Event-Id", "1");
+	wire_assert_header(request, "Kv-From", NULL);
+	g_free(request);
+	wire_send(server, STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+	response = wire_read_until(exchange.client_fd, "0\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
+	g_free(response);
+	close(copy);
+	close(server);
+	close(listeners[1]);
+	if (fate == TARGET_LEAVES)
+		close(listeners[0]);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 static void
 setup_several_attempts(void)
 {
@@ -611,6 +669,9 @@
 	tcase_add_test(cases, a_stream_whose_id_is_no_utf_8_is_not_moved);
 	tcase_add_loop_test(cases, a_cut_answer_ends_no_moved_stream, 0,
 	    G_N_ELEMENTS(cut_moves));
+	tcase_add_loop_test(cases,
+	    a_stream_whose_target_is_lost_is_resumed_elsewhere,
+	    TARGET_REFUSES_CONNECTIONS, TARGET_LEAVES + 1);
 	suite_add_tcase(suite, cases);
 	cases = tcase_create("several_attempts");
 	tcase_set_timeout(cases, 60);
