The order to copy a stream has a connection of its own

Change: such a call opens a connection, which is closed behind its answer (upstream_request_t.own_connection). A move is rare, so that one connection each does not matter.

late_response_does_not_end_a_migration asked for the order on the kept connection. It now asks for a connection of its own that is closed afterwards, plays a late response to a request and a late copy of an answer to an order on the kept one at the same moment as before, and checks that the copy that is named is the right one. On the code before there is no such connection.

--- a/src/proxy_migrate.c
+++ b/src/proxy_migrate.c
@@ -157,7 +157,7 @@
 {
 	GString *text = g_string_new(NULL);
 	upstream_request_t request = {
-	    .reuse_idle_max_ms = INT32_MAX,
+	    .own_connection = true,
 	    .on_head = on_copy_head,
 	    .on_body = on_copy_body,
 	    .on_end = on_copy_end,
--- a/src/upstream.c
+++ b/src/upstream.c
@@ -476,7 +476,8 @@
 upstream_call_start(upstream_t *upstream, unsigned connections_max,
     const upstream_request_t *request)
 {
-	upstream_conn_t *conn = take_idle(upstream, request);
+	upstream_conn_t *conn =
+	    request->own_connection ? NULL : take_idle(upstream, request);
 	upstream_call_t *call;
 
 	if (conn == NULL && connections_max > 0 &&
@@ -490,6 +491,7 @@
 		conn = upstream_conn_open(upstream);
 	if (conn == NULL)
 		return NULL;
+	conn->no_reuse |= request->own_connection;
 	call = g_new0(upstream_call_t, 1);
 	call->conn = conn;
 	call->request = *request;
--- a/src/upstream.h
+++ b/src/upstream.h
@@ -36,6 +36,11 @@
 	bool is_head_request;
 	/* Connections idle for longer than this are not reused. */
 	int64_t reuse_idle_max_ms;
+	/*
+	 * Uses a new connection, closed afterwards: for a response that names
+	 * no request, which a late one to another request would be taken for.
+	 */
+	bool own_connection;
 	void (*on_head)(const http1_head_t *head, const response_facts_t *facts,
 	    void *data);
 	void (*on_body)(const char *bytes, size_t length, void *data);
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -331,9 +331,17 @@
 	g_free(text);
 }
 
+#define LATE_RESPONSE                                 \
+	"HTTP/1.1 503 Busy\r\nX-Attempt-Id: id-1\r\n" \
+	"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+#define LATE_COPY                                       \
+	"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n" \
+	"{\"handle\": 6,\"created\": 1}"
+
 /*
- * Guards against a stream truncated because a late response to an earlier
- * request is taken for the engine's response to the order to copy its memory.
+ * Guards against a stream truncated, or resumed from another one's memory,
+ * because a late response to an earlier request, or to an earlier order, is
+ * taken for the engine's response to the order to copy its memory.
  */
 START_TEST(late_response_does_not_end_a_migration)
 {
@@ -341,8 +349,8 @@
 	int kept = wire_accept(backend_listener_2);
 	int client_2 = gateway_send_request("/write/a", "id-2");
 	int source = wire_accept(backend_listener_2);
-	int port_3, server_3 = wire_listen(&port_3), target, client;
-	char *request;
+	int port_3, server_3 = wire_listen(&port_3), target, client, copy;
+	char *request, *location;
 
 	end_stream_of(kept, "id-1");
 	g_free(wire_read_until(client_1, "data: a"));
@@ -355,21 +363,27 @@
 			  "f\r\nid: 1\ndata: a\n\n\r\n");
 	gateway_register_server("e-2", "engine", port_3, "ready");
 	gateway_register_server("e-1", "engine", backend_port_2, "draining");
-	request = wire_read_message(kept);
+	copy = wire_accept(backend_listener_2);
+	request = wire_read_message(copy);
 	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
 	g_free(request);
-	wire_send(kept, "HTTP/1.1 503 Busy\r\nX-Attempt-Id: id-1\r\n"
-			"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-			"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
-			"{\"handle\": 7,\"created\": 1}");
+	wire_send(kept, _i == 0 ? LATE_RESPONSE : LATE_COPY);
+	g_usleep(50000);
+	wire_send(copy, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n"
+			"{\"handle\": 7,\"created\": 1}" LATE_COPY);
+	ck_assert(wire_wait_closed(copy, CUT_OFF_MS));
 	g_usleep(50000);
 	close(source);
 	target = wire_accept(server_3);
 	request = wire_read_message(target);
 	wire_assert_header(request, "X-Attempt-Id", "id-3");
 	wire_assert_header(request, "Last-Event-Id", "1");
+	location = wire_header(request, "Kv-From");
+	ck_assert(g_str_has_suffix(location, "/7"));
+	g_free(location);
 	g_free(request);
 	close(client);
+	close(copy);
 	close(client_1);
 	close(client_2);
 	close(kept);
@@ -662,7 +676,8 @@
 	    G_N_ELEMENTS(bad_resumes));
 	tcase_add_test(cases, a_stream_migrates_from_a_draining_engine);
 	tcase_add_test(cases, endless_response_to_a_move_is_cut_off);
-	tcase_add_test(cases, late_response_does_not_end_a_migration);
+	tcase_add_loop_test(
+	    cases, late_response_does_not_end_a_migration, 0, 2);
 	tcase_add_test(
 	    cases, copy_of_a_broken_source_does_not_move_the_resumed_stream);
 	tcase_add_test(cases, a_stream_is_resumed_where_its_move_fails);
