A further event does not replace the timer of a stream's move

Change: that timer is not started while a copy waits.

Evidence: a_further_event_does_not_hold_up_a_move failed before (no connection to the target within 600 ms), passes now.

--- a/src/proxy_response.c
+++ b/src/proxy_response.c
@@ -135,6 +135,9 @@
 	uint64_t limit_ms =
 	    (uint64_t)MAX(IDLE_OBJECTIVES * objective_ms, IDLE_MIN_MS);
 
+	/* The timer runs for the source's last events. */
+	if (req->migration.state == PROXY_MIGRATION_COPIED)
+		return;
 	if (catalog_may_retry(req->route) && objective_ms > 0)
 		uv_timer_start(&req->idle_timer, on_idle, limit_ms, limit_ms);
 }
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -14,6 +14,9 @@
 /* For a change of the store to reach the gateway. */
 enum { CHANGE_US = 600000 };
 
+/* A move is done well within this time once the copy is complete. */
+enum { MOVE_MS = 600 };
+
 /* Guards against events lost, repeated or merged when a stream resumes. */
 START_TEST(a_stream_resumes_at_another_server)
 {
@@ -608,6 +611,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a stream that waits long for a source which has handed it over
+ * and stays silent, as one more event has replaced the timer.
+ */
+START_TEST(a_further_event_does_not_hold_up_a_move)
+{
+	gateway_exchange_t exchange =
+	    gateway_exchange_open("/talk/a", backend_listener_2);
+	int port, listener = wire_listen(&port), copy, target;
+
+	wire_send(
+	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	copy = wire_accept(backend_listener_2);
+	g_free(wire_read_message(copy));
+	wire_send(copy, COPIED);
+	g_usleep(50000);
+	wire_send(exchange.server_fd, "f\r\nid: 2\ndata: b\n\n\r\n");
+	ck_assert(wire_wait_connection(listener, MOVE_MS));
+	target = wire_accept(listener);
+	close(target);
+	close(copy);
+	close(listener);
+	gateway_exchange_close(&exchange);
+}
+END_TEST
+
 static void
 setup_several_attempts(void)
 {
@@ -687,6 +719,7 @@
 	tcase_add_loop_test(cases,
 	    a_stream_whose_target_is_lost_is_resumed_elsewhere,
 	    TARGET_REFUSES_CONNECTIONS, TARGET_LEAVES + 1);
+	tcase_add_test(cases, a_further_event_does_not_hold_up_a_move);
 	suite_add_tcase(suite, cases);
 	cases = tcase_create("several_attempts");
 	tcase_set_timeout(cases, 60);
