--- a/tests/test_status_line.c
+++ b/tests/test_status_line.c
@@ -31,8 +31,7 @@
     "HTTP/1.1 -200 Odd\r\n",
     "HTTP/1.1 +20 Odd\r\n",
     "HTTP/1.1 200OK\r\n",
-    "HTTP/1.1 2\xb2"
-    "0 Odd\r\n",
+    "HTTP/1.1 2\2620 Odd\r\n",
     "HTTP/1.1  200 OK\r\n",
     "HTTP/1.1\t200 OK\r\n",
     "HTTP/1.1 200\tOK\r\n",
