--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -12,8 +12,9 @@
 
 static int pipe_read_fd;
 
+/* Once in the program: log4c cannot be started again. */
 static void
-start_log_to_pipe(void)
+setup(void)
 {
 	int pipe_fds[2];
 
@@ -22,6 +23,13 @@
 	ck_assert_int_eq(log_start("test", pipe_fds[1]), 0);
 }
 
+static void
+teardown(void)
+{
+	log_stop();
+	close(pipe_read_fd);
+}
+
 /* Reads the pipe and flushes the log until both are empty. */
 static char *
 read_all(void)
@@ -53,7 +61,6 @@
 {
 	char *text;
 
-	start_log_to_pipe();
 	for (int i = 0; i < INFO_LINES; i++)
 		log_event(LOG_LEVEL_INFO, "request.ended", "id=%d", i);
 	log_event(LOG_LEVEL_WARN, "request.ended", "id=failed status=502");
@@ -64,8 +71,6 @@
 	/* Dropped lines are reported by level once the reader reads again. */
 	ck_assert_ptr_nonnull(strstr(text, "log.dropped info="));
 	g_free(text);
-	log_stop();
-	close(pipe_read_fd);
 }
 END_TEST
 
@@ -74,7 +79,6 @@
 {
 	char *text;
 
-	start_log_to_pipe();
 	log_event(LOG_LEVEL_WARN, "request.ended", "id=%s",
 	    "a\nb\r\x1b\x7f caf\xc3\xa9 caf\xe9");
 	text = read_all();
@@ -82,8 +86,6 @@
 	    strstr(text, "id=a?b??? caf\xc3\xa9 caf\xef\xbf\xbd\n"));
 	ck_assert_ptr_eq(strchr(text, '\n'), text + strlen(text) - 1);
 	g_free(text);
-	log_stop();
-	close(pipe_read_fd);
 }
 END_TEST
 
@@ -93,6 +95,7 @@
 	Suite *suite = suite_create("log");
 	TCase *cases = tcase_create("log");
 
+	tcase_add_unchecked_fixture(cases, setup, teardown);
 	tcase_add_test(cases, info_lines_are_dropped_before_warnings);
 	tcase_add_test(cases, text_of_others_stays_on_one_line);
 	suite_add_tcase(suite, cases);
