A new store is told from a copy by the eras at which nodes started

There a store without a record of its era counted as a possible copy, a new one too.

Change: each node registers the era at which it started, in the same write as its address (papaya/start/NODE). Without a record, a start in another era, or keys of leaders without any node, tell a copy.

--- a/src/era_record.c
+++ b/src/era_record.c
@@ -20,8 +20,12 @@
 
 struct era_record {
 	era_record_options_t options;
-	int64_t recorded_era; /* ERA_NONE: there is no record */
-	bool listed;	      /* the store's keys, at least once */
+	int64_t recorded_era; /* ERA_NONE: there is no valid record */
+	bool has_record;
+	bool has_leader_keys;  /* others, which some leader has written */
+	bool has_starts;       /* of registered nodes, in any era */
+	bool has_other_starts; /* in another era than the present one */
+	bool listed;	       /* the store's keys, at least once */
 	bool may_be_restored;
 	bool writing;
 	int64_t due_ms; /* clock_boot_ms(); no write before it */
@@ -38,17 +42,39 @@
 	return record;
 }
 
-void
-era_record_set(era_record_t *record, const char *value, size_t length)
+/* ERA_NONE where the value is malformed. */
+static int64_t
+read_era(const char *value, size_t length)
 {
-	char *text = value == NULL ? NULL : g_strndup(value, length);
+	char *text = g_strndup(value, length);
 	guint64 era;
+	bool ok = g_ascii_string_to_unsigned(
+	    text, 10, 0, PLATFORM_ERA_MAX, &era, NULL);
 
-	record->recorded_era = ERA_NONE;
-	if (text != NULL && g_ascii_string_to_unsigned(
-				text, 10, 0, PLATFORM_ERA_MAX, &era, NULL))
-		record->recorded_era = (int64_t)era;
 	g_free(text);
+	return ok ? (int64_t)era : ERA_NONE;
+}
+
+void
+era_record_set(era_record_t *record, const char *value, size_t length)
+{
+	record->recorded_era =
+	    value == NULL ? ERA_NONE : read_era(value, length);
+	record->has_record = value != NULL;
+}
+
+void
+era_record_note_start(era_record_t *record, const char *value, size_t length)
+{
+	record->has_starts = true;
+	record->has_other_starts |= read_era(value, length) !=
+				    platform_store_era(record->options.store);
+}
+
+void
+era_record_note_leader_key(era_record_t *record)
+{
+	record->has_leader_keys = true;
 }
 
 static bool
@@ -65,13 +91,27 @@
 			 MAX(RECORD_DELAY_MS, 2 * record->options.lease_ms);
 }
 
+/*
+ * A store without the record is new, or a copy of before the first one: then
+ * nodes have started in an earlier era, or what leaders wrote has outlived all
+ * nodes.
+ */
+static bool
+shows_restoration(const era_record_t *record)
+{
+	if (record->has_record)
+		return !is_current(record);
+	return record->has_other_starts ||
+	       (record->has_leader_keys && !record->has_starts);
+}
+
 void
 era_record_list_complete(era_record_t *record)
 {
 	if (record->listed)
 		return;
 	record->listed = true;
-	record->may_be_restored = !is_current(record);
+	record->may_be_restored = shows_restoration(record);
 	if (record->may_be_restored)
 		delay_write(record);
 	log_event(LOG_LEVEL_INFO, "store.era",
--- a/src/era_record.h
+++ b/src/era_record.h
@@ -30,6 +30,14 @@
 /* The key has been read; value NULL: it has been removed. */
 void era_record_set(era_record_t *record, const char *value, size_t length);
 
+/* A registered node started in this era of the store; value as for the record.
+ */
+void era_record_note_start(
+    era_record_t *record, const char *value, size_t length);
+
+/* Another key that a leader has written has been read. */
+void era_record_note_leader_key(era_record_t *record);
+
 /* All keys have been read, at the start or after a restoration. */
 void era_record_list_complete(era_record_t *record);
 
@@ -38,9 +46,8 @@
 
 /*
  * True where the store may have been restored shortly before: it has been since
- * the node started, or the first list did not show the record of its era. True
- * before that list too, and in a new store: it looks like a copy of before the
- * first record.
+ * the node started, or what the first list showed was written in another era.
+ * True before that list too.
  */
 bool era_record_may_be_restored(const era_record_t *record);
 
--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -165,6 +165,7 @@
 	KEY_ROLLOUT_RECORD,
 	KEY_EVACUATION,
 	KEY_ERA_RECORD,
+	KEY_NODE_START,
 	KEY_OTHER,
 } key_kind_t;
 
@@ -181,6 +182,7 @@
 	} kinds[] = {
 	    {platform_servers_prefix, KEY_SERVER},
 	    {lease_node_prefix, KEY_GATEWAY_NODE},
+	    {lease_start_prefix, KEY_NODE_START},
 	    {scaler_baseline_prefix, KEY_SCALE_ORDER},
 	    {platform_rollout_prefix, KEY_ROLLOUT},
 	    {rollouts_record_prefix, KEY_ROLLOUT_RECORD},
@@ -205,6 +207,14 @@
 	return KEY_OTHER;
 }
 
+/* True for keys that only a leader of the nodes writes. */
+static bool
+is_written_by_leaders(key_kind_t kind)
+{
+	return kind == KEY_LEASE_HOLDER || kind == KEY_USAGE_REPORT ||
+	       kind == KEY_SCALE_ORDER || kind == KEY_ROLLOUT_RECORD;
+}
+
 static void
 put_node(gateway_t *gateway, const char *name, const platform_item_t *item)
 {
@@ -219,10 +229,14 @@
 {
 	gateway_t *gateway = data;
 	const char *name;
+	key_kind_t kind;
 
 	if (item->value == NULL)
 		return;
-	switch (classify_key(item->key, &name)) {
+	kind = classify_key(item->key, &name);
+	if (is_written_by_leaders(kind))
+		era_record_note_leader_key(gateway->era_record);
+	switch (kind) {
 	case KEY_CONFIGURATION:
 		put_configuration(gateway, item);
 		break;
@@ -258,6 +272,10 @@
 	case KEY_ERA_RECORD:
 		era_record_set(gateway->era_record, item->value, item->length);
 		break;
+	case KEY_NODE_START:
+		era_record_note_start(
+		    gateway->era_record, item->value, item->length);
+		break;
 	case KEY_OTHER:
 		break;
 	}
@@ -319,6 +337,7 @@
 		era_record_set(gateway->era_record, NULL, 0);
 		break;
 	case KEY_CONFIGURATION:
+	case KEY_NODE_START:
 	case KEY_OTHER:
 		break;
 	}
--- a/src/lease.c
+++ b/src/lease.c
@@ -23,9 +23,11 @@
 	/* Upper bound of the random delay after the leader key is removed. */
 	CAMPAIGN_JITTER_MS = 400,
 	CAMPAIGN_RETRY_MS = 1000,
+	ERA_NONE = -1,
 };
 
 const char lease_node_prefix[] = "papaya/node/";
+const char lease_start_prefix[] = "papaya/start/";
 const char lease_leader_key[] = "papaya/leader";
 
 struct lease {
@@ -35,7 +37,8 @@
 	store_lease_t *node;   /* of the node's address key */
 	store_lease_t *leader; /* of the leader key; only while needed */
 	unsigned restorations; /* of the store since the start */
-	bool listed_once;      /* the store's keys */
+	int64_t start_era; /* of the store at the start; ERA_NONE: unknown */
+	bool listed_once;  /* the store's keys */
 	bool registered;
 	bool registration_in_progress;
 	bool revoked;
@@ -101,22 +104,41 @@
 	g_free(written);
 }
 
+/* The store's era at the start of this node, also after a restoration. */
+static char *
+start_era_text(lease_t *lease)
+{
+	if (lease->start_era == ERA_NONE)
+		lease->start_era = platform_store_era(lease->store);
+	return g_strdup_printf("%" G_GINT64_FORMAT, lease->start_era);
+}
+
 static void
 register_node(lease_t *lease)
 {
 	char *key = g_strconcat(lease_node_prefix, lease->config->name, NULL);
 	char *address = g_strdup_printf(
 	    "%s:%d", lease->config->ip, lease->config->peer_port);
-	platform_write_t write = {.key = key,
-	    .value = address,
-	    .length = strlen(address),
-	    .lease_id = store_lease_id(lease->node)};
+	char *start_key =
+	    g_strconcat(lease_start_prefix, lease->config->name, NULL);
+	char *era = start_era_text(lease);
+	platform_write_t writes[] = {
+	    {.key = key,
+		.value = address,
+		.length = strlen(address),
+		.lease_id = store_lease_id(lease->node)},
+	    {.key = start_key,
+		.value = era,
+		.length = strlen(era),
+		.lease_id = store_lease_id(lease->node)}};
 
 	lease->registration_in_progress = true;
-	platform_store_commit(lease->store, NULL, 0, &write, 1, on_registered,
-	    new_write(lease, lease->node));
+	platform_store_commit(lease->store, NULL, 0, writes,
+	    G_N_ELEMENTS(writes), on_registered, new_write(lease, lease->node));
 	g_free(key);
 	g_free(address);
+	g_free(start_key);
+	g_free(era);
 }
 
 static void
@@ -245,6 +267,7 @@
 
 	lease->config = config;
 	lease->store = store;
+	lease->start_era = ERA_NONE;
 	lease->identity = g_strdup_printf("%s/%" G_GINT64_FORMAT "/%08x",
 	    config->name, clock_wall_ms(), g_random_int());
 	lease->node = store_lease_new(&(store_lease_options_t){.store = store,
--- a/src/lease.h
+++ b/src/lease.h
@@ -17,6 +17,8 @@
 typedef struct lease lease_t;
 
 extern const char lease_node_prefix[];
+/* Key prefix of the store's era at which each registered node started. */
+extern const char lease_start_prefix[];
 extern const char lease_leader_key[];
 
 lease_t *lease_start(
