Tests leave the ports of nodes to the kernel

Change: port 0 in listen_addrs, and internal_ports that begin with 0, let the kernel assign ports. papayad prints which it got, in a line "ports" behind "listening", and uses them as if they were set. The tests read that line; nothing in tests/ chooses a port any more. The four listeners of the gateway are opened from a table, as the same block stood there four times.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -420,6 +420,17 @@
 	return cluster;
 }
 
+int
+cluster_port(const cluster_t *cluster)
+{
+	struct sockaddr_in address = {0};
+	int length = sizeof(address);
+
+	uv_udp_getsockname(
+	    &cluster->socket, (struct sockaddr *)&address, &length);
+	return ntohs(address.sin_port);
+}
+
 void
 cluster_apply_registrations(cluster_t *cluster)
 {
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -54,6 +54,9 @@
 cluster_t *cluster_start(
     uv_loop_t *loop, const cluster_options_t *options, GError **error);
 
+/* UDP port on which the node receives datagrams of its peers. */
+int cluster_port(const cluster_t *cluster);
+
 /*
  * A node has registered. address is the IP:PORT that receives its datagrams; a
  * malformed one is logged and ignored.
--- a/src/conn.c
+++ b/src/conn.c
@@ -68,8 +68,8 @@
     lingering);
 static unsigned lingering_count;
 
-bool
-conn_parse_address(const char *text, struct sockaddr_in *address)
+static bool
+parse_address(const char *text, guint64 port_min, struct sockaddr_in *address)
 {
 	const char *colon = strrchr(text, ':');
 	char host[INET_ADDRSTRLEN];
@@ -77,13 +77,25 @@
 
 	if (colon == NULL || (size_t)(colon - text) >= sizeof(host) ||
 	    !g_ascii_string_to_unsigned(
-		colon + 1, 10, 1, G_MAXUINT16, &port, NULL))
+		colon + 1, 10, port_min, G_MAXUINT16, &port, NULL))
 		return false;
 	memcpy(host, text, (size_t)(colon - text));
 	host[colon - text] = '\0';
 	return uv_ip4_addr(host, (int)port, address) == 0;
 }
 
+bool
+conn_parse_address(const char *text, struct sockaddr_in *address)
+{
+	return parse_address(text, 1, address);
+}
+
+bool
+conn_parse_listen_address(const char *text, struct sockaddr_in *address)
+{
+	return parse_address(text, 0, address);
+}
+
 static void
 on_handle_closed(uv_handle_t *handle)
 {
--- a/src/conn.h
+++ b/src/conn.h
@@ -31,6 +31,9 @@
 /* Parses "IP:PORT" (IPv4); false if malformed. */
 bool conn_parse_address(const char *text, struct sockaddr_in *address);
 
+/* The same with port 0 too, for which the kernel assigns one. */
+bool conn_parse_listen_address(const char *text, struct sockaddr_in *address);
+
 /* Accepts a connection from a listening stream; NULL on failure. */
 conn_t *conn_accept(
     uv_stream_t *listener, const conn_callbacks_t *callbacks, void *data);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -5,6 +5,7 @@
 #include "log.h"
 
 #include <malloc.h>
+#include <string.h>
 
 enum {
 	TICK_INTERVAL_MS = 100,
@@ -471,40 +472,73 @@
 	return http1_server_start(gateway->loop, &options, error);
 }
 
+/* The settings may leave a port to the kernel: the address gets the real one.
+ */
+static void
+set_assigned_port(char **address, const http1_server_t *listener)
+{
+	const char *colon = strrchr(*address, ':');
+	char *assigned = g_strdup_printf("%.*s:%d", (int)(colon - *address),
+	    *address, http1_server_port(listener));
+
+	g_free(*address);
+	*address = assigned;
+}
+
+/* A listener of the gateway; the arguments of start_listener(). */
+typedef struct listener_plan {
+	http1_server_t **listener;
+	char **address; /* NULL there: the listener is not wanted */
+	unsigned connections_max;
+	unsigned reserved_parts;
+	void (*handler)(exchange_t *exchange, void *data);
+} listener_plan_t;
+
+static bool
+open_listeners(gateway_t *gateway, const listener_plan_t *plans, size_t count,
+    GError **error)
+{
+	for (size_t i = 0; i < count; i++) {
+		const listener_plan_t *plan = &plans[i];
+
+		if (*plan->address == NULL)
+			continue;
+		*plan->listener = start_listener(gateway, *plan->address,
+		    plan->connections_max, plan->reserved_parts, plan->handler,
+		    error);
+		if (*plan->listener == NULL)
+			return false;
+		set_assigned_port(plan->address, *plan->listener);
+	}
+	return true;
+}
+
 static bool
 start_listeners(gateway_t *gateway, GError **error)
 {
-	const gateway_config_t *config = gateway->config;
+	gateway_config_t *config = gateway->config;
 	unsigned connections_max = max_client_connections(config);
 	char *metrics_address =
-	    g_strdup_printf("%s:%d", config->ip, config->metrics_port);
-	bool ok;
-
-	gateway->client_listener =
-	    start_listener(gateway, config->client_address, connections_max, 0,
-		on_client_request, error);
-	ok = gateway->client_listener != NULL;
-	if (ok && config->ready_address != NULL) {
-		gateway->readiness_listener =
-		    start_listener(gateway, config->ready_address,
-			CONNECTIONS_MIN, READINESS_SOCKET_PARTS,
-			gateway_on_directory_request, error);
-		ok = gateway->readiness_listener != NULL;
-	}
-	if (ok && config->directory_address != NULL) {
-		gateway->directory_listener =
-		    start_listener(gateway, config->directory_address,
-			connections_max / 4 + CONNECTIONS_MIN,
-			DIRECTORY_SOCKET_PARTS, gateway_on_directory_request,
-			error);
-		ok = gateway->directory_listener != NULL;
-	}
-	if (ok && config->metrics_port != 0) {
-		gateway->metrics_listener =
-		    start_listener(gateway, metrics_address, CONNECTIONS_MIN,
-			READINESS_SOCKET_PARTS, gateway_on_metrics, error);
-		ok = gateway->metrics_listener != NULL;
-	}
+	    config->metrics_port == GATEWAY_PORT_NONE
+		? NULL
+		: g_strdup_printf("%s:%d", config->ip, config->metrics_port);
+	const listener_plan_t plans[] = {
+	    {&gateway->client_listener, &config->client_address,
+		connections_max, 0, on_client_request},
+	    {&gateway->readiness_listener, &config->ready_address,
+		CONNECTIONS_MIN, READINESS_SOCKET_PARTS,
+		gateway_on_directory_request},
+	    {&gateway->directory_listener, &config->directory_address,
+		connections_max / 4 + CONNECTIONS_MIN, DIRECTORY_SOCKET_PARTS,
+		gateway_on_directory_request},
+	    {&gateway->metrics_listener, &metrics_address, CONNECTIONS_MIN,
+		READINESS_SOCKET_PARTS, gateway_on_metrics},
+	};
+	bool ok = open_listeners(gateway, plans, G_N_ELEMENTS(plans), error);
+
+	if (gateway->metrics_listener != NULL)
+		config->metrics_port =
+		    http1_server_port(gateway->metrics_listener);
 	g_free(metrics_address);
 	return ok;
 }
@@ -563,7 +597,10 @@
 
 	gateway->cluster = cluster_start(gateway->loop, &options, error);
 	gateway->proxy.cluster = gateway->cluster;
-	return gateway->cluster != NULL;
+	if (gateway->cluster == NULL)
+		return false;
+	gateway->config->peer_port = cluster_port(gateway->cluster);
+	return true;
 }
 
 static void
--- a/src/gateway_config.h
+++ b/src/gateway_config.h
@@ -6,6 +6,12 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* Ports of the settings that are no number of a port. */
+enum {
+	GATEWAY_PORT_NONE = -1,
+	GATEWAY_PORT_ANY = 0, /* the kernel assigns one */
+};
+
 /* Limits that operators set for the behaviour of every gateway node. */
 typedef struct gateway_bounds {
 	/*
@@ -41,7 +47,7 @@
 	char *ready_address;	 /* IP:PORT for readiness checks; may be NULL */
 	char *directory_address; /* IP:PORT for address lists; may be NULL */
 	int peer_port;		 /* UDP, for other gateway nodes */
-	int metrics_port;	 /* 0: metrics are not served */
+	int metrics_port;	 /* GATEWAY_PORT_NONE: metrics are not served */
 	char *store_url;
 	char *cloud_url;   /* NULL: usage is not reported, nothing is scaled */
 	double processors; /* that the process may use */
--- a/src/http1_server.c
+++ b/src/http1_server.c
@@ -805,7 +805,7 @@
 	TAILQ_INIT(&server->clients);
 	TAILQ_INIT(&server->resumable);
 	server->listener.data = server;
-	if (!conn_parse_address(options->address, &address)) {
+	if (!conn_parse_listen_address(options->address, &address)) {
 		papaya_error_set(error, PAPAYA_ERROR_BAD_SETTING,
 		    "\"%s\" is not IP:PORT; correct it", options->address);
 		g_free(server);
@@ -828,6 +828,17 @@
 	return NULL;
 }
 
+int
+http1_server_port(const http1_server_t *server)
+{
+	struct sockaddr_in address = {0};
+	int length = sizeof(address);
+
+	uv_tcp_getsockname(
+	    &server->listener, (struct sockaddr *)&address, &length);
+	return ntohs(address.sin_port);
+}
+
 void
 http1_server_drain(http1_server_t *server)
 {
--- a/src/http1_server.h
+++ b/src/http1_server.h
@@ -70,6 +70,9 @@
 http1_server_t *http1_server_start(
     uv_loop_t *loop, const http1_server_options_t *options, GError **error);
 
+/* Port that it listens on. */
+int http1_server_port(const http1_server_t *server);
+
 /* Makes every response from now on close its connection, unless more requests
  * have come on it. */
 void http1_server_drain(http1_server_t *server);
--- a/src/papayad_main.c
+++ b/src/papayad_main.c
@@ -154,6 +154,18 @@
 	return NULL;
 }
 
+/* Which ports it got: the settings may leave them to the kernel. */
+static void
+print_gateway_ports(const gateway_config_t *config)
+{
+	printf("listening %s\n", config->client_address);
+	printf("ports ready=%s directory=%s metrics=%d peer=%d\n",
+	    config->ready_address == NULL ? "-" : config->ready_address,
+	    config->directory_address == NULL ? "-" : config->directory_address,
+	    config->metrics_port, config->peer_port);
+	fflush(stdout);
+}
+
 static int
 run_gateway(const char *hedge_share)
 {
@@ -175,8 +187,7 @@
 		g_error_free(error);
 		return 1;
 	}
-	printf("listening %s\n", config->client_address);
-	fflush(stdout);
+	print_gateway_ports(config);
 	uv_run(loop, UV_RUN_DEFAULT);
 	return 0;
 }
--- a/tests/support.c
+++ b/tests/support.c
@@ -32,9 +32,9 @@
 	return g_build_filename(folder != NULL ? folder : "build", name, NULL);
 }
 
-/* Reads the line "listening IP:PORT". Free the address with g_free(). */
+/* Reads the next line of a program's output. Free with g_free(). */
 static char *
-read_address(int output, const char *name)
+read_line(int output, const char *name)
 {
 	char line[LINE_MAX_LENGTH] = "";
 	size_t length = 0;
@@ -51,9 +51,27 @@
 		length += (size_t)count;
 	}
 	line[length] = '\0';
+	return g_strdup(line);
+}
+
+char *
+program_read_line(const program_t *program)
+{
+	return read_line(program->stdout_fd, "the program");
+}
+
+/* Reads the line "listening IP:PORT". Free the address with g_free(). */
+static char *
+read_address(int output, const char *name)
+{
+	char *line = read_line(output, name);
+	char *address;
+
 	ck_assert_msg(g_str_has_prefix(line, "listening "),
 	    "%s printed \"%s\" where \"listening\" was expected", name, line);
-	return g_strstrip(g_strdup(line + strlen("listening ")));
+	address = g_strstrip(g_strdup(line + strlen("listening ")));
+	g_free(line);
+	return address;
 }
 
 static program_t *
@@ -131,6 +149,7 @@
 	g_ptr_array_remove(running_programs, program);
 	close(program->stdout_fd);
 	g_free(program->address);
+	g_free(program->directory_address);
 	g_free(program);
 }
 
--- a/tests/support.h
+++ b/tests/support.h
@@ -14,8 +14,14 @@
 	pid_t pid;
 	char *address; /* IP:PORT that it listens on */
 	int stdout_fd; /* read end of its stdout */
+	/* Of papayad on the platform; NULL and 0 for other programs. */
+	char *directory_address;
+	int metrics_port, peer_port;
 } program_t;
 
+/* Reads the next line that the program prints. Free with g_free(). */
+char *program_read_line(const program_t *program);
+
 /* Path of a program of the build directory (PAPAYA_BIN). Free with g_free(). */
 char *program_path(const char *name);
 
--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -4,17 +4,13 @@
 #include <arpa/inet.h>
 #include <check.h>
 #include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 enum {
-	/* Below the kernel's range of ephemeral ports. */
-	PORTS_FIRST = 20000,
-	PORTS_LAST = 32000,
-	PORTS_PER_NODE = 5,
-	METRICS_PORT_OFFSET = 4,
 	READY_POLL_INTERVAL_US = 20000,
 	READY_POLLS_MAX = 500,
 };
@@ -33,8 +29,6 @@
 gateway_limits_t gateway_limits = DEFAULT_LIMITS;
 int backend_listener_1, backend_listener_2;
 int backend_port_1, backend_port_2;
-static GHashTable *directory_addresses; /* program_t * to IP:PORT */
-static int next_port;
 
 void
 gateway_store_put(const char *key, const char *value)
@@ -215,11 +209,6 @@
 gateway_setup(void)
 {
 	platform_standin = program_start("standin-platform", NULL);
-	directory_addresses = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-	next_port =
-	    PORTS_FIRST + (int)getpid() %
-			      ((PORTS_LAST - PORTS_FIRST) / PORTS_PER_NODE) *
-			      PORTS_PER_NODE;
 	gateway_configure(1, "[\"key-1\", \"key-2\"]");
 }
 
@@ -227,7 +216,6 @@
 gateway_teardown(void)
 {
 	programs_end();
-	g_hash_table_unref(directory_addresses);
 	gateway_limits = default_limits;
 }
 
@@ -249,26 +237,24 @@
 }
 
 /*
- * Writes a node's settings file; returns its path, to be freed. zones_json: see
- * gateway_start_in_zone(); NULL: none.
+ * Writes a node's settings file, which leaves all ports to the kernel; returns
+ * its path, to be freed. zones_json: see gateway_start_in_zone(); NULL: none.
  */
 static char *
-write_settings(
-    const char *name, int port, const char *zone, const char *zones_json)
+write_settings(const char *name, const char *zone, const char *zones_json)
 {
 	char *path = g_strdup("/tmp/papaya-front-XXXXXX");
 	json_t *json =
 	    json_pack("{s:s,s:s,s:s,s:{s:o,s:o,s:o},s:[i,i],s:{s:o},s:{s:o},"
 		      "s:{s:i,s:i,s:i,s:i,s:i}}",
 		"node_name", name, "zone", zone, "ip", "127.0.0.1",
-		"listen_addrs", "front", json_sprintf("127.0.0.1:%d", port),
-		"ready", json_sprintf("127.0.0.1:%d", port + 1), "directory",
-		json_sprintf("127.0.0.1:%d", port + 2), "internal_ports",
-		port + 3, port + METRICS_PORT_OFFSET, "platform", "address",
-		json_string(platform_standin->address), "cloud_api", "address",
-		json_string(platform_standin->address), "bounds", "revoke_ms",
-		2000, "window_s", 1, "usage_late_s", 10, "grace_s", 6,
-		"expose_slack", 200);
+		"listen_addrs", "front", json_string("127.0.0.1:0"), "ready",
+		json_string("127.0.0.1:0"), "directory",
+		json_string("127.0.0.1:0"), "internal_ports", 0, 0, "platform",
+		"address", json_string(platform_standin->address), "cloud_api",
+		"address", json_string(platform_standin->address), "bounds",
+		"revoke_ms", 2000, "window_s", 1, "usage_late_s", 10, "grace_s",
+		6, "expose_slack", 200);
 
 	if (zones_json != NULL) {
 		json_t *zones = json_loads(zones_json, 0, NULL);
@@ -283,39 +269,6 @@
 	return path;
 }
 
-static bool
-is_port_free(int port, int type)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	int fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-	bool ok;
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	address.sin_port = htons((uint16_t)port);
-	ok = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
-	close(fd);
-	return ok;
-}
-
-/* First of PORTS_PER_NODE consecutive ports that are free for TCP and UDP. */
-static int
-find_free_ports(void)
-{
-	for (;;) {
-		int first_port = next_port, ports_in_use = 0;
-
-		next_port += PORTS_PER_NODE;
-		if (next_port > PORTS_LAST)
-			next_port = PORTS_FIRST;
-		for (int i = 0; i < PORTS_PER_NODE; i++)
-			if (!is_port_free(first_port + i, SOCK_STREAM) ||
-			    !is_port_free(first_port + i, SOCK_DGRAM))
-				ports_in_use++;
-		if (ports_in_use == 0)
-			return first_port;
-	}
-}
-
 static void
 wait_ready(const char *address)
 {
@@ -334,19 +287,32 @@
 	ck_abort_msg("the node at %s was not ready in time", address);
 }
 
+/* Reads the line of the ports that the node got. */
+static void
+read_ports(program_t *program)
+{
+	char *line = program_read_line(program);
+	char directory[32];
+
+	ck_assert_msg(
+	    sscanf(line, "ports ready=%*s directory=%31s metrics=%d peer=%d",
+		directory, &program->metrics_port, &program->peer_port) == 3,
+	    "%s", line);
+	program->directory_address = g_strdup(directory);
+	g_free(line);
+}
+
 static program_t *
 launch(const char *name, const char *zone, const char *zones_json)
 {
-	int port = find_free_ports();
-	char *path = write_settings(name, port, zone, zones_json);
+	char *path = write_settings(name, zone, zones_json);
 	program_t *program;
 
 	g_setenv("PAPAYAWHARF_NODE_FILE", path, TRUE);
 	program = program_start("papayad", "--platform", NULL);
 	unlink(path);
 	g_free(path);
-	g_hash_table_insert(directory_addresses, program,
-	    g_strdup_printf("127.0.0.1:%d", port + 2));
+	read_ports(program);
 	return program;
 }
 
@@ -378,7 +344,7 @@
 const char *
 gateway_directory_address(const program_t *gateway)
 {
-	return g_hash_table_lookup(directory_addresses, gateway);
+	return gateway->directory_address;
 }
 
 char *
@@ -395,9 +361,8 @@
 double
 gateway_metric(const program_t *gateway, const char *name)
 {
-	int port = atoi(strchr(gateway->address, ':') + 1);
-	program_t metrics = {.address = g_strdup_printf(
-				 "127.0.0.1:%d", port + METRICS_PORT_OFFSET)};
+	program_t metrics = {
+	    .address = g_strdup_printf("127.0.0.1:%d", gateway->metrics_port)};
 	double value = metric_read(&metrics, name);
 
 	g_free(metrics.address);
--- a/tests/test_followers.c
+++ b/tests/test_followers.c
@@ -12,7 +12,6 @@
 enum {
 	NODES = 14,
 	RELAYS = 4,
-	METRICS_PORT_OFFSET = 4,
 	STARTUP_MS = 4000,
 	COUNT_MS = 4000,
 	/* Time within which a new configuration must apply on every node. */
@@ -29,15 +28,8 @@
 static double
 watch_count(const program_t *node)
 {
-	const char *colon = strrchr(node->address, ':');
-	char *address = g_strdup_printf(
-	    "127.0.0.1:%d", atoi(colon + 1) + METRICS_PORT_OFFSET);
-	program_t metrics = {.address = address};
-	double count = metric_read(
-	    &metrics, "store_calls_total{call=\"watch\",result=\"ok\"}");
-
-	g_free(address);
-	return count;
+	return gateway_metric(
+	    node, "store_calls_total{call=\"watch\",result=\"ok\"}");
 }
 
 static void
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -22,7 +22,6 @@
 	LATER_WRITES = 20,
 	/* In CHANGE_DELIVERY_MS, with pauses that double from 60 ms on. */
 	LISTS_MAX = 5,
-	PEER_PORT_OFFSET = 3, /* from the port for clients */
 };
 
 static const char refused_lists[] =
@@ -155,8 +154,7 @@
 	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 
 	ck_assert(conn_parse_address(gateway_node->address, &address));
-	address.sin_port =
-	    htons((uint16_t)(ntohs(address.sin_port) + PEER_PORT_OFFSET));
+	address.sin_port = htons((uint16_t)gateway_node->peer_port);
 	digest->node = g_strdup("n9");
 	digest->client_address = g_strdup("127.0.0.1:9");
 	digest->sequence = 1;
