Move tests share their start; an early write of the era waits its time

What earlier work left: six tests of moved streams began with the same 15 lines; three of them now call begin_move(), which also checks that the order is one to copy. The other three differ in their start.

era_record: the retry after a write no longer shortens the wait that a restoration meanwhile has set.

--- a/src/era_record.c
+++ b/src/era_record.c
@@ -141,7 +141,7 @@
 
 	/* The store watch delivers the record once it is written. */
 	record->writing = false;
-	record->due_ms = clock_boot_ms() + RETRY_MS;
+	record->due_ms = MAX(record->due_ms, clock_boot_ms() + RETRY_MS);
 }
 
 void
--- a/tests/test_stream_moves.c
+++ b/tests/test_stream_moves.c
@@ -289,6 +289,34 @@
 }
 END_TEST
 
+/* A stream whose engine e-1 leaves, and has got the order to copy it to e-2. */
+typedef struct move {
+	gateway_exchange_t exchange; /* with e-1, which has sent event 1 */
+	int listener;		     /* of e-2 */
+	int copy;		     /* the order's connection */
+} move_t;
+
+static move_t
+begin_move(const char *path)
+{
+	move_t move = {
+	    .exchange = gateway_exchange_open(path, backend_listener_2)};
+	int port;
+	char *request;
+
+	move.listener = wire_listen(&port);
+	wire_send(
+	    move.exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+	g_free(wire_read_until(move.exchange.client_fd, "a\n\n\r\n"));
+	gateway_register_server("e-2", "engine", port, "ready");
+	gateway_register_server("e-1", "engine", backend_port_2, "draining");
+	move.copy = wire_accept(backend_listener_2);
+	request = wire_read_message(move.copy);
+	ck_assert(g_str_has_prefix(request, "POST /v1/kv-move "));
+	g_free(request);
+	return move;
+}
+
 /*
  * Guards against a process that reads an endless response to the order to copy
  * a stream's memory for as long as the stream lasts.
@@ -439,35 +467,27 @@
 /* Guards against a resumable stream that is cut as its move has failed. */
 START_TEST(a_stream_is_resumed_where_its_move_fails)
 {
-	gateway_exchange_t exchange =
-	    gateway_exchange_open("/talk/a", backend_listener_2);
-	int port, listener = wire_listen(&port), copy, server;
+	move_t move = begin_move("/talk/a");
+	int server;
 	char *request, *response;
 
-	wire_send(
-	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
-	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
-	gateway_register_server("e-2", "engine", port, "ready");
-	gateway_register_server("e-1", "engine", backend_port_2, "draining");
-	copy = wire_accept(backend_listener_2);
-	g_free(wire_read_message(copy));
-	close(exchange.server_fd);
-	exchange.server_fd = -1;
+	close(move.exchange.server_fd);
+	move.exchange.server_fd = -1;
 	g_usleep(50000);
-	wire_send(copy, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
-	server = wire_accept(listener);
+	wire_send(move.copy, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n");
+	server = wire_accept(move.listener);
 	request = wire_read_message(server);
 	wire_assert_header(request, "Last-Event-Id", "1");
 	wire_assert_header(request, "Kv-From", NULL);
 	g_free(request);
 	wire_send(server, STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
-	response = wire_read_until(exchange.client_fd, "0\r\n\r\n");
+	response = wire_read_until(move.exchange.client_fd, "0\r\n\r\n");
 	ck_assert_ptr_nonnull(strstr(response, "id: 2\ndata: b\n\n"));
 	g_free(response);
-	close(copy);
+	close(move.copy);
 	close(server);
-	close(listener);
-	gateway_exchange_close(&exchange);
+	close(move.listener);
+	gateway_exchange_close(&move.exchange);
 }
 END_TEST
 
@@ -523,36 +543,28 @@
 /* Guards against a moved stream that looks complete, or is run twice. */
 START_TEST(a_cut_answer_ends_no_moved_stream)
 {
-	const struct cut_move *move = &cut_moves[_i];
-	gateway_exchange_t exchange =
-	    gateway_exchange_open("/write/a", backend_listener_2);
-	int port, listener = wire_listen(&port), copy, target;
+	const struct cut_move *cut = &cut_moves[_i];
+	move_t move = begin_move("/write/a");
+	int target;
 	char *response;
 	bool reset;
 
-	wire_send(
-	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
-	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
-	gateway_register_server("e-2", "engine", port, "ready");
-	gateway_register_server("e-1", "engine", backend_port_2, "draining");
-	copy = wire_accept(backend_listener_2);
-	g_free(wire_read_message(copy));
-	close(exchange.server_fd);
-	exchange.server_fd = -1;
-	wire_send(copy, move->copy);
-	close(copy);
-	if (move->target != NULL) {
-		target = wire_accept(listener);
+	close(move.exchange.server_fd);
+	move.exchange.server_fd = -1;
+	wire_send(move.copy, cut->copy);
+	close(move.copy);
+	if (cut->target != NULL) {
+		target = wire_accept(move.listener);
 		g_free(wire_read_message(target));
-		wire_send(target, move->target);
+		wire_send(target, cut->target);
 		close(target);
 	}
-	response = wire_read_until_closed(exchange.client_fd, &reset);
+	response = wire_read_until_closed(move.exchange.client_fd, &reset);
 	ck_assert_str_eq(response, "");
-	ck_assert(!wire_wait_connection(listener, 0));
+	ck_assert(!wire_wait_connection(move.listener, 0));
 	g_free(response);
-	close(listener);
-	gateway_exchange_close(&exchange);
+	close(move.listener);
+	gateway_exchange_close(&move.exchange);
 }
 END_TEST
 
@@ -617,26 +629,18 @@
  */
 START_TEST(a_further_event_does_not_hold_up_a_move)
 {
-	gateway_exchange_t exchange =
-	    gateway_exchange_open("/talk/a", backend_listener_2);
-	int port, listener = wire_listen(&port), copy, target;
+	move_t move = begin_move("/talk/a");
+	int target;
 
-	wire_send(
-	    exchange.server_fd, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
-	g_free(wire_read_until(exchange.client_fd, "a\n\n\r\n"));
-	gateway_register_server("e-2", "engine", port, "ready");
-	gateway_register_server("e-1", "engine", backend_port_2, "draining");
-	copy = wire_accept(backend_listener_2);
-	g_free(wire_read_message(copy));
-	wire_send(copy, COPIED);
+	wire_send(move.copy, COPIED);
 	g_usleep(50000);
-	wire_send(exchange.server_fd, "f\r\nid: 2\ndata: b\n\n\r\n");
-	ck_assert(wire_wait_connection(listener, MOVE_MS));
-	target = wire_accept(listener);
+	wire_send(move.exchange.server_fd, "f\r\nid: 2\ndata: b\n\n\r\n");
+	ck_assert(wire_wait_connection(move.listener, MOVE_MS));
+	target = wire_accept(move.listener);
 	close(target);
-	close(copy);
-	close(listener);
-	gateway_exchange_close(&exchange);
+	close(move.copy);
+	close(move.listener);
+	gateway_exchange_close(&move.exchange);
 }
 END_TEST
 
