--- a/src/gateway.c
+++ b/src/gateway.c
@@ -14,14 +14,6 @@
 	DRAIN_IDLE_MS = 300,
 	/* Requests at the start wait at most this long for a configuration. */
 	STARTUP_WAIT_MS = 500,
-	/* Sockets reserved for connections to backend servers and platform. */
-	RESERVED_SOCKETS = 1500,
-	CONNECTIONS_MIN = 64,
-	/* Parts of the sockets that clients of requests may not use, so that
-	 * the directory can be asked, and those that both may not use. */
-	SOCKET_PARTS = 16,
-	DIRECTORY_SOCKET_PARTS = 1,
-	READINESS_SOCKET_PARTS = 2,
 	/* Between the requests of a follower to its relay. */
 	RELAY_INTERVAL_MS = 200,
 	STANDBY_RELAY_INTERVAL_MS = 400,
@@ -54,15 +46,6 @@
  */
 static const double config_ready_share = 0.6;
 
-static const catalog_limits_t *
-current_limits(void *data)
-{
-	const gateway_t *gateway = data;
-
-	return gateway->proxy.catalog == NULL ? &catalog_limits_default
-					      : &gateway->proxy.catalog->limits;
-}
-
 static void
 on_list_complete(void *data)
 {
@@ -226,8 +209,8 @@
 	return clock_boot_ms() - since_ms < STARTUP_WAIT_MS;
 }
 
-static void
-on_client_request(exchange_t *exchange, void *data)
+void
+gateway_on_client_request(exchange_t *exchange, void *data)
 {
 	gateway_t *gateway = data;
 
@@ -424,14 +407,6 @@
 		check_drain(gateway, now_ms);
 }
 
-static unsigned
-max_client_connections(const gateway_config_t *config)
-{
-	return config->sockets_max > RESERVED_SOCKETS + CONNECTIONS_MIN
-		   ? config->sockets_max - RESERVED_SOCKETS
-		   : CONNECTIONS_MIN;
-}
-
 static void
 init_memory(gateway_t *gateway)
 {
@@ -447,102 +422,6 @@
 	mallopt(M_TRIM_THRESHOLD, RETURN_BYTES);
 }
 
-/*
- * reserved_parts: of the sockets, in SOCKET_PARTS, that only this listener and
- * those with more parts may use.
- */
-static http1_server_t *
-start_listener(gateway_t *gateway, const char *address,
-    unsigned connections_max, unsigned reserved_parts,
-    void (*handler)(exchange_t *exchange, void *data), GError **error)
-{
-	unsigned sockets_max = gateway->config->sockets_max;
-	http1_server_options_t options = {
-	    .address = address,
-	    .connections_max = connections_max,
-	    .sockets_max =
-		MAX(max_client_connections(gateway->config), sockets_max / 2) +
-		sockets_max * reserved_parts / SOCKET_PARTS,
-	    .memory = &gateway->memory,
-	    .on_request = handler,
-	    .limits = current_limits,
-	    .data = gateway,
-	};
-
-	return http1_server_start(gateway->loop, &options, error);
-}
-
-/* The settings may leave a port to the kernel: the address gets the real one.
- */
-static void
-set_assigned_port(char **address, const http1_server_t *listener)
-{
-	const char *colon = strrchr(*address, ':');
-	char *assigned = g_strdup_printf("%.*s:%d", (int)(colon - *address),
-	    *address, http1_server_port(listener));
-
-	g_free(*address);
-	*address = assigned;
-}
-
-/* A listener of the gateway; the arguments of start_listener(). */
-typedef struct listener_plan {
-	http1_server_t **listener;
-	char **address; /* NULL there: the listener is not wanted */
-	unsigned connections_max;
-	unsigned reserved_parts;
-	void (*handler)(exchange_t *exchange, void *data);
-} listener_plan_t;
-
-static bool
-open_listeners(gateway_t *gateway, const listener_plan_t *plans, size_t count,
-    GError **error)
-{
-	for (size_t i = 0; i < count; i++) {
-		const listener_plan_t *plan = &plans[i];
-
-		if (*plan->address == NULL)
-			continue;
-		*plan->listener = start_listener(gateway, *plan->address,
-		    plan->connections_max, plan->reserved_parts, plan->handler,
-		    error);
-		if (*plan->listener == NULL)
-			return false;
-		set_assigned_port(plan->address, *plan->listener);
-	}
-	return true;
-}
-
-static bool
-start_listeners(gateway_t *gateway, GError **error)
-{
-	gateway_config_t *config = gateway->config;
-	unsigned connections_max = max_client_connections(config);
-	char *metrics_address =
-	    config->metrics_port == GATEWAY_PORT_NONE
-		? NULL
-		: g_strdup_printf("%s:%d", config->ip, config->metrics_port);
-	const listener_plan_t plans[] = {
-	    {&gateway->client_listener, &config->client_address,
-		connections_max, 0, on_client_request},
-	    {&gateway->readiness_listener, &config->ready_address,
-		CONNECTIONS_MIN, READINESS_SOCKET_PARTS,
-		gateway_on_directory_request},
-	    {&gateway->directory_listener, &config->directory_address,
-		connections_max / 4 + CONNECTIONS_MIN, DIRECTORY_SOCKET_PARTS,
-		gateway_on_directory_request},
-	    {&gateway->metrics_listener, &metrics_address, CONNECTIONS_MIN,
-		READINESS_SOCKET_PARTS, gateway_on_metrics},
-	};
-	bool ok = open_listeners(gateway, plans, G_N_ELEMENTS(plans), error);
-
-	if (gateway->metrics_listener != NULL)
-		config->metrics_port =
-		    http1_server_port(gateway->metrics_listener);
-	g_free(metrics_address);
-	return ok;
-}
-
 static void
 init_proxy(gateway_t *gateway)
 {
@@ -661,7 +540,8 @@
 	gateway->waiting_exchanges = g_ptr_array_new();
 	init_memory(gateway);
 	init_proxy(gateway);
-	if (!start_cluster(gateway, error) || !start_listeners(gateway, error))
+	if (!start_cluster(gateway, error) ||
+	    !gateway_start_listeners(gateway, error))
 		return NULL; /* the process ends */
 	update_rollout_time(gateway);
 	start_store(gateway);
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -18,7 +18,8 @@
 /*
  * State shared by gateway.c, which starts, serves requests and drains,
  * gateway_store.c, which applies changes of the store's keys,
- * gateway_directory.c, which names hosts to callers, and gateway_metrics.c.
+ * gateway_directory.c, which names hosts to callers, gateway_listeners.c, which
+ * opens the sockets for all of them, and gateway_metrics.c.
  */
 
 struct gateway {
@@ -60,6 +61,15 @@
 	void *drain_data;
 };
 
+/*
+ * Opens the listeners of the settings, and writes back the ports that the
+ * kernel has assigned. False with *error set where one cannot be opened.
+ */
+bool gateway_start_listeners(gateway_t *gateway, GError **error);
+
+/* Serves a client's request, or lets it wait for the first configuration. */
+void gateway_on_client_request(exchange_t *exchange, void *data);
+
 /* Answer address lists and readiness checks, and requests for the metrics. */
 void gateway_on_directory_request(exchange_t *exchange, void *data);
 void gateway_on_metrics(exchange_t *exchange, void *data);
