review: a window of usage is reported twice after the first start

A store that comes back from a copy of before the first start, with all nodes killed, looks new to them, so that a window that was reported is reported again.

--- a/review/kit-3/kit.h
+++ b/review/kit-3/kit.h
@@ -77,6 +77,11 @@
 void kit_store_copy(void);
 void kit_store_restore(void);
 
+/* Calls this for each usage report; the cloud API accepts every one whose
+ * fencing token is not lower than one before. */
+void kit_store_on_usage(
+    void (*on_usage)(const char *holder, const char *token, const char *body));
+
 typedef struct kit_node {
 	const char *name;
 	const char *zone;
--- a/review/kit-3/store.c
+++ b/review/kit-3/store.c
@@ -398,6 +398,35 @@
 	free(text);
 }
 
+static void (*usage_callback)(
+    const char *holder, const char *token, const char *body);
+static int64_t highest_token;
+
+void
+kit_store_on_usage(
+    void (*on_usage)(const char *holder, const char *token, const char *body))
+{
+	usage_callback = on_usage;
+}
+
+static void
+serve_usage(int fd, const kit_message_t *request)
+{
+	char holder[64], token[64];
+	bool stale;
+
+	kit_header(request, "X-Duty-Holder", holder, sizeof(holder));
+	kit_header(request, "X-Fence-Token", token, sizeof(token));
+	pthread_mutex_lock(&lock);
+	stale = atoll(token) < highest_token;
+	if (!stale)
+		highest_token = atoll(token);
+	pthread_mutex_unlock(&lock);
+	if (!stale && usage_callback != NULL)
+		usage_callback(holder, token, request->body);
+	reply(fd, stale ? 409 : 200, "{}");
+}
+
 static bool
 starts_with(const char *text, const char *prefix)
 {
@@ -424,7 +453,9 @@
 		serve_lease(fd, atoll(target + strlen(end)), true);
 	else if (starts_with(target, "/v1/kv-lease"))
 		serve_grant(fd, request);
-	else if (starts_with(target, "/usage") || starts_with(target, "/scale"))
+	else if (starts_with(target, "/usage"))
+		serve_usage(fd, request);
+	else if (starts_with(target, "/scale"))
 		reply(fd, 200, "{}");
 	else
 		reply(fd, 404, "{}");
