--- a/review/12/case.c
+++ b/review/12/case.c
@@ -9,7 +9,7 @@
 #include <unistd.h>
 
 /*
- * One node, two model servers and one application server. In the trouble one
+ * One node, three model servers and one application server. In the trouble one
  * model server sends empty lines without end in place of events. Counted are
  * the requests to the application server, some of which take longer there than
  * their route allows.
@@ -32,8 +32,8 @@
 
 	CALM_MS = 5000,
 	TROUBLE_MS = 20000,
-	STREAM_MS = 125, /* between two streams */
-	APP_MS = 100,	 /* between two requests to the application */
+	STREAM_MS = 80, /* between two streams */
+	APP_MS = 100,	/* between two requests to the application */
 };
 
 typedef struct backend {
@@ -54,6 +54,7 @@
 static backend_t backends[] = {
     {.id = "i-7f3a91c0", .service = "writers", .serve = serve_stream},
     {.id = "i-7f3a91c1", .service = "writers", .serve = serve_stream},
+    {.id = "i-7f3a91c2", .service = "writers", .serve = serve_stream},
     {.id = "i-01a2b3c4", .service = "member-app", .serve = serve_app},
 };
 
