One parser of events, whose cost is linear in its bytes

Cause: event_stream searched for both line ends from the start of each event, and the search for the one that does not occur ran to the end of the buffer. A profile of the host in the case has 98.9% of its time in memmem. Ruled out: the copy of each event (0.2%), and the reading of one connection through the turn.

Change: sse looks at each byte once, keeps its place between two reads and takes either line end; event_stream and the readers of the own interface share it.

Test: a_faulty_server_does_not_hold_up_requests_to_others plays eight shapes; on the code before, 6 of 8 failed (no response, no connection, 3,670 and 4,065 ms against the objective of 1,000); now 8 of 8 hold. Its end of a response is checked by the framing that the route gives it, as before.

--- a/src/load.c
+++ b/src/load.c
@@ -17,6 +17,7 @@
 	ENTRY_LIST_RETRY_MS = 50,
 	ENTRY_LIST_LIFETIME_MS = 5000,
 	ATTEMPTS_MAX = 100000,
+	EVENT_MAX_BYTES = 1024 * 1024,
 };
 
 typedef struct workspace_entries {
@@ -363,21 +364,23 @@
 on_stream_data(http_call_t *http, const char *bytes, size_t length, void *data)
 {
 	load_request_t *request = data;
-	char *event;
-	size_t size;
+	sse_event_t event;
 
 	if (http_call_status(http) != 200)
 		return true;
 	if (!sse_feed(&request->sse, bytes, length))
 		return false;
-	while ((event = sse_next(&request->sse, &size)) != NULL) {
+	while (sse_next(&request->sse, &event)) {
 		json_t *json;
 
-		if (strcmp(event, "[DONE]") == 0) {
+		if (event.data.bytes == NULL)
+			continue;
+		if (sse_value_equals(&event.data, "[DONE]")) {
 			request->finished = true;
 			continue;
 		}
-		json = json_parse(event, size, "event", NULL);
+		json = json_parse(
+		    event.data.bytes, event.data.length, "event", NULL);
 		if (json == NULL)
 			request->invalid = true;
 		else
@@ -422,7 +425,7 @@
 reset_stream(load_request_t *request)
 {
 	sse_clear(&request->sse);
-	sse_init(&request->sse);
+	sse_init(&request->sse, EVENT_MAX_BYTES);
 	request->tokens = 0;
 	request->first_token_us = 0;
 	request->finished = false;
@@ -526,7 +529,7 @@
 	request->started_us = clock_mono_us();
 	uv_timer_init(load->loop, &request->entry_list_timer);
 	request->entry_list_timer.data = request;
-	sse_init(&request->sse);
+	sse_init(&request->sse, EVENT_MAX_BYTES);
 	if (booking) {
 		request->booking =
 		    load_report_add_booking(load->report, request->key);
--- a/src/stream.c
+++ b/src/stream.c
@@ -18,6 +18,8 @@
 #define STREAM_MUTANT 0
 #endif
 
+enum { EVENT_MAX_BYTES = 1024 * 1024 };
+
 struct stream {
 	unsigned max_tokens;
 	char *version;
@@ -73,7 +75,7 @@
 	g_return_if_fail(!stream->complete);
 	stream_cancel_attempt(stream);
 	stream->attempt_id = g_strdup(attempt_id);
-	sse_init(&stream->sse);
+	sse_init(&stream->sse, EVENT_MAX_BYTES);
 }
 
 void
@@ -177,9 +179,9 @@
 }
 
 static stream_status_t
-receive_event(stream_t *stream, const char *text, size_t length)
+receive_event(stream_t *stream, const sse_value_t *data)
 {
-	json_t *event = json_parse(text, length, "event", NULL);
+	json_t *event = json_parse(data->bytes, data->length, "event", NULL);
 	const char *id = json_get_string(event, "id", "");
 	const char *version = json_get_string(event, "model", stream->version);
 	stream_status_t status;
@@ -213,18 +215,19 @@
     stream_t *stream, const char *attempt_id, const char *bytes, size_t length)
 {
 	stream_status_t status = STREAM_OPEN;
-	const char *event;
-	size_t event_length;
+	sse_event_t event;
 
 	if (!is_current_attempt(stream, attempt_id))
 		return STREAM_STALE;
 	if (!sse_feed(&stream->sse, bytes, length))
 		return end_attempt(stream, STREAM_MALFORMED);
-	while (status == STREAM_OPEN &&
-	       (event = sse_next(&stream->sse, &event_length)) != NULL)
-		status = strcmp(event, "[DONE]") == 0
+	while (status == STREAM_OPEN && sse_next(&stream->sse, &event)) {
+		if (event.data.bytes == NULL)
+			continue;
+		status = sse_value_equals(&event.data, "[DONE]")
 			     ? receive_done(stream)
-			     : receive_event(stream, event, event_length);
+			     : receive_event(stream, &event.data);
+	}
 	return status == STREAM_OPEN ? status : end_attempt(stream, status);
 }
 
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -25,6 +26,7 @@
 	MEMORY_GROWTH_MAX_KB = 16 * 1024,
 	SENT_MAX_BYTES = 256 * 1024 * 1024,
 	PIECE_BYTES = 16 * 1024,
+	FLOOD_BYTES = 64 * 1024,
 	/* Callers of a faulty server, and requests beside them. */
 	CALLERS = 8,
 	REQUESTS_BESIDE = 10,
@@ -162,31 +164,68 @@
 }
 END_TEST
 
-/* A faulty server's process: one response of tiny chunks without end. */
+/*
+ * Bodies without end that are costly to read: each shape of events has its own
+ * way through the parsers.
+ */
+static const struct flood {
+	const char *what;
+	bool is_events;
+	const char *repeat;
+	size_t chunk_bytes;
+} floods[] = {
+    {"tiny chunks", false, "a", 1},
+    {"empty lines", true, "\n", FLOOD_BYTES},
+    {"empty lines in tiny chunks", true, "\n", 1},
+    {"empty lines, CR LF", true, "\r\n", FLOOD_BYTES},
+    {"comments", true, ":\n\n", FLOOD_BYTES},
+    {"events without data", true, "data:\n\n", FLOOD_BYTES},
+    {"events of an id", true, "id: 1\n\n", FLOOD_BYTES},
+    {"events, CR LF", true, "a\r\n\r\n", FLOOD_BYTES},
+};
+
+static GString *
+flood_chunks(const struct flood *flood)
+{
+	GString *body = g_string_new(NULL);
+	GString *chunks = g_string_new(NULL);
+
+	while (body->len < FLOOD_BYTES)
+		g_string_append(body, flood->repeat);
+	for (size_t from = 0; from < body->len; from += flood->chunk_bytes) {
+		size_t length = MIN(flood->chunk_bytes, body->len - from);
+
+		g_string_append_printf(chunks, "%zx\r\n", length);
+		g_string_append_len(chunks, body->str + from, (gssize)length);
+		g_string_append(chunks, "\r\n");
+	}
+	g_string_free(body, TRUE);
+	return chunks;
+}
+
+/* A faulty server's process: one response without end. */
 static pid_t
-start_faulty_server(void)
+start_faulty_server(const struct flood *flood)
 {
-	GString *piece = g_string_new(NULL);
 	pid_t pid = fork();
+	GString *chunks;
 	int fd;
 
-	while (pid == 0 && piece->len < PIECE_BYTES)
-		g_string_append(piece, "1\r\na\r\n");
-	if (pid != 0) {
-		g_string_free(piece, TRUE);
+	if (pid != 0)
 		return pid;
-	}
-	fd = wire_accept(backend_listener_1);
+	chunks = flood_chunks(flood);
+	fd = wire_accept(
+	    flood->is_events ? backend_listener_2 : backend_listener_1);
 	g_free(wire_read_message(fd));
 	wire_send(fd, RESPONSE_HEAD);
-	while (send(fd, piece->str, piece->len, MSG_NOSIGNAL) > 0)
+	while (send(fd, chunks->str, chunks->len, MSG_NOSIGNAL) > 0)
 		;
 	_exit(0);
 }
 
 /* A caller's process: reads whatever comes. */
 static pid_t
-start_caller(void)
+start_caller(const struct flood *flood)
 {
 	static char buffer[PIECE_BYTES];
 	pid_t pid = fork();
@@ -194,44 +233,50 @@
 
 	if (pid != 0)
 		return pid;
-	fd = gateway_send_request("/read/a", "id-1");
+	fd = gateway_send_request(
+	    flood->is_events ? "/write/a" : "/read/a", "id-1");
 	while (recv(fd, buffer, sizeof(buffer), 0) > 0)
 		;
 	_exit(0);
 }
 
-/* Time of a request to a sound server that responds at once. */
+/* Time of a request to a sound server of another service, which responds at
+ * once. */
 static int64_t
-request_ms(void)
+request_ms(const struct flood *flood)
 {
 	gint64 start_us = g_get_monotonic_time();
 	gateway_exchange_t exchange =
-	    gateway_exchange_open("/write/a", backend_listener_2);
+	    gateway_exchange_open(flood->is_events ? "/read/a" : "/write/a",
+		flood->is_events ? backend_listener_1 : backend_listener_2);
 
 	wire_send(exchange.server_fd,
 	    RESPONSE_HEAD "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
-	g_free(wire_read_until(exchange.client_fd, "\r\n0\r\n\r\n"));
+	g_free(wire_read_until(exchange.client_fd,
+	    flood->is_events ? "data: a\n\n" : "\r\n0\r\n\r\n"));
 	gateway_exchange_close(&exchange);
 	return (g_get_monotonic_time() - start_us) / US_PER_MS;
 }
 
 /*
- * Guards against a process that is busy with the tiny chunks of one faulty
- * server, and answers no other client in time.
+ * Guards against a process that is busy with what one faulty server sends, and
+ * answers no other client in time.
  */
 START_TEST(a_faulty_server_does_not_hold_up_requests_to_others)
 {
+	const struct flood *flood = &floods[_i];
 	pid_t children[2 * CALLERS];
 
 	for (int i = 0; i < CALLERS; i++) {
-		children[2 * i] = start_faulty_server();
-		children[2 * i + 1] = start_caller();
+		children[2 * i] = start_faulty_server(flood);
+		children[2 * i + 1] = start_caller(flood);
 	}
 	g_usleep(300 * US_PER_MS);
 	for (int i = 0; i < REQUESTS_BESIDE; i++) {
-		int64_t elapsed_ms = request_ms();
+		int64_t elapsed_ms = request_ms(flood);
 
-		ck_assert_int_le(elapsed_ms, OBJECTIVE_MS);
+		ck_assert_msg(elapsed_ms <= OBJECTIVE_MS, "%s: %" PRId64 " ms",
+		    flood->what, elapsed_ms);
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(children); i++) {
 		kill(children[i], SIGKILL);
@@ -251,8 +296,9 @@
 	    cases, gateway_fixture_setup, gateway_fixture_teardown);
 	tcase_add_loop_test(
 	    cases, endless_answer_is_cut_off, 0, G_N_ELEMENTS(answers));
-	tcase_add_test(
-	    cases, a_faulty_server_does_not_hold_up_requests_to_others);
+	tcase_add_loop_test(cases,
+	    a_faulty_server_does_not_hold_up_requests_to_others, 0,
+	    G_N_ELEMENTS(floods));
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
