--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -276,6 +276,9 @@
 		return;
 	}
 	if (result->status != PLATFORM_OK) {
+		/* The same changes would come again: the keys are listed. */
+		if (result->malformed)
+			watch->list_complete = false;
 		retry_later(watch, result);
 		return;
 	}
--- a/standins/standin_platform.c
+++ b/standins/standin_platform.c
@@ -71,20 +71,27 @@
 static json_t *stale_list; /* response to stale lists; NULL: none kept */
 static uv_timer_t expiry_timer;
 
-/* A response of the store. Releases the caller's reference to value. */
 static void
-reply(http_request_t *request, int status, json_t *value)
+reply_text(http_request_t *request, int status, const char *text, size_t length)
 {
 	char *era_text = g_strdup_printf("%" G_GINT64_FORMAT, era);
 	const http_header_t headers[] = {
 	    {"content-type", "application/json"}, {"store-era", era_text}};
+
+	http_reply(
+	    request, status, headers, G_N_ELEMENTS(headers), text, length);
+	g_free(era_text);
+}
+
+/* A response of the store. Releases the caller's reference to value. */
+static void
+reply(http_request_t *request, int status, json_t *value)
+{
 	char *text = json_text(value);
 
-	http_reply(request, status, headers, G_N_ELEMENTS(headers), text,
-	    strlen(text));
+	reply_text(request, status, text, strlen(text));
 	json_decref(value);
 	g_free(text);
-	g_free(era_text);
 }
 
 static void
@@ -155,10 +162,37 @@
 	g_free(watch);
 }
 
+/*
+ * With the fault "raw_item", a text that need not be JSON, each list and each
+ * watch that has changes begins with it.
+ */
+static void
+reply_items(http_request_t *request, const char *name, json_t *value)
+{
+	const char *raw = json_get_string(standin.faults, "raw_item", "");
+	GString *text = g_string_new(NULL);
+	char *body = json_text(value);
+	char *start = g_strdup_printf("\"%s\":[", name);
+	char *items = strstr(body, start);
+
+	g_string_append(text, body);
+	if (raw[0] != '\0' && items != NULL && items[strlen(start)] != ']') {
+		gssize offset = (gssize)(items - body + strlen(start));
+
+		g_string_insert(text, offset, ",");
+		g_string_insert(text, offset, raw);
+	}
+	reply_text(request, STATUS_OK, text->str, text->len);
+	json_decref(value);
+	g_string_free(text, TRUE);
+	g_free(start);
+	g_free(body);
+}
+
 static void
 reply_watch(watch_t *watch, json_t *events)
 {
-	reply(watch->request, STATUS_OK,
+	reply_items(watch->request, "events",
 	    json_pack("{s:o,s:I}", "events", events, "as_of",
 		(json_int_t)last_revision));
 	watch_free(watch);
@@ -275,7 +309,7 @@
 		stale_list = list_response(prefix);
 	if (!stale)
 		g_clear_pointer(&stale_list, json_decref);
-	reply(request, STATUS_OK,
+	reply_items(request, "items",
 	    stale ? json_incref(stale_list) : list_response(prefix));
 	g_free(prefix);
 }
--- a/tests/support_wire.c
+++ b/tests/support_wire.c
@@ -156,6 +156,17 @@
 	return g_string_free(text, FALSE);
 }
 
+unsigned
+wire_read_status(int fd)
+{
+	char *message = wire_read_message(fd);
+	unsigned status =
+	    (unsigned)strtoul(message + strlen("HTTP/1.1 "), NULL, 10);
+
+	g_free(message);
+	return status;
+}
+
 char *
 wire_read_until_closed(int fd, bool *reset)
 {
--- a/tests/support_wire.h
+++ b/tests/support_wire.h
@@ -35,6 +35,9 @@
  */
 char *wire_read_message(int fd);
 
+/* The status of that message, a response. */
+unsigned wire_read_status(int fd);
+
 /*
  * Reads until the peer closes the connection; *reset is true if it was reset.
  * Free with g_free().
