A lost answer does not get sound prompts blocked for good

Cause: each closed or reset connection was taken for a crash of its server. A crash of the first part without the crashing one acquits the crashing one, and the first part is blocked by itself; its requests are refused, so that none can show that it is sound.

Change: a process that responds again, and that service discovery still names with the same start 3 s later, has not crashed; its reported crashes are dropped, also at the peers, which learn of it by an optional field of the digests. The leader sends one request with a blocked segment 2 min after the last crash, the next one four times as late; a success ends the block everywhere.

Weighed: a response on a connection of before the crash would tell at once, but a node may have no second one; a response alone does not tell a server that started again under its id.

--- a/src/crash_guard.c
+++ b/src/crash_guard.c
@@ -1,6 +1,7 @@
 #include "crash_guard.h"
 
 #include "log.h"
+#include "process_liveness.h"
 
 #include <sys/queue.h>
 
@@ -18,6 +19,11 @@
 	/* Of a digest, which has to fit into one datagram. */
 	DIGEST_CRASHES_MAX = 48,
 	DIGEST_SURVIVALS_MAX = 24,
+	DIGEST_LIVENESS_MAX = 16,
+	/* Wait for the first trial of a blocked segment, and the factor for
+	 * each further one. */
+	TRIAL_DELAY_MS = 2 * 60 * 1000,
+	TRIAL_DELAY_FACTOR = 4,
 	/* Later crashes are not believed: a clock is wrong. */
 	CLOCK_ERROR_MAX_MS = 60 * 1000,
 };
@@ -39,6 +45,8 @@
 	unsigned crash_count;
 	int64_t survived_ms; /* newest survival; crashes before do not count */
 	int64_t blocked_until_ms; /* 0: not blocked */
+	int64_t trial_delay_ms;	  /* of the next trial of this node */
+	int64_t tried_ms;	  /* last trial of this node; 0: none */
 } segment_t;
 
 typedef TAILQ_HEAD(segment_list, segment) segment_list_t;
@@ -46,6 +54,7 @@
 struct crash_guard {
 	GHashTable *by_id;	 /* uint64_t * to segment_t; both borrowed */
 	segment_list_t segments; /* that crashed last: first; owned */
+	process_liveness_t *processes;
 };
 
 crash_guard_t *
@@ -55,6 +64,7 @@
 
 	guard->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	TAILQ_INIT(&guard->segments);
+	guard->processes = process_liveness_new();
 	return guard;
 }
 
@@ -86,6 +96,7 @@
 	while ((segment = TAILQ_FIRST(&guard->segments)) != NULL)
 		remove_segment(guard, segment);
 	g_hash_table_unref(guard->by_id);
+	process_liveness_free(guard->processes);
 	g_free(guard);
 }
 
@@ -124,6 +135,7 @@
 	}
 	segment = g_new0(segment_t, 1);
 	segment->id = id;
+	segment->trial_delay_ms = TRIAL_DELAY_MS;
 	TAILQ_INIT(&segment->crashes);
 	TAILQ_INSERT_HEAD(&guard->segments, segment, entries);
 	g_hash_table_insert(guard->by_id, &segment->id, segment);
@@ -246,8 +258,12 @@
 static void
 add_crash(crash_guard_t *guard, uint64_t id, const crash_t *values)
 {
-	segment_t *segment = find_or_add_segment(guard, id);
+	segment_t *segment;
 
+	if (!process_liveness_add_crash(
+		guard->processes, values->process, values->crashed_ms))
+		return;
+	segment = find_or_add_segment(guard, id);
 	if (segment == NULL || !record_crash(segment, values))
 		return;
 	TAILQ_REMOVE(&guard->segments, segment, entries);
@@ -267,6 +283,36 @@
 		add_crash(guard, attempt->facts->segments[i].id, &values);
 }
 
+/* Drops the reported crashes of a process that was alive after them. */
+static void
+drop_crashes(crash_guard_t *guard, uint32_t process)
+{
+	int64_t alive_ms = process_liveness_alive_ms(guard->processes, process);
+	segment_t *segment = TAILQ_FIRST(&guard->segments);
+
+	while (segment != NULL) {
+		segment_t *next = TAILQ_NEXT(segment, entries);
+		crash_t *crash = find_crash(segment, process);
+
+		if (crash != NULL && crash->crashed_ms <= alive_ms) {
+			remove_crash(segment, crash);
+			update_block(segment);
+			if (segment->crash_count == 0)
+				remove_segment(guard, segment);
+		}
+		segment = next;
+	}
+}
+
+void
+crash_guard_add_response(crash_guard_t *guard, uint32_t process, int64_t now_ms,
+    int64_t confirmed_ms)
+{
+	if (process_liveness_add_response(
+		guard->processes, process, now_ms, confirmed_ms))
+		drop_crashes(guard, process);
+}
+
 static void
 add_survival(crash_guard_t *guard, uint64_t id, int64_t began_ms)
 {
@@ -332,6 +378,19 @@
 	return true;
 }
 
+/* The reason by which the prompt's segment blocks it; NULL: it does not. */
+static segment_t *
+blocking_segment(const crash_guard_t *guard, const request_facts_t *facts,
+    size_t index, int64_t now_ms)
+{
+	segment_t *segment = find_segment(guard, facts->segments[index].id);
+
+	if (segment == NULL || segment->blocked_until_ms <= now_ms ||
+	    !is_reason(guard, segment, facts, now_ms))
+		return NULL;
+	return segment;
+}
+
 int64_t
 crash_guard_blocked_ms(
     const crash_guard_t *guard, const request_facts_t *facts, int64_t now_ms)
@@ -340,16 +399,48 @@
 
 	for (size_t i = 0; i + 1 < facts->segment_count; i++) {
 		const segment_t *segment =
-		    find_segment(guard, facts->segments[i].id);
+		    blocking_segment(guard, facts, i, now_ms);
 
-		if (segment != NULL && segment->blocked_until_ms > now_ms &&
-		    is_reason(guard, segment, facts, now_ms))
+		if (segment != NULL)
 			blocked_ms =
 			    MAX(blocked_ms, segment->blocked_until_ms - now_ms);
 	}
 	return blocked_ms;
 }
 
+static bool
+is_trial_due(const segment_t *segment, int64_t now_ms)
+{
+	const crash_t *newest = TAILQ_LAST(&segment->crashes, crash_list);
+
+	return now_ms >= MAX(newest->crashed_ms, segment->tried_ms) +
+			     segment->trial_delay_ms;
+}
+
+bool
+crash_guard_take_trial(
+    crash_guard_t *guard, const request_facts_t *facts, int64_t now_ms)
+{
+	segment_t *only = NULL;
+
+	for (size_t i = 0; i + 1 < facts->segment_count; i++) {
+		segment_t *segment = blocking_segment(guard, facts, i, now_ms);
+
+		if (segment == NULL)
+			continue;
+		if (only != NULL)
+			return false;
+		only = segment;
+	}
+	if (only == NULL || !is_trial_due(only, now_ms))
+		return false;
+	only->tried_ms = now_ms;
+	only->trial_delay_ms *= TRIAL_DELAY_FACTOR;
+	log_event(LOG_LEVEL_INFO, "segment.trial",
+	    "segment=%" G_GINT64_MODIFIER "x", only->id);
+	return true;
+}
+
 unsigned
 crash_guard_blocked_count(const crash_guard_t *guard, int64_t now_ms)
 {
@@ -384,6 +475,7 @@
 			remove_segment(guard, segment);
 		segment = next;
 	}
+	process_liveness_sweep(guard->processes, now_ms - BLOCK_MS);
 }
 
 static void
@@ -403,6 +495,16 @@
 	}
 }
 
+static void
+add_liveness_to_digest(uint32_t process, int64_t alive_ms, void *data)
+{
+	digest_t *digest = data;
+	digest_liveness_t item = {.process = process, .alive_ms = alive_ms};
+
+	if (digest->liveness->len < DIGEST_LIVENESS_MAX)
+		g_array_append_val(digest->liveness, item);
+}
+
 void
 crash_guard_add_to_digest(
     const crash_guard_t *guard, digest_t *digest, int64_t now_ms)
@@ -423,12 +525,28 @@
 		    digest->survivals->len < DIGEST_SURVIVALS_MAX)
 			g_array_append_val(digest->survivals, item);
 	}
+	process_liveness_each(guard->processes, add_liveness_to_digest, digest);
+}
+
+static void
+merge_liveness(crash_guard_t *guard, const GArray *liveness, int64_t now_ms)
+{
+	for (guint i = 0; i < liveness->len; i++) {
+		const digest_liveness_t *item =
+		    &g_array_index(liveness, digest_liveness_t, i);
+
+		if (item->alive_ms <= now_ms + CLOCK_ERROR_MAX_MS &&
+		    process_liveness_merge(
+			guard->processes, item->process, item->alive_ms))
+			drop_crashes(guard, item->process);
+	}
 }
 
 void
 crash_guard_merge_digest(
     crash_guard_t *guard, const digest_t *digest, int64_t now_ms)
 {
+	merge_liveness(guard, digest->liveness, now_ms);
 	for (guint i = 0; i < digest->crashes->len; i++) {
 		const digest_crash_t *item =
 		    &g_array_index(digest->crashes, digest_crash_t, i);
--- a/src/crash_guard.h
+++ b/src/crash_guard.h
@@ -12,8 +12,9 @@
  * on them, and blocks requests that have one. A server that crashes breaks all
  * its requests, most of them sound. A segment is blocked where attempts that
  * had it broke several servers one after the other, each sent after the crash
- * before it, and none of its requests was served meanwhile. The nodes pool what
- * they see in their digests.
+ * before it, and none of its requests was served meanwhile. A server that only
+ * loses a response breaks a connection too: its later responses tell it from a
+ * crash. The nodes pool what they see in their digests.
  *
  * Does no I/O. Times are those on which the nodes agree (Unix milliseconds).
  */
@@ -33,6 +34,14 @@
 void crash_guard_add_crash(crash_guard_t *guard,
     const crash_guard_attempt_t *attempt, int64_t crashed_ms);
 
+/*
+ * A process of a server has responded, whatever the request. Where this shows
+ * that it has not crashed, its reported crashes are dropped. confirmed_ms: when
+ * the node's copy of service discovery was last confirmed.
+ */
+void crash_guard_add_response(crash_guard_t *guard, uint32_t process,
+    int64_t now_ms, int64_t confirmed_ms);
+
 /*
  * A server was able to write on the prompt; began_ms: when it started to.
  */
@@ -45,6 +54,15 @@
 int64_t crash_guard_blocked_ms(
     const crash_guard_t *guard, const request_facts_t *facts, int64_t now_ms);
 
+/*
+ * True where a blocked prompt may be sent all the same, as a trial: a segment
+ * that is blocked by mistake is refused everywhere, so no other request can
+ * show that it is sound. Trials are rare, since one may cost a server; only one
+ * node at a time may take them.
+ */
+bool crash_guard_take_trial(
+    crash_guard_t *guard, const request_facts_t *facts, int64_t now_ms);
+
 /* Segments that are blocked. */
 unsigned crash_guard_blocked_count(const crash_guard_t *guard, int64_t now_ms);
 
--- a/src/digest.c
+++ b/src/digest.c
@@ -16,6 +16,7 @@
 	DIGEST_RECORDED_WINDOW_INDEX,
 	DIGEST_MOVE_ERAS_INDEX,
 	DIGEST_UNPROVEN_INDEX,
+	DIGEST_LIVENESS_INDEX,
 	DIGEST_FIELDS,
 	LOAD_FIELDS = 5,
 	SPENDING_FIELDS = 3,
@@ -23,6 +24,7 @@
 	MOVE_FIELDS = 4,
 	CRASH_FIELDS = 4,
 	SURVIVAL_FIELDS = 2,
+	LIVENESS_FIELDS = 2,
 	EVIDENCE_MAX_BYTES = 16 * 1024,
 	NAME_MAX_BYTES = 256,
 };
@@ -64,6 +66,7 @@
 	digest->moves = g_array_new(FALSE, TRUE, sizeof(digest_move_t));
 	digest->crashes = g_array_new(FALSE, TRUE, sizeof(digest_crash_t));
 	digest->survivals = g_array_new(FALSE, TRUE, sizeof(digest_survival_t));
+	digest->liveness = g_array_new(FALSE, TRUE, sizeof(digest_liveness_t));
 	g_array_set_clear_func(digest->moves, move_clear);
 	g_array_set_clear_func(digest->spending, spending_clear);
 	g_array_set_clear_func(digest->usage, usage_clear);
@@ -84,6 +87,7 @@
 	g_array_unref(digest->moves);
 	g_array_unref(digest->crashes);
 	g_array_unref(digest->survivals);
+	g_array_unref(digest->liveness);
 	g_free(digest);
 }
 
@@ -197,6 +201,19 @@
 	}
 }
 
+static void
+pack_liveness(msgpack_packer *packer, const GArray *list)
+{
+	msgpack_pack_array(packer, list->len * LIVENESS_FIELDS);
+	for (guint i = 0; i < list->len; i++) {
+		const digest_liveness_t *item =
+		    &g_array_index(list, digest_liveness_t, i);
+
+		msgpack_pack_uint32(packer, item->process);
+		msgpack_pack_int64(packer, item->alive_ms);
+	}
+}
+
 void
 digest_encode(const digest_t *digest, GByteArray *out)
 {
@@ -227,6 +244,7 @@
 	msgpack_pack_int64(&packer, digest->recorded_window);
 	pack_move_eras(&packer, digest->moves);
 	msgpack_pack_int(&packer, digest->unproven);
+	pack_liveness(&packer, digest->liveness);
 }
 
 static bool
@@ -398,6 +416,28 @@
 	return true;
 }
 
+static bool
+read_liveness(const msgpack_object *object, GArray *list)
+{
+	const msgpack_object *member;
+	uint32_t count;
+
+	if (!mp_read_array(object, LIVENESS_FIELDS, &member, &count))
+		return false;
+	for (; count > 0; count--, member += LIVENESS_FIELDS) {
+		digest_liveness_t item = {0};
+		int64_t process;
+
+		if (!mp_read_int64(&member[0], &process) || process < 0 ||
+		    process > UINT32_MAX ||
+		    !mp_read_int64(&member[1], &item.alive_ms))
+			return false;
+		item.process = (uint32_t)process;
+		g_array_append_val(list, item);
+	}
+	return true;
+}
+
 static bool
 read_demand(const msgpack_object *object, GArray *spending)
 {
@@ -471,6 +511,8 @@
 		return read_move_eras(field, digest->moves);
 	case DIGEST_UNPROVEN_INDEX:
 		return read_flag(field, &digest->unproven);
+	case DIGEST_LIVENESS_INDEX:
+		return read_liveness(field, digest->liveness);
 	default:
 		return true; /* of a later version */
 	}
--- a/src/digest.h
+++ b/src/digest.h
@@ -55,6 +55,12 @@
 	int64_t began_ms;
 } digest_survival_t;
 
+/* See process_liveness.h. */
+typedef struct digest_liveness {
+	uint32_t process; /* of a backend server */
+	int64_t alive_ms;
+} digest_liveness_t;
+
 typedef struct digest {
 	char *node;
 	int64_t incarnation; /* start of the sender's process, ms since 1970 */
@@ -78,6 +84,7 @@
 	GArray *moves;	   /* of digest_move_t, moves in progress */
 	GArray *crashes;   /* of digest_crash_t */
 	GArray *survivals; /* of digest_survival_t */
+	GArray *liveness;  /* of digest_liveness_t */
 } digest_t;
 
 digest_t *digest_new(void);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -235,6 +235,7 @@
 	    .recorded_window =
 		usage_report_recorded_window(gateway->usage_report)};
 
+	gateway->proxy.is_leader = state.leader;
 	cluster_set_local_state(gateway->cluster, &state);
 	lease_set_campaign_delay(
 	    gateway->lease, cluster_campaign_delay_ms(gateway->cluster));
@@ -279,6 +280,7 @@
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
 	bool behind = is_behind_peers(gateway, now_ms);
 
+	gateway->proxy.store_confirmed_ms = confirmed_ms;
 	if (confirmed_ms != 0)
 		gateway->proxy.catalog_valid_until_ms =
 		    behind ? 0
--- a/src/proxy.h
+++ b/src/proxy.h
@@ -51,6 +51,10 @@
 	 * 0: the catalog is not confirmed yet and must not be used at all.
 	 */
 	int64_t catalog_valid_until_ms;
+	/* clock_boot_ms() of the state of the store that the node has; 0: none
+	 * yet. */
+	int64_t store_confirmed_ms;
+	bool is_leader;
 	bool stopping;	      /* the node shuts down: new requests get 503 */
 	unsigned interrupted; /* requests that proxy_end_all() has ended */
 	/* Requests in flight. */
--- a/src/proxy_attempt.c
+++ b/src/proxy_attempt.c
@@ -456,6 +456,17 @@
 	    cluster_wall_ms(req->context->cluster));
 }
 
+/* True where the blocked request is sent to see whether it is sound. */
+static bool
+takes_trial(const proxy_request_t *req)
+{
+	const proxy_context_t *context = req->context;
+
+	return context->is_leader && req->tried->len == 0 &&
+	       crash_guard_take_trial(context->crash_guard, &req->facts,
+		   cluster_wall_ms(context->cluster));
+}
+
 bool
 proxy_choose_retry(proxy_request_t *req, proxy_retry_t *retry)
 {
@@ -478,7 +489,7 @@
 	int64_t blocked_ms = prompt_blocked_ms(req);
 	pick_choice_t choice;
 
-	if (blocked_ms > 0) {
+	if (blocked_ms > 0 && !takes_trial(req)) {
 		proxy_reject(req, blocked_ms, "blocked_segment");
 		return;
 	}
--- a/src/proxy_record.c
+++ b/src/proxy_record.c
@@ -200,12 +200,27 @@
 		    server->info->id, cold_ms);
 }
 
+/* A server whose start is not known cannot be told from its next process. */
+static void
+record_response(const proxy_attempt_t *attempt, int64_t now_ms)
+{
+	const proxy_request_t *req = attempt->request;
+	const proxy_context_t *context = req->context;
+	const server_info_t *info = attempt->server->info;
+
+	if (info->started_ms != 0)
+		crash_guard_add_response(context->crash_guard,
+		    server_process_hash(info), wall_time_ms(req, now_ms),
+		    wall_time_ms(req, context->store_confirmed_ms));
+}
+
 void
 proxy_record_server_facts(
     const proxy_attempt_t *attempt, const response_facts_t *facts)
 {
 	int64_t now_ms = clock_boot_ms();
 
+	record_response(attempt, now_ms);
 	if (facts->retry_after_ms > 0)
 		server_pause(attempt->server, facts->retry_after_ms, now_ms);
 	if (facts->cold_ms > 0)
--- a/tests/test_crash_guard.c
+++ b/tests/test_crash_guard.c
@@ -17,6 +17,10 @@
 	DEADLY = 3,
 	OTHER = 4, /* a sound segment */
 	OWN = 99,
+	LOSER = 9,		  /* a process that loses a response */
+	RESPONDS_MS = 300,	  /* after that */
+	REGISTERED_MS = 4000,	  /* for a server that starts again */
+	TRIAL_MS = 2 * 60 * 1000, /* from a crash to the first trial */
 };
 
 static crash_guard_t *guard;
@@ -285,6 +289,97 @@
 }
 END_TEST
 
+/*
+ * Crashes of the deadly segment, and a lost response of a sound prompt, after
+ * which all prompts with the first segment are blocked. Returns the time of it.
+ */
+static int64_t
+block_first_segment(const request_facts_t *deadly, const request_facts_t *sound)
+{
+	int64_t now_ms = crash_series(guard, deadly, 3) + INTERVAL_MS;
+
+	crash(guard, sound, LOSER, now_ms - FLIGHT_MS, now_ms);
+	ck_assert(is_blocked(deadly, now_ms));
+	ck_assert(is_blocked(sound, now_ms));
+	return now_ms;
+}
+
+/* Guards against taking a lost response for a crash for as long as it counts.
+ */
+START_TEST(a_process_that_responds_later_has_not_crashed)
+{
+	request_facts_t deadly = prompt(FIRST, DEADLY, 0);
+	request_facts_t sound = prompt(FIRST, OTHER, 0);
+	int64_t now_ms = block_first_segment(&deadly, &sound);
+	int64_t responds_ms = now_ms + RESPONDS_MS;
+	int64_t later_ms = now_ms + REGISTERED_MS;
+
+	crash_guard_add_response(guard, LOSER, responds_ms, now_ms);
+	crash_guard_add_response(guard, LOSER, later_ms, responds_ms);
+	ck_assert(is_blocked(&sound, later_ms));
+	crash_guard_add_response(guard, LOSER, later_ms, later_ms);
+	ck_assert(!is_blocked(&sound, later_ms));
+	ck_assert(is_blocked(&deadly, later_ms));
+	/* A late report of the same does not count again. */
+	crash(guard, &sound, LOSER, now_ms - FLIGHT_MS, now_ms);
+	ck_assert(!is_blocked(&sound, later_ms));
+}
+END_TEST
+
+/* Guards against a response that was under way when its server crashed. */
+START_TEST(a_response_at_the_time_of_the_crash_proves_nothing)
+{
+	request_facts_t deadly = prompt(FIRST, DEADLY, 0);
+	request_facts_t sound = prompt(FIRST, OTHER, 0);
+	int64_t now_ms = block_first_segment(&deadly, &sound);
+
+	crash_guard_add_response(
+	    guard, LOSER, now_ms + 10, now_ms + REGISTERED_MS);
+	ck_assert(is_blocked(&sound, now_ms + REGISTERED_MS));
+}
+END_TEST
+
+/* Guards against nodes that keep a block which another one has disproved. */
+START_TEST(nodes_pool_which_processes_live)
+{
+	request_facts_t deadly = prompt(FIRST, DEADLY, 0);
+	request_facts_t sound = prompt(FIRST, OTHER, 0);
+	int64_t now_ms = block_first_segment(&deadly, &sound);
+	int64_t later_ms = now_ms + REGISTERED_MS;
+	crash_guard_t *peer = crash_guard_new();
+	digest_t *digest = digest_new();
+
+	crash(peer, &sound, LOSER, now_ms - FLIGHT_MS, now_ms);
+	crash_guard_add_response(peer, LOSER, now_ms + RESPONDS_MS, now_ms);
+	crash_guard_add_response(peer, LOSER, later_ms, later_ms);
+	crash_guard_add_to_digest(peer, digest, later_ms);
+	crash_guard_merge_digest(guard, digest, later_ms);
+	ck_assert(!is_blocked(&sound, later_ms));
+	ck_assert(is_blocked(&deadly, later_ms));
+	digest_free(digest);
+	crash_guard_free(peer);
+}
+END_TEST
+
+/*
+ * Guards against a sound segment that stays blocked since all its requests are
+ * refused, and against trials that crash one server after the other.
+ */
+START_TEST(a_blocked_segment_is_tried_rarely)
+{
+	request_facts_t facts = prompt(FIRST, 0, 0);
+	int64_t now_ms = crash_series(guard, &facts, 3);
+
+	ck_assert(!crash_guard_take_trial(guard, &facts, now_ms + 1000));
+	now_ms += TRIAL_MS;
+	ck_assert(crash_guard_take_trial(guard, &facts, now_ms));
+	ck_assert(!crash_guard_take_trial(guard, &facts, now_ms + TRIAL_MS));
+	ck_assert(is_blocked(&facts, now_ms));
+	crash_guard_add_survival(guard, &facts, now_ms + FLIGHT_MS);
+	ck_assert(!is_blocked(&facts, now_ms + FLIGHT_MS));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -306,6 +401,11 @@
 	tcase_add_test(cases, a_node_that_starts_learns_of_blocked_segments);
 	tcase_add_test(cases, old_crashes_and_blocks_end);
 	tcase_add_test(cases, many_crashes_a_second_block_the_segment);
+	tcase_add_test(cases, a_process_that_responds_later_has_not_crashed);
+	tcase_add_test(
+	    cases, a_response_at_the_time_of_the_crash_proves_nothing);
+	tcase_add_test(cases, nodes_pool_which_processes_live);
+	tcase_add_test(cases, a_blocked_segment_is_tried_rarely);
 	suite_add_tcase(suite, cases);
 	return suite_run(suite);
 }
--- a/tests/test_digest.c
+++ b/tests/test_digest.c
@@ -7,8 +7,9 @@
 
 enum {
 	/* Fields behind the zone, of one byte each in the sample. */
-	LATER_FIELDS = 4,
-	LATER_BYTES = LATER_FIELDS,
+	LATER_FIELDS = 5,
+	LIVENESS_BYTES = 2, /* of the one item */
+	LATER_BYTES = LATER_FIELDS + LIVENESS_BYTES,
 };
 
 static digest_t *
@@ -25,6 +26,7 @@
 		.kv_tokens = 900}};
 	digest_usage_t usage = {
 	    .window = 77, .workspace = g_strdup("depot"), .count = 12};
+	digest_liveness_t liveness = {.process = 7, .alive_ms = 5};
 
 	digest->node = g_strdup("n1");
 	digest->incarnation = 1234567890123;
@@ -42,6 +44,7 @@
 	g_array_append_val(digest->spending, spending);
 	g_array_append_val(digest->loads, load);
 	g_array_append_val(digest->usage, usage);
+	g_array_append_val(digest->liveness, liveness);
 	return digest;
 }
 
@@ -74,6 +77,10 @@
 	    40);
 	ck_assert_int_eq(
 	    g_array_index(read->usage, digest_usage_t, 0).window, 77);
+	ck_assert_uint_eq(
+	    g_array_index(read->liveness, digest_liveness_t, 0).process, 7);
+	ck_assert_int_eq(
+	    g_array_index(read->liveness, digest_liveness_t, 0).alive_ms, 5);
 	digest_free(read);
 	digest_free(digest);
 	g_byte_array_unref(bytes);
