Hosts that all start with a restored store wait for the operators

Cause: a host that starts with a store that may have been restored waits for what its peers report. Where these have started too, that is the copy's version.

Change: only a peer that is ready counts, as it has run since before or has waited itself. Where none is, the host waits as long as operators need to write again (STORE_RESTORE_HOLD_MS).

Test: start_of_all_nodes_after_a_restoration_waits_for_the_operators; on the code before: the key runs (504 in place of 503); now 503, then 401.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -496,7 +496,8 @@
 }
 
 int64_t
-cluster_newest_configuration(const cluster_t *cluster, int64_t now_ms)
+cluster_newest_configuration(
+    const cluster_t *cluster, bool ready_only, int64_t now_ms)
 {
 	int64_t newest = 0;
 	GHashTableIter iter;
@@ -507,7 +508,8 @@
 		const cluster_peer_t *peer = value;
 
 		if (peer->registered &&
-		    cluster_is_peer_alive(cluster, peer, now_ms))
+		    cluster_is_peer_alive(cluster, peer, now_ms) &&
+		    (!ready_only || peer->digest->ready))
 			newest =
 			    MAX(newest, peer->digest->configuration_version);
 	}
--- a/src/cluster.h
+++ b/src/cluster.h
@@ -142,9 +142,10 @@
 
 /*
  * Newest version of the configuration that a peer reports which is alive; 0:
- * none does.
+ * none does. ready_only: only of peers that are ready to serve with theirs.
  */
-int64_t cluster_newest_configuration(const cluster_t *cluster, int64_t now_ms);
+int64_t cluster_newest_configuration(
+    const cluster_t *cluster, bool ready_only, int64_t now_ms);
 
 /* Registered nodes, including this one. */
 unsigned cluster_node_count(const cluster_t *cluster);
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -30,8 +30,6 @@
 	CHANGE_DELIVERY_MAX_MS = 800,
 	/* A node that starts waits for a configuration that its peers have. */
 	PEER_CONFIGURATION_WAIT_MS = 5000,
-	/* The same for the first digest of a peer. */
-	PEER_DIGEST_WAIT_MS = 600,
 };
 
 /*
@@ -192,7 +190,8 @@
 	g_ptr_array_unref(waiting);
 }
 
-/* Until the first confirmed configuration, and while is_behind_peers(). */
+/* Until the first confirmed configuration, and while
+ * is_configuration_in_doubt(). */
 static bool
 is_awaiting_configuration(const gateway_t *gateway)
 {
@@ -242,29 +241,40 @@
 }
 
 /*
- * True while a node that has just started should wait for the configuration
- * that its peers have: a store that has been restored from a copy may show an
- * older one, where API keys that were withdrawn are valid.
+ * For how long a node that has just started waits for another configuration
+ * than its own. A peer that is ready has one that is confirmed. Where none is,
+ * all nodes may have started with the copy, and only the operators know of
+ * later versions.
  */
-static bool
-is_behind_peers(gateway_t *gateway, int64_t now_ms)
+static int64_t
+configuration_wait_ms(const gateway_t *gateway, int64_t now_ms)
 {
-	int64_t peers_version;
-	int64_t wait_ms;
+	const cluster_t *cluster = gateway->cluster;
+	const catalog_t *catalog = gateway->proxy.catalog;
+	int64_t peers = cluster_newest_configuration(cluster, false, now_ms);
 
+	if (catalog == NULL || catalog->version < peers)
+		return PEER_CONFIGURATION_WAIT_MS;
+	if (cluster_newest_configuration(cluster, true, now_ms) != 0)
+		return 0;
+	return STORE_RESTORE_HOLD_MS;
+}
+
+/*
+ * True while a node that has just started should wait for a configuration: a
+ * store that has been restored from a copy may show an older one, where API
+ * keys that were withdrawn are valid.
+ */
+static bool
+is_configuration_in_doubt(gateway_t *gateway, int64_t now_ms)
+{
 	if (gateway->was_ready || !gateway->initial_list_complete ||
 	    !era_record_may_be_restored(gateway->era_record))
 		return false;
-	peers_version = cluster_newest_configuration(gateway->cluster, now_ms);
-	if (gateway->proxy.catalog != NULL &&
-	    gateway->proxy.catalog->version >= peers_version &&
-	    (peers_version != 0 || cluster_node_count(gateway->cluster) == 1))
-		return false;
-	if (gateway->peer_wait_since_ms == 0)
-		gateway->peer_wait_since_ms = now_ms;
-	wait_ms = peers_version == 0 ? PEER_DIGEST_WAIT_MS
-				     : PEER_CONFIGURATION_WAIT_MS;
-	return now_ms - gateway->peer_wait_since_ms < wait_ms;
+	if (gateway->configuration_wait_since_ms == 0)
+		gateway->configuration_wait_since_ms = now_ms;
+	return now_ms - gateway->configuration_wait_since_ms <
+	       configuration_wait_ms(gateway, now_ms);
 }
 
 static void
@@ -278,15 +288,15 @@
 	bool ready =
 	    can_serve &&
 	    now_ms < confirmed_ms + (int64_t)(config_ready_share * revoke_ms);
-	bool behind = is_behind_peers(gateway, now_ms);
+	bool in_doubt = is_configuration_in_doubt(gateway, now_ms);
 
 	gateway->proxy.store_confirmed_ms = confirmed_ms;
 	if (confirmed_ms != 0)
 		gateway->proxy.catalog_valid_until_ms =
-		    behind ? 0
-			   : confirmed_ms +
-				 (int64_t)(config_use_share * revoke_ms);
-	ready = ready && !behind;
+		    in_doubt ? 0
+			     : confirmed_ms +
+				   (int64_t)(config_use_share * revoke_ms);
+	ready = ready && !in_doubt;
 	if (ready != gateway->ready)
 		log_event(LOG_LEVEL_INFO,
 		    ready ? "front.ready" : "front.unready",
--- a/src/gateway_state.h
+++ b/src/gateway_state.h
@@ -53,7 +53,8 @@
 	bool unproven;	/* was ready, and lacks the store's proof only */
 	bool ready;	/* as reported to readiness checks */
 	bool was_ready; /* at least once */
-	int64_t peer_wait_since_ms; /* see is_behind_peers(); 0: not yet */
+	/* See is_configuration_in_doubt(); 0: not yet. */
+	int64_t configuration_wait_since_ms;
 	int64_t waiting_since_ms; /* receipt of the first of the exchanges that
 				     wait */
 	drain_t drain;
--- a/src/store_watch.c
+++ b/src/store_watch.c
@@ -21,11 +21,6 @@
 	UNAVAILABLE_AFTER_MS = 300,
 	/* Entries removed in an outage may reappear this long after its end. */
 	RECOVERY_MS = 2500,
-	/*
-	 * After a restoration operators and backend servers write their keys
-	 * again within about two seconds.
-	 */
-	RESTORE_HOLD_MS = 2500,
 	/* Between two calls that a peer's statement of an era causes. */
 	ERA_CHECK_INTERVAL_MS = 1000,
 };
@@ -147,7 +142,7 @@
 	relay_log_reset(watch->change_log, watch->revision);
 	watch->list_complete = true;
 	if (watch->hold_until_ms == INT64_MAX)
-		watch->hold_until_ms = clock_boot_ms() + RESTORE_HOLD_MS;
+		watch->hold_until_ms = clock_boot_ms() + STORE_RESTORE_HOLD_MS;
 	watch->options.on_list_complete(watch->options.data);
 	watch->listed_once = true;
 	if (watch->list_may_be_stale)
--- a/src/store_watch.h
+++ b/src/store_watch.h
@@ -18,6 +18,12 @@
  */
 typedef struct store_watch store_watch_t;
 
+/*
+ * After a restoration operators and backend servers write their keys again
+ * within about two seconds.
+ */
+enum { STORE_RESTORE_HOLD_MS = 2500 };
+
 typedef struct store_watch_options {
 	platform_store_t *store; /* borrowed */
 	/* Time after the last confirmation for which the copy may be used. */
--- a/tests/test_cluster.c
+++ b/tests/test_cluster.c
@@ -253,7 +253,12 @@
 	ck_assert_int_eq(learned.store_era, 2);
 	ck_assert_int_eq(learned.recorded_window, 70);
 	ck_assert_int_eq(
-	    cluster_newest_configuration(node->cluster, clock_boot_ms()), 9);
+	    cluster_newest_configuration(node->cluster, false, clock_boot_ms()),
+	    9);
+	/* It does not say that it is ready. */
+	ck_assert_int_eq(
+	    cluster_newest_configuration(node->cluster, true, clock_boot_ms()),
+	    0);
 	learned = (cluster_local_state_t){0};
 	cluster_set_local_state(node->cluster, &told);
 	send_digest(0, 0, -1);
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -14,6 +14,11 @@
  * down: what was withdrawn before must not be in use again.
  */
 
+enum {
+	/* Within which operators write again after a restoration. */
+	OPERATOR_US = 1800 * 1000,
+};
+
 /* Withdraws key-2 and the only server of the service. */
 static void
 withdraw(void)
@@ -96,6 +101,34 @@
 }
 END_TEST
 
+/*
+ * Guards against withdrawn keys that are in use again where no node has run
+ * since before the restoration: they know no more than the copy.
+ */
+START_TEST(start_of_all_nodes_after_a_restoration_waits_for_the_operators)
+{
+	int64_t until;
+
+	call_store("/snapshot");
+	withdraw();
+	program_end(gateway_node, SIGKILL);
+	call_store("/restore");
+	gateway_node = gateway_launch("n1");
+	until = g_get_monotonic_time() + OPERATOR_US;
+	while (g_get_monotonic_time() < until) {
+		ck_assert_uint_eq(
+		    gateway_booking_status(gateway_node, "key-2"), 503);
+		g_usleep(50000);
+	}
+	gateway_configure(2, "[\"key-1\"]");
+	until = g_get_monotonic_time() + OPERATOR_US;
+	while (g_get_monotonic_time() < until &&
+	       gateway_booking_status(gateway_node, "key-2") == 503)
+		g_usleep(50000);
+	ck_assert_uint_eq(gateway_booking_status(gateway_node, "key-2"), 401);
+}
+END_TEST
+
 /* Guards against refusals while a node waits for the digests of its peers. */
 START_TEST(requests_wait_at_a_start_after_a_restoration)
 {
@@ -191,6 +224,8 @@
 	tcase_add_test(cases, restart_without_the_store_serves_nothing);
 	tcase_add_test(cases,
 	    start_after_a_restoration_waits_for_the_configuration_of_peers);
+	tcase_add_test(cases,
+	    start_of_all_nodes_after_a_restoration_waits_for_the_operators);
 	tcase_add_test(cases, requests_wait_at_a_start_after_a_restoration);
 	tcase_add_test(cases, duties_go_on_after_a_restoration);
 	tcase_add_test(
