A host's registration under another lease is written again

Callers would see: a host that no directory names, until it is restarted, though it serves.

Cause: a write of an earlier process, which the store carries out late, binds the host's key to the lease of before. The new process did not look at the lease of its key, and a removal only renewed its own lease.

Change: a key of the node that is newer than its own write and under another lease is written again; so is one that is removed, once a renewal has shown that the lease lives (hosts that follow relays see no leases).

Tests, without a network: a_registration_under_another_lease_is_written_again and a_registration_that_is_removed_is_written_again; before, 1 registration in place of 2 in both (with stubs for the new calls).

--- a/src/gateway_store.c
+++ b/src/gateway_store.c
@@ -245,6 +245,8 @@
 		break;
 	case KEY_GATEWAY_NODE:
 		put_node(gateway, name, item);
+		if (strcmp(name, gateway->config->name) == 0)
+			lease_update_registration(gateway->lease, item);
 		break;
 	case KEY_LEASE_HOLDER:
 		lease_update_leader(gateway->lease, item);
@@ -312,7 +314,7 @@
 	case KEY_GATEWAY_NODE:
 		cluster_remove_node(gateway->cluster, name);
 		if (strcmp(name, gateway->config->name) == 0)
-			lease_check_registration(gateway->lease);
+			lease_remove_registration(gateway->lease, revision);
 		break;
 	case KEY_LEASE_HOLDER:
 		lease_remove_leader(gateway->lease, revision);
--- a/src/lease.c
+++ b/src/lease.c
@@ -40,6 +40,7 @@
 	int64_t start_era; /* of the store at the start; ERA_NONE: unknown */
 	bool listed_once;  /* the store's keys */
 	bool registered;
+	int64_t registered_revision; /* of the node's key; 0: none */
 	bool registration_in_progress;
 	bool revoked;
 	bool campaign_enabled;
@@ -96,10 +97,12 @@
 
 	if (is_current(written)) {
 		lease->registration_in_progress = false;
-		if (result->status == PLATFORM_OK)
+		if (result->status == PLATFORM_OK) {
 			lease->registered = true;
-		else if (result->status == PLATFORM_ABSENT)
+			lease->registered_revision = result->revision;
+		} else if (result->status == PLATFORM_ABSENT) {
 			store_lease_mark_lost(lease->node);
+		}
 	}
 	g_free(written);
 }
@@ -241,6 +244,15 @@
 		write_leader_key(lease);
 }
 
+/* Not while a renewal may show that the lease is lost. */
+static bool
+needs_registration(const lease_t *lease)
+{
+	return !lease->registered && !lease->registration_in_progress &&
+	       store_lease_id(lease->node) != 0 &&
+	       !store_lease_is_renewal_due(lease->node);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -250,8 +262,7 @@
 	if (lease->revoked)
 		return;
 	store_lease_keep(lease->node, now_ms);
-	if (store_lease_id(lease->node) != 0 && !lease->registered &&
-	    !lease->registration_in_progress)
+	if (needs_registration(lease))
 		register_node(lease);
 	if (may_campaign(lease, now_ms))
 		campaign(lease, now_ms);
@@ -392,6 +403,7 @@
 	store_lease_restore(lease->node);
 	store_lease_restore(lease->leader);
 	lease->registered = false;
+	lease->registered_revision = 0;
 	lease->registration_in_progress = false;
 	lease->campaign_enabled = false;
 	lease->campaigning = false;
@@ -425,8 +437,26 @@
 }
 
 void
-lease_check_registration(lease_t *lease)
+lease_update_registration(lease_t *lease, const platform_item_t *item)
+{
+	/* Copies of the key from relays do not tell its lease. */
+	if (!lease->registered ||
+	    item->revision <= lease->registered_revision ||
+	    item->lease_id == 0 ||
+	    item->lease_id == store_lease_id(lease->node))
+		return;
+	log_event(LOG_LEVEL_WARN, "lease.registration_replaced",
+	    "lease=%" G_GINT64_FORMAT " key_lease=%" G_GINT64_FORMAT,
+	    store_lease_id(lease->node), item->lease_id);
+	lease->registered = false;
+}
+
+void
+lease_remove_registration(lease_t *lease, int64_t revision)
 {
+	if (revision < lease->registered_revision)
+		return;
+	lease->registered = false;
 	store_lease_renew_soon(lease->node);
 }
 
--- a/src/lease.h
+++ b/src/lease.h
@@ -52,8 +52,14 @@
  */
 void lease_set_campaign_delay(lease_t *lease, int64_t delay_ms);
 
-/* The node's address key has been removed: renews the lease, or registers. */
-void lease_check_registration(lease_t *lease);
+/*
+ * The node's own key has been read, or was removed at a revision. It is written
+ * again where it is bound to another lease, as by a write of an earlier process
+ * that the store has carried out late, and where it is missing although the
+ * node's lease lives.
+ */
+void lease_update_registration(lease_t *lease, const platform_item_t *item);
+void lease_remove_registration(lease_t *lease, int64_t revision);
 
 /*
  * Returns the leader's fencing token while this node is certain to be the
--- a/src/store_lease.c
+++ b/src/store_lease.c
@@ -55,6 +55,12 @@
 	lease->renewal_due = true;
 }
 
+bool
+store_lease_is_renewal_due(const store_lease_t *lease)
+{
+	return lease->renewal_due || lease->call_in_progress;
+}
+
 void
 store_lease_mark_lost(store_lease_t *lease)
 {
--- a/src/store_lease.h
+++ b/src/store_lease.h
@@ -39,6 +39,9 @@
 /* The next call of store_lease_keep() renews the lease. */
 void store_lease_renew_soon(store_lease_t *lease);
 
+/* True until that renewal, or another call in progress, has been answered. */
+bool store_lease_is_renewal_due(const store_lease_t *lease);
+
 /* Forgets the lease, which the store does not have, and calls on_lost. */
 void store_lease_mark_lost(store_lease_t *lease);
 
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -186,6 +186,19 @@
 	return lease_fencing_token(lease);
 }
 
+/* Runs the node for a few ticks. */
+static void
+run_ticks(void)
+{
+	int64_t end_ms = clock_boot_ms() + TICKS_MS;
+
+	while (clock_boot_ms() < end_ms) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		answer(PLATFORM_OK);
+		g_usleep(STEP_US);
+	}
+}
+
 static void
 setup(void)
 {
@@ -240,6 +253,40 @@
 	ck_assert_int_eq(lease_fencing_token(lease), 0);
 }
 
+/*
+ * Guards against a node that no caller is told of: an earlier process's write,
+ * carried out late, has bound its key to a lease that ends.
+ */
+START_TEST(a_registration_under_another_lease_is_written_again)
+{
+	platform_item_t late = {.lease_id = 1};
+
+	become_leader();
+	ck_assert_uint_eq(store.registrations, 1);
+	late.revision = ++store.revision;
+	lease_update_registration(lease, &late);
+	run_ticks();
+	ck_assert_uint_eq(store.registrations, 2);
+	/* The same change, and the node's own, come again. */
+	lease_update_registration(lease, &late);
+	run_ticks();
+	ck_assert_uint_eq(store.registrations, 2);
+}
+END_TEST
+
+/* Guards against the same where the node does not see that lease. */
+START_TEST(a_registration_that_is_removed_is_written_again)
+{
+	become_leader();
+	lease_remove_registration(lease, ++store.revision);
+	run_ticks();
+	ck_assert_uint_eq(store.registrations, 2);
+	lease_remove_registration(lease, REVISION);
+	run_ticks();
+	ck_assert_uint_eq(store.registrations, 2);
+}
+END_TEST
+
 /* Guards against duties that the platform refuses, or sent by two holders. */
 START_TEST(token_rises_where_the_copy_lacks_the_leader_key)
 {
@@ -658,6 +705,8 @@
 main(void)
 {
 	const TTest *const tests[] = {
+	    a_registration_under_another_lease_is_written_again,
+	    a_registration_that_is_removed_is_written_again,
 	    token_rises_where_the_copy_lacks_the_leader_key,
 	    leader_goes_on_with_the_lease_that_the_copy_shows,
 	    other_nodes_wait_until_an_earlier_leader_has_stopped,
