No window of before the start is reported at a store without a record

Cause: a store without any key of the system was taken for new, and the newest complete window was recorded there, though an earlier leader had reported it. No key tells in which era a store began.

Change: at a store without a record only windows are recorded that were not complete when the host first listed the keys. On a first start no request has run before.

--- a/src/usage_report.c
+++ b/src/usage_report.c
@@ -198,13 +198,15 @@
 
 /*
  * A node that knows only a restored store cannot tell which windows were
- * recorded before, until it reads a record written since.
+ * recorded before, until it reads a record written since. A store without a
+ * record is new, or a copy of before the first one.
  */
 static bool
 knows_records(const usage_report_t *report)
 {
 	return report->record_is_of_era ||
-	       (report->listed && !report->may_be_restored);
+	       (report->listed && !report->may_be_restored &&
+		   report->recorded_window != 0);
 }
 
 int64_t
--- a/tests/test_restored_duties.c
+++ b/tests/test_restored_duties.c
@@ -458,6 +458,21 @@
 }
 END_TEST
 
+/*
+ * Guards against a window that is reported twice where the copy is older than
+ * the first record, and all nodes have started since.
+ */
+START_TEST(a_store_without_a_record_may_be_a_copy)
+{
+	become_leader();
+	usage_report_tick(report, NOW_MS); /* in the window NEWEST + 2 */
+	usage_report_tick(report, NOW_MS + WINDOW_MS);
+	ck_assert_ptr_null(store.record);
+	usage_report_tick(report, NOW_MS + 2 * WINDOW_MS);
+	ck_assert_ptr_nonnull(strstr(store.record, "\"window\":52"));
+}
+END_TEST
+
 /* Guards against a retry with other counts than the platform may know. */
 START_TEST(counts_that_were_sent_stay)
 {
@@ -716,6 +731,7 @@
 	    calls_of_an_earlier_era_change_nothing,
 	    a_recorded_window_stays_recorded, counts_that_were_sent_stay,
 	    a_missing_record_is_written_anew,
+	    a_store_without_a_record_may_be_a_copy,
 	    a_window_that_a_peer_knows_stays_recorded,
 	    a_baseline_is_written_again_from_memory,
 	    a_stage_stays_and_is_written_again,
