A turn of the loop has a budget for reading from connections

Callers saw, three times now (a faulty server, bodies without end, empty lines): bytes of one peer take the host's only loop from everyone else, each time by another shape.

Change: turn measures each turn and what the bytes of each read cost. Once a turn's 3 ms are used up the other connections wait for the next one, which begins with them; those let in read whatever else has been spent; cheap reads have a budget of their own; a costly read makes the next ones smaller. Timers, the calls of libcurl and datagrams are never put off. Histogram and longest time of a turn, readings put off, and a log line for a turn over 50 ms that names the connection's peer.

Not measured: callers' shapes, the lease and the store beside the streams, 64 streams on a shared core.

--- a/src/cluster.c
+++ b/src/cluster.c
@@ -4,6 +4,7 @@
 #include "conn.h"
 #include "error.h"
 #include "log.h"
+#include "turn.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -196,21 +197,17 @@
 }
 
 static void
-on_datagram(uv_udp_t *socket, ssize_t length, const uv_buf_t *datagram,
-    const struct sockaddr *from, unsigned flags)
+read_datagram(cluster_t *cluster, const char *bytes, size_t length,
+    const struct sockaddr *from)
 {
-	cluster_t *cluster = socket->data;
 	digest_t *digest;
 
-	if (length <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
-		return;
-	if (cluster_handle_relay_datagram(
-		cluster, datagram->base, (size_t)length, from))
+	if (cluster_handle_relay_datagram(cluster, bytes, length, from))
 		return;
-	digest = digest_decode(datagram->base, (size_t)length);
+	digest = digest_decode(bytes, length);
 	if (digest == NULL) {
 		log_event(
-		    LOG_LEVEL_WARN, "cluster.malformed", "bytes=%zd", length);
+		    LOG_LEVEL_WARN, "cluster.malformed", "bytes=%zu", length);
 		return;
 	}
 	if (strcmp(digest->node, cluster->options.config->name) == 0)
@@ -219,6 +216,18 @@
 		apply_digest(cluster, digest, clock_boot_ms());
 }
 
+static void
+on_datagram(uv_udp_t *socket, ssize_t length, const uv_buf_t *datagram,
+    const struct sockaddr *from, unsigned flags)
+{
+	uint64_t since_ns = turn_clock_ns();
+
+	if (length <= 0 || from == NULL || (flags & UV_UDP_PARTIAL) != 0)
+		return;
+	read_datagram(socket->data, datagram->base, (size_t)length, from);
+	turn_note(TURN_PEER, since_ns);
+}
+
 static void
 reset_peer_load(server_t *server, void *data)
 {
--- a/src/conn.c
+++ b/src/conn.c
@@ -1,5 +1,7 @@
 #include "conn.h"
 
+#include "turn.h"
+
 #include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
@@ -39,10 +41,15 @@
 	int64_t linger_stall_ms; /* uv_now() of the end without progress */
 	size_t linger_unsent;	 /* conn_unsent_bytes() at the last look */
 	size_t read_max;
+	size_t cheap_max;    /* bytes that cost no more than a turn's share */
+	uint64_t cost_ns;    /* of the last reading */
 	size_t queue_memory; /* allocated for the writes in progress */
 	int write_error;     /* libuv code of a failed conn_write(), or 0 */
 	bool reading;
-	bool yielded; /* reading goes on in the next round of the loop */
+	bool accepted;
+	bool yielded; /* reading goes on in another round of the loop */
+	bool put_off; /* this round's time for reading is used up */
+	bool taken;   /* it reads in this round all the same */
 	bool ended;   /* on_end has been called */
 	bool closing; /* the owner has closed it: no more callbacks */
 	bool lingering;
@@ -134,6 +141,7 @@
 	conn->data = data;
 	conn->open_handles = 2;
 	conn->read_max = sizeof(read_buffer);
+	conn->cheap_max = sizeof(read_buffer);
 	uv_tcp_init(loop, &conn->tcp);
 	uv_timer_init(loop, &conn->timer);
 	conn->tcp.data = conn;
@@ -173,14 +181,15 @@
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
-	const conn_t *conn = handle->data;
+	conn_t *conn = handle->data;
+	size_t length = MIN(conn->read_max, conn->cheap_max);
 
-	if (conn->late_count != NULL &&
-	    conn_unread(conn) == CONN_UNREAD_BYTES) {
-		*buffer = uv_buf_init(NULL, 0);
-		return;
-	}
-	*buffer = uv_buf_init(read_buffer, (unsigned)conn->read_max);
+	conn->put_off = !conn->taken && turn_is_spent();
+	if (conn->put_off || (conn->late_count != NULL &&
+				 conn_unread(conn) == CONN_UNREAD_BYTES))
+		length = 0;
+	*buffer =
+	    uv_buf_init(length == 0 ? NULL : read_buffer, (unsigned)length);
 }
 
 /*
@@ -263,7 +272,12 @@
 {
 	conn_t *conn = timer->data;
 
+	if (!turn_take(conn->cost_ns)) {
+		uv_timer_start(timer, on_next_round, turn_wait_ms(), 0);
+		return;
+	}
 	conn->yielded = false;
+	conn->taken = true;
 	if (conn->lingering) {
 		start_reading(conn);
 		start_linger_timer(conn);
@@ -273,16 +287,31 @@
 		start_reading(conn);
 }
 
-/*
- * Lets other connections have their turn: libuv reads on in the same round for
- * as long as the buffer is filled, and a peer may send without end.
- */
+/* Lets other connections have their turn. */
 static void
-yield(conn_t *conn)
+yield(conn_t *conn, uint64_t wait_ms)
 {
 	uv_read_stop((uv_stream_t *)&conn->tcp);
 	conn->yielded = true;
-	uv_timer_start(&conn->timer, on_next_round, 0, 0);
+	uv_timer_start(&conn->timer, on_next_round, wait_ms, 0);
+}
+
+/*
+ * Passes on what was read, and sees what it costs. A read that may cost more
+ * than a connection's share of a round is made smaller.
+ */
+static void
+deliver(conn_t *conn, const char *bytes, size_t length)
+{
+	uint64_t since_ns = turn_clock_ns();
+
+	conn->callbacks.on_data(conn, bytes, length, conn->data);
+	conn->cost_ns = turn_note_connection(
+	    conn->accepted ? TURN_CLIENT : TURN_SERVER, &conn->tcp, since_ns);
+	if (turn_is_costly(conn->cost_ns))
+		conn->cheap_max = turn_read_max(length, conn->cost_ns);
+	else
+		conn->cheap_max = MIN(2 * conn->cheap_max, sizeof(read_buffer));
 }
 
 static void
@@ -290,6 +319,12 @@
 {
 	conn_t *conn = stream->data;
 
+	conn->taken = false;
+	if (length == UV_ENOBUFS && conn->put_off) {
+		turn_put_off();
+		yield(conn, 0);
+		return;
+	}
 	if (length == UV_ENOBUFS) {
 		uv_read_stop(stream);
 		++*conn->late_count;
@@ -303,12 +338,16 @@
 		    conn, length == UV_EOF ? end_error(conn) : (int)length);
 		return;
 	}
+	conn->cost_ns = 0;
 	if (length > 0 && !conn->closing)
-		conn->callbacks.on_data(
-		    conn, buffer->base, (size_t)length, conn->data);
-	if (length == (ssize_t)buffer->len &&
+		deliver(conn, buffer->base, (size_t)length);
+	/*
+	 * libuv reads on in the same round for as long as the buffer is filled,
+	 * and a peer may send without end.
+	 */
+	if ((length == (ssize_t)buffer->len || turn_is_costly(conn->cost_ns)) &&
 	    (conn->lingering || (conn->reading && !conn->closing)))
-		yield(conn);
+		yield(conn, turn_wait_ms());
 }
 
 void
@@ -363,6 +402,7 @@
 		close_handles(conn);
 		return NULL;
 	}
+	conn->accepted = true;
 	set_socket_options(conn, 0);
 	conn_set_reading(conn, true);
 	return conn;
--- a/src/gateway.c
+++ b/src/gateway.c
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "conn.h"
 #include "log.h"
+#include "turn.h"
 
 #include <malloc.h>
 #include <string.h>
@@ -386,10 +387,10 @@
 	g_ptr_array_unref(nodes);
 }
 
+/* The node's periodic work. */
 static void
-on_tick(uv_timer_t *timer)
+tick(gateway_t *gateway)
 {
-	gateway_t *gateway = timer->data;
 	int64_t now_ms = clock_boot_ms();
 
 	request_store_changes(gateway);
@@ -419,6 +420,15 @@
 		check_drain(gateway, now_ms);
 }
 
+static void
+on_tick(uv_timer_t *timer)
+{
+	uint64_t since_ns = turn_clock_ns();
+
+	tick(timer->data);
+	turn_note(TURN_TICK, since_ns);
+}
+
 static void
 init_memory(gateway_t *gateway)
 {
@@ -466,6 +476,7 @@
 	gateway->proxy.rollouts = rollouts_new(&(rollouts_options_t){
 	    .config = gateway->config, .pool = gateway->proxy.pool});
 	TAILQ_INIT(&gateway->proxy.requests);
+	turn_start(gateway->loop, gateway->proxy.counters);
 }
 
 static bool
