--- a/src/proxy.h
+++ b/src/proxy.h
@@ -54,7 +54,7 @@
 	/* clock_boot_ms() of the state of the store that the node has; 0: none
 	 * yet. */
 	int64_t store_confirmed_ms;
-	bool is_leader;
+	bool is_leader;	      /* this node has the singleton duties */
 	bool stopping;	      /* the node shuts down: new requests get 503 */
 	unsigned interrupted; /* requests that proxy_end_all() has ended */
 	/* Requests in flight. */
