--- a/bench/bench_turns.c
+++ b/bench/bench_turns.c
@@ -108,18 +108,6 @@
 	}
 }
 
-static void
-append_chunks(GString *out, const GString *body, size_t chunk_bytes)
-{
-	for (size_t from = 0; from < body->len; from += chunk_bytes) {
-		size_t length = MIN(chunk_bytes, body->len - from);
-
-		g_string_append_printf(out, "%zx\r\n", length);
-		g_string_append_len(out, body->str + from, (gssize)length);
-		g_string_append(out, "\r\n");
-	}
-}
-
 /* What is sent again and again after the head. */
 static GString *
 flood_bytes(const struct shape *shape)
@@ -132,7 +120,7 @@
 	if (shape->framing != CHUNKS)
 		return body;
 	out = g_string_new(NULL);
-	append_chunks(out, body, shape->chunk_bytes);
+	wire_append_chunks(out, body, shape->chunk_bytes);
 	g_string_free(body, TRUE);
 	return out;
 }
--- a/tests/support_gateway.c
+++ b/tests/support_gateway.c
@@ -404,13 +404,10 @@
 {
 	char *booking = gateway_format_request("/book/", "id-1", key);
 	int fd = wire_connect(gateway->address);
-	char *message;
 	unsigned status;
 
 	wire_send(fd, booking);
-	message = wire_read_message(fd);
-	status = (unsigned)strtoul(message + strlen("HTTP/1.1 "), NULL, 10);
-	g_free(message);
+	status = wire_read_status(fd);
 	g_free(booking);
 	close(fd);
 	return status;
--- a/tests/support_wire.c
+++ b/tests/support_wire.c
@@ -156,6 +156,18 @@
 	return g_string_free(text, FALSE);
 }
 
+void
+wire_append_chunks(GString *out, const GString *body, size_t chunk_bytes)
+{
+	for (size_t from = 0; from < body->len; from += chunk_bytes) {
+		size_t length = MIN(chunk_bytes, body->len - from);
+
+		g_string_append_printf(out, "%zx\r\n", length);
+		g_string_append_len(out, body->str + from, (gssize)length);
+		g_string_append(out, "\r\n");
+	}
+}
+
 unsigned
 wire_read_status(int fd)
 {
--- a/tests/support_wire.h
+++ b/tests/support_wire.h
@@ -29,6 +29,9 @@
 
 void wire_send(int fd, const char *text);
 
+/* Appends a body as chunks of so many bytes, without the last chunk. */
+void wire_append_chunks(GString *out, const GString *body, size_t chunk_bytes);
+
 /*
  * Reads one HTTP message and its body of Content-Length bytes. Free with
  * g_free().
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -192,13 +192,7 @@
 
 	while (body->len < FLOOD_BYTES)
 		g_string_append(body, flood->repeat);
-	for (size_t from = 0; from < body->len; from += flood->chunk_bytes) {
-		size_t length = MIN(flood->chunk_bytes, body->len - from);
-
-		g_string_append_printf(chunks, "%zx\r\n", length);
-		g_string_append_len(chunks, body->str + from, (gssize)length);
-		g_string_append(chunks, "\r\n");
-	}
+	wire_append_chunks(chunks, body, flood->chunk_bytes);
 	g_string_free(body, TRUE);
 	return chunks;
 }
